--- /dev/null
+++ b/packages/core/dewstep_core/__init__.py
@@ -0,0 +1,1 @@
+"""Data, errors, clients and the wire format that all dewstep packages share."""
--- /dev/null
+++ b/packages/core/dewstep_core/http/__init__.py
@@ -0,0 +1,1 @@
+"""Thin asyncio loops around the h11 state machine."""
--- /dev/null
+++ b/packages/core/dewstep_core/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- /dev/null
+++ b/packages/core/dewstep_core/settings.py
@@ -0,0 +1,64 @@
+"""Settings of a process, as its TOML file gives them."""
+
+import datetime
+from typing import NamedTuple
+
+
+class Address(NamedTuple):
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+
+class CallerLimits(NamedTuple):
+    """What a caller may send, and how slowly."""
+
+    head_bytes: int = 16_384
+    head_timeout: datetime.timedelta = datetime.timedelta(seconds=5)
+    body_rate_bytes: int = 1_024
+    """Least bytes/s of a request body and of the reading of an answer."""
+    body_grace: datetime.timedelta = datetime.timedelta(seconds=5)
+    """Time before the least rate applies."""
+    idle_timeout: datetime.timedelta = datetime.timedelta(seconds=60)
+    connections: int = 2_000
+
+
+class GrantSettings(NamedTuple):
+    """Timing of the grants that a gate sends to fenced targets."""
+
+    lifetime: datetime.timedelta = datetime.timedelta(milliseconds=600)
+    interval: datetime.timedelta = datetime.timedelta(milliseconds=150)
+    margin: datetime.timedelta = datetime.timedelta(milliseconds=10)
+    drift: float = 0.01
+    """Largest difference in the rates of two machines' clocks, as a ratio."""
+
+
+class PeerSettings(NamedTuple):
+    """Timing of the messages between entry processes."""
+
+    heartbeat_interval: datetime.timedelta = datetime.timedelta(milliseconds=100)
+    suspect_after: datetime.timedelta = datetime.timedelta(milliseconds=400)
+    connect_timeout: datetime.timedelta = datetime.timedelta(milliseconds=300)
+
+
+class Settings(NamedTuple):
+    """All settings of an entry process."""
+
+    entry: str
+    """Name of this entry process, unique in the fleet."""
+    data_centre: str
+    caller_address: Address
+    peer_address: Address
+    operator_address: Address
+    table_addresses: tuple[Address, ...]
+    instance_list_address: Address | None = None
+    seeds: tuple[Address, ...] = ()
+    """Peer addresses of other entry processes."""
+    statsd_address: Address | None = None
+    stop_limit: datetime.timedelta = datetime.timedelta(seconds=20)
+    maximum_clock_skew: datetime.timedelta = datetime.timedelta(milliseconds=500)
+    table_timeout: datetime.timedelta = datetime.timedelta(milliseconds=500)
+    caller_limits: CallerLimits = CallerLimits()
+    grants: GrantSettings = GrantSettings()
+    peers: PeerSettings = PeerSettings()
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the targets, load tool and history checker."""
--- /dev/null
+++ b/packages/entry/dewstep_entry/caller/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of callers: requests in, answers out."""
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/__init__.py
@@ -0,0 +1,1 @@
+"""The gate of a target: fencing, admission, request ids, succession."""
--- /dev/null
+++ b/packages/entry/dewstep_entry/interfaces.py
@@ -0,0 +1,72 @@
+"""Interfaces between the stages of the entry process."""
+
+from typing import Any, Protocol
+
+from returns import result
+
+from dewstep_core import data
+
+Failure = Any
+"""One of the tuples in `dewstep_core.errors`."""
+
+
+class RequestHandler(Protocol):
+    """A stage that answers requests.
+
+    Cancelling the task that awaits `handle` cancels the request downstream. The
+    holder of a successful answer reads its body to the end or closes it
+    (`aclose`), which frees the slots and connections behind it.
+    """
+
+    async def handle(
+        self, request: data.Request
+    ) -> result.Result[data.Answer, Failure]:
+        """Return the answer to `request`, or why there is none."""
+
+
+class TableClient(Protocol):
+    """The platform's table service."""
+
+    async def read(self, key: str) -> result.Result[data.Row, Failure]:
+        """Return the row; version 0 and value None if it is absent."""
+
+    async def read_prefix(
+        self, prefix: str
+    ) -> result.Result[tuple[data.Row, ...], Failure]:
+        """Return all rows whose keys start with `prefix`."""
+
+    async def commit(
+        self, transaction: data.Transaction
+    ) -> result.Result[data.Commit, Failure]:
+        """Apply `transaction` and settle a lost answer by reading back.
+
+        Fails with `Conflict` (nothing was written), `RateExceeded` or
+        `PlatformUnavailable` (nothing was written) or `AnswerLost` (not settled).
+        """
+
+
+class TargetChannel(Protocol):
+    """The connections to one target."""
+
+    async def exchange(
+        self, request: data.Request, stamp: data.Stamp
+    ) -> result.Result[data.Answer, Failure]:
+        """Send `request` and return the target's answer."""
+
+    async def read_clock(self) -> result.Result[data.ClockReading, Failure]:
+        """Ask for the target's clock and boot id."""
+
+    async def send_grant(
+        self, grant: data.Grant
+    ) -> result.Result[data.ClockReading, Failure]:
+        """Send a grant; `TargetRefused` if a higher term or another boot holds."""
+
+    async def close(self) -> None:
+        """Close all connections."""
+
+
+class MessageHandler(Protocol):
+    """Receives the control messages of peers."""
+
+    async def receive(self, sender: data.Member, message: Any) -> None:
+        """Process one message from `dewstep_entry.peers.messages`."""
--- /dev/null
+++ b/packages/entry/dewstep_entry/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between entry processes."""
--- /dev/null
+++ b/packages/entry/dewstep_entry/pipeline/__init__.py
@@ -0,0 +1,1 @@
+"""Filters that each request passes before it is forwarded."""
--- /dev/null
+++ b/packages/entry/dewstep_entry/state/__init__.py
@@ -0,0 +1,1 @@
+"""What this process knows of the fleet, and how it learns of changes."""
--- /dev/null
+++ b/packages/entry/dewstep_entry/state/view.py
@@ -0,0 +1,99 @@
+"""What a process knows of the fleet, as one immutable value.
+
+All other modules decide from a `View`. The holder accepts only newer versions, so
+that a lagging peer or a delayed read never takes anything back.
+"""
+
+import asyncio
+import datetime
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from dewstep_core import data
+
+
+class MemberState(NamedTuple):
+    """An entry process and when it was last heard."""
+
+    member: data.Member
+    last_heard: datetime.timedelta
+    """Monotonic time in this process."""
+    alive: bool
+
+
+class View(NamedTuple):
+    """Configuration, ownership and membership at one moment."""
+
+    configuration: data.Configuration | None
+    assignments: Mapping[str, data.Assignment]
+    """By service."""
+    gates: Mapping[str, data.GateRow]
+    """By target."""
+    members: Mapping[str, MemberState]
+    """By entry process; includes this process."""
+    table_contact: datetime.timedelta | None
+    """Sending time of the last successful read of the table."""
+
+
+EMPTY = View(None, {}, {}, {}, None)
+
+
+class ViewHolder:
+    """Holds the current view and tells waiting tasks of changes."""
+
+    def __init__(self, view: View = EMPTY):
+        self.current = view
+        self.sequence = 0
+        self.waiters: list[asyncio.Future] = []
+
+    def offer_configuration(self, configuration: data.Configuration) -> bool:
+        """Take over `configuration` if its revision is newer; return whether."""
+        held = self.current.configuration
+        if held is not None and configuration.revision <= held.revision:
+            return False
+        return self.replace(configuration=configuration)
+
+    def offer_assignment(self, assignment: data.Assignment) -> bool:
+        """Take over `assignment` if its version is newer; return whether."""
+        held = self.current.assignments.get(assignment.service)
+        if held is not None and assignment.version <= held.version:
+            return False
+        assignments = {**self.current.assignments, assignment.service: assignment}
+        return self.replace(assignments=assignments)
+
+    def offer_gate(self, row: data.GateRow) -> bool:
+        """Take over a gate row if its term is higher; return whether."""
+        held = self.current.gates.get(row.target)
+        if held is not None and row.term <= held.term:
+            return False
+        return self.replace(gates={**self.current.gates, row.target: row})
+
+    def set_member(self, state: MemberState) -> bool:
+        """Replace what is known of one entry process."""
+        members = {**self.current.members, state.member.entry: state}
+        return self.replace(members=members)
+
+    def set_table_contact(self, contact: datetime.timedelta) -> bool:
+        """Note the sending time of a successful read of the table."""
+        held = self.current.table_contact
+        if held is not None and contact <= held:
+            return False
+        return self.replace(table_contact=contact)
+
+    def replace(self, **fields) -> bool:
+        """Set fields of the view and wake the tasks in `wait_change`."""
+        self.current = self.current._replace(**fields)
+        self.sequence += 1
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+        return True
+
+    async def wait_change(self, sequence: int) -> int:
+        """Return the current sequence number as soon as it differs from `sequence`."""
+        while self.sequence == sequence:
+            waiter = asyncio.get_running_loop().create_future()
+            self.waiters.append(waiter)
+            await waiter
+        return self.sequence
--- /dev/null
+++ b/packages/entry/dewstep_entry/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to targets."""
