--- /dev/null
+++ b/packages/entry/dewstep_entry/pipeline/identify.py
@@ -0,0 +1,202 @@
+"""Identifies a request: its service, kind, key, id and deadline.
+
+The routes of a configuration are compiled once for each revision. A request head is
+then matched by method, number of path segments and fixed segments, so that the work
+for a request does not grow with the number of services.
+"""
+
+import datetime
+import secrets
+import urllib.parse
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from returns import result
+
+from dewstep_core import data, errors
+from dewstep_entry import interfaces
+
+KEY_SEGMENT = "{key}"
+MAXIMUM_ID_BYTES = 255
+MAXIMUM_DEADLINE_DIGITS = 9
+GENERATED_ID_BYTES = 16
+ID_HEADER = b"idempotency-key"
+DEADLINE_HEADER = b"dewstep-deadline-ms"
+
+
+class Route(NamedTuple):
+    """A kind of request with its path template, split into segments."""
+
+    service: data.Service
+    kind: data.RequestKind
+    segments: tuple[str, ...]
+    key_position: int | None
+    """Index of the segment that holds the key, if the path holds it."""
+
+
+class RouteTable(NamedTuple):
+    """Routes by method and number of path segments."""
+
+    revision: int
+    routes: Mapping[tuple[str, int], tuple[Route, ...]]
+
+
+EMPTY = RouteTable(0, {})
+
+
+def compile_routes(configuration: data.Configuration) -> RouteTable:
+    """Return the routes of all kinds of `configuration`."""
+    routes: dict[tuple[str, int], list[Route]] = {}
+    for service in configuration.services.values():
+        for kind in service.kinds:
+            segments = tuple(kind.path.strip("/").split("/"))
+            position = segments.index(KEY_SEGMENT) if KEY_SEGMENT in segments else None
+            route = Route(service, kind, segments, position)
+            routes.setdefault((kind.method, len(segments)), []).append(route)
+    return RouteTable(
+        configuration.revision, {key: tuple(found) for key, found in routes.items()}
+    )
+
+
+def match_route(routes: RouteTable, method: str, path: str) -> Route | None:
+    """Return the route whose template fits `path`, or None."""
+    segments = path.strip("/").split("/")
+    for route in routes.routes.get((method, len(segments)), ()):
+        if all(
+            expected in (KEY_SEGMENT, found)
+            for expected, found in zip(route.segments, segments, strict=True)
+        ):
+            return route
+    return None
+
+
+def find_header_values(headers: data.Headers, name: bytes) -> list[bytes]:
+    """Return the values of all headers called `name` (lower case)."""
+    return [value for header, value in headers if header == name]
+
+
+def find_key_values(
+    route: Route, path: str, query: str, headers: data.Headers
+) -> list[str]:
+    """Return every value that the request gives for the key of its service."""
+    part = route.service.key_part
+    if part.source == "header":
+        name = part.name.lower().encode()
+        return [
+            value.decode("utf-8", "replace").strip()
+            for value in find_header_values(headers, name)
+        ]
+    if part.source == "query":
+        pairs = urllib.parse.parse_qsl(query, keep_blank_values=True)
+        return [value for name, value in pairs if name == part.name]
+    if route.key_position is None:
+        return []
+    segment = path.strip("/").split("/")[route.key_position]
+    return [urllib.parse.unquote(segment)]
+
+
+def extract_key(
+    route: Route, path: str, query: str, headers: data.Headers
+) -> result.Result[str, interfaces.Failure]:
+    """Return the key of a request, or why it has no valid one."""
+    service = route.service
+    values = find_key_values(route, path, query, headers)
+    part = f"{service.key_part.source}:{service.key_part.name}"
+    if len(values) > 1:
+        return result.Failure(errors.KeyRepeated(service.name, part))
+    if not values or not values[0]:
+        return result.Failure(errors.KeyMissing(service.name, part))
+    size = len(values[0].encode())
+    if size > service.maximum_key_bytes:
+        limit = service.maximum_key_bytes
+        return result.Failure(errors.KeyTooLong(service.name, size, limit))
+    return result.Success(values[0])
+
+
+def extract_request_id(
+    headers: data.Headers,
+) -> result.Result[tuple[str, bool], interfaces.Failure]:
+    """Return the request id and whether it had to be generated."""
+    values = find_header_values(headers, ID_HEADER)
+    if not values:
+        return result.Success((secrets.token_hex(GENERATED_ID_BYTES), True))
+    if len(values) > 1:
+        return result.Failure(errors.MalformedRequest("Idempotency-Key stands twice"))
+    text = values[0].decode("latin-1")
+    if not text or len(text) > MAXIMUM_ID_BYTES or not text.isascii():
+        detail = f"Idempotency-Key must have 1 to {MAXIMUM_ID_BYTES} ASCII characters"
+        return result.Failure(errors.MalformedRequest(detail))
+    if not text.isprintable() or "/" in text:
+        detail = "Idempotency-Key must be printable and must not contain '/'"
+        return result.Failure(errors.MalformedRequest(detail))
+    return result.Success((text, False))
+
+
+def extract_patience(
+    headers: data.Headers, kind: data.RequestKind
+) -> result.Result[datetime.timedelta, interfaces.Failure]:
+    """Return how long the caller waits, at most the deadline of the kind."""
+    values = find_header_values(headers, DEADLINE_HEADER)
+    if not values:
+        return result.Success(kind.deadline)
+    text = values[0].decode("latin-1")
+    digits = text.isascii() and text.isdigit()
+    if len(values) > 1 or not digits or len(text) > MAXIMUM_DEADLINE_DIGITS:
+        detail = "Dewstep-Deadline-Ms must be one whole number of milliseconds"
+        return result.Failure(errors.MalformedRequest(detail))
+    return result.Success(
+        min(datetime.timedelta(milliseconds=int(text)), kind.deadline)
+    )
+
+
+def identify(
+    routes: RouteTable,
+    now: datetime.timedelta,
+    method: bytes,
+    target: bytes,
+    headers: data.Headers,
+    body_length: int | None,
+) -> result.Result[data.Request, interfaces.Failure]:
+    """Return the request, still without its body, that a message head announces.
+
+    Parameters
+    ----------
+    routes : RouteTable
+        Routes of the configuration in force.
+    now : datetime.timedelta
+        Monotonic time.
+    method, target : bytes
+        As in the request line.
+    headers : data.Headers
+        With names in lower case.
+    body_length : int or None
+        Bytes announced, or None for a chunked body.
+    """
+    if not routes.routes:
+        return result.Failure(errors.NotReady("configuration"))
+    method_text = method.decode("latin-1")
+    target_text = target.decode("latin-1")
+    path, _, query = target_text.partition("?")
+    route = match_route(routes, method_text, path)
+    if route is None:
+        return result.Failure(errors.UnknownService(method_text, path))
+    if body_length is not None and body_length > route.kind.maximum_body_bytes:
+        return result.Failure(errors.BodyTooLarge(route.kind.maximum_body_bytes))
+    return result.Result.do(
+        data.Request(
+            service=route.service.name,
+            kind=route.kind.name,
+            key=key,
+            request_id=request_id,
+            generated_id=generated,
+            method=method_text,
+            path=target_text,
+            headers=headers,
+            body_length=body_length,
+            body=data.Body(b"", None),
+            deadline=now + patience,
+        )
+        for key in extract_key(route, path, query, headers)
+        for request_id, generated in extract_request_id(headers)
+        for patience in extract_patience(headers, route.kind)
+    )
--- /dev/null
+++ b/packages/entry/dewstep_entry/pipeline/locate.py
@@ -0,0 +1,40 @@
+"""Finds the target that owns a key and the gate of that target."""
+
+from typing import NamedTuple
+
+from returns import result
+
+from dewstep_core import data, errors, hashing
+from dewstep_entry import interfaces
+from dewstep_entry.state import view
+
+
+class Location(NamedTuple):
+    """Where a request has to go, as far as this process knows."""
+
+    shard: int
+    owner: str
+    """Target that owns the key."""
+    epoch: int
+    """Version of the assignment that says so."""
+    gate: data.GateRow
+
+
+def find_owner(assignment: data.Assignment, key: str) -> tuple[int, str]:
+    """Return the shard of `key` and the target that owns the key."""
+    shard = hashing.compute_shard(key, len(assignment.owners))
+    return shard, assignment.overrides.get(key, assignment.owners[shard])
+
+
+def locate(
+    current: view.View, service: str, key: str
+) -> result.Result[Location, interfaces.Failure]:
+    """Return the owner of `key` and its gate, or what is not known."""
+    assignment = current.assignments.get(service)
+    if assignment is None:
+        return result.Failure(errors.NotReady(f"assignment/{service}"))
+    shard, owner = find_owner(assignment, key)
+    gate = current.gates.get(owner)
+    if gate is None:
+        return result.Failure(errors.GateUnknown(owner))
+    return result.Success(Location(shard, owner, assignment.version, gate))
--- /dev/null
+++ b/packages/entry/dewstep_entry/pipeline/locate_test.py
@@ -0,0 +1,23 @@
+from dewstep_core import data, errors
+from dewstep_entry.pipeline import locate
+from dewstep_entry.state import view
+
+GATE = data.GateRow("t1", "e1", "i1", "127.0.0.1", 1, 3, 3)
+
+
+def test_find_owner_prefers_the_override_of_a_key():
+    assignment = data.Assignment("history", 7, ("t1",) * 4, {"hot": "t2"}, ())
+    assert locate.find_owner(assignment, "hot")[1] == "t2"
+    assert locate.find_owner(assignment, "cold")[1] == "t1"
+
+
+def test_locate_names_what_is_missing():
+    holder = view.ViewHolder()
+    missing = locate.locate(holder.current, "history", "k").failure()
+    assert isinstance(missing, errors.NotReady)
+    holder.offer_assignment(data.Assignment("history", 7, ("t1",), {}, ()))
+    missing = locate.locate(holder.current, "history", "k").failure()
+    assert missing == errors.GateUnknown("t1")
+    holder.offer_gate(GATE)
+    found = locate.locate(holder.current, "history", "k").unwrap()
+    assert found == locate.Location(0, "t1", 7, GATE)
--- /dev/null
+++ b/packages/entry/dewstep_entry/state/membership.py
@@ -0,0 +1,178 @@
+"""Which entry processes are alive, from heartbeats whose cost does not grow.
+
+Each process sends heartbeats to its `MONITORS` successors in a ring of its data
+centre and to a few random members elsewhere. A monitor that hears nothing for
+`suspect_after`, or whose connection is refused, calls the process suspect and tells
+others so. Being suspect decides only whom to ask next: the term in the table and the
+grant of the target decide who owns what.
+
+The state machine is pure: time and messages come in as arguments.
+"""
+
+import datetime
+import random
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from dewstep_core import data
+from dewstep_core.settings import PeerSettings
+
+MONITORS = 4
+"""Successors in the ring that watch a process. Four, so that the loss of one data
+centre rack with two of them still leaves two."""
+OTHER_DATA_CENTRES = 2
+"""Random members of other data centres that get each heartbeat."""
+SHARED_MEMBERS = 8
+"""Members named in one heartbeat, so that its size does not grow with the fleet."""
+SHARED_SUSPICIONS = 8
+SUSPICION_SPREAD = datetime.timedelta(seconds=1)
+"""How long a new suspicion is named in heartbeats."""
+
+
+class Suspicion(NamedTuple):
+    """A process that a monitor no longer hears."""
+
+    entry: str
+    incarnation: str
+
+
+class Peer(NamedTuple):
+    """A member with what this process has heard of it."""
+
+    member: data.Member
+    last_heard: datetime.timedelta
+    suspected: datetime.timedelta | None
+    """Since when it has been suspect, or None."""
+    watched: bool
+    """Whether it sends heartbeats to this process at every interval."""
+
+
+class Membership:
+    """Members as one process knows them.
+
+    Parameters
+    ----------
+    own : data.Member
+        This process.
+    settings : PeerSettings
+    generator : random.Random
+        Chooses the members of other data centres.
+    """
+
+    def __init__(
+        self, own: data.Member, settings: PeerSettings, generator: random.Random
+    ):
+        self.own = own
+        self.settings = settings
+        self.random = generator
+        self.peers: dict[str, Peer] = {}
+
+    def learn(self, member: data.Member, now: datetime.timedelta) -> bool:
+        """Add a member heard of from others; return whether it is new."""
+        if member.entry == self.own.entry:
+            return False
+        known = self.peers.get(member.entry)
+        if known is not None:
+            return False
+        self.peers[member.entry] = Peer(member, now, None, False)
+        return True
+
+    def hear(self, member: data.Member, now: datetime.timedelta) -> bool:
+        """Note a message from the member itself; return whether its state changed.
+
+        A message under a new incarnation replaces what was known of the old one.
+        """
+        if member.entry == self.own.entry:
+            return False
+        known = self.peers.get(member.entry)
+        changed = known is None or known.member != member or known.suspected is not None
+        watched = known is not None and known.watched
+        self.peers[member.entry] = Peer(member, now, None, watched)
+        return changed
+
+    def suspect(self, suspicion: Suspicion, now: datetime.timedelta) -> bool:
+        """Note that a process is suspect; return whether that is news.
+
+        A report about a process that this one has heard within `suspect_after` is
+        ignored: the reporter may be the one that is cut off.
+        """
+        known = self.peers.get(suspicion.entry)
+        if known is None or known.member.incarnation != suspicion.incarnation:
+            return False
+        if known.suspected is not None:
+            return False
+        if now - known.last_heard < self.settings.suspect_after and known.watched:
+            return False
+        self.peers[suspicion.entry] = known._replace(suspected=now)
+        return True
+
+    def refuse(self, entry: str, now: datetime.timedelta) -> bool:
+        """Note that a connection was refused or reset: no process listens there."""
+        known = self.peers.get(entry)
+        if known is None or known.suspected is not None:
+            return False
+        self.peers[entry] = known._replace(suspected=now)
+        return True
+
+    def note_heartbeat(self, entry: str) -> None:
+        """Note that `entry` chose this process as a monitor."""
+        known = self.peers.get(entry)
+        if known is not None and not known.watched:
+            self.peers[entry] = known._replace(watched=True)
+
+    def expire(self, now: datetime.timedelta) -> list[Suspicion]:
+        """Return the watched members that have just become suspect."""
+        found = []
+        for entry, peer in self.peers.items():
+            silent = now - peer.last_heard >= self.settings.suspect_after
+            if peer.watched and silent and peer.suspected is None:
+                self.peers[entry] = peer._replace(suspected=now)
+                found.append(Suspicion(entry, peer.member.incarnation))
+        return found
+
+    def select_recipients(self) -> list[data.Member]:
+        """Return the members that get the next heartbeat."""
+        near = sorted(
+            peer.member
+            for peer in self.peers.values()
+            if peer.member.data_centre == self.own.data_centre
+        )
+        after = [member for member in near if member.entry > self.own.entry]
+        before = [member for member in near if member.entry < self.own.entry]
+        monitors = (after + before)[:MONITORS]
+        far = [
+            peer.member
+            for peer in self.peers.values()
+            if peer.member.data_centre != self.own.data_centre
+        ]
+        return monitors + self.random.sample(far, min(OTHER_DATA_CENTRES, len(far)))
+
+    def select_shared_members(self) -> tuple[data.Member, ...]:
+        """Return a sample of live members to name in a heartbeat."""
+        alive = [peer.member for peer in self.peers.values() if peer.suspected is None]
+        return tuple(self.random.sample(alive, min(SHARED_MEMBERS, len(alive))))
+
+    def select_suspicions(self, now: datetime.timedelta) -> tuple[Suspicion, ...]:
+        """Return the newest suspicions, to name in a heartbeat."""
+        recent = [
+            peer
+            for peer in self.peers.values()
+            if peer.suspected is not None and now - peer.suspected < SUSPICION_SPREAD
+        ]
+        recent.sort(key=lambda peer: peer.suspected, reverse=True)
+        return tuple(
+            Suspicion(peer.member.entry, peer.member.incarnation)
+            for peer in recent[:SHARED_SUSPICIONS]
+        )
+
+    def count_near(self) -> int:
+        """Return the number of live entry processes in the own data centre."""
+        return 1 + sum(
+            peer.suspected is None and peer.member.data_centre == self.own.data_centre
+            for peer in self.peers.values()
+        )
+
+    def forget(self, entries: Iterable[str]) -> None:
+        """Remove members that have left for good."""
+        for entry in entries:
+            self.peers.pop(entry, None)
--- /dev/null
+++ b/packages/entry/dewstep_entry/state/membership_test.py
@@ -0,0 +1,73 @@
+import datetime
+import random
+
+from dewstep_core import data, settings
+from dewstep_entry.state import membership
+
+LIMIT = settings.PeerSettings().suspect_after
+ZERO = datetime.timedelta()
+
+
+def build_member(number, data_centre="dc1", incarnation="i1"):
+    return data.Member(
+        f"e{number:02}", incarnation, data_centre, "127.0.0.1", 7000 + number
+    )
+
+
+def build_membership(near=3, far=0):
+    found = membership.Membership(
+        build_member(0), settings.PeerSettings(), random.Random(1)
+    )
+    for number in range(1, near + 1):
+        found.hear(build_member(number), ZERO)
+    for number in range(near + 1, near + far + 1):
+        found.hear(build_member(number, "dc2"), ZERO)
+    return found
+
+
+def test_expire_suspects_only_watched_members_that_are_silent():
+    # A member that sends its heartbeats to others must not look dead here.
+    found = build_membership(2)
+    found.note_heartbeat("e01")
+    assert found.expire(LIMIT - datetime.timedelta(milliseconds=1)) == []
+    assert found.expire(LIMIT) == [membership.Suspicion("e01", "i1")]
+    assert found.expire(LIMIT) == []
+    assert found.count_near() == 2
+
+
+def test_hear_ends_suspicion_and_replaces_an_older_incarnation():
+    found = build_membership(1)
+    assert found.refuse("e01", LIMIT)
+    assert not found.refuse("e01", LIMIT)
+    assert found.hear(build_member(1, incarnation="i2"), LIMIT)
+    assert not found.hear(build_member(1, incarnation="i2"), LIMIT)
+    # A late report about the old incarnation says nothing about the new one.
+    assert not found.suspect(membership.Suspicion("e01", "i1"), 3 * LIMIT)
+
+
+def test_suspect_ignores_reports_about_a_member_heard_just_now():
+    # Otherwise a process that is cut off could make all others suspect each other.
+    found = build_membership(1)
+    found.note_heartbeat("e01")
+    report = membership.Suspicion("e01", "i1")
+    assert not found.suspect(report, LIMIT / 2)
+    assert found.suspect(report, LIMIT)
+    assert found.select_suspicions(LIMIT) == (report,)
+    assert found.select_suspicions(LIMIT + membership.SUSPICION_SPREAD) == ()
+
+
+def test_heartbeat_cost_does_not_grow_with_the_fleet():
+    small, large = build_membership(10, 10), build_membership(300, 300)
+    for found in (small, large):
+        expected = membership.MONITORS + membership.OTHER_DATA_CENTRES
+        assert len(found.select_recipients()) == expected
+        assert len(found.select_shared_members()) == membership.SHARED_MEMBERS
+
+
+def test_learn_and_forget():
+    found = build_membership(1)
+    assert found.learn(build_member(9), ZERO)
+    assert not found.learn(build_member(9), ZERO)
+    assert not found.learn(build_member(0), ZERO)
+    found.forget(["e09"])
+    assert found.learn(build_member(9), ZERO)
