--- a/packages/emulator/dewstep_emulator/history.py
+++ b/packages/emulator/dewstep_emulator/history.py
@@ -2,7 +2,8 @@
 
 The checker knows nothing of the router. It works from what callers saw (`Call`), what
 targets ran (`Run`) and which targets were told to leave (`Departure`). All times are
-wall times of one machine, since the stand-ins of one test share it.
+readings of CLOCK_MONOTONIC of the one machine that the processes of a test share.
+Keys of different services must differ.
 """
 
 import datetime
@@ -18,6 +19,8 @@
 BAD_REQUEST = "bad-request"
 BROKEN = "broken"
 """The connection ended before the answer was whole."""
+NOT_SENT = "not-sent"
+"""The entry process accepted no connection; a balancer would choose another."""
 
 LEAVING_LIMIT = datetime.timedelta(seconds=2)
 
@@ -130,6 +133,7 @@
     unknown: int
     bad_request: int
     broken: int
+    not_sent: int
     doubled: int
     lost: int
     crossed: int
@@ -203,7 +207,7 @@
     refused = {
         request_id
         for request_id, found in outcomes.items()
-        if found <= {NOT_RUN, BAD_REQUEST}
+        if found <= {NOT_RUN, BAD_REQUEST, NOT_SENT}
     }
     return [
         FalseRefusal(run.request_id, run.target)
@@ -318,6 +322,7 @@
         unknown=outcomes.count(UNKNOWN),
         bad_request=outcomes.count(BAD_REQUEST),
         broken=outcomes.count(BROKEN),
+        not_sent=outcomes.count(NOT_SENT),
         doubled=len(find_doubled(calls, runs)),
         lost=len(find_lost(calls, runs)),
         crossed=len(find_crossed(calls)),
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/load.py
@@ -0,0 +1,214 @@
+"""Sends requests like callers do, and notes what each of them saw.
+
+Arrivals are open loop: a slow answer does not delay the next request. A caller sends
+a request again, with the same id, when the answer says that it did not run, and when
+the outcome is unknown; it uses the balancer, that is, a random entry process.
+"""
+
+import asyncio
+import bisect
+import datetime
+import itertools
+import json
+import random
+import uuid
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from hdrh import histogram
+from returns import result
+
+from dewstep_core import clock as clocks, errors, settings
+from dewstep_core.http import client
+from dewstep_emulator import deployments, history
+
+CONNECTIONS = 200
+"""For each entry process."""
+CALL_TIMEOUT = 15.0
+"""Seconds; longer than every deadline, so that dewstep answers first."""
+MOST_TRIES = 4
+LONGEST_WAIT = 1.0
+"""Seconds that a caller waits before it sends again."""
+SERVER_ERROR = 500
+LARGEST_LATENCY = 60_000_000
+"""Microseconds."""
+
+
+class Mix(NamedTuple):
+    """What the callers ask for, and how often."""
+
+    calls: tuple[deployments.CallPlan, ...]
+    rate: float
+    """Requests/s."""
+    duration: datetime.timedelta
+    keys: int
+    """Keys of each service."""
+    skew: float
+    """Exponent of the distribution of keys (0: all alike)."""
+    resend: bool
+    """Whether callers send again after a refusal or an unknown outcome."""
+
+
+class Caller:
+    """All callers of one deployment.
+
+    Parameters
+    ----------
+    addresses : sequence of settings.Address
+        The entry processes behind the balancer.
+    clock : clocks.Clock
+    seed : int
+        Decides keys, kinds, arrival times and the choice of entry processes.
+    """
+
+    def __init__(
+        self, addresses: Sequence[settings.Address], clock: clocks.Clock, seed: int
+    ):
+        self.clock = clock
+        self.random = random.Random(seed)
+        self.clients = [
+            client.Client(address, CALL_TIMEOUT, connections=CONNECTIONS)
+            for address in addresses
+        ]
+        self.usable = list(self.clients)
+        self.calls: list[history.Call] = []
+        self.latencies = histogram.HdrHistogram(1, LARGEST_LATENCY, 3)
+        self.select_key: Callable[[random.Random], int] | None = None
+
+    def set_entries(self, positions: Sequence[int]) -> None:
+        """Send only to the entry processes that the balancer takes for alive."""
+        self.usable = [self.clients[position] for position in positions]
+
+    def set_address(self, position: int, address: settings.Address) -> None:
+        """Replace the address of an entry process that was started anew."""
+        self.clients[position] = client.Client(
+            address, CALL_TIMEOUT, connections=CONNECTIONS
+        )
+
+    async def run(self, mix: Mix) -> None:
+        """Send all requests of `mix` and wait for their answers."""
+        shares = [plan.share for plan in mix.calls]
+        weights = build_key_weights(mix.keys, mix.skew)
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        tasks = set()
+        elapsed = 0.0
+        while elapsed < mix.duration.total_seconds():
+            elapsed += self.random.expovariate(mix.rate)
+            delay = begin + elapsed - loop.time()
+            if delay > 0:
+                await asyncio.sleep(delay)
+            plan = self.random.choices(mix.calls, shares)[0]
+            position = bisect.bisect(weights, self.random.random() * weights[-1])
+            key = f"{plan.service}-{min(position, mix.keys - 1)}"
+            task = asyncio.ensure_future(self.call(plan, key, mix.resend))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        if tasks:
+            await asyncio.wait(tasks)
+
+    async def call(self, plan: deployments.CallPlan, key: str, resend: bool) -> None:
+        """Send one request until it is answered or the caller loses patience."""
+        request_id = str(uuid.UUID(int=self.random.getrandbits(128), version=4))
+        tries = MOST_TRIES if resend else 1
+        for attempt in range(tries):
+            call, pause = await self.send(plan, key, request_id)
+            self.calls.append(call)
+            final = call.outcome in (history.ANSWERED, history.BAD_REQUEST)
+            if final or attempt == tries - 1:
+                return
+            await asyncio.sleep(min(pause, LONGEST_WAIT) * self.random.random())
+
+    async def send(
+        self, plan: deployments.CallPlan, key: str, request_id: str
+    ) -> tuple[history.Call, float]:
+        """Send one request; return what the caller saw and when to come back."""
+        entry = self.random.choice(self.usable)
+        path = plan.kind.path.replace("{key}", key)
+        started = self.clock.monotonic()
+        answer = await call_with_id(
+            entry, plan.kind.method, path, bytes(plan.body_bytes), request_id
+        )
+        took = self.clock.monotonic() - started
+        call = describe_call(
+            plan, key, request_id, started, self.clock.monotonic(), answer
+        )
+        if call.outcome == history.ANSWERED:
+            microseconds = took // datetime.timedelta(microseconds=1)
+            self.latencies.record_value(min(max(microseconds, 1), LARGEST_LATENCY))
+        return call, read_retry_after(answer)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await asyncio.gather(*(entry.close() for entry in self.clients))
+
+
+async def call_with_id(
+    entry: client.Client, method: str, path: str, body: bytes, request_id: str
+) -> result.Result[client.Response, object]:
+    """Send a request that carries a request id."""
+    headers = (("Idempotency-Key", request_id),)
+    return await entry.call(method, path, body, headers=headers)
+
+
+def build_key_weights(count: int, skew: float) -> list[float]:
+    """Return the cumulated weights of `count` keys, the most frequent first."""
+    return list(itertools.accumulate(1 / (rank + 1) ** skew for rank in range(count)))
+
+
+def read_retry_after(answer: result.Result[client.Response, object]) -> float:
+    """Return after how many seconds an answer asks the caller to come back."""
+    response = answer.value_or(None)
+    if response is None:
+        return LONGEST_WAIT
+    milliseconds = response.headers.get("dewstep-retry-after-ms", "")
+    return int(milliseconds) / 1000 if milliseconds.isdigit() else LONGEST_WAIT
+
+
+def describe_call(
+    plan: deployments.CallPlan,
+    key: str,
+    request_id: str,
+    sent: datetime.timedelta,
+    received: datetime.timedelta,
+    answer: result.Result[client.Response, object],
+) -> history.Call:
+    """Return the record of one call for the history checker."""
+    response = answer.value_or(None)
+    outcome, status, failure = history.BROKEN, 0, ""
+    if isinstance(answer, result.Failure):
+        if isinstance(answer.failure(), errors.PlatformUnavailable):
+            outcome = history.NOT_SENT
+    answered_id = answered_key = ""
+    if response is not None:
+        status = response.status
+        outcome = response.headers.get("dewstep-outcome", "")
+        failure = response.headers.get("dewstep-failure", "")
+        if not outcome and status >= SERVER_ERROR:
+            outcome = history.UNKNOWN
+        elif not outcome:
+            outcome = history.ANSWERED
+            answered_id, answered_key = read_answer(response.body)
+    return history.Call(
+        request_id,
+        plan.service,
+        plan.kind.name,
+        key,
+        plan.kind.idempotent,
+        history.parse_time(sent.total_seconds()),
+        history.parse_time(received.total_seconds()),
+        outcome,
+        status,
+        failure,
+        answered_id,
+        answered_key,
+    )
+
+
+def read_answer(body: bytes) -> tuple[str, str]:
+    """Return the request id and key that a target wrote into its answer."""
+    try:
+        value = json.loads(body)
+        return str(value["request_id"]), str(value["key"])
+    except (ValueError, KeyError, TypeError):
+        return "", ""
--- a/packages/entry/dewstep_entry/pipeline/routing.py
+++ b/packages/entry/dewstep_entry/pipeline/routing.py
@@ -1,9 +1,11 @@
 """Takes a request to the gate of the key's owner, and tries again where that is safe.
 
-A request is tried again only if it certainly did not run, or if its kind is
-idempotent, and only while its body is still in memory. While ownership changes hands
-the request waits for the next change of the view, for at most `PATIENCE`; what then
-still has no place is refused at once.
+While ownership changes hands a request waits for the next change of the view, for at
+most `PATIENCE`; what then still has no place is refused at once. Such tries put no
+load on a target, so no budget counts them. A failure that the gate answered with is
+final, since the gate has its own retry budget; only if the gate itself was lost does
+this process send an idempotent request again, within a budget of its own. No request
+is sent again once its body is no longer in memory.
 """
 
 import asyncio
@@ -14,7 +16,7 @@
 from returns import result
 
 from dewstep_core import clock as clocks, data, errors
-from dewstep_entry import interfaces
+from dewstep_entry import failures, interfaces
 from dewstep_entry.pipeline import locate
 from dewstep_entry.policy import retries
 from dewstep_entry.state import view
@@ -23,65 +25,48 @@
 """A key is served again within 1 s of a loss; the rest is for the last try."""
 FIRST_DELAY = datetime.timedelta(milliseconds=10)
 LARGEST_DELAY = datetime.timedelta(milliseconds=100)
+EXPECTED = datetime.timedelta(milliseconds=20)
+"""Least time that another try is expected to take."""
 MAXIMUM_WAITING = 1_000
 """Requests that may wait for a change of ownership at the same time."""
 
-REROUTED = frozenset(
-    failure.__name__
-    for failure in (
-        errors.NotReady,
-        errors.GateUnknown,
-        errors.NotTheGate,
-        errors.NotTheOwner,
-        errors.ShardMoving,
-        errors.PeerUnreachable,
-        errors.TargetUnavailable,
-        errors.Stopping,
-    )
+REROUTED = (
+    errors.NotReady,
+    errors.GateUnknown,
+    errors.NotTheGate,
+    errors.NotTheOwner,
+    errors.ShardMoving,
+    errors.PeerUnreachable,
+    errors.TargetUnavailable,
+    errors.Stopping,
 )
-"""Failures of the way to the target, which a newer view can cure. They put no load on
-a target, so the retry budget does not count them."""
+"""Failures of the way to the target, which a newer view can cure."""
 
 
 class Attempt(NamedTuple):
-    """The result of one try and the name of dewstep's own failure in it, if any."""
+    """The result of one try, and dewstep's own failure in it, if any."""
 
     outcome: result.Result[data.Answer, interfaces.Failure]
-    failure: str
+    failure: interfaces.Failure | None
+    by_gate: bool
+    """Whether the gate answered with the failure."""
 
 
 def describe_attempt(
     outcome: result.Result[data.Answer, interfaces.Failure],
 ) -> Attempt:
-    """Return `outcome` with the name of its failure, "" for a target's answer."""
+    """Return `outcome` with the failure that it holds."""
     if isinstance(outcome, result.Failure):
-        return Attempt(outcome, type(outcome.failure()).__name__)
-    return Attempt(outcome, outcome.unwrap().failure)
+        return Attempt(outcome, outcome.failure(), False)
+    return Attempt(outcome, failures.restore_failure(outcome.unwrap()), True)
 
 
-def is_certainly_not_run(failure: str) -> bool:
-    """Return whether a failure of this name says that the request did not run."""
-    rule = errors.answer_rules.get(failure)
-    return rule is not None and rule.outcome == errors.NOT_RUN
-
-
-def may_try_again(failure: str, idempotent: bool, body: data.Body) -> bool:
-    """Return whether a second try can neither double nor truncate the request."""
-    if not failure or body.rest is not None:
-        return False
-    rule = errors.answer_rules.get(failure)
-    if rule is None or rule.outcome == errors.BAD_REQUEST:
-        return False
-    if failure == errors.Quarantined.__name__:
-        return False
-    return rule.outcome == errors.NOT_RUN or idempotent
-
-
-async def close_answer(outcome: result.Result[data.Answer, object]) -> None:
-    """Close the body of an answer that is not passed on."""
-    answer = outcome.value_or(None)
-    if answer is not None and answer.body.rest is not None:
-        await answer.body.rest.aclose()
+def find_kind(current: view.View, service: str, kind: str) -> data.RequestKind | None:
+    """Return a request kind by its name."""
+    configuration = current.configuration
+    found = configuration and configuration.services.get(service)
+    kinds = found.kinds if found else ()
+    return next((item for item in kinds if item.name == kind), None)
 
 
 class Router:
@@ -98,10 +83,10 @@
         The gates of this process.
     network : dewstep_entry.peers.link.PeerNetwork
         Links to the other entry processes.
-    budgets : retries.RetryBudgets
+    budgets : retries.Retries
         Limits of the load that tries add, by service and data centre.
     refresh : callable
-        Asks for a fresh view from the table or a peer, without waiting for it.
+        Asks for a fresh view from the table, without waiting for it.
     """
 
     def __init__(self, entry, holder, clock, gates, network, budgets, refresh):
@@ -110,7 +95,7 @@
         self.clock: clocks.Clock = clock
         self.gates: interfaces.RequestHandler = gates
         self.network = network
-        self.budgets: retries.RetryBudgets = budgets
+        self.budgets: retries.Retries = budgets
         self.refresh = refresh
         self.random = random.Random()
         self.waiting = 0
@@ -131,62 +116,62 @@
         self, request: data.Request
     ) -> result.Result[data.Answer, interfaces.Failure]:
         """Try until there is an answer, or until another try is not allowed."""
-        idempotent = self.is_idempotent(request)
-        give_up = min(request.deadline, self.clock.monotonic() + PATIENCE)
-        delay = FIRST_DELAY
-        self.budgets.record_request(request.service, self.find_data_centre(request))
+        started = self.clock.monotonic()
+        self.budgets.add_first_attempt(request.service, "")
+        number = 1
         while True:
             sequence = self.holder.sequence
             attempt = describe_attempt(await self.try_once(request))
-            if not may_try_again(attempt.failure, idempotent, request.body):
+            if attempt.failure is None or request.body.rest is not None:
                 return attempt.outcome
-            pause = delay * (0.5 + self.random.random())
-            if self.clock.monotonic() + pause >= give_up:
+            if isinstance(attempt.failure, REROUTED):
+                pause = self.choose_pause(request, started, number)
+            else:
+                pause = self.ask_budget(request, attempt, number)
+            if pause is None:
                 return attempt.outcome
-            if not self.is_another_try_allowed(request, attempt.failure):
-                return attempt.outcome
-            await close_answer(attempt.outcome)
+            number += 1
             self.tries_again += 1
-            if attempt.failure in REROUTED:
-                self.refresh()
             await self.wait_for_change(sequence, pause)
-            delay = min(2 * delay, LARGEST_DELAY)
 
-    def is_another_try_allowed(self, request: data.Request, failure: str) -> bool:
-        """Return whether the bounds on waiting and on added load allow a try."""
+    def choose_pause(
+        self, request: data.Request, started: datetime.timedelta, number: int
+    ) -> datetime.timedelta | None:
+        """Return how long to wait for a newer view, or None to give up."""
         if self.waiting >= MAXIMUM_WAITING:
-            return False
-        if failure in REROUTED:
-            return True
-        return self.budgets.withdraw(request.service, self.find_data_centre(request))
-
-    def find_data_centre(self, request: data.Request) -> str:
-        """Return the data centre of the key's owner, "" if it is not known."""
-        current = self.holder.current
-        found = locate.locate(current, request.service, request.key).value_or(None)
-        configuration = current.configuration
-        if found is None or configuration is None:
-            return ""
-        target = configuration.targets.get(found.owner)
-        return target.data_centre if target is not None else ""
-
-    def is_idempotent(self, request: data.Request) -> bool:
-        """Return whether the request's kind may run twice."""
-        configuration = self.holder.current.configuration
-        service = configuration and configuration.services.get(request.service)
-        if not service:
-            return False
-        return any(
-            kind.idempotent for kind in service.kinds if kind.name == request.kind
+            return None
+        longest = min(FIRST_DELAY * 2 ** min(number - 1, 10), LARGEST_DELAY)
+        pause = longest * (0.5 + self.random.random() / 2)
+        end = min(request.deadline, started + PATIENCE)
+        if self.clock.monotonic() + pause >= end:
+            return None
+        self.refresh()
+        return pause
+
+    def ask_budget(
+        self, request: data.Request, attempt: Attempt, number: int
+    ) -> datetime.timedelta | None:
+        """Return when to send again after the loss of the gate, or None."""
+        if attempt.by_gate:
+            return None
+        kind = find_kind(self.holder.current, request.service, request.kind)
+        now = self.clock.monotonic()
+        failed = retries.Attempt(
+            number,
+            kind is not None and kind.idempotent,
+            attempt.failure,
+            request.deadline,
+            EXPECTED,
         )
+        decision = self.budgets.decide(request.service, "", failed, now)
+        return decision.at - now if isinstance(decision, retries.Retry) else None
 
     async def wait_for_change(self, sequence: int, pause: datetime.timedelta) -> None:
         """Wait for `pause`, or for a newer view if that comes first."""
         self.waiting += 1
         try:
-            await asyncio.wait_for(
-                self.holder.wait_change(sequence), pause.total_seconds()
-            )
+            async with asyncio.timeout(pause.total_seconds()):
+                await self.holder.wait_change(sequence)
         except TimeoutError:
             return
         finally:
@@ -206,4 +191,7 @@
         state = current.members.get(gate.entry)
         if state is None or not state.alive:
             return result.Failure(errors.PeerUnreachable(gate.entry))
+        if state.member.incarnation != gate.incarnation:
+            # The process that became the gate has been replaced since.
+            return result.Failure(errors.PeerUnreachable(gate.entry))
         return await self.network.exchange(state.member, request)
--- /dev/null
+++ b/packages/entry/dewstep_entry/state/exchange.py
@@ -0,0 +1,267 @@
+"""Exchanges heartbeats, versions and values with the other entry processes.
+
+A heartbeat names the versions that its sender has. Who hears of a newer version
+fetches it from the sender, so that the table is read by few and a process can start
+while the table is down. A change of gate is pushed on by each process for which it
+is news, because requests wait for it.
+"""
+
+import json
+import random
+from collections.abc import Mapping
+
+from absl import logging
+from returns import result
+
+from dewstep_core import clock as clocks, data, records
+from dewstep_core.settings import PeerSettings
+from dewstep_entry.gate import rows
+from dewstep_entry.peers import messages
+from dewstep_entry.state import membership, view
+
+CONFIGURATION = "configuration"
+ASSIGNMENT = "assignment"
+GATES = "gates"
+
+
+def encode_gates(gates: Mapping[str, data.GateRow]) -> bytes:
+    """Return gate rows as the payload of a `Value`."""
+    return json.dumps([row._asdict() for row in gates.values()]).encode()
+
+
+def decode_gates(payload: bytes) -> tuple[data.GateRow, ...]:
+    """Return the gate rows in a payload.
+
+    Raises
+    ------
+    ValueError, TypeError
+        If the payload does not hold gate rows.
+    """
+    return tuple(data.GateRow(**fields) for fields in json.loads(payload))
+
+
+def encode_assignment(assignment: data.Assignment) -> bytes:
+    """Return an assignment as the payload of a `Value`."""
+    return json.dumps(
+        {
+            "owners": assignment.owners,
+            "overrides": dict(assignment.overrides),
+            "operations": assignment.operations,
+        }
+    ).encode()
+
+
+class Exchange:
+    """Implements `interfaces.MessageHandler` and sends the heartbeats.
+
+    Parameters
+    ----------
+    own : data.Member
+        This process.
+    settings : PeerSettings
+    holder : view.ViewHolder
+    members : membership.Membership
+    network : dewstep_entry.peers.link.PeerNetwork
+        Sends messages.
+    clock : clocks.Clock
+    report_loads : callable
+        Returns the load of each target whose gate this process is.
+    """
+
+    def __init__(self, own, settings, holder, members, network, clock, report_loads):
+        self.own: data.Member = own
+        self.settings: PeerSettings = settings
+        self.holder: view.ViewHolder = holder
+        self.members: membership.Membership = members
+        self.network = network
+        self.clock: clocks.Clock = clock
+        self.report_loads = report_loads
+        self.random = random.Random()
+        self.loads: dict[str, float] = {}
+        self.fetching: dict[tuple[str, str], int] = {}
+
+    # Sending.
+
+    async def run(self) -> None:
+        """Send heartbeats and look for silent members until cancelled."""
+        self.publish_members()
+        while True:
+            now = self.clock.monotonic()
+            for suspicion in self.members.expire(now):
+                logging.warning(
+                    "event=member_suspected entry=%s reason=silent", suspicion.entry
+                )
+            self.publish_members()
+            self.send_heartbeats()
+            await self.clock.sleep(self.settings.heartbeat_interval)
+
+    async def run_announcements(self) -> None:
+        """Announce newer versions at once instead of with the next heartbeat."""
+        sequence = self.holder.sequence
+        announced = self.describe_versions()
+        gates = self.holder.current.gates
+        while True:
+            sequence = await self.holder.wait_change(sequence)
+            versions = self.describe_versions()
+            current = self.holder.current.gates
+            if current is not gates:
+                changed = {
+                    target: row
+                    for target, row in current.items()
+                    if gates.get(target) != row
+                }
+                gates = current
+                self.push(messages.Value(GATES, "", 0, encode_gates(changed)))
+            if versions != announced:
+                announced = versions
+                self.send_heartbeats()
+
+    def describe_versions(self) -> tuple[int, dict[str, int]]:
+        """Return the revision and the versions in force here."""
+        current = self.holder.current
+        configuration = current.configuration
+        versions = {name: item.version for name, item in current.assignments.items()}
+        return (configuration.revision if configuration else 0), versions
+
+    def build_heartbeat(self) -> messages.Heartbeat:
+        """Return the heartbeat to send now."""
+        revision, versions = self.describe_versions()
+        contact = self.holder.current.table_contact
+        now = self.clock.monotonic()
+        return messages.Heartbeat(
+            entry=self.own.entry,
+            incarnation=self.own.incarnation,
+            revision=revision,
+            versions=versions,
+            table_contact_age=None if contact is None else now - contact,
+            members=self.members.select_shared_members(),
+            suspicions=self.members.select_suspicions(now),
+            loads=self.report_loads(),
+        )
+
+    def send_heartbeats(self) -> None:
+        """Send one heartbeat to each recipient."""
+        self.push(self.build_heartbeat())
+
+    def push(self, message) -> None:
+        """Send `message` to the recipients of heartbeats."""
+        for member in self.members.select_recipients():
+            self.network.send(member, message)
+
+    # Receiving.
+
+    async def receive(self, sender: data.Member, message) -> None:
+        """Process one message from a peer."""
+        now = self.clock.monotonic()
+        if self.members.hear(sender, now):
+            logging.info("event=member_heard entry=%s", sender.entry)
+            self.publish_members()
+        if isinstance(message, messages.Heartbeat):
+            self.receive_heartbeat(sender, message)
+        elif isinstance(message, messages.Fetch):
+            self.answer_fetch(sender, message)
+        elif isinstance(message, messages.Value):
+            self.take_value(message)
+
+    def receive_heartbeat(
+        self, sender: data.Member, heartbeat: messages.Heartbeat
+    ) -> None:
+        """Learn members, suspicions, loads and versions from a heartbeat."""
+        now = self.clock.monotonic()
+        self.members.note_heartbeat(sender.entry)
+        changed = [self.members.learn(member, now) for member in heartbeat.members]
+        for suspicion in heartbeat.suspicions:
+            changed.append(self.members.suspect(suspicion, now))
+        if any(changed):
+            self.publish_members()
+        self.loads.update(heartbeat.loads)
+        self.fetch_newer(sender, heartbeat)
+
+    def fetch_newer(self, sender: data.Member, heartbeat: messages.Heartbeat) -> None:
+        """Ask the sender for what it has in a newer version."""
+        revision, versions = self.describe_versions()
+        if heartbeat.revision > revision:
+            self.fetch(sender, CONFIGURATION, "", heartbeat.revision)
+        for service, version in heartbeat.versions.items():
+            if version > versions.get(service, 0):
+                self.fetch(sender, ASSIGNMENT, service, version)
+        if not self.holder.current.gates and heartbeat.versions:
+            self.network.send(sender, messages.Fetch(GATES, ""))
+
+    def fetch(self, sender: data.Member, what: str, name: str, version: int) -> None:
+        """Ask for one value, but only one peer for each version."""
+        place = (what, name)
+        if self.fetching.get(place, 0) >= version and self.random.random() < 0.5:
+            # Half of the repeated announcements ask again, in case an answer is lost.
+            return
+        self.fetching[place] = version
+        self.network.send(sender, messages.Fetch(what, name))
+
+    def answer_fetch(self, sender: data.Member, question: messages.Fetch) -> None:
+        """Send what a peer asked for, if it is known here."""
+        current = self.holder.current
+        answer = None
+        if question.what == CONFIGURATION and current.configuration is not None:
+            configuration = current.configuration
+            value = records.encode_configuration(configuration)
+            payload = json.dumps(value).encode()
+            answer = messages.Value(CONFIGURATION, "", configuration.revision, payload)
+        elif question.what == ASSIGNMENT and question.name in current.assignments:
+            assignment = current.assignments[question.name]
+            payload = encode_assignment(assignment)
+            answer = messages.Value(
+                ASSIGNMENT, question.name, assignment.version, payload
+            )
+        elif question.what == GATES:
+            answer = messages.Value(GATES, "", 0, encode_gates(current.gates))
+        if answer is not None:
+            self.network.send(sender, answer)
+
+    def take_value(self, value: messages.Value) -> None:
+        """Take over a value that is newer than what is known here."""
+        try:
+            if value.what == CONFIGURATION:
+                self.take_configuration(value)
+            elif value.what == ASSIGNMENT:
+                row = data.Row(
+                    f"assignment/{value.name}", value.version, json.loads(value.payload)
+                )
+                self.holder.offer_assignment(rows.decode_assignment(row).unwrap())
+            elif value.what == GATES:
+                for gate in decode_gates(value.payload):
+                    self.holder.offer_gate(gate)
+        except (ValueError, TypeError, result.UnwrapFailedError) as error:
+            logging.error(
+                "event=peer_value_refused what=%s name=%s error=%r",
+                value.what,
+                value.name,
+                error,
+            )
+
+    def take_configuration(self, value: messages.Value) -> None:
+        """Take over a configuration; one that is not valid is refused whole."""
+        decoded = records.decode_configuration(json.loads(value.payload))
+        if isinstance(decoded, result.Failure):
+            logging.error("event=configuration_refused failure=%r", decoded.failure())
+            return
+        self.holder.offer_configuration(decoded.unwrap())
+
+    def note_refused(self, entry: str) -> None:
+        """Note that a peer's connection was refused or reset."""
+        if self.members.refuse(entry, self.clock.monotonic()):
+            logging.warning("event=member_suspected entry=%s reason=refused", entry)
+            self.publish_members()
+            self.send_heartbeats()
+
+    def publish_members(self) -> None:
+        """Put the state of all members into the view where it has changed."""
+        now = self.clock.monotonic()
+        held = self.holder.current.members
+        if self.own.entry not in held:
+            self.holder.set_member(view.MemberState(self.own, now, True))
+        for peer in self.members.peers.values():
+            alive = peer.suspected is None
+            known = held.get(peer.member.entry)
+            if known is None or (known.member, known.alive) != (peer.member, alive):
+                state = view.MemberState(peer.member, peer.last_heard, alive)
+                self.holder.set_member(state)
--- a/packages/entry/dewstep_entry/state/view.py
+++ b/packages/entry/dewstep_entry/state/view.py
@@ -35,6 +35,9 @@
     """Sending time of the last successful read of the table."""
 
 
+DEFAULT_HORIZON = datetime.timedelta(hours=4)
+"""Horizon of a gate row that names none."""
+
 EMPTY = View(None, {}, {}, {}, None)
 
 
