--- /dev/null
+++ b/packages/entry/dewstep_entry/policy/admission.py
@@ -0,0 +1,379 @@
+"""Admission at one target: who runs, who waits, who is refused at once.
+
+Waiting requests stand in order of deadline. When the estimate of the target's service
+time says that not all of them can be answered in time, the lightest request ahead of
+the first late one is refused. For requests of equal length this keeps the greatest
+weight that can be served in time (the greedy choice of J. M. Moore, "An n job, one
+machine sequencing algorithm", Management Science 15, 1968, with weights). The
+concurrency limit is kept in `limit.py` and follows the target's answers.
+
+Nothing here reads a clock or waits. After every call its owner asks `take_ready` and
+`take_expired`, and calls again no later than `next_event`.
+"""
+
+import bisect
+import datetime
+import heapq
+import random
+from typing import NamedTuple
+
+from dewstep_core import errors
+from dewstep_entry.policy import limit, refusals, servicetime
+
+# With some hundred waiting requests a target of four slots and 20 ms is behind by a
+# second already; the bound limits memory and the time that one offer takes.
+WAITING_LIMIT = 512
+
+# Under overload a queue in order of deadline starts each request at the last moment,
+# and a run of long services then makes even heavy ones late. Requests of more than the
+# mean weight stand in the queue as if this part of their patience were all.
+HEAVY_PATIENCE = 0.5
+MEAN_WEIGHT_GAIN = 1 / 64
+
+
+class Admitted(NamedTuple):
+    """The request may be sent now; `release` must follow."""
+
+
+class Queued(NamedTuple):
+    """The request waits; `take_ready` or `take_expired` will name it."""
+
+
+class Refused(NamedTuple):
+    """The request certainly did not run."""
+
+    failure: errors.QueueFull | errors.DeadlineUnreachable
+
+
+class Waiting(NamedTuple):
+    """A waiting request; the order of the fields is the order of service."""
+
+    due: datetime.timedelta
+    """Deadline that gives the place in the queue; earlier than the real one for heavy
+    requests."""
+    lightness: float
+    """Negative weight, so that the heavier of two equal deadlines goes first."""
+    sequence: int
+    ticket_id: str
+    deadline: datetime.timedelta
+
+
+class Description(NamedTuple):
+    """State of an `Admission`, for dumps and metrics."""
+
+    slots: int
+    limit: float
+    in_progress: int
+    waiting: int
+    service_time: datetime.timedelta
+    service_deviation: datetime.timedelta
+    held_until: datetime.timedelta | None
+    admitted: int
+    refused: int
+    evicted: int
+    expired: int
+
+
+class Admission:
+    """Bounded queue and slots of one target.
+
+    Parameters
+    ----------
+    target : str
+        Name of the target, for failures.
+    slots : int
+        Requests that the target runs at the same time; 0 refuses everything.
+    generator : random.Random
+        Source of the jitter in Retry-After.
+    waiting_limit : int, optional
+        Greatest number of waiting requests.
+    service_time : datetime.timedelta, optional
+        Estimate to start with.
+    """
+
+    def __init__(
+        self,
+        target: str,
+        slots: int,
+        generator: random.Random,
+        waiting_limit: int = WAITING_LIMIT,
+        service_time: datetime.timedelta = servicetime.FIRST_ESTIMATE,
+    ):
+        self.target = target
+        self.waiting_limit = waiting_limit
+        self.estimate = servicetime.Estimate(service_time)
+        self.limit = limit.Limit(slots)
+        self.spread = refusals.Spread(generator)
+        self.queue: list[Waiting] = []
+        self.deadlines: list[tuple[datetime.timedelta, str]] = []
+        self.waiting: dict[str, Waiting] = {}
+        self.running: dict[str, datetime.timedelta] = {}
+        self.refusals: list[tuple[str, errors.QueueFull]] = []
+        self.sequence = 0
+        self.mean_weight = 0.0
+        self.counts = {"admitted": 0, "refused": 0, "evicted": 0, "expired": 0}
+
+    def offer(
+        self,
+        ticket_id: str,
+        weight: float,
+        deadline: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> Admitted | Queued | Refused:
+        """Decide about a new request.
+
+        Other requests that have to give way to it are named by `take_expired`.
+
+        Raises
+        ------
+        ValueError
+            If a request with this ticket waits or runs.
+        """
+        if ticket_id in self.waiting or ticket_id in self.running:
+            raise ValueError(f"ticket {ticket_id!r} is already known")
+        self.mean_weight += (weight - self.mean_weight) * (
+            MEAN_WEIGHT_GAIN if self.mean_weight else 1.0
+        )
+        if self.cannot_finish(deadline, now) and not self.may_probe(deadline, now):
+            return self.refuse(errors.DeadlineUnreachable, now)
+        if self.limit.slots == 0:
+            return self.refuse(errors.QueueFull, now)
+        if not self.queue and self.has_free_slot(now):
+            self.start(ticket_id, now)
+            return Admitted()
+        due = self.choose_due(weight, deadline, now)
+        item = Waiting(due, -weight, self.sequence, ticket_id, deadline)
+        self.sequence += 1
+        self.insert(item)
+        victims = self.find_victims(item, now)
+        for victim in victims:
+            self.remove(victim)
+        self.evict([victim for victim in victims if victim != item], now)
+        if item in victims:
+            return self.refuse(errors.QueueFull, now)
+        return Queued()
+
+    def take_ready(self, now: datetime.timedelta) -> list[str]:
+        """Start the waiting requests that have a slot now; return their tickets."""
+        ready = []
+        self.expire(now)
+        while self.queue and self.has_free_slot(now):
+            item = self.queue[0]
+            self.remove(item)
+            self.start(item.ticket_id, now)
+            ready.append(item.ticket_id)
+        return ready
+
+    def release(self, ticket_id: str, now: datetime.timedelta) -> None:
+        """Free the slot of a request; a ticket that runs no more is ignored."""
+        self.running.pop(ticket_id, None)
+
+    def withdraw(self, ticket_id: str, now: datetime.timedelta) -> None:
+        """Forget a request whose caller went away, whether it waits or runs."""
+        item = self.waiting.get(ticket_id)
+        if item is not None:
+            self.remove(item)
+        self.refusals = [entry for entry in self.refusals if entry[0] != ticket_id]
+        self.release(ticket_id, now)
+
+    def take_expired(self, now: datetime.timedelta) -> list[tuple[str, NamedTuple]]:
+        """Return the waiting requests that are refused now, with the reason."""
+        self.expire(now)
+        taken, self.refusals = self.refusals, []
+        return taken
+
+    def next_event(self, now: datetime.timedelta) -> datetime.timedelta | None:
+        """Return when to call again without other cause; None if never.
+
+        A time that is not after `now` means that something is to be taken at once.
+        """
+        if self.refusals:
+            return now
+        if not self.queue:
+            return None
+        times = [self.deadlines[0][0] - self.estimate.likely()]
+        if self.limit.held_until is not None and not self.limit.is_full(
+            len(self.running)
+        ):
+            times.append(self.limit.held_until)
+        elif self.has_free_slot(now):
+            return now
+        return max(now, min(times))
+
+    def set_limit(self, slots: int) -> None:
+        """Change the number of slots of the target."""
+        self.limit.set_slots(slots)
+
+    def record(
+        self,
+        outcome: str,
+        service_time: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Learn from an answer, and refuse at once who is now bound to be late.
+
+        Parameters
+        ----------
+        outcome : str
+            `limit.ANSWERED`, `limit.SHED` or `limit.FAILED`.
+        service_time : datetime.timedelta
+            From the sending of the request to the end of the answer.
+        now : datetime.timedelta
+            Current time.
+        """
+        slow = outcome == limit.ANSWERED and self.estimate.add(service_time)
+        self.limit.record(outcome, slow, self.estimate.mean, now)
+        self.trim(now)
+
+    def describe(self) -> Description:
+        """Return the state for dumps and metrics."""
+        return Description(
+            self.limit.slots,
+            self.limit.value,
+            len(self.running),
+            len(self.queue),
+            self.estimate.mean,
+            self.estimate.deviation,
+            self.limit.held_until,
+            **self.counts,
+        )
+
+    # Decisions.
+
+    def cannot_finish(
+        self, deadline: datetime.timedelta, now: datetime.timedelta
+    ) -> bool:
+        """Return whether a request would be late even if it started now."""
+        return now + self.estimate.likely() > deadline
+
+    def choose_due(
+        self,
+        weight: float,
+        deadline: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> datetime.timedelta:
+        """Return the deadline that gives a request its place in the queue."""
+        if weight <= self.mean_weight:
+            return deadline
+        return now + (deadline - now) * HEAVY_PATIENCE
+
+    def may_probe(self, deadline: datetime.timedelta, now: datetime.timedelta) -> bool:
+        """Return whether to try a request against the estimate.
+
+        After a slow spell the estimate may exceed every deadline. Only an answer can
+        lower it, so an idle target is given one request at a time.
+        """
+        return deadline > now and not self.running and not self.queue
+
+    def has_free_slot(self, now: datetime.timedelta) -> bool:
+        """Return whether one more request may start."""
+        return self.limit.allows(len(self.running), now)
+
+    def plan_slots(self, now: datetime.timedelta) -> list[datetime.timedelta]:
+        """Return when each usable slot is expected to be free, the earliest first."""
+        mean = self.estimate.mean
+        usable = self.limit.usable()
+        start = max(now, self.limit.held_until or now)
+        # A request that has run for longer than the mean is expected to need half of
+        # the mean more; service times have a tail.
+        free = [
+            max(begun + mean, now + mean / 2) if begun + mean <= now else begun + mean
+            for begun in self.running.values()
+        ]
+        free.extend([start] * (usable - len(free)))
+        free.sort()
+        # After a fall of the limit, the first slots that end are not filled again.
+        return free[len(free) - usable :]
+
+    def find_victims(self, newcomer: Waiting, now: datetime.timedelta) -> list[Waiting]:
+        """Return who must go so that `newcomer`, already in the queue, fits."""
+        if len(self.queue) > self.waiting_limit:
+            return [min(self.queue, key=lambda item: (-item.lightness, -item.sequence))]
+        place = bisect.bisect_left(self.queue, newcomer)
+        if self.is_feasible(place, now):
+            return []
+        return self.find_late(now)
+
+    def is_feasible(self, place: int, now: datetime.timedelta) -> bool:
+        """Return whether all waiting requests from `place` on can be in time."""
+        free = self.plan_slots(now)
+        if not free:
+            return False
+        mean, likely = self.estimate.mean, self.estimate.likely()
+        count = len(free)
+        return all(
+            free[index % count] + index // count * mean + likely
+            <= self.queue[index].deadline
+            for index in range(place, len(self.queue))
+        )
+
+    def find_late(self, now: datetime.timedelta) -> list[Waiting]:
+        """Return the lightest set of waiting requests whose refusal saves the rest."""
+        free = self.plan_slots(now)
+        if not free:
+            return list(self.queue)
+        mean, likely = self.estimate.mean, self.estimate.likely()
+        count = len(free)
+        victims: list[Waiting] = []
+        kept: list[tuple[float, int, Waiting]] = []
+        for item in self.queue:
+            place = len(kept)
+            heapq.heappush(kept, (-item.lightness, -item.sequence, item))
+            finish = free[place % count] + place // count * mean + likely
+            if finish > item.deadline:
+                victims.append(heapq.heappop(kept)[2])
+        return victims
+
+    # Changes of state.
+
+    def trim(self, now: datetime.timedelta) -> None:
+        """Refuse the waiting requests that the new estimate makes late."""
+        if self.queue and not self.is_feasible(0, now):
+            victims = self.find_late(now)
+            for victim in victims:
+                self.remove(victim)
+            self.evict(victims, now)
+
+    def expire(self, now: datetime.timedelta) -> None:
+        """Refuse the waiting requests that are late even if they start now."""
+        while self.queue and self.cannot_finish(self.deadlines[0][0], now):
+            item = self.waiting[self.deadlines[0][1]]
+            self.remove(item)
+            self.counts["expired"] += 1
+            failure = self.build(errors.DeadlineUnreachable, now)
+            self.refusals.append((item.ticket_id, failure))
+
+    def evict(self, victims: list[Waiting], now: datetime.timedelta) -> None:
+        """Note requests that left the queue for others as refused."""
+        for victim in victims:
+            self.counts["evicted"] += 1
+            failure = self.build(errors.QueueFull, now)
+            self.refusals.append((victim.ticket_id, failure))
+
+    def refuse(self, kind: type, now: datetime.timedelta) -> Refused:
+        """Return the refusal of a newcomer."""
+        self.counts["refused"] += 1
+        return Refused(self.build(kind, now))
+
+    def build(self, kind: type, now: datetime.timedelta) -> NamedTuple:
+        """Return a failure of type `kind` with its Retry-After."""
+        share = self.estimate.mean / max(1, self.limit.usable())
+        return kind(self.target, self.spread.choose(share, len(self.queue), now))
+
+    def start(self, ticket_id: str, now: datetime.timedelta) -> None:
+        """Put a request into a slot."""
+        self.running[ticket_id] = now
+        self.counts["admitted"] += 1
+
+    def insert(self, item: Waiting) -> None:
+        """Enter a request into the queue."""
+        bisect.insort(self.queue, item)
+        bisect.insort(self.deadlines, (item.deadline, item.ticket_id))
+        self.waiting[item.ticket_id] = item
+
+    def remove(self, item: Waiting) -> None:
+        """Take a request out of the queue."""
+        del self.queue[bisect.bisect_left(self.queue, item)]
+        pair = (item.deadline, item.ticket_id)
+        del self.deadlines[bisect.bisect_left(self.deadlines, pair)]
+        del self.waiting[item.ticket_id]
