--- a/packages/core/dewstep_core/data.py
+++ b/packages/core/dewstep_core/data.py
@@ -6,6 +6,7 @@
 
 import datetime
 from collections.abc import AsyncIterator, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -74,6 +75,8 @@
     revision: int
     services: Mapping[str, Service]
     targets: Mapping[str, Target]
+    records: Mapping[str, tuple[Mapping, ...]] = MappingProxyType({})
+    """The "service" and "target" records as operators wrote them, if known."""
 
 
 # Ownership.
--- /dev/null
+++ b/packages/core/dewstep_core/durations_test.py
@@ -0,0 +1,23 @@
+import datetime
+
+import pytest
+from hypothesis import given, strategies
+
+from dewstep_core import durations
+
+
+@pytest.mark.parametrize("text", ["", "5", "1.5s", "-1s", "1 s", "٣s", "9" * 15 + "h"])
+def test_parse_duration_refuses_what_has_no_exact_meaning(text):
+    # "٣" is a digit for str.isdigit; 9e14 hours do not fit into a timedelta.
+    assert durations.parse_duration(text) is None
+
+
+@given(strategies.timedeltas(datetime.timedelta(), datetime.timedelta(days=900)))
+def test_format_duration_loses_nothing(duration):
+    text = durations.format_duration(duration)
+    assert durations.parse_duration(text) == duration
+
+
+def test_format_duration_uses_the_largest_exact_unit():
+    assert durations.format_duration(datetime.timedelta(milliseconds=1500)) == "1500ms"
+    assert durations.format_duration(datetime.timedelta(hours=4)) == "4h"
--- /dev/null
+++ b/packages/core/dewstep_core/record_changes.py
@@ -0,0 +1,78 @@
+"""The differences between two configurations, as typed tuples."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+from dewstep_core import data
+
+
+class Added(NamedTuple):
+    """A record that only the later configuration has."""
+
+    record: str
+    """"service", "kind" or "target"."""
+    name: str
+    """Name of the record; a kind's is preceded by its service's and a slash."""
+
+
+class Removed(NamedTuple):
+    """A record that only the earlier configuration has."""
+
+    record: str
+    name: str
+
+
+class Changed(NamedTuple):
+    """A field that differs."""
+
+    record: str
+    name: str
+    field: str
+    before: Any
+    after: Any
+
+
+Change = Added | Removed | Changed
+
+
+def compare_configurations(
+    before: data.Configuration, after: data.Configuration
+) -> tuple[Change, ...]:
+    """Return what leads from `before` to `after`: services, kinds, then targets."""
+    return (
+        *compare_records("service", before.services, after.services),
+        *compare_records("kind", list_kinds(before), list_kinds(after)),
+        *compare_records("target", before.targets, after.targets),
+    )
+
+
+def list_kinds(configuration: data.Configuration) -> dict[str, data.RequestKind]:
+    """Return the kinds of all services by "service/kind"."""
+    return {
+        f"{service.name}/{kind.name}": kind
+        for service in configuration.services.values()
+        for kind in service.kinds
+    }
+
+
+def compare_records(
+    record: str, before: Mapping[str, Any], after: Mapping[str, Any]
+) -> Iterable[Change]:
+    """Yield the changes of one type of record, ordered by name."""
+    for name in sorted(before.keys() | after.keys()):
+        if name not in before:
+            yield Added(record, name)
+        elif name not in after:
+            yield Removed(record, name)
+        else:
+            yield from compare_fields(record, name, before[name], after[name])
+
+
+def compare_fields(
+    record: str, name: str, before: Any, after: Any
+) -> Iterable[Changed]:
+    """Yield the fields that differ; kinds are compared as records of their own."""
+    for field in before._fields:
+        old, new = getattr(before, field), getattr(after, field)
+        if field != "kinds" and old != new:
+            yield Changed(record, name, field, old, new)
