Add the operators' command and a table service in memory for tests

Cause: nothing could put a configuration in force, and an operator had no view of owners, gates and entry processes. Ruled out: taking a conflict after a lost answer for a lost race (the conflict may be with the command's own first copy; the row's operation ids decide); merging the changes of operators who race (neither has seen the result); counting a gate that does not answer as idle during a drain.

--- a/packages/core/dewstep_core/records.py
+++ b/packages/core/dewstep_core/records.py
@@ -205,7 +205,8 @@
     reader = fields.Reader(value, ROW_KEY, "", problems)
     revision = reader.read("revision", fields.expect_integer(1, MAXIMUM_REVISION))
     read_origin(reader)
-    reader.known.add("records")
+    # The table's client adds the id of the last operation to every value it writes.
+    reader.known.update(("records", "operation_id"))
     reader.finish()
     records = reader.table.get("records")
     return build_configuration([(ROW_KEY, records)], revision, problems, "records")
--- /dev/null
+++ b/packages/operator/dewstep_operator/builders.py
@@ -0,0 +1,184 @@
+"""Test data for operators' commands: a small fleet in memory."""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+from returns import result
+from typer import testing
+
+from dewstep_core import clock, data, errors, settings
+from dewstep_core.platform import memory_table
+from dewstep_operator import entries, failures, main, output, session as sessions
+
+RECORDS = """
+[[service]]
+schema = 1
+name = "history"
+key = "path"
+shard_count = 4
+[[service.kind]]
+name = "due"
+method = "GET"
+path = "/history/{key}/due"
+idempotent = true
+deadline_ms = 1500
+[[target]]
+schema = 1
+name = "h1"
+service = "history"
+data_centre = "ub1"
+host = "127.0.0.1"
+port = 7001
+slots = 4
+connections = 110
+fenced = true
+"""
+SECOND_TARGET = RECORDS[RECORDS.index("[[target]]") :].replace("h1", "h2")
+TWO_TARGETS = RECORDS + SECOND_TARGET
+ADDRESS_A = settings.Address("127.0.0.1", 9001)
+ADDRESS_B = settings.Address("127.0.0.1", 9002)
+
+
+class SteppingClock(clock.ManualClock):
+    """A manual clock on which sleeping takes no real time.
+
+    Each sleep runs the next of `events` first, so that a test decides what happens
+    while a command waits.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.events: list[Callable[[], Any]] = []
+
+    async def sleep(self, duration) -> None:
+        """Run the next event and move the time by `duration`."""
+        if self.events:
+            self.events.pop(0)()
+        self.advance(duration)
+
+
+class RacingTable(memory_table.MemoryTable):
+    """A table in memory that lets something happen just before the next commit."""
+
+    def __init__(self):
+        super().__init__()
+        self.before_commit: Callable[[], Awaitable] | None = None
+        self.down_after_loss = False
+
+    async def commit(self, transaction: data.Transaction) -> result.Result:
+        """Await `before_commit` once, then apply `transaction`."""
+        hook, self.before_commit = self.before_commit, None
+        if hook is not None:
+            await hook()
+        outcome = await super().commit(transaction)
+        lost = isinstance(outcome, result.Failure) and isinstance(
+            outcome.failure(), errors.AnswerLost
+        )
+        self.down = self.down or (lost and self.down_after_loss)
+        return outcome
+
+
+class FakeEntries:
+    """Operators' ports of entry processes, as documents by address and path."""
+
+    def __init__(self):
+        self.documents: dict[tuple[settings.Address, str], Any] = {}
+        self.orders: list[tuple[settings.Address, Mapping]] = []
+        self.on_order: Callable[[Mapping], result.Result] = lambda order: (
+            result.Success({"moved": True})
+        )
+
+    async def get(self, address: settings.Address, path: str) -> result.Result:
+        """Return the document at `path`, or that nobody listens."""
+        if (address, path) in self.documents:
+            return result.Success(self.documents[address, path])
+        name = entries.format_address(address)
+        return result.Failure(failures.EntryUnreachable(name, "refused"))
+
+    async def post(
+        self, address: settings.Address, path: str, document: Mapping
+    ) -> result.Result:
+        """Note the order and return what `on_order` makes of it."""
+        self.orders.append((address, document))
+        return self.on_order(document)
+
+
+class World:
+    """A table, entry processes and a clock that sessions of several operators share."""
+
+    def __init__(self):
+        self.table = RacingTable()
+        self.entries = FakeEntries()
+        self.clock = SteppingClock()
+        self.ids = itertools.count(1)
+        self.answers: list[str] = []
+
+    def open_session(
+        self, author: str = "ana@desk", as_json: bool = False
+    ) -> sessions.Session:
+        """Return the session of one operator."""
+        return sessions.Session(
+            self.table,
+            self.entries,
+            (ADDRESS_A,),
+            self.clock,
+            output.ProgramOutput() if as_json else output.PeopleOutput(),
+            author,
+            lambda: f"op-{next(self.ids)}",
+            lambda question: self.answers.pop(0),
+        )
+
+    def run(self, *arguments: str) -> testing.Result:
+        """Run the command line as operator "ana@desk"."""
+
+        def opener(options):
+            return result.Success(self.open_session(as_json=options.as_json))
+
+        return testing.CliRunner().invoke(main.app, list(arguments), obj=opener)
+
+    def put(self, key: str, value: Mapping | None) -> None:
+        """Write a row, whatever its version."""
+        write = (data.Write(key, value),)
+        self.table.apply(data.Transaction("put", (), write)).unwrap()
+
+    def get(self, key: str) -> Mapping | None:
+        """Return the value of a row."""
+        return self.table.get_row(key).value
+
+    def put_fleet(self) -> None:
+        """Write an assignment and gate rows, and start two entry processes."""
+        owners = ["h1", "h1", "h1", "h2"]
+        self.put("assignment/history", {"owners": owners, "overrides": {"7": "h2"}})
+        members = []
+        for number, (name, address) in enumerate(
+            (("ub1-a", ADDRESS_A), ("ub1-b", ADDRESS_B)), 1
+        ):
+            gate = {"entry": name, "incarnation": "i1", "host": "127.0.0.1"}
+            self.put(f"gate/h{number}", {**gate, "port": 8000 + number, "term": number})
+            members.append(
+                {
+                    "entry": name,
+                    "incarnation": "i1",
+                    "data_centre": "ub1",
+                    "operator_address": entries.format_address(address),
+                    "alive": True,
+                }
+            )
+            self.put_dump(address, 1, f"h{number}", 0)
+        self.entries.documents[ADDRESS_A, "/members"] = {"members": members}
+
+    def put_dump(
+        self, address: settings.Address, revision: int, target: str, running: int
+    ) -> None:
+        """Set the dump of one entry process."""
+        self.entries.documents[address, "/dump"] = {
+            "revision": revision,
+            "gates": {target: {"term": 1, "running": running}},
+        }
+
+
+def run_now(awaitable: Awaitable) -> Any:
+    """Return the result of a coroutine."""
+    return asyncio.run(awaitable)
--- /dev/null
+++ b/packages/operator/dewstep_operator/declaring.py
@@ -0,0 +1,144 @@
+"""The command `declare-dead`: an operator's word that a target will not come back.
+
+It shortens the wait for the horizon (rules G5 and G8). If the target or its old gate
+still runs, requests may then run at two targets, so the operator sees what is known
+and types the target's name again. The row names the gate's term for which it was
+written, and the transaction checks the gate row: a declaration never applies to a
+gate that the operator has not seen.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from returns import result
+
+from dewstep_core import data
+from dewstep_operator import (
+    entries,
+    failures,
+    fleet,
+    output,
+    rows,
+    session as sessions,
+)
+
+
+class Evidence(NamedTuple):
+    """What is known of a target and its gate."""
+
+    target: data.Target
+    gate: rows.GateEntry | None
+    entry: entries.Entry | None
+    state: Mapping | None
+    """What the gate says of the target, or None if it does not answer."""
+    owned: rows.Owned
+
+
+async def collect_evidence(
+    session: sessions.Session, name: str
+) -> result.Result[Evidence, failures.Failure]:
+    """Return what the table and the entry processes know of a target."""
+    read = await fleet.read_fleet(session)
+    if isinstance(read, result.Failure):
+        return read
+    known = read.unwrap()
+    target = known.configuration.targets.get(name)
+    if target is None:
+        return result.Failure(failures.NameUnknown("target", name))
+    gate = known.gates.get(name)
+    entry = state = None
+    if gate is not None:
+        entry = (await fleet.find_listed(session, known.gates)).get(gate.row.entry)
+        read_state = await fleet.read_gate_state(session, known.gates, name)
+        state = read_state.value_or(None)
+    owned = rows.count_owned(known.assignments.get(target.service), name)
+    return result.Success(Evidence(target, gate, entry, state, owned))
+
+
+def describe_evidence(evidence: Evidence) -> tuple[str, ...]:
+    """Return what is known and what a declaration leads to, one sentence a line."""
+    target, gate, entry = evidence.target, evidence.gate, evidence.entry
+    lines = [
+        f"target {target.name} of service {target.service} in {target.data_centre} "
+        f"owns {evidence.owned.shards} shards and {evidence.owned.keys} single keys"
+    ]
+    if gate is None:
+        lines.append("it has no gate")
+    else:
+        words = {True: "hear it", False: "do not hear it", None: "were not asked"}
+        alive = words[entry.alive if entry else None]
+        lines.append(
+            f"its gate is {gate.row.entry} at term {gate.row.term}; its peers {alive}"
+        )
+        if evidence.state is None:
+            lines.append("the gate does not answer, so the target's state is not known")
+        else:
+            shown = ", ".join(f"{k}={v}" for k, v in sorted(evidence.state.items()))
+            lines.append(f"the gate says of the target: {shown}")
+    lines.append(
+        "consequence: its keys go to other targets without waiting for the horizon; "
+        "if the target or its gate still runs, a request may run twice and a key may "
+        "have two owners"
+    )
+    return tuple(lines)
+
+
+async def declare_dead(
+    session: sessions.Session, name: str, confirmed: str | None
+) -> result.Result[output.Report, failures.Failure]:
+    """Write the declaration after the operator has confirmed it.
+
+    Parameters
+    ----------
+    session : Session
+        What the command works with.
+    name : str
+        Name of the target.
+    confirmed : str or None
+        The target's name as a script repeats it; None asks the operator.
+    """
+    collected = await collect_evidence(session, name)
+    if isinstance(collected, result.Failure):
+        return collected
+    evidence = collected.unwrap()
+    for line in describe_evidence(evidence):
+        session.output.show_progress(line)
+    if confirmed is None:
+        confirmed = session.ask("type the name of the target to declare it dead")
+    if confirmed != name:
+        return result.Failure(failures.NotConfirmed(name, confirmed))
+    return await write_declaration(session, evidence)
+
+
+async def write_declaration(
+    session: sessions.Session, evidence: Evidence
+) -> result.Result[output.Report, failures.Failure]:
+    """Write the row `declared-dead/<target>`, replacing one for an older term."""
+    name, gate = evidence.target.name, evidence.gate
+    key = rows.DECLARED_DEAD_PREFIX + name
+    read = rows.settle_read(await session.table.read(key))
+    if isinstance(read, result.Failure):
+        return read
+    term, gate_version = (gate.row.term, gate.row.version) if gate else (0, 0)
+    value = {
+        "operator": session.author,
+        "time": session.clock.now().isoformat(timespec="seconds"),
+        "term": term,
+        "entry": gate.row.entry if gate else "",
+        "incarnation": gate.row.incarnation if gate else "",
+    }
+    transaction = data.Transaction(
+        session.make_id(),
+        (
+            data.Check(key, read.unwrap().version),
+            data.Check(rows.GATE_PREFIX + name, gate_version),
+        ),
+        (data.Write(key, value),),
+    )
+    outcome = await session.table.commit(transaction)
+    return outcome.map(
+        lambda _: output.Report(
+            {"target": name, **value},
+            (f"target {name} is declared dead for term {term} of its gate",),
+        )
+    )
--- /dev/null
+++ b/packages/operator/dewstep_operator/draining.py
@@ -0,0 +1,107 @@
+"""The command `drain`: no new work for a target, and its keys to the others."""
+
+import datetime
+
+from returns import result
+
+from dewstep_core import data
+from dewstep_operator import (
+    configuration as configurations,
+    failures,
+    fleet,
+    output,
+    rows,
+    session as sessions,
+)
+
+POLL_INTERVAL = datetime.timedelta(milliseconds=500)
+
+
+async def drain_target(
+    session: sessions.Session,
+    name: str,
+    undo: bool = False,
+    wait_limit: datetime.timedelta = datetime.timedelta(),
+) -> result.Result[output.Report, failures.Failure]:
+    """Set or clear `draining` of a target and wait until it is empty.
+
+    Parameters
+    ----------
+    session : Session
+        What the command works with.
+    name : str
+        Name of the target.
+    undo : bool
+        Let the target own keys again; nothing is waited for.
+    wait_limit : datetime.timedelta
+        Time to wait; zero does not wait.
+    """
+    read = await configurations.read_current(session)
+    if isinstance(read, result.Failure):
+        return read
+    current = read.unwrap()
+    target = current.configuration.targets.get(name)
+    if target is None:
+        return result.Failure(failures.NameUnknown("target", name))
+    revision = current.configuration.revision
+    if target.draining == undo:
+        targets = {
+            **current.configuration.targets,
+            name: target._replace(draining=not undo),
+        }
+        changed = current.configuration._replace(targets=targets)
+        written = await configurations.write_next(session, current, changed)
+        if isinstance(written, result.Failure):
+            return written
+        revision = written.unwrap()
+    document = {"target": name, "draining": not undo, "revision": revision}
+    state = "takes new work again" if undo else "is draining"
+    line = f"target {name} {state} as of revision {revision}"
+    if undo or not wait_limit:
+        return result.Success(output.Report(document, (line,)))
+    waited = await wait_empty(session, target, wait_limit)
+    return waited.map(
+        lambda _: output.Report(
+            {**document, "empty": True},
+            (line, f"target {name} owns nothing and runs nothing"),
+        )
+    )
+
+
+async def wait_empty(
+    session: sessions.Session, target: data.Target, limit: datetime.timedelta
+) -> result.Result[None, failures.Failure]:
+    """Wait until `target` owns nothing and its gate says that it runs nothing."""
+    start = session.clock.monotonic()
+    while True:
+        read = await fleet.read_fleet(session)
+        if isinstance(read, result.Failure):
+            return read
+        known = read.unwrap()
+        owned = rows.count_owned(known.assignments.get(target.service), target.name)
+        running = await read_running(session, known, target.name)
+        text = (
+            f"{owned.shards} shards, {owned.keys} single keys, "
+            f"{'an unknown number of' if running is None else running} requests running"
+        )
+        session.output.show_progress(f"target {target.name}: {text}")
+        if not any(owned) and running == 0:
+            return result.Success(None)
+        if session.clock.monotonic() - start >= limit:
+            return result.Failure(failures.NotFinished(limit, (text,)))
+        await session.clock.sleep(POLL_INTERVAL)
+
+
+async def read_running(
+    session: sessions.Session, known: fleet.Fleet, target: str
+) -> int | None:
+    """Return how many requests run at `target`, or None if its gate does not tell.
+
+    Without a gate row nothing can have been sent to the target.
+    """
+    if target not in known.gates:
+        return 0
+    state = await fleet.read_gate_state(session, known.gates, target)
+    return (
+        None if isinstance(state, result.Failure) else fleet.get_running(state.unwrap())
+    )
--- /dev/null
+++ b/packages/operator/dewstep_operator/entries.py
@@ -0,0 +1,194 @@
+"""Calls to the operators' ports of entry processes, and how these are found."""
+
+import asyncio
+import http.client
+import json
+from collections.abc import Mapping
+from typing import Any, NamedTuple, Protocol
+
+from returns import result
+
+from dewstep_core import fields, settings
+from dewstep_operator import failures
+
+READ_TIMEOUT_SECONDS = 5.0
+ORDER_TIMEOUT_SECONDS = 60.0
+"""A move waits until the running requests of the shard have finished, which their
+deadlines bound to seconds."""
+
+MAXIMUM_ANSWER_BYTES = 64 << 20
+
+
+class EntryClient(Protocol):
+    """The operators' ports of entry processes."""
+
+    async def get(
+        self, address: settings.Address, path: str
+    ) -> result.Result[Any, failures.Failure]:
+        """Return the JSON document at `path`."""
+
+    async def post(
+        self, address: settings.Address, path: str, document: Mapping
+    ) -> result.Result[Any, failures.Failure]:
+        """Send an order and return the JSON document of the answer.
+
+        Fails with `EntryUnreachable` (nothing was sent), `OrderRefused` (nothing was
+        done) or `EntryAnswerLost` (it may have been done).
+        """
+
+
+class HttpEntryClient:
+    """The protocol over HTTP/1.1, one connection for each call."""
+
+    async def get(
+        self, address: settings.Address, path: str
+    ) -> result.Result[Any, failures.Failure]:
+        """Return the JSON document at `path`."""
+        return await asyncio.to_thread(
+            call, address, "GET", path, None, READ_TIMEOUT_SECONDS
+        )
+
+    async def post(
+        self, address: settings.Address, path: str, document: Mapping
+    ) -> result.Result[Any, failures.Failure]:
+        """Send an order and return the JSON document of the answer."""
+        return await asyncio.to_thread(
+            call, address, "POST", path, document, ORDER_TIMEOUT_SECONDS
+        )
+
+
+def call(
+    address: settings.Address,
+    method: str,
+    path: str,
+    document: Mapping | None,
+    timeout_seconds: float,
+) -> result.Result[Any, failures.Failure]:
+    """Make one call and wait for its answer."""
+    name = format_address(address)
+    connection = http.client.HTTPConnection(
+        address.host, address.port, timeout=timeout_seconds
+    )
+    try:
+        connection.connect()
+    except OSError as error:
+        return result.Failure(failures.EntryUnreachable(name, str(error)))
+    body = None if document is None else json.dumps(document).encode()
+    try:
+        connection.request(method, path, body, {"Content-Type": "application/json"})
+        response = connection.getresponse()
+        text = response.read(MAXIMUM_ANSWER_BYTES + 1)
+        status = response.status
+    except (OSError, http.client.HTTPException) as error:
+        return result.Failure(failures.EntryAnswerLost(name, str(error)))
+    finally:
+        connection.close()
+    return read_answer(name, status, text)
+
+
+def read_answer(
+    name: str, status: int, text: bytes
+) -> result.Result[Any, failures.Failure]:
+    """Return the document of an answer, or what its status means.
+
+    A status of 500 or more does not say whether an order took effect.
+    """
+    if status >= 500:
+        detail = f"status {status}: {text[:200].decode(errors='replace')}"
+        return result.Failure(failures.EntryAnswerLost(name, detail))
+    if status >= 300:
+        detail = text[:200].decode(errors="replace")
+        return result.Failure(failures.OrderRefused(name, status, detail))
+    try:
+        return result.Success(json.loads(text))
+    except ValueError as error:
+        return result.Failure(failures.EntryAnswerLost(name, str(error)))
+
+
+def format_address(address: settings.Address) -> str:
+    """Return `address` in the form that `fields.read_address` reads."""
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    return f"{host}:{address.port}"
+
+
+class Entry(NamedTuple):
+    """An entry process as operators' commands know it."""
+
+    name: str
+    data_centre: str | None
+    incarnation: str | None
+    operator_address: settings.Address | None
+    alive: bool | None
+    """Whether the process that listed it hears it; None if nobody was asked."""
+
+
+async def find_entries(
+    client: EntryClient, seeds: tuple[settings.Address, ...], gate_entries: Mapping
+) -> dict[str, Entry]:
+    """Return all entry processes that the seeds or the gate rows name.
+
+    Parameters
+    ----------
+    client : EntryClient
+        Asks the seeds for their members.
+    seeds : tuple of Address
+        Operators' addresses of any entry processes.
+    gate_entries : Mapping of str to Address or None
+        Entry processes in the rows `gate/`, with the operators' address if given.
+    """
+    found = {
+        name: Entry(name, None, None, address, None)
+        for name, address in gate_entries.items()
+    }
+    asked = dict.fromkeys((*seeds, *(a for a in gate_entries.values() if a)))
+    answers = await asyncio.gather(*(client.get(seed, "/members") for seed in asked))
+    for answer in answers:
+        for entry in read_members(answer.value_or(None)):
+            known = found.get(entry.name)
+            # Of several opinions the most hopeful counts: a process that any other
+            # still hears is asked itself.
+            if known is None or not known.alive:
+                found[entry.name] = entry
+    return found
+
+
+def read_members(document: Any) -> tuple[Entry, ...]:
+    """Return the entry processes in an answer of `GET /members`.
+
+    Items without a name are left out; a wrong address counts as not known.
+    """
+    if isinstance(document, Mapping):
+        document = document.get("members")
+    if not isinstance(document, list):
+        return ()
+    return tuple(
+        Entry(
+            item["entry"],
+            item.get("data_centre"),
+            item.get("incarnation"),
+            fields.read_address(item.get("operator_address")),
+            item.get("alive") is not False,
+        )
+        for item in document
+        if isinstance(item, Mapping) and isinstance(item.get("entry"), str)
+    )
+
+
+async def read_dump(
+    client: EntryClient, entry: Entry
+) -> result.Result[Mapping, failures.Failure]:
+    """Return the dump of one entry process."""
+    if entry.operator_address is None:
+        return result.Failure(failures.EntryAddressUnknown(entry.name))
+    answer = await client.get(entry.operator_address, "/dump")
+    return answer.bind(
+        lambda document: (
+            result.Success(document)
+            if isinstance(document, Mapping)
+            else result.Failure(
+                failures.EntryAnswerLost(
+                    format_address(entry.operator_address), "the dump is no object"
+                )
+            )
+        )
+    )
--- /dev/null
+++ b/packages/operator/dewstep_operator/explaining.py
@@ -0,0 +1,128 @@
+"""The command `explain`: where a key goes, and why."""
+
+from typing import NamedTuple
+
+from returns import result
+
+from dewstep_core import data, hashing
+from dewstep_operator import (
+    entries,
+    failures,
+    fleet,
+    output,
+    rows,
+    session as sessions,
+)
+
+
+class Route(NamedTuple):
+    """The steps from a key to the process that may send its requests."""
+
+    service: str
+    key: str
+    shard: int
+    shard_owner: str
+    override: str | None
+    """Target to which the key was lifted out of its shard."""
+    owner: str
+    assignment_version: int
+    data_centre: str | None
+    """Data centre of the owner, or None if its record is gone."""
+    draining: bool | None
+    gate: str | None
+    incarnation: str | None
+    term: int | None
+    gate_alive: bool | None
+    """Whether its peers hear the gate; None if nobody was asked."""
+
+
+def locate(
+    known: fleet.Fleet, service: str, key: str
+) -> result.Result[Route, failures.Failure]:
+    """Return the route of `key`, without the liveness of the gate."""
+    record = known.configuration.services.get(service)
+    if record is None:
+        return result.Failure(failures.NameUnknown("service", service))
+    assignment = known.assignments.get(service)
+    if assignment is None:
+        return result.Failure(failures.NoAssignment(service))
+    # The assignment decides how many shards there are, as it does for routing.
+    shard = hashing.compute_shard(key, len(assignment.owners))
+    override = assignment.overrides.get(key)
+    owner = override or assignment.owners[shard]
+    target: data.Target | None = known.configuration.targets.get(owner)
+    gate: rows.GateEntry | None = known.gates.get(owner)
+    return result.Success(
+        Route(
+            service,
+            key,
+            shard,
+            assignment.owners[shard],
+            override,
+            owner,
+            assignment.version,
+            target.data_centre if target else None,
+            target.draining if target else None,
+            gate.row.entry if gate else None,
+            gate.row.incarnation if gate else None,
+            gate.row.term if gate else None,
+            None,
+        )
+    )
+
+
+def describe_route(route: Route, entry: entries.Entry | None) -> tuple[str, ...]:
+    """Return the reasons for `route`, one sentence for each step."""
+    lines = [
+        f"key {route.key!r} of service {route.service} is in shard {route.shard}",
+        f"assignment version {route.assignment_version} gives the shard to "
+        f"{route.shard_owner}",
+    ]
+    if route.override is not None:
+        lines.append(f"an override gives this key alone to {route.override}")
+    if route.data_centre is None:
+        lines.append(f"target {route.owner} has no record in the configuration")
+    else:
+        state = "is draining" if route.draining else "takes new work"
+        lines.append(f"target {route.owner} in {route.data_centre} {state}")
+    if route.gate is None:
+        lines.append(f"target {route.owner} has no gate: requests are refused")
+        return tuple(lines)
+    lines.append(
+        f"its gate is {route.gate}, incarnation {route.incarnation}, term {route.term}"
+    )
+    lines.append(describe_liveness(route, entry))
+    return tuple(lines)
+
+
+def describe_liveness(route: Route, entry: entries.Entry | None) -> str:
+    """Return what the members know of the gate of `route`."""
+    if route.gate_alive is None:
+        return "liveness of the gate is not known: no entry process could be asked"
+    if entry and entry.incarnation and entry.incarnation != route.incarnation:
+        return (
+            f"{route.gate} now runs as incarnation {entry.incarnation}: "
+            "the row's gate is gone, and a successor is due"
+        )
+    if route.gate_alive:
+        return f"its peers hear {route.gate}"
+    return f"its peers do not hear {route.gate}: a successor is due"
+
+
+async def explain_key(
+    session: sessions.Session, service: str, key: str
+) -> result.Result[output.Report, failures.Failure]:
+    """Report the route of one key."""
+    read = await fleet.read_fleet(session)
+    if isinstance(read, result.Failure):
+        return read
+    known = read.unwrap()
+    located = locate(known, service, key)
+    if isinstance(located, result.Failure):
+        return located
+    route = located.unwrap()
+    found = await fleet.find_listed(session, known.gates)
+    entry = found.get(route.gate) if route.gate else None
+    if entry is not None:
+        route = route._replace(gate_alive=entry.alive)
+    return result.Success(output.Report(route, describe_route(route, entry)))
--- /dev/null
+++ b/packages/operator/dewstep_operator/listings.py
@@ -0,0 +1,185 @@
+"""The commands that list: `services`, `owners`, `targets`, `entries`, `dump`."""
+
+import asyncio
+import json
+
+from returns import result
+
+from dewstep_core import data
+from dewstep_operator import (
+    entries,
+    failures,
+    fleet,
+    output,
+    rows,
+    session as sessions,
+)
+
+ReportResult = result.Result[output.Report, failures.Failure]
+
+
+def build_report(
+    title: str, columns: tuple[str, ...], items: list[tuple]
+) -> output.Report:
+    """Return a report of one table that programs get as a list of objects."""
+    document = [dict(zip(columns, item, strict=True)) for item in items]
+    return output.Report(document, (), (output.Table(title, columns, tuple(items)),))
+
+
+async def list_services(session: sessions.Session) -> ReportResult:
+    """List the services with their targets and shards."""
+    read = await fleet.read_fleet(session)
+    return read.map(
+        lambda known: build_report(
+            f"Services at revision {known.configuration.revision}",
+            ("service", "schema", "key", "kinds", "targets", "slots", "shard_count",
+             "overrides", "assignment_version", "outage_horizon"),
+            [describe_service(known, service)
+             for service in known.configuration.services.values()],
+        )
+    )  # fmt: skip
+
+
+def describe_service(known: fleet.Fleet, service: data.Service) -> tuple:
+    """Return the row of one service."""
+    targets = [
+        target
+        for target in known.configuration.targets.values()
+        if target.service == service.name
+    ]
+    assignment = known.assignments.get(service.name)
+    return (
+        service.name,
+        service.schema,
+        f"{service.key_part.source} {service.key_part.name}",
+        len(service.kinds),
+        len(targets),
+        sum(target.slots for target in targets),
+        service.shard_count,
+        len(assignment.overrides) if assignment else None,
+        assignment.version if assignment else None,
+        service.outage_horizon,
+    )
+
+
+async def list_targets(session: sessions.Session) -> ReportResult:
+    """List the targets with what they own and who is their gate."""
+    read = await fleet.read_fleet(session)
+    return read.map(
+        lambda known: build_report(
+            f"Targets at revision {known.configuration.revision}",
+            ("target", "service", "data_centre", "address", "slots", "connections",
+             "fenced", "draining", "shards", "keys", "gate", "term"),
+            [describe_target(known, target)
+             for target in known.configuration.targets.values()],
+        )
+    )  # fmt: skip
+
+
+def describe_target(known: fleet.Fleet, target: data.Target) -> tuple:
+    """Return the row of one target."""
+    owned = rows.count_owned(known.assignments.get(target.service), target.name)
+    gate = known.gates.get(target.name)
+    return (
+        target.name,
+        target.service,
+        target.data_centre,
+        f"{target.host}:{target.port}",
+        target.slots,
+        target.connections,
+        target.fenced,
+        target.draining,
+        owned.shards,
+        owned.keys,
+        gate.row.entry if gate else None,
+        gate.row.term if gate else None,
+    )
+
+
+async def list_owners(session: sessions.Session, service: str | None) -> ReportResult:
+    """List the owners of shards and single keys, of one service or of all."""
+    read = await fleet.read_fleet(session)
+    if isinstance(read, result.Failure):
+        return read
+    known = read.unwrap()
+    if service is not None and service not in known.configuration.services:
+        return result.Failure(failures.NameUnknown("service", service))
+    assignments = [
+        assignment
+        for name, assignment in sorted(known.assignments.items())
+        if service in (None, name)
+    ]
+    ranges = [
+        (item.service, item.version, f"shards {format_range(first, last)}", owner)
+        for item in assignments
+        for first, last, owner in group_shards(item.owners)
+    ]
+    keys = [
+        (item.service, item.version, f"key {key}", owner)
+        for item in assignments
+        for key, owner in sorted(item.overrides.items())
+    ]
+    columns = ("service", "assignment_version", "owned", "target")
+    return result.Success(build_report("Owners", columns, ranges + keys))
+
+
+def group_shards(owners: tuple[str, ...]) -> list[tuple[int, int, str]]:
+    """Return the runs of consecutive shards with the same owner."""
+    groups: list[tuple[int, int, str]] = []
+    for shard, owner in enumerate(owners):
+        if groups and groups[-1][2] == owner:
+            groups[-1] = (groups[-1][0], shard, owner)
+        else:
+            groups.append((shard, shard, owner))
+    return groups
+
+
+def format_range(first: int, last: int) -> str:
+    """Return the text of a run of shards."""
+    return str(first) if first == last else f"{first}-{last}"
+
+
+async def list_entries(session: sessions.Session) -> ReportResult:
+    """List the entry processes with the revision that each has in force."""
+    read = await rows.read_gates(session.table)
+    if isinstance(read, result.Failure):
+        return read
+    gates = read.unwrap()
+    found = await fleet.find_listed(session, gates)
+    dumps = await asyncio.gather(
+        *(entries.read_dump(session.entry_client, entry) for entry in found.values())
+    )
+    items = []
+    for entry, dump in zip(found.values(), dumps, strict=True):
+        address = entry.operator_address
+        items.append(
+            (
+                entry.name,
+                entry.data_centre,
+                entry.incarnation,
+                entries.format_address(address) if address else None,
+                entry.alive,
+                isinstance(dump, result.Success),
+                fleet.get_revision(dump.value_or({})),
+                sum(gate.row.entry == entry.name for gate in gates.values()),
+            )
+        )
+    columns = ("entry", "data_centre", "incarnation", "operator_address", "alive",
+               "reachable", "revision", "gates")  # fmt: skip
+    return result.Success(build_report("Entry processes", columns, items))
+
+
+async def show_dump(session: sessions.Session, name: str) -> ReportResult:
+    """Show the whole state of one entry process."""
+    found = await fleet.find_entries(session)
+    if isinstance(found, result.Failure):
+        return found
+    entry = found.unwrap().get(name)
+    if entry is None:
+        return result.Failure(failures.NameUnknown("entry process", name))
+    dump = await entries.read_dump(session.entry_client, entry)
+    return dump.map(
+        lambda document: output.Report(
+            document, tuple(json.dumps(document, indent=2).splitlines())
+        )
+    )
