Add the connections to targets

Cause: gates need keep-alive HTTP connections to their targets whose failures say exactly what may have run. Ruled out: asyncio streams (a task switch per read); closing delimited answer bodies, which cannot be told from cut ones, so they are refused as AnswerInvalid.

--- /dev/null
+++ b/packages/entry/dewstep_entry/header_rules.py
@@ -0,0 +1,82 @@
+"""Which headers are passed on from one hop to the next (RFC 9110, section 7.6.1)."""
+
+import urllib.parse
+from collections.abc import Iterable
+
+from dewstep_core import data
+
+FRAMING = frozenset({b"content-length", b"transfer-encoding"})
+HOP_BY_HOP = FRAMING | {
+    b"connection",
+    b"expect",
+    b"keep-alive",
+    b"proxy-authenticate",
+    b"proxy-authorization",
+    b"proxy-connection",
+    b"te",
+    b"trailer",
+    b"upgrade",
+}
+# A caller must not be able to present itself as a gate.
+REQUEST_DROPPED = HOP_BY_HOP | {
+    b"dewstep-boot",
+    b"dewstep-deadline",
+    b"dewstep-deadline-ms",
+    b"dewstep-entry",
+    b"dewstep-epoch",
+    b"dewstep-key",
+    b"dewstep-request-id",
+    b"dewstep-term",
+}
+# A target's answer must not look like an answer that dewstep generated.
+ANSWER_DROPPED = HOP_BY_HOP | {
+    b"dewstep-failure",
+    b"dewstep-outcome",
+    b"dewstep-retry-after-ms",
+}
+# Visible ASCII without "%", which marks an encoded byte.
+HEADER_SAFE = "!#$&'()*+,/:;=?@[]\"\\<>^`{|}"
+
+
+def drop_headers(
+    headers: Iterable[tuple[bytes, bytes]], dropped: frozenset[bytes]
+) -> data.Headers:
+    """Return the headers without `dropped` and those that `Connection` names.
+
+    Parameters
+    ----------
+    headers : iterable of (bytes, bytes)
+        Names in lower case, as h11 gives them.
+    dropped : frozenset of bytes
+        Names in lower case.
+    """
+    kept = []
+    for header in headers:
+        if header[0] in dropped:
+            if header[0] == b"connection" and header[1].lower() not in (
+                b"close",
+                b"keep-alive",
+            ):
+                named = {name.strip() for name in header[1].lower().split(b",")}
+                return drop_headers(
+                    [item for item in headers if item[0] != b"connection"],
+                    dropped | named,
+                )
+        else:
+            kept.append(header)
+    return tuple(kept)
+
+
+def find_header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
+    """Return the first value of the header `name` (lower case), or None."""
+    for header in headers:
+        if header[0] == name:
+            return header[1]
+    return None
+
+
+def encode_value(text: str) -> bytes:
+    """Return `text` as a header value; other than visible ASCII is percent-encoded."""
+    if text.isascii() and text.isprintable() and " " not in text and "%" not in text:
+        return text.encode("ascii")
+    return urllib.parse.quote(text, safe=HEADER_SAFE).encode("ascii")
--- /dev/null
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -0,0 +1,304 @@
+"""One keep-alive connection to a target, with at most one request at a time.
+
+The protocol object parses in `data_received`, so that an exchange costs no task and
+wakes its caller once, when the answer is complete or its body starts to stream. Any
+irregularity ends the connection: an answer could otherwise be taken for that of the
+next request.
+"""
+
+import asyncio
+import select
+from collections.abc import Callable
+
+import h11
+from returns import result
+
+from dewstep_core import data
+from dewstep_entry import bodies, header_rules, interfaces
+from dewstep_entry.targets import outcome
+
+HEAD_LIMIT_BYTES = 65_536
+BUFFER_BYTES = 262_144
+"""Bytes of an answer that may wait for their reader before the socket is paused."""
+WRITE_BUFFER_BYTES = 131_072
+NO_BODY_STATUSES = frozenset({204, 304})
+
+
+class Exchange(bodies.ChunkQueue):
+    """One request and its answer, whose body it holds."""
+
+    __slots__ = ("head", "length", "method", "pump", "refusal", "sent", "timer")
+
+    def __init__(self, method: str, drained, closed):
+        super().__init__(BUFFER_BYTES, drained, closed)
+        self.method = method
+        self.head: h11.Response | None = None
+        self.length: int | None = None
+        self.refusal = ""
+        self.sent = False
+        self.pump: asyncio.Task | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def progress(self) -> outcome.Progress:
+        """Return how far the exchange has come."""
+        status = self.head.status_code if self.head is not None else 0
+        return outcome.Progress(self.sent, status, self.refusal)
+
+    def ready(self) -> bool:
+        """Whether the answer can be handed out; a small one only when complete."""
+        if self.ended or self.head is None:
+            return self.ended
+        return self.length is None or self.length > bodies.SMALL_BODY_BYTES
+
+
+class Connection(asyncio.Protocol):
+    """A connection to a target.
+
+    Parameters
+    ----------
+    target : str
+        Name of the target, for failures.
+    freed : callable
+        Called with the connection when it can take the next request.
+    lost : callable
+        Called with the connection once, when it will never be used again.
+    """
+
+    def __init__(
+        self,
+        target: str,
+        freed: Callable[["Connection"], None],
+        lost: Callable[["Connection"], None],
+    ):
+        self.target = target
+        self.freed = freed
+        self.lost = lost
+        self.http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT_BYTES
+        )
+        self.transport: asyncio.Transport | None = None
+        self.current: Exchange | None = None
+        self.usable = True
+        self.failed = False
+        """Whether the target ended the connection or let a deadline pass."""
+        self.reading = True
+        self.writable: asyncio.Future | None = None
+        self.poll = select.poll()
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport) -> None:
+        """Prepare the transport's buffers and the check for pending input."""
+        self.transport = transport
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        socket = transport.get_extra_info("socket")
+        self.poll.register(socket.fileno(), select.POLLIN | select.POLLRDHUP)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail the exchange in progress."""
+        self.resume_writing()
+        self._fail(outcome.Event.CLOSED)
+
+    def eof_received(self) -> bool:
+        """Treat the end of input like a lost connection."""
+        self._fail(outcome.Event.CLOSED)
+        return False
+
+    def pause_writing(self) -> None:
+        """Hold back the request's body."""
+        self.writable = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let the request's body continue."""
+        if self.writable is not None and not self.writable.done():
+            self.writable.set_result(None)
+        self.writable = None
+
+    def data_received(self, chunk: bytes) -> None:
+        """Parse what arrived; input that no request asked for ends the connection."""
+        exchange = self.current
+        if exchange is None:
+            self.abort()
+            return
+        try:
+            self.http.receive_data(chunk)
+            while exchange is self.current:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    break
+                self._process(exchange, event)
+        except h11.RemoteProtocolError as error:
+            self._fail(outcome.Event.INVALID, str(error))
+            return
+        if exchange.full and self.reading and self.current is exchange:
+            self.reading = False
+            self.transport.pause_reading()
+
+    # Exchange.
+
+    def is_stale(self) -> bool:
+        """Whether the idle connection was closed or holds unsolicited input.
+
+        The event loop may not have seen either yet; one system call makes sure.
+        """
+        return not self.usable or bool(self.poll.poll(0))
+
+    async def exchange(
+        self, head: h11.Request, body: data.Body, remaining: float
+    ) -> result.Result[data.Answer, interfaces.Failure]:
+        """Send a request and return the answer.
+
+        Parameters
+        ----------
+        head : h11.Request
+            Complete head with the headers that announce the body's length.
+        body : data.Body
+            Body of the request.
+        remaining : float
+            Seconds until the deadline, which also covers the answer's body.
+
+        Returns
+        -------
+        Result
+            The answer, or `TargetRefused`, `ConnectionLost`, `DeadlineExceeded` or
+            `AnswerInvalid`.
+        """
+        exchange = Exchange(head.method.decode(), self._drained, self.abort)
+        self.current = exchange
+        exchange.timer = asyncio.get_running_loop().call_later(
+            remaining, self._fail, outcome.Event.OVERDUE
+        )
+        try:
+            self._send_start(exchange, head, body)
+            while not exchange.ready():
+                await exchange.wait()
+        except BaseException:
+            # Cancelled: closing the connection cancels the request at the target.
+            self.abort()
+            raise
+        failure = exchange.failure or outcome.classify_end(
+            self.target, exchange.progress(), None
+        )
+        if failure is not None:
+            await exchange.aclose()
+            return result.Failure(failure)
+        return result.Success(build_answer(exchange))
+
+    def abort(self) -> None:
+        """Close the connection at once and for good."""
+        self._fail(outcome.Event.ABANDONED)
+
+    # Internals.
+
+    def _send_start(
+        self, exchange: Exchange, head: h11.Request, body: data.Body
+    ) -> None:
+        pieces = [self.http.send(head)]
+        if body.start:
+            pieces.append(self.http.send(h11.Data(data=body.start)))
+        if body.rest is None:
+            pieces.append(self.http.send(h11.EndOfMessage()))
+        exchange.sent = True
+        self.transport.write(b"".join(pieces))
+        if body.rest is not None:
+            exchange.pump = asyncio.ensure_future(self._send_rest(exchange, body.rest))
+
+    async def _send_rest(self, exchange: Exchange, rest) -> None:
+        try:
+            async for chunk in bodies.split_chunks(rest):
+                while self.writable is not None:
+                    await self.writable
+                if self.current is not exchange:
+                    return
+                self.transport.write(self.http.send(h11.Data(data=chunk)))
+            if self.current is exchange:
+                self.transport.write(self.http.send(h11.EndOfMessage()))
+        except (bodies.BodyFailure, h11.LocalProtocolError) as error:
+            if self.current is exchange:
+                self._fail(outcome.Event.ABANDONED, str(error))
+
+    def _process(self, exchange: Exchange, event) -> None:
+        kind = type(event)
+        if kind is h11.Data:
+            exchange.put(event.data)
+        elif kind is h11.Response:
+            self._take_head(exchange, event)
+        elif kind is h11.EndOfMessage:
+            self._finish(exchange)
+        elif kind is h11.ConnectionClosed:
+            self._fail(outcome.Event.CLOSED)
+
+    def _take_head(self, exchange: Exchange, head: h11.Response) -> None:
+        length = header_rules.find_header(head.headers, b"content-length")
+        coding = header_rules.find_header(head.headers, b"transfer-encoding")
+        if length is not None and coding is not None:
+            raise h11.RemoteProtocolError("both Content-Length and Transfer-Encoding")
+        if (
+            length is None
+            and coding is None
+            and exchange.method != "HEAD"
+            and head.status_code not in NO_BODY_STATUSES
+        ):
+            # A body that ends with the connection cannot be told from a cut one.
+            raise h11.RemoteProtocolError("the body's length is not announced")
+        exchange.head = head
+        exchange.length = int(length) if length is not None else None
+        refusal = header_rules.find_header(head.headers, b"dewstep-refused")
+        exchange.refusal = (refusal or b"").decode("latin-1")
+        exchange.wake()
+
+    def _finish(self, exchange: Exchange) -> None:
+        if self.http.trailing_data[0]:
+            self._fail(outcome.Event.INVALID, "bytes after the announced end")
+            return
+        self._detach(exchange)
+        exchange.end()
+        http = self.http
+        if http.our_state is h11.DONE and http.their_state is h11.DONE:
+            http.start_next_cycle()
+            self.freed(self)
+        else:
+            self.abort()
+
+    def _detach(self, exchange: Exchange) -> None:
+        self.current = None
+        exchange.timer.cancel()
+        if exchange.pump is not None:
+            exchange.pump.cancel()
+        if not self.reading:
+            self.reading = True
+            self.transport.resume_reading()
+
+    def _drained(self, taken: int) -> None:
+        if not self.reading:
+            self.reading = True
+            self.transport.resume_reading()
+
+    def _fail(self, event: outcome.Event, detail: str = "") -> None:
+        exchange = self.current
+        if exchange is not None:
+            self._detach(exchange)
+            exchange.end(
+                outcome.classify_end(self.target, exchange.progress(), event, detail)
+            )
+        if self.usable:
+            self.usable = False
+            self.failed = event in (outcome.Event.CLOSED, outcome.Event.OVERDUE)
+            self.transport.abort()
+            self.lost(self)
+
+
+def build_answer(exchange: Exchange) -> data.Answer:
+    """Return the answer of an exchange whose head has arrived."""
+    headers = header_rules.drop_headers(
+        list(exchange.head.headers), header_rules.ANSWER_DROPPED
+    )
+    start = exchange.take() if exchange.chunks else b""
+    rest = None if exchange.ended else exchange
+    length = exchange.length
+    if rest is None and length is None:
+        length = len(start)
+        if exchange.method == "HEAD" or exchange.head.status_code in NO_BODY_STATUSES:
+            length = None
+    body = data.Body(start, rest)
+    return data.Answer(exchange.head.status_code, headers, length, body, "")
--- /dev/null
+++ b/packages/entry/dewstep_entry/targets/control.py
@@ -0,0 +1,139 @@
+"""The connection for a target's clock and grants.
+
+It is separate from the data connections, so that busy ones cannot delay a grant past
+the expiry of the one before it.
+"""
+
+import asyncio
+import datetime
+import json
+
+import h11
+from returns import result
+
+from dewstep_core import clock as clocks, data, errors
+from dewstep_entry import bodies, interfaces
+from dewstep_entry.targets import connection as connections
+
+CONTROL_TIMEOUT = datetime.timedelta(milliseconds=300)
+"""Half the lifetime of a grant, so that a second attempt can follow in time."""
+
+
+class ControlChannel:
+    """Asks for the clock and sends grants, one call at a time.
+
+    Parameters
+    ----------
+    target : data.Target
+        The target.
+    clock : Clock
+        Source of the local times in readings.
+    entry : str
+        Name of this entry process.
+    timeout : datetime.timedelta
+        Limit for opening the connection and for each answer.
+    """
+
+    def __init__(
+        self,
+        target: data.Target,
+        clock: clocks.Clock,
+        entry: str,
+        timeout: datetime.timedelta = CONTROL_TIMEOUT,
+    ):
+        self.target = target
+        self.clock = clock
+        self.timeout = timeout.total_seconds()
+        self.headers = [
+            (b"host", f"{target.host}:{target.port}".encode()),
+            (b"dewstep-entry", entry.encode()),
+        ]
+        self.lock = asyncio.Lock()
+        self.connection: connections.Connection | None = None
+        self.closed = False
+
+    async def call(
+        self, method: str, path: str, payload: bytes
+    ) -> result.Result[data.ClockReading, interfaces.Failure]:
+        """Send one control request and parse the clock in its answer.
+
+        Returns
+        -------
+        Result
+            The reading, or `TargetUnavailable` (not sent), `TargetRefused`,
+            `ConnectionLost`, `DeadlineExceeded` or `AnswerInvalid`.
+        """
+        async with self.lock:
+            failure = await self._connect()
+            if failure is not None:
+                return result.Failure(failure)
+            headers = [*self.headers, (b"content-length", b"%d" % len(payload))]
+            head = h11.Request(method=method, target=path, headers=headers)
+            sent = self.clock.monotonic()
+            outcome = await self.connection.exchange(
+                head, data.Body(payload, None), self.timeout
+            )
+            if not isinstance(outcome, result.Success):
+                return outcome
+            answer = outcome.unwrap()
+            if answer.body.rest is not None:
+                await bodies.close_body(answer.body)
+            return parse_reading(self.target.name, answer, sent, self.clock.monotonic())
+
+    async def _connect(self) -> interfaces.Failure | None:
+        name = self.target.name
+        if self.closed:
+            return errors.TargetUnavailable(name, "the channel is closed")
+        if self.connection is not None:
+            if not self.connection.is_stale():
+                return None
+            self.connection.abort()
+        try:
+            async with asyncio.timeout(self.timeout):
+                _, self.connection = await asyncio.get_running_loop().create_connection(
+                    lambda: connections.Connection(name, _ignore, _ignore),
+                    self.target.host,
+                    self.target.port,
+                )
+        except OSError as error:
+            self.connection = None
+            detail = str(error) or "connecting took too long"
+            return errors.TargetUnavailable(name, detail)
+        return None
+
+    def close(self) -> None:
+        """Close the connection; later calls fail."""
+        self.closed = True
+        if self.connection is not None:
+            self.connection.abort()
+
+
+def parse_reading(
+    target: str,
+    answer: data.Answer,
+    sent: datetime.timedelta,
+    received: datetime.timedelta,
+) -> result.Result[data.ClockReading, interfaces.Failure]:
+    """Return the clock reading in the answer to a control request."""
+    if answer.status == 409:
+        reason = answer.body.start.decode("utf-8", "replace")
+        return result.Failure(errors.TargetRefused(target, reason))
+    if answer.status != 200:
+        detail = f"status {answer.status} to a control request"
+        return result.Failure(errors.AnswerInvalid(target, detail))
+    try:
+        fields = json.loads(answer.body.start)
+        reading = data.ClockReading(
+            str(fields["boot"]),
+            datetime.timedelta(seconds=fields["clock"]),
+            int(fields["term"]),
+            sent,
+            received,
+        )
+    except (ValueError, KeyError, TypeError, OverflowError) as error:
+        return result.Failure(errors.AnswerInvalid(target, repr(error)))
+    return result.Success(reading)
+
+
+def _ignore(connection: connections.Connection) -> None:
+    """Take no action: the channel looks at its connection before each call."""
--- /dev/null
+++ b/packages/entry/dewstep_entry/targets/pool_test.py
@@ -0,0 +1,256 @@
+import asyncio
+import contextlib
+import datetime
+
+import pytest
+
+from dewstep_core import clock, data, errors
+from dewstep_entry import bodies
+from dewstep_entry.targets import pool
+
+SECOND = datetime.timedelta(seconds=1)
+STAMP = data.Stamp(3, 7, "boot-1", 9 * SECOND)
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+HEADERS = (
+    (b"accept", b"*/*"),
+    (b"dewstep-term", b"99"),
+    (b"connection", b"x-hop"),
+    (b"x-hop", b"1"),
+)
+
+
+def build_request(rest=None, length=0, key="k 1", seconds=5.0, method="POST"):
+    deadline = clock.SystemClock().monotonic() + seconds * SECOND
+    body = data.Body(b"", rest)
+    place = ("booker", "book", key, "id-1", False, method, "/book/1")
+    return data.Request(*place, HEADERS, length, body, deadline)
+
+
+@contextlib.asynccontextmanager
+async def serve(*scripts, limit=None):
+    """Run a target whose n-th connection follows the n-th script."""
+    seen = []
+
+    async def accept(reader, writer):
+        number = len(seen)
+        seen.append(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await scripts[min(number, len(scripts) - 1)](reader, writer)
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    target = data.Target("t", "booker", "dc", "127.0.0.1", port, 4, 50, True, False)
+    channel = pool.TargetPool(target, clock.SystemClock(), "e1", "dc", limit)
+    try:
+        yield channel, seen
+    finally:
+        await channel.close()
+        server.close()
+
+
+def answer_with(*pieces, requests=1000, then_close=False):
+    async def script(reader, writer):
+        for _ in range(requests):
+            await reader.readuntil(b"\r\n\r\n")
+            for piece in pieces:
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(0.01 if len(pieces) > 1 else 0)
+        if then_close:
+            writer.close()
+        else:
+            await asyncio.sleep(60)
+
+    return script
+
+
+def test_headers_are_stamped_and_foreign_ones_removed():
+    heads = []
+
+    async def script(reader, writer):
+        heads.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(OK)
+
+    async def scenario():
+        async with serve(script) as (channel, _):
+            outcome = await channel.exchange(build_request(), STAMP)
+            assert outcome.unwrap().body.start == b"ok"
+
+    asyncio.run(scenario())
+    lines = heads[0].lower().split(b"\r\n")
+    for line in (b"term: 3", b"epoch: 7", b"boot: boot-1", b"key: k%201", b"entry: e1"):
+        assert lines.count(b"dewstep-" + line) == 1
+    # A caller's own term or a hop-by-hop header must not reach the target.
+    assert b"dewstep-term: 99" not in lines and b"x-hop: 1" not in lines
+
+
+REFUSED = b"HTTP/1.1 409 No\r\nDewstep-Refused: fenced\r\nContent-Length: 0\r\n\r\n"
+CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok"
+ENDLESS = b"HTTP/1.1 200 OK\r\n\r\nok"
+BOTH = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("piece", "expected"),
+    [
+        (REFUSED, errors.TargetRefused),
+        (CUT, errors.ConnectionLost),
+        (b"", errors.ConnectionLost),
+        (OK + OK, errors.AnswerInvalid),
+        (OK + b"x", errors.AnswerInvalid),
+        (ENDLESS, errors.AnswerInvalid),
+        (BOTH, errors.AnswerInvalid),
+        (b"nonsense\r\n\r\n", errors.AnswerInvalid),
+    ],
+)
+def test_irregular_answers_are_failures(piece, expected):
+    async def scenario():
+        script = answer_with(piece, requests=1, then_close=True)
+        async with serve(script) as (channel, _):
+            outcome = await channel.exchange(build_request(), STAMP)
+            assert isinstance(outcome.failure(), expected)
+
+    asyncio.run(scenario())
+
+
+def test_late_answer_is_never_given_to_the_next_request():
+    async def late(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(0.15)
+        writer.write(OK.replace(b"ok", b"no"))
+
+    async def scenario():
+        async with serve(late, answer_with(OK)) as (channel, seen):
+            outcome = await channel.exchange(build_request(seconds=0.1), STAMP)
+            assert isinstance(outcome.failure(), errors.DeadlineExceeded)
+            await asyncio.sleep(0.1)
+            outcome = await channel.exchange(build_request(), STAMP)
+            assert outcome.unwrap().body.start == b"ok" and len(seen) == 2
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("extra", [OK, None])
+def test_idle_connection_with_input_or_closed_is_replaced(extra):
+    # The second answer of a crossed pair would otherwise go to the next caller.
+    async def first(reader, writer):
+        await answer_with(OK, requests=1, then_close=True)(reader, writer)
+
+    async def crossed(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(OK)
+        await asyncio.sleep(0.05)
+        writer.write(OK.replace(b"ok", b"no"))
+        await asyncio.sleep(60)
+
+    async def scenario():
+        script = crossed if extra else first
+        async with serve(script, answer_with(OK)) as (channel, seen):
+            for _ in range(2):
+                outcome = await channel.exchange(build_request(), STAMP)
+                assert outcome.unwrap().body.start == b"ok"
+                await asyncio.sleep(0.1)
+            assert len(seen) == 2
+
+    asyncio.run(scenario())
+
+
+def test_connections_stay_under_the_limit_and_are_reused():
+    async def scenario():
+        async with serve(answer_with(OK), limit=4) as (channel, seen):
+            calls = [channel.exchange(build_request(), STAMP) for _ in range(40)]
+            for outcome in await asyncio.gather(*calls):
+                assert outcome.unwrap().status == 200
+            assert 1 <= len(seen) <= 3
+
+    asyncio.run(scenario())
+
+
+def test_refused_connection_is_not_run():
+    async def scenario():
+        target = data.Target("t", "s", "dc", "127.0.0.1", 1, 4, 50, True, False)
+        channel = pool.TargetPool(target, clock.SystemClock(), "e1", "dc")
+        outcome = await channel.exchange(build_request(), STAMP)
+        assert isinstance(outcome.failure(), errors.TargetUnavailable)
+        outcome = await channel.read_clock()
+        assert isinstance(outcome.failure(), errors.TargetUnavailable)
+
+    asyncio.run(scenario())
+
+
+def test_cancelled_request_closes_its_connection():
+    # The target would otherwise go on with work that nobody waits for.
+    ended = []
+
+    async def script(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        ended.append(await reader.read())
+
+    async def scenario():
+        async with serve(script) as (channel, _):
+            task = asyncio.ensure_future(channel.exchange(build_request(), STAMP))
+            await asyncio.sleep(0.05)
+            task.cancel()
+            await asyncio.sleep(0.05)
+            assert ended == [b""] and not channel.open
+
+    asyncio.run(scenario())
+
+
+def test_bodies_stream_both_ways_and_a_cut_one_raises():
+    size = 3_000_000
+
+    async def script(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        received = await reader.readexactly(size)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (size + 1))
+        writer.write(received)
+        await writer.drain()
+        writer.close()
+
+    async def pieces():
+        for number in range(30):
+            yield bytes([number]) * (size // 30)
+
+    async def scenario():
+        async with serve(script) as (channel, _):
+            outcome = await channel.exchange(build_request(pieces(), size), STAMP)
+            answer = outcome.unwrap()
+            await asyncio.sleep(0.1)
+            assert answer.body.rest.size < 1_000_000
+            received = len(answer.body.start)
+            with pytest.raises(bodies.BodyFailure) as caught:
+                async for chunk in answer.body.rest:
+                    received += len(chunk)
+            assert received == size
+            assert isinstance(caught.value.failure, errors.ConnectionLost)
+
+    asyncio.run(scenario())
+
+
+def test_control_calls_pass_busy_data_connections():
+    clock_body = b'{"boot": "b", "clock": 1.5, "term": 4}'
+    reading = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(clock_body)
+    refusal = b"HTTP/1.1 409 No\r\nContent-Length: 4\r\n\r\nterm"
+
+    async def script(reader, writer):
+        while line := await reader.readline():
+            await reader.readuntil(b"\r\n\r\n")
+            if line.startswith(b"GET /control/clock"):
+                writer.write(reading + clock_body)
+            elif line.startswith(b"PUT /control/grant"):
+                await reader.readuntil(b"}")
+                writer.write(refusal)
+
+    async def scenario():
+        async with serve(script, limit=2) as (channel, _):
+            busy = asyncio.ensure_future(channel.exchange(build_request(), STAMP))
+            await asyncio.sleep(0.05)
+            found = (await channel.read_clock()).unwrap()
+            assert (found.boot, found.clock, found.term) == ("b", 1.5 * SECOND, 4)
+            assert found.sent <= found.received
+            outcome = await channel.send_grant(data.Grant("b", 3, SECOND))
+            assert outcome.failure() == errors.TargetRefused("t", "term")
+            busy.cancel()
+
+    asyncio.run(scenario())
