Add the frames and links between entry processes

Cause: a receiving process must pass requests to a target's gate, and heartbeats and versions to its peers, over one bounded connection per direction. Ruled out: a single connection per pair, which needs a rule for which of two simultaneous dials survives; asyncio streams, which cost a task switch per frame; headers as a list of structs, since one packed value costs a single read.

--- /dev/null
+++ b/packages/entry/benchmarks/measure_peers.py
@@ -0,0 +1,69 @@
+"""Measure the processor time of a small exchange between two entry processes.
+
+Run `python packages/entry/benchmarks/measure_peers.py [uvloop]`. Both ends run in one
+process, so the figure is the sum of both.
+"""
+
+import asyncio
+import datetime
+import sys
+import time
+
+import uvloop
+from returns import result
+
+from dewstep_core import clock, data
+from dewstep_entry.peers import link
+
+EXCHANGES = 6_400
+HEADERS = ((b"host", b"x"), (b"accept", b"*/*"), (b"user-agent", b"measure"))
+ANSWER = data.Answer(
+    200, ((b"content-type", b"application/json"),), 12, data.Body(b"x" * 12, None), ""
+)
+
+
+class Handler:
+    """Answers every request with the same bytes."""
+
+    async def handle(self, request):
+        """Answer."""
+        return result.Success(ANSWER)
+
+    async def receive(self, sender, message):
+        """Take no action."""
+
+
+def ignore(member, change) -> None:
+    """Take no action."""
+
+
+async def measure() -> None:
+    """Print the time per exchange for 1 and 32 exchanges in flight."""
+    system = clock.SystemClock()
+    networks = []
+    for entry in ("a", "b"):
+        member = data.Member(entry, "i", "dc", "127.0.0.1", 0)
+        networks.append(link.PeerNetwork(member, system, Handler(), Handler(), ignore))
+        await networks[-1].start()
+    first, second = networks
+    deadline = system.monotonic() + datetime.timedelta(seconds=100)
+    place = ("history", "due", "k", "id-1", False, "GET", "/history/k/due", HEADERS)
+    request = data.Request(*place, 0, data.Body(b"", None), deadline)
+
+    async def repeat(count: int) -> None:
+        for _ in range(count):
+            (await first.exchange(second.member, request)).unwrap()
+
+    for flight in (1, 32):
+        began = time.process_time()
+        await asyncio.gather(*[repeat(EXCHANGES // flight) for _ in range(flight)])
+        spent = (time.process_time() - began) / EXCHANGES * 1e6
+        print(f"{flight} in flight: {spent:.0f} µs per exchange")
+    for network in networks:
+        await network.stop()
+
+
+if __name__ == "__main__":
+    if "uvloop" in sys.argv[1:]:
+        uvloop.install()
+    asyncio.run(measure())
--- /dev/null
+++ b/packages/entry/dewstep_entry/failures.py
@@ -0,0 +1,125 @@
+"""Answers that dewstep generates for failures, and the way back to the failure.
+
+The JSON body's `detail` holds the failure's fields, so that the process that receives
+the answer from a gate can tell which failure it was.
+"""
+
+import datetime
+import json
+import random
+from collections.abc import Callable
+from typing import Any
+
+from dewstep_core import data, errors
+
+RETRY_AFTER = datetime.timedelta(milliseconds=200)
+"""Base for refusals that name no time: a key is served again within a second."""
+UNREGISTERED = errors.AnswerRule(500, errors.UNKNOWN, tuple)
+"""For failures that should have been handled before they reached an answer."""
+
+
+def find_rule(failure: Any) -> errors.AnswerRule:
+    """Return status and outcome of a failure."""
+    return errors.answer_rules.get(type(failure).__name__) or UNREGISTERED
+
+
+def pack_fields(failure: Any) -> dict[str, Any]:
+    """Return the fields of a failure as JSON values; durations become seconds."""
+    return {
+        name: value.total_seconds() if isinstance(value, datetime.timedelta) else value
+        for name, value in failure._asdict().items()
+    }
+
+
+def unpack_fields(name: str, fields: Any) -> Any | None:
+    """Return the failure of type `name` with `fields`, or None if that is impossible.
+
+    Parameters
+    ----------
+    name : str
+        Name of a registered failure type.
+    fields : dict
+        Result of `pack_fields` after a round trip through JSON.
+    """
+    rule = errors.answer_rules.get(name)
+    if rule is None or not isinstance(fields, dict):
+        return None
+    types = rule.failure.__annotations__
+    if fields.keys() != types.keys():
+        return None
+    try:
+        return rule.failure(
+            **{
+                field: datetime.timedelta(seconds=value)
+                if types[field] is datetime.timedelta
+                else value
+                for field, value in fields.items()
+            }
+        )
+    except (TypeError, OverflowError):
+        return None
+
+
+def choose_retry_after(
+    failure: Any, spread: Callable[[], float] = random.random
+) -> datetime.timedelta | None:
+    """Return when the caller should retry, or None if it should not by itself.
+
+    The time is spread over one to two times its base, so that callers that were
+    refused together do not come back together.
+    """
+    if find_rule(failure).outcome != errors.NOT_RUN:
+        return None
+    base = getattr(failure, "retry_after", RETRY_AFTER)
+    return max(base, datetime.timedelta(milliseconds=1)) * (1 + spread())
+
+
+def answer_failure(
+    failure: Any, spread: Callable[[], float] = random.random
+) -> data.Answer:
+    """Return the answer that tells a caller of `failure`.
+
+    Parameters
+    ----------
+    failure : tuple
+        One of the failures of `dewstep_core.errors`.
+    spread : callable
+        Returns the jitter, from 0 to 1.
+    """
+    rule = find_rule(failure)
+    name = type(failure).__name__
+    retry_after = choose_retry_after(failure, spread)
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"dewstep-outcome", rule.outcome.encode()),
+        (b"dewstep-failure", name.encode()),
+    ]
+    if retry_after is not None:
+        second = datetime.timedelta(seconds=1)
+        millisecond = datetime.timedelta(milliseconds=1)
+        headers.append((b"retry-after", b"%d" % -(-retry_after // second)))
+        milliseconds = -(-retry_after // millisecond)
+        headers.append((b"dewstep-retry-after-ms", b"%d" % milliseconds))
+    content = {
+        "type": name,
+        "outcome": rule.outcome,
+        "detail": pack_fields(failure),
+        "retry_after": None if retry_after is None else retry_after.total_seconds(),
+    }
+    body = json.dumps(content).encode()
+    return data.Answer(
+        rule.status, tuple(headers), len(body), data.Body(body, None), name
+    )
+
+
+def restore_failure(answer: data.Answer) -> Any | None:
+    """Return the failure in the result of `answer_failure`, or None."""
+    if not answer.failure:
+        return None
+    try:
+        content = json.loads(answer.body.start)
+    except ValueError:
+        return None
+    if not isinstance(content, dict):
+        return None
+    return unpack_fields(answer.failure, content.get("detail"))
--- /dev/null
+++ b/packages/entry/dewstep_entry/peers/link_test.py
@@ -0,0 +1,327 @@
+import asyncio
+import contextlib
+import datetime
+
+import pytest
+from returns import result
+
+from dewstep_core import clock, data, errors
+from dewstep_entry import bodies, failures
+from dewstep_entry.peers import link, messages, wire
+
+SYSTEM = clock.SystemClock()
+HELLO_TIME = 0.2
+
+
+def build_request(start=b"", rest=None, seconds=5.0):
+    deadline = SYSTEM.monotonic() + datetime.timedelta(seconds=seconds)
+    place = ("booker", "book", "k", "id", False, "POST", "/book", ())
+    return data.Request(*place, None, data.Body(start, rest), deadline)
+
+
+def build_answer(start=b"", rest=None):
+    return result.Success(data.Answer(200, (), None, data.Body(start, rest), ""))
+
+
+def build_member(entry, incarnation="i1", port=0):
+    return data.Member(entry, incarnation, "dc-" + entry, "127.0.0.1", port)
+
+
+async def generate(size, piece=50_000):
+    for _ in range(size // piece):
+        yield b"x" * piece
+
+
+class Peer:
+    """A network whose handler and message receiver the test chooses."""
+
+    def __init__(self, entry, handle=None, incarnation="i1", port=0):
+        self.handle = handle
+        self.changes = []
+        self.received = []
+        member = build_member(entry, incarnation, port)
+        self.network = link.PeerNetwork(member, SYSTEM, self, self, self.notify)
+
+    def notify(self, member, change):
+        self.changes.append((member.entry, change))
+
+    async def receive(self, sender, message):
+        self.received.append((sender.entry, message))
+
+
+@contextlib.asynccontextmanager
+async def run(*peers):
+    for peer in peers:
+        await peer.network.start()
+    try:
+        yield
+    finally:
+        for peer in peers:
+            await peer.network.stop()
+
+
+@contextlib.asynccontextmanager
+async def scripted(script):
+    """Run a peer that sends hello and then follows `script`."""
+    member = build_member("b")
+
+    async def accept(reader, writer):
+        writer.write(wire.encode(messages.Hello(wire.PROTOCOL, member)))
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await script(reader, writer)
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    yield member._replace(port=server.sockets[0].getsockname()[1])
+    server.close()
+
+
+async def read_frame(reader):
+    length = int.from_bytes(await reader.readexactly(4), "big")
+    return wire.decode(await reader.readexactly(length))
+
+
+def test_a_stalled_large_body_does_not_block_other_streams():
+    async def handle(request):
+        if request.body.rest is None:
+            return build_answer(request.body.start)
+        return build_answer(b"", generate(5_000_000))
+
+    async def scenario():
+        a, b = Peer("a"), Peer("b", handle)
+        async with run(a, b):
+            member = b.network.member
+            outcome = await a.network.exchange(
+                member, build_request(b"", generate(1_000_000))
+            )
+            stalled = outcome.unwrap()
+            for number in range(50):
+                outcome = await a.network.exchange(
+                    member, build_request(b"%d" % number)
+                )
+                assert outcome.unwrap().body.start == b"%d" % number
+            assert stalled.body.rest.size <= 262_144
+            size = 0
+            async for chunk in stalled.body.rest:
+                size += len(chunk)
+            assert size == 5_000_000
+
+    asyncio.run(scenario())
+
+
+def test_request_body_deadline_and_typed_failure_cross_the_link():
+    refusal = errors.QueueFull("t", datetime.timedelta(seconds=0.5))
+    seen = []
+
+    async def handle(request):
+        remaining = (request.deadline - SYSTEM.monotonic()).total_seconds()
+        size = 0
+        async for chunk in request.body.rest:
+            size += len(chunk)
+        seen.append((size, remaining))
+        return result.Failure(refusal)
+
+    async def scenario():
+        a, b = Peer("a"), Peer("b", handle)
+        async with run(a, b):
+            request = build_request(b"", generate(2_000_000))
+            outcome = await a.network.exchange(b.network.member, request)
+            assert failures.restore_failure(outcome.unwrap()) == refusal
+
+    asyncio.run(scenario())
+    assert seen[0][0] == 2_000_000 and 4.0 < seen[0][1] <= 5.0
+
+
+def test_body_that_fails_at_the_peer_raises_its_failure_here():
+    async def cut():
+        yield b"part"
+        raise bodies.BodyFailure(errors.AnswerInvalid("t", "cut"))
+
+    async def handle(request):
+        return build_answer(b"", cut())
+
+    async def scenario():
+        a, b = Peer("a"), Peer("b", handle)
+        async with run(a, b):
+            outcome = await a.network.exchange(b.network.member, build_request())
+            with pytest.raises(bodies.BodyFailure) as caught:
+                async for _ in outcome.unwrap().body.rest:
+                    pass
+            assert caught.value.failure == errors.AnswerInvalid("t", "cut")
+
+    asyncio.run(scenario())
+
+
+def test_refused_peer_is_not_run_and_reported():
+    async def scenario():
+        a = Peer("a")
+        outcome = await a.network.exchange(build_member("b", port=1), build_request())
+        assert outcome.failure() == errors.PeerUnreachable("b")
+        assert a.changes == [("b", link.Change.REFUSED)]
+
+    asyncio.run(scenario())
+
+
+def test_reset_after_the_request_was_sent_is_unknown():
+    async def script(reader, writer):
+        await read_frame(reader)
+        await read_frame(reader)
+        writer.transport.abort()
+
+    async def scenario():
+        a = Peer("a")
+        async with scripted(script) as member:
+            outcome = await a.network.exchange(member, build_request())
+            assert outcome.failure() == errors.ConnectionLost("b")
+            assert a.changes == [("b", link.Change.UP), ("b", link.Change.RESET)]
+            await a.network.stop()
+
+    asyncio.run(scenario())
+
+
+def test_request_behind_a_missing_hello_is_not_run():
+    async def accept(reader, writer):
+        await asyncio.sleep(5)
+
+    async def scenario():
+        a = Peer("a")
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        request = build_request(seconds=HELLO_TIME)
+        outcome = await a.network.exchange(build_member("b", port=port), request)
+        assert outcome.failure() == errors.PeerUnreachable("b")
+        await asyncio.sleep(HELLO_TIME)
+        assert a.changes == [("b", link.Change.TIMED_OUT)]
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_late_answer_of_a_cancelled_stream_reaches_nobody():
+    numbers = []
+
+    async def script(reader, writer):
+        await read_frame(reader)
+        late = (await read_frame(reader)).stream
+        assert await read_frame(reader) == wire.Cancel(late)
+        number = (await read_frame(reader)).stream
+        for stream, start in ((late, b"late"), (number, b"own")):
+            answer = build_answer(start).unwrap()
+            writer.write(wire.encode(wire.AnswerHead(stream, answer, True)))
+        numbers.extend((late, number))
+        await reader.read()
+
+    async def scenario():
+        a = Peer("a")
+        async with scripted(script) as member:
+            first = asyncio.ensure_future(a.network.exchange(member, build_request()))
+            await asyncio.sleep(0.05)
+            first.cancel()
+            await asyncio.wait([first])
+            outcome = await a.network.exchange(member, build_request())
+            assert outcome.unwrap().body.start == b"own"
+            await a.network.stop()
+
+    asyncio.run(scenario())
+    assert numbers[0] < numbers[1]
+
+
+def test_cancel_reaches_the_handler():
+    ended = []
+
+    async def handle(request):
+        try:
+            await asyncio.sleep(5)
+        except asyncio.CancelledError:
+            ended.append(request.key)
+            raise
+
+    async def scenario():
+        a, b = Peer("a"), Peer("b", handle)
+        async with run(a, b):
+            call = a.network.exchange(b.network.member, build_request())
+            task = asyncio.ensure_future(call)
+            await asyncio.sleep(0.05)
+            task.cancel()
+            await asyncio.sleep(0.05)
+            assert ended == ["k"]
+            outcome = await a.network.exchange(
+                b.network.member, build_request(seconds=0.05)
+            )
+            assert outcome.failure() == errors.DeadlineExceeded("b")
+            await asyncio.sleep(0.05)
+            assert ended == ["k", "k"]
+
+    asyncio.run(scenario())
+
+
+def test_another_incarnation_gets_another_link():
+    # A restarted peer knows nothing of the streams of its former run.
+    async def handle(request):
+        return build_answer(b"ok")
+
+    async def scenario():
+        a, b = Peer("a"), Peer("b", handle, incarnation="i2")
+        async with run(a, b):
+            member = b.network.member
+            old = member._replace(incarnation="i1")
+            outcome = await a.network.exchange(old, build_request())
+            assert outcome.failure() == errors.PeerUnreachable("b")
+            outcome = await a.network.exchange(member, build_request())
+            assert outcome.unwrap().body.start == b"ok"
+            assert len(a.network.links) == 1
+
+    asyncio.run(scenario())
+
+
+def test_frozen_peer_costs_bounded_memory_and_delays_nobody():
+    async def script(reader, writer):
+        await asyncio.sleep(5)
+
+    async def handle(request):
+        return build_answer(b"ok")
+
+    async def scenario():
+        a, b = Peer("a"), Peer("c", handle)
+        async with run(a, b), scripted(script) as frozen:
+            calls = [
+                a.network.exchange(frozen, build_request(b"x" * 60_000, None, 1.0))
+                for _ in range(300)
+            ]
+            task = asyncio.gather(*calls)
+            await asyncio.sleep(0.3)
+            outcome = await a.network.exchange(b.network.member, build_request())
+            assert outcome.unwrap().body.start == b"ok"
+            (session,) = [s for s in a.network.dials if s.peer.entry == "b"]
+            assert session.transport.get_write_buffer_size() < 1_000_000
+            assert not a.network.send(frozen, messages.Fetch("assignment", "x"))
+            kinds = {type(outcome.failure()) for outcome in await task}
+            assert kinds == {errors.PeerUnreachable, errors.DeadlineExceeded}
+
+    asyncio.run(scenario())
+
+
+def test_cut_drops_frames_until_it_is_lifted():
+    async def handle(request):
+        return build_answer(b"ok")
+
+    async def scenario():
+        a, b = Peer("a"), Peer("b", handle)
+        async with run(a, b):
+            member = b.network.member
+            fetch = messages.Fetch("assignment", "x")
+            assert a.network.send(member, fetch)
+            (await a.network.exchange(member, build_request())).unwrap()
+            assert b.received == [("a", fetch)]
+            a.network.set_cut({"dc-b"})
+            a.network.send(member, fetch)
+            outcome = await a.network.exchange(member, build_request(seconds=0.1))
+            assert outcome.failure() == errors.DeadlineExceeded("b")
+            assert len(b.received) == 1
+            a.network.set_cut(())
+            (await a.network.exchange(member, build_request())).unwrap()
+            a.network.set_cut({"b"})
+            other = member._replace(incarnation="i9")
+            outcome = await a.network.exchange(other, build_request())
+            assert outcome.failure() == errors.PeerUnreachable("b")
+
+    asyncio.run(scenario())
