Carry suspicions and operators' ports in the messages between peers

Cause: only monitors notice a silent process, but the successor of its gates may be another process; operators find processes by the members' list. Ruled out: heartbeats to all members, whose cost grows with the fleet.

--- a/packages/core/dewstep_core/data.py
+++ b/packages/core/dewstep_core/data.py
@@ -116,6 +116,15 @@
     data_centre: str
     host: str
     port: int
+    operator_port: int = 0
+    """Port for operators on the same host, 0 if it is not known."""
+
+
+class Suspicion(NamedTuple):
+    """A run of an entry process that a monitor no longer hears."""
+
+    entry: str
+    incarnation: str
 
 
 # Requests.
--- a/packages/entry/dewstep_entry/peers/messages.py
+++ b/packages/entry/dewstep_entry/peers/messages.py
@@ -26,6 +26,8 @@
     table_contact_age: datetime.timedelta | None
     """Time since the last contact with the table service, None if there was none."""
     members: tuple[data.Member, ...]
+    suspicions: tuple[data.Suspicion, ...]
+    """Members that the sender, or a monitor it heard of, no longer hears."""
     loads: Mapping[str, float]
     """Load of each target whose gate the sender is."""
 
--- a/packages/entry/dewstep_entry/peers/wire.capnp
+++ b/packages/entry/dewstep_entry/peers/wire.capnp
@@ -36,6 +36,12 @@
   dataCentre @2 :Text;
   host @3 :Text;
   port @4 :UInt16;
+  operatorPort @5 :UInt16;
+}
+
+struct Suspicion {
+  entry @0 :Text;
+  incarnation @1 :Text;
 }
 
 struct RequestHead {
@@ -82,6 +88,7 @@
   # Age of the last contact with the table service, or -1 for none.
   members @5 :List(Member);
   loads @6 :List(Load);
+  suspicions @7 :List(Suspicion);
 }
 
 struct Version {
--- a/packages/entry/dewstep_entry/peers/wire.py
+++ b/packages/entry/dewstep_entry/peers/wire.py
@@ -218,11 +218,17 @@
     builder.dataCentre = member.data_centre
     builder.host = member.host
     builder.port = member.port
+    builder.operatorPort = member.operator_port
 
 
 def _read_member(reader) -> data.Member:
     return data.Member(
-        reader.entry, reader.incarnation, reader.dataCentre, reader.host, reader.port
+        reader.entry,
+        reader.incarnation,
+        reader.dataCentre,
+        reader.host,
+        reader.port,
+        reader.operatorPort,
     )
 
 
@@ -247,6 +253,9 @@
     members = builder.init("members", len(heartbeat.members))
     for item, member in zip(members, heartbeat.members, strict=True):
         _fill_member(item, member)
+    suspicions = builder.init("suspicions", len(heartbeat.suspicions))
+    for item, suspicion in zip(suspicions, heartbeat.suspicions, strict=True):
+        item.entry, item.incarnation = suspicion
     loads = builder.init("loads", len(heartbeat.loads))
     for item, (target, load) in zip(loads, heartbeat.loads.items(), strict=True):
         item.target, item.load = target, load
@@ -262,6 +271,9 @@
         {item.service: item.version for item in reader.versions},
         None if age < 0 else age * _MILLISECOND,
         tuple(_read_member(item) for item in reader.members),
+        tuple(
+            data.Suspicion(item.entry, item.incarnation) for item in reader.suspicions
+        ),
         {item.target: item.load for item in reader.loads},
     )
 
--- a/packages/entry/dewstep_entry/peers/wire_test.py
+++ b/packages/entry/dewstep_entry/peers/wire_test.py
@@ -10,7 +10,7 @@
 BODY = data.Body(b"start", None)
 PLACE = ("history", "due", "k", "id", True, "POST", "/history/k")
 REQUEST = data.Request(*PLACE, HEADERS, None, BODY, 2 * SECOND)
-MEMBER = data.Member("e1", "i1", "dc1", "127.0.0.1", 7001)
+MEMBER = data.Member("e1", "i1", "dc1", "127.0.0.1", 7001, 7002)
 
 
 @pytest.mark.parametrize(
@@ -25,9 +25,16 @@
         wire.Credit(5, 65536),
         messages.Hello(1, MEMBER),
         messages.Heartbeat(
-            "e1", "i1", 7, {"history": 3}, SECOND, (MEMBER, MEMBER), {"t": 0.5}
+            "e1",
+            "i1",
+            7,
+            {"history": 3},
+            SECOND,
+            (MEMBER, MEMBER),
+            (data.Suspicion("e2", "i2"),),
+            {"t": 0.5},
         ),
-        messages.Heartbeat("e1", "i1", 7, {}, None, (), {}),
+        messages.Heartbeat("e1", "i1", 7, {}, None, (), (), {}),
         messages.Fetch("assignment", "history"),
         messages.Value("assignment", "history", 3, b"\0payload"),
     ],
--- a/packages/entry/dewstep_entry/state/membership.py
+++ b/packages/entry/dewstep_entry/state/membership.py
@@ -29,13 +29,6 @@
 """How long a new suspicion is named in heartbeats."""
 
 
-class Suspicion(NamedTuple):
-    """A process that a monitor no longer hears."""
-
-    entry: str
-    incarnation: str
-
-
 class Peer(NamedTuple):
     """A member with what this process has heard of it."""
 
@@ -90,7 +83,7 @@
         self.peers[member.entry] = Peer(member, now, None, watched)
         return changed
 
-    def suspect(self, suspicion: Suspicion, now: datetime.timedelta) -> bool:
+    def suspect(self, suspicion: data.Suspicion, now: datetime.timedelta) -> bool:
         """Note that a process is suspect; return whether that is news.
 
         A report about a process that this one has heard within `suspect_after` is
@@ -120,14 +113,14 @@
         if known is not None and not known.watched:
             self.peers[entry] = known._replace(watched=True)
 
-    def expire(self, now: datetime.timedelta) -> list[Suspicion]:
+    def expire(self, now: datetime.timedelta) -> list[data.Suspicion]:
         """Return the watched members that have just become suspect."""
         found = []
         for entry, peer in self.peers.items():
             silent = now - peer.last_heard >= self.settings.suspect_after
             if peer.watched and silent and peer.suspected is None:
                 self.peers[entry] = peer._replace(suspected=now)
-                found.append(Suspicion(entry, peer.member.incarnation))
+                found.append(data.Suspicion(entry, peer.member.incarnation))
         return found
 
     def select_recipients(self) -> list[data.Member]:
@@ -152,7 +145,7 @@
         alive = [peer.member for peer in self.peers.values() if peer.suspected is None]
         return tuple(self.random.sample(alive, min(SHARED_MEMBERS, len(alive))))
 
-    def select_suspicions(self, now: datetime.timedelta) -> tuple[Suspicion, ...]:
+    def select_suspicions(self, now: datetime.timedelta) -> tuple[data.Suspicion, ...]:
         """Return the newest suspicions, to name in a heartbeat."""
         recent = [
             peer
@@ -161,7 +154,7 @@
         ]
         recent.sort(key=lambda peer: peer.suspected, reverse=True)
         return tuple(
-            Suspicion(peer.member.entry, peer.member.incarnation)
+            data.Suspicion(peer.member.entry, peer.member.incarnation)
             for peer in recent[:SHARED_SUSPICIONS]
         )
 
--- a/packages/entry/dewstep_entry/state/membership_test.py
+++ b/packages/entry/dewstep_entry/state/membership_test.py
@@ -30,7 +30,7 @@
     found = build_membership(2)
     found.note_heartbeat("e01")
     assert found.expire(LIMIT - datetime.timedelta(milliseconds=1)) == []
-    assert found.expire(LIMIT) == [membership.Suspicion("e01", "i1")]
+    assert found.expire(LIMIT) == [data.Suspicion("e01", "i1")]
     assert found.expire(LIMIT) == []
     assert found.count_near() == 2
 
@@ -42,14 +42,14 @@
     assert found.hear(build_member(1, incarnation="i2"), LIMIT)
     assert not found.hear(build_member(1, incarnation="i2"), LIMIT)
     # A late report about the old incarnation says nothing about the new one.
-    assert not found.suspect(membership.Suspicion("e01", "i1"), 3 * LIMIT)
+    assert not found.suspect(data.Suspicion("e01", "i1"), 3 * LIMIT)
 
 
 def test_suspect_ignores_reports_about_a_member_heard_just_now():
     # Otherwise a process that is cut off could make all others suspect each other.
     found = build_membership(1)
     found.note_heartbeat("e01")
-    report = membership.Suspicion("e01", "i1")
+    report = data.Suspicion("e01", "i1")
     assert not found.suspect(report, LIMIT / 2)
     assert found.suspect(report, LIMIT)
     assert found.select_suspicions(LIMIT) == (report,)
