--- a/packages/core/dewstep_core/settings.py
+++ b/packages/core/dewstep_core/settings.py
@@ -56,6 +56,8 @@
     seeds: tuple[Address, ...] = ()
     """Peer addresses of other entry processes."""
     statsd_address: Address | None = None
+    fault_injection: bool = False
+    """Whether the operators' port accepts cuts of peer links, for tests."""
     stop_limit: datetime.timedelta = datetime.timedelta(seconds=20)
     maximum_clock_skew: datetime.timedelta = datetime.timedelta(milliseconds=500)
     table_timeout: datetime.timedelta = datetime.timedelta(milliseconds=500)
--- a/packages/core/dewstep_core/settings_file.py
+++ b/packages/core/dewstep_core/settings_file.py
@@ -21,6 +21,7 @@
 
 CHECKS: dict[Any, fields.FieldCheck] = {
     str: fields.expect_name(),
+    bool: fields.expect_boolean(),
     int: fields.expect_integer(1, MAXIMUM_COUNT),
     float: fields.expect_number(0, MAXIMUM_DRIFT),
     datetime.timedelta: fields.expect_duration(MINIMUM_DURATION, MAXIMUM_DURATION),
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/fleet.py
@@ -0,0 +1,398 @@
+"""A whole deployment on one machine: stand-ins, targets and entry processes."""
+
+import asyncio
+import json
+import pathlib
+import socket
+import uuid
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+from returns import result
+
+from dewstep_core import data, records, settings
+from dewstep_core.http import client
+from dewstep_core.platform import table
+from dewstep_emulator import deployments, history, processes
+
+CALL_TIMEOUT = 5.0
+STOP_SECONDS = 25.0
+POLL = 0.05
+HOST = "127.0.0.1"
+
+
+class FleetOptions(NamedTuple):
+    """What a fleet consists of, beside its deployment."""
+
+    entries: int
+    seed: int = 0
+    unfenced: frozenset[str] = frozenset()
+    crash_marker: str = ""
+    writes_per_second: float = 400
+    reads_per_second: float = 2_000
+    entry_settings: Mapping[str, Any] = {}
+    """More settings for each entry process, by their TOML names."""
+
+
+class EntryHandle(NamedTuple):
+    """An entry process and its ports."""
+
+    process: processes.Process
+    name: str
+    data_centre: str
+    callers: settings.Address
+    operators: settings.Address
+    peers: settings.Address
+
+
+def format_toml(values: Mapping[str, Any], table_name: str = "") -> str:
+    """Return settings as TOML; nested mappings become tables."""
+    lines = [f"[{table_name}]"] if table_name else []
+    nested = []
+    for name, value in values.items():
+        if isinstance(value, Mapping):
+            nested.append(format_toml(value, name))
+        else:
+            # The JSON form of strings, numbers and lists is valid TOML.
+            lines.append(f"{name} = {json.dumps(value)}")
+    return "\n".join(lines + nested) + "\n"
+
+
+class Fleet:
+    """The processes of one deployment.
+
+    Parameters
+    ----------
+    deployment : deployments.Deployment
+    options : FleetOptions
+    folder : pathlib.Path
+        Gets settings, logs and the targets' logs of runs.
+    """
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        options: FleetOptions,
+        folder: pathlib.Path,
+    ):
+        self.deployment = deployment
+        self.options = options
+        self.folder = folder
+        self.table_process: processes.Process | None = None
+        self.list_process: processes.Process | None = None
+        self.targets: dict[str, processes.Process] = {}
+        self.entries: dict[str, EntryHandle] = {}
+        self.ended: list[processes.Process] = []
+        self.table: table.TableClient | None = None
+        self.configuration: data.Configuration | None = None
+        self.departures: list[history.Departure] = []
+
+    # Start and stop.
+
+    async def start(self) -> None:
+        """Start everything and wait until all entry processes serve all keys."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        await self.start_platform()
+        await asyncio.gather(*(self.start_target(name) for name in self.list_targets()))
+        await self.apply(self.build_configuration(1))
+        await asyncio.gather(
+            *(self.start_entry(number) for number in range(self.options.entries))
+        )
+        await self.wait_ready()
+
+    async def start_platform(self) -> None:
+        """Start the table service and the instance list."""
+        options = self.options
+        self.table_process = processes.Process(
+            "table",
+            (
+                "dewstep_emulator.table_service",
+                f"--writes-per-second={options.writes_per_second}",
+                f"--reads-per-second={options.reads_per_second}",
+            ),
+            self.folder,
+        )
+        self.list_process = processes.Process(
+            "instances", ("dewstep_emulator.instance_list",), self.folder
+        )
+        await asyncio.gather(self.table_process.start(), self.list_process.start())
+        self.table = table.TableClient(
+            (get_address(self.table_process.addresses),), "operator", "none"
+        )
+
+    def list_targets(self) -> dict[str, tuple[str, str]]:
+        """Return service and data centre of each target."""
+        return deployments.name_targets(self.deployment)
+
+    async def start_target(self, name: str, port: int = 0) -> None:
+        """Start a target, on the same port as before if `port` says so."""
+        service, _ = self.list_targets()[name]
+        plan = next(
+            item for item in self.deployment.services if item.service.name == service
+        )
+        number = len(self.ended)
+        process = processes.Process(
+            name,
+            (
+                "dewstep_emulator.target",
+                f"--name={name}",
+                f"--service={service}",
+                f"--port={port}",
+                f"--slots={self.deployment.slots}",
+                f"--connections={self.deployment.connections}",
+                f"--service-time-ms={plan.service_time.total_seconds() * 1000}",
+                "--distribution=exponential",
+                f"--seed={self.options.seed}",
+                "--fenced" if name not in self.options.unfenced else "--no-fenced",
+                f"--log={self.folder / f'{name}.{number}.runs'}",
+            ),
+            self.folder,
+        )
+        await process.start()
+        self.targets[name] = process
+        if self.options.crash_marker:
+            await self.set_faults(process, {"crash": self.options.crash_marker})
+
+    async def restart_target(self, name: str) -> None:
+        """Kill a target and start it again on its port."""
+        process = self.targets[name]
+        port = process.addresses["port"]
+        await process.kill()
+        self.ended.append(process)
+        await self.start_target(name, port)
+
+    async def start_entry(self, number: int) -> EntryHandle:
+        """Start an entry process; it replaces an earlier one of the same number."""
+        centres = self.deployment.data_centres
+        data_centre = centres[number % len(centres)]
+        name = f"entry-{number}"
+        earlier = self.entries.get(name)
+        if earlier is not None:
+            self.ended.append(earlier.process)
+        file = self.folder / f"{name}.toml"
+        seeds = [
+            f"{entry.peers.host}:{entry.peers.port}"
+            for entry in self.entries.values()
+            if entry.name != name
+        ]
+        values = {
+            "entry": name,
+            "data_centre": data_centre,
+            "caller_address": f"{HOST}:{find_free_port()}",
+            "peer_address": f"{HOST}:{find_free_port()}",
+            "operator_address": f"{HOST}:{find_free_port()}",
+            "table_addresses": [format_address(self.table_process.addresses)],
+            "instance_list_address": format_address(self.list_process.addresses),
+            "fault_injection": True,
+            **({"seeds": seeds} if seeds else {}),
+            **self.options.entry_settings,
+        }
+        file.write_text(format_toml(values))
+        process = processes.Process(
+            name, ("dewstep_entry.main", f"--settings={file}"), self.folder
+        )
+        line = await process.start()
+        handle = EntryHandle(
+            process,
+            name,
+            data_centre,
+            settings.Address(HOST, line["caller_port"]),
+            settings.Address(HOST, line["operator_port"]),
+            settings.Address(HOST, line["peer_port"]),
+        )
+        self.entries[name] = handle
+        return handle
+
+    async def stop(self) -> dict[str, int | None]:
+        """Stop everything; return the exit codes of the entry processes."""
+        codes = {}
+        for name, entry in self.entries.items():
+            if entry.process.is_running():
+                codes[name] = await entry.process.terminate(STOP_SECONDS)
+        others = [*self.targets.values(), self.table_process, self.list_process]
+        await asyncio.gather(
+            *(item.terminate(STOP_SECONDS) for item in others if item is not None)
+        )
+        if self.table is not None:
+            await self.table.close()
+        return codes
+
+    async def kill_all(self) -> None:
+        """End all processes at once, for a test that failed."""
+        every = [entry.process for entry in self.entries.values()]
+        every += [*self.targets.values(), self.table_process, self.list_process]
+        for process in every:
+            if process is not None:
+                process.resume()
+                await process.kill()
+
+    # Configuration.
+
+    def build_configuration(
+        self, revision: int, draining: Iterable[str] = ()
+    ) -> data.Configuration:
+        """Return the configuration for the running targets."""
+        addresses = {
+            name: get_address(process.addresses)
+            for name, process in self.targets.items()
+        }
+        built = deployments.build_configuration(
+            self.deployment, addresses, revision, self.options.unfenced
+        )
+        targets = {
+            name: target._replace(draining=name in set(draining))
+            for name, target in built.targets.items()
+        }
+        return built._replace(targets=targets)
+
+    async def apply(self, configuration: data.Configuration) -> None:
+        """Write a configuration into the table, as the operators' command does."""
+        row = (await self.table.read("configuration")).unwrap()
+        value = records.encode_configuration(configuration)
+        transaction = data.Transaction(
+            str(uuid.uuid4()),
+            (data.Check("configuration", row.version),),
+            (data.Write("configuration", value),),
+        )
+        (await self.table.commit(transaction)).unwrap()
+        self.configuration = configuration
+
+    async def drain(self, name: str) -> None:
+        """Mark a target as draining, as the operators' command does."""
+        revision = self.configuration.revision + 1
+        draining = {
+            target.name
+            for target in self.configuration.targets.values()
+            if target.draining
+        }
+        await self.apply(self.build_configuration(revision, draining | {name}))
+        now = asyncio.get_running_loop().time()
+        self.departures.append(history.Departure(name, history.parse_time(now)))
+
+    # Faults.
+
+    async def set_faults(
+        self, process: processes.Process, faults: Mapping[str, Any]
+    ) -> None:
+        """Change the faults of a stand-in."""
+        address = settings.Address(HOST, process.addresses["control_port"])
+        await post(address, "/faults", faults)
+
+    async def set_cut(self, entry: str, names: Iterable[str]) -> None:
+        """Cut the links of one entry process to data centres or entry processes."""
+        operators = self.entries[entry].operators
+        await post(operators, "/faults/cut", {"names": sorted(names)})
+
+    async def cut_data_centre(self, data_centre: str) -> None:
+        """Separate a data centre from the others and from the platform."""
+        for entry in self.entries.values():
+            if not entry.process.is_running():
+                continue
+            others = set(self.deployment.data_centres) - {data_centre}
+            names = others if entry.data_centre == data_centre else {data_centre}
+            await self.set_cut(entry.name, names)
+        cut = {"cut": {"data_centres": [data_centre], "mode": "hold"}}
+        for process in (self.table_process, self.list_process):
+            await self.set_faults(process, cut)
+        for name, (_, centre) in self.list_targets().items():
+            reach = [data_centre]
+            if centre == data_centre:
+                reach = sorted(set(self.deployment.data_centres) - {data_centre})
+            entries = [
+                entry.name
+                for entry in self.entries.values()
+                if entry.data_centre in reach
+            ]
+            await self.set_faults(self.targets[name], {"cut": {"entries": entries}})
+
+    async def heal(self) -> None:
+        """End all cuts."""
+        for entry in self.entries.values():
+            if entry.process.is_running():
+                await self.set_cut(entry.name, ())
+        for process in (self.table_process, self.list_process, *self.targets.values()):
+            if process.is_running():
+                await self.set_faults(process, {"cut": None})
+
+    # Observation.
+
+    async def read_dump(self, entry: str) -> dict[str, Any] | None:
+        """Return the state dump of an entry process, or None if it does not answer."""
+        caller = client.Client(self.entries[entry].operators, CALL_TIMEOUT)
+        answer = await caller.call("GET", "/dump")
+        await caller.close()
+        response = answer.value_or(None)
+        return response.read_json() if response is not None else None
+
+    async def read_gates(self) -> dict[str, str]:
+        """Return the entry process that is the gate of each target, by the table."""
+        rows = (await self.table.read_prefix("gate/")).unwrap()
+        return {row.key.removeprefix("gate/"): row.value["entry"] for row in rows}
+
+    async def read_owners(self, service: str) -> list[str]:
+        """Return the owners of all shards, by the table."""
+        row = (await self.table.read(f"assignment/{service}")).unwrap()
+        return list(row.value["owners"]) if row.value else []
+
+    async def wait_ready(self, limit: float = 20.0) -> None:
+        """Wait until each running entry process reports that it serves all keys.
+
+        Raises
+        ------
+        TimeoutError
+            If that takes longer than `limit` seconds.
+        """
+        async with asyncio.timeout(limit):
+            for name, entry in self.entries.items():
+                while entry.process.is_running():
+                    dump = await self.read_dump(name)
+                    if dump is not None and dump["ready"]:
+                        break
+                    await asyncio.sleep(POLL)
+
+    def read_runs(self) -> tuple[history.Run, ...]:
+        """Return all runs that the targets have logged."""
+        lines: list[str] = []
+        for file in sorted(self.folder.glob("*.runs")):
+            lines += file.read_text(errors="replace").splitlines()
+        return history.read_runs(lines)
+
+    def list_slots(self) -> dict[str, int]:
+        """Return the number of slots of each target."""
+        return dict.fromkeys(self.targets, self.deployment.slots)
+
+
+def find_free_port() -> int:
+    """Return a port that no process listens on at the moment."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def get_address(line: Mapping[str, Any]) -> settings.Address:
+    """Return the main address in the line that a stand-in prints."""
+    return settings.Address(line["host"], line["port"])
+
+
+def format_address(line: Mapping[str, Any]) -> str:
+    """Return the main address of a stand-in as settings write it."""
+    return f"{line['host']}:{line['port']}"
+
+
+async def post(
+    address: settings.Address, path: str, value: Mapping[str, Any]
+) -> result.Result:
+    """Send a JSON value to a control port and return the answer.
+
+    Raises
+    ------
+    returns.primitives.exceptions.UnwrapFailedError
+        If no answer comes; a test cannot go on without the fault it asked for.
+    """
+    caller = client.Client(address, CALL_TIMEOUT)
+    answer = await caller.call_json("POST", path, value)
+    await caller.close()
+    response = answer.unwrap()
+    if response.status != 200:
+        raise ValueError(f"{path}: status {response.status}: {response.body!r}")
+    return answer
--- /dev/null
+++ b/packages/entry/dewstep_entry/operators.py
@@ -0,0 +1,140 @@
+"""The operators' port: state dump, members, orders and injected faults."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, NamedTuple
+
+from returns import result
+
+from dewstep_core import settings
+from dewstep_core.http import server
+from dewstep_entry import failures, interfaces
+from dewstep_entry.state import view
+
+
+class MoveOrder(NamedTuple):
+    """An operator's order to move a shard or a single key to a target."""
+
+    service: str
+    shard: int | None
+    key: str | None
+    target: str
+
+
+class OrderWrong(NamedTuple):
+    """An order does not have the documented form."""
+
+    expected: str
+
+
+def parse_order(value: Any) -> result.Result[MoveOrder, OrderWrong]:
+    """Return the order in the body of `POST /orders/move`."""
+    expected = "service, target, and either shard (integer) or key (string)"
+    if not isinstance(value, Mapping):
+        return result.Failure(OrderWrong(expected))
+    order = MoveOrder(
+        value.get("service"), value.get("shard"), value.get("key"), value.get("target")
+    )
+    named = isinstance(order.service, str) and isinstance(order.target, str)
+    by_shard = isinstance(order.shard, int) and order.key is None
+    by_key = isinstance(order.key, str) and order.shard is None
+    if not named or by_shard == by_key:
+        return result.Failure(OrderWrong(expected))
+    return result.Success(order)
+
+
+def list_members(current: view.View) -> dict[str, Any]:
+    """Return the answer to `GET /members`."""
+    return {
+        "members": [
+            {
+                "entry": state.member.entry,
+                "incarnation": state.member.incarnation,
+                "data_centre": state.member.data_centre,
+                "operator_address": format_address(
+                    settings.Address(state.member.host, state.member.operator_port)
+                ),
+                "alive": state.alive,
+            }
+            for state in sorted(current.members.values(), key=lambda s: s.member.entry)
+        ]
+    }
+
+
+def format_address(address: settings.Address) -> str:
+    """Return an address in the form of the settings."""
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    return f"{host}:{address.port}"
+
+
+class OperatorPort:
+    """Serves the operators' port.
+
+    Parameters
+    ----------
+    holder : view.ViewHolder
+    describe : callable
+        Returns the state dump.
+    move : callable
+        Carries out a `MoveOrder`.
+    set_cut : callable or None
+        Cuts peer links; None if fault injection is off.
+    """
+
+    def __init__(
+        self,
+        holder: view.ViewHolder,
+        describe: Callable[[], Mapping[str, Any]],
+        move: Callable[[MoveOrder], Awaitable[result.Result[Any, interfaces.Failure]]],
+        set_cut: Callable[[list[str]], None] | None,
+    ):
+        self.holder = holder
+        self.describe = describe
+        self.move = move
+        self.set_cut = set_cut
+        routes = server.Routes()
+        routes.add("GET", "/dump", self.answer_dump)
+        routes.add("GET", "/members", self.answer_members)
+        routes.add("POST", "/orders/move", self.answer_move)
+        if set_cut is not None:
+            routes.add("POST", "/faults/cut", self.answer_cut)
+        self.server = server.Server(routes.handle)
+
+    async def start(self, address: settings.Address) -> settings.Address:
+        """Listen and return the bound address."""
+        return await self.server.start(*address)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self.server.close(grace=1.0)
+
+    async def answer_dump(self, call: server.Call) -> server.Response:
+        """Answer `GET /dump`."""
+        return server.build_json(200, self.describe())
+
+    async def answer_members(self, call: server.Call) -> server.Response:
+        """Answer `GET /members`."""
+        return server.build_json(200, list_members(self.holder.current))
+
+    async def answer_move(self, call: server.Call) -> server.Response:
+        """Answer `POST /orders/move`."""
+        order = parse_order(call.read_json())
+        if isinstance(order, result.Failure):
+            return server.build_json(400, {"expected": order.failure().expected})
+        moved = await self.move(order.unwrap())
+        if isinstance(moved, result.Failure):
+            failure = moved.failure()
+            content = {
+                "type": type(failure).__name__,
+                "detail": failures.pack_fields(failure),
+            }
+            return server.build_json(409, content)
+        return server.build_json(200, {"moved": True})
+
+    async def answer_cut(self, call: server.Call) -> server.Response:
+        """Answer `POST /faults/cut`."""
+        value = call.read_json()
+        names = value.get("names") if isinstance(value, Mapping) else None
+        if not isinstance(names, list):
+            return server.build_json(400, {"expected": "names (list)"})
+        self.set_cut([str(name) for name in names])
+        return server.build_json(200, {"cut": names})
