--- /dev/null
+++ b/packages/core/dewstep_core/http/server.py
@@ -0,0 +1,494 @@
+"""A thin HTTP/1.1 server around h11, for small JSON calls and the stand-ins.
+
+One task per connection reads a request, awaits the handler and sends the answer.
+The socket is read while the handler runs, so that a closed connection is noticed
+and cancels the handler.
+"""
+
+import asyncio
+import json
+import re
+import socket
+import urllib.parse
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import Any, NamedTuple
+
+import h11
+from absl import logging
+
+from dewstep_core import settings
+
+BACKLOG = 512
+MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
+"""Largest body that `Exchange.read_body` collects, unless told otherwise."""
+READ_AHEAD_BYTES = 128 * 1024
+"""Bytes held for a handler that does not read; reading pauses above this."""
+SKIPPED_BODY_BYTES = 1024 * 1024
+"""Most bytes of an unread body that are skipped to keep a connection alive."""
+SKIP_SECONDS = 2.0
+"""Longest time spent on skipping an unread body."""
+
+ExtraHeaders = Iterable[tuple[str, str]]
+
+
+class BodyTooLong(Exception):
+    """A request body is longer than its handler accepts."""
+
+
+class Response(NamedTuple):
+    """An answer whose body is held in memory."""
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+def build_json(status: int, value: Any, headers: ExtraHeaders = ()) -> Response:
+    """Return a response with `value` as its JSON body."""
+    body = json.dumps(value, separators=(",", ":")).encode()
+    return Response(status, body, (("Content-Type", "application/json"), *headers))
+
+
+class Exchange:
+    """One request and the means to answer it.
+
+    Attributes
+    ----------
+    method, path, query : str
+        Of the request line; `path` is percent-decoded, `query` is not.
+    headers : dict of bytes to bytes
+        By lower-case name; the last one counts where a name is repeated.
+    """
+
+    __slots__ = ("connection", "headers", "method", "path", "query")
+
+    def __init__(self, connection: "Connection", head: h11.Request):
+        self.connection = connection
+        self.method = head.method.decode("ascii")
+        path, _, query = head.target.partition(b"?")
+        self.path = path.decode("latin-1")
+        if "%" in self.path:
+            self.path = urllib.parse.unquote(self.path, errors="replace")
+        self.query = query.decode("latin-1")
+        self.headers = dict(head.headers)
+
+    def get_header(self, name: str) -> str:
+        """Return the value of a header as text, or "" if it is absent."""
+        value = self.headers.get(name.lower().encode("ascii"), b"")
+        return value.decode("utf-8", "replace")
+
+    async def read_chunk(self) -> bytes:
+        """Return the next part of the request body, or b"" at its end."""
+        return await self.connection.read_body()
+
+    async def read_body(self, limit: int = MAXIMUM_BODY_BYTES) -> bytes:
+        """Return the whole request body.
+
+        Raises
+        ------
+        BodyTooLong
+            If the body has more than `limit` bytes.
+        """
+        chunks = []
+        total = 0
+        while chunk := await self.read_chunk():
+            total += len(chunk)
+            if total > limit:
+                raise BodyTooLong
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    def render(self, response: Response) -> bytes:
+        """Return the bytes of `response` without sending them."""
+        head = self.render_head(response.status, response.headers, len(response.body))
+        http = self.connection.http
+        return head + self.render_chunk(response.body) + http.send(h11.EndOfMessage())
+
+    def render_head(self, status: int, headers: ExtraHeaders, length: int) -> bytes:
+        """Return the bytes of an answer's head with its announced body length."""
+        lines = [("Content-Length", str(length)), *headers]
+        if self.connection.stopping:
+            lines.append(("Connection", "close"))
+        return self.connection.http.send(
+            h11.Response(status_code=status, headers=lines)
+        )
+
+    def render_chunk(self, chunk: bytes) -> bytes:
+        """Return the bytes of one part of the answer's body."""
+        if not chunk or self.method == "HEAD":
+            return b""
+        return self.connection.http.send(h11.Data(data=chunk))
+
+    def respond(self, response: Response) -> None:
+        """Send a whole answer."""
+        self.write(self.render(response))
+
+    async def respond_stream(
+        self, status: int, headers: ExtraHeaders, length: int, chunks: Iterable[bytes]
+    ) -> None:
+        """Send an answer from `chunks`, waiting while the caller does not read."""
+        self.write(self.render_head(status, headers, length))
+        for chunk in chunks:
+            self.write(self.render_chunk(chunk))
+            await self.connection.drain()
+        self.write(self.connection.http.send(h11.EndOfMessage()))
+
+    def write(self, content: bytes) -> None:
+        """Send bytes as they are; what they mean is the handler's affair."""
+        self.connection.transport.write(content)
+
+    def close(self) -> None:
+        """Close the connection after the bytes written so far."""
+        self.connection.transport.close()
+
+    def abort(self) -> None:
+        """Reset the connection at once."""
+        self.connection.transport.abort()
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class Connection(asyncio.Protocol):
+    """One accepted connection and the task that serves it."""
+
+    def __init__(self, server: "Server"):
+        self.server = server
+        self.http = h11.Connection(h11.SERVER)
+        self.transport: asyncio.Transport | None = None
+        self.task: asyncio.Task | None = None
+        self.received: list[bytes] = []
+        self.received_bytes = 0
+        self.reading_paused = False
+        self.data_waiter: asyncio.Future | None = None
+        self.write_waiter: asyncio.Future | None = None
+        self.writing_paused = False
+        self.body_complete = False
+        self.busy = False
+        self.stopping = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Start serving, unless the server has as many connections as it takes."""
+        self.transport = transport
+        if not self.server.admit(self):
+            transport.abort()
+            return
+        self.task = asyncio.get_running_loop().create_task(self.serve())
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Cancel whatever the connection was doing."""
+        self.server.connections.discard(self)
+        if self.task is not None:
+            self.task.cancel()
+
+    def data_received(self, content: bytes) -> None:
+        """Keep the bytes for the serving task."""
+        self.received.append(content)
+        self.received_bytes += len(content)
+        if self.data_waiter is not None:
+            self.data_waiter.set_result(None)
+            self.data_waiter = None
+        elif self.received_bytes > READ_AHEAD_BYTES:
+            self.reading_paused = True
+            self.transport.pause_reading()
+
+    def pause_writing(self) -> None:
+        """Note that the transport's buffer is full."""
+        self.writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Wake a handler that waits for the transport's buffer."""
+        self.writing_paused = False
+        if self.write_waiter is not None and not self.write_waiter.done():
+            self.write_waiter.set_result(None)
+
+    async def drain(self) -> None:
+        """Wait until the transport's buffer has room."""
+        while self.writing_paused:
+            self.write_waiter = asyncio.get_running_loop().create_future()
+            await self.write_waiter
+
+    async def next_event(self) -> Any:
+        """Return the next h11 event, waiting for bytes as needed."""
+        while True:
+            event = self.http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if not self.received:
+                await self.wait_data()
+            self.http.receive_data(b"".join(self.received))
+            self.received.clear()
+            self.received_bytes = 0
+
+    async def wait_data(self) -> None:
+        """Wait until bytes have arrived."""
+        if self.reading_paused:
+            self.reading_paused = False
+            self.transport.resume_reading()
+        self.data_waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self.data_waiter
+        finally:
+            self.data_waiter = None
+
+    async def read_body(self) -> bytes:
+        """Return the next part of the current request's body, b"" at its end."""
+        if self.body_complete:
+            return b""
+        if self.http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self.transport.write(self.http.send(go_on))
+        event = await self.next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            self.body_complete = True
+            return b""
+        raise ConnectionResetError("the connection closed within a request body")
+
+    async def serve(self) -> None:
+        """Serve requests until the connection or the server closes."""
+        try:
+            if self.server.accept_delay > 0:
+                await asyncio.sleep(self.server.accept_delay)
+            while not self.stopping and await self.serve_request():
+                pass
+        except h11.RemoteProtocolError as error:
+            self.refuse(error)
+        except ConnectionError:
+            pass
+        except Exception:
+            logging.exception("event=handler_failed")
+        finally:
+            self.transport.close()
+
+    async def serve_request(self) -> bool:
+        """Serve one request; return whether another one may follow."""
+        head = await self.next_event()
+        if not isinstance(head, h11.Request):
+            return False
+        self.busy = True
+        self.body_complete = False
+        await self.server.handler(Exchange(self, head))
+        if self.transport.is_closing() or not await self.skip_body():
+            return False
+        if self.http.our_state is not h11.DONE:
+            return False
+        self.http.start_next_cycle()
+        self.busy = False
+        return True
+
+    async def skip_body(self) -> bool:
+        """Skip what the handler left of the body; return whether its end came."""
+        if self.http.their_state is h11.DONE:
+            return True
+        if self.http.they_are_waiting_for_100_continue:
+            return False
+        skipped = 0
+        try:
+            async with asyncio.timeout(SKIP_SECONDS):
+                while chunk := await self.read_body():
+                    skipped += len(chunk)
+                    if skipped > SKIPPED_BODY_BYTES:
+                        return False
+        except TimeoutError:
+            return False
+        return True
+
+    def refuse(self, error: h11.RemoteProtocolError) -> None:
+        """Answer a request that breaks HTTP, if the answer can still be sent."""
+        if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        status = error.error_status_hint
+        headers = [("Content-Length", "0"), ("Connection", "close")]
+        self.transport.write(
+            self.http.send(h11.Response(status_code=status, headers=headers))
+        )
+
+    def stop(self) -> None:
+        """Close now if idle, else after the exchange in progress."""
+        self.stopping = True
+        if not self.busy:
+            self.transport.close()
+
+
+class Server:
+    """Listens on one address and passes each request to a handler.
+
+    Parameters
+    ----------
+    handler : Handler
+        Answers an `Exchange`. It is cancelled when the connection closes.
+    maximum_connections : int, optional
+        Connections above this number are reset at once; 0 means no limit.
+    accept_delay : float, optional
+        Seconds between accepting a connection and reading from it.
+    """
+
+    def __init__(
+        self, handler: Handler, maximum_connections: int = 0, accept_delay: float = 0.0
+    ):
+        self.handler = handler
+        self.maximum_connections = maximum_connections
+        self.accept_delay = accept_delay
+        self.connections: set[Connection] = set()
+        self.address: settings.Address | None = None
+        self.reservation: socket.socket | None = None
+        self.listener: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> settings.Address:
+        """Listen and return the bound address; port 0 picks a free one.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be bound.
+        """
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        # A second socket that is bound but does not listen keeps the port for this
+        # server while `stop_listening` makes the kernel refuse connections.
+        self.reservation = bind_socket(family, host, port)
+        self.address = settings.Address(*self.reservation.getsockname()[:2])
+        await self.resume_listening()
+        return self.address
+
+    async def resume_listening(self) -> None:
+        """Accept connections (again)."""
+        if self.listener is not None:
+            return
+        bound = bind_socket(self.reservation.family, *self.address)
+        self.listener = await asyncio.get_running_loop().create_server(
+            lambda: Connection(self), sock=bound, backlog=BACKLOG
+        )
+
+    def stop_listening(self) -> None:
+        """Let new connections be refused; open ones stay."""
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+
+    def admit(self, connection: Connection) -> bool:
+        """Enter a new connection; return False if there are too many."""
+        if 0 < self.maximum_connections <= len(self.connections):
+            return False
+        self.connections.add(connection)
+        return True
+
+    def abort_connections(self) -> None:
+        """Reset all open connections."""
+        for connection in tuple(self.connections):
+            connection.transport.abort()
+
+    async def close(self, grace: float = 5.0) -> None:
+        """Stop listening, finish exchanges in progress, close all connections.
+
+        Parameters
+        ----------
+        grace : float, optional
+            Seconds after which exchanges in progress are cut off.
+        """
+        self.stop_listening()
+        tasks = [connection.task for connection in self.connections]
+        for connection in tuple(self.connections):
+            connection.stop()
+        if tasks:
+            await asyncio.wait(tasks, timeout=grace)
+        self.abort_connections()
+        if self.reservation is not None:
+            self.reservation.close()
+
+
+def bind_socket(family: int, host: str, port: int) -> socket.socket:
+    """Return a TCP socket bound to an address, which other sockets may share."""
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind((host, port))
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
+class Call(NamedTuple):
+    """A whole request, as the handlers of `Routes` receive it."""
+
+    exchange: Exchange
+    parameter: str
+    """Text in place of the `{...}` of the route's template."""
+    query: Mapping[str, str]
+    body: bytes
+
+    def read_json(self) -> Any:
+        """Return the decoded body, or None if it is not valid JSON."""
+        try:
+            return json.loads(self.body)
+        except ValueError:
+            return None
+
+
+RouteHandler = Callable[[Call], Awaitable[Response]]
+
+
+class Route(NamedTuple):
+    """A handler and the requests that it answers."""
+
+    method: str
+    pattern: re.Pattern
+    handler: RouteHandler
+
+
+class Routes:
+    """Handlers by method and path; `handle` is the `Handler` for a `Server`.
+
+    Parameters
+    ----------
+    body_limit : int, optional
+        Largest request body in bytes.
+    """
+
+    def __init__(self, body_limit: int = MAXIMUM_BODY_BYTES):
+        self.body_limit = body_limit
+        self.routes: list[Route] = []
+
+    def add(self, method: str, template: str, handler: RouteHandler) -> None:
+        """Register a handler.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        template : str
+            Path; one `{name}` at its end stands for the rest, slashes included.
+        handler : RouteHandler
+            Returns the response to a `Call`.
+        """
+        fixed, brace, _ = template.partition("{")
+        pattern = re.compile(re.escape(fixed) + ("(.+)" if brace else "()"), re.DOTALL)
+        self.routes.append(Route(method, pattern, handler))
+
+    def find(self, method: str, path: str) -> tuple[RouteHandler | None, str, bool]:
+        """Return the handler, its parameter, and whether any method has the path."""
+        known = False
+        for route in self.routes:
+            if found := route.pattern.fullmatch(path):
+                if route.method == method:
+                    return route.handler, found[1], True
+                known = True
+        return None, "", known
+
+    async def answer(self, exchange: Exchange) -> Response:
+        """Return the response to a request without sending it."""
+        handler, parameter, known = self.find(exchange.method, exchange.path)
+        if handler is None:
+            return build_json(405 if known else 404, {"error": "no such route"})
+        try:
+            body = await exchange.read_body(self.body_limit)
+        except BodyTooLong:
+            return build_json(413, {"error": "body too long"})
+        query = dict(urllib.parse.parse_qsl(exchange.query, keep_blank_values=True))
+        return await handler(Call(exchange, parameter, query, body))
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer a request."""
+        exchange.respond(await self.answer(exchange))
