Add platform clients, and stand-ins for the platform and targets

Cause: all decisions that must be agreed go through the platform, whose answers can be lost after a write took effect; the entry processes are tested against its published protocols, with faults that occur on demand. Ruled out: reporting a conflict of a second copy as "nothing written" (the first copy may be what it conflicts with); sending again after a lost answer without reading back; a fault switch on the main port only (a stand-in that refuses connections could not be told to stop doing so). The clients' tests run against the stand-ins.

--- /dev/null
+++ b/packages/core/dewstep_core/platform/caller.py
@@ -0,0 +1,106 @@
+"""Calls to a platform service that listens at several addresses."""
+
+from typing import Any
+
+from returns import result
+
+from dewstep_core import errors, settings
+from dewstep_core.http import client
+
+OK = 200
+NOT_FOUND = 404
+CONFLICT = 409
+TOO_MANY_REQUESTS = 429
+SERVER_ERROR = 500
+UNAVAILABLE = 503
+
+
+class PlatformCaller:
+    """Sends calls to the address that answered last, else to the others in turn.
+
+    Parameters
+    ----------
+    service : str
+        Name for failures.
+    addresses : tuple of settings.Address
+        At least one address of the service.
+    entry, data_centre : str
+        Sent with each call as `Dewstep-Entry` and `Dewstep-Data-Centre`.
+    timeout : float
+        Seconds for one call to one address.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        addresses: tuple[settings.Address, ...],
+        entry: str,
+        data_centre: str,
+        timeout: float,
+    ):
+        self.service = service
+        headers = (("Dewstep-Entry", entry), ("Dewstep-Data-Centre", data_centre))
+        self.clients = [client.Client(item, timeout, headers) for item in addresses]
+        self.preferred = 0
+
+    async def call(
+        self, method: str, path: str, body: bytes = b"", repeatable: bool = False
+    ) -> result.Result[client.Response, Any]:
+        """Send one call and sort out the platform's refusals.
+
+        Parameters
+        ----------
+        method, path, body
+            As for `client.Client.call`.
+        repeatable : bool, optional
+            Whether the call may be sent again after its answer was lost. A call
+            that was not sent or was refused with 503 always goes to the next
+            address.
+
+        Returns
+        -------
+        result.Result
+            The response (of any status but 429 and 5xx), `RateExceeded`,
+            `PlatformUnavailable` (nothing was done) or `AnswerLost`.
+        """
+        failure = errors.PlatformUnavailable(f"{self.service}: no address")
+        lost = None
+        for _ in self.clients:
+            outcome = await self.call_preferred(method, path, body)
+            if isinstance(outcome, result.Success):
+                return outcome
+            failure = outcome.failure()
+            if isinstance(failure, errors.RateExceeded):
+                break
+            self.preferred = (self.preferred + 1) % len(self.clients)
+            if isinstance(failure, errors.AnswerLost):
+                lost = failure
+                if not repeatable:
+                    break
+        # A later refusal does not undo an earlier call whose answer was lost.
+        return result.Failure(lost or failure)
+
+    async def call_preferred(
+        self, method: str, path: str, body: bytes
+    ) -> result.Result[client.Response, Any]:
+        """Send one call to the preferred address."""
+        chosen = self.clients[self.preferred]
+        outcome = await chosen.call(method, path, body)
+        if not isinstance(outcome, result.Success):
+            return outcome
+        response = outcome.unwrap()
+        if response.status == TOO_MANY_REQUESTS:
+            return result.Failure(errors.RateExceeded(self.service))
+        if response.status == UNAVAILABLE:
+            detail = f"{self.service}: status {response.status}"
+            return result.Failure(errors.PlatformUnavailable(detail))
+        if response.status >= SERVER_ERROR:
+            # Only 503 is documented to mean that nothing was done.
+            detail = f"{self.service}: status {response.status}"
+            return result.Failure(errors.AnswerLost(detail))
+        return outcome
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for item in self.clients:
+            await item.close()
--- /dev/null
+++ b/packages/core/dewstep_core/platform/instances.py
@@ -0,0 +1,91 @@
+"""Client of the platform's list of live and leaving instances.
+
+The list lags by seconds: an instance that it shows may be gone, and one that it does
+not show may be live.
+"""
+
+import datetime
+from typing import Any, NamedTuple
+
+from returns import result
+
+from dewstep_core import data, errors, settings
+from dewstep_core.platform import caller
+
+TIMEOUT = datetime.timedelta(seconds=1)
+
+
+class InstanceList(NamedTuple):
+    """The list at one revision."""
+
+    revision: int
+    instances: tuple[data.Instance, ...]
+
+
+class InstanceClient:
+    """Reads the instance list.
+
+    Parameters
+    ----------
+    addresses : tuple of settings.Address
+        At least one address of the service.
+    entry, data_centre : str
+        Name and data centre of the calling process.
+    timeout : datetime.timedelta, optional
+        For one call to one address.
+    """
+
+    def __init__(
+        self,
+        addresses: tuple[settings.Address, ...],
+        entry: str,
+        data_centre: str,
+        timeout: datetime.timedelta = TIMEOUT,
+    ):
+        self.caller = caller.PlatformCaller(
+            "instance list", addresses, entry, data_centre, timeout.total_seconds()
+        )
+
+    async def read(self) -> result.Result[InstanceList, Any]:
+        """Return the list as the platform shows it now.
+
+        Returns
+        -------
+        result.Result
+            `RateExceeded`, `PlatformUnavailable`, `AnswerLost`, or `RowInvalid` if
+            the answer does not have the published form.
+        """
+        outcome = await self.caller.call("GET", "/instances", repeatable=True)
+        if not isinstance(outcome, result.Success):
+            return outcome
+        try:
+            answer = outcome.unwrap().read_json()
+            instances = tuple(parse_instance(item) for item in answer["instances"])
+            return result.Success(InstanceList(int(answer["revision"]), instances))
+        except (KeyError, TypeError, ValueError) as error:
+            return result.Failure(errors.RowInvalid("instances", repr(error)))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.caller.close()
+
+
+def parse_instance(item: Any) -> data.Instance:
+    """Return an instance from its JSON form.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        If a member is missing or wrong.
+    """
+    host, colon, port = item["address"].rpartition(":")
+    if not colon:
+        raise ValueError("address without port")
+    return data.Instance(
+        item["instance"],
+        item["data_centre"],
+        host.strip("[]"),
+        int(port),
+        item["role"],
+        item["state"],
+    )
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/faults.py
@@ -0,0 +1,208 @@
+"""Faults that tests switch on and off in the stand-ins.
+
+Each stand-in has one `NamedTuple` of faults. A change is a JSON object that names
+members of it; members that it does not name keep their state, and null switches a
+fault off.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple, TypeVar
+
+from returns import result
+
+from dewstep_core import errors, registry
+from dewstep_core.http import server
+
+Faults = TypeVar("Faults", bound=NamedTuple)
+
+CLOSE = "close"
+HOLD = "hold"
+
+
+class Trigger:
+    """Decides for each occasion whether a fault occurs.
+
+    Parameters
+    ----------
+    count : int or None
+        Occasions left on which it occurs; None means no limit.
+    ratio : float
+        Probability on each occasion.
+    seed : int
+        Of the sequence of decisions.
+    """
+
+    def __init__(self, count: int | None = None, ratio: float = 0.0, seed: int = 0):
+        self.count = count
+        self.ratio = ratio
+        self.seed = seed
+        self.random = random.Random(seed)
+
+    def fires(self) -> bool:
+        """Return whether the fault occurs now, and count the occasion."""
+        if self.ratio <= 0 or self.count == 0:
+            return False
+        if self.ratio < 1 and self.random.random() >= self.ratio:
+            return False
+        if self.count is not None:
+            self.count -= 1
+        return True
+
+    def describe(self) -> dict[str, Any]:
+        """Return the JSON form, with the count that is left."""
+        return {"count": self.count, "ratio": self.ratio, "seed": self.seed}
+
+
+class Cut(NamedTuple):
+    """Callers whose calls do not get through."""
+
+    entries: frozenset[str] = frozenset()
+    data_centres: frozenset[str] = frozenset()
+    mode: str = HOLD
+    """"hold": no answer until the cut ends or the caller closes the connection;
+    "close": the connection closes at once. The call has no effect meanwhile."""
+
+    def matches(self, exchange: server.Exchange) -> bool:
+        """Return whether the caller is cut off."""
+        return (
+            exchange.get_header("Dewstep-Entry") in self.entries
+            or exchange.get_header("Dewstep-Data-Centre") in self.data_centres
+        )
+
+    def describe(self) -> dict[str, Any]:
+        """Return the JSON form."""
+        return {
+            "entries": sorted(self.entries),
+            "data_centres": sorted(self.data_centres),
+            "mode": self.mode,
+        }
+
+
+class Delay(NamedTuple):
+    """A wait and the occasions on which it applies."""
+
+    seconds: float = 0.0
+    trigger: Trigger = Trigger()
+
+    def get_seconds(self) -> float:
+        """Return the wait for this occasion, 0 for none."""
+        return self.seconds if self.seconds > 0 and self.trigger.fires() else 0.0
+
+    def describe(self) -> dict[str, Any]:
+        """Return the JSON form."""
+        return {"seconds": self.seconds, **self.trigger.describe()}
+
+
+class Load(NamedTuple):
+    """What a target's load endpoint claims instead of the truth."""
+
+    state: str = ""
+    """Empty to tell the truth."""
+    load: float = 0.0
+
+    def describe(self) -> dict[str, Any] | None:
+        """Return the JSON form."""
+        return self._asdict() if self.state else None
+
+
+parsers: registry.Registry[Callable[[Any], Any]] = registry.Registry("fault type")
+"""Readers of the JSON form of a fault, by the name of its type. A wrong form raises
+KeyError, TypeError or ValueError."""
+
+
+@parsers.register("float")
+def parse_number(form: Any) -> float:
+    """Return a number that is not negative."""
+    if isinstance(form, bool) or not isinstance(form, int | float) or form < 0:
+        raise ValueError("a number that is not negative")
+    return float(form)
+
+
+@parsers.register("bool")
+def parse_flag(form: Any) -> bool:
+    """Return a truth value."""
+    if not isinstance(form, bool):
+        raise ValueError("true or false")
+    return form
+
+
+@parsers.register("str")
+def parse_text(form: Any) -> str:
+    """Return a text."""
+    if not isinstance(form, str):
+        raise ValueError("a string")
+    return form
+
+
+@parsers.register("Trigger")
+def parse_trigger(form: Any) -> Trigger:
+    """Return a trigger from true, false, or an object with count, ratio and seed."""
+    if isinstance(form, bool):
+        return Trigger(ratio=float(form))
+    count = form.get("count")
+    ratio = parse_number(form.get("ratio", 1.0))
+    check_members(form, {"count", "ratio", "seed", "seconds"})
+    return Trigger(None if count is None else int(count), ratio, form.get("seed", 0))
+
+
+@parsers.register("Cut")
+def parse_cut(form: Any) -> Cut:
+    """Return a cut from an object with entries, data_centres and mode."""
+    check_members(form, set(Cut._fields))
+    mode = form.get("mode", HOLD)
+    if mode not in (HOLD, CLOSE):
+        raise ValueError("mode hold or close")
+    entries, data_centres = form.get("entries", ()), form.get("data_centres", ())
+    if isinstance(entries, str) or isinstance(data_centres, str):
+        raise ValueError("lists of names")
+    return Cut(frozenset(entries), frozenset(data_centres), mode)
+
+
+@parsers.register("Delay")
+def parse_delay(form: Any) -> Delay:
+    """Return a delay from a number, or an object with seconds and a trigger's."""
+    if isinstance(form, dict):
+        return Delay(parse_number(form["seconds"]), parse_trigger(form))
+    return Delay(parse_number(form), Trigger(ratio=1.0))
+
+
+@parsers.register("Load")
+def parse_load(form: Any) -> Load:
+    """Return a claim from an object with state and load."""
+    check_members(form, set(Load._fields))
+    return Load(parse_text(form["state"]), parse_number(form["load"]))
+
+
+def check_members(form: dict, known: set[str]) -> None:
+    """Raise ValueError if `form` has members that are not known."""
+    if not set(form) <= known:
+        raise ValueError("only " + ", ".join(sorted(known)))
+
+
+def change_faults(
+    faults: Faults, change: Any
+) -> result.Result[Faults, errors.FieldWrong]:
+    """Return `faults` with the members that the JSON object `change` names."""
+    if not isinstance(change, dict):
+        return result.Failure(errors.FieldWrong("", "", "an object", repr(change)))
+    changed = {}
+    for name, form in change.items():
+        if name not in faults._fields:
+            known = ", ".join(faults._fields)
+            return result.Failure(errors.FieldWrong("", name, known, repr(form)))
+        default = faults._field_defaults[name]
+        try:
+            parse = parsers.get(type(default).__name__)
+            changed[name] = default if form is None else parse(form)
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            return result.Failure(errors.FieldWrong("", name, str(error), repr(form)))
+    return result.Success(faults._replace(**changed))
+
+
+def describe_faults(faults: NamedTuple) -> dict[str, Any]:
+    """Return the JSON form of all faults."""
+    return {
+        name: value.describe() if hasattr(value, "describe") else value
+        for name, value in faults._asdict().items()
+    }
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/faults_test.py
@@ -0,0 +1,59 @@
+import pytest
+from returns import result
+
+from dewstep_emulator import faults, target
+
+
+def test_trigger_counts_and_repeats_by_seed():
+    counted = faults.Trigger(count=2, ratio=1.0)
+    assert [counted.fires() for _ in range(3)] == [True, True, False]
+    assert counted.describe()["count"] == 0
+    first, second = (faults.Trigger(None, 0.5, seed=7) for _ in range(2))
+    decisions = [first.fires() for _ in range(100)]
+    assert decisions == [second.fires() for _ in range(100)]
+    assert 30 < sum(decisions) < 70
+    assert not faults.Trigger().fires()
+
+
+def test_delay_applies_only_when_it_fires():
+    delay = faults.parse_delay({"seconds": 0.5, "count": 1})
+    assert [delay.get_seconds(), delay.get_seconds()] == [0.5, 0.0]
+    assert faults.parse_delay(2).get_seconds() == 2.0
+
+
+def test_change_faults_keeps_members_that_are_not_named():
+    state = target.TargetFaults()
+    for change in (
+        {"shed": {"count": 3}, "slow_factor": 4, "load": {"state": "live", "load": 0}},
+        {"cut": {"entries": ["e1"]}, "drain": True, "crash": "x", "shed": None},
+    ):
+        state = faults.change_faults(state, change).unwrap()
+    described = faults.describe_faults(state)
+    assert described["slow_factor"] == 4.0
+    assert described["load"] == {"state": "live", "load": 0.0}
+    assert described["cut"] == {"entries": ["e1"], "data_centres": [], "mode": "hold"}
+    assert (described["drain"], described["crash"]) == (True, "x")
+    assert described["shed"]["ratio"] == 0.0
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        [],
+        {"unknown": 1},
+        {"slow_factor": -1},
+        {"slow_factor": True},
+        {"drain": 1},
+        {"crash": 1},
+        {"shed": {"times": 1}},
+        {"shed": "yes"},
+        {"cut": {"entries": "e1"}},
+        {"cut": {"mode": "slow"}},
+        {"answer_delay": {"count": 1}},
+        {"load": {"state": "live"}},
+    ],
+)
+def test_change_faults_refuses_wrong_forms(change):
+    # Guards against a test whose fault is silently not switched on.
+    outcome = faults.change_faults(target.TargetFaults(), change)
+    assert isinstance(outcome, result.Failure)
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/instance_list.py
@@ -0,0 +1,172 @@
+"""Stand-in for the platform's list of instances, which lags behind the truth.
+
+Usage: ``python -m dewstep_emulator.instance_list --port 0 --lag 3``. The protocol is
+in docs/platform.md.
+"""
+
+import json
+import pathlib
+import time
+from collections.abc import Callable
+from typing import Annotated, Any, NamedTuple
+
+import typer
+
+from dewstep_core.http import server
+from dewstep_core.platform import instances
+from dewstep_emulator import faults, program
+
+LAG_SECONDS = 3.0
+STATES = ("live", "leaving")
+
+
+class ListFaults(NamedTuple):
+    """Faults of the instance list: those of all platform services and one more."""
+
+    down: str = ""
+    delay: faults.Delay = faults.Delay()
+    lose_answers: faults.Trigger = faults.Trigger()
+    cut: faults.Cut = faults.Cut()
+    frozen: bool = False
+    """Whether the list takes up no changes; they show once this has ended."""
+
+
+class Snapshot(NamedTuple):
+    """The true list from one moment on."""
+
+    time: float
+    revision: int
+    instances: dict[str, dict[str, Any]]
+    """By instance name."""
+
+
+class LaggingList:
+    """A list whose changes become visible some time after they were made.
+
+    Parameters
+    ----------
+    initial : list of dict
+        Instances that are visible at once.
+    """
+
+    def __init__(self, initial: list[dict[str, Any]]):
+        named = {item["instance"]: item for item in initial}
+        self.shown = Snapshot(0.0, 1, named)
+        self.pending: list[Snapshot] = []
+
+    def get_newest(self) -> Snapshot:
+        """Return the true list."""
+        return self.pending[-1] if self.pending else self.shown
+
+    def change(self, change: dict[str, Any], now: float) -> Snapshot:
+        """Record a change of the true list.
+
+        Parameters
+        ----------
+        change : dict
+            `instances` replaces the list; `update` adds or replaces instances;
+            `remove` lists names.
+        now : float
+            Monotonic time in seconds.
+        """
+        newest = self.get_newest()
+        if "instances" in change:
+            changed = {item["instance"]: item for item in change["instances"]}
+        else:
+            changed = dict(newest.instances)
+        changed.update({item["instance"]: item for item in change.get("update", ())})
+        for name in change.get("remove", ()):
+            changed.pop(name, None)
+        self.pending.append(Snapshot(now, newest.revision + 1, changed))
+        return self.pending[-1]
+
+    def show(self, now: float, lag: float) -> Snapshot:
+        """Return the list as it was `lag` seconds ago; it never goes back."""
+        while self.pending and self.pending[0].time + lag <= now:
+            self.shown = self.pending.pop(0)
+        return self.shown
+
+
+def find_mistake(change: Any) -> str:
+    """Return what is wrong with the JSON form of a change, or ""."""
+    if not isinstance(change, dict) or not change:
+        return "not an object with instances, update or remove"
+    if not set(change) <= {"instances", "update", "remove"}:
+        return "unknown member"
+    try:
+        for item in (*change.get("instances", ()), *change.get("update", ())):
+            if instances.parse_instance(item).state not in STATES:
+                return f"state of {item['instance']!r}"
+        if not all(isinstance(name, str) for name in change.get("remove", ())):
+            return "remove"
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        return repr(error)
+    return ""
+
+
+class InstanceList(program.PlatformService):
+    """The lagging list behind HTTP.
+
+    Parameters
+    ----------
+    lag : float
+        Seconds until a change is shown.
+    initial : list of dict
+        Instances that are shown at once.
+    monotonic : callable, optional
+        Returns seconds.
+    """
+
+    def __init__(
+        self,
+        lag: float,
+        initial: list[dict[str, Any]],
+        monotonic: Callable[[], float] = time.monotonic,
+    ):
+        super().__init__(ListFaults())
+        self.lag = lag
+        self.list = LaggingList(initial)
+        self.monotonic = monotonic
+        self.add_route("GET", "/instances", self.show)
+        # Tests change the list through the control port while the service is down.
+        self.switch.add("POST", "/instances", self.change)
+        self.add_route("POST", "/instances", self.change)
+
+    async def show(self, call: server.Call) -> server.Response:
+        """Answer `GET /instances`."""
+        now = self.monotonic()
+        shown = self.list.shown if self.faults.frozen else self.list.show(now, self.lag)
+        listed = list(shown.instances.values())
+        answer = {"revision": shown.revision, "instances": listed}
+        return server.build_json(200, answer)
+
+    async def change(self, call: server.Call) -> server.Response:
+        """Answer `POST /instances`."""
+        form = call.read_json()
+        if mistake := find_mistake(form):
+            return server.build_json(400, {"error": mistake})
+        recorded = self.list.change(form, self.monotonic())
+        return server.build_json(200, {"revision": recorded.revision})
+
+
+def main(
+    host: str = "127.0.0.1",
+    port: int = 0,
+    control_port: int = 0,
+    lag: Annotated[float, typer.Option(help="Seconds until a change shows.")] = (
+        LAG_SECONDS
+    ),
+    file: Annotated[
+        pathlib.Path | None, typer.Option(help="JSON list shown at the start.")
+    ] = None,
+) -> None:
+    """Run the instance list."""
+    initial = [] if file is None else json.loads(file.read_text())
+    program.run(
+        lambda: InstanceList(lag, initial),
+        program.Listening(host, port, control_port),
+    )
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/instance_list_test.py
@@ -0,0 +1,63 @@
+import asyncio
+
+import pytest
+
+from dewstep_core.http import client
+from dewstep_emulator import instance_list, program
+
+
+def build(name, state="live"):
+    return {
+        "instance": name,
+        "data_centre": "dc1",
+        "address": "127.0.0.1:1",
+        "role": "target",
+        "state": state,
+    }
+
+
+def test_changes_show_after_the_lag_in_their_order():
+    listed = instance_list.LaggingList([build("a")])
+    listed.change({"update": [build("b")]}, 10.0)
+    listed.change({"update": [build("a", "leaving")], "remove": ["b"]}, 11.0)
+    shown = [listed.show(now, 3.0).instances for now in (12.9, 13.0, 14.0)]
+    assert [sorted(item) for item in shown] == [["a"], ["a", "b"], ["a"]]
+    assert shown[2]["a"]["state"] == "leaving"
+    assert listed.change({"instances": []}, 20.0).revision == 4
+    assert listed.get_newest().instances == {}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [None, {}, {"add": []}, {"update": [{}]}, {"update": [build("a", "dead")]}],
+)
+def test_find_mistake(change):
+    assert instance_list.find_mistake(change)
+    assert not instance_list.find_mistake({"instances": [build("a")]})
+
+
+def test_list_freezes_and_changes_while_down():
+    async def main():
+        service = instance_list.InstanceList(0.0, [])
+        async with program.serving(service) as address:
+            caller = client.Client(address, 1)
+            control = client.Client(service.control.address, 1)
+
+            async def count():
+                answer = (await caller.call("GET", "/instances")).unwrap()
+                form = answer.read_json()
+                return answer.status, len(form.get("instances", ()))
+
+            await control.call_json("POST", "/faults", {"frozen": True, "down": "503"})
+            change = {"update": [build("a")]}
+            answer = await control.call_json("POST", "/instances", change)
+            assert answer.unwrap().read_json() == {"revision": 2}
+            assert await count() == (503, 0)
+            await control.call_json("POST", "/faults", {"down": None})
+            assert await count() == (200, 0)
+            await control.call_json("POST", "/faults", {"frozen": False})
+            assert await count() == (200, 1)
+            await caller.close()
+            await control.close()
+
+    asyncio.run(main())
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/program_test.py
@@ -0,0 +1,114 @@
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from dewstep_core import errors, settings
+from dewstep_core.http import client
+from dewstep_emulator import program
+
+
+class Service(program.PlatformService):
+    def __init__(self):
+        super().__init__()
+        self.effects = 0
+        self.add_route("POST", "/effects", self.act)
+
+    async def act(self, call):
+        self.effects += 1
+        return program.server.build_json(200, self.effects)
+
+
+def run(scenario):
+    """Run `scenario(service, caller, control)`."""
+
+    async def main():
+        service = Service()
+        async with program.serving(service) as address:
+            headers = (("Dewstep-Data-Centre", "dc1"), ("Dewstep-Entry", "e1"))
+            caller = client.Client(address, 1, headers)
+            control = client.Client(service.control.address, 1)
+            await scenario(service, caller, control)
+            await caller.close()
+            await control.close()
+
+    asyncio.run(main())
+
+
+def test_refused_connections_end_through_the_control_port():
+    async def scenario(service, caller, control):
+        await caller.call("POST", "/effects")
+        await control.call_json("POST", "/faults", {"down": "refuse"})
+        # Lets the reset of the idle connection arrive; a call that crosses it counts
+        # as sent.
+        await asyncio.sleep(0.05)
+        failure = (await caller.call("POST", "/effects")).failure()
+        assert isinstance(failure, errors.PlatformUnavailable)
+        answer = await control.call_json("POST", "/faults", {"down": None})
+        assert answer.unwrap().read_json()["down"] == ""
+        assert (await caller.call("POST", "/effects")).unwrap().read_json() == 2
+
+    run(scenario)
+
+
+def test_cut_holds_calls_until_it_ends():
+    # Guards against a cut that lets calls of the other side take effect.
+    async def scenario(service, caller, control):
+        cut = {"data_centres": ["dc1"]}
+        await control.call_json("POST", "/faults", {"cut": cut})
+        held = asyncio.ensure_future(caller.call("POST", "/effects"))
+        assert (await control.call("GET", "/effects")).unwrap().status == 404
+        await asyncio.sleep(0.05)
+        assert service.effects == 0
+        await control.call_json("POST", "/faults", {"cut": None})
+        assert (await held).unwrap().read_json() == 1
+        cut = {"entries": ["e1"], "mode": "close"}
+        await control.call_json("POST", "/faults", {"cut": cut})
+        failure = (await caller.call("POST", "/effects")).failure()
+        assert isinstance(failure, errors.AnswerLost)
+        assert service.effects == 1
+
+    run(scenario)
+
+
+def test_lost_answer_and_delay_keep_the_effect():
+    async def scenario(service, caller, control):
+        lose = {"lose_answers": {"count": 1}}
+        answer = await caller.call_json("POST", "/faults", lose)
+        assert answer.unwrap().status == 200
+        failure = (await caller.call("POST", "/effects")).failure()
+        assert isinstance(failure, errors.AnswerLost)
+        assert service.effects == 1
+        # The call takes effect although its caller has closed the connection.
+        await caller.call_json("POST", "/faults", {"delay": 0.1})
+        await caller.call("POST", "/effects", timeout=0.02)
+        await asyncio.sleep(0.15)
+        assert service.effects == 2
+        answer = await caller.call_json("POST", "/faults", {"slowness": 1})
+        assert answer.unwrap().status == 400
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("module", ["table_service", "object_store", "instance_list"])
+def test_programs_announce_their_ports_and_stop_on_sigterm(module):
+    command = [sys.executable, "-m", f"dewstep_emulator.{module}"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE) as process:
+        try:
+            line = json.loads(process.stdout.readline())
+            address = settings.Address(line["host"], line["port"])
+
+            async def ask():
+                caller = client.Client(address, 2)
+                answer = await caller.call("GET", "/faults")
+                await caller.close()
+                return answer.unwrap().read_json()
+
+            assert asyncio.run(ask())["down"] == ""
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(5) == 0
+        finally:
+            process.kill()
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/table_service.py
@@ -0,0 +1,179 @@
+"""Stand-in for the platform's transactional table service.
+
+Usage: ``python -m dewstep_emulator.table_service --port 0``. The protocol is in
+docs/platform.md.
+"""
+
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import typer
+
+from dewstep_core.http import server
+from dewstep_emulator import program, rates
+
+WRITES_PER_SECOND = 400.0
+READS_PER_SECOND = 2000.0
+ROWS_PER_READ = 100
+"""Rows of a prefix read that cost one read."""
+
+
+class StoredRow(NamedTuple):
+    """A row's newest version; the value is None after a deletion."""
+
+    version: int
+    value: dict | None
+
+
+class Table:
+    """Rows with versions that never return to an earlier value."""
+
+    def __init__(self):
+        self.rows: dict[str, StoredRow] = {}
+
+    def get_version(self, key: str) -> int:
+        """Return the version that a check compares with, 0 for an absent row."""
+        row = self.rows.get(key)
+        return 0 if row is None or row.value is None else row.version
+
+    def read(self, key: str) -> dict[str, Any] | None:
+        """Return the JSON form of a row, or None if it is absent."""
+        row = self.rows.get(key)
+        if row is None or row.value is None:
+            return None
+        return {"key": key, "version": row.version, "value": row.value}
+
+    def read_prefix(self, prefix: str) -> list[dict[str, Any]]:
+        """Return the JSON forms of all rows whose keys start with `prefix`."""
+        keys = sorted(key for key in self.rows if key.startswith(prefix))
+        return [row for row in map(self.read, keys) if row is not None]
+
+    def find_conflicts(self, checks: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        """Return the key and present version of each check that does not hold."""
+        return [
+            {"key": check["key"], "version": self.get_version(check["key"])}
+            for check in checks
+            if self.get_version(check["key"]) != check["version"]
+        ]
+
+    def write(self, writes: list[dict[str, Any]]) -> dict[str, int]:
+        """Apply writes and return the new versions, 0 for deleted rows."""
+        versions = {}
+        for item in writes:
+            key, value = item["key"], item["value"]
+            last = self.rows.get(key, StoredRow(0, None)).version
+            # A deletion keeps the version, so that the next write continues from it.
+            version = last if value is None else last + 1
+            self.rows[key] = StoredRow(version, value)
+            versions[key] = 0 if value is None else version
+        return versions
+
+
+def is_transaction(form: Any) -> bool:
+    """Return whether a JSON value has the form of a transaction."""
+    if not isinstance(form, dict) or not isinstance(form.get("operation_id"), str):
+        return False
+    checks, writes = form.get("checks"), form.get("writes")
+    if not isinstance(checks, list) or not isinstance(writes, list):
+        return False
+    keys = [item.get("key") for item in (*checks, *writes) if isinstance(item, dict)]
+    return (
+        len(keys) == len(checks) + len(writes)
+        and all(isinstance(key, str) and key for key in keys)
+        and all(isinstance(item.get("version"), int) for item in checks)
+        and all(isinstance(item.get("value", 0), dict | None) for item in writes)
+        and len({item["key"] for item in writes}) == len(writes)
+    )
+
+
+class TableService(program.PlatformService):
+    """The table behind HTTP, with rate limits and faults.
+
+    Parameters
+    ----------
+    writes_per_second, reads_per_second : float
+        Limits; 0 means none.
+    monotonic : callable, optional
+        Returns seconds, for the limits.
+    """
+
+    def __init__(
+        self,
+        writes_per_second: float = WRITES_PER_SECOND,
+        reads_per_second: float = READS_PER_SECOND,
+        monotonic: Callable[[], float] = time.monotonic,
+    ):
+        super().__init__()
+        self.monotonic = monotonic
+        self.table = Table()
+        self.write_bucket = rates.TokenBucket(writes_per_second, writes_per_second)
+        self.read_bucket = rates.TokenBucket(reads_per_second, reads_per_second)
+        self.counts = {"reads": 0, "writes": 0, "conflicts": 0, "refused": 0}
+        self.add_route("POST", "/transactions", self.commit)
+        self.add_route("GET", "/rows/{key}", self.read)
+        self.add_route("GET", "/rows", self.read_prefix)
+        self.add_route("GET", "/counts", self.show_counts)
+
+    async def commit(self, call: server.Call) -> server.Response:
+        """Answer `POST /transactions`."""
+        form = call.read_json()
+        if not is_transaction(form):
+            return server.build_json(400, {"error": "not a transaction"})
+        wait = self.write_bucket.take(max(1, len(form["writes"])), self.monotonic())
+        if wait > 0:
+            return self.refuse(wait)
+        if conflicts := self.table.find_conflicts(form["checks"]):
+            self.counts["conflicts"] += 1
+            answer = {"committed": False, "conflicts": conflicts}
+            return server.build_json(409, answer)
+        self.counts["writes"] += len(form["writes"])
+        versions = self.table.write(form["writes"])
+        return server.build_json(200, {"committed": True, "versions": versions})
+
+    async def read(self, call: server.Call) -> server.Response:
+        """Answer `GET /rows/<key>`."""
+        if (wait := self.read_bucket.take(1, self.monotonic())) > 0:
+            return self.refuse(wait)
+        self.counts["reads"] += 1
+        row = self.table.read(call.parameter)
+        if row is None:
+            return server.build_json(404, {"error": "no such row"})
+        return server.build_json(200, row)
+
+    async def read_prefix(self, call: server.Call) -> server.Response:
+        """Answer `GET /rows?prefix=P`."""
+        rows = self.table.read_prefix(call.query.get("prefix", ""))
+        cost = max(1, -(-len(rows) // ROWS_PER_READ))
+        if (wait := self.read_bucket.take(cost, self.monotonic())) > 0:
+            return self.refuse(wait)
+        self.counts["reads"] += cost
+        return server.build_json(200, {"rows": rows})
+
+    def refuse(self, wait: float) -> server.Response:
+        """Return the answer to a call above the rate limit."""
+        self.counts["refused"] += 1
+        headers = (("Retry-After", str(max(1, round(wait)))),)
+        return server.build_json(429, {"error": "rate exceeded"}, headers)
+
+    async def show_counts(self, call: server.Call) -> server.Response:
+        """Answer `GET /counts`: what the service has done since its start."""
+        return server.build_json(200, self.counts)
+
+
+def main(
+    host: str = "127.0.0.1",
+    port: int = 0,
+    control_port: int = 0,
+    writes_per_second: float = WRITES_PER_SECOND,
+    reads_per_second: float = READS_PER_SECOND,
+) -> None:
+    """Run the table service."""
+    program.run(
+        lambda: TableService(writes_per_second, reads_per_second),
+        program.Listening(host, port, control_port),
+    )
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/target_test.py
@@ -0,0 +1,343 @@
+import asyncio
+import hashlib
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from dewstep_core import errors, settings
+from dewstep_core.http import client
+from dewstep_emulator import program, target
+
+
+class Harness:
+    """A target in this process and a gate's view of it."""
+
+    def __init__(self, served, address, log):
+        self.served = served
+        self.caller = client.Client(address, 3)
+        self.log = log
+        self.boot = ""
+        self.term = 0
+
+    async def control(self, method, path, form=None):
+        body = b"" if form is None else json.dumps(form).encode()
+        response = (await self.caller.call(method, path, body)).unwrap()
+        return response.status, response.read_json()
+
+    async def grant(self, term=1, lifetime=5.0):
+        _, clock = await self.control("GET", "/control/clock")
+        self.boot, self.term = clock["boot"], term
+        form = {"boot": self.boot, "term": term, "expires": clock["clock"] + lifetime}
+        return (await self.control("PUT", "/control/grant", form))[0]
+
+    async def fault(self, **change):
+        status, answer = await self.control("POST", "/faults", change)
+        assert status == 200, answer
+
+    def call(self, request_id, key="k", body=b"", timeout=3.0, **headers):
+        fixed = {
+            "Request-Id": request_id,
+            "Key": key,
+            "Term": str(self.term),
+            "Epoch": "4",
+            "Boot": self.boot,
+            **headers,
+        }
+        stamped = client.Client(
+            self.caller.address,
+            timeout,
+            [(f"Dewstep-{name}", value) for name, value in fixed.items()],
+        )
+        return asyncio.ensure_future(stamped.call("POST", "/bookings", body))
+
+    async def wait_start(self):
+        async with asyncio.timeout(3):
+            while not self.log.read_text():
+                await asyncio.sleep(0.01)
+
+    def events(self):
+        lines = [json.loads(line) for line in self.log.read_text().splitlines()]
+        return [(line["event"], line["request_id"]) for line in lines]
+
+
+def run(tmp_path, scenario, maximum_connections=0, **options):
+    async def main():
+        log = tmp_path / "log"
+        served = target.Target(target.TargetOptions("t1", **options), log)
+        listening = program.Listening(maximum_connections=maximum_connections)
+        async with program.serving(served, listening) as address:
+            harness = Harness(served, address, log)
+            await scenario(harness)
+            await harness.caller.close()
+
+    asyncio.run(main())
+
+
+def refusal(outcome):
+    response = outcome.unwrap()
+    return response.status, response.headers.get("dewstep-refused")
+
+
+def test_fenced_target_runs_only_under_a_grant(tmp_path):
+    async def scenario(harness):
+        assert refusal(await harness.call("r0")) == (409, "fenced")
+        assert await harness.grant(term=2) == 200
+        answer = (await harness.call("r1", body=b"abc")).unwrap()
+        form = answer.read_json()
+        assert (form["request_id"], form["key"], form["target"]) == ("r1", "k", "t1")
+        assert form["boot"] == harness.boot == answer.headers["dewstep-boot"]
+        assert form["body_sha256"] == hashlib.sha256(b"abc").hexdigest()
+        assert await harness.grant(term=1) == 409
+        assert refusal(await harness.call("r2")) == (409, "fenced")
+        harness.term = 2
+        assert refusal(await harness.call("r3", Boot="x")) == (409, "fenced")
+        assert refusal(await harness.call("r4", Deadline="0.0")) == (409, "fenced")
+        assert (await harness.call("r5", Term="x")).unwrap().status == 400
+        assert harness.events() == [("start", "r1"), ("end", "r1")]
+
+    run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("term", [1, 2])
+def test_run_is_aborted_if_its_grant_ends_before_its_effect(tmp_path, term):
+    # Guards against effects after the grant's expiry (term 1) or a new gate (term 2).
+    async def scenario(harness):
+        await harness.grant(term=1, lifetime=0.05 if term == 1 else 5)
+        call = harness.call("r1")
+        await harness.wait_start()
+        if term == 2:
+            await harness.grant(term=2)
+        assert refusal(await call) == (409, "fenced")
+        assert harness.events() == [("start", "r1"), ("abort", "r1")]
+
+    run(tmp_path, scenario, service_time=0.1)
+
+
+def test_unfenced_target_checks_nothing(tmp_path):
+    async def scenario(harness):
+        assert await harness.grant() == 404
+        assert (await harness.call("r1", Boot="x")).unwrap().status == 200
+
+    run(tmp_path, scenario, fenced=False)
+
+
+def test_excess_over_the_slots_is_shed(tmp_path):
+    async def scenario(harness):
+        await harness.grant()
+        outcomes = await asyncio.gather(*(harness.call(f"r{n}") for n in range(6)))
+        statuses = sorted(refusal(outcome) for outcome in outcomes)
+        assert statuses == [(200, None)] * 2 + [(503, "shed")] * 4
+        assert len(harness.events()) == 4
+
+    run(tmp_path, scenario, slots=2, service_time=0.1)
+
+
+def test_closed_connection_cancels_the_run(tmp_path):
+    async def scenario(harness):
+        await harness.grant()
+        failure = (await harness.call("r1", timeout=0.05)).failure()
+        assert isinstance(failure, errors.AnswerLost)
+        await asyncio.sleep(0.05)
+        assert harness.events() == [("start", "r1"), ("cancel", "r1")]
+        assert harness.served.running == 0
+
+    run(tmp_path, scenario, service_time=1.0)
+
+
+def test_stop_finishes_runs_and_refuses_new_ones(tmp_path):
+    async def scenario(harness):
+        await harness.grant()
+        call = harness.call("r1")
+        await harness.wait_start()
+        stop = asyncio.ensure_future(harness.served.finish())
+        await asyncio.sleep(0)
+        assert refusal(await harness.call("r2")) == (503, "draining")
+        assert refusal(await call) == (200, None)
+        await stop
+
+    run(tmp_path, scenario, service_time=0.2)
+
+
+def test_load_endpoint_lags_and_lies(tmp_path):
+    async def scenario(harness):
+        await harness.grant()
+        call = harness.call("r1")
+        await asyncio.sleep(0.15)
+        busy = {"state": "live", "load": 0.25}
+        assert await harness.control("GET", "/control/load") == (200, busy)
+        lie = {"state": "live", "load": 0.0}
+        await harness.fault(drain=True, load=lie)
+        assert await harness.control("GET", "/control/load") == (200, lie)
+        assert refusal(await harness.call("r2")) == (503, "draining")
+        await harness.fault(load=None)
+        await asyncio.sleep(0.15)
+        _, load = await harness.control("GET", "/control/load")
+        assert load["state"] == "draining"
+        await call
+
+    run(tmp_path, scenario, service_time=0.3, load_lag=0.1)
+
+
+async def read_raw(harness):
+    """Send one request on a raw connection and return all bytes of the answer."""
+    reader, writer = await asyncio.open_connection(*harness.caller.address)
+    head = f"Dewstep-Term: 1\r\nDewstep-Boot: {harness.boot}"
+    writer.write(f"GET /a HTTP/1.1\r\nHost: t\r\n{head}\r\n\r\n".encode())
+    content = b""
+    try:
+        async with asyncio.timeout(0.2):
+            while part := await reader.read(65536):
+                content += part
+    except TimeoutError:
+        pass
+    writer.close()
+    return content
+
+
+def test_answers_are_doubled_cut_prolonged_and_delayed(tmp_path):
+    async def scenario(harness):
+        await harness.grant()
+        plain = await read_raw(harness)
+        once = {"count": 1}
+        await harness.fault(answer_twice=once)
+        assert (await read_raw(harness)).count(b"HTTP/1.1 200") == 2
+        await harness.fault(answer_long=once)
+        assert (await read_raw(harness)).endswith(target.SURPLUS)
+        await harness.fault(answer_cut=once)
+        head, _, body = (await read_raw(harness)).partition(b"\r\n\r\n")
+        assert f"Content-Length: {len(body)}".encode() not in head
+        assert len(body) == len(plain.partition(b"\r\n\r\n")[2]) // 2
+        await harness.fault(answer_delay={"seconds": 0.3, "count": 1})
+        assert await read_raw(harness) == b""
+        assert harness.events().count(("end", "")) == 5
+        await harness.fault(shed=once)
+        assert refusal(await harness.call("r1")) == (503, "shed")
+        assert refusal(await harness.call("r2")) == (200, None)
+
+    run(tmp_path, scenario, service_time=0.001)
+
+
+def test_refused_and_cut_callers(tmp_path):
+    async def scenario(harness):
+        await harness.grant()
+        await harness.fault(cut={"entries": ["e1"], "mode": "close"})
+        failure = (await harness.call("r1", Entry="e1")).failure()
+        assert isinstance(failure, errors.AnswerLost)
+        assert refusal(await harness.call("r2", Entry="e2")) == (200, None)
+        await harness.fault(cut=None, refuse=True)
+        failure = (await harness.call("r3")).failure()
+        assert isinstance(failure, errors.PlatformUnavailable)
+        # The connection that was open before still works.
+        await harness.fault(refuse=False)
+        assert refusal(await harness.call("r4")) == (200, None)
+
+    run(tmp_path, scenario)
+
+
+def test_echo_returns_large_bodies(tmp_path):
+    async def scenario(harness):
+        await harness.grant()
+        for size in (0, 1000, 3 * target.SPOOL_BYTES + 1):
+            body = os.urandom(size)
+            answer = (await harness.call("r1", body=body)).unwrap()
+            assert answer.body == body
+            digest = hashlib.sha256(body).hexdigest()
+            assert answer.headers["dewstep-body-sha256"] == digest
+        await harness.fault(answer_cut=True)
+        failure = (await harness.call("r2", body=body)).failure()
+        assert isinstance(failure, errors.AnswerLost)
+
+    run(tmp_path, scenario, echo=True)
+
+
+def test_service_time_follows_cold_start_and_slowness(tmp_path):
+    async def scenario(harness):
+        served = harness.served
+        await harness.fault(slow_factor=3)
+        times = [served.draw_service_time(served.started + age) for age in (0, 5, 10)]
+        assert times == pytest.approx([0.15, 0.09, 0.03])
+
+    run(tmp_path, scenario, service_time=0.01, cold_start=10.0)
+
+
+def test_connections_above_the_limit_are_reset(tmp_path):
+    async def scenario(harness):
+        await harness.grant()
+        assert isinstance((await harness.call("r1")).failure(), errors.AnswerLost)
+
+    run(tmp_path, scenario, maximum_connections=1)
+
+
+def start_process(tmp_path, *options):
+    command = [sys.executable, "-m", "dewstep_emulator.target", "--name", "t1"]
+    log = tmp_path / "log"
+    process = subprocess.Popen(
+        [*command, "--log", str(log), *options], stdout=subprocess.PIPE
+    )
+    line = json.loads(process.stdout.readline())
+    return process, Harness(None, settings.Address(line["host"], line["port"]), log)
+
+
+def run_process(tmp_path, scenario, *options):
+    """Run `scenario(process, harness)` against a target in its own process."""
+
+    async def main():
+        process, harness = start_process(tmp_path, *options)
+        try:
+            await scenario(process, harness)
+        finally:
+            process.kill()
+            process.wait()
+            process.stdout.close()
+            await harness.caller.close()
+
+    asyncio.run(main())
+
+
+def test_stopped_process_finds_its_grant_expired(tmp_path):
+    # Guards against a frozen target that returns and runs what its gate gave up.
+    async def scenario(process, harness):
+        await harness.grant(lifetime=0.6)
+        running = harness.call("r1")
+        await harness.wait_start()
+        process.send_signal(signal.SIGSTOP)
+        waiting = harness.call("r2")
+        await asyncio.sleep(0.7)
+        process.send_signal(signal.SIGCONT)
+        assert refusal(await running) == (409, "fenced")
+        assert refusal(await waiting) == (409, "fenced")
+        assert harness.events() == [("start", "r1"), ("abort", "r1")]
+
+    run_process(tmp_path, scenario, "--service-time-ms", "400")
+
+
+@pytest.mark.parametrize("place", ["key", "body"])
+def test_marked_request_ends_the_process(tmp_path, place):
+    async def scenario(process, harness):
+        await harness.grant()
+        await harness.fault(crash="poison")
+        marked = {"key": "poison"} if place == "key" else {"body": b"a poison b"}
+        assert refusal(await harness.call("r1")) == (200, None)
+        failure = (await harness.call("r2", **marked)).failure()
+        assert isinstance(failure, errors.AnswerLost)
+        assert process.wait(2) == target.CRASH_STATUS
+        assert harness.events()[-1] == ("start", "r2")
+
+    run_process(tmp_path, scenario)
+
+
+def test_sigterm_finishes_the_run_in_progress(tmp_path):
+    async def scenario(process, harness):
+        await harness.grant()
+        call = harness.call("r1")
+        await harness.wait_start()
+        process.send_signal(signal.SIGTERM)
+        assert refusal(await call) == (200, None)
+        assert process.wait(2) == 0
+        assert harness.events() == [("start", "r1"), ("end", "r1")]
+
+    run_process(tmp_path, scenario, "--service-time-ms", "200")
