Add the demonstration of the whole path

Cause: the README's first command has to run everything and account for it. Ruled out: counts reported by the entry processes themselves; the summary comes from callers and targets' logs only.

--- a/packages/core/dewstep_core/http/client.py
+++ b/packages/core/dewstep_core/http/client.py
@@ -181,7 +181,12 @@
         self.closed = False
 
     async def call(
-        self, method: str, path: str, body: bytes = b"", timeout: float | None = None
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout: float | None = None,
+        headers: Iterable[tuple[str, str]] = (),
     ) -> result.Result[Response, Failure]:
         """Send one request and return the whole answer.
 
@@ -193,6 +198,8 @@
             Request body.
         timeout : float, optional
             Seconds; the client's own if absent.
+        headers : iterable of (str, str), optional
+            Sent with this call only.
 
         Returns
         -------
@@ -207,7 +214,7 @@
                 asyncio.timeout(self.timeout if timeout is None else timeout),
                 self.permits,
             ):
-                request = self.build_request(method, path, body)
+                request = self.build_request(method, path, body, headers)
                 wire = await self.get_wire()
                 sent = True
                 response = await wire.exchange(request, body)
@@ -231,9 +238,11 @@
         body = json.dumps(value, separators=(",", ":")).encode()
         return await self.call(method, path, body, timeout)
 
-    def build_request(self, method: str, path: str, body: bytes) -> h11.Request:
+    def build_request(
+        self, method: str, path: str, body: bytes, extra: Iterable[tuple[str, str]]
+    ) -> h11.Request:
         """Return the head of a request."""
-        headers = list(self.headers)
+        headers = [*self.headers, *extra]
         if body or method in ("POST", "PUT"):
             headers.append(("Content-Length", str(len(body))))
         return h11.Request(method=method, target=path, headers=headers)
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/demo.py
@@ -0,0 +1,149 @@
+"""Runs the whole path at a small size and prints what happened.
+
+Three data centres, nine entry processes and the services of both deployments; while
+callers send requests of each kind, one target is killed and one is drained. The
+summary is computed from what callers saw and from the targets' logs.
+"""
+
+import asyncio
+import datetime
+import pathlib
+import tempfile
+import time
+from typing import Annotated, NamedTuple
+
+import rich.console
+import rich.table
+import typer
+import uvloop
+
+from dewstep_core import clock as clocks
+from dewstep_emulator import deployments, fleet as fleets, history, load
+
+ENTRIES = 9
+SCALE = 0.15
+RATE = 120.0
+"""Requests/s of each deployment."""
+SECONDS = 10.0
+KILL_AFTER = 3.0
+DRAIN_AFTER = 5.0
+FAILED = 1
+
+
+class Outcome(NamedTuple):
+    """What the run of one deployment showed."""
+
+    name: str
+    summary: history.Summary
+    violations: tuple
+    exit_codes: dict[str, int | None]
+    latencies: tuple[float, float]
+    """Median and 99th percentile in milliseconds."""
+
+
+def combine_deployments(scale: float) -> deployments.Deployment:
+    """Return one deployment with the services of both users in three data centres."""
+    tsagaan = deployments.plan_tsagaan(scale)
+    division = deployments.plan_division(scale)
+    return tsagaan._replace(
+        name="both", services=(*tsagaan.services, *division.services)
+    )
+
+
+async def disturb(fleet: fleets.Fleet, say) -> None:
+    """Kill one target and drain another while requests are under way."""
+    names = list(fleet.targets)
+    await asyncio.sleep(KILL_AFTER)
+    say(f"target {names[0]} is killed")
+    await fleet.targets[names[0]].kill()
+    await asyncio.sleep(DRAIN_AFTER - KILL_AFTER)
+    drained = next(name for name in names if name.startswith("booker"))
+    say(f"target {drained} is drained")
+    await fleet.drain(drained)
+
+
+async def run_load(
+    fleet: fleets.Fleet, seed: int, rate: float, seconds: float
+) -> load.Caller:
+    """Send requests of each kind to all entry processes."""
+    addresses = [entry.callers for entry in fleet.entries.values()]
+    caller = load.Caller(addresses, clocks.SystemClock(), seed)
+    mix = load.Mix(
+        deployments.plan_calls(fleet.deployment),
+        rate,
+        datetime.timedelta(seconds=seconds),
+        keys=200,
+        skew=0.8,
+        resend=True,
+    )
+    await caller.run(mix)
+    await caller.close()
+    return caller
+
+
+async def run_fleet(folder: pathlib.Path, seed: int, say) -> Outcome:
+    """Run the fleet with its disturbances and check the history."""
+    options = fleets.FleetOptions(entries=ENTRIES, seed=seed)
+    fleet = fleets.Fleet(combine_deployments(SCALE), options, folder)
+    try:
+        started = time.monotonic()
+        await fleet.start()
+        say(
+            f"{len(fleet.entries)} entry processes and {len(fleet.targets)} targets "
+            f"ready after {time.monotonic() - started:.1f} s"
+        )
+        caller, _ = await asyncio.gather(
+            run_load(fleet, seed, RATE, SECONDS), disturb(fleet, say)
+        )
+        codes = await fleet.stop()
+    finally:
+        await fleet.kill_all()
+    runs = fleet.read_runs()
+    violations = history.check_history(
+        caller.calls, runs, fleet.list_slots(), fleet.departures
+    )
+    latencies = tuple(
+        caller.latencies.get_value_at_percentile(percentile) / 1000
+        for percentile in (50, 99)
+    )
+    summary = history.summarize(caller.calls, runs)
+    return Outcome("both", summary, violations, codes, latencies)
+
+
+def print_outcome(console: rich.console.Console, outcome: Outcome) -> None:
+    """Print the summary as a table and each violation on a line."""
+    table = rich.table.Table(title="What callers saw and targets ran")
+    table.add_column("count")
+    table.add_column("requests", justify="right")
+    for name, value in outcome.summary._asdict().items():
+        table.add_row(name.replace("_", " "), str(value))
+    console.print(table)
+    median, high = outcome.latencies
+    console.print(f"answered within {median:.1f} ms (median), {high:.1f} ms (99%)")
+    for violation in outcome.violations:
+        console.print(f"violation: {violation}")
+    for name, code in outcome.exit_codes.items():
+        if code != 0:
+            console.print(f"{name} ended with exit code {code}")
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="Decides keys, kinds and times.")] = 1,
+    folder: Annotated[
+        pathlib.Path | None, typer.Option(help="Keeps logs and settings there.")
+    ] = None,
+) -> None:
+    """Run the whole path and exit 0 if no promise was broken."""
+    console = rich.console.Console()
+    console.print(f"seed {seed}")
+    with tempfile.TemporaryDirectory(prefix="dewstep-demo-") as temporary:
+        place = folder or pathlib.Path(temporary)
+        outcome = uvloop.run(run_fleet(place, seed, console.print))
+    print_outcome(console, outcome)
+    failed = outcome.violations or any(outcome.exit_codes.values())
+    if failed or not outcome.summary.answered:
+        raise typer.Exit(FAILED)
+
+
+if __name__ == "__main__":
+    typer.run(main)
