Put the entry process together

Cause: the parts had no program that starts, wires and stops them. Ruled out: stopping the links first; peers would see requests in progress cut, so gates are handed over, then callers finish, then the links close.

--- /dev/null
+++ b/packages/entry/dewstep_entry/dump.py
@@ -0,0 +1,122 @@
+"""The state dump of an entry process: typed, versioned, on request."""
+
+import datetime
+from collections.abc import Mapping
+from typing import Any, TypedDict
+
+from dewstep_core import data
+from dewstep_entry.state import view
+
+VERSION = 1
+
+
+class MemberDump(TypedDict):
+    """A member as this process knows it."""
+
+    entry: str
+    incarnation: str
+    data_centre: str
+    alive: bool
+
+
+class Dump(TypedDict):
+    """Everything that an operator may want to know of one process."""
+
+    version: int
+    entry: str
+    incarnation: str
+    data_centre: str
+    ready: bool
+    stopping: bool
+    uptime_s: float
+    revision: int
+    assignments: dict[str, int]
+    """Versions by service."""
+    table_contact_age_s: float | None
+    table_failure: str
+    callers: int
+    """Open connections of callers."""
+    in_progress: int
+    waiting: int
+    tries_again: int
+    gates: list[dict[str, Any]]
+    members: list[MemberDump]
+    counts: dict[str, int]
+    broken_invariants: dict[str, int]
+
+
+def is_ready(current: view.View, own: str, gates: Mapping[str, bool]) -> bool:
+    """Return whether every key can be served as far as this process knows.
+
+    Parameters
+    ----------
+    current : view.View
+    own : str
+        Name of this process.
+    gates : Mapping
+        For each gate of this process, whether it may send.
+    """
+    configuration = current.configuration
+    if configuration is None:
+        return False
+    served = {target.service for target in configuration.targets.values()}
+    owners: set[str] = set()
+    for service in served:
+        assignment = current.assignments.get(service)
+        if assignment is None:
+            return False
+        owners.update(assignment.owners, assignment.overrides.values())
+    return all(has_gate(current, own, gates, owner) for owner in owners)
+
+
+def has_gate(
+    current: view.View, own: str, gates: Mapping[str, bool], target: str
+) -> bool:
+    """Return whether a live process is known as the gate of `target`."""
+    row = current.gates.get(target)
+    if row is None:
+        return False
+    if row.entry == own:
+        return gates.get(target, False)
+    state = current.members.get(row.entry)
+    return (
+        state is not None
+        and state.alive
+        and state.member.incarnation == row.incarnation
+    )
+
+
+def list_members(current: view.View) -> list[MemberDump]:
+    """Return the members, by name."""
+    return [
+        MemberDump(
+            entry=state.member.entry,
+            incarnation=state.member.incarnation,
+            data_centre=state.member.data_centre,
+            alive=state.alive,
+        )
+        for _, state in sorted(current.members.items())
+    ]
+
+
+def compute_age(
+    moment: datetime.timedelta | None, now: datetime.timedelta
+) -> float | None:
+    """Return the seconds since `moment`."""
+    return None if moment is None else (now - moment).total_seconds()
+
+
+def describe_view(current: view.View, own: data.Member, now: datetime.timedelta):
+    """Return the members of the dump that come from the view."""
+    configuration = current.configuration
+    return {
+        "entry": own.entry,
+        "incarnation": own.incarnation,
+        "data_centre": own.data_centre,
+        "revision": configuration.revision if configuration else 0,
+        "assignments": {
+            name: item.version for name, item in current.assignments.items()
+        },
+        "table_contact_age_s": compute_age(current.table_contact, now),
+        "members": list_members(current),
+    }
--- /dev/null
+++ b/packages/entry/dewstep_entry/main.py
@@ -0,0 +1,83 @@
+"""The command that runs an entry process."""
+
+import asyncio
+import json
+import pathlib
+import signal
+import sys
+from typing import Annotated
+
+import typer
+import uvloop
+from absl import logging
+
+from dewstep_core import clock as clocks, settings as setting, settings_file
+from dewstep_entry import process
+
+EXIT_CUT = 3
+"""Exit code of a stop that had to cut work in progress."""
+
+
+async def run_process(settings: setting.Settings) -> int:
+    """Run an entry process until a signal; return the exit code."""
+    entry = process.EntryProcess(settings, clocks.SystemClock())
+    signals: asyncio.Queue[int] = asyncio.Queue()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signals.put_nowait, number)
+    await entry.start()
+    announce(entry)
+    await signals.get()
+    stopping = asyncio.ensure_future(entry.stop())
+    second = asyncio.ensure_future(signals.get())
+    await asyncio.wait((stopping, second), return_when=asyncio.FIRST_COMPLETED)
+    if stopping.done():
+        second.cancel()
+        return EXIT_CUT if stopping.result() else 0
+    stopping.cancel()
+    gates = ", ".join(sorted(entry.gates.gates)) or "none"
+    logging.error(
+        "event=stop_cut what=second signal in_progress=%d callers=%d gates=%s",
+        entry.router.in_progress,
+        len(entry.listener.connections),
+        gates,
+    )
+    return EXIT_CUT
+
+
+def announce(entry: process.EntryProcess) -> None:
+    """Print the bound addresses as one JSON line."""
+    line = {
+        "entry": entry.own.entry,
+        "incarnation": entry.own.incarnation,
+        "caller_port": entry.listener.address.port,
+        "peer_port": entry.network.member.port,
+        "operator_port": entry.settings.operator_address.port,
+    }
+    sys.stdout.write(json.dumps(line) + "\n")
+    sys.stdout.flush()
+
+
+def main(
+    settings: Annotated[
+        pathlib.Path, typer.Option(help="TOML file with the settings.")
+    ],
+    verbose: Annotated[bool, typer.Option(help="Log each event.")] = True,
+) -> None:
+    """Run an entry process until SIGTERM or SIGINT.
+
+    Exit codes: 0 stopped, 2 wrong settings, 3 work in progress had to be cut.
+    """
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO if verbose else logging.WARNING)
+    loaded = settings_file.load_or_exit(str(settings))
+    raise typer.Exit(uvloop.run(run_process(loaded)))
+
+
+def run() -> None:
+    """Run the command."""
+    typer.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/entry/dewstep_entry/process.py
@@ -0,0 +1,400 @@
+"""Puts the parts of an entry process together, starts them and stops them."""
+
+import asyncio
+import datetime
+import random
+import secrets
+from collections.abc import Coroutine
+from typing import Any
+
+from absl import logging
+from returns import result
+
+from dewstep_core import (
+    clock as clocks,
+    data,
+    errors,
+    placement,
+    settings as setting,
+)
+from dewstep_core.platform import instances, table as tables
+from dewstep_entry import dump, metrics, operators
+from dewstep_entry.caller import listener
+from dewstep_entry.gate import handover, manager, transfer
+from dewstep_entry.peers import link
+from dewstep_entry.pipeline import identify, routing
+from dewstep_entry.policy import admission, retries
+from dewstep_entry.state import (
+    bootstrap,
+    exchange,
+    instance_reader,
+    membership,
+    table_reader,
+    view,
+)
+from dewstep_entry.targets import pool
+
+INCARNATION_BYTES = 6
+LINGER = datetime.timedelta(milliseconds=500)
+"""How long a stopping process still tells peers that it is no gate any more."""
+QUARANTINE_INTERVAL = datetime.timedelta(seconds=5)
+SEED_INTERVAL = datetime.timedelta(seconds=1)
+
+
+class EntryProcess:
+    """One entry process.
+
+    Parameters
+    ----------
+    settings : settings.Settings
+    clock : clocks.Clock
+    """
+
+    def __init__(self, settings: setting.Settings, clock: clocks.Clock):
+        self.settings = settings
+        self.clock = clock
+        self.started = clock.monotonic()
+        self.stopping = False
+        self.tasks: set[asyncio.Task] = set()
+        self.random = random.Random()
+        self.own = data.Member(
+            settings.entry,
+            secrets.token_hex(INCARNATION_BYTES),
+            settings.data_centre,
+            *settings.peer_address,
+            settings.operator_address.port,
+        )
+        self.holder = view.ViewHolder()
+        self.routes = identify.EMPTY
+        self.budgets = retries.Retries(self.random)
+        self.metrics = metrics.Metrics(settings.statsd_address, settings.entry)
+        self.table = tables.TableClient(
+            settings.table_addresses,
+            settings.entry,
+            settings.data_centre,
+            clock,
+            settings.table_timeout,
+        )
+        self.build_state()
+        self.build_gates()
+        self.build_ports()
+
+    def build_state(self) -> None:
+        """Make the tasks that learn of the fleet."""
+        settings = self.settings
+        self.members = membership.Membership(self.own, settings.peers, self.random)
+        self.reader = table_reader.TableReader(
+            self.table, self.holder, self.clock, self.members.count_near, self.random
+        )
+        self.instances = None
+        if settings.instance_list_address is not None:
+            self.instances = instances.InstanceClient(
+                (settings.instance_list_address,), settings.entry, settings.data_centre
+            )
+
+    def build_gates(self) -> None:
+        """Make the manager of the gates and the links to peers."""
+        self.gates = manager.GateManager(
+            self.own,
+            self.holder,
+            self.table,
+            self.clock,
+            self.settings,
+            manager.Wiring(
+                self.make_channel,
+                self.make_admission,
+                GateBudget(self.budgets),
+                self.plan_evacuation,
+                self.send_handover,
+            ),
+        )
+        self.network = link.PeerNetwork(
+            self.own,
+            self.clock,
+            self.gates,
+            self,
+            self.note_change,
+            self.settings.peers,
+        )
+        self.exchange = exchange.Exchange(
+            self.own,
+            self.settings.peers,
+            self.holder,
+            self.members,
+            self.network,
+            self.clock,
+            dict,
+        )
+
+    def build_ports(self) -> None:
+        """Make the callers' and operators' ports."""
+        self.router = routing.Router(
+            self.settings.entry,
+            self.holder,
+            self.clock,
+            self.gates,
+            self.network,
+            self.budgets,
+            self.reader.refresh,
+        )
+        self.listener = listener.Listener(
+            self.settings.caller_address,
+            self.settings.caller_limits,
+            self.identify,
+            self.find_body_limit,
+            self.router,
+            self.settings.entry,
+        )
+        cut = self.network.set_cut if self.settings.fault_injection else None
+        self.operators = operators.OperatorPort(
+            self.holder, self.describe, self.move, cut
+        )
+
+    # Life.
+
+    async def start(self) -> None:
+        """Listen on all ports and start all tasks."""
+        await self.network.start()
+        await self.operators.start(self.settings.operator_address)
+        await self.listener.start()
+        self.spawn(self.exchange.run())
+        self.spawn(self.exchange.run_announcements())
+        self.spawn(self.run_table())
+        self.spawn(self.gates.run())
+        self.spawn(self.greet_seeds())
+        self.spawn(self.refresh_quarantine())
+        self.spawn(self.metrics.run(self.clock, self.read_gauges))
+        if self.instances is not None:
+            reader = instance_reader.InstanceReader(
+                self.instances.read,
+                self.holder,
+                self.clock,
+                self.gates.set_leaving,
+                self.random,
+            )
+            self.spawn(reader.run())
+        logging.info(
+            "event=started entry=%s incarnation=%s data_centre=%s",
+            self.own.entry,
+            self.own.incarnation,
+            self.own.data_centre,
+        )
+
+    def spawn(self, work: Coroutine) -> None:
+        """Run a task until the process stops; its failure ends the process."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.receive_end)
+
+    def receive_end(self, task: asyncio.Task) -> None:
+        """Log the failure of a task that should run for ever."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logging.error(
+                "event=task_failed task=%s", task.get_coro(), exc_info=task.exception()
+            )
+
+    async def run_table(self) -> None:
+        """Read the table until cancelled, and create missing assignments."""
+        self.spawn(self.reader.run())
+        sequence = -1
+        while True:
+            sequence = await self.holder.wait_change(sequence)
+            if self.holder.current.table_contact is None:
+                continue
+            if bootstrap.find_missing(self.holder.current):
+                await bootstrap.create_missing(self.holder, self.table, self.clock)
+                self.reader.refresh()
+                await self.clock.sleep(table_reader.LEAST_INTERVAL)
+
+    async def greet_seeds(self) -> None:
+        """Connect to the seeds until a peer has been heard."""
+        while True:
+            if not any(peer.suspected is None for peer in self.members.peers.values()):
+                heartbeat = self.exchange.build_heartbeat()
+                for address in self.settings.seeds:
+                    unknown = data.Member("", "", "", *address)
+                    self.network.send(unknown, heartbeat)
+            await self.clock.sleep(SEED_INTERVAL)
+
+    async def refresh_quarantine(self) -> None:
+        """Look for requests that other gates have quarantined."""
+        while True:
+            await self.clock.sleep(QUARANTINE_INTERVAL * (0.5 + self.random.random()))
+            await self.gates.refresh_quarantine()
+
+    async def stop(self) -> tuple[str, ...]:
+        """Finish what runs and hand on the gates; return what had to be cut."""
+        self.stopping = True
+        logging.info("event=stopping entry=%s", self.own.entry)
+        limit = self.settings.stop_limit.total_seconds()
+        closing = asyncio.ensure_future(self.listener.stop())
+        remaining = await self.gates.stop()
+        cut = [f"gate of {target}" for target in remaining]
+        try:
+            async with asyncio.timeout(limit):
+                await closing
+        except TimeoutError:
+            cut.append(f"{len(self.listener.connections)} connections of callers")
+            self.listener.abort()
+        await self.clock.sleep(LINGER)
+        await self.close()
+        for item in cut:
+            logging.error("event=stop_cut what=%s", item)
+        logging.info("event=stopped entry=%s cut=%d", self.own.entry, len(cut))
+        return tuple(cut)
+
+    async def close(self) -> None:
+        """End all tasks and connections."""
+        for task in list(self.tasks):
+            task.cancel()
+        await self.network.stop()
+        await self.operators.close()
+        await self.table.close()
+        if self.instances is not None:
+            await self.instances.close()
+
+    # Callables for the parts.
+
+    def make_channel(self, target: data.Target) -> pool.TargetPool:
+        """Return the connections to a target."""
+        return pool.TargetPool(
+            target, self.clock, self.settings.entry, self.settings.data_centre
+        )
+
+    def make_admission(self, target: data.Target) -> admission.Admission:
+        """Return the queue of a target."""
+        return admission.Admission(target.name, target.slots, self.random)
+
+    def plan_evacuation(
+        self, assignment: data.Assignment, lost: str, candidates
+    ) -> tuple[str, ...]:
+        """Return the owners of all shards after the loss of a target."""
+        configuration = self.holder.current.configuration
+        usable = [
+            configuration.targets[name]
+            for name in candidates
+            if name in configuration.targets
+        ]
+        return placement.plan_evacuation(assignment, {lost}, usable).owners
+
+    async def send_handover(self, entry: str, message: handover.Handover) -> None:
+        """Send a hand-over to the successor."""
+        state = self.holder.current.members.get(entry)
+        if state is None:
+            logging.warning("event=handover_unsent entry=%s", entry)
+            return
+        value = transfer.encode_handover(message, self.clock.monotonic())
+        if not self.network.send(state.member, value):
+            logging.warning("event=handover_unsent entry=%s", entry)
+
+    def note_change(self, member: data.Member, change: link.Change) -> None:
+        """Note what happened to a peer's connection."""
+        if change is link.Change.UP:
+            if self.members.hear(member, self.clock.monotonic()):
+                self.exchange.publish_members()
+            return
+        if change in (link.Change.REFUSED, link.Change.RESET) and member.entry:
+            self.exchange.note_refused(member.entry)
+
+    async def receive(self, sender: data.Member, message: Any) -> None:
+        """Take a message of a peer; hand-overs go to the gates."""
+        decoded = transfer.decode_handover(message, self.clock.monotonic())
+        if decoded is None:
+            await self.exchange.receive(sender, message)
+        elif isinstance(decoded, result.Success):
+            self.spawn_once(self.gates.receive_handover(decoded.unwrap()))
+        else:
+            logging.error("event=handover_refused failure=%r", decoded.failure())
+
+    def spawn_once(self, work: Coroutine) -> None:
+        """Run a task that ends by itself."""
+        self.spawn(work)
+
+    def identify(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: data.Headers,
+        body_length: int | None,
+    ) -> result.Result[data.Request, Any]:
+        """Return the request that a head announces."""
+        if self.stopping:
+            return result.Failure(errors.Stopping(self.own.entry))
+        configuration = self.holder.current.configuration
+        if configuration is not None and configuration.revision != self.routes.revision:
+            self.routes = identify.compile_routes(configuration)
+        now = self.clock.monotonic()
+        return identify.identify(self.routes, now, method, target, headers, body_length)
+
+    def find_body_limit(self, request: data.Request) -> int:
+        """Return the most bytes of body that the request's kind allows."""
+        kind = routing.find_kind(self.holder.current, request.service, request.kind)
+        return kind.maximum_body_bytes if kind is not None else 0
+
+    # Operators.
+
+    async def move(self, order: operators.MoveOrder) -> result.Result[Any, Any]:
+        """Carry out an operator's move of a shard or key."""
+        assignment = self.holder.current.assignments.get(order.service)
+        if assignment is None:
+            return result.Failure(errors.NotReady(f"assignment/{order.service}"))
+        if order.key is not None:
+            return await self.gates.move_key(order.service, order.key, order.target)
+        if not 0 <= order.shard < len(assignment.owners):
+            return result.Failure(errors.NotReady(f"shard {order.shard}"))
+        outcomes = await self.gates.move_shards(
+            order.service, {order.shard: order.target}
+        )
+        if not outcomes:
+            owner = assignment.owners[order.shard]
+            return result.Failure(errors.NotTheGate(owner, self.gates.get_term(owner)))
+        return next(iter(outcomes.values()))
+
+    def describe(self) -> dump.Dump:
+        """Return the state dump."""
+        now = self.clock.monotonic()
+        gates = [gate.describe() for _, gate in sorted(self.gates.gates.items())]
+        sending = {gate["target"]: gate["may_send"] for gate in gates}
+        failure = self.reader.last_failure
+        return dump.Dump(
+            version=dump.VERSION,
+            ready=dump.is_ready(self.holder.current, self.own.entry, sending),
+            stopping=self.stopping,
+            uptime_s=(now - self.started).total_seconds(),
+            table_failure="" if failure is None else repr(failure),
+            callers=len(self.listener.connections),
+            in_progress=self.router.in_progress,
+            waiting=self.router.waiting,
+            tries_again=self.router.tries_again,
+            gates=gates,
+            counts=dict(self.metrics.totals),
+            broken_invariants=dict(self.gates.checks.counts),
+            **dump.describe_view(self.holder.current, self.own, now),
+        )
+
+    def read_gauges(self) -> dict[str, float]:
+        """Return the gauges for statsd."""
+        alive = sum(state.alive for state in self.holder.current.members.values())
+        return {
+            "callers": len(self.listener.connections),
+            "requests.in_progress": self.router.in_progress,
+            "requests.waiting": self.router.waiting,
+            "gates": len(self.gates.gates),
+            "members.alive": alive,
+        }
+
+
+class GateBudget:
+    """The retry budget of the gates, in the form that they use."""
+
+    def __init__(self, budgets: retries.Retries):
+        self.budgets = budgets
+
+    def deposit(self, now: datetime.timedelta) -> None:
+        """Note a first attempt."""
+        self.budgets.get_budget("", "gate").add_first_attempt()
+
+    def withdraw(self, now: datetime.timedelta) -> bool:
+        """Take a token for a retry; return whether there was one."""
+        return self.budgets.get_budget("", "gate").take()
--- /dev/null
+++ b/packages/entry/dewstep_entry/state/instance_reader.py
@@ -0,0 +1,86 @@
+"""Reads the platform's list of live and leaving instances.
+
+The list lags, so that it can only add to what is known: an instance that it shows as
+leaving gets no new work. Nothing is concluded from an instance that is missing.
+"""
+
+import datetime
+import random
+from collections.abc import Callable
+
+from absl import logging
+from returns import result
+
+from dewstep_core import clock as clocks, data
+from dewstep_entry.state import view
+
+INTERVAL = datetime.timedelta(milliseconds=1000)
+LEAVING = "leaving"
+
+
+def select_leaving(
+    instances: tuple[data.Instance, ...], configuration: data.Configuration | None
+) -> tuple[frozenset[str], frozenset[str]]:
+    """Return the names of the targets and of the entry processes that are leaving.
+
+    Targets are matched by name or by address, since the platform may call an
+    instance otherwise than the operators' records do.
+    """
+    leaving = [item for item in instances if item.state == LEAVING]
+    names = {item.instance for item in leaving}
+    addresses = {(item.host, item.port) for item in leaving}
+    targets = configuration.targets.values() if configuration else ()
+    return (
+        frozenset(
+            target.name
+            for target in targets
+            if target.name in names or (target.host, target.port) in addresses
+        ),
+        frozenset(item.instance for item in leaving if item.role == "entry"),
+    )
+
+
+class InstanceReader:
+    """The task that reads the list.
+
+    Parameters
+    ----------
+    read : callable
+        Returns the list, as `InstanceClient.read` does.
+    holder : view.ViewHolder
+    clock : clocks.Clock
+    set_leaving : callable
+        Gets the names of leaving targets and entry processes.
+    generator : random.Random
+        Source of the jitter.
+    """
+
+    def __init__(
+        self,
+        read: Callable,
+        holder: view.ViewHolder,
+        clock: clocks.Clock,
+        set_leaving: Callable[[frozenset[str], frozenset[str]], None],
+        generator: random.Random,
+    ):
+        self.read = read
+        self.holder = holder
+        self.clock = clock
+        self.set_leaving = set_leaving
+        self.random = generator
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            await self.read_once()
+            await self.clock.sleep(INTERVAL * (0.5 + self.random.random()))
+
+    async def read_once(self) -> bool:
+        """Read the list and pass on what it shows; return whether it answered."""
+        answer = await self.read()
+        if isinstance(answer, result.Failure):
+            logging.warning("event=instances_unread failure=%r", answer.failure())
+            return False
+        configuration = self.holder.current.configuration
+        self.set_leaving(*select_leaving(answer.unwrap().instances, configuration))
+        return True
