--- a/packages/core/dewstep_core/fields.py
+++ b/packages/core/dewstep_core/fields.py
@@ -7,7 +7,6 @@
 
 import datetime
 import ipaddress
-import math
 import re
 import tomllib
 from collections.abc import Callable, Mapping
@@ -85,9 +84,8 @@
     def read(value):
         if isinstance(value, bool) or not isinstance(value, int | float):
             return None
-        if not math.isfinite(value) or not minimum <= value <= maximum:
-            return None
-        return float(value)
+        # The comparison is false for NaN as well.
+        return float(value) if minimum <= value <= maximum else None
 
     return FieldCheck(f"a number from {minimum:g} to {maximum:g}", read)
 
@@ -253,7 +251,12 @@
     """Return `value` as a problem shows it, shortened."""
     if isinstance(value, bool):
         return "true" if value else "false"
-    text = repr(value)
+    try:
+        text = repr(value)
+    except ValueError:
+        # Python does not print integers of thousands of digits, which TOML can
+        # state in hexadecimal.
+        return "a value too long to be shown"
     if len(text) > FOUND_CHARACTERS:
         return text[: FOUND_CHARACTERS - 3] + "..."
     return text
--- a/packages/core/dewstep_core/record_schemas.py
+++ b/packages/core/dewstep_core/record_schemas.py
@@ -22,6 +22,9 @@
 DEFAULT_BODY_BYTES = 65_536
 DEFAULT_WEIGHT = 1.0
 
+MAXIMUM_SCHEMA = 1_000_000
+"""Larger numbers are refused before they are made into text, which may fail."""
+
 MAXIMUM_SHARD_COUNT = 65_536
 MAXIMUM_KEY_BYTES = 4_096
 MAXIMUM_BODY_BYTES = 1 << 30
@@ -72,7 +75,8 @@
         return None
     version = reader.table["schema"]
     is_integer = isinstance(version, int) and not isinstance(version, bool)
-    build = schemas.get(str(version)) if is_integer else None
+    in_bounds = is_integer and 0 < version <= MAXIMUM_SCHEMA
+    build = schemas.get(str(version)) if in_bounds else None
     if build is None:
         reader.problems.append(
             errors.SchemaUnknown(
--- a/packages/core/dewstep_core/records_test.py
+++ b/packages/core/dewstep_core/records_test.py
@@ -2,6 +2,7 @@
 import json
 
 import pytest
+from hypothesis import given, strategies
 from returns import result
 
 from dewstep_core import data, errors, record_schemas, records
@@ -210,3 +211,27 @@
 def test_a_damaged_row_is_a_failure_and_not_an_exception(row):
     assert isinstance(records.decode_configuration(row), result.Failure)
     assert records.decode_origin(row) == records.NO_ORIGIN
+
+
+@pytest.mark.parametrize("field", ["schema = 1", "weight = 2", "port = 7001"])
+def test_a_number_that_cannot_be_printed_is_a_failure_and_not_an_exception(field):
+    huge = f"{field.split()[0]} = 0x{'f' * 6000}"
+    (problem, *_) = parse(VERSION_1.replace(field, huge, 1)).failure()
+    assert problem.found == "a value too long to be shown"
+
+
+FIELD_NAMES = strategies.sampled_from(
+    ["schema", "name", "key", "kind", "service", "target", "path", "deadline", "x"]
+)
+VALUES = strategies.recursive(
+    strategies.none() | strategies.booleans() | strategies.integers()
+    | strategies.floats() | strategies.sampled_from([1, 2, "path", "a", "{key}", "1s"]),
+    lambda inner: strategies.lists(inner, max_size=3)
+    | strategies.dictionaries(FIELD_NAMES, inner, max_size=4),
+)  # fmt: skip
+
+
+@given(VALUES, VALUES)
+def test_no_content_of_a_row_raises_an_exception(service, target):
+    row = {"revision": 1, "records": {"service": [service], "target": [target]}}
+    assert isinstance(records.decode_configuration(row), result.Failure)
--- a/packages/operator/dewstep_operator/commands_test.py
+++ b/packages/operator/dewstep_operator/commands_test.py
@@ -1,10 +1,11 @@
+import datetime
 import json
 
 import pytest
 from returns import result
 
 from dewstep_core import records
-from dewstep_operator import builders, failures
+from dewstep_operator import builders, failures, propagation
 
 
 @pytest.fixture
@@ -78,6 +79,40 @@
     assert (held.revision, held.targets["h1"].draining) == (3, False)
 
 
+def test_a_table_that_fails_during_a_wait_does_not_hide_that_the_write_is_done(
+    world, tmp_path
+):
+    # Code 3 would say that nothing was written.
+    def stop():
+        world.table.down = True
+
+    world.clock.events = [stop]
+    assert world.run("drain", "h1", "--limit", "5s").exit_code == 4
+    world.table.down = False
+    world.clock.events = [stop]
+    path = tmp_path / "records.toml"
+    path.write_text(builders.TWO_TARGETS.replace("slots = 4", "slots = 5"))
+    assert world.run("apply", str(path), "--wait").exit_code == 4
+    world.table.down = False
+    assert run_json(world, "show")["revision"] == 3
+
+
+def test_wait_leaves_out_only_processes_that_are_dead_and_silent(world):
+    # A dead process would otherwise hold up every change until the limit.
+    members = world.entries.documents[builders.ADDRESS_A, "/members"]["members"]
+    dump = world.entries.documents.pop((builders.ADDRESS_B, "/dump"))
+    session = world.open_session()
+    wait = propagation.wait_in_force(session, 1, datetime.timedelta(seconds=1))
+    outcome = builders.run_now(wait)
+    assert outcome.failure().pending == ("ub1-b",)
+    members[1]["alive"] = False
+    wait = propagation.wait_in_force(session, 1, datetime.timedelta(seconds=1))
+    assert isinstance(builders.run_now(wait), result.Success)
+    world.entries.documents[builders.ADDRESS_B, "/dump"] = {**dump, "revision": 0}
+    wait = propagation.wait_in_force(session, 1, datetime.timedelta(seconds=1))
+    assert builders.run_now(wait).failure().pending == ("ub1-b",)
+
+
 def test_drain_does_not_take_silence_of_the_gate_for_idleness(world):
     world.put("assignment/history", {"owners": ["h2"] * 4, "overrides": {}})
     del world.entries.documents[builders.ADDRESS_A, "/dump"]
@@ -105,6 +140,12 @@
     assert world.entries.orders == []
 
 
+def test_move_gives_nothing_to_a_target_that_is_draining(world):
+    world.run("drain", "h1", "--no-wait")
+    assert world.run("move", "history", "h1", "--shard", "3").exit_code == 1
+    assert world.entries.orders == []
+
+
 def test_move_settles_a_lost_answer_by_the_assignment(world):
     def lose(order):
         return result.Failure(failures.EntryAnswerLost("a", "reset"))
--- a/packages/operator/dewstep_operator/draining.py
+++ b/packages/operator/dewstep_operator/draining.py
@@ -75,23 +75,32 @@
     start = session.clock.monotonic()
     while True:
         read = await fleet.read_fleet(session)
-        if isinstance(read, result.Failure):
-            return read
-        known = read.unwrap()
-        owned = rows.count_owned(known.assignments.get(target.service), target.name)
-        running = await read_running(session, known, target.name)
-        text = (
-            f"{owned.shards} shards, {owned.keys} single keys, "
-            f"{'an unknown number of' if running is None else running} requests running"
-        )
+        if isinstance(read, result.Success):
+            is_empty, text = await describe_rest(session, read.unwrap(), target)
+        else:
+            # The drain is in force; that it cannot be watched does not undo it.
+            is_empty, text = False, failures.describe_failure(read.failure())
         session.output.show_progress(f"target {target.name}: {text}")
-        if not any(owned) and running == 0:
+        if is_empty:
             return result.Success(None)
         if session.clock.monotonic() - start >= limit:
             return result.Failure(failures.NotFinished(limit, (text,)))
         await session.clock.sleep(POLL_INTERVAL)
 
 
+async def describe_rest(
+    session: sessions.Session, known: fleet.Fleet, target: data.Target
+) -> tuple[bool, str]:
+    """Return whether `target` is empty, and what it still owns and runs."""
+    owned = rows.count_owned(known.assignments.get(target.service), target.name)
+    running = await read_running(session, known, target.name)
+    text = (
+        f"{owned.shards} shards, {owned.keys} single keys, "
+        f"{'an unknown number of' if running is None else running} requests running"
+    )
+    return not any(owned) and running == 0, text
+
+
 async def read_running(
     session: sessions.Session, known: fleet.Fleet, target: str
 ) -> int | None:
--- a/packages/operator/dewstep_operator/entries.py
+++ b/packages/operator/dewstep_operator/entries.py
@@ -147,8 +147,11 @@
             known = found.get(entry.name)
             # Of several opinions the most hopeful counts: a process that any other
             # still hears is asked itself.
-            if known is None or not known.alive:
+            if known is None:
                 found[entry.name] = entry
+            elif not known.alive:
+                address = entry.operator_address or known.operator_address
+                found[entry.name] = entry._replace(operator_address=address)
     return found
 
 
--- a/packages/operator/dewstep_operator/failures.py
+++ b/packages/operator/dewstep_operator/failures.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from dewstep_core import errors, fields, registry
+from dewstep_core import durations, errors, fields, registry
 
 DONE = 0
 REFUSED = 1
@@ -156,6 +156,13 @@
     target: str
 
 
+@exits(REFUSED, lambda f: f"target {f.target} is draining and takes no keys")
+class TargetDraining(NamedTuple):
+    """A target that takes no new work cannot be given keys."""
+
+    target: str
+
+
 @exits(
     UNREACHABLE,
     lambda f: (
@@ -207,7 +214,9 @@
 @exits(
     UNKNOWN,
     lambda f: (
-        f"not finished within {f.limit}: {', '.join(f.pending) or 'nothing known'}"
+        "written, but its effect was not seen within "
+        f"{durations.format_duration(f.limit)}: "
+        f"{', '.join(f.pending) or 'no entry process is known'}"
     ),
 )
 class NotFinished(NamedTuple):
--- a/packages/operator/dewstep_operator/moving.py
+++ b/packages/operator/dewstep_operator/moving.py
@@ -54,6 +54,8 @@
     if record is None or record.service != subject.service:
         kind = f"target of service {subject.service}"
         return result.Failure(failures.NameUnknown(kind, target))
+    if record.draining:
+        return result.Failure(failures.TargetDraining(target))
     assignment = known.assignments.get(subject.service)
     if assignment is None:
         return result.Failure(failures.NoAssignment(subject.service))
--- a/packages/operator/dewstep_operator/propagation.py
+++ b/packages/operator/dewstep_operator/propagation.py
@@ -21,15 +21,16 @@
 ) -> result.Result[None, failures.Failure]:
     """Wait until every known entry process has `revision` or a later one.
 
-    Fails with `NotFinished` after `limit`, and if no entry process is known: what
-    nobody confirms is not in force.
+    Fails only with `NotFinished`, after `limit`. The revision is written by then, so a
+    table that cannot be read meanwhile does not end the wait with its own failure,
+    and what nobody confirms is not in force.
     """
     start = session.clock.monotonic()
     while True:
         revisions = await read_revisions(session)
         if isinstance(revisions, result.Failure):
-            return revisions
-        held = revisions.unwrap()
+            session.output.show_progress(failures.describe_failure(revisions.failure()))
+        held = revisions.value_or({})
         behind = tuple(
             name for name, found in held.items() if found is None or found < revision
         )
