Let a new process meet the gates that the table names before it judges them

Cause: in a trial run of the demonstration nine processes that started together each took every gate over, since a process that is not a known member counted as dead. Ruled out: a fixed pause at the start; it would delay each takeover and still guess. Members are learned from gate rows and suspected if they do not answer within 1 s.

--- a/packages/emulator/dewstep_emulator/demo.py
+++ b/packages/emulator/dewstep_emulator/demo.py
@@ -27,6 +27,8 @@
 SECONDS = 10.0
 KILL_AFTER = 3.0
 DRAIN_AFTER = 5.0
+KILLED = "history-0"
+DRAINED = "booker-0"
 FAILED = 1
 
 
@@ -52,14 +54,12 @@
 
 async def disturb(fleet: fleets.Fleet, say) -> None:
     """Kill one target and drain another while requests are under way."""
-    names = list(fleet.targets)
     await asyncio.sleep(KILL_AFTER)
-    say(f"target {names[0]} is killed")
-    await fleet.targets[names[0]].kill()
+    say(f"target {KILLED} is killed")
+    await fleet.targets[KILLED].kill()
     await asyncio.sleep(DRAIN_AFTER - KILL_AFTER)
-    drained = next(name for name in names if name.startswith("booker"))
-    say(f"target {drained} is drained")
-    await fleet.drain(drained)
+    say(f"target {DRAINED} is drained")
+    await fleet.drain(DRAINED)
 
 
 async def run_load(
--- a/packages/emulator/dewstep_emulator/fleet.py
+++ b/packages/emulator/dewstep_emulator/fleet.py
@@ -82,6 +82,7 @@
         self.list_process: processes.Process | None = None
         self.targets: dict[str, processes.Process] = {}
         self.entries: dict[str, EntryHandle] = {}
+        self.peer_ports: dict[str, int] = {}
         self.ended: list[processes.Process] = []
         self.table: table.TableClient | None = None
         self.configuration: data.Configuration | None = None
@@ -95,6 +96,8 @@
         await self.start_platform()
         await asyncio.gather(*(self.start_target(name) for name in self.list_targets()))
         await self.apply(self.build_configuration(1))
+        for number in range(self.options.entries):
+            self.peer_ports[f"entry-{number}"] = find_free_port()
         await asyncio.gather(
             *(self.start_entry(number) for number in range(self.options.entries))
         )
@@ -169,17 +172,16 @@
         earlier = self.entries.get(name)
         if earlier is not None:
             self.ended.append(earlier.process)
+            self.peer_ports[name] = find_free_port()
         file = self.folder / f"{name}.toml"
         seeds = [
-            f"{entry.peers.host}:{entry.peers.port}"
-            for entry in self.entries.values()
-            if entry.name != name
+            f"{HOST}:{port}" for other, port in self.peer_ports.items() if other != name
         ]
         values = {
             "entry": name,
             "data_centre": data_centre,
             "caller_address": f"{HOST}:{find_free_port()}",
-            "peer_address": f"{HOST}:{find_free_port()}",
+            "peer_address": f"{HOST}:{self.peer_ports[name]}",
             "operator_address": f"{HOST}:{find_free_port()}",
             "table_addresses": [format_address(self.table_process.addresses)],
             "instance_list_address": format_address(self.list_process.addresses),
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -20,7 +20,7 @@
 from dewstep_core.platform import instances, table as tables
 from dewstep_entry import dump, metrics, operators
 from dewstep_entry.caller import listener
-from dewstep_entry.gate import handover, manager, transfer
+from dewstep_entry.gate import handover, manager, transfer, wiring
 from dewstep_entry.peers import link
 from dewstep_entry.pipeline import identify, routing
 from dewstep_entry.policy import admission, retries
@@ -100,7 +100,7 @@
             self.table,
             self.clock,
             self.settings,
-            manager.Wiring(
+            wiring.Wiring(
                 self.make_channel,
                 self.make_admission,
                 GateBudget(self.budgets),
--- a/packages/entry/dewstep_entry/state/exchange.py
+++ b/packages/entry/dewstep_entry/state/exchange.py
@@ -6,6 +6,7 @@
 is news, because requests wait for it.
 """
 
+import datetime
 import json
 import random
 from collections.abc import Mapping
@@ -87,6 +88,7 @@
         self.publish_members()
         while True:
             now = self.clock.monotonic()
+            self.learn_gates(now)
             for suspicion in self.members.expire(now):
                 logging.warning(
                     "event=member_suspected entry=%s reason=silent", suspicion.entry
@@ -95,6 +97,23 @@
             self.send_heartbeats()
             await self.clock.sleep(self.settings.heartbeat_interval)
 
+    def learn_gates(self, now: datetime.timedelta) -> None:
+        """Learn the processes that gate rows name.
+
+        A process that has just started would otherwise take a gate for dead only
+        because it has not met it.
+        """
+        current = self.holder.current
+        targets = current.configuration.targets if current.configuration else {}
+        for row in current.gates.values():
+            target = targets.get(row.target)
+            if target is not None and row.entry:
+                centre = target.data_centre
+                self.members.learn(
+                    data.Member(row.entry, row.incarnation, centre, row.host, row.port),
+                    now,
+                )
+
     async def run_announcements(self) -> None:
         """Announce newer versions at once instead of with the next heartbeat."""
         sequence = self.holder.sequence
--- a/packages/entry/dewstep_entry/state/membership.py
+++ b/packages/entry/dewstep_entry/state/membership.py
@@ -22,6 +22,8 @@
 centre rack with two of them still leaves two."""
 OTHER_DATA_CENTRES = 2
 """Random members of other data centres that get each heartbeat."""
+INTRODUCTION = datetime.timedelta(seconds=1)
+"""Time that a member known by name only has to answer a first heartbeat."""
 SHARED_MEMBERS = 8
 """Members named in one heartbeat, so that its size does not grow with the fleet."""
 SHARED_SUSPICIONS = 8
@@ -38,6 +40,8 @@
     """Since when it has been suspect, or None."""
     watched: bool
     """Whether it sends heartbeats to this process at every interval."""
+    heard: bool
+    """Whether it has ever sent anything to this process."""
 
 
 class Membership:
@@ -67,7 +71,7 @@
         known = self.peers.get(member.entry)
         if known is not None:
             return False
-        self.peers[member.entry] = Peer(member, now, None, False)
+        self.peers[member.entry] = Peer(member, now, None, False, False)
         return True
 
     def hear(self, member: data.Member, now: datetime.timedelta) -> bool:
@@ -80,7 +84,7 @@
         known = self.peers.get(member.entry)
         changed = known is None or known.member != member or known.suspected is not None
         watched = known is not None and known.watched
-        self.peers[member.entry] = Peer(member, now, None, watched)
+        self.peers[member.entry] = Peer(member, now, None, watched, True)
         return changed
 
     def suspect(self, suspicion: data.Suspicion, now: datetime.timedelta) -> bool:
@@ -114,11 +118,17 @@
             self.peers[entry] = known._replace(watched=True)
 
     def expire(self, now: datetime.timedelta) -> list[data.Suspicion]:
-        """Return the watched members that have just become suspect."""
+        """Return the members that have just become suspect.
+
+        These are the watched ones that are silent, and those that this process knows
+        by name only and that have not answered within `INTRODUCTION`.
+        """
         found = []
         for entry, peer in self.peers.items():
-            silent = now - peer.last_heard >= self.settings.suspect_after
-            if peer.watched and silent and peer.suspected is None:
+            limit = self.settings.suspect_after if peer.heard else INTRODUCTION
+            silent = now - peer.last_heard >= limit
+            expected = peer.watched or not peer.heard
+            if expected and silent and peer.suspected is None:
                 self.peers[entry] = peer._replace(suspected=now)
                 found.append(data.Suspicion(entry, peer.member.incarnation))
         return found
--- a/packages/entry/dewstep_entry/state/membership_test.py
+++ b/packages/entry/dewstep_entry/state/membership_test.py
@@ -64,6 +64,14 @@
         assert len(found.select_shared_members()) == membership.SHARED_MEMBERS
 
 
+def test_expire_suspects_a_member_that_never_answers():
+    # A gate that died before this process started has no monitor left to name it.
+    found = build_membership(0)
+    found.learn(build_member(1), ZERO)
+    assert found.expire(membership.INTRODUCTION / 2) == []
+    assert found.expire(membership.INTRODUCTION) == [data.Suspicion("e01", "i1")]
+
+
 def test_learn_and_forget():
     found = build_membership(1)
     assert found.learn(build_member(9), ZERO)
