--- a/packages/core/dewstep_core/errors.py
+++ b/packages/core/dewstep_core/errors.py
@@ -103,9 +103,41 @@
     limit: datetime.timedelta
 
 
+@answers(422, BAD_REQUEST)
+class RequestIdReused(NamedTuple):
+    """The request id belongs to another request (kind, key or body differ)."""
+
+    service: str
+    request_id: str
+
+
+@answers(400, BAD_REQUEST)
+class RequestIdUnusable(NamedTuple):
+    """The kind needs a time-ordered request id (UUID version 7)."""
+
+    service: str
+    request_id: str
+
+
 # Refusals: the request certainly did not run.
 
 
+@answers(503, NOT_RUN)
+class RequestIdAhead(NamedTuple):
+    """The time in the request id is too far ahead of this process's clock."""
+
+    service: str
+    request_id: str
+
+
+@answers(503, NOT_RUN)
+class InvariantBroken(NamedTuple):
+    """A check that must always hold failed, so the request was not sent."""
+
+    invariant: str
+    detail: str
+
+
 @answers(503, NOT_RUN)
 class NotReady(NamedTuple):
     """The process has no configuration or assignment yet."""
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/answers.py
@@ -0,0 +1,136 @@
+"""A gate's memory of request ids and of the answers to them, bounded in size.
+
+Pure: it starts no task and reads no clock.
+"""
+
+import collections
+import datetime
+import hashlib
+from typing import NamedTuple
+
+from dewstep_core import data
+
+# An answer with a longer body is not kept; its id is, without the answer.
+MAXIMUM_KEPT_BODY_BYTES = 65_536
+
+
+class Identity(NamedTuple):
+    """What must be equal in two requests with the same id."""
+
+    kind: str
+    key: str
+    body_digest: bytes
+
+
+class MemoryLimits(NamedTuple):
+    """Bounds of the memory of one gate."""
+
+    entries: int = 20_000
+    total_bytes: int = 8_388_608
+    age: datetime.timedelta = datetime.timedelta(minutes=10)
+
+
+class Entry(NamedTuple):
+    """One request id that has run or may have run."""
+
+    identity: Identity
+    answer: data.Answer | None
+    """None if the outcome is not known or the answer was too long to keep."""
+    finished: datetime.timedelta
+    """Monotonic time in this process."""
+
+
+class Evicted(NamedTuple):
+    """An id that was dropped to keep the memory within its limits."""
+
+    request_id: str
+
+
+def compute_identity(request: data.Request) -> Identity:
+    """Return the identity of a request.
+
+    Of a body that is still being received, only the part read so far and the
+    announced length are compared.
+    """
+    digest = hashlib.blake2b(request.body.start, digest_size=16)
+    digest.update(str(request.body_length).encode())
+    return Identity(request.kind, request.key, digest.digest())
+
+
+def measure(entry: Entry) -> int:
+    """Return the approximate size of an entry in bytes."""
+    if entry.answer is None:
+        return 0
+    headers = sum(len(name) + len(value) for name, value in entry.answer.headers)
+    return headers + len(entry.answer.body.start)
+
+
+class AnswerMemory:
+    """Ids of finished requests with their answers, the oldest dropped first."""
+
+    def __init__(self, limits: MemoryLimits = MemoryLimits()):  # noqa: B008
+        self.limits = limits
+        self.entries: collections.OrderedDict[str, Entry] = collections.OrderedDict()
+        self.total_bytes = 0
+
+    def get(self, request_id: str) -> Entry | None:
+        """Return the entry of a request id, or None."""
+        return self.entries.get(request_id)
+
+    def put(
+        self,
+        request_id: str,
+        identity: Identity,
+        answer: data.Answer | None,
+        now: datetime.timedelta,
+    ) -> list[Evicted]:
+        """Remember a finished request; return the ids dropped for it."""
+        if answer is not None and not is_keepable(answer):
+            answer = None
+        self.remove(request_id)
+        entry = Entry(identity, answer, now)
+        self.entries[request_id] = entry
+        self.total_bytes += measure(entry)
+        return self.evict(now)
+
+    def remove(self, request_id: str) -> None:
+        """Forget one id."""
+        entry = self.entries.pop(request_id, None)
+        if entry is not None:
+            self.total_bytes -= measure(entry)
+
+    def evict(self, now: datetime.timedelta) -> list[Evicted]:
+        """Drop what exceeds the limits."""
+        dropped = []
+        while self.entries:
+            request_id, entry = next(iter(self.entries.items()))
+            if (
+                len(self.entries) <= self.limits.entries
+                and self.total_bytes <= self.limits.total_bytes
+                and now - entry.finished <= self.limits.age
+            ):
+                break
+            self.remove(request_id)
+            dropped.append(Evicted(request_id))
+        return dropped
+
+    def export(self) -> tuple[tuple[str, Entry], ...]:
+        """Return all entries, the oldest first, for a hand-over."""
+        return tuple(self.entries.items())
+
+    def load(
+        self, entries: tuple[tuple[str, Entry], ...], now: datetime.timedelta
+    ) -> list[Evicted]:
+        """Take over the entries of a previous gate; own ones stay."""
+        dropped = []
+        for request_id, entry in entries:
+            if request_id not in self.entries:
+                dropped += self.put(request_id, entry.identity, entry.answer, now)
+        return dropped
+
+
+def is_keepable(answer: data.Answer) -> bool:
+    """Return whether an answer is complete and short enough to keep."""
+    return (
+        answer.body.rest is None and len(answer.body.start) <= MAXIMUM_KEPT_BODY_BYTES
+    )
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/assignments.py
@@ -0,0 +1,169 @@
+"""Transactions that move shards and keys away from a target (rule G4)."""
+
+import datetime
+from collections.abc import Callable
+
+from absl import logging
+from returns import result
+
+from dewstep_core import clock as clocks, data, errors
+from dewstep_entry import interfaces
+from dewstep_entry.gate import rows
+from dewstep_entry.state import view
+
+Change = Callable[[data.Assignment], data.Assignment | None]
+"""Returns the changed assignment, or None if there is nothing to change."""
+
+CONFLICT_ATTEMPTS = 50
+SETTLE_PAUSE = datetime.timedelta(milliseconds=200)
+
+
+class AssignmentWriter:
+    """Changes assignments in the name of the gate of the losing target."""
+
+    def __init__(
+        self,
+        holder: view.ViewHolder,
+        table: interfaces.TableClient,
+        clock: clocks.Clock,
+        make_operation_id: Callable[[], str],
+    ):
+        self.holder = holder
+        self.table = table
+        self.clock = clock
+        self.make_operation_id = make_operation_id
+
+    async def read(
+        self, service: str
+    ) -> result.Result[data.Assignment, interfaces.Failure]:
+        """Read an assignment from the table and show it in the view."""
+        found = await self.table.read(rows.name_assignment(service))
+        if isinstance(found, result.Failure):
+            return found
+        row = found.unwrap()
+        if row.value is None:
+            return result.Failure(errors.NotReady(row.key))
+        decoded = rows.decode_assignment(row)
+        if isinstance(decoded, result.Success):
+            self.holder.offer_assignment(decoded.unwrap())
+        return decoded
+
+    async def read_until_answered(self, service: str) -> data.Assignment:
+        """Read an assignment, again after each failure."""
+        while True:
+            found = await self.read(service)
+            if isinstance(found, result.Success):
+                return found.unwrap()
+            await self.clock.sleep(SETTLE_PAUSE)
+
+    async def change(
+        self,
+        service: str,
+        gate: rows.GateRecord,
+        change: Change,
+    ) -> result.Result[data.Assignment, interfaces.Failure]:
+        """Commit a change under the versions of the assignment and the gate row.
+
+        Returns only when it is certain whether the change took effect. After a
+        conflict it is made again on the fresh assignment.
+        """
+        assignment = self.holder.current.assignments.get(service)
+        if assignment is None:
+            assignment = await self.read_until_answered(service)
+        for _ in range(CONFLICT_ATTEMPTS):
+            changed = change(assignment)
+            if changed is None:
+                return result.Success(assignment)
+            transaction = self.make_transaction(assignment, changed, gate)
+            outcome = await self.commit(transaction, assignment, changed)
+            if isinstance(outcome, result.Success):
+                return outcome
+            failure = outcome.failure()
+            if not isinstance(failure, errors.Conflict):
+                return outcome
+            if rows.name_gate(gate.row.target) in failure.keys:
+                return result.Failure(errors.NotTheGate(gate.row.target, gate.row.term))
+            assignment = await self.read_until_answered(service)
+        return result.Failure(errors.Conflict((rows.name_assignment(service),)))
+
+    def make_transaction(
+        self,
+        assignment: data.Assignment,
+        changed: data.Assignment,
+        gate: rows.GateRecord,
+    ) -> data.Transaction:
+        """Return the transaction from `assignment` to `changed`."""
+        operation_id = self.make_operation_id()
+        key = rows.name_assignment(assignment.service)
+        checks = (
+            data.Check(key, assignment.version),
+            data.Check(rows.name_gate(gate.row.target), gate.row.version),
+        )
+        value = rows.encode_assignment(changed, operation_id)
+        return data.Transaction(operation_id, checks, (data.Write(key, value),))
+
+    async def commit(
+        self,
+        transaction: data.Transaction,
+        assignment: data.Assignment,
+        changed: data.Assignment,
+    ) -> result.Result[data.Assignment, interfaces.Failure]:
+        """Commit once; after a lost answer, read back until the result is certain."""
+        key = rows.name_assignment(assignment.service)
+        while True:
+            outcome = await self.table.commit(transaction)
+            if isinstance(outcome, result.Success):
+                return self.note_changed(
+                    changed, outcome.unwrap().versions[key], transaction.operation_id
+                )
+            failure = outcome.failure()
+            if not isinstance(failure, errors.AnswerLost | errors.Conflict):
+                return outcome
+            found = await self.read_until_answered(assignment.service)
+            if transaction.operation_id in found.operations:
+                logging.info("assignment_settled service=%s", assignment.service)
+                return result.Success(found)
+            if isinstance(failure, errors.Conflict):
+                return outcome
+            if found.version != assignment.version:
+                return result.Failure(errors.Conflict((key,)))
+            await self.clock.sleep(SETTLE_PAUSE)
+
+    def note_changed(
+        self, changed: data.Assignment, version: int, operation_id: str
+    ) -> result.Result[data.Assignment, interfaces.Failure]:
+        """Show a committed assignment in the view."""
+        operations = (*changed.operations, operation_id)[-rows.OPERATIONS_KEPT :]
+        changed = changed._replace(version=version, operations=operations)
+        self.holder.offer_assignment(changed)
+        return result.Success(changed)
+
+
+def move_shards(service_moves: dict[int, str], loser: str) -> Change:
+    """Return the change that moves shards which `loser` still owns."""
+
+    def change(assignment: data.Assignment) -> data.Assignment | None:
+        owners = list(assignment.owners)
+        for shard, owner in service_moves.items():
+            if owners[shard] == loser:
+                owners[shard] = owner
+        if tuple(owners) == assignment.owners:
+            return None
+        return assignment._replace(owners=tuple(owners))
+
+    return change
+
+
+def move_key(key: str, shard: int, new_owner: str, loser: str) -> Change:
+    """Return the change that moves one key which `loser` still owns."""
+
+    def change(assignment: data.Assignment) -> data.Assignment | None:
+        shard_owner = assignment.owners[shard]
+        if assignment.overrides.get(key, shard_owner) != loser or new_owner == loser:
+            return None
+        overrides = {**assignment.overrides, key: new_owner}
+        if new_owner == shard_owner:
+            del overrides[key]
+        return assignment._replace(overrides=overrides)
+
+    return change
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/crashes.py
@@ -0,0 +1,111 @@
+"""The rows of suspects: writes crashes to the table and reads those of others."""
+
+import asyncio
+from collections.abc import Callable
+
+from absl import logging
+from returns import result
+
+from dewstep_core import data, errors
+from dewstep_entry import interfaces
+from dewstep_entry.gate import quarantine, rows
+
+WRITE_ATTEMPTS = 3
+
+
+class CrashRecorder:
+    """Keeps a suspect table in step with the table service.
+
+    Without the table service the suspect table of this gate still counts; other
+    gates then learn of a crash only from the next write.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        table: interfaces.TableClient,
+        make_operation_id: Callable[[], str],
+    ):
+        self.service = service
+        self.table = table
+        self.make_operation_id = make_operation_id
+        self.suspects = quarantine.SuspectTable()
+
+    async def receive_crash(self, fingerprints: list[str], alone: bool) -> None:
+        """Count a crash and write its rows."""
+        records = self.suspects.receive_crash(fingerprints, alone)
+        for record in records:
+            logging.warning(
+                "crash_suspect service=%s fingerprint=%s crashes=%d state=%s",
+                self.service,
+                record.fingerprint,
+                record.crashes,
+                record.state,
+            )
+        await asyncio.gather(*(self.write(record, alone) for record in records))
+
+    async def write(self, record: rows.QuarantineRecord, alone: bool) -> None:
+        """Write one row; after a conflict, add what the other gate wrote."""
+        key = rows.name_quarantine(self.service, record.fingerprint)
+        for _ in range(WRITE_ATTEMPTS):
+            operation_id = self.make_operation_id()
+            outcome = await self.table.commit(
+                data.Transaction(
+                    operation_id,
+                    (data.Check(key, record.version),),
+                    (data.Write(key, rows.encode_quarantine(record, operation_id)),),
+                )
+            )
+            if isinstance(outcome, result.Success):
+                version = outcome.unwrap().versions[key]
+                self.suspects.receive_written(record, version)
+                return
+            if not isinstance(outcome.failure(), errors.Conflict):
+                break
+            found = await self.table.read(key)
+            if isinstance(found, result.Failure):
+                break
+            record = self.merge(record, found.unwrap(), alone)
+        logging.warning(
+            "suspect_not_written service=%s fingerprint=%s",
+            self.service,
+            record.fingerprint,
+        )
+
+    def merge(
+        self, record: rows.QuarantineRecord, row: data.Row, alone: bool
+    ) -> rows.QuarantineRecord:
+        """Return the record to write over `row`."""
+        if row.value is None:
+            return record._replace(version=0)
+        decoded = rows.decode_quarantine(row)
+        if isinstance(decoded, result.Failure):
+            return record._replace(version=row.version)
+        return self.suspects.merge_row(decoded.unwrap(), alone)
+
+    async def receive_success(self, fingerprint: str) -> None:
+        """Clear a suspect that ran to its end, and delete its row."""
+        record = self.suspects.receive_success(fingerprint)
+        if record is None:
+            return
+        key = rows.name_quarantine(self.service, fingerprint)
+        await self.table.commit(
+            data.Transaction(
+                self.make_operation_id(),
+                (data.Check(key, record.version),),
+                (data.Write(key, None),),
+            )
+        )
+
+    async def refresh(self) -> result.Result[None, interfaces.Failure]:
+        """Read all rows of the service."""
+        written = self.suspects.list_written()
+        found = await self.table.read_prefix(rows.name_quarantine(self.service))
+        if isinstance(found, result.Failure):
+            return found
+        decoded = [rows.decode_quarantine(row) for row in found.unwrap()]
+        records = [
+            item.unwrap() for item in decoded if isinstance(item, result.Success)
+        ]
+        self.suspects.receive_rows(records, written)
+        return result.Success(None)
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/deduplication.py
@@ -0,0 +1,294 @@
+"""How request ids keep a request from running twice: methods by name (section 4.3).
+
+- "none": idempotent kinds; nothing is kept.
+- "table": a claim row is written before the request is sent.
+- "memory": time-ordered ids; an id that could have run under another gate, or that
+  this gate has forgotten, is answered as unknown.
+"""
+
+import datetime
+import uuid
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from absl import logging
+from returns import result
+
+from dewstep_core import clock as clocks, data, errors, registry
+from dewstep_entry import interfaces
+from dewstep_entry.gate import rows
+
+# Claims of this gate that certainly did not run and whose rows may still exist.
+UNSENT_LIMIT = 1_024
+
+UUID_TIME_SHIFT = 80
+
+# Age at which the floor of a single shard or key is merged into the general one.
+FLOOR_AGE = datetime.timedelta(minutes=1)
+
+
+class Claim(NamedTuple):
+    """Permission to run one request id; `version` 0 means that no row backs it."""
+
+    key: str
+    version: int
+    operation_id: str
+
+
+NO_CLAIM = Claim("", 0, "")
+
+
+class Context(NamedTuple):
+    """What the methods need to know of their gate."""
+
+    service: str
+    entry: str
+    term: int
+    gate_check: data.Check
+    """Holds for as long as this process is the gate."""
+    table: interfaces.TableClient
+    clock: clocks.Clock
+    maximum_clock_skew: datetime.timedelta
+    make_operation_id: Callable[[], str]
+
+
+class Method(Protocol):
+    """A deduplication method of one gate."""
+
+    remembers: bool
+    """Whether the gate keeps ids and answers for it."""
+
+    def check(self, request: data.Request, shard: int) -> interfaces.Failure | None:
+        """Return why a request id that is not in memory must not run, or None."""
+
+    async def claim(
+        self, request: data.Request
+    ) -> result.Result[Claim, interfaces.Failure]:
+        """Get permission to run a request whose slot is granted."""
+
+    async def abandon(self, claim: Claim, request: data.Request) -> None:
+        """Give the permission back: the request certainly did not run."""
+
+
+methods: registry.Registry[Callable[[Context], Method]] = registry.Registry(
+    "deduplication method"
+)
+
+
+def make_methods(context: Context) -> dict[str, Method]:
+    """Return all methods for one gate, by name."""
+    return {name: methods.get(name)(context) for name in methods}
+
+
+@methods.register("none")
+class NoDeduplication:
+    """Method of idempotent kinds."""
+
+    remembers = False
+
+    def __init__(self, context: Context):
+        pass
+
+    def check(self, request: data.Request, shard: int) -> None:
+        """Return None: every request may run."""
+        return None
+
+    async def claim(
+        self, request: data.Request
+    ) -> result.Result[Claim, interfaces.Failure]:
+        """Return an empty claim."""
+        return result.Success(NO_CLAIM)
+
+    async def abandon(self, claim: Claim, request: data.Request) -> None:
+        """Do nothing."""
+
+
+@methods.register("table")
+class TableDeduplication:
+    """Claim rows in the table service."""
+
+    remembers = True
+
+    def __init__(self, context: Context):
+        self.context = context
+        self.unsent: dict[str, None] = {}
+
+    def check(self, request: data.Request, shard: int) -> None:
+        """Return None: the claim decides."""
+        return None
+
+    async def claim(
+        self, request: data.Request
+    ) -> result.Result[Claim, interfaces.Failure]:
+        """Insert the claim row, or take over an own one that was never used."""
+        key = rows.name_claim(self.context.service, request.request_id)
+        first = await self.write(key, 0, request)
+        if isinstance(first, result.Success) or not isinstance(
+            first.failure(), errors.Conflict
+        ):
+            return first.alt(self.explain)
+        if key not in first.failure().keys:
+            return result.Failure(self.explain(first.failure()))
+        found = await self.context.table.read(key)
+        if isinstance(found, result.Failure):
+            return found.alt(self.explain)
+        row = found.unwrap()
+        operation_id = (row.value or {}).get("operation_id")
+        if operation_id not in self.unsent:
+            return result.Failure(
+                errors.AlreadyClaimed(request.service, request.request_id)
+            )
+        # The row is rewritten instead of reused: a deletion of it that is still
+        # under way checks the old version and can no longer take effect.
+        again = await self.write(key, row.version, request)
+        if isinstance(again, result.Success):
+            self.unsent.pop(operation_id, None)
+        return again.alt(self.explain)
+
+    async def write(
+        self, key: str, version: int, request: data.Request
+    ) -> result.Result[Claim, interfaces.Failure]:
+        """Write the claim row over `version`."""
+        operation_id = self.context.make_operation_id()
+        value = {
+            "gate": self.context.entry,
+            "term": self.context.term,
+            "time": self.context.clock.now().isoformat(),
+            "operation_id": operation_id,
+        }
+        transaction = data.Transaction(
+            operation_id,
+            (data.Check(key, version), self.context.gate_check),
+            (data.Write(key, value),),
+        )
+        # Noted before the call, because a transaction whose answer is lost or whose
+        # caller goes away may still take effect.
+        self.note_unsent(operation_id)
+        outcome = await self.context.table.commit(transaction)
+        if isinstance(outcome, result.Success):
+            self.unsent.pop(operation_id, None)
+        return outcome.map(
+            lambda commit: Claim(key, commit.versions[key], operation_id)
+        )
+
+    def explain(self, failure: interfaces.Failure) -> interfaces.Failure:
+        """Return the refusal for a claim that could not be written."""
+        return errors.ClaimUnavailable(self.context.service, type(failure).__name__)
+
+    def note_unsent(self, operation_id: str) -> None:
+        """Remember that the claim of `operation_id` was never used."""
+        self.unsent[operation_id] = None
+        if len(self.unsent) > UNSENT_LIMIT:
+            del self.unsent[next(iter(self.unsent))]
+
+    async def abandon(self, claim: Claim, request: data.Request) -> None:
+        """Delete the claim; if that fails, it stays, known as unused here."""
+        self.note_unsent(claim.operation_id)
+        outcome = await self.context.table.commit(
+            data.Transaction(
+                self.context.make_operation_id(),
+                (data.Check(claim.key, claim.version),),
+                (data.Write(claim.key, None),),
+            )
+        )
+        if isinstance(outcome, result.Failure):
+            logging.warning("claim_kept key=%s reason=%s", claim.key, outcome.failure())
+
+
+@methods.register("memory")
+class MemoryDeduplication:
+    """Time-ordered ids and the memory of the gate.
+
+    An id from before a floor may have run without this gate knowing. Floors are set
+    when the gate starts without the memory of its predecessor, when a shard or key
+    arrives from another target, and when ids are dropped from memory.
+    """
+
+    remembers = True
+
+    def __init__(self, context: Context):
+        self.context = context
+        self.floor = datetime.datetime.min.replace(tzinfo=datetime.UTC)
+        self.shard_floors: dict[int, datetime.datetime] = {}
+        self.key_floors: dict[str, datetime.datetime] = {}
+
+    def check(self, request: data.Request, shard: int) -> interfaces.Failure | None:
+        """Return why an id that is not in memory must not run, or None."""
+        time = read_uuid_time(request.request_id)
+        if time is None:
+            return errors.RequestIdUnusable(request.service, request.request_id)
+        if time > self.context.clock.now() + self.context.maximum_clock_skew:
+            return errors.RequestIdAhead(request.service, request.request_id)
+        floor = max(
+            self.floor,
+            self.shard_floors.get(shard, self.floor),
+            self.key_floors.get(request.key, self.floor),
+        )
+        if time < floor:
+            return errors.AlreadyClaimed(request.service, request.request_id)
+        return None
+
+    async def claim(
+        self, request: data.Request
+    ) -> result.Result[Claim, interfaces.Failure]:
+        """Return an empty claim."""
+        return result.Success(NO_CLAIM)
+
+    async def abandon(self, claim: Claim, request: data.Request) -> None:
+        """Do nothing."""
+
+    def compute_change_floor(self) -> datetime.datetime:
+        """Return the floor for a change of gate or target at this moment.
+
+        Twice the skew: the previous gate accepted ids up to one skew ahead of its
+        clock, which may itself be one skew ahead of this one.
+        """
+        return self.context.clock.now() + 2 * self.context.maximum_clock_skew
+
+    def receive_change(self) -> None:
+        """Note that this gate took over without its predecessor's memory."""
+        self.floor = max(self.floor, self.compute_change_floor())
+
+    def receive_arrival(self, shards: set[int], keys: set[str]) -> None:
+        """Note that shards and single keys came from other targets."""
+        floor = self.compute_change_floor()
+        self.merge_old_floors()
+        self.shard_floors.update(dict.fromkeys(shards, floor))
+        self.key_floors.update(dict.fromkeys(keys, floor))
+
+    def merge_old_floors(self) -> None:
+        """Keep the floors of shards and keys few by merging the old ones.
+
+        A floor must not be dropped, since resends of old ids have no time limit.
+        The general floor can take its place: new ids are later than both.
+        """
+        limit = self.context.clock.now() - FLOOR_AGE
+        for floors in (self.shard_floors, self.key_floors):
+            for name, floor in list(floors.items()):
+                if floor < limit:
+                    self.floor = max(self.floor, floor)
+                    del floors[name]
+
+    def receive_eviction(self, request_id: str) -> None:
+        """Note that the memory dropped an id."""
+        time = read_uuid_time(request_id)
+        if time is not None:
+            just_after = time + datetime.timedelta(milliseconds=1)
+            self.floor = max(self.floor, just_after)
+
+
+def read_uuid_time(request_id: str) -> datetime.datetime | None:
+    """Return the time in a UUID of version 7 (RFC 9562), or None."""
+    try:
+        parsed = uuid.UUID(request_id)
+    except ValueError:
+        return None
+    if parsed.version != 7:
+        return None
+    milliseconds = parsed.int >> UUID_TIME_SHIFT
+    try:
+        return datetime.datetime.fromtimestamp(0, datetime.UTC) + datetime.timedelta(
+            milliseconds=milliseconds
+        )
+    except OverflowError:
+        return None
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/gate.py
@@ -0,0 +1,386 @@
+"""The gate of one target: every request for the target passes through it.
+
+A gate owns the target's grant, slots, request ids and suspects. It is created by the
+manager after the transaction that raised the term, and ends when it is superseded or
+released.
+"""
+
+import asyncio
+import datetime
+import uuid
+from collections.abc import Callable, Iterable
+
+from absl import logging
+from returns import result
+
+from dewstep_core import clock as clocks, data, errors, settings as setting
+from dewstep_entry import interfaces
+from dewstep_entry.gate import (
+    arrivals,
+    crashes,
+    deduplication,
+    description,
+    events as event,
+    grants,
+    invariants,
+    lifecycle,
+    once,
+    ownership,
+    renewal,
+    rows,
+    runs,
+    sending,
+    serving,
+    slots,
+    unfenced,
+)
+from dewstep_entry.state import view
+
+
+class Gate:
+    """Owner of one target; see the module's docstring.
+
+    Parameters
+    ----------
+    target, record, service
+        The target, its gate row with this process in it, and its service.
+    clock, table, channel
+        Time, table service, and connections to the target.
+    settings : dewstep_core.settings.Settings
+        Settings of this process.
+    admission : slots.Admission
+        Queue and slots.
+    holder : view.ViewHolder
+        Current assignment and gate rows.
+    events : asyncio.Queue
+        Receives the messages of `gate.events`.
+    budget : sending.RetryBudget
+        Limit of retries.
+    start : lifecycle.Start
+        How the gate came to its term.
+    """
+
+    def __init__(
+        self,
+        target: data.Target,
+        record: rows.GateRecord,
+        service: data.Service,
+        clock: clocks.Clock,
+        table: interfaces.TableClient,
+        channel: interfaces.TargetChannel,
+        settings: setting.Settings,
+        admission: slots.Admission,
+        *,
+        holder: view.ViewHolder,
+        events: asyncio.Queue,
+        budget: sending.RetryBudget,
+        start: lifecycle.Start,
+        checks: invariants.Invariants | None = None,
+        make_operation_id: Callable[[], str] = lambda: str(uuid.uuid4()),
+    ):
+        self.target = target
+        self.record = record
+        self.fenced = target.fenced
+        self.service = service
+        self.clock = clock
+        self.channel = channel
+        self.settings = settings
+        self.holder = holder
+        self.events = events
+        self.start = start
+        self.checks = checks or invariants.Invariants()
+        self.kinds = {kind.name: kind for kind in service.kinds}
+        now = clock.monotonic()
+        horizon = min(record.horizon, service.outage_horizon)
+        tenure = grants.Tenure(record.row.term, horizon, start.contact)
+        grant_type = grants.FencedGrant if target.fenced else unfenced.UnfencedGrant
+        self.grant = grant_type(tenure, settings.grants, now, start.old_gates_end)
+        self.queue = slots.SlotQueue(admission, clock, target.slots, self.checks)
+        self.runs = runs.RunTable()
+        self.ownership = ownership.Ownership(
+            target.name, service.name, holder, self.checks, self.receive_arrival
+        )
+        self.recorder = crashes.CrashRecorder(service.name, table, make_operation_id)
+        self.loops = renewal.Renewal(
+            self.grant,
+            target.name,
+            channel,
+            table,
+            clock,
+            self.receive_restart,
+            self.watch,
+        )
+        self.sender = sending.Sender(
+            target,
+            self.grant,
+            channel,
+            clock,
+            budget,
+            self.recorder,
+            self.runs,
+            self.checks,
+            self.loops,
+            self.ownership,
+        )
+        context = deduplication.Context(
+            service.name,
+            settings.entry,
+            record.row.term,
+            data.Check(rows.name_gate(target.name), record.row.version),
+            table,
+            clock,
+            settings.maximum_clock_skew,
+            make_operation_id,
+        )
+        self.methods = deduplication.make_methods(context)
+        self.once = once.OnceRunner(clock, self.methods["memory"])
+        self.server = serving.Server(
+            self.queue, self.runs, self.sender, self.once, self.explain_refusal
+        )
+        self.arrivals = arrivals.Arrivals(self.recorder, clock)
+        self.lost = False
+        self.evacuating = False
+        self.releasing = False
+        with_memory = start.memory is not None and record.released
+        self.floor_due = not start.first and not with_memory
+        self.superseded = False
+        self.tasks: list[asyncio.Task] = []
+        if start.memory is not None:
+            self.once.load(start.memory)
+
+    # Life.
+
+    def run(self) -> None:
+        """Start the tasks of the gate."""
+        self.ownership.get_assignment()
+        self.tasks = [asyncio.ensure_future(self.loops.run_row_loop())]
+        loop = self.loops.run_target_loop
+        if not self.fenced:
+            loop = self.loops.run_watch_loop
+        self.tasks.append(asyncio.ensure_future(loop()))
+        self.arrivals.begin()
+
+    async def stop(self) -> None:
+        """End all tasks and refuse what waits; return when the last run has ended."""
+        self.grant.suspend()
+        self.releasing = True
+        self.queue.refuse(lambda ticket: self.explain_gone())
+        await self.queue.close()
+        await self.arrivals.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.runs.wait_empty()
+        await self.channel.close()
+
+    async def release(self) -> lifecycle.Release:
+        """Stop for a hand-over: finish the running requests, then stop sending."""
+        self.releasing = True
+        self.queue.refuse(lambda ticket: self.explain_gone())
+        await self.runs.wait_empty()
+        waiting = self.is_waiting() or not self.settle_floor()
+        await self.stop()
+        expired_at = self.grant.compute_expired_at()
+        return lifecycle.Release(self.once.export(), not waiting, expired_at)
+
+    def is_waiting(self) -> bool:
+        """Return whether an earlier gate may still act for the target."""
+        end = self.grant.old_gates_end
+        return end is not None and self.clock.monotonic() < end
+
+    # Ownership.
+
+    def explain_gone(self) -> interfaces.Failure:
+        """Return the refusal of a gate that ends."""
+        higher = self.grant.tenure.higher_term
+        return errors.NotTheGate(self.target.name, higher or self.record.row.term)
+
+    def receive_arrival(self, arrived: ownership.KeySet) -> None:
+        """Treat shards and keys as run elsewhere until now."""
+        self.methods["memory"].receive_arrival(arrived.shards, arrived.keys)
+        if not self.releasing:
+            self.arrivals.receive(arrived)
+
+    async def refresh_quarantine(
+        self,
+    ) -> result.Result[None, interfaces.Failure]:
+        """Read the suspects of the fleet; called at each refresh of the view."""
+        return await self.recorder.refresh()
+
+    def receive_configuration(self, target: data.Target, service: data.Service) -> None:
+        """Take over newer kinds of the service and whether the target drains.
+
+        Other fields of a target are fixed for the life of its gate.
+        """
+        if service is not self.service:
+            self.service = service
+            self.kinds = {kind.name: kind for kind in service.kinds}
+        self.target = self.target._replace(draining=target.draining)
+
+    def load_memory(self, memory: once.HandoverMemory) -> None:
+        """Take over request ids that arrive after the start of the gate."""
+        self.once.load(memory)
+
+    def explain_refusal(
+        self, request: data.Request, shard: int
+    ) -> interfaces.Failure | None:
+        """Return why a new request is not taken, or None."""
+        row = self.holder.current.gates.get(self.target.name)
+        if row is not None:
+            self.grant.tenure.receive_term(row.term)
+        if self.grant.tenure.higher_term is not None or self.releasing:
+            return self.explain_gone()
+        failure = self.ownership.explain_not_owned(request.key, shard)
+        if failure is not None:
+            return failure
+        if self.ownership.is_moving(request.key, shard):
+            return errors.ShardMoving(request.service, shard)
+        if self.lost:
+            return errors.TargetUnavailable(self.target.name, "does not answer")
+        return None
+
+    # Requests.
+
+    async def handle(
+        self, request: data.Request, shard: int, epoch: int
+    ) -> once.Outcome:
+        """Return the target's answer; `epoch` is the sender's assignment version."""
+        failure = self.explain_refusal(request, shard)
+        if failure is not None:
+            return result.Failure(failure)
+        kind = self.kinds.get(request.kind)
+        method = self.methods.get(kind.deduplication) if kind is not None else None
+        if method is None:
+            return result.Failure(errors.NotReady(f"kind {request.kind}"))
+        await self.arrivals.wait(request.key, shard)
+        if not self.settle_floor() and method is self.methods["memory"]:
+            return result.Failure(
+                errors.TargetUnavailable(self.target.name, "the gate is starting")
+            )
+        return await self.server.serve(request, shard, kind, method)
+
+    def settle_floor(self) -> bool:
+        """Set the floor of time-ordered ids once earlier gates cannot run any.
+
+        Earlier gates accept ids until they are fenced, so the floor counts from the
+        first moment at which this gate may send, not from the raise of the term.
+        """
+        if self.floor_due and self.grant.may_send(self.clock.monotonic()):
+            self.methods["memory"].receive_change()
+            self.floor_due = False
+        return not self.floor_due
+
+    # Moves.
+
+    async def drain_shards(
+        self, shards: Iterable[int], keys: Iterable[str] = ()
+    ) -> None:
+        """Take no more requests for shards and keys; wait for those in progress."""
+        moving = self.block(shards, keys)
+        await self.runs.wait_idle(*moving)
+        self.ownership.note_drained(moving)
+
+    def block(
+        self, shards: Iterable[int], keys: Iterable[str] = ()
+    ) -> ownership.KeySet:
+        """Take no more requests for shards and keys; refuse those without a slot."""
+        moving = ownership.make_key_set(shards, keys)
+        self.ownership.block(moving)
+        self.queue.refuse(
+            lambda ticket: (
+                errors.ShardMoving(ticket.request.service, ticket.shard)
+                if self.ownership.is_moving(ticket.request.key, ticket.shard)
+                else None
+            )
+        )
+        return moving
+
+    def take_idle(self, moving: ownership.KeySet) -> ownership.KeySet:
+        """Return the part of blocked shards and keys without requests in progress."""
+        busy = self.runs.list_busy()
+        idle = ownership.KeySet(
+            moving.shards - busy.shards,
+            moving.keys - busy.keys,
+        )
+        self.ownership.note_drained(idle)
+        return idle
+
+    def resume_shards(self, shards: Iterable[int], keys: Iterable[str] = ()) -> None:
+        """Serve shards and keys again after a move that did not take place."""
+        self.ownership.unblock(ownership.make_key_set(shards, keys))
+
+    # The target's state.
+
+    def receive_restart(self, boot: str) -> None:
+        """Report a new boot id."""
+        logging.warning("target_restarted target=%s boot=%s", self.target.name, boot)
+        self.report(event.TargetRestarted(self.target.name, self.term, boot))
+
+    @property
+    def term(self) -> int:
+        """Term of this gate."""
+        return self.record.row.term
+
+    def report(self, message: event.Event) -> None:
+        """Pass a message to the manager."""
+        self.events.put_nowait(message)
+
+    def watch(self) -> None:
+        """Report a lost, returned or superseded target once."""
+        now = self.clock.monotonic()
+        self.settle_floor()
+        row = self.holder.current.gates.get(self.target.name)
+        if row is not None:
+            self.grant.tenure.receive_term(row.term)
+        higher = self.grant.tenure.higher_term
+        if higher is not None and not self.superseded:
+            self.superseded = True
+            self.queue.refuse(lambda ticket: self.explain_gone())
+            self.report(event.Superseded(self.target.name, self.term, higher))
+        lost = self.evacuating or self.grant.is_lost(now)
+        if lost == self.lost:
+            return
+        self.lost = lost
+        if lost:
+            self.grant.suspend()
+            unavailable = errors.TargetUnavailable(self.target.name, "does not answer")
+            self.queue.refuse(lambda ticket: unavailable)
+            self.report(
+                event.TargetLost(self.target.name, self.term, self.get_expired_at())
+            )
+        else:
+            self.grant.resume()
+            self.report(event.TargetReturned(self.target.name, self.term))
+
+    def get_expired_at(self) -> datetime.timedelta:
+        """Return the local time from which nothing of any gate runs at the target."""
+        expired_at = self.grant.compute_expired_at()
+        if self.fenced:
+            return expired_at
+        # Nothing but their deadlines bounds requests at an unfenced target.
+        return max(expired_at, self.runs.get_last_deadline())
+
+    def begin_evacuation(self) -> bool:
+        """Return whether the shards of a lost target may be moved now.
+
+        From then until `end_evacuation` the target gets no grant even if it
+        returns.
+        """
+        if not self.lost or self.clock.monotonic() < self.get_expired_at():
+            return False
+        self.evacuating = True
+        return True
+
+    def forget_old_gates(self) -> None:
+        """Note an operator's declaration that earlier gates are dead."""
+        self.grant.forget_old_gates()
+
+    def end_evacuation(self) -> None:
+        """Allow grants again: the moves are settled, one way or the other."""
+        self.evacuating = False
+        self.grant.forget_loss()
+        self.loops.wake()
+
+    def describe(self) -> dict:
+        """Return the state of this gate for the dump."""
+        return description.describe_gate(self)
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/gate_test.py
@@ -0,0 +1,354 @@
+import asyncio
+import datetime
+
+import pytest
+from returns import result
+
+from dewstep_core import clock as clocks, data, errors, hashing
+from dewstep_entry.gate import (
+    fakes_test as fakes,
+    gate as gates,
+    lifecycle,
+    quarantine,
+    rows,
+)
+from dewstep_entry.state import view
+
+MS, SECOND = fakes.MS, fakes.SECOND
+SHARD = hashing.compute_shard("k1", 8)
+
+
+class World:
+    """One gate of target t1 with its table and target."""
+
+    def __init__(self, term=1, fenced=True, old_gates_end=None, slots=2):
+        self.clock = clocks.ManualClock()
+        self.table = fakes.Table()
+        self.server = fakes.TargetServer(self.clock)
+        self.channel = fakes.Channel(self.server, fenced)
+        self.target = fakes.make_target(fenced=fenced, slots=slots)
+        self.holder = view.ViewHolder()
+        self.assign(1, "t1")
+        self.events = asyncio.Queue()
+        self.budget = fakes.Budget()
+        row = data.GateRow("t1", "e1", "i1", "127.0.0.1", 1, term, 1)
+        self.record = rows.GateRecord(row, 100 * SECOND, False, "op")
+        self.table.put("gate/t1", rows.encode_gate(self.record))
+        self.gate = self.make_gate(
+            lifecycle.Start(
+                datetime.timedelta(), old_gates_end or datetime.timedelta(), None, True
+            )
+        )
+
+    def make_gate(self, start):
+        return gates.Gate(
+            self.target,
+            self.record,
+            fakes.SERVICE,
+            self.clock,
+            self.table,
+            self.channel,
+            fakes.SETTINGS,
+            fakes.FirstCome(self.target.slots),
+            holder=self.holder,
+            events=self.events,
+            budget=self.budget,
+            start=start,
+        )
+
+    def assign(self, version, owner, overrides=()):
+        assignment = data.Assignment("s", version, (owner,) * 8, dict(overrides), ())
+        self.holder.offer_assignment(assignment)
+
+    async def start(self):
+        self.gate.run()
+        await fakes.settle()
+        return self
+
+    def ask(self, request_id="r1", **fields):
+        request = fakes.make_request(request_id, **fields)
+        return asyncio.ensure_future(self.gate.handle(request, SHARD, 1))
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_requests_run_only_after_a_grant_on_a_confirmed_boot_id():
+    async def scenario():
+        world = await World().start()
+        outcome = await world.ask()
+        assert outcome.unwrap().body.start == b"done"
+        assert world.server.runs == [("r1", 1)]
+        # Rule G7: without the table, a restarted target gets no grant.
+        world.table.down = True
+        world.server.restart()
+        await fakes.pass_time(world.clock, 300 * MS)
+        outcome = await world.ask("r2")
+        assert isinstance(outcome.failure(), errors.TargetUnavailable)
+        assert world.server.term == 0
+        world.table.down = False
+        await fakes.pass_time(world.clock, 600 * MS)
+        assert (await world.ask("r3")).unwrap()
+        await world.gate.stop()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("kind", ["book", "note"])
+def test_resends_join_the_run_or_get_the_remembered_answer(kind):
+    async def scenario():
+        world = await World().start()
+        request_id = "01942068-0b00-7000-8000-000000000001"
+        world.server.hold = asyncio.Event()
+        first, second = (world.ask(request_id, kind=kind) for _ in range(2))
+        await fakes.settle()
+        # The run goes on although its first caller left.
+        first.cancel()
+        other = world.ask(request_id, kind=kind, key="k1", body=data.Body(b"x", None))
+        assert isinstance((await other).failure(), errors.RequestIdReused)
+        world.server.hold.set()
+        assert (await second).unwrap().body.start == b"done"
+        assert (await world.ask(request_id, kind=kind)).unwrap().body.start == b"done"
+        assert len(world.server.runs) == 1
+        assert world.table.get(f"claim/s/{request_id}").version == (kind == "book")
+        await world.gate.stop()
+
+    run(scenario)
+
+
+def test_long_answers_are_streamed_and_hold_their_slot_until_the_body_is_closed():
+    async def chunks():
+        for _ in range(4):
+            yield b"x" * 30_000
+
+    async def scenario():
+        world = await World(slots=1).start()
+        world.server.answers = {"r1": chunks(), "r2": chunks()}
+        answer = (await world.ask("r1", kind="book")).unwrap()
+        assert len(answer.body.start) == 90_000
+        again = await world.ask("r1", kind="book")
+        assert isinstance(again.failure(), errors.AlreadyClaimed)
+        waiting = world.ask("r2")
+        await fakes.settle()
+        assert not waiting.done()
+        await answer.body.rest.aclose()
+        # Closed without a first step: the slot must be freed all the same.
+        await (await waiting).unwrap().body.rest.aclose()
+        assert world.gate.queue.held == set()
+        await world.gate.stop()
+
+    run(scenario)
+
+
+def test_a_claim_is_deleted_only_if_the_request_certainly_did_not_run():
+    async def scenario():
+        world = await World().start()
+        world.server.answers["r1"] = errors.TargetRefused("t1", "shed")
+        world.server.answers["r2"] = errors.ConnectionLost("t1")
+        assert isinstance(
+            (await world.ask("r1", kind="book")).failure(), errors.TargetRefused
+        )
+        assert world.table.get("claim/s/r1").value is None
+        lost = await world.ask("r2", kind="book")
+        assert isinstance(lost.failure(), errors.ConnectionLost)
+        assert world.table.get("claim/s/r2").value is not None
+        again = await world.ask("r2", kind="book")
+        assert isinstance(again.failure(), errors.AlreadyClaimed)
+        assert [name for name, _ in world.server.runs] == ["r1", "r2"]
+        world.table.down = True
+        refused = await world.ask("r3", kind="book")
+        assert isinstance(refused.failure(), errors.ClaimUnavailable)
+        await world.gate.stop()
+
+    run(scenario)
+
+
+def test_an_idempotent_request_is_sent_again_within_the_budget_only():
+    async def scenario():
+        world = await World().start()
+        world.budget.retries = 1
+        world.server.answers["r1"] = errors.AnswerInvalid("t1", "")
+        asking = world.ask()
+        await fakes.pass_time(world.clock, 50 * MS)
+        assert isinstance((await asking).failure(), errors.AnswerInvalid)
+        assert len(world.server.runs) == 2
+        booking = world.ask("r2", kind="book")
+        await fakes.pass_time(world.clock, 50 * MS)
+        assert (await booking).unwrap()
+        await world.gate.stop()
+
+    run(scenario)
+
+
+def test_drain_waits_for_runs_and_refuses_new_requests():
+    async def scenario():
+        world = await World(slots=1).start()
+        world.server.hold = asyncio.Event()
+        running, queued = world.ask("r1"), world.ask("r2")
+        await fakes.settle()
+        draining = asyncio.ensure_future(world.gate.drain_shards({SHARD}))
+        assert isinstance((await queued).failure(), errors.ShardMoving)
+        assert isinstance((await world.ask("r3")).failure(), errors.ShardMoving)
+        assert not draining.done()
+        world.server.hold.set()
+        assert (await running).unwrap()
+        await draining
+        world.gate.resume_shards({SHARD})
+        assert (await world.ask("r4")).unwrap()
+        assert world.server.most_running == 1
+        await world.gate.stop()
+
+    run(scenario)
+
+
+def test_a_lost_target_is_reported_with_the_certain_expiry_of_its_grant():
+    async def scenario():
+        world = await World().start()
+        await fakes.pass_time(world.clock, SECOND)
+        world.server.reachable = False
+        frozen_at = world.clock.monotonic()
+        await fakes.pass_time(world.clock, 650 * MS)
+        lost = world.events.get_nowait()
+        assert frozen_at < lost.expired_at <= frozen_at + 616 * MS
+        # The target's own check at that time: the grant is over.
+        assert world.server.expires <= lost.expired_at + world.server.offset
+        refused = await world.ask()
+        assert isinstance(refused.failure(), errors.TargetUnavailable)
+        assert world.gate.begin_evacuation()
+        # A target that returns during the move gets no grant until it is settled.
+        world.server.reachable = True
+        await fakes.pass_time(world.clock, SECOND)
+        assert world.server.expires <= world.clock.monotonic() + world.server.offset
+        world.gate.end_evacuation()
+        await fakes.pass_time(world.clock, 500 * MS)
+        assert (await world.ask("r2")).unwrap()
+        await world.gate.stop()
+
+    run(scenario)
+
+
+def test_a_higher_term_at_the_target_or_in_the_view_ends_the_gate():
+    async def scenario():
+        world = await World().start()
+        world.server.term = 2
+        await fakes.pass_time(world.clock, 400 * MS)
+        assert world.events.get_nowait().higher_term == 2
+        assert isinstance((await world.ask()).failure(), errors.NotTheGate)
+        other = await World().start()
+        other.holder.offer_gate(other.record.row._replace(entry="e2", term=3))
+        assert (await other.ask()).failure() == errors.NotTheGate("t1", 3)
+        assert world.server.runs == other.server.runs == []
+
+    run(scenario)
+
+
+def test_an_unfenced_target_is_not_used_before_earlier_gates_end():
+    async def scenario():
+        world = await World(term=2, fenced=False, old_gates_end=5 * SECOND).start()
+        early = await world.ask(kind="look")
+        assert isinstance(early.failure(), errors.TargetUnavailable)
+        await fakes.pass_time(world.clock, 5 * SECOND, 100 * MS)
+        assert (await world.ask("r2")).unwrap()
+        # The horizon counts from the last read of the gate row.
+        world.table.down = True
+        await fakes.pass_time(world.clock, 101 * SECOND, SECOND)
+        late = await world.ask("r3", deadline=500 * SECOND)
+        assert isinstance(late.failure(), errors.TargetUnavailable)
+        await world.gate.stop()
+
+    run(scenario)
+
+
+def test_a_crashing_request_is_quarantined_and_an_innocent_one_is_served():
+    async def scenario():
+        world = await World().start()
+        crash = asyncio.Event()
+
+        async def exchange(request, stamp):
+            world.server.runs.append((request.path, stamp.term))
+            if request.path == "/bad" or not crash.is_set():
+                await crash.wait()
+                return result.Failure(errors.ConnectionLost("t1"))
+            answer = data.Answer(200, (), None, data.Body(b"", None), "")
+            return result.Success(answer)
+
+        world.channel.exchange = exchange
+        world.budget.retries = 0
+        bad, good = world.ask("r1", path="/bad"), world.ask("r2", path="/good")
+        await fakes.settle()
+        crash.set()
+        assert isinstance((await bad).failure(), errors.ConnectionLost)
+        assert isinstance((await good).failure(), errors.ConnectionLost)
+        assert (await world.ask("r3", path="/good")).unwrap()
+        await world.ask("r4", path="/bad")
+        # A new gate of the target, which knows only the table, refuses it too.
+        successor = world.make_gate(lifecycle.Start(0 * SECOND, 0 * SECOND))
+        successor.run()
+        for gate in (world.gate, successor):
+            refused = await gate.handle(fakes.make_request("r5", path="/bad"), SHARD, 1)
+            assert isinstance(refused.failure(), errors.Quarantined)
+        states = [
+            row.value["state"]
+            for row in world.table.rows.values()
+            if row.value and row.key.startswith("quarantine/")
+        ]
+        assert states == [quarantine.QUARANTINED]
+        assert world.server.runs.count(("/bad", 1)) == 2
+        await world.gate.stop()
+        await successor.stop()
+
+    run(scenario)
+
+
+def test_a_suspect_runs_alone():
+    async def scenario():
+        world = await World(slots=3).start()
+        suspect = fakes.make_request("r1", path="/suspect")
+        world.gate.recorder.suspects.receive_crash(
+            [quarantine.compute_fingerprint(suspect)], alone=False
+        )
+        world.server.hold = asyncio.Event()
+        tasks = [world.ask("r0"), world.ask("r1", path="/suspect"), world.ask("r2")]
+        await fakes.settle()
+        assert [name for name, _ in world.server.runs] == ["r0"]
+        world.server.hold.set()
+        await asyncio.gather(*tasks)
+        assert [name for name, _ in world.server.runs] == ["r0", "r1", "r2"]
+        assert world.server.most_running == 1
+        await world.gate.stop()
+
+    run(scenario)
+
+
+def test_ids_of_an_arrived_shard_that_may_have_run_elsewhere_are_refused():
+    async def scenario():
+        world = await World().start()
+        world.assign(2, "t2")
+        assert isinstance((await world.ask()).failure(), errors.NotTheOwner)
+        world.assign(3, "t1")
+        old = "01942068-0b00-7000-8000-000000000001"
+        outcome = await world.ask(old, kind="note")
+        assert isinstance(outcome.failure(), errors.AlreadyClaimed)
+        assert world.server.runs == []
+        await world.gate.stop()
+
+    run(scenario)
+
+
+def test_release_hands_over_ids_and_says_whether_earlier_gates_may_act():
+    async def scenario():
+        world = await World().start()
+        await world.ask("r1", kind="book")
+        release = await world.gate.release()
+        assert release.clean
+        assert [name for name, _ in release.memory.entries] == ["r1"]
+        assert isinstance((await world.ask("r2")).failure(), errors.NotTheGate)
+        assert world.channel.closed
+        # A gate that never reached its target has fenced nobody.
+        other = World(term=2, old_gates_end=50 * SECOND)
+        other.server.listening = False
+        await other.start()
+        assert not (await other.gate.release()).clean
+
+    run(scenario)
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/grants.py
@@ -0,0 +1,325 @@
+"""The grant of one target as a pure state machine (rules G2, G3, G6, G7, G8).
+
+Times are readings of this process's monotonic clock, except `Grant.expires` and
+`Stamp.deadline`, which are in the target's clock. The two are related only through
+`ClockReading`: the target's clock showed `clock` at some moment between `sent` and
+`received`. A bound that must not be too late counts from `sent`, a bound that must
+not be too early counts from `received`.
+"""
+
+import datetime
+from typing import NamedTuple
+
+from dewstep_core import data, settings as setting
+
+ZERO = datetime.timedelta()
+
+# A grant that builds on an older reading would leave too little time for requests.
+# The answer to one grant is the reading for the next, so that each renewal costs
+# one exchange instead of two.
+MAXIMUM_READING_AGE = datetime.timedelta(milliseconds=250)
+
+# Without any answer for this long, a target counts as lost. It lies below the
+# lifetime of a grant, so that the detection adds nothing to the wait for its expiry.
+LOST_AFTER = datetime.timedelta(milliseconds=400)
+
+# How often a gate reads its own row to extend the horizon. 3,000 targets cause 300
+# reads/s of the table service's 2,000.
+ROW_READ_INTERVAL = datetime.timedelta(seconds=10)
+
+
+# Part of the renewal interval after which a refused or unanswered grant is repeated.
+# It keeps a target that refuses every grant from being asked without pause.
+REPEAT_FRACTION = 0.2
+
+
+class ReadClock(NamedTuple):
+    """Ask the target for its clock and boot id."""
+
+
+class SendGrant(NamedTuple):
+    """Send `grant`, which builds on `reading`."""
+
+    grant: data.Grant
+    reading: data.ClockReading
+
+
+class Wait(NamedTuple):
+    """Nothing is due before `until`."""
+
+    until: datetime.timedelta
+
+
+class Stop(NamedTuple):
+    """Another gate has a higher term; send nothing any more."""
+
+    higher_term: int
+
+
+Action = ReadClock | SendGrant | Wait | Stop
+
+
+def compute_certain_expiry(
+    received: datetime.timedelta, settings: setting.GrantSettings
+) -> datetime.timedelta:
+    """Return the time from which a grant on this reading has certainly expired."""
+    return received + settings.lifetime * (1 + settings.drift) + settings.margin
+
+
+class Tenure:
+    """A gate's right to act for a target without the table (rules G6 and G8).
+
+    Parameters
+    ----------
+    term : int
+        Term of this gate.
+    horizon : datetime.timedelta
+        Time for which it continues without a successful read of its row.
+    contact : datetime.timedelta
+        Sending time of the transaction or read that last showed this term.
+    """
+
+    def __init__(
+        self, term: int, horizon: datetime.timedelta, contact: datetime.timedelta
+    ):
+        self.term = term
+        self.horizon = horizon
+        self.contact = contact
+        self.higher_term: int | None = None
+
+    @property
+    def horizon_end(self) -> datetime.timedelta:
+        """Time from which nothing may be renewed or sent to an unfenced target."""
+        return self.contact + self.horizon
+
+    def receive_row(self, term: int, sent: datetime.timedelta) -> None:
+        """Note the term in a row that was read or committed, asked for at `sent`."""
+        if term > self.term:
+            self.higher_term = max(self.higher_term or 0, term)
+        elif term == self.term:
+            self.contact = max(self.contact, sent)
+
+    def receive_term(self, term: int) -> None:
+        """Note a term seen elsewhere: in a peer's row or a target's answer."""
+        if term > self.term:
+            self.higher_term = max(self.higher_term or 0, term)
+
+    def stands(self, now: datetime.timedelta) -> bool:
+        """Return whether no higher term is known and the horizon is not over."""
+        return self.higher_term is None and now < self.horizon_end
+
+
+class FencedGrant:
+    """Grant of a fenced target.
+
+    Parameters
+    ----------
+    tenure : Tenure
+        Term and horizon of the gate.
+    settings : dewstep_core.settings.GrantSettings
+        Lifetime, interval and margins.
+    now : datetime.timedelta
+        Start of the gate; the target counts as lost from `LOST_AFTER` later on if
+        it never answers.
+    old_gates_end : datetime.timedelta
+        Time at which no earlier gate renews any more. It matters until the target
+        has accepted a grant of this term, which fences earlier gates.
+    """
+
+    def __init__(
+        self,
+        tenure: Tenure,
+        settings: setting.GrantSettings,
+        now: datetime.timedelta,
+        old_gates_end: datetime.timedelta,
+    ):
+        self.tenure = tenure
+        self.settings = settings
+        self.reading: data.ClockReading | None = None
+        self.boot_seen: datetime.timedelta | None = None
+        self.confirmed_boot: str | None = None
+        self.send_until = ZERO
+        self.own_expired_at = ZERO
+        self.old_gates_end: datetime.timedelta | None = old_gates_end
+        self.last_answer = now
+        self.last_call: datetime.timedelta | None = None
+        self.last_grant: datetime.timedelta | None = None
+        self.refused_at = ZERO
+        self.ask_at_once = False
+        self.refused_connection = False
+        self.renewing = True
+
+    # Decisions.
+
+    def plan(self, now: datetime.timedelta) -> Action:
+        """Return what to send to the target next."""
+        if self.tenure.higher_term is not None:
+            return Stop(self.tenure.higher_term)
+        if self.is_reading_usable(now) and self.may_renew(now):
+            due = self.compute_grant_due(now)
+            if now < due:
+                return Wait(due)
+            expires = self.reading.clock + self.settings.lifetime
+            grant = data.Grant(self.reading.boot, self.tenure.term, expires)
+            return SendGrant(grant, self.reading)
+        if self.last_call is None or self.ask_at_once:
+            return ReadClock()
+        due = self.last_call + self.settings.interval
+        return ReadClock() if now >= due else Wait(due)
+
+    def compute_grant_due(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Return when the next grant is due."""
+        if self.last_grant is None:
+            return now
+        if now < self.send_until:
+            return self.last_grant + self.settings.interval
+        return self.last_grant + self.settings.interval * REPEAT_FRACTION
+
+    def is_reading_usable(self, now: datetime.timedelta) -> bool:
+        """Return whether a grant may build on the latest reading (rule G2)."""
+        return (
+            self.reading is not None
+            and self.reading.sent >= self.refused_at
+            and now - self.reading.received <= MAXIMUM_READING_AGE
+        )
+
+    def may_renew(self, now: datetime.timedelta) -> bool:
+        """Return whether a grant may be sent at all (rules G4, G6, G7)."""
+        return (
+            self.renewing
+            and self.tenure.stands(now)
+            and self.reading is not None
+            and self.reading.boot == self.confirmed_boot
+        )
+
+    def may_send(self, now: datetime.timedelta) -> bool:
+        """Return whether a request may be sent now."""
+        return (
+            self.tenure.higher_term is None and self.renewing and now < self.send_until
+        )
+
+    def compute_send_limit(self) -> datetime.timedelta:
+        """Return the end of the last grant sent, for the check of `may_send`."""
+        return self.own_expired_at
+
+    def needs_row(self, now: datetime.timedelta) -> bool:
+        """Return whether the gate's row should be read now (rules G6, G7)."""
+        unconfirmed = (
+            self.reading is not None and self.reading.boot != self.confirmed_boot
+        )
+        return unconfirmed or now >= self.tenure.contact + ROW_READ_INTERVAL
+
+    def is_lost(self, now: datetime.timedelta) -> bool:
+        """Return whether the target counts as lost."""
+        return self.refused_connection or now >= self.last_answer + LOST_AFTER
+
+    def compute_expired_at(self) -> datetime.timedelta:
+        """Return from when no grant of this or an earlier gate is in force."""
+        if self.old_gates_end is None:
+            return self.own_expired_at
+        return max(self.own_expired_at, self.old_gates_end)
+
+    def make_stamp(self, epoch: int, deadline: datetime.timedelta) -> data.Stamp:
+        """Return the stamp of a request with the local `deadline`.
+
+        The target's clock shows at least `clock` + (t - `received`) at local time
+        t, so the stamped deadline is never later than the caller's.
+        """
+        return data.Stamp(
+            self.tenure.term,
+            epoch,
+            self.reading.boot,
+            self.reading.clock + (deadline - self.reading.received),
+        )
+
+    def forget_old_gates(self) -> None:
+        """Note an operator's declaration that no earlier gate is left."""
+        self.old_gates_end = None
+
+    # Events.
+
+    def start_call(self, now: datetime.timedelta) -> None:
+        """Note that a clock question or a grant is being sent."""
+        self.last_call = now
+        self.ask_at_once = False
+
+    def start_grant(self, reading: data.ClockReading, now: datetime.timedelta) -> None:
+        """Note that a grant on `reading` is being sent, whether or not it arrives."""
+        self.last_grant = now
+        self.own_expired_at = max(
+            self.own_expired_at, compute_certain_expiry(reading.received, self.settings)
+        )
+
+    def receive_reading(self, reading: data.ClockReading) -> bool:
+        """Take over a reading; return whether it shows a new boot id.
+
+        A reading that was delivered late is ignored if the target may have been
+        restarted since: it counts only if it was asked for after the current one
+        had arrived, or shows the same boot id and is newer.
+        """
+        self.tenure.receive_term(reading.term)
+        held = self.reading
+        if held is not None:
+            if reading.boot != held.boot and reading.sent < held.received:
+                return False
+            if reading.boot == held.boot and reading.sent < held.sent:
+                return False
+        self.last_answer = max(self.last_answer, reading.received)
+        self.refused_connection = False
+        self.reading = reading
+        if held is not None and reading.boot == held.boot:
+            return False
+        self.boot_seen = reading.received
+        self.confirmed_boot = None
+        self.send_until = ZERO
+        return held is not None
+
+    def receive_acceptance(self, base: data.ClockReading) -> None:
+        """Note that the target accepted the grant that built on `base`.
+
+        From now on earlier gates are fenced: this boot id refuses their term, and
+        for a later one they must first read the row (rule G7).
+        """
+        self.old_gates_end = None
+        if not self.renewing or base.sent < self.refused_at:
+            return
+        if self.reading is None or self.reading.boot != base.boot:
+            return
+        lifetime = self.settings.lifetime * (1 - self.settings.drift)
+        self.send_until = max(
+            self.send_until, base.sent + lifetime - self.settings.margin
+        )
+
+    def receive_refusal(self, now: datetime.timedelta) -> None:
+        """Note that the target refused a grant or a request as not permitted.
+
+        The reason (higher term, new boot id, or expiry) shows in the next reading,
+        which is due at once; until a grant on it is accepted, nothing is sent.
+        """
+        self.send_until = ZERO
+        self.refused_at = now
+        self.ask_at_once = True
+
+    def receive_connection_refused(self) -> None:
+        """Note that nothing listens at the target's address."""
+        self.refused_connection = True
+
+    def receive_row(self, term: int, sent: datetime.timedelta) -> None:
+        """Note a successful read of the gate's row that was sent at `sent`."""
+        self.tenure.receive_row(term, sent)
+        if term != self.tenure.term or self.reading is None:
+            return
+        if sent >= self.boot_seen:
+            self.confirmed_boot = self.reading.boot
+
+    def forget_loss(self) -> None:
+        """Do nothing: clock readings show whether the target is back."""
+
+    def suspend(self) -> None:
+        """Stop renewals: the target is being given up (rule G4)."""
+        self.renewing = False
+        self.send_until = ZERO
+
+    def resume(self) -> None:
+        """Allow renewals again: the target was not given up."""
+        self.renewing = True
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/invariants.py
@@ -0,0 +1,36 @@
+"""Checks that are always on: a broken one is logged, counted and refuses the send."""
+
+import collections
+
+from absl import logging
+
+from dewstep_core import errors
+
+UNEXPIRED_GRANT = "send-under-unexpired-grant"
+RISING_TERM = "term-never-goes-down"
+SLOTS = "slots-never-exceeded"
+STILL_SHARD = "no-shard-served-while-moved"
+
+
+class Invariants:
+    """Counts broken invariants by name.
+
+    Parameters
+    ----------
+    counts : collections.Counter, optional
+        Shared counter that the process reports.
+    """
+
+    def __init__(self, counts: collections.Counter | None = None):
+        self.counts = collections.Counter() if counts is None else counts
+
+    def check(
+        self, holds: bool, invariant: str, **details
+    ) -> errors.InvariantBroken | None:
+        """Return None if `holds`; otherwise log, count and return the failure."""
+        if holds:
+            return None
+        detail = " ".join(f"{name}={value}" for name, value in details.items())
+        self.counts[invariant] += 1
+        logging.error("invariant_broken invariant=%s %s", invariant, detail)
+        return errors.InvariantBroken(invariant, detail)
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -0,0 +1,401 @@
+"""All gates of this process: when to become one, when to stop being one."""
+
+import asyncio
+import collections
+import datetime
+from collections.abc import Callable, Mapping
+
+from absl import logging
+from returns import result
+
+from dewstep_core import clock as clocks, data, errors, settings as setting
+from dewstep_entry import interfaces
+from dewstep_entry.gate import (
+    assignments,
+    description,
+    events as event,
+    gate as gates,
+    handover,
+    invariants,
+    lifecycle,
+    moves,
+    ownership,
+    rows,
+    succession,
+    takeover,
+    timing,
+    wiring as wirings,
+)
+from dewstep_entry.state import view
+
+STEP = datetime.timedelta(milliseconds=50)
+RETRY_PAUSE = datetime.timedelta(milliseconds=200)
+
+
+class GateManager:
+    """Owns the gates of this process.
+
+    Parameters
+    ----------
+    own : data.Member
+        This process.
+    holder : view.ViewHolder
+        Configuration, assignments, gate rows and members.
+    table, clock, settings
+        Table service, time and settings of this process.
+    wiring : wiring.Wiring
+        Constructors and callables from other parts of the process.
+    """
+
+    def __init__(
+        self,
+        own: data.Member,
+        holder: view.ViewHolder,
+        table: interfaces.TableClient,
+        clock: clocks.Clock,
+        settings: setting.Settings,
+        wiring: wirings.Wiring,
+        make_operation_id: Callable[[], str] = takeover.make_uuid,
+        counts: collections.Counter | None = None,
+    ):
+        self.own = own
+        self.holder = holder
+        self.table = table
+        self.clock = clock
+        self.settings = settings
+        self.wiring = wiring
+        self.make_operation_id = make_operation_id
+        self.checks = invariants.Invariants(counts)
+        self.events: asyncio.Queue[event.Event] = asyncio.Queue()
+        self.gates: dict[str, gates.Gate] = {}
+        self.vacant_since: dict[str, tuple[str, datetime.timedelta]] = {}
+        self.takeovers: dict[str, asyncio.Task] = {}
+        self.emptying: dict[str, asyncio.Task] = {}
+        self.endings: set[asyncio.Task] = set()
+        self.leaving_targets: frozenset[str] = frozenset()
+        self.leaving_entries: frozenset[str] = frozenset()
+        self.stopping = False
+        self.rows = takeover.GateRowWriter(
+            own, holder, table, clock, settings.grants, make_operation_id
+        )
+        self.assignments = assignments.AssignmentWriter(
+            holder, table, clock, make_operation_id
+        )
+        self.mover = moves.Mover(
+            self.assignments, table, clock, wiring.plan_evacuation, self.list_usable
+        )
+
+    # Loop.
+
+    async def run(self) -> None:
+        """Act on vacancies, losses and leaving targets until cancelled."""
+        while True:
+            self.step()
+            await self.clock.sleep(STEP)
+
+    def step(self) -> None:
+        """Look once at all targets of the data centre; starts tasks, never waits."""
+        while not self.events.empty():
+            self.receive_event(self.events.get_nowait())
+        configuration = self.holder.current.configuration
+        if configuration is None:
+            return
+        for name, gate in list(self.gates.items()):
+            target = configuration.targets.get(name)
+            service = configuration.services.get(gate.service.name)
+            if target is not None and service is not None:
+                gate.receive_configuration(target, service)
+            self.start_emptying(gate)
+        if not self.stopping:
+            for target in configuration.targets.values():
+                if target.data_centre == self.own.data_centre:
+                    self.look_for_vacancy(target, configuration)
+
+    def receive_event(self, message: event.Event) -> None:
+        """Process one message of a gate."""
+        logging.info("gate_event %s", message)
+        gate = self.gates.get(message.target)
+        if gate is None or gate.term != message.term:
+            return
+        self.checks.counts[type(message).__name__] += 1
+        if isinstance(message, event.Superseded):
+            self.end_gate(gate)
+
+    def end_gate(self, gate: gates.Gate) -> None:
+        """Drop a gate and let its running requests end by themselves."""
+        if self.gates.get(gate.target.name) is gate:
+            del self.gates[gate.target.name]
+        task = asyncio.ensure_future(gate.stop())
+        self.endings.add(task)
+        task.add_done_callback(self.endings.discard)
+
+    # Becoming a gate.
+
+    def look_for_vacancy(
+        self, target: data.Target, configuration: data.Configuration
+    ) -> None:
+        """Start to take a target over if it has been without a gate long enough."""
+        if target.name in self.takeovers:
+            return
+        gate = self.gates.get(target.name)
+        vacancy = succession.decide(
+            target,
+            self.holder.current.gates.get(target.name),
+            self.holder.current.members,
+            self.own,
+            None if gate is None else gate.term,
+            self.leaving_entries,
+        )
+        if vacancy is None:
+            self.vacant_since.pop(target.name, None)
+            return
+        now = self.clock.monotonic()
+        reason, since = self.vacant_since.get(target.name, (vacancy.reason, now))
+        if reason != vacancy.reason:
+            since = now
+        self.vacant_since[target.name] = (vacancy.reason, since)
+        service = configuration.services.get(target.service)
+        if service is not None and now - since >= vacancy.delay:
+            self.start_takeover(target, service)
+
+    def start_takeover(self, target: data.Target, service: data.Service) -> None:
+        """Start the task that takes a target over."""
+        task = asyncio.ensure_future(self.take_over(target, service))
+        self.takeovers[target.name] = task
+        task.add_done_callback(lambda done: self.takeovers.pop(target.name, None))
+
+    async def take_over(self, target: data.Target, service: data.Service) -> None:
+        """Raise the term and start the gate."""
+        held = self.gates.get(target.name)
+        outcome = await self.rows.take_over(
+            target, service.outage_horizon, None if held is None else held.term
+        )
+        if isinstance(outcome, result.Failure):
+            logging.warning(
+                "takeover_failed target=%s reason=%s", target.name, outcome.failure()
+            )
+            await self.clock.sleep(RETRY_PAUSE)
+            return
+        won = outcome.unwrap()
+        start = lifecycle.Start(won.contact, won.wait.until, None, won.first)
+        await self.start_gate(target, service, won.record, start)
+
+    async def start_gate(
+        self,
+        target: data.Target,
+        service: data.Service,
+        record: rows.GateRecord,
+        start: lifecycle.Start,
+    ) -> None:
+        """Start a gate after a read of the assignment that began under its term.
+
+        The previous gate may have moved shards away after the last version that
+        this process knows; from the new term on it no longer can.
+        """
+        assignment = await self.assignments.read_until_answered(service.name)
+        start = start._replace(first=start.first and assignment.version <= 1)
+        held = self.gates.get(target.name)
+        if held is not None:
+            broken = self.checks.check(
+                record.row.term > held.term,
+                invariants.RISING_TERM,
+                target=target.name,
+                held=held.term,
+                term=record.row.term,
+            )
+            if broken is not None:
+                return
+            self.end_gate(held)
+        gate = gates.Gate(
+            target,
+            record,
+            service,
+            self.clock,
+            self.table,
+            self.wiring.make_channel(target),
+            self.settings,
+            self.wiring.make_admission(target),
+            holder=self.holder,
+            events=self.events,
+            budget=self.wiring.budget,
+            start=start,
+            checks=self.checks,
+            make_operation_id=self.make_operation_id,
+        )
+        self.gates[target.name] = gate
+        gate.run()
+
+    async def receive_handover(self, message: handover.Handover) -> None:
+        """Start a gate that another process handed to this one."""
+        row = message.record.row
+        configuration = self.holder.current.configuration
+        target = configuration and configuration.targets.get(row.target)
+        service = target and configuration.services.get(target.service)
+        if service is None or (row.entry, row.incarnation) != (
+            self.own.entry,
+            self.own.incarnation,
+        ):
+            logging.warning("handover_refused target=%s term=%d", row.target, row.term)
+            return
+        if self.get_term(row.target) > row.term:
+            return
+        self.holder.offer_gate(row)
+        running = self.takeovers.get(row.target)
+        if running is not None:
+            await asyncio.wait({running})
+        held = self.gates.get(row.target)
+        if held is not None and held.term >= row.term:
+            if held.term == row.term:
+                held.load_memory(message.memory)
+            return
+        now = self.clock.monotonic()
+        start = handover.make_start(message, now, self.settings.grants)
+        task = asyncio.ensure_future(
+            self.start_gate(target, service, message.record, start)
+        )
+        self.takeovers[row.target] = task
+        task.add_done_callback(lambda done: self.takeovers.pop(row.target, None))
+        await task
+
+    # Emptying targets.
+
+    def set_leaving(self, targets: frozenset[str], entries: frozenset[str]) -> None:
+        """Note what the instance list shows as leaving."""
+        self.leaving_targets = targets
+        self.leaving_entries = entries
+
+    def list_usable(self, service: str, without: str) -> tuple[str, ...]:
+        """Return the targets of a service that may get shards."""
+        configuration = self.holder.current.configuration
+        lost = {name for name, gate in self.gates.items() if gate.lost}
+        return tuple(
+            sorted(
+                target.name
+                for target in configuration.targets.values()
+                if target.service == service
+                and target.name != without
+                and not target.draining
+                and target.name not in self.leaving_targets
+                and target.name not in lost
+            )
+        )
+
+    def is_leaving(self, gate: gates.Gate) -> bool:
+        """Return whether the target of a gate should get no new work."""
+        return gate.target.draining or gate.target.name in self.leaving_targets
+
+    def start_emptying(self, gate: gates.Gate) -> None:
+        """Start to move shards away from a lost or leaving target."""
+        name = gate.target.name
+        if name in self.emptying or not moves.owns_anything(gate):
+            return
+        if gate.lost:
+            work = self.mover.evacuate(gate)
+        elif self.is_leaving(gate):
+            work = self.mover.vacate(gate, lambda: self.is_leaving(gate))
+        elif not gate.fenced and gate.is_waiting():
+            work = self.mover.wait_declaration(gate)
+        else:
+            return
+        task = asyncio.ensure_future(work)
+        self.emptying[name] = task
+        task.add_done_callback(lambda done: self.emptying.pop(name, None))
+
+    async def move_shards(
+        self, service: str, shard_moves: Mapping[int, str]
+    ) -> dict[str, result.Result[data.Assignment, interfaces.Failure]]:
+        """Move shards whose targets have their gates here; return results by target.
+
+        Shards of other gates are left out: their own processes move them.
+        """
+        assignment = self.holder.current.assignments[service]
+        grouped: dict[str, dict[int, str]] = {}
+        for shard, owner in shard_moves.items():
+            grouped.setdefault(assignment.owners[shard], {})[shard] = owner
+        outcomes = {}
+        for loser, moving in grouped.items():
+            gate = self.gates.get(loser)
+            if gate is not None:
+                outcomes[loser] = await self.mover.move_shards(gate, moving)
+        return outcomes
+
+    async def move_key(
+        self, service: str, key: str, new_owner: str
+    ) -> result.Result[data.Assignment, interfaces.Failure]:
+        """Move a single key whose target has its gate here."""
+        assignment = self.holder.current.assignments[service]
+        owner, _ = ownership.find_owner(assignment, key)
+        gate = self.gates.get(owner)
+        if gate is None:
+            return result.Failure(errors.NotTheGate(owner, self.get_term(owner)))
+        return await self.mover.move_key(gate, key, new_owner)
+
+    # Requests.
+
+    def get_term(self, target: str) -> int:
+        """Return the highest known term of a target, or 0."""
+        row = self.holder.current.gates.get(target)
+        return 0 if row is None else row.term
+
+    async def handle(
+        self, request: data.Request
+    ) -> result.Result[data.Answer, interfaces.Failure]:
+        """Answer a request that reached this process as the gate of its target."""
+        assignment = self.holder.current.assignments.get(request.service)
+        if assignment is None:
+            return result.Failure(errors.NotReady(f"assignment/{request.service}"))
+        owner, shard = ownership.find_owner(assignment, request.key)
+        gate = self.gates.get(owner)
+        if gate is None:
+            return result.Failure(errors.NotTheGate(owner, self.get_term(owner)))
+        return await gate.handle(request, shard, assignment.version)
+
+    async def refresh_quarantine(self) -> None:
+        """Read the suspects of the fleet for all gates of this process."""
+        for gate in list(self.gates.values()):
+            await gate.refresh_quarantine()
+
+    # Stop.
+
+    def find_successor(self, target: data.Target) -> data.Member | None:
+        """Return the process that gets a target at a planned stop."""
+        excluded = self.leaving_entries | {self.own.entry}
+        members = self.holder.current.members
+        return succession.choose_successor(target, members, excluded)
+
+    async def stop(self) -> tuple[str, ...]:
+        """Hand over all gates within the stop limit; return those that remain."""
+        self.stopping = True
+        await timing.wait_at_most(
+            self.clock, self.hand_over_all(), self.settings.stop_limit
+        )
+        return tuple(sorted(self.gates))
+
+    async def hand_over_all(self) -> None:
+        """Hand over all gates, including those that are just being taken over."""
+        work = [self.hand_over(gate) for gate in self.gates.values()]
+        work += [self.hand_over_later(name) for name in self.takeovers]
+        await asyncio.gather(*work)
+
+    async def hand_over_later(self, target: str) -> None:
+        """Hand a target over that is being taken over now."""
+        await asyncio.wait({self.takeovers[target]})
+        gate = self.gates.get(target)
+        if gate is not None and not gate.releasing:
+            await self.hand_over(gate)
+
+    async def hand_over(self, gate: gates.Gate) -> None:
+        """Hand one gate over."""
+        outcome = await handover.hand_over(
+            gate,
+            self.rows,
+            self.find_successor,
+            self.wiring.send_handover,
+            self.clock,
+        )
+        if isinstance(outcome, result.Success):
+            self.gates.pop(gate.target.name, None)
+
+    def describe(self) -> dict:
+        """Return the state of all gates for the dump."""
+        return description.describe_gates(self)
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/moves.py
@@ -0,0 +1,260 @@
+"""Moving shards away from targets: lost ones, leaving ones, and on request."""
+
+import asyncio
+import datetime
+from collections.abc import Callable, Collection, Mapping
+
+from absl import logging
+from returns import result
+
+from dewstep_core import clock as clocks, data, errors, hashing
+from dewstep_entry import interfaces
+from dewstep_entry.gate import assignments, gate as gates, ownership, rows, timing
+
+PlanEvacuation = Callable[[data.Assignment, str, Collection[str]], tuple[str, ...]]
+"""Takes the assignment, the target to empty and the usable targets; returns the
+owners of all shards."""
+
+# Pause before a move that certainly did not take effect is tried again.
+RETRY_PAUSE = datetime.timedelta(milliseconds=250)
+
+# A long wait for the horizon is interrupted this often to look for an operator's
+# declaration.
+DECLARATION_INTERVAL = datetime.timedelta(seconds=2)
+
+# Longest wait for the requests in progress of a planned move.
+DRAIN_LIMIT = datetime.timedelta(seconds=10)
+
+
+class Mover:
+    """Carries out moves for the gates of this process.
+
+    Parameters
+    ----------
+    plan_evacuation : PlanEvacuation
+        Pure planner of the new owners.
+    list_usable : Callable[[str, str], tuple[str, ...]]
+        Returns the targets of a service that may get shards, without one.
+    """
+
+    def __init__(
+        self,
+        writer: assignments.AssignmentWriter,
+        table: interfaces.TableClient,
+        clock: clocks.Clock,
+        plan_evacuation: PlanEvacuation,
+        list_usable: Callable[[str, str], tuple[str, ...]],
+    ):
+        self.writer = writer
+        self.table = table
+        self.clock = clock
+        self.plan_evacuation = plan_evacuation
+        self.list_usable = list_usable
+        self.moving: set[asyncio.Task] = set()
+
+    # Lost targets.
+
+    async def evacuate(self, gate: gates.Gate) -> None:
+        """Move everything away from a lost target, as soon as that is safe."""
+        while gate.lost and not gate.releasing and owns_anything(gate):
+            await self.wait_expiry(gate)
+            if not gate.begin_evacuation():
+                continue
+            # Not in a `finally`: a cancelled task leaves it uncertain whether the
+            # shards have moved, and the target must then stay without a grant.
+            owned = gate.ownership.list_owned()
+            outcome = await self.writer.change(
+                gate.service.name, gate.record, self.make_evacuation(gate, owned)
+            )
+            self.note_moved(gate)
+            gate.end_evacuation()
+            logging.warning(
+                "target_evacuated target=%s term=%d outcome=%s",
+                gate.target.name,
+                gate.term,
+                describe_outcome(outcome),
+            )
+            await self.clock.sleep(RETRY_PAUSE)
+
+    async def wait_expiry(self, gate: gates.Gate) -> None:
+        """Wait until nothing of any gate runs at a lost target."""
+        while gate.lost and not gate.releasing:
+            left = gate.get_expired_at() - self.clock.monotonic()
+            if left <= datetime.timedelta():
+                return
+            if left > DECLARATION_INTERVAL and await self.take_declaration(gate):
+                continue
+            await self.clock.sleep(min(left, DECLARATION_INTERVAL))
+
+    async def wait_declaration(self, gate: gates.Gate) -> None:
+        """Look for a declaration while an unfenced target waits for earlier gates."""
+        while gate.is_waiting() and not gate.releasing:
+            if not await self.take_declaration(gate):
+                await self.clock.sleep(DECLARATION_INTERVAL)
+
+    async def take_declaration(self, gate: gates.Gate) -> bool:
+        """Return whether an operator declared the earlier gates of a target dead.
+
+        The declaration is deleted before it takes effect. One that stayed could
+        shorten the wait of a later gate, whose predecessor it does not mean.
+        """
+        key = rows.name_declaration(gate.target.name)
+        found = await self.table.read(key)
+        if isinstance(found, result.Failure) or found.unwrap().value is None:
+            return False
+        checks = (
+            data.Check(key, found.unwrap().version),
+            data.Check(rows.name_gate(gate.target.name), gate.record.row.version),
+        )
+        outcome = await self.table.commit(
+            data.Transaction(
+                self.writer.make_operation_id(), checks, (data.Write(key, None),)
+            )
+        )
+        if isinstance(outcome, result.Failure):
+            return False
+        logging.warning("declaration_taken target=%s", gate.target.name)
+        gate.forget_old_gates()
+        return True
+
+    def make_evacuation(
+        self, gate: gates.Gate, moving: ownership.KeySet
+    ) -> assignments.Change:
+        """Return the change that moves the shards and keys in `moving` elsewhere.
+
+        A single key goes back to its shard; it is lifted out again where it turns
+        out to be hot.
+        """
+        loser = gate.target.name
+
+        def change(assignment: data.Assignment) -> data.Assignment | None:
+            usable = self.list_usable(assignment.service, loser)
+            if not usable:
+                return None
+            planned = self.plan_evacuation(assignment, loser, usable)
+            owners = tuple(
+                planned[shard] if owner == loser and shard in moving.shards else owner
+                for shard, owner in enumerate(assignment.owners)
+            )
+            overrides = dict(assignment.overrides)
+            shard_count = len(owners)
+            for key in moving.keys:
+                if overrides.get(key) != loser:
+                    continue
+                # Without this, a key would come back to a shard that stays here.
+                owner = owners[hashing.compute_shard(key, shard_count)]
+                if owner == loser:
+                    overrides[key] = usable[0]
+                else:
+                    del overrides[key]
+            if owners == assignment.owners and overrides == assignment.overrides:
+                return None
+            return assignment._replace(owners=owners, overrides=overrides)
+
+        return change
+
+    # Leaving targets.
+
+    async def vacate(self, gate: gates.Gate, is_leaving: Callable[[], bool]) -> None:
+        """Take no new work for a leaving target and move its shards away.
+
+        Shards without requests in progress move at once, the others when their
+        requests have ended. Until then the target gets nothing new.
+        """
+        while (
+            is_leaving()
+            and not gate.releasing
+            and not gate.lost
+            and owns_anything(gate)
+        ):
+            moving = gate.block(*gate.ownership.list_owned())
+            ended = gate.runs.ended
+            idle = gate.take_idle(moving)
+            if not idle.shards and not idle.keys:
+                await timing.wait_event(self.clock, ended, RETRY_PAUSE)
+                continue
+            outcome = await self.writer.change(
+                gate.service.name, gate.record, self.make_evacuation(gate, idle)
+            )
+            self.note_moved(gate)
+            logging.info(
+                "target_vacated target=%s shards=%d outcome=%s",
+                gate.target.name,
+                len(idle.shards),
+                describe_outcome(outcome),
+            )
+            if not is_all_moved(gate, idle):
+                await self.clock.sleep(RETRY_PAUSE)
+        if not is_leaving():
+            gate.resume_shards(*gate.ownership.list_owned())
+
+    def note_moved(self, gate: gates.Gate) -> None:
+        """Unblock what the target does not own any more."""
+        owned = gate.ownership.list_owned()
+        blocked = gate.ownership
+        gate.ownership.note_departure(
+            ownership.make_key_set(
+                blocked.blocked - owned.shards, blocked.blocked_keys - owned.keys
+            )
+        )
+
+    # Planned moves.
+
+    async def move_shards(
+        self, gate: gates.Gate, moves: Mapping[int, str]
+    ) -> result.Result[data.Assignment, interfaces.Failure]:
+        """Move shards of a target to the owners in `moves`."""
+        change = assignments.move_shards(dict(moves), gate.target.name)
+        return await self.move(gate, ownership.make_key_set(moves), change)
+
+    async def move_key(
+        self, gate: gates.Gate, key: str, new_owner: str
+    ) -> result.Result[data.Assignment, interfaces.Failure]:
+        """Move a single key of a target to `new_owner`."""
+        shard = hashing.compute_shard(key, gate.service.shard_count)
+        change = assignments.move_key(key, shard, new_owner, gate.target.name)
+        return await self.move(gate, ownership.make_key_set(keys=(key,)), change)
+
+    async def move(
+        self, gate: gates.Gate, moving: ownership.KeySet, change: assignments.Change
+    ) -> result.Result[data.Assignment, interfaces.Failure]:
+        """Drain, commit, and resume what did not move.
+
+        Goes on if its caller is cancelled: the keys must stay blocked until the
+        result of the transaction is certain.
+        """
+        work = asyncio.ensure_future(self.move_to_end(gate, moving, change))
+        self.moving.add(work)
+        work.add_done_callback(self.moving.discard)
+        return await asyncio.shield(work)
+
+    async def move_to_end(
+        self, gate: gates.Gate, moving: ownership.KeySet, change: assignments.Change
+    ) -> result.Result[data.Assignment, interfaces.Failure]:
+        """Carry out `move`."""
+        drained, _ = await timing.wait_at_most(
+            self.clock, gate.drain_shards(*moving), DRAIN_LIMIT
+        )
+        outcome = result.Failure(errors.DeadlineExceeded(gate.target.name))
+        if drained:
+            outcome = await self.writer.change(gate.service.name, gate.record, change)
+        gate.ownership.note_departure(moving)
+        return outcome
+
+
+def owns_anything(gate: gates.Gate) -> bool:
+    """Return whether the target of a gate owns a shard or a single key."""
+    return gate.ownership.list_owned() != ownership.KeySet()
+
+
+def is_all_moved(gate: gates.Gate, moving: ownership.KeySet) -> bool:
+    """Return whether the target owns nothing of `moving` any more."""
+    owned = gate.ownership.list_owned()
+    return not (owned.shards & moving.shards or owned.keys & moving.keys)
+
+
+def describe_outcome(outcome: result.Result) -> str:
+    """Return a short text on the outcome of a move, for the log."""
+    if isinstance(outcome, result.Success):
+        return f"version {outcome.unwrap().version}"
+    return type(outcome.failure()).__name__
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/ownership.py
@@ -0,0 +1,183 @@
+"""Which keys a gate may serve now: the assignment, less what is being moved."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from dewstep_core import data, errors, hashing
+from dewstep_entry import interfaces
+from dewstep_entry.gate import invariants, rows
+from dewstep_entry.state import view
+
+
+class KeySet(NamedTuple):
+    """Shards, and single keys that are or will be lifted out of theirs."""
+
+    shards: frozenset[int] = frozenset()
+    keys: frozenset[str] = frozenset()
+
+
+def find_owner(assignment: data.Assignment, key: str) -> tuple[str, int]:
+    """Return the target that owns a key, and the shard of the key."""
+    shard = hashing.compute_shard(key, len(assignment.owners))
+    return assignment.overrides.get(key, assignment.owners[shard]), shard
+
+
+def find_arrivals(
+    target: str, held: data.Assignment, assignment: data.Assignment
+) -> KeySet:
+    """Return what `target` may own in `assignment` but did not own in `held`.
+
+    A key that is no longer lifted out counts too, since it may come back to a shard
+    that the target has owned all along.
+    """
+    shards = frozenset(
+        shard
+        for shard, owner in enumerate(assignment.owners)
+        if owner == target and held.owners[shard] != target
+    )
+    lifted = {
+        key
+        for key, owner in assignment.overrides.items()
+        if owner == target and held.overrides.get(key) != target
+    }
+    returned = {key for key in held.overrides if key not in assignment.overrides}
+    return KeySet(shards, frozenset(lifted | returned))
+
+
+class Ownership:
+    """What one target owns, as its gate knows it.
+
+    Parameters
+    ----------
+    on_arrival : Callable[[KeySet], None]
+        Receives shards and keys that came from other targets.
+    """
+
+    def __init__(
+        self,
+        target: str,
+        service: str,
+        holder: view.ViewHolder,
+        checks: invariants.Invariants,
+        on_arrival: Callable[[KeySet], None],
+    ):
+        self.target = target
+        self.service = service
+        self.holder = holder
+        self.checks = checks
+        self.on_arrival = on_arrival
+        self.known: data.Assignment | None = None
+        self.blocked: set[int] = set()
+        self.blocked_keys: set[str] = set()
+        self.drained: set[int] = set()
+        self.drained_keys: set[str] = set()
+
+    def get_assignment(self) -> data.Assignment | None:
+        """Return the current assignment, reporting what arrived with it."""
+        assignment = self.holder.current.assignments.get(self.service)
+        if assignment is None or assignment is self.known:
+            return assignment
+        held, self.known = self.known, assignment
+        if held is not None:
+            arrivals = find_arrivals(self.target, held, assignment)
+            if arrivals != KeySet():
+                self.on_arrival(arrivals)
+        return assignment
+
+    def get_epoch(self) -> int:
+        """Return the version of the assignment, or 0."""
+        assignment = self.get_assignment()
+        return 0 if assignment is None else assignment.version
+
+    def list_owned(self) -> KeySet:
+        """Return all shards and single keys of the target."""
+        assignment = self.get_assignment()
+        if assignment is None:
+            return KeySet()
+        owners = enumerate(assignment.owners)
+        overrides = assignment.overrides.items()
+        return KeySet(
+            frozenset(shard for shard, owner in owners if owner == self.target),
+            frozenset(key for key, owner in overrides if owner == self.target),
+        )
+
+    def is_single(self, key: str) -> bool:
+        """Return whether a key is lifted out of its shard."""
+        assignment = self.get_assignment()
+        return assignment is not None and key in assignment.overrides
+
+    def is_moving(self, key: str, shard: int) -> bool:
+        """Return whether a key is being moved."""
+        if key in self.blocked_keys:
+            return True
+        return shard in self.blocked and not self.is_single(key)
+
+    def explain_not_owned(self, key: str, shard: int) -> interfaces.Failure | None:
+        """Return why the target does not own a key now, or None."""
+        assignment = self.get_assignment()
+        if assignment is None:
+            return errors.NotReady(rows.name_assignment(self.service))
+        owner = assignment.overrides.get(key, assignment.owners[shard])
+        if owner != self.target:
+            return errors.NotTheOwner(self.target, assignment.version)
+        return None
+
+    def explain_unsendable(self, key: str, shard: int) -> interfaces.Failure | None:
+        """Return why a request in progress must not be sent, or None.
+
+        A request that was in progress before its shard was blocked may still be
+        sent, because the move waits for it; one of a drained shard may not.
+        """
+        failure = self.explain_not_owned(key, shard)
+        if failure is not None:
+            return failure
+        still = key in self.drained_keys or (
+            shard in self.drained and not self.is_single(key)
+        )
+        return self.checks.check(
+            not still, invariants.STILL_SHARD, target=self.target, shard=shard
+        )
+
+    def block(self, moving: KeySet) -> None:
+        """Take no new requests for these shards and keys."""
+        self.blocked |= moving.shards
+        self.blocked_keys |= moving.keys
+
+    def note_drained(self, moving: KeySet) -> None:
+        """Note that none of their requests is in progress any more."""
+        self.drained |= moving.shards & self.blocked
+        self.drained_keys |= moving.keys & self.blocked_keys
+
+    def unblock(self, moving: KeySet) -> None:
+        """Serve these shards and keys again, as far as the target owns them."""
+        for held in (self.blocked, self.drained):
+            held -= moving.shards
+        for held in (self.blocked_keys, self.drained_keys):
+            held -= moving.keys
+
+    def note_departure(self, moving: KeySet) -> None:
+        """Note that they moved away, before the view shows a later return.
+
+        The view may skip versions. What left in one and came back in a later one
+        is reported as an arrival.
+        """
+        self.unblock(moving)
+        assignment = self.holder.current.assignments.get(self.service)
+        self.get_assignment()
+        if assignment is None:
+            return
+        back = KeySet(
+            frozenset(s for s in moving.shards if assignment.owners[s] == self.target),
+            frozenset(
+                key
+                for key in moving.keys
+                if assignment.overrides.get(key) == self.target
+            ),
+        )
+        if back != KeySet():
+            self.on_arrival(back)
+
+
+def make_key_set(shards: Iterable[int] = (), keys: Iterable[str] = ()) -> KeySet:
+    """Return a key set of any iterables."""
+    return KeySet(frozenset(shards), frozenset(keys))
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/rows.py
@@ -0,0 +1,157 @@
+"""The rows of section 4.1 as values of the table service, read and written.
+
+Beyond the design's fields, a gate row holds two that successors need: `horizon_ms`,
+the time for which this gate will act without the table (a later configuration may
+name a shorter one, which a gate that is cut off does not know), and `released`,
+whether the previous gate handed over after it had stopped sending.
+"""
+
+import datetime
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from returns import result
+
+from dewstep_core import data, errors
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+OPERATIONS_KEPT = 16
+
+
+class GateRecord(NamedTuple):
+    """A gate row with the fields that only gates use."""
+
+    row: data.GateRow
+    horizon: datetime.timedelta
+    released: bool
+    operation_id: str
+
+
+class QuarantineRecord(NamedTuple):
+    """What the table knows of a request that was in progress at a crash."""
+
+    fingerprint: str
+    crashes: int
+    state: str
+    version: int
+
+
+def name_gate(target: str) -> str:
+    """Return the key of the gate row of `target`."""
+    return f"gate/{target}"
+
+
+def name_assignment(service: str) -> str:
+    """Return the key of the assignment of `service`."""
+    return f"assignment/{service}"
+
+
+def name_claim(service: str, request_id: str) -> str:
+    """Return the key of the claim of one request id."""
+    return f"claim/{service}/{request_id}"
+
+
+def name_quarantine(service: str, fingerprint: str = "") -> str:
+    """Return the key of a quarantine row, or the prefix of those of `service`."""
+    return f"quarantine/{service}/{fingerprint}"
+
+
+def name_declaration(target: str) -> str:
+    """Return the key of the operators' declaration that `target` is dead."""
+    return f"declared-dead/{target}"
+
+
+def encode_gate(record: GateRecord) -> Mapping:
+    """Return the value of a gate row."""
+    row = record.row
+    return {
+        "entry": row.entry,
+        "incarnation": row.incarnation,
+        "host": row.host,
+        "port": row.port,
+        "term": row.term,
+        "horizon_ms": record.horizon // MILLISECOND,
+        "released": record.released,
+        "operation_id": record.operation_id,
+    }
+
+
+def decode_gate(
+    row: data.Row, default_horizon: datetime.timedelta
+) -> result.Result[GateRecord, errors.RowInvalid]:
+    """Return the record in a gate row that exists."""
+    value = row.value
+    try:
+        gate = data.GateRow(
+            row.key.removeprefix("gate/"),
+            str(value["entry"]),
+            str(value["incarnation"]),
+            str(value["host"]),
+            int(value["port"]),
+            int(value["term"]),
+            row.version,
+        )
+        milliseconds = value.get("horizon_ms", default_horizon // MILLISECOND)
+        record = GateRecord(
+            gate,
+            datetime.timedelta(milliseconds=int(milliseconds)),
+            value.get("released") is True,
+            str(value.get("operation_id", "")),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return result.Failure(errors.RowInvalid(row.key, repr(error)))
+    return result.Success(record)
+
+
+def encode_assignment(assignment: data.Assignment, operation_id: str) -> Mapping:
+    """Return the value of the next version of an assignment row."""
+    operations = (*assignment.operations, operation_id)[-OPERATIONS_KEPT:]
+    return {
+        "version": assignment.version + 1,
+        "owners": list(assignment.owners),
+        "overrides": dict(assignment.overrides),
+        "operations": list(operations),
+    }
+
+
+def decode_assignment(
+    row: data.Row,
+) -> result.Result[data.Assignment, errors.RowInvalid]:
+    """Return the assignment in a row; its version is the row's."""
+    value = row.value
+    try:
+        assignment = data.Assignment(
+            row.key.removeprefix("assignment/"),
+            row.version,
+            tuple(str(owner) for owner in value["owners"]),
+            {str(key): str(owner) for key, owner in value["overrides"].items()},
+            tuple(str(operation) for operation in value.get("operations", ())),
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        return result.Failure(errors.RowInvalid(row.key, repr(error)))
+    return result.Success(assignment)
+
+
+def encode_quarantine(record: QuarantineRecord, operation_id: str) -> Mapping:
+    """Return the value of a quarantine row."""
+    return {
+        "crashes": record.crashes,
+        "state": record.state,
+        "operation_id": operation_id,
+    }
+
+
+def decode_quarantine(
+    row: data.Row,
+) -> result.Result[QuarantineRecord, errors.RowInvalid]:
+    """Return the record in a quarantine row."""
+    try:
+        record = QuarantineRecord(
+            row.key.rsplit("/", 1)[1],
+            int(row.value["crashes"]),
+            str(row.value["state"]),
+            row.version,
+        )
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        return result.Failure(errors.RowInvalid(row.key, repr(error)))
+    return result.Success(record)
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/sending.py
@@ -0,0 +1,265 @@
+"""Sends one admitted request to the target: turn, claim, checks, attempts."""
+
+import asyncio
+import datetime
+from typing import Protocol
+
+from absl import logging
+from returns import result
+
+from dewstep_core import clock as clocks, data, errors
+from dewstep_entry import interfaces
+from dewstep_entry.gate import (
+    crashes,
+    deduplication,
+    exclusion,
+    invariants,
+    ownership,
+    quarantine,
+    renewal,
+    runs,
+    timing,
+    unfenced,
+)
+
+# Attempts of one request by this gate, and the pause before the second one, which
+# doubles for each further one.
+ATTEMPT_LIMIT = 3
+FIRST_PAUSE = datetime.timedelta(milliseconds=10)
+
+# Longest wait for the rows of a crash before its requests are answered. A resend
+# then meets another gate that can know of the crash.
+CRASH_WRITE_LIMIT = datetime.timedelta(milliseconds=500)
+
+FENCED = "fenced"
+
+
+class RetryBudget(Protocol):
+    """Limit of the extra load by retries (`policy/retries.py`)."""
+
+    def deposit(self, now: datetime.timedelta) -> None:
+        """Note a first attempt."""
+
+    def withdraw(self, now: datetime.timedelta) -> bool:
+        """Return whether one retry may be made, and count it."""
+
+
+def is_certainly_not_run(failure: interfaces.Failure) -> bool:
+    """Return whether a failure says that the request did not run."""
+    rule = errors.answer_rules.get(type(failure).__name__)
+    return rule is not None and rule.outcome != errors.UNKNOWN
+
+
+class Sender:
+    """Sends admitted requests to one target."""
+
+    def __init__(
+        self,
+        target: data.Target,
+        grant: unfenced.Permission,
+        channel: interfaces.TargetChannel,
+        clock: clocks.Clock,
+        budget: RetryBudget,
+        recorder: crashes.CrashRecorder,
+        table: runs.RunTable,
+        checks: invariants.Invariants,
+        loops: renewal.Renewal,
+        owned: ownership.Ownership,
+    ):
+        self.target = target
+        self.grant = grant
+        self.channel = channel
+        self.clock = clock
+        self.budget = budget
+        self.recorder = recorder
+        self.runs = table
+        self.checks = checks
+        self.loops = loops
+        self.owned = owned
+        self.exclusion = exclusion.Exclusion(clock)
+
+    async def send(
+        self, run: runs.Run, idempotent: bool, method: deduplication.Method
+    ) -> result.Result[data.Answer, interfaces.Failure]:
+        """Claim and send a request that holds a slot; leaves the turn held."""
+        failure = await self.take_turn(run) or self.explain_refusal(run)
+        if failure is not None:
+            return result.Failure(failure)
+        claimed = await method.claim(run.request)
+        if isinstance(claimed, result.Failure):
+            return claimed
+        self.budget.deposit(self.clock.monotonic())
+        outcome = await self.attempt_repeatedly(run, idempotent)
+        if isinstance(outcome, result.Failure) and not run.may_have_run:
+            await method.abandon(claimed.unwrap(), run.request)
+        return outcome
+
+    async def attempt_repeatedly(
+        self, run: runs.Run, idempotent: bool
+    ) -> result.Result[data.Answer, interfaces.Failure]:
+        """Send, and send again where that is safe and within the budget.
+
+        After an attempt that may have run, its failure is returned even if later
+        ones certainly did not run.
+        """
+        first_unknown = None
+        pause = FIRST_PAUSE
+        for attempt in range(1, ATTEMPT_LIMIT + 1):
+            outcome = await self.attempt(run)
+            if isinstance(outcome, result.Success):
+                return outcome
+            failure = outcome.failure()
+            if not is_certainly_not_run(failure):
+                first_unknown = first_unknown or failure
+            if attempt == ATTEMPT_LIMIT or not self.may_retry(
+                run, failure, idempotent, pause
+            ):
+                break
+            await self.clock.sleep(pause)
+            pause *= 2
+        return result.Failure(first_unknown or failure)
+
+    def may_retry(
+        self,
+        run: runs.Run,
+        failure: interfaces.Failure,
+        idempotent: bool,
+        pause: datetime.timedelta,
+    ) -> bool:
+        """Return whether a failed request may be sent again, and count that."""
+        if isinstance(failure, errors.TargetRefused):
+            worthwhile = failure.reason == FENCED
+        else:
+            worthwhile = isinstance(
+                failure,
+                errors.TargetUnavailable | errors.ConnectionLost | errors.AnswerInvalid,
+            )
+        safe = idempotent or is_certainly_not_run(failure)
+        whole = run.request.body.rest is None or not run.body_used
+        now = self.clock.monotonic()
+        in_time = now + pause < run.request.deadline
+        return worthwhile and safe and whole and in_time and self.budget.withdraw(now)
+
+    async def take_turn(self, run: runs.Run) -> interfaces.Failure | None:
+        """Wait until the request may be at the target, alone if it is a suspect."""
+        while True:
+            state = None
+            if self.recorder.suspects:
+                state = self.recorder.suspects.get_state(run.fingerprint)
+            if state == quarantine.QUARANTINED:
+                return errors.Quarantined(run.fingerprint)
+            sole = state == quarantine.SUSPECT
+            if run.sole is sole or (run.sole and not sole):
+                return None
+            self.leave_turn(run)
+            if not await self.exclusion.acquire(sole, run.request.deadline):
+                return errors.DeadlineUnreachable(
+                    self.target.name, datetime.timedelta()
+                )
+            run.sole = sole
+
+    def leave_turn(self, run: runs.Run) -> None:
+        """Let others have their turn."""
+        if run.sole is not None:
+            sole, run.sole = run.sole, None
+            self.exclusion.release(sole)
+
+    async def attempt(
+        self, run: runs.Run
+    ) -> result.Result[data.Answer, interfaces.Failure]:
+        """Send the request once."""
+        failure = await self.take_turn(run) or self.explain_refusal(run)
+        if failure is not None:
+            return result.Failure(failure)
+        # No await may stand between the checks above and the exchange.
+        stamp = self.grant.make_stamp(self.owned.get_epoch(), run.request.deadline)
+        known = run.may_have_run
+        run.sent = run.may_have_run = run.body_used = True
+        run.crash_counted = False
+        try:
+            outcome = await self.channel.exchange(run.request, stamp)
+        finally:
+            run.sent = False
+        if isinstance(outcome, result.Success):
+            run.sent = True
+            self.note_reached(run, True)
+            return outcome
+        failure = outcome.failure()
+        if is_certainly_not_run(failure):
+            run.may_have_run = known
+        await self.receive_failure(run, failure)
+        return outcome
+
+    def explain_refusal(self, run: runs.Run) -> interfaces.Failure | None:
+        """Return why nothing may be sent for this run now, or None."""
+        now = self.clock.monotonic()
+        tenure = self.grant.tenure
+        if tenure.higher_term is not None:
+            return errors.NotTheGate(self.target.name, tenure.higher_term)
+        moved = self.owned.explain_unsendable(run.request.key, run.shard)
+        if moved is not None:
+            return moved
+        if now >= run.request.deadline:
+            return errors.DeadlineUnreachable(self.target.name, datetime.timedelta())
+        if not self.grant.may_send(now):
+            reason = "no unexpired grant"
+            if not self.target.fenced:
+                reason = "an earlier gate may still send, or the horizon is over"
+            return errors.TargetUnavailable(self.target.name, reason)
+        return self.checks.check(
+            now < self.grant.compute_send_limit(),
+            invariants.UNEXPIRED_GRANT,
+            target=self.target.name,
+            term=tenure.term,
+        )
+
+    async def receive_failure(self, run: runs.Run, failure: interfaces.Failure) -> None:
+        """Draw the conclusions from a failed exchange."""
+        self.note_reached(run, isinstance(failure, errors.TargetRefused))
+        if isinstance(failure, errors.TargetRefused) and failure.reason == FENCED:
+            self.checks.counts["target-refused-fenced"] += 1
+            if self.target.fenced:
+                self.grant.receive_refusal(self.clock.monotonic())
+            self.loops.wake()
+        elif isinstance(failure, errors.TargetUnavailable):
+            self.loops.wake()
+        elif isinstance(failure, errors.ConnectionLost):
+            await self.receive_crash(run)
+
+    def note_reached(self, run: runs.Run, reached: bool) -> None:
+        """Tell the state of an unfenced target whether it was reached."""
+        if not self.target.fenced:
+            self.grant.receive_outcome(
+                reached, run.request.deadline, self.clock.monotonic()
+            )
+
+    async def receive_crash(self, run: runs.Run) -> None:
+        """Count a broken connection against all requests at the target.
+
+        The first broken connection counts for all of them; the others follow from
+        the same crash and are not counted again.
+        """
+        if run.crash_counted:
+            return
+        struck = [run, *(other for other in self.runs.list_sent() if other is not run)]
+        for other in struck:
+            other.crash_counted = True
+        self.loops.wake()
+        logging.warning(
+            "target_broke_connections target=%s requests=%d",
+            self.target.name,
+            len(struck),
+        )
+        writing = asyncio.ensure_future(
+            self.recorder.receive_crash(
+                [other.fingerprint for other in struck], alone=len(struck) == 1
+            )
+        )
+        await timing.wait_at_most(
+            self.clock, asyncio.shield(writing), CRASH_WRITE_LIMIT
+        )
+
+    async def receive_success(self, run: runs.Run) -> None:
+        """Clear a suspect whose answer was complete."""
+        if self.recorder.suspects and run.fingerprint in self.recorder.suspects.entries:
+            await self.recorder.receive_success(run.fingerprint)
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/serving.py
@@ -0,0 +1,133 @@
+"""The way of one request through a gate: id, slot, target, end of the answer."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+from returns import result
+
+from dewstep_core import data, errors
+from dewstep_entry import interfaces
+from dewstep_entry.gate import (
+    deduplication,
+    once,
+    quarantine,
+    runs,
+    sending,
+    slots,
+    streaming,
+)
+
+
+class Server:
+    """Serves the requests that a gate accepts.
+
+    Parameters
+    ----------
+    explain_refusal : Callable[[data.Request, int], Failure or None]
+        Returns why a request for a shard is not taken now.
+    """
+
+    def __init__(
+        self,
+        queue: slots.SlotQueue,
+        table: runs.RunTable,
+        sender: sending.Sender,
+        runner: once.OnceRunner,
+        explain_refusal: Callable[[data.Request, int], interfaces.Failure | None],
+    ):
+        self.queue = queue
+        self.runs = table
+        self.sender = sender
+        self.once = runner
+        self.explain_refusal = explain_refusal
+        self.side_tasks: set[asyncio.Task] = set()
+
+    async def serve(
+        self,
+        request: data.Request,
+        shard: int,
+        kind: data.RequestKind,
+        method: deduplication.Method,
+    ) -> once.Outcome:
+        """Return the answer to a request that the gate accepts."""
+        if self.is_quarantined(request):
+            return result.Failure(
+                errors.Quarantined(quarantine.compute_fingerprint(request))
+            )
+        if not method.remembers:
+            return await self.admit(request, shard, kind, method, once.Execution())
+        return await self.once.handle(
+            request,
+            shard,
+            method,
+            lambda execution: self.admit(request, shard, kind, method, execution),
+        )
+
+    def is_quarantined(self, request: data.Request) -> bool:
+        """Return whether a request is not to be run any more."""
+        suspects = self.sender.recorder.suspects
+        if not suspects:
+            return False
+        fingerprint = quarantine.compute_fingerprint(request)
+        return suspects.get_state(fingerprint) == quarantine.QUARANTINED
+
+    async def admit(
+        self,
+        request: data.Request,
+        shard: int,
+        kind: data.RequestKind,
+        method: deduplication.Method,
+        execution: once.Execution,
+    ) -> once.Outcome:
+        """Wait for a slot and run the request with it."""
+        ticket, failure = await self.queue.acquire(request, shard, kind.weight)
+        if failure is not None:
+            return result.Failure(failure)
+        execution.has_slot = True
+        run = runs.Run(ticket, request, shard, self.sender.owned.is_single(request.key))
+        self.runs.add(run)
+        try:
+            # The shard may have been blocked between the grant of the slot and now.
+            failure = self.explain_refusal(request, shard)
+            if failure is not None:
+                return result.Failure(failure)
+            outcome = await self.sender.send(run, kind.idempotent, method)
+            execution.may_have_run = run.may_have_run
+            if isinstance(outcome, result.Failure):
+                return outcome
+            return result.Success(await self.guard(run, outcome.unwrap()))
+        finally:
+            execution.may_have_run = run.may_have_run
+            if not run.held_by_body:
+                self.end_run(run)
+
+    async def guard(self, run: runs.Run, answer: data.Answer) -> data.Answer:
+        """Keep the slot until the body of the answer has ended."""
+        if answer.body.rest is None:
+            await self.sender.receive_success(run)
+            return answer
+        run.held_by_body = True
+        rest = streaming.GuardedBody(
+            answer.body.rest, lambda how: self.receive_body_end(run, how)
+        )
+        return answer._replace(body=data.Body(answer.body.start, rest))
+
+    def receive_body_end(self, run: runs.Run, how: str) -> None:
+        """Free the slot of a streamed answer and draw conclusions from its end."""
+        if how == streaming.COMPLETE:
+            self.start_task(self.sender.receive_success(run))
+        elif how == streaming.BROKEN:
+            self.start_task(self.sender.receive_crash(run))
+        self.end_run(run)
+
+    def start_task(self, work: Coroutine) -> None:
+        """Run `work` beside the requests, keeping a reference until it is done."""
+        task = asyncio.ensure_future(work)
+        self.side_tasks.add(task)
+        task.add_done_callback(self.side_tasks.discard)
+
+    def end_run(self, run: runs.Run) -> None:
+        """Give the turn and the slot of a run back."""
+        self.sender.leave_turn(run)
+        self.runs.remove(run)
+        self.queue.release(run.ticket)
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/slots.py
@@ -0,0 +1,167 @@
+"""Waiting for a slot: joins the pure admission queue to the tasks that wait in it."""
+
+import asyncio
+import contextlib
+import datetime
+from collections.abc import Callable
+from typing import Any, NamedTuple, Protocol
+
+from dewstep_core import clock as clocks, data
+from dewstep_entry import interfaces
+from dewstep_entry.gate import invariants
+
+# How often expired tickets are collected while any request waits. It bounds the
+# delay of a refusal after the decision is possible.
+EXPIRY_INTERVAL = datetime.timedelta(milliseconds=5)
+
+
+class Admission(Protocol):
+    """The queue of `policy/admission.py`.
+
+    `offer` returns one of its records `Admitted`, `Queued` and `Refused`.
+    """
+
+    def offer(
+        self,
+        ticket_id: int,
+        weight: float,
+        deadline: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> Any:
+        """Ask for a slot."""
+
+    def take_ready(self, now: datetime.timedelta) -> list[int]:
+        """Return the queued tickets that have been admitted since the last call."""
+
+    def take_expired(
+        self, now: datetime.timedelta
+    ) -> list[tuple[int, interfaces.Failure]]:
+        """Return the queued tickets that cannot be served any more, with reasons."""
+
+    def release(self, ticket_id: int, now: datetime.timedelta) -> None:
+        """Give the slot of an admitted ticket back."""
+
+    def withdraw(self, ticket_id: int, now: datetime.timedelta) -> None:
+        """Take a queued ticket out of the queue."""
+
+
+class Ticket(NamedTuple):
+    """A request that waits for a slot."""
+
+    request: data.Request
+    shard: int
+    decided: asyncio.Future
+    """Resolves to None when admitted, or to the failure."""
+
+
+class SlotQueue:
+    """Slots of one target."""
+
+    def __init__(
+        self,
+        admission: Admission,
+        clock: clocks.Clock,
+        slots: int,
+        checks: invariants.Invariants,
+    ):
+        self.admission = admission
+        self.clock = clock
+        self.slots = slots
+        self.checks = checks
+        self.waiting: dict[int, Ticket] = {}
+        self.held: set[int] = set()
+        self.last_id = 0
+        self.ticker: asyncio.Task | None = None
+
+    async def acquire(
+        self, request: data.Request, shard: int, weight: float
+    ) -> tuple[int, interfaces.Failure | None]:
+        """Wait for a slot; return the ticket and None, or why there is none."""
+        self.last_id += 1
+        ticket_id = self.last_id
+        now = self.clock.monotonic()
+        decision = self.admission.offer(ticket_id, weight, request.deadline, now)
+        failure = getattr(decision, "failure", None)
+        if failure is not None:
+            return ticket_id, failure
+        # By name: the records belong to the policy, which stages don't import here.
+        if type(decision).__name__ != "Queued":
+            return ticket_id, self.note_admitted(ticket_id)
+        decided = asyncio.get_running_loop().create_future()
+        self.waiting[ticket_id] = Ticket(request, shard, decided)
+        self.start_ticker()
+        try:
+            return ticket_id, await decided
+        except asyncio.CancelledError:
+            self.cancel(ticket_id, decided)
+            raise
+
+    def cancel(self, ticket_id: int, decided: asyncio.Future) -> None:
+        """Undo the wait of a task that was cancelled."""
+        if self.waiting.pop(ticket_id, None) is not None:
+            self.admission.withdraw(ticket_id, self.clock.monotonic())
+            self.advance()
+        elif ticket_id in self.held:
+            self.release(ticket_id)
+
+    def note_admitted(self, ticket_id: int) -> interfaces.Failure | None:
+        """Count a granted slot, or give it back if there are too many."""
+        self.held.add(ticket_id)
+        broken = self.checks.check(
+            len(self.held) <= self.slots,
+            invariants.SLOTS,
+            held=len(self.held),
+            slots=self.slots,
+        )
+        if broken is not None:
+            self.release(ticket_id)
+        return broken
+
+    def release(self, ticket_id: int) -> None:
+        """Give a slot back."""
+        if ticket_id in self.held:
+            self.held.remove(ticket_id)
+            self.admission.release(ticket_id, self.clock.monotonic())
+            self.advance()
+
+    def advance(self) -> None:
+        """Tell the tasks whose tickets were decided."""
+        now = self.clock.monotonic()
+        for ticket_id, failure in self.admission.take_expired(now):
+            self.decide(ticket_id, failure)
+        for ticket_id in self.admission.take_ready(now):
+            if ticket_id in self.waiting:
+                self.decide(ticket_id, self.note_admitted(ticket_id))
+
+    def decide(self, ticket_id: int, failure: interfaces.Failure | None) -> None:
+        """Resolve one waiting ticket."""
+        ticket = self.waiting.pop(ticket_id, None)
+        if ticket is not None and not ticket.decided.done():
+            ticket.decided.set_result(failure)
+
+    def refuse(self, explain: Callable[[Ticket], interfaces.Failure | None]) -> None:
+        """Refuse the waiting tickets for which `explain` returns a failure."""
+        for ticket_id, ticket in list(self.waiting.items()):
+            failure = explain(ticket)
+            if failure is not None:
+                self.admission.withdraw(ticket_id, self.clock.monotonic())
+                self.decide(ticket_id, failure)
+        self.advance()
+
+    def start_ticker(self) -> None:
+        """Start to collect expired tickets unless that is already being done."""
+        if self.ticker is None or self.ticker.done():
+            self.ticker = asyncio.ensure_future(self.tick())
+
+    async def tick(self) -> None:
+        """Collect expired tickets until nobody waits."""
+        while self.waiting:
+            await self.clock.sleep(EXPIRY_INTERVAL)
+            self.advance()
+
+    async def close(self) -> None:
+        """End the collecting task."""
+        if self.ticker is not None:
+            self.ticker.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.ticker
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/streaming.py
@@ -0,0 +1,59 @@
+"""Bodies of answers that tell when they end, so that slots are freed then."""
+
+from collections.abc import AsyncIterator, Callable
+
+COMPLETE = "complete"
+CLOSED = "closed"
+BROKEN = "broken"
+
+
+class GuardedBody:
+    """An answer's remaining body that calls `on_end` exactly once.
+
+    A class, because an async generator that was never started does not run its
+    `finally` when it is closed, and the slot would stay taken.
+
+    Parameters
+    ----------
+    rest : AsyncIterator[bytes]
+        The body as the target's connection delivers it.
+    on_end : Callable[[str], None]
+        Receives COMPLETE, CLOSED or BROKEN.
+    """
+
+    def __init__(self, rest: AsyncIterator[bytes], on_end: Callable[[str], None]):
+        self.rest = rest
+        self.on_end = on_end
+        self.ended = False
+
+    def __aiter__(self) -> "GuardedBody":
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Return the next chunk."""
+        try:
+            return await anext(self.rest)
+        except StopAsyncIteration:
+            self.end(COMPLETE)
+            raise
+        except Exception:
+            self.end(BROKEN)
+            raise
+        except BaseException:
+            self.end(CLOSED)
+            raise
+
+    async def aclose(self) -> None:
+        """Close the body before its end; nothing happens after the end."""
+        try:
+            close = getattr(self.rest, "aclose", None)
+            if close is not None:
+                await close()
+        finally:
+            self.end(CLOSED)
+
+    def end(self, how: str) -> None:
+        """Report the end once."""
+        if not self.ended:
+            self.ended = True
+            self.on_end(how)
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/succession.py
@@ -0,0 +1,193 @@
+"""Who becomes the gate of a target, when, and how long it waits. All pure."""
+
+import datetime
+from collections.abc import Collection, Mapping
+from typing import NamedTuple
+
+from dewstep_core import data, hashing, settings as setting
+from dewstep_entry.gate import grants, rows
+from dewstep_entry.state import view as views
+
+# Reasons for a vacancy.
+NO_ROW = "no-row"
+GATE_SUSPECTED = "gate-suspected"
+GATE_REPLACED = "gate-replaced"
+GATE_UNKNOWN = "gate-unknown"
+VACATED = "vacated"
+NAMED_HERE = "named-here"
+
+# Each further candidate in rendezvous order waits this much longer, so that the
+# transactions of several candidates rarely collide.
+CANDIDATE_STEP = datetime.timedelta(milliseconds=400)
+
+# A new process hears of the others within a few heartbeats. Until then, an entry
+# process that it does not know is not held to be gone.
+UNKNOWN_GRACE = datetime.timedelta(seconds=2)
+
+# A gate that is named by a hand-over waits this long for the memory of request ids
+# that is sent to it, and then starts without.
+HANDOVER_GRACE = datetime.timedelta(milliseconds=300)
+
+
+class Vacancy(NamedTuple):
+    """A target whose gate row names no working gate."""
+
+    reason: str
+    delay: datetime.timedelta
+    """How long the vacancy must have lasted before this process acts on it."""
+
+
+class Wait(NamedTuple):
+    """When no earlier gate acts any more, unless a grant fences it sooner."""
+
+    until: datetime.timedelta
+    reason: str
+
+
+def find_vacancy(
+    row: data.GateRow | None,
+    members: Mapping[str, views.MemberState],
+    own: data.Member,
+    held_term: int | None,
+) -> str | None:
+    """Return why a target has no working gate, or None.
+
+    Parameters
+    ----------
+    held_term : int or None
+        Term of this process's gate of the target, if it has one.
+    """
+    if row is None:
+        return NO_ROW
+    if row.entry == own.entry:
+        if row.incarnation != own.incarnation:
+            return GATE_REPLACED
+        return NAMED_HERE if held_term is None or held_term < row.term else None
+    if not row.entry:
+        return VACATED
+    state = members.get(row.entry)
+    if state is None:
+        return GATE_UNKNOWN
+    if state.member.incarnation != row.incarnation:
+        return GATE_REPLACED
+    return None if state.alive else GATE_SUSPECTED
+
+
+def rank_candidates(
+    target: data.Target,
+    members: Mapping[str, views.MemberState],
+    excluded: Collection[str],
+) -> tuple[str, ...]:
+    """Return the live entry processes of the target's data centre, the best first."""
+    live = (
+        state.member.entry
+        for state in members.values()
+        if state.alive
+        and state.member.data_centre == target.data_centre
+        and state.member.entry not in excluded
+    )
+    return hashing.rank_by_rendezvous(target.name, live)
+
+
+def choose_successor(
+    target: data.Target,
+    members: Mapping[str, views.MemberState],
+    excluded: Collection[str],
+) -> data.Member | None:
+    """Return the process that gets a target at a planned stop, or None."""
+    order = rank_candidates(target, members, excluded)
+    return members[order[0]].member if order else None
+
+
+def decide(
+    target: data.Target,
+    row: data.GateRow | None,
+    members: Mapping[str, views.MemberState],
+    own: data.Member,
+    held_term: int | None,
+    excluded: Collection[str],
+) -> Vacancy | None:
+    """Return the vacancy that this process should fill, or None.
+
+    Parameters
+    ----------
+    excluded : collection of str
+        Entry processes that are about to stop.
+    """
+    reason = find_vacancy(row, members, own, held_term)
+    if reason is None:
+        return None
+    if reason == NAMED_HERE:
+        return Vacancy(reason, HANDOVER_GRACE)
+    order = rank_candidates(target, members, excluded)
+    if own.entry not in order:
+        return None
+    delay = order.index(own.entry) * CANDIDATE_STEP
+    if reason == GATE_UNKNOWN:
+        delay += UNKNOWN_GRACE
+    return Vacancy(reason, delay)
+
+
+def compute_horizon_end(
+    start: datetime.timedelta,
+    horizon: datetime.timedelta,
+    settings: setting.GrantSettings,
+) -> datetime.timedelta:
+    """Return from when a gate that lost the table at `start` acts no more.
+
+    The other gate's clock may run slower, and the last grant that it renewed within
+    its horizon still has a lifetime.
+    """
+    return grants.compute_certain_expiry(
+        start + horizon * (1 + settings.drift), settings
+    )
+
+
+def compute_wait(
+    previous: rows.GateRecord | None,
+    committed: datetime.timedelta,
+    settings: setting.GrantSettings,
+) -> Wait:
+    """Return the wait after a transaction raised the term over `previous`.
+
+    Parameters
+    ----------
+    committed : datetime.timedelta
+        Local time at which the answer to the transaction had arrived.
+    """
+    if previous is None:
+        return Wait(committed, "no earlier gate")
+    if previous.released and not previous.row.entry:
+        until = grants.compute_certain_expiry(committed, settings)
+        return Wait(until, "the earlier gate released the target")
+    until = compute_horizon_end(committed, previous.horizon, settings)
+    return Wait(until, "an earlier gate may act until its horizon")
+
+
+def compute_named_wait(
+    record: rows.GateRecord,
+    seen: datetime.timedelta,
+    settings: setting.GrantSettings,
+) -> Wait:
+    """Return the wait of a process that finds itself named in a gate row.
+
+    That is after a hand-over, or after an own transaction whose answer was lost.
+    """
+    if record.released:
+        until = grants.compute_certain_expiry(seen, settings)
+        return Wait(until, "the earlier gate released the target")
+    until = compute_horizon_end(seen, record.horizon, settings)
+    return Wait(until, "an earlier gate may act until its horizon")
+
+
+def compute_recorded_horizon(
+    previous: rows.GateRecord | None, horizon: datetime.timedelta
+) -> datetime.timedelta:
+    """Return the horizon to write over `previous`.
+
+    It covers all earlier gates, one of which may have had a longer horizon and may
+    never have been fenced.
+    """
+    if previous is None or (previous.released and not previous.row.entry):
+        return horizon
+    return max(horizon, previous.horizon)
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/takeover.py
@@ -0,0 +1,192 @@
+"""The transaction by which this process becomes the gate of a target (rule G1)."""
+
+import datetime
+import uuid
+from collections.abc import Callable
+from typing import NamedTuple
+
+from absl import logging
+from returns import result
+
+from dewstep_core import clock as clocks, data, errors, settings as setting
+from dewstep_entry import interfaces
+from dewstep_entry.gate import rows, succession
+from dewstep_entry.state import view
+
+SETTLE_ATTEMPTS = 10
+SETTLE_PAUSE = datetime.timedelta(milliseconds=100)
+
+
+def make_uuid() -> str:
+    """Return a random operation id."""
+    return str(uuid.uuid4())
+
+
+class Writing(NamedTuple):
+    """A gate row that was written by this process."""
+
+    record: rows.GateRecord
+    sent: datetime.timedelta
+    """Sending time of the call that showed it."""
+
+
+class Won(NamedTuple):
+    """The result of a takeover: the row names this process."""
+
+    record: rows.GateRecord
+    contact: datetime.timedelta
+    wait: succession.Wait
+    first: bool
+
+
+class GateRowWriter:
+    """Reads and writes gate rows, and settles transactions with lost answers."""
+
+    def __init__(
+        self,
+        own: data.Member,
+        holder: view.ViewHolder,
+        table: interfaces.TableClient,
+        clock: clocks.Clock,
+        settings: setting.GrantSettings,
+        make_operation_id: Callable[[], str] = make_uuid,
+    ):
+        self.own = own
+        self.holder = holder
+        self.table = table
+        self.clock = clock
+        self.settings = settings
+        self.make_operation_id = make_operation_id
+
+    async def read(
+        self, target: str, default_horizon: datetime.timedelta
+    ) -> result.Result[rows.GateRecord | None, interfaces.Failure]:
+        """Return the gate row of a target, or None if there is none."""
+        outcome = await self.table.read(rows.name_gate(target))
+        if isinstance(outcome, result.Failure):
+            return outcome
+        row = outcome.unwrap()
+        if row.value is None:
+            return result.Success(None)
+        decoded = rows.decode_gate(row, default_horizon)
+        if isinstance(decoded, result.Success):
+            self.holder.offer_gate(decoded.unwrap().row)
+        return decoded
+
+    async def take_over(
+        self, target: data.Target, horizon: datetime.timedelta, held_term: int | None
+    ) -> result.Result[Won, interfaces.Failure]:
+        """Raise the term with this process as the gate.
+
+        The vacancy is checked again on the fresh row, since the view may lag.
+        """
+        sent = self.clock.monotonic()
+        found = await self.read(target.name, horizon)
+        if isinstance(found, result.Failure):
+            return found
+        previous = found.unwrap()
+        row = None if previous is None else previous.row
+        members = self.holder.current.members
+        vacancy = succession.find_vacancy(row, members, self.own, held_term)
+        if vacancy == succession.NAMED_HERE:
+            now = self.clock.monotonic()
+            wait = succession.compute_named_wait(previous, now, self.settings)
+            return result.Success(Won(previous, sent, wait, False))
+        if vacancy is None:
+            return result.Failure(errors.NotTheGate(target.name, row.term))
+        written = await self.write(
+            target.name,
+            previous,
+            self.own,
+            succession.compute_recorded_horizon(previous, horizon),
+            released=False,
+        )
+        if isinstance(written, result.Failure):
+            return written
+        writing = written.unwrap()
+        now = self.clock.monotonic()
+        wait = succession.compute_wait(previous, now, self.settings)
+        logging.info(
+            "gate_taken target=%s term=%d reason=%s wait=%s",
+            target.name,
+            writing.record.row.term,
+            vacancy,
+            wait.reason,
+        )
+        return result.Success(Won(writing.record, writing.sent, wait, previous is None))
+
+    async def write(
+        self,
+        target: str,
+        previous: rows.GateRecord | None,
+        gate: data.Member,
+        horizon: datetime.timedelta,
+        released: bool,
+    ) -> result.Result[Writing, interfaces.Failure]:
+        """Write the row that names `gate` with the next term."""
+        version = 0 if previous is None else previous.row.version
+        term = 1 if previous is None else previous.row.term + 1
+        operation_id = self.make_operation_id()
+        row = data.GateRow(
+            target, gate.entry, gate.incarnation, gate.host, gate.port, term, version
+        )
+        record = rows.GateRecord(row, horizon, released, operation_id)
+        key = rows.name_gate(target)
+        transaction = data.Transaction(
+            operation_id,
+            (data.Check(key, version),),
+            (data.Write(key, rows.encode_gate(record)),),
+        )
+        return await self.commit(transaction, record)
+
+    async def commit(
+        self, transaction: data.Transaction, record: rows.GateRecord
+    ) -> result.Result[Writing, interfaces.Failure]:
+        """Commit a gate row; after a lost answer, read back before anything else."""
+        key = transaction.checks[0].key
+        for _ in range(SETTLE_ATTEMPTS):
+            sent = self.clock.monotonic()
+            outcome = await self.table.commit(transaction)
+            if isinstance(outcome, result.Success):
+                version = outcome.unwrap().versions[key]
+                return self.note_written(record, version, sent)
+            failure = outcome.failure()
+            if not isinstance(failure, errors.AnswerLost | errors.Conflict):
+                return outcome
+            # A conflict may be with this transaction itself, if the client sent it
+            # twice and the first answer was lost.
+            sent = self.clock.monotonic()
+            found = await self.read_until_answered(key)
+            if isinstance(found, result.Failure):
+                return result.Failure(errors.AnswerLost(str(found.failure())))
+            row = found.unwrap()
+            value = row.value or {}
+            if value.get("operation_id") == transaction.operation_id:
+                return self.note_written(record, row.version, sent)
+            if row.version != transaction.checks[0].version or isinstance(
+                failure, errors.Conflict
+            ):
+                decoded = rows.decode_gate(row, record.horizon)
+                if isinstance(decoded, result.Success):
+                    self.holder.offer_gate(decoded.unwrap().row)
+                return result.Failure(errors.Conflict((key,)))
+        return result.Failure(errors.AnswerLost(key))
+
+    async def read_until_answered(
+        self, key: str
+    ) -> result.Result[data.Row, interfaces.Failure]:
+        """Read a row, again after each failure, up to the limit of attempts."""
+        for _ in range(SETTLE_ATTEMPTS):
+            found = await self.table.read(key)
+            if isinstance(found, result.Success):
+                return found
+            await self.clock.sleep(SETTLE_PAUSE)
+        return found
+
+    def note_written(
+        self, record: rows.GateRecord, version: int, sent: datetime.timedelta
+    ) -> result.Result[Writing, interfaces.Failure]:
+        """Show a written row in the view and return it with its version."""
+        record = record._replace(row=record.row._replace(version=version))
+        self.holder.offer_gate(record.row)
+        return result.Success(Writing(record, sent))
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/timing.py
@@ -0,0 +1,37 @@
+"""Waiting that obeys the injected clock instead of the event loop's."""
+
+import asyncio
+import datetime
+from collections.abc import Awaitable
+from typing import Any
+
+from dewstep_core import clock as clocks
+
+
+async def wait_at_most(
+    clock: clocks.Clock, awaitable: Awaitable, duration: datetime.timedelta
+) -> tuple[bool, Any]:
+    """Return (True, value) of `awaitable`, or (False, None) after `duration`.
+
+    A task or coroutine that takes longer is cancelled, and so is it when the
+    caller is. Pass `asyncio.shield(...)` to keep a shared task running.
+    """
+    work = asyncio.ensure_future(awaitable)
+    timer = asyncio.ensure_future(clock.sleep(duration))
+    try:
+        await asyncio.wait({work, timer}, return_when=asyncio.FIRST_COMPLETED)
+        if work.done():
+            return True, work.result()
+        return False, None
+    finally:
+        timer.cancel()
+        if not work.done():
+            work.cancel()
+
+
+async def wait_event(
+    clock: clocks.Clock, event: asyncio.Event, duration: datetime.timedelta
+) -> bool:
+    """Wait until `event` is set or `duration` has passed; return whether it is set."""
+    done, _ = await wait_at_most(clock, event.wait(), duration)
+    return done
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/unfenced.py
@@ -0,0 +1,92 @@
+"""Permission to send to a target that checks nothing (rule G8), as a pure state."""
+
+import datetime
+
+from dewstep_core import data, settings as setting
+from dewstep_entry.gate import grants
+
+ZERO = datetime.timedelta()
+
+
+class UnfencedGrant:
+    """Permission to send to an unfenced target (rule G8): horizon and wait only."""
+
+    def __init__(
+        self,
+        tenure: grants.Tenure,
+        settings: setting.GrantSettings,
+        now: datetime.timedelta,
+        old_gates_end: datetime.timedelta,
+    ):
+        self.tenure = tenure
+        self.settings = settings
+        self.old_gates_end = old_gates_end
+        self.open_deadline = ZERO
+        self.failing_since: datetime.timedelta | None = None
+        self.renewing = True
+
+    def may_send(self, now: datetime.timedelta) -> bool:
+        """Return whether a request may be sent now."""
+        return self.renewing and self.tenure.stands(now) and now >= self.old_gates_end
+
+    def compute_send_limit(self) -> datetime.timedelta:
+        """Return the end of the horizon, for the check of `may_send`."""
+        return self.tenure.horizon_end
+
+    def needs_row(self, now: datetime.timedelta) -> bool:
+        """Return whether the gate's row should be read now."""
+        return now >= self.tenure.contact + grants.ROW_READ_INTERVAL
+
+    def receive_row(self, term: int, sent: datetime.timedelta) -> None:
+        """Note a successful read of the gate's row that was sent at `sent`."""
+        self.tenure.receive_row(term, sent)
+
+    def receive_outcome(
+        self, reached: bool, deadline: datetime.timedelta, now: datetime.timedelta
+    ) -> None:
+        """Note whether an exchange reached the target.
+
+        A request whose connection broke may run on, and nothing but its deadline
+        bounds that.
+        """
+        if reached:
+            self.failing_since = None
+            return
+        self.open_deadline = max(self.open_deadline, deadline)
+        if self.failing_since is None:
+            self.failing_since = now
+
+    def is_lost(self, now: datetime.timedelta) -> bool:
+        """Return whether exchanges have failed for long enough."""
+        return (
+            self.failing_since is not None
+            and now >= self.failing_since + grants.LOST_AFTER
+        )
+
+    def compute_expired_at(self) -> datetime.timedelta:
+        """Return from when no request of any gate is expected to run."""
+        return max(self.open_deadline, self.old_gates_end)
+
+    def forget_old_gates(self) -> None:
+        """Note an operator's declaration that no earlier gate is left."""
+        self.old_gates_end = ZERO
+
+    def make_stamp(self, epoch: int, deadline: datetime.timedelta) -> data.Stamp:
+        """Return a stamp without boot id and deadline, which are unknown here."""
+        return data.Stamp(self.tenure.term, epoch, "", ZERO)
+
+    def forget_loss(self) -> None:
+        """Try the target again, since only requests show whether it is back."""
+        self.failing_since = None
+
+    def suspend(self) -> None:
+        """Stop sending: the target is being given up."""
+        self.renewing = False
+
+    def resume(self) -> None:
+        """Allow sending again."""
+        self.renewing = True
+        self.failing_since = None
+
+
+Permission = grants.FencedGrant | UnfencedGrant
