--- a/packages/emulator/dewstep_emulator/demo.py
+++ b/packages/emulator/dewstep_emulator/demo.py
@@ -66,8 +66,7 @@
     fleet: fleets.Fleet, seed: int, rate: float, seconds: float
 ) -> load.Caller:
     """Send requests of each kind to all entry processes."""
-    addresses = [entry.callers for entry in fleet.entries.values()]
-    caller = load.Caller(addresses, clocks.SystemClock(), seed)
+    caller = load.Caller(fleet.list_callers, clocks.SystemClock(), seed)
     mix = load.Mix(
         deployments.plan_calls(fleet.deployment),
         rate,
--- a/packages/emulator/dewstep_emulator/fleet.py
+++ b/packages/emulator/dewstep_emulator/fleet.py
@@ -1,8 +1,11 @@
 """A whole deployment on one machine: stand-ins, targets and entry processes."""
 
 import asyncio
+import datetime
+import itertools
 import json
 import pathlib
+import random
 import socket
 import uuid
 from collections.abc import Iterable, Mapping
@@ -82,6 +85,7 @@
         self.list_process: processes.Process | None = None
         self.targets: dict[str, processes.Process] = {}
         self.entries: dict[str, EntryHandle] = {}
+        self.withdrawn: set[str] = set()
         self.peer_ports: dict[str, int] = {}
         self.ended: list[processes.Process] = []
         self.table: table.TableClient | None = None
@@ -93,6 +97,9 @@
     async def start(self) -> None:
         """Start everything and wait until all entry processes serve all keys."""
         self.folder.mkdir(parents=True, exist_ok=True)
+        for file in self.folder.glob("*.runs"):
+            # Runs of an earlier fleet with the same seed have the same request ids.
+            file.unlink()
         await self.start_platform()
         await asyncio.gather(*(self.start_target(name) for name in self.list_targets()))
         await self.apply(self.build_configuration(1))
@@ -203,8 +210,21 @@
             settings.Address(HOST, line["peer_port"]),
         )
         self.entries[name] = handle
+        self.withdrawn.discard(name)
         return handle
 
+    def remove_from_balancer(self, name: str) -> None:
+        """Send callers to other entry processes, as before a planned stop."""
+        self.withdrawn.add(name)
+
+    def list_callers(self) -> list[settings.Address]:
+        """Return the callers' addresses that the balancer uses."""
+        return [
+            entry.callers
+            for name, entry in self.entries.items()
+            if name not in self.withdrawn and entry.process.is_running()
+        ]
+
     async def stop(self) -> dict[str, int | None]:
         """Stop everything; return the exit codes of the entry processes."""
         codes = {}
@@ -271,6 +291,22 @@
         now = asyncio.get_running_loop().time()
         self.departures.append(history.Departure(name, history.parse_time(now)))
 
+    async def declare_dead(self, target: str) -> None:
+        """Declare a target dead, as the operators' command does."""
+        row = (await self.table.read(f"declared-dead/{target}")).unwrap()
+        gate = (await self.table.read(f"gate/{target}")).unwrap()
+        value = {
+            "operator": "test",
+            "time": datetime.datetime.now(datetime.UTC).isoformat(),
+            "term": gate.value["term"],
+        }
+        transaction = data.Transaction(
+            str(uuid.uuid4()),
+            (data.Check(row.key, row.version),),
+            (data.Write(row.key, value),),
+        )
+        (await self.table.commit(transaction)).unwrap()
+
     # Faults.
 
     async def set_faults(
@@ -364,11 +400,25 @@
         return dict.fromkeys(self.targets, self.deployment.slots)
 
 
+candidate_ports = itertools.cycle(
+    random.SystemRandom().sample(range(10_000, 32_000), 22_000)
+)
+
+
 def find_free_port() -> int:
-    """Return a port that no process listens on at the moment."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port that no process listens on.
+
+    It lies outside the range from which the kernel takes the ports of outgoing
+    connections, one of which could otherwise take it before its process starts.
+    """
+    for port in candidate_ports:
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError("the cycle of ports does not end")
 
 
 def get_address(line: Mapping[str, Any]) -> settings.Address:
--- a/packages/emulator/dewstep_emulator/history.py
+++ b/packages/emulator/dewstep_emulator/history.py
@@ -124,6 +124,13 @@
     request_id: str
 
 
+class UnknownOutcome(NamedTuple):
+    """A request was cut although only planned stops had happened."""
+
+    request_id: str
+    failure: str
+
+
 class Summary(NamedTuple):
     """Counts of a history."""
 
@@ -292,6 +299,15 @@
     return [CutOff(call.request_id) for call in calls if call.outcome == BROKEN]
 
 
+def find_unknown(calls: Iterable[Call]) -> list[UnknownOutcome]:
+    """Return the calls with an unknown outcome, for runs with planned stops only."""
+    return [
+        UnknownOutcome(call.request_id, call.failure)
+        for call in calls
+        if call.outcome == UNKNOWN
+    ]
+
+
 def check_history(
     calls: Iterable[Call],
     runs: Iterable[Run],
--- a/packages/emulator/dewstep_emulator/history_test.py
+++ b/packages/emulator/dewstep_emulator/history_test.py
@@ -117,6 +117,12 @@
     assert history.find_cut_off(calls) == [history.CutOff("r2")]
 
 
+def test_find_unknown():
+    calls = [build_call(), build_call("r2", history.UNKNOWN, failure="ConnectionLost")]
+    expected = [history.UnknownOutcome("r2", "ConnectionLost")]
+    assert history.find_unknown(calls) == expected
+
+
 def test_read_runs_pairs_events_and_keeps_unfinished_runs():
     base = {
         "request_id": "r1",
--- a/packages/emulator/dewstep_emulator/load.py
+++ b/packages/emulator/dewstep_emulator/load.py
@@ -54,36 +54,35 @@
 
     Parameters
     ----------
-    addresses : sequence of settings.Address
-        The entry processes behind the balancer.
+    list_addresses : callable
+        Returns the addresses of the entry processes that the balancer uses now.
     clock : clocks.Clock
     seed : int
         Decides keys, kinds, arrival times and the choice of entry processes.
     """
 
     def __init__(
-        self, addresses: Sequence[settings.Address], clock: clocks.Clock, seed: int
+        self,
+        list_addresses: Callable[[], Sequence[settings.Address]],
+        clock: clocks.Clock,
+        seed: int,
     ):
+        self.list_addresses = list_addresses
         self.clock = clock
         self.random = random.Random(seed)
-        self.clients = [
-            client.Client(address, CALL_TIMEOUT, connections=CONNECTIONS)
-            for address in addresses
-        ]
-        self.usable = list(self.clients)
+        self.clients: dict[settings.Address, client.Client] = {}
         self.calls: list[history.Call] = []
         self.latencies = histogram.HdrHistogram(1, LARGEST_LATENCY, 3)
-        self.select_key: Callable[[random.Random], int] | None = None
+        self.stopped = False
 
-    def set_entries(self, positions: Sequence[int]) -> None:
-        """Send only to the entry processes that the balancer takes for alive."""
-        self.usable = [self.clients[position] for position in positions]
-
-    def set_address(self, position: int, address: settings.Address) -> None:
-        """Replace the address of an entry process that was started anew."""
-        self.clients[position] = client.Client(
-            address, CALL_TIMEOUT, connections=CONNECTIONS
-        )
+    def choose_entry(self) -> client.Client:
+        """Return the connections to a random entry process, as a balancer does."""
+        address = self.random.choice(self.list_addresses())
+        if address not in self.clients:
+            self.clients[address] = client.Client(
+                address, CALL_TIMEOUT, connections=CONNECTIONS
+            )
+        return self.clients[address]
 
     async def run(self, mix: Mix) -> None:
         """Send all requests of `mix` and wait for their answers."""
@@ -93,7 +92,8 @@
         begin = loop.time()
         tasks = set()
         elapsed = 0.0
-        while elapsed < mix.duration.total_seconds():
+        self.stopped = False
+        while elapsed < mix.duration.total_seconds() and not self.stopped:
             elapsed += self.random.expovariate(mix.rate)
             delay = begin + elapsed - loop.time()
             if delay > 0:
@@ -107,6 +107,10 @@
         if tasks:
             await asyncio.wait(tasks)
 
+    def stop(self) -> None:
+        """Send no more new requests; `run` returns after the last answer."""
+        self.stopped = True
+
     async def call(self, plan: deployments.CallPlan, key: str, resend: bool) -> None:
         """Send one request until it is answered or the caller loses patience."""
         request_id = str(uuid.UUID(int=self.random.getrandbits(128), version=4))
@@ -123,7 +127,7 @@
         self, plan: deployments.CallPlan, key: str, request_id: str
     ) -> tuple[history.Call, float]:
         """Send one request; return what the caller saw and when to come back."""
-        entry = self.random.choice(self.usable)
+        entry = self.choose_entry()
         path = plan.kind.path.replace("{key}", key)
         started = self.clock.monotonic()
         answer = await call_with_id(
@@ -140,7 +144,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await asyncio.gather(*(entry.close() for entry in self.clients))
+        await asyncio.gather(*(entry.close() for entry in self.clients.values()))
 
 
 async def call_with_id(
--- a/packages/emulator/dewstep_emulator/processes.py
+++ b/packages/emulator/dewstep_emulator/processes.py
@@ -43,6 +43,7 @@
         self.log = folder / f"{name}.log"
         self.child: asyncio.subprocess.Process | None = None
         self.addresses: dict[str, Any] = {}
+        self.frozen = False
 
     async def start(self) -> dict[str, Any]:
         """Start the process and return the JSON line that it prints.
@@ -85,10 +86,12 @@
 
     def freeze(self) -> None:
         """Stop the process as if its machine were paused."""
+        self.frozen = True
         self.send(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Let a frozen process go on."""
+        self.frozen = False
         self.send(signal.SIGCONT)
 
     async def kill(self) -> None:
--- a/packages/entry/dewstep_entry/dump.py
+++ b/packages/entry/dewstep_entry/dump.py
@@ -39,7 +39,8 @@
     in_progress: int
     waiting: int
     tries_again: int
-    gates: list[dict[str, Any]]
+    gates: dict[str, dict[str, Any]]
+    """By target."""
     members: list[MemberDump]
     counts: dict[str, int]
     broken_invariants: dict[str, int]
--- a/packages/entry/dewstep_entry/gate/invariants.py
+++ b/packages/entry/dewstep_entry/gate/invariants.py
@@ -10,10 +10,11 @@
 RISING_TERM = "term-never-goes-down"
 SLOTS = "slots-never-exceeded"
 STILL_SHARD = "no-shard-served-while-moved"
+NAMES = (UNEXPIRED_GRANT, RISING_TERM, SLOTS, STILL_SHARD)
 
 
 class Invariants:
-    """Counts broken invariants by name.
+    """Counts broken invariants by name, beside other events of the gates.
 
     Parameters
     ----------
@@ -24,6 +25,10 @@
     def __init__(self, counts: collections.Counter | None = None):
         self.counts = collections.Counter() if counts is None else counts
 
+    def list_broken(self) -> dict[str, int]:
+        """Return how often each invariant was broken, without those that held."""
+        return {name: self.counts[name] for name in NAMES if self.counts[name]}
+
     def check(
         self, holds: bool, invariant: str, **details
     ) -> errors.InvariantBroken | None:
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -354,8 +354,10 @@
     def describe(self) -> dump.Dump:
         """Return the state dump."""
         now = self.clock.monotonic()
-        gates = [gate.describe() for _, gate in sorted(self.gates.gates.items())]
-        sending = {gate["target"]: gate["may_send"] for gate in gates}
+        gates = {
+            name: gate.describe() for name, gate in sorted(self.gates.gates.items())
+        }
+        sending = {name: gate["may_send"] for name, gate in gates.items()}
         failure = self.reader.last_failure
         return dump.Dump(
             version=dump.VERSION,
@@ -368,8 +370,8 @@
             waiting=self.router.waiting,
             tries_again=self.router.tries_again,
             gates=gates,
-            counts=dict(self.metrics.totals),
-            broken_invariants=dict(self.gates.checks.counts),
+            counts=dict(self.metrics.totals + self.gates.checks.counts),
+            broken_invariants=self.gates.checks.list_broken(),
             **dump.describe_view(self.holder.current, self.own, now),
         )
 
