--- a/packages/core/dewstep_core/platform/memory_table_test.py
+++ b/packages/core/dewstep_core/platform/memory_table_test.py
@@ -19,7 +19,7 @@
         (data.Write("a", {}), data.Write("b", {})),
     )
     failure = asyncio.run(table.commit(transaction)).failure()
-    assert failure == errors.Conflict(("b",))
+    assert isinstance(failure, errors.Conflict) and failure.keys == ("b",)
     assert asyncio.run(table.read_prefix("")).unwrap() == ()
 
 
--- a/packages/core/dewstep_core/record_changes_test.py
+++ b/packages/core/dewstep_core/record_changes_test.py
@@ -18,7 +18,15 @@
         {"history": SERVICE._replace(kinds=(kind, KIND._replace(name="new")))},
         {"h2": TARGET._replace(name="h2")},
     )
-    assert record_changes.compare_configurations(before, after) == (
+    changes = record_changes.compare_configurations(before, after)
+    # Tuples of different types with the same fields are equal.
+    assert [type(change).__name__ for change in changes] == [
+        "Changed",
+        "Added",
+        "Removed",
+        "Added",
+    ]
+    assert changes == (
         record_changes.Changed("kind", "history/due", "weight", 1.0, 2.0),
         record_changes.Added("kind", "history/new"),
         record_changes.Removed("target", "h1"),
--- a/packages/core/dewstep_core/records_test.py
+++ b/packages/core/dewstep_core/records_test.py
@@ -136,6 +136,11 @@
     }
 
 
+def test_a_wrong_name_of_a_service_is_not_reported_for_each_of_its_targets():
+    text = VERSION_1.replace('name = "history"', 'name = "his tory"')
+    assert find_places(text) == {("0.toml", "service[0].name")}
+
+
 def test_services_do_not_share_a_name_or_a_method_and_path():
     assert find_places(VERSION_1, VERSION_1) == {
         ("1.toml", "service[0].name"),
@@ -168,7 +173,7 @@
     origin = records.Origin(("op-1",), "ana@desk", "2026-12-03T20:00:00+00:00")
     row = json.loads(json.dumps(records.encode_configuration(configuration, origin)))
     assert row["records"]["service"][0]["kind"][0]["deadline_ms"] == 1500
-    assert "deduplication" not in row["records"]["service"][0]["kind"][0]
+    assert "draining" not in row["records"]["target"][0]
     decoded = records.decode_configuration(row).unwrap()
     assert decoded == configuration._replace(
         records={k: tuple(v) for k, v in row["records"].items()}
--- a/packages/operator/dewstep_operator/applying_test.py
+++ b/packages/operator/dewstep_operator/applying_test.py
@@ -64,16 +64,15 @@
 
 
 @pytest_bdd.given("Bat applies two targets right after the loss")
-def write_after_loss(world):
+def write_after_loss(world, write_file):
     # The first read back fails, so that Bat's write comes before the second.
     world.table.down_after_loss = True
 
-    def write():
+    async def write():
         world.table.down = world.table.down_after_loss = False
-        value = world.get("configuration")
-        parsed = records.parse_texts([("", TEXTS["two targets"])], 2).unwrap()
-        origin = records.Origin((*value["operations"], "bat-1"), "bat@desk", "")
-        world.put("configuration", records.encode_configuration(parsed, origin))
+        bat = world.open_session("bat@desk")
+        applied = await applying.apply_files(bat, [write_file("two targets")])
+        assert applied.unwrap().document["revision"] == 2
 
     world.clock.events = [write]
 
@@ -199,3 +198,15 @@
     targets = {"h1": parsed.targets["h1"]._replace(draining=True)}
     current = data.Configuration(1, parsed.services, targets)
     assert not applying.keep_draining(parsed, current).targets["h1"].draining
+
+
+def test_a_target_that_owns_keys_is_not_given_to_another_service(world, tmp_path):
+    service = builders.RECORDS[: builders.RECORDS.index("[[target]]")]
+    both = builders.TWO_TARGETS + service.replace("history", "story")
+    path = tmp_path / "records.toml"
+    path.write_text(both)
+    assert world.run("apply", str(path)).exit_code == 0
+    world.put_fleet()
+    path.write_text(both.replace('service = "history"', 'service = "story"', 1))
+    outcome = world.run("apply", str(path))
+    assert (outcome.exit_code, "h1 still owns" in outcome.stderr) == (1, True)
--- a/packages/operator/dewstep_operator/builders.py
+++ b/packages/operator/dewstep_operator/builders.py
@@ -1,6 +1,7 @@
 """Test data for operators' commands: a small fleet in memory."""
 
 import asyncio
+import inspect
 import itertools
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
@@ -55,7 +56,9 @@
     async def sleep(self, duration) -> None:
         """Run the next event and move the time by `duration`."""
         if self.events:
-            self.events.pop(0)()
+            happened = self.events.pop(0)()
+            if inspect.isawaitable(happened):
+                await happened
         self.advance(duration)
 
 
--- a/packages/operator/dewstep_operator/commands_test.py
+++ b/packages/operator/dewstep_operator/commands_test.py
@@ -4,8 +4,8 @@
 import pytest
 from returns import result
 
-from dewstep_core import records
-from dewstep_operator import builders, failures, propagation
+from dewstep_core import errors, records
+from dewstep_operator import builders, failures, propagation, rows
 
 
 @pytest.fixture
@@ -120,6 +120,19 @@
     assert world.run("drain", "h9").exit_code == 2
 
 
+def test_a_second_drain_writes_no_revision(world):
+    for _ in range(2):
+        drained = run_json(world, "drain", "h1", "--no-wait")
+        assert drained == {"target": "h1", "draining": True, "revision": 2}
+
+
+def test_a_read_whose_answer_is_lost_has_a_known_outcome():
+    # Code 4 would send the operator looking for a write that never was.
+    lost = result.Failure(errors.AnswerLost("reset"))
+    failure = rows.settle_read(lost).failure()
+    assert isinstance(failure, errors.PlatformUnavailable)
+
+
 def test_move_sends_the_order_to_the_gate_of_the_present_owner(world):
     moved = run_json(world, "move", "history", "h1", "--key", "7")
     assert (moved["before"], moved["after"]) == ("h2", "h1")
