--- a/packages/core/dewstep_core/http/server.py
+++ b/packages/core/dewstep_core/http/server.py
@@ -142,7 +142,7 @@
         self.connection.transport.close()
 
     def abort(self) -> None:
-        """Reset the connection at once."""
+        """Close the connection at once and drop the bytes not yet sent."""
         self.connection.transport.abort()
 
 
@@ -320,7 +320,7 @@
     handler : Handler
         Answers an `Exchange`. It is cancelled when the connection closes.
     maximum_connections : int, optional
-        Connections above this number are reset at once; 0 means no limit.
+        Connections above this number are closed at once; 0 means no limit.
     accept_delay : float, optional
         Seconds between accepting a connection and reading from it.
     """
@@ -375,7 +375,7 @@
         return True
 
     def abort_connections(self) -> None:
-        """Reset all open connections."""
+        """Close all open connections at once."""
         for connection in tuple(self.connections):
             connection.transport.abort()
 
--- a/packages/core/dewstep_core/platform/caller.py
+++ b/packages/core/dewstep_core/platform/caller.py
@@ -65,14 +65,18 @@
         """
         failure = errors.PlatformUnavailable(f"{self.service}: no address")
         lost = None
-        for _ in self.clients:
-            outcome = await self.call_preferred(method, path, body)
+        first = self.preferred
+        for position in range(first, first + len(self.clients)):
+            index = position % len(self.clients)
+            outcome = await self.call_address(index, method, path, body)
             if isinstance(outcome, result.Success):
+                self.preferred = index
                 return outcome
             failure = outcome.failure()
             if isinstance(failure, errors.RateExceeded):
                 break
-            self.preferred = (self.preferred + 1) % len(self.clients)
+            if self.preferred == index:
+                self.preferred = (index + 1) % len(self.clients)
             if isinstance(failure, errors.AnswerLost):
                 lost = failure
                 if not repeatable:
@@ -80,12 +84,11 @@
         # A later refusal does not undo an earlier call whose answer was lost.
         return result.Failure(lost or failure)
 
-    async def call_preferred(
-        self, method: str, path: str, body: bytes
+    async def call_address(
+        self, index: int, method: str, path: str, body: bytes
     ) -> result.Result[client.Response, Any]:
-        """Send one call to the preferred address."""
-        chosen = self.clients[self.preferred]
-        outcome = await chosen.call(method, path, body)
+        """Send one call to one address."""
+        outcome = await self.clients[index].call(method, path, body)
         if not isinstance(outcome, result.Success):
             return outcome
         response = outcome.unwrap()
--- a/packages/emulator/dewstep_emulator/program.py
+++ b/packages/emulator/dewstep_emulator/program.py
@@ -147,7 +147,7 @@
     """Faults of a platform service."""
 
     down: str = ""
-    """"refuse": connections are refused and open ones reset; any other text: calls
+    """"refuse": connections are refused and open ones closed; any other text: calls
     get status 503."""
     delay: faults.Delay = faults.Delay()
     """Wait before a call takes effect, even if its caller has left by then."""
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/testing.py
@@ -0,0 +1,62 @@
+"""Helpers for tests that run stand-ins and clients in one event loop."""
+
+import asyncio
+import contextlib
+import functools
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from returns import result
+
+from dewstep_core import settings
+from dewstep_core.http import client, server
+
+REFUSED = settings.Address("127.0.0.1", 1)
+"""An address at which nothing listens."""
+CALL_SECONDS = 3.0
+
+
+def in_loop(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
+    """Return a test function that runs the coroutine function `test`.
+
+    Fixtures and parameters are passed through, since pytest reads the signature of
+    the wrapped function.
+    """
+
+    @functools.wraps(test)
+    def run(*arguments, **named):
+        asyncio.run(test(*arguments, **named))
+
+    return run
+
+
+def fails(outcome: result.Result, failure: type) -> bool:
+    """Return whether `outcome` is a failure of a type."""
+    return isinstance(outcome, result.Failure) and isinstance(
+        outcome.failure(), failure
+    )
+
+
+@contextlib.asynccontextmanager
+async def calling(
+    address: settings.Address, timeout: float = CALL_SECONDS, **options
+) -> AsyncIterator[client.Client]:
+    """Yield a client that is closed at the end; options as for `client.Client`."""
+    caller = client.Client(address, timeout, **options)
+    try:
+        yield caller
+    finally:
+        await caller.close()
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    handler: server.Handler, connections: int = client.CONNECTIONS, **options
+) -> AsyncIterator[tuple[server.Server, client.Client]]:
+    """Yield a server for `handler` and its client; options as for `server.Server`."""
+    served = server.Server(handler, **options)
+    address = await served.start("127.0.0.1", 0)
+    try:
+        async with calling(address, connections=connections) as caller:
+            yield served, caller
+    finally:
+        await served.close(grace=0.2)
