Test that a grant which ends during an upload permits no run

Cause: with the target's check after the request body removed on a scratch copy, all tests still passed; nine other removals or changes of checks were caught. Ruled out: a separate test; the log of the existing one already shows what ran. Conclusion: kept.

--- a/packages/emulator/dewstep_emulator/target_test.py
+++ b/packages/emulator/dewstep_emulator/target_test.py
@@ -86,6 +86,23 @@
     return response.status, response.headers.get("dewstep-refused")
 
 
+async def read_raw(harness, upload=0.0):
+    """Send a request whose body takes `upload` seconds; return the answer's bytes."""
+    reader, writer = await asyncio.open_connection(*harness.caller.address)
+    head = f"Dewstep-Term: {harness.term}\r\nDewstep-Boot: {harness.boot}"
+    head = f"POST /a HTTP/1.1\r\nHost: t\r\nContent-Length: 1\r\n{head}\r\n\r\n"
+    writer.write(head.encode())
+    await asyncio.sleep(upload)
+    writer.write(b"x")
+    content = b""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(0.2):
+            while part := await reader.read(65536):
+                content += part
+    writer.close()
+    return content
+
+
 @testing.in_loop
 async def test_fenced_target_runs_only_under_a_grant(tmp_path):
     async with running(tmp_path) as harness:
@@ -102,6 +119,9 @@
         assert refusal(await harness.call("r3", Boot="x")) == (409, "fenced")
         assert refusal(await harness.call("r4", Deadline="0.0")) == (409, "fenced")
         assert (await harness.call("r5", Term="x")).unwrap().status == 400
+        # This grant ends while the request body is on its way.
+        await harness.grant(term=3, lifetime=0.3)
+        assert b" 409 " in await read_raw(harness, upload=0.5)
         assert harness.events() == [("start", "r1"), ("end", "r1")]
 
 
@@ -165,20 +185,6 @@
         await call
 
 
-async def read_raw(harness):
-    """Send one request on a raw connection and return all bytes of the answer."""
-    reader, writer = await asyncio.open_connection(*harness.caller.address)
-    head = f"Dewstep-Term: 1\r\nDewstep-Boot: {harness.boot}"
-    writer.write(f"GET /a HTTP/1.1\r\nHost: t\r\n{head}\r\n\r\n".encode())
-    content = b""
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(0.2):
-            while part := await reader.read(65536):
-                content += part
-    writer.close()
-    return content
-
-
 @testing.in_loop
 async def test_answers_are_doubled_cut_prolonged_and_delayed(tmp_path):
     async with running(tmp_path, service_time=0.001) as harness:
