--- /dev/null
+++ b/packages/entry/dewstep_entry/policy/shardloads.py
@@ -0,0 +1,42 @@
+"""Rate of requests of each shard, with the decay of the hot-key sketch.
+
+Both counters use the same half-life: the planner subtracts the rate of a hot key from
+that of its shard, which would be wrong if the two looked back over different times.
+"""
+
+import array
+import datetime
+
+from dewstep_entry.policy import decay, hotkeys
+
+
+class ShardLoads:
+    """Decayed counts of the shards of one service.
+
+    Parameters
+    ----------
+    shard_count : int
+        Number of shards of the service.
+    half_life : datetime.timedelta, optional
+        Time in which a count loses half of its value.
+    """
+
+    def __init__(
+        self,
+        shard_count: int,
+        half_life: datetime.timedelta = hotkeys.HALF_LIFE,
+    ):
+        self.scale = decay.Scale(half_life, datetime.timedelta())
+        self.counts = array.array("d", bytes(8 * shard_count))
+
+    def add(self, shard: int, now: datetime.timedelta, weight: float = 1.0) -> None:
+        """Count a request for a key of `shard` that is not lifted out of it."""
+        if self.scale.is_spent(now):
+            factor = self.scale.rescale(now)
+            self.counts = array.array("d", (count * factor for count in self.counts))
+        self.counts[shard] += weight * self.scale.weigh(now)
+
+    def compute_rates(self, now: datetime.timedelta) -> list[float]:
+        """Return the requests/s of each shard."""
+        unit = self.scale.compute_rate(1.0, now)
+        return [count * unit for count in self.counts]
