--- a/packages/core/dewstep_core/ledger.py
+++ b/packages/core/dewstep_core/ledger.py
@@ -181,11 +181,14 @@
 
     def resize_shard(self, shard: int, change: float) -> None:
         """Change the load of a shard without touching that of its target."""
+        # Shards and keys are counted apart; an error of either must not leave less
+        # than nothing.
+        resized = max(0.0, self.shard_loads[shard] + change)
         units = self.shards.get(self.owners[shard])
         if units is not None:
             remove(units, Unit(self.shard_loads[shard], shard))
-            bisect.insort(units, Unit(self.shard_loads[shard] + change, shard))
-        self.shard_loads[shard] += change
+            bisect.insort(units, Unit(resized, shard))
+        self.shard_loads[shard] = resized
 
     def transfer(self, source: str, destination: str, load: float) -> None:
         """Book a load from one target to another."""
