Add the callers' port

Cause: callers reach dewstep over HTTP/1.1 and may be oversized, ambiguous, slow or gone; each case needs one typed answer and bounded memory. Ruled out: a timer per request (one periodic task judges all connections); a task per request (one per connection, cancelled when the caller goes away); a plain close after a cut answer, which an HTTP/1.0 caller takes for its end.

--- /dev/null
+++ b/packages/entry/dewstep_entry/caller/request_body.py
@@ -0,0 +1,73 @@
+"""The framing of a caller's request and the rest of its body."""
+
+from typing import Any
+
+from dewstep_core import data, errors
+from dewstep_entry import bodies, header_rules
+
+
+class CallerFault(Exception):
+    """The caller broke a rule; the request did not reach a handler.
+
+    Parameters
+    ----------
+    failure : tuple
+        One of the tuples in `dewstep_core.errors`.
+    """
+
+    def __init__(self, failure: Any):
+        super().__init__(repr(failure))
+        self.failure = failure
+
+
+class RequestBody:
+    """The rest of a large body, parsed as its reader asks for it.
+
+    Parameters
+    ----------
+    connection : CallerConnection
+        Its `read_chunk` returns the next piece.
+    limit : int
+        Most bytes of the whole body.
+    received : int
+        Bytes of the body that were read before.
+    """
+
+    def __init__(self, connection, limit: int, received: int):
+        self.connection = connection
+        self.limit = limit
+        self.received = received
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self) -> bytes:
+        try:
+            chunk = await self.connection.read_chunk()
+        except CallerFault as fault:
+            raise bodies.BodyFailure(fault.failure) from None
+        if chunk is None:
+            raise StopAsyncIteration
+        self.received += len(chunk)
+        if self.received > self.limit:
+            raise bodies.BodyFailure(errors.BodyTooLarge(self.limit))
+        return chunk
+
+
+def find_length(headers: data.Headers) -> int | None:
+    """Return the announced length of a request's body, None if it is chunked.
+
+    Raises
+    ------
+    CallerFault
+        If both framings are announced; two parsers could then disagree about where
+        the next request begins (RFC 9112, section 6.1).
+    """
+    length = header_rules.find_header(headers, b"content-length")
+    coding = header_rules.find_header(headers, b"transfer-encoding")
+    if coding is None:
+        return 0 if length is None else int(length)
+    if length is not None:
+        detail = "both Content-Length and Transfer-Encoding"
+        raise CallerFault(errors.MalformedRequest(detail))
+    return None
