--- a/tests/examples_test.py
+++ b/tests/examples_test.py
@@ -68,6 +68,9 @@
                 check = settings_file.CHECKS[datetime.timedelta]
                 texts = re.findall(r'`"(\w+)"`', rows[name])
                 assert check.read(texts[0]) == default, name
+            elif isinstance(default, bool):
+                # TOML writes truth values in lower case.
+                assert f"| `{str(default).lower()}` |" in rows[name], name
             elif isinstance(default, int | float):
                 assert f"| `{default}` |" in rows[name], name
             else:
