--- a/packages/entry/dewstep_entry/gate/deduplication.py
+++ b/packages/entry/dewstep_entry/gate/deduplication.py
@@ -199,9 +199,9 @@
 class MemoryDeduplication:
     """Time-ordered ids and the memory of the gate.
 
-    An id from before a floor may have run without this gate knowing. Floors are set
-    when the gate starts without the memory of its predecessor, when a shard or key
-    arrives from another target, and when ids are dropped from memory.
+    An id that is not later than a floor may have run without this gate knowing.
+    Floors are set when the gate starts without the memory of its predecessor, when a
+    shard or key arrives from another target, and when memory drops ids.
     """
 
     remembers = True
@@ -224,7 +224,7 @@
             self.shard_floors.get(shard, self.floor),
             self.key_floors.get(request.key, self.floor),
         )
-        if time < floor:
+        if time <= floor:
             return errors.AlreadyClaimed(request.service, request.request_id)
         return None
 
@@ -273,8 +273,7 @@
         """Note that the memory dropped an id."""
         time = read_uuid_time(request_id)
         if time is not None:
-            just_after = time + datetime.timedelta(milliseconds=1)
-            self.floor = max(self.floor, just_after)
+            self.floor = max(self.floor, time)
 
 
 def read_uuid_time(request_id: str) -> datetime.datetime | None:
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/succession_test.py
@@ -0,0 +1,103 @@
+import datetime
+
+from dewstep_core import data
+from dewstep_entry.gate import fakes_test as fakes, rows, succession
+from dewstep_entry.state import view
+
+MS, SECOND = fakes.MS, fakes.SECOND
+OWN = data.Member("e1", "i1", "dc1", "127.0.0.1", 1)
+
+
+def make_members(*members):
+    states = (view.MemberState(m, 0 * SECOND, alive) for m, alive in members)
+    return {state.member.entry: state for state in states}
+
+
+def make_record(entry="e2", incarnation="i1", term=4, horizon=100, released=False):
+    row = data.GateRow("t1", entry, incarnation, "127.0.0.1", 1, term, 7)
+    return rows.GateRecord(row, horizon * SECOND, released, "op")
+
+
+def test_find_vacancy_names_each_way_to_lose_a_gate():
+    other = OWN._replace(entry="e2")
+    alive, dead = make_members((other, True)), make_members((other, False))
+    row = make_record().row
+
+    def find(row, members, held=None):
+        return succession.find_vacancy(row, members, OWN, held)
+
+    assert find(row, alive) is None
+    assert find(None, alive) == succession.NO_ROW
+    assert find(row, dead) == succession.GATE_SUSPECTED
+    assert find(row, {}) == succession.GATE_UNKNOWN
+    assert find(row._replace(incarnation="i2"), alive) == succession.GATE_REPLACED
+    assert find(row._replace(entry=""), alive) == succession.VACATED
+    mine = row._replace(entry="e1")
+    assert find(mine, alive, 4) is None
+    assert find(mine, alive, 3) == succession.NAMED_HERE
+    # An earlier run of this process is another gate.
+    assert find(mine._replace(incarnation="i0"), alive) == succession.GATE_REPLACED
+
+
+def test_only_live_processes_of_the_data_centre_follow_in_one_common_order():
+    members = make_members(
+        (OWN, True),
+        (OWN._replace(entry="e2"), True),
+        (OWN._replace(entry="e3"), False),
+        (OWN._replace(entry="e4", data_centre="dc2"), True),
+        (OWN._replace(entry="e5"), True),
+    )
+    target = fakes.make_target()
+    order = succession.rank_candidates(target, members, ("e5",))
+    assert sorted(order) == ["e1", "e2"]
+    delays = {}
+    for entry in order:
+        own = members[entry].member
+        vacancy = succession.decide(target, None, members, own, None, ("e5",))
+        delays[entry] = vacancy.delay
+    assert [delays[entry] for entry in order] == [0 * MS, succession.CANDIDATE_STEP]
+    leaving = members["e5"].member
+    assert not succession.decide(target, None, members, leaving, None, ("e5",))
+    assert succession.choose_successor(target, members, order).entry == "e5"
+    assert succession.choose_successor(target, {}, ()) is None
+
+
+def test_the_wait_outlasts_the_slowest_old_gate_and_its_last_grant():
+    now = 50 * SECOND
+    wait = succession.compute_wait(make_record(), now, fakes.GRANTS)
+    # 100 s at a rate that differs by 1%, 600 ms of a grant likewise, and 10 ms.
+    assert wait.until == now + 101 * SECOND + 616 * MS
+    assert succession.compute_wait(None, now, fakes.GRANTS).until == now
+    # `released` speaks of the gates before the one in the row, not of that one.
+    taken = make_record(released=True)
+    assert succession.compute_wait(taken, now, fakes.GRANTS).until == wait.until
+    vacated = make_record(entry="", released=True)
+    short = now + 616 * MS
+    assert succession.compute_wait(vacated, now, fakes.GRANTS).until == short
+    assert succession.compute_named_wait(taken, now, fakes.GRANTS).until == short
+    unclean = make_record()
+    assert succession.compute_named_wait(unclean, now, fakes.GRANTS) == wait
+
+
+def test_the_recorded_horizon_covers_gates_that_were_never_fenced():
+    assert succession.compute_recorded_horizon(make_record(), 5 * SECOND) == (
+        100 * SECOND
+    )
+    vacated = make_record(entry="", released=True)
+    assert succession.compute_recorded_horizon(vacated, 5 * SECOND) == 5 * SECOND
+
+
+def test_rows_survive_encoding_and_invalid_ones_are_refused():
+    record = make_record(released=True)
+    row = data.Row("gate/t1", 7, rows.encode_gate(record))
+    assert rows.decode_gate(row, 1 * SECOND).unwrap() == record
+    assert rows.decode_gate(row._replace(value={"term": 1}), SECOND).failure()
+    # A row of a program that does not write the horizon.
+    value = {key: v for key, v in row.value.items() if key != "horizon_ms"}
+    decoded = rows.decode_gate(row._replace(value=value), 9 * SECOND).unwrap()
+    assert decoded.horizon == datetime.timedelta(seconds=9)
+    assignment = data.Assignment("s", 3, ("t1", "t2"), {"k": "t2"}, ("a",))
+    row = data.Row("assignment/s", 3, rows.encode_assignment(assignment, "b"))
+    decoded = rows.decode_assignment(row).unwrap()
+    assert decoded == assignment._replace(operations=("a", "b"))
+    assert rows.decode_assignment(row._replace(value={})).failure()
