Balance load by moving shards and hot keys; let other data centres succeed

Ruled out: a takeover from outside without asking the target first; a cut-off data centre would lose its gates. Random heartbeats to judge other data centres: with two processes each, one window of 3 s in twenty would be silent by chance; a data centre is now asked three times before it counts as silent. Heartbeats: every 150 ms to two monitors instead of every 100 ms to four.

--- a/packages/core/dewstep_core/settings.py
+++ b/packages/core/dewstep_core/settings.py
@@ -37,8 +37,8 @@
 class PeerSettings(NamedTuple):
     """Timing of the messages between entry processes."""
 
-    heartbeat_interval: datetime.timedelta = datetime.timedelta(milliseconds=100)
-    suspect_after: datetime.timedelta = datetime.timedelta(milliseconds=400)
+    heartbeat_interval: datetime.timedelta = datetime.timedelta(milliseconds=150)
+    suspect_after: datetime.timedelta = datetime.timedelta(milliseconds=450)
     connect_timeout: datetime.timedelta = datetime.timedelta(milliseconds=300)
 
 
--- /dev/null
+++ b/packages/entry/dewstep_entry/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Evens out the load of the targets by moving shards and hot keys."""
--- /dev/null
+++ b/packages/entry/dewstep_entry/balancing/planner_test.py
@@ -0,0 +1,83 @@
+import datetime
+
+from dewstep_core import data, hashing, ledger
+from dewstep_emulator import builders
+from dewstep_entry.balancing import messages, planner, workload
+from dewstep_entry.policy import outliers
+
+NOW = datetime.timedelta(minutes=5)
+SHARDS = 64
+TARGETS = {
+    name: builders.build_target(name=name, service="history")
+    for name in ("history-0", "history-1", "history-2")
+}
+
+
+def build_assignment(owners=("history-0", "history-1"), overrides=None):
+    spread = tuple(owners[number % len(owners)] for number in range(SHARDS))
+    return data.Assignment("history", 3, spread, overrides or {}, ())
+
+
+def build_report(target, shards=None, keys=None, factor=1.0):
+    load = workload.TargetLoad(shards or {}, keys or {})
+    return planner.Report(target, load, factor, None)
+
+
+def test_a_target_that_owns_nothing_gets_its_share():
+    assignment = build_assignment()
+    reports = [build_report(name) for name in TARGETS]
+    moves = planner.plan(assignment, TARGETS, reports, NOW, {})
+    assert {move.destination for move in moves} == {"history-2"}
+    assert len(moves) == SHARDS // 3
+
+
+def test_nothing_goes_to_a_target_whose_gate_does_not_report():
+    # Its keys would be moved to a target that may be lost.
+    assignment = build_assignment()
+    reports = [build_report(name) for name in ("history-0", "history-1")]
+    assert planner.plan(assignment, TARGETS, reports, NOW, {}) == ()
+
+
+def test_collect_ignores_loads_of_former_owners():
+    # A target that has lost a shard still reports its decaying load for a while.
+    assignment = build_assignment(overrides={"hot": "history-1"})
+    reports = [
+        build_report("history-0", {0: 1.0, 1: 5.0}, {"hot": 9.0}),
+        build_report("history-1", {1: 2.0, SHARDS: 1.0}, {"hot": 3.0}),
+    ]
+    loads = planner.collect_shard_loads(assignment, reports)
+    assert loads[:2] == [1.0, 2.0] and sum(loads) == 3.0
+    assert planner.collect_key_loads(assignment, reports) == {"hot": 3.0}
+
+
+def test_a_hot_key_leaves_the_busiest_target():
+    assignment = build_assignment(("history-0", "history-1", "history-2"))
+    key = next(
+        f"key-{number}"
+        for number in range(100)
+        if hashing.compute_shard(f"key-{number}", SHARDS) == 0
+    )
+    busy = build_report("history-0", {0: 2.0, 3: 2.0}, {key: 1.9})
+    others = [
+        build_report(name, {1: 0.1, 2: 0.1}) for name in TARGETS if name[-1] > "0"
+    ]
+    moves = planner.plan(assignment, TARGETS, [busy, *others], NOW, {})
+    assert moves and all(move.source == "history-0" for move in moves)
+
+
+def test_messages_keep_reports_and_moves():
+    summary = outliers.Summary(5.0, 1.0, datetime.timedelta(seconds=0.25), 1, True)
+    report = planner.Report(
+        "history-0", workload.TargetLoad({3: 0.5}, {"k": 0.25}), 0.5, summary
+    )
+    value = messages.encode_reports("history", [report])
+    assert messages.decode_reports(value).unwrap() == [report]
+    moves = (ledger.Move(ledger.SHARD, 3, "history-0", "history-1"),)
+    value = messages.encode_moves("history", 7, moves, {"history-0": summary})
+    assert messages.decode_moves(value).unwrap() == (moves, {"history-0": summary})
+
+
+def test_damaged_messages_are_failures_and_not_exceptions():
+    damaged = messages.encode_reports("history", [])._replace(payload=b"[1]")
+    assert messages.decode_reports(damaged).failure()
+    assert messages.decode_moves(damaged).failure()
--- /dev/null
+++ b/packages/entry/dewstep_entry/balancing/workload.py
@@ -0,0 +1,138 @@
+"""Measures the load that each shard and hot key puts on the targets of this process.
+
+Load is the time that requests hold slots, in seconds per second: a target is full at
+as many as it has slots. It is counted where requests end, at the gates, so that no
+other process has to be asked for it before it is needed.
+"""
+
+import datetime
+from typing import NamedTuple
+
+from returns import result
+
+from dewstep_core import clock as clocks, data, errors
+from dewstep_entry import interfaces
+from dewstep_entry.policy import admission, decay, hotkeys, limit, outliers
+
+HALF_LIFE = datetime.timedelta(seconds=15)
+SERVER_ERROR = 500
+SHED = "shed"
+
+
+class TargetLoad(NamedTuple):
+    """Load of one target by shard and by hot key, in slot seconds/s."""
+
+    shards: dict[int, float]
+    """Without the keys that are lifted out of them."""
+    keys: dict[str, float]
+
+
+def classify(
+    outcome: result.Result[data.Answer, interfaces.Failure],
+) -> str | None:
+    """Return the outcome as the policies name it, or None if it says nothing."""
+    if isinstance(outcome, result.Success):
+        failed = outcome.unwrap().status >= SERVER_ERROR
+        return limit.FAILED if failed else limit.ANSWERED
+    failure = outcome.failure()
+    if isinstance(failure, errors.TargetRefused):
+        return limit.SHED if failure.reason == SHED else None
+    unclear = errors.ConnectionLost | errors.DeadlineExceeded | errors.AnswerInvalid
+    return limit.FAILED if isinstance(failure, unclear) else None
+
+
+class Workload:
+    """Load of one target."""
+
+    def __init__(self, now: datetime.timedelta):
+        self.scale = decay.Scale(HALF_LIFE, now)
+        self.shards: dict[int, float] = {}
+        self.keys = hotkeys.Sketch(half_life=HALF_LIFE)
+
+    def add(
+        self,
+        shard: int,
+        key: str,
+        lifted: bool,
+        held: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Count a request that held a slot for `held`."""
+        if self.scale.is_spent(now):
+            factor = self.scale.rescale(now)
+            self.shards = {name: count * factor for name, count in self.shards.items()}
+        seconds = held.total_seconds()
+        if not lifted:
+            weight = seconds * self.scale.weigh(now)
+            self.shards[shard] = self.shards.get(shard, 0.0) + weight
+        self.keys.add(key, now, seconds)
+
+    def summarize(self, now: datetime.timedelta) -> TargetLoad:
+        """Return the present load."""
+        shards = {
+            shard: self.scale.compute_rate(count, now)
+            for shard, count in self.shards.items()
+        }
+        return TargetLoad(shards, hotkeys.get_loads(self.keys.summarize(now)))
+
+
+class Observer:
+    """Implements `gate.observation.Observer` for the targets whose gates are here.
+
+    Parameters
+    ----------
+    clock : clocks.Clock
+    """
+
+    def __init__(self, clock: clocks.Clock):
+        self.clock = clock
+        self.loads: dict[str, Workload] = {}
+        self.outliers: dict[str, outliers.Outliers] = {}
+        self.admissions: dict[str, admission.Admission] = {}
+
+    def start(self, target: data.Target) -> None:
+        """Start to watch a target whose gate is now here."""
+        self.watch(target, cold=False)
+
+    def restart(self, target: data.Target) -> None:
+        """Watch a target anew that has restarted, with cold caches."""
+        self.watch(target, cold=True)
+
+    def watch(self, target: data.Target, cold: bool) -> None:
+        """Start to watch a target."""
+        now = self.clock.monotonic()
+        self.loads[target.name] = Workload(now)
+        watch = self.outliers.setdefault(target.service, outliers.Outliers())
+        watch.add_target(target.name, now, cold)
+
+    def end(self, target: data.Target) -> None:
+        """Forget a target whose gate is no longer here."""
+        self.loads.pop(target.name, None)
+        self.admissions.pop(target.name, None)
+        watch = self.outliers.get(target.service)
+        if watch is not None:
+            watch.remove_target(target.name)
+
+    def record(
+        self,
+        target: data.Target,
+        shard: int,
+        key: str,
+        single: bool,
+        outcome: result.Result[data.Answer, interfaces.Failure],
+        held: datetime.timedelta,
+    ) -> None:
+        """Count the outcome of one exchange with a target."""
+        verdict = classify(outcome)
+        if verdict is None:
+            return
+        now = self.clock.monotonic()
+        queue = self.admissions.get(target.name)
+        if queue is not None:
+            queue.record(verdict, held, now)
+        load = self.loads.get(target.name)
+        if load is not None and verdict != limit.SHED:
+            load.add(shard, key, single, held, now)
+        watch = self.outliers.get(target.service)
+        if watch is not None:
+            watch.record(target.name, verdict, held, now)
--- a/packages/entry/dewstep_entry/gate/gate.py
+++ b/packages/entry/dewstep_entry/gate/gate.py
@@ -24,6 +24,7 @@
     grants,
     invariants,
     lifecycle,
+    observation,
     once,
     ownership,
     renewal,
@@ -75,6 +76,7 @@
         events: asyncio.Queue,
         budget: sending.RetryBudget,
         start: lifecycle.Start,
+        observer: observation.Observer | None = None,
         checks: invariants.Invariants | None = None,
         make_operation_id: Callable[[], str] = lambda: str(uuid.uuid4()),
     ):
@@ -121,6 +123,7 @@
             self.checks,
             self.loops,
             self.ownership,
+            observer or observation.Blind(),
         )
         context = deduplication.Context(
             service.name,
@@ -183,6 +186,11 @@
         expired_at = self.grant.compute_expired_at()
         return lifecycle.Release(self.once.export(), not waiting, expired_at)
 
+    def may_receive_shards(self) -> bool:
+        """Return whether the target can be given more to own."""
+        working = not (self.lost or self.releasing or self.evacuating)
+        return working and self.grant.may_send(self.clock.monotonic())
+
     def is_waiting(self) -> bool:
         """Return whether an earlier gate may still act for the target."""
         end = self.grant.old_gates_end
--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -29,6 +29,8 @@
 from dewstep_entry.state import view
 
 STEP = datetime.timedelta(milliseconds=50)
+RECENT_CONTACT = datetime.timedelta(seconds=10)
+OUTSIDE_PAUSE = datetime.timedelta(seconds=1)
 RETRY_PAUSE = datetime.timedelta(milliseconds=200)
 
 
@@ -72,6 +74,7 @@
         self.takeovers: dict[str, asyncio.Task] = {}
         self.emptying: dict[str, asyncio.Task] = {}
         self.endings: set[asyncio.Task] = set()
+        self.returning: set[asyncio.Task] = set()
         self.leaving_targets: frozenset[str] = frozenset()
         self.leaving_entries: frozenset[str] = frozenset()
         self.stopping = False
@@ -108,8 +111,8 @@
             self.start_emptying(gate)
         if not self.stopping:
             for target in configuration.targets.values():
-                if target.data_centre == self.own.data_centre:
-                    self.look_for_vacancy(target, configuration)
+                self.look_for_vacancy(target, configuration)
+            self.look_for_heir()
 
     def receive_event(self, message: event.Event) -> None:
         """Process one message of a gate."""
@@ -118,6 +121,8 @@
         if gate is None or gate.term != message.term:
             return
         self.checks.counts[type(message).__name__] += 1
+        if isinstance(message, event.TargetRestarted):
+            self.wiring.observer.restart(gate.target)
         if isinstance(message, event.Superseded):
             self.end_gate(gate)
 
@@ -125,6 +130,7 @@
         """Drop a gate and let its running requests end by themselves."""
         if self.gates.get(gate.target.name) is gate:
             del self.gates[gate.target.name]
+            self.wiring.observer.end(gate.target)
         task = asyncio.ensure_future(gate.stop())
         self.endings.add(task)
         task.add_done_callback(self.endings.discard)
@@ -156,16 +162,63 @@
         self.vacant_since[target.name] = (vacancy.reason, since)
         service = configuration.services.get(target.service)
         if service is not None and now - since >= vacancy.delay:
-            self.start_takeover(target, service)
+            self.start_takeover(target, service, vacancy.outside)
 
-    def start_takeover(self, target: data.Target, service: data.Service) -> None:
+    def look_for_heir(self) -> None:
+        """Hand one gate to the process that should have it, if there is such a gate.
+
+        Only after a recent contact with the table: a gate that has been released
+        can't be served before the row names its successor.
+        """
+        now = self.clock.monotonic()
+        contact = self.holder.current.table_contact
+        if self.returning or contact is None or now - contact > RECENT_CONTACT:
+            return
+        for gate in self.gates.values():
+            if gate.releasing or gate.lost or gate.target.name in self.emptying:
+                continue
+            heir = succession.choose_heir(
+                gate.target,
+                self.holder.current.members,
+                self.own,
+                self.leaving_entries,
+                now,
+            )
+            if heir is not None and not gate.is_waiting():
+                logging.info(
+                    "gate_returned target=%s heir=%s", gate.target.name, heir.entry
+                )
+                task = asyncio.ensure_future(self.hand_over(gate))
+                self.returning.add(task)
+                task.add_done_callback(self.returning.discard)
+                return
+
+    def start_takeover(
+        self, target: data.Target, service: data.Service, outside: bool
+    ) -> None:
         """Start the task that takes a target over."""
-        task = asyncio.ensure_future(self.take_over(target, service))
+        task = asyncio.ensure_future(self.take_over(target, service, outside))
         self.takeovers[target.name] = task
         task.add_done_callback(lambda done: self.takeovers.pop(target.name, None))
 
-    async def take_over(self, target: data.Target, service: data.Service) -> None:
-        """Raise the term and start the gate."""
+    async def is_reachable(self, target: data.Target) -> bool:
+        """Return whether a target answers to this process."""
+        channel = self.wiring.make_channel(target)
+        answer = await channel.read_clock()
+        await channel.close()
+        return isinstance(answer, result.Success)
+
+    async def take_over(
+        self, target: data.Target, service: data.Service, outside: bool
+    ) -> None:
+        """Raise the term and start the gate.
+
+        A target of another data centre has to be reachable first. If it is not, its
+        data centre may be cut off, and its gate there still serves it.
+        """
+        if outside and not await self.is_reachable(target):
+            await self.clock.sleep(OUTSIDE_PAUSE)
+            return
         held = self.gates.get(target.name)
         outcome = await self.rows.take_over(
             target, service.outage_horizon, None if held is None else held.term
@@ -219,10 +272,12 @@
             events=self.events,
             budget=self.wiring.budget,
             start=start,
+            observer=self.wiring.observer,
             checks=self.checks,
             make_operation_id=self.make_operation_id,
         )
         self.gates[target.name] = gate
+        self.wiring.observer.start(target)
         gate.run()
 
     async def receive_handover(self, message: handover.Handover) -> None:
--- a/packages/entry/dewstep_entry/gate/sending.py
+++ b/packages/entry/dewstep_entry/gate/sending.py
@@ -14,6 +14,7 @@
     deduplication,
     exclusion,
     invariants,
+    observation,
     ownership,
     quarantine,
     renewal,
@@ -65,6 +66,7 @@
         checks: invariants.Invariants,
         loops: renewal.Renewal,
         owned: ownership.Ownership,
+        observer: observation.Observer,
     ):
         self.target = target
         self.grant = grant
@@ -76,6 +78,7 @@
         self.checks = checks
         self.loops = loops
         self.owned = owned
+        self.observer = observer
         self.exclusion = exclusion.Exclusion(clock)
 
     async def send(
@@ -176,10 +179,15 @@
         known = run.may_have_run
         run.sent = run.may_have_run = run.body_used = True
         run.crash_counted = False
+        started = self.clock.monotonic()
         try:
             outcome = await self.channel.exchange(run.request, stamp)
         finally:
             run.sent = False
+        held = self.clock.monotonic() - started
+        self.observer.record(
+            self.target, run.shard, run.request.key, run.single, outcome, held
+        )
         if isinstance(outcome, result.Success):
             run.sent = True
             self.note_reached(run, True)
--- a/packages/entry/dewstep_entry/gate/succession.py
+++ b/packages/entry/dewstep_entry/gate/succession.py
@@ -24,6 +24,14 @@
 # process that it does not know is not held to be gone.
 UNKNOWN_GRACE = datetime.timedelta(seconds=2)
 
+# Processes of other data centres wait this much longer, since those of the target's
+# own data centre may only be restarting.
+OUTSIDE_DELAY = datetime.timedelta(milliseconds=400)
+
+# A process gets a gate back that it is the first candidate for once it has been alive
+# this long, so that one that keeps failing is left alone.
+SETTLED = datetime.timedelta(seconds=10)
+
 # A gate that is named by a hand-over waits this long for the memory of request ids
 # that is sent to it, and then starts without.
 HANDOVER_GRACE = datetime.timedelta(milliseconds=300)
@@ -35,6 +43,8 @@
     reason: str
     delay: datetime.timedelta
     """How long the vacancy must have lasted before this process acts on it."""
+    outside: bool = False
+    """Whether this process is in another data centre than the target."""
 
 
 class Wait(NamedTuple):
@@ -78,15 +88,38 @@
     members: Mapping[str, views.MemberState],
     excluded: Collection[str],
 ) -> tuple[str, ...]:
-    """Return the live entry processes of the target's data centre, the best first."""
-    live = (
-        state.member.entry
+    """Return the live entry processes that may become the gate, the best first.
+
+    Those of other data centres count only if none lives in the target's own, because
+    a gate must go on serving when its data centre is cut off.
+    """
+    live = [
+        state.member
         for state in members.values()
-        if state.alive
-        and state.member.data_centre == target.data_centre
-        and state.member.entry not in excluded
-    )
-    return hashing.rank_by_rendezvous(target.name, live)
+        if state.alive and state.member.entry not in excluded
+    ]
+    near = [member for member in live if member.data_centre == target.data_centre]
+    names = (member.entry for member in near or live)
+    return hashing.rank_by_rendezvous(target.name, names)
+
+
+def choose_heir(
+    target: data.Target,
+    members: Mapping[str, views.MemberState],
+    own: data.Member,
+    excluded: Collection[str],
+    now: datetime.timedelta,
+) -> data.Member | None:
+    """Return the process that a working gate should be handed to, or None.
+
+    That is the first candidate, so that replaced processes get their share again and
+    targets come back to their own data centre.
+    """
+    order = rank_candidates(target, members, excluded)
+    if not order or order[0] == own.entry:
+        return None
+    state = members[order[0]]
+    return state.member if now - state.last_heard >= SETTLED else None
 
 
 def choose_successor(
@@ -125,7 +158,10 @@
     delay = order.index(own.entry) * CANDIDATE_STEP
     if reason == GATE_UNKNOWN:
         delay += UNKNOWN_GRACE
-    return Vacancy(reason, delay)
+    outside = own.data_centre != target.data_centre
+    if outside:
+        delay += OUTSIDE_DELAY
+    return Vacancy(reason, delay, outside)
 
 
 def compute_horizon_end(
--- a/packages/entry/dewstep_entry/gate/wiring.py
+++ b/packages/entry/dewstep_entry/gate/wiring.py
@@ -5,7 +5,7 @@
 
 from dewstep_core import data
 from dewstep_entry import interfaces
-from dewstep_entry.gate import handover, moves, sending, slots
+from dewstep_entry.gate import handover, moves, observation, sending, slots
 
 
 class Wiring(NamedTuple):
@@ -16,3 +16,4 @@
     budget: sending.RetryBudget
     plan_evacuation: moves.PlanEvacuation
     send_handover: handover.SendHandover
+    observer: observation.Observer = observation.Blind()
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -19,6 +19,7 @@
 )
 from dewstep_core.platform import instances, table as tables
 from dewstep_entry import dump, metrics, operators
+from dewstep_entry.balancing import balancer, workload
 from dewstep_entry.caller import listener
 from dewstep_entry.gate import handover, manager, transfer, wiring
 from dewstep_entry.peers import link
@@ -94,6 +95,7 @@
 
     def build_gates(self) -> None:
         """Make the manager of the gates and the links to peers."""
+        self.observer = workload.Observer(self.clock)
         self.gates = manager.GateManager(
             self.own,
             self.holder,
@@ -106,6 +108,7 @@
                 GateBudget(self.budgets),
                 self.plan_evacuation,
                 self.send_handover,
+                self.observer,
             ),
         )
         self.network = link.PeerNetwork(
@@ -123,7 +126,9 @@
             self.members,
             self.network,
             self.clock,
-            dict,
+        )
+        self.balancer = balancer.Balancer(
+            self.own, self.holder, self.clock, self.gates, self.network, self.observer
         )
 
     def build_ports(self) -> None:
@@ -161,6 +166,7 @@
         self.spawn(self.exchange.run_announcements())
         self.spawn(self.run_table())
         self.spawn(self.gates.run())
+        self.spawn(self.balancer.run())
         self.spawn(self.greet_seeds())
         self.spawn(self.refresh_quarantine())
         self.spawn(self.metrics.run(self.clock, self.read_gauges))
@@ -264,7 +270,9 @@
 
     def make_admission(self, target: data.Target) -> admission.Admission:
         """Return the queue of a target."""
-        return admission.Admission(target.name, target.slots, self.random)
+        queue = admission.Admission(target.name, target.slots, self.random)
+        self.observer.admissions[target.name] = queue
+        return queue
 
     def plan_evacuation(
         self, assignment: data.Assignment, lost: str, candidates
@@ -300,6 +308,8 @@
     async def receive(self, sender: data.Member, message: Any) -> None:
         """Take a message of a peer; hand-overs go to the gates."""
         decoded = transfer.decode_handover(message, self.clock.monotonic())
+        if decoded is None and self.balancer.receive(sender, message):
+            return
         if decoded is None:
             await self.exchange.receive(sender, message)
         elif isinstance(decoded, result.Success):
--- a/packages/entry/dewstep_entry/state/exchange.py
+++ b/packages/entry/dewstep_entry/state/exchange.py
@@ -23,6 +23,12 @@
 CONFIGURATION = "configuration"
 ASSIGNMENT = "assignment"
 GATES = "gates"
+HEARTBEAT = "heartbeat"
+PROBE_EVERY = 3
+"""Heartbeats after which silent data centres are asked again."""
+FULL_EVERY = 8
+"""Heartbeats of which one is full: it also goes to other data centres and names
+members, so that the others stay below 100 bytes."""
 
 
 def encode_gates(gates: Mapping[str, data.GateRow]) -> bytes:
@@ -65,20 +71,17 @@
     network : dewstep_entry.peers.link.PeerNetwork
         Sends messages.
     clock : clocks.Clock
-    report_loads : callable
-        Returns the load of each target whose gate this process is.
     """
 
-    def __init__(self, own, settings, holder, members, network, clock, report_loads):
+    def __init__(self, own, settings, holder, members, network, clock):
         self.own: data.Member = own
         self.settings: PeerSettings = settings
         self.holder: view.ViewHolder = holder
         self.members: membership.Membership = members
         self.network = network
         self.clock: clocks.Clock = clock
-        self.report_loads = report_loads
         self.random = random.Random()
-        self.loads: dict[str, float] = {}
+        self.beats = 0
         self.fetching: dict[tuple[str, str], int] = {}
 
     # Sending.
@@ -93,8 +96,14 @@
                 logging.warning(
                     "event=member_suspected entry=%s reason=silent", suspicion.entry
                 )
+            for centre in self.members.expire_centres(now):
+                logging.warning("event=data_centre_silent data_centre=%s", centre)
             self.publish_members()
-            self.send_heartbeats()
+            self.beats += 1
+            self.send_heartbeats(full=self.beats % FULL_EVERY == 0)
+            if self.beats % PROBE_EVERY == 0:
+                for member in self.members.select_probes(now):
+                    self.network.send(member, messages.Fetch(HEARTBEAT, ""))
             await self.clock.sleep(self.settings.heartbeat_interval)
 
     def learn_gates(self, now: datetime.timedelta) -> None:
@@ -142,8 +151,8 @@
         versions = {name: item.version for name, item in current.assignments.items()}
         return (configuration.revision if configuration else 0), versions
 
-    def build_heartbeat(self) -> messages.Heartbeat:
-        """Return the heartbeat to send now."""
+    def build_heartbeat(self, full: bool = True) -> messages.Heartbeat:
+        """Return the heartbeat to send now; only a full one names members."""
         revision, versions = self.describe_versions()
         contact = self.holder.current.table_contact
         now = self.clock.monotonic()
@@ -153,18 +162,18 @@
             revision=revision,
             versions=versions,
             table_contact_age=None if contact is None else now - contact,
-            members=self.members.select_shared_members(),
+            members=self.members.select_shared_members() if full else (),
             suspicions=self.members.select_suspicions(now),
-            loads=self.report_loads(),
+            loads={},
         )
 
-    def send_heartbeats(self) -> None:
+    def send_heartbeats(self, full: bool = True) -> None:
         """Send one heartbeat to each recipient."""
-        self.push(self.build_heartbeat())
+        self.push(self.build_heartbeat(full), full)
 
-    def push(self, message) -> None:
+    def push(self, message, full: bool = True) -> None:
         """Send `message` to the recipients of heartbeats."""
-        for member in self.members.select_recipients():
+        for member in self.members.select_recipients(full):
             self.network.send(member, message)
 
     # Receiving.
@@ -193,7 +202,6 @@
             changed.append(self.members.suspect(suspicion, now))
         if any(changed):
             self.publish_members()
-        self.loads.update(heartbeat.loads)
         self.fetch_newer(sender, heartbeat)
 
     def fetch_newer(self, sender: data.Member, heartbeat: messages.Heartbeat) -> None:
@@ -220,7 +228,9 @@
         """Send what a peer asked for, if it is known here."""
         current = self.holder.current
         answer = None
-        if question.what == CONFIGURATION and current.configuration is not None:
+        if question.what == HEARTBEAT:
+            answer = self.build_heartbeat(full=False)
+        elif question.what == CONFIGURATION and current.configuration is not None:
             configuration = current.configuration
             value = records.encode_configuration(configuration)
             payload = json.dumps(value).encode()
--- a/packages/entry/dewstep_entry/state/membership.py
+++ b/packages/entry/dewstep_entry/state/membership.py
@@ -17,11 +17,15 @@
 from dewstep_core import data
 from dewstep_core.settings import PeerSettings
 
-MONITORS = 4
-"""Successors in the ring that watch a process. Four, so that the loss of one data
-centre rack with two of them still leaves two."""
+MONITORS = 2
+"""Successors in the ring that watch a process."""
 OTHER_DATA_CENTRES = 2
-"""Random members of other data centres that get each heartbeat."""
+"""Random members of other data centres that get each full heartbeat."""
+PROBE_AFTER = datetime.timedelta(milliseconds=900)
+"""Time without a message from a data centre after which its processes are asked."""
+CENTRE_SILENCE = datetime.timedelta(seconds=2)
+"""Time without a message from any process of a data centre after which it counts as
+cut off or lost. Three questions have then remained unanswered."""
 INTRODUCTION = datetime.timedelta(seconds=1)
 """Time that a member known by name only has to answer a first heartbeat."""
 SHARED_MEMBERS = 8
@@ -42,6 +46,8 @@
     """Whether it sends heartbeats to this process at every interval."""
     heard: bool
     """Whether it has ever sent anything to this process."""
+    by_centre: bool = False
+    """Whether it is suspect only because its whole data centre is silent."""
 
 
 class Membership:
@@ -63,6 +69,7 @@
         self.settings = settings
         self.random = generator
         self.peers: dict[str, Peer] = {}
+        self.centres: dict[str, datetime.timedelta] = {}
 
     def learn(self, member: data.Member, now: datetime.timedelta) -> bool:
         """Add a member heard of from others; return whether it is new."""
@@ -84,9 +91,24 @@
         known = self.peers.get(member.entry)
         changed = known is None or known.member != member or known.suspected is not None
         watched = known is not None and known.watched
+        changed = self.hear_centre(member.data_centre, now) or changed
         self.peers[member.entry] = Peer(member, now, None, watched, True)
         return changed
 
+    def hear_centre(self, data_centre: str, now: datetime.timedelta) -> bool:
+        """Note a message from a data centre; return whether it had been silent."""
+        self.centres[data_centre] = now
+        returned = [
+            entry
+            for entry, peer in self.peers.items()
+            if peer.by_centre and peer.member.data_centre == data_centre
+        ]
+        for entry in returned:
+            self.peers[entry] = self.peers[entry]._replace(
+                suspected=None, last_heard=now, by_centre=False
+            )
+        return bool(returned)
+
     def suspect(self, suspicion: data.Suspicion, now: datetime.timedelta) -> bool:
         """Note that a process is suspect; return whether that is news.
 
@@ -112,9 +134,15 @@
         return True
 
     def note_heartbeat(self, entry: str) -> None:
-        """Note that `entry` chose this process as a monitor."""
+        """Note that `entry` chose this process as a monitor.
+
+        Processes of other data centres choose at random each time, so that the
+        silence of a single one says nothing.
+        """
         known = self.peers.get(entry)
-        if known is not None and not known.watched:
+        if known is None or known.member.data_centre != self.own.data_centre:
+            return
+        if not known.watched:
             self.peers[entry] = known._replace(watched=True)
 
     def expire(self, now: datetime.timedelta) -> list[data.Suspicion]:
@@ -133,8 +161,40 @@
                 found.append(data.Suspicion(entry, peer.member.incarnation))
         return found
 
-    def select_recipients(self) -> list[data.Member]:
-        """Return the members that get the next heartbeat."""
+    def select_probes(self, now: datetime.timedelta) -> list[data.Member]:
+        """Return a live member of each data centre that has not been heard lately."""
+        probes = []
+        for centre, heard in self.centres.items():
+            if centre == self.own.data_centre or now - heard < PROBE_AFTER:
+                continue
+            alive = [
+                peer.member
+                for peer in self.peers.values()
+                if peer.suspected is None and peer.member.data_centre == centre
+            ]
+            if alive:
+                probes.append(self.random.choice(alive))
+        return probes
+
+    def expire_centres(self, now: datetime.timedelta) -> list[str]:
+        """Suspect all processes of data centres that have just become silent."""
+        silent = {
+            centre
+            for centre, heard in self.centres.items()
+            if centre != self.own.data_centre and now - heard >= CENTRE_SILENCE
+        }
+        for entry, peer in self.peers.items():
+            if peer.member.data_centre in silent and peer.suspected is None:
+                self.peers[entry] = peer._replace(suspected=now, by_centre=True)
+        for centre in silent:
+            del self.centres[centre]
+        return sorted(silent)
+
+    def select_recipients(self, full: bool) -> list[data.Member]:
+        """Return the members that get the next heartbeat.
+
+        Only full heartbeats go to other data centres as well.
+        """
         near = sorted(
             peer.member
             for peer in self.peers.values()
@@ -143,6 +203,8 @@
         after = [member for member in near if member.entry > self.own.entry]
         before = [member for member in near if member.entry < self.own.entry]
         monitors = (after + before)[:MONITORS]
+        if not full:
+            return monitors
         far = [
             peer.member
             for peer in self.peers.values()
@@ -160,7 +222,9 @@
         recent = [
             peer
             for peer in self.peers.values()
-            if peer.suspected is not None and now - peer.suspected < SUSPICION_SPREAD
+            if peer.suspected is not None
+            and not peer.by_centre
+            and now - peer.suspected < SUSPICION_SPREAD
         ]
         recent.sort(key=lambda peer: peer.suspected, reverse=True)
         return tuple(
--- a/packages/entry/dewstep_entry/state/membership_test.py
+++ b/packages/entry/dewstep_entry/state/membership_test.py
@@ -60,7 +60,8 @@
     small, large = build_membership(10, 10), build_membership(300, 300)
     for found in (small, large):
         expected = membership.MONITORS + membership.OTHER_DATA_CENTRES
-        assert len(found.select_recipients()) == expected
+        assert len(found.select_recipients(True)) == expected
+        assert len(found.select_recipients(False)) == membership.MONITORS
         assert len(found.select_shared_members()) == membership.SHARED_MEMBERS
 
 
@@ -72,6 +73,25 @@
     assert found.expire(membership.INTRODUCTION) == [data.Suspicion("e01", "i1")]
 
 
+def test_a_silent_data_centre_is_suspected_as_a_whole_and_returns_as_a_whole():
+    # Its processes send at random, so that no single one of them can be missed.
+    found = build_membership(1, 2)
+    assert found.expire_centres(membership.CENTRE_SILENCE / 2) == []
+    assert len(found.select_probes(membership.PROBE_AFTER)) == 1
+    assert found.expire_centres(membership.CENTRE_SILENCE) == ["dc2"]
+    assert [peer.suspected is None for peer in found.peers.values()] == [
+        True,
+        False,
+        False,
+    ]
+    probes = found.select_probes(membership.CENTRE_SILENCE)
+    assert probes == []
+    # It may only be cut off from here, so that nobody else is told.
+    assert found.select_suspicions(membership.CENTRE_SILENCE) == ()
+    assert found.hear(build_member(2, "dc2"), 2 * membership.CENTRE_SILENCE)
+    assert all(peer.suspected is None for peer in found.peers.values())
+
+
 def test_learn_and_forget():
     found = build_membership(1)
     assert found.learn(build_member(9), ZERO)
