Close links on request and survive resets while closing

Ruled out: ignoring the error without closing, which would keep the connection for the lingering time.

--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -347,7 +347,11 @@
         self._begin_sample()
         if not self.reading:
             self.transport.resume_reading()
-        self.transport.write_eof()
+        try:
+            self.transport.write_eof()
+        except OSError:
+            # The caller reset the connection and the event loop has not seen it yet.
+            self.transport.abort()
 
     def _reset(self) -> None:
         connection = self.transport.get_extra_info("socket")
--- a/packages/entry/dewstep_entry/peers/link.py
+++ b/packages/entry/dewstep_entry/peers/link.py
@@ -121,6 +121,15 @@
             return False
         return link.send(encoded)
 
+    def disconnect(self, member: data.Member) -> None:
+        """Close the link to a member that is taken for lost.
+
+        Its streams end at once, instead of at their deadlines.
+        """
+        for session, link in list(self.dials.items()):
+            if link.member == member:
+                session.abort()
+
     def set_cut(self, names: Iterable[str]) -> None:
         """Separate this process from peers, as a partition would (fault injection).
 
--- a/packages/entry/dewstep_entry/peers/link_test.py
+++ b/packages/entry/dewstep_entry/peers/link_test.py
@@ -318,6 +318,11 @@
             outcome = await a.network.exchange(member, build_request(seconds=0.1))
             assert outcome.failure() == errors.DeadlineExceeded("b")
             assert len(b.received) == 1
+            call = a.network.exchange(member, build_request())
+            task = asyncio.ensure_future(call)
+            await asyncio.sleep(0.05)
+            a.network.disconnect(member)
+            assert (await task).failure() == errors.ConnectionLost("b")
             a.network.set_cut(())
             (await a.network.exchange(member, build_request())).unwrap()
             a.network.set_cut({"b"})
--- a/packages/entry/dewstep_entry/peers/wire.py
+++ b/packages/entry/dewstep_entry/peers/wire.py
@@ -89,7 +89,7 @@
             if decoder is None:
                 return FrameInvalid(f"kind {kind}")
             return decoder(message)
-    except (capnp.KjException, UnicodeDecodeError, ValueError) as error:
+    except (capnp.KjException, ValueError, OverflowError) as error:
         return FrameInvalid(str(error).splitlines()[0])
 
 
