--- a/packages/entry/dewstep_entry/peers/link_test.py
+++ b/packages/entry/dewstep_entry/peers/link_test.py
@@ -302,7 +302,10 @@
 
 
 def test_cut_drops_frames_until_it_is_lifted():
+    handled = []
+
     async def handle(request):
+        handled.append(request)
         return build_answer(b"ok")
 
     async def scenario():
@@ -313,21 +316,37 @@
             assert a.network.send(member, fetch)
             (await a.network.exchange(member, build_request())).unwrap()
             assert b.received == [("a", fetch)]
-            a.network.set_cut({"dc-b"})
-            a.network.send(member, fetch)
-            outcome = await a.network.exchange(member, build_request(seconds=0.1))
-            assert outcome.failure() == errors.DeadlineExceeded("b")
-            assert len(b.received) == 1
-            call = a.network.exchange(member, build_request())
-            task = asyncio.ensure_future(call)
-            await asyncio.sleep(0.05)
-            a.network.disconnect(member)
-            assert (await task).failure() == errors.ConnectionLost("b")
-            a.network.set_cut(())
-            (await a.network.exchange(member, build_request())).unwrap()
+            for side, names in ((a, {"dc-b"}), (b, {"a"})):
+                side.network.set_cut(names)
+                a.network.send(member, fetch)
+                outcome = await a.network.exchange(member, build_request(seconds=0.1))
+                assert outcome.failure() == errors.DeadlineExceeded("b")
+                assert len(b.received) == len(handled) == 1
+                # Frames are missing, so the old connection must not go on.
+                side.network.set_cut(())
+                assert not side.network.dials and not side.network.accepted
+                await asyncio.sleep(0.05)
+                (await a.network.exchange(member, build_request())).unwrap()
+                handled.pop()
             a.network.set_cut({"b"})
             other = member._replace(incarnation="i9")
             outcome = await a.network.exchange(other, build_request())
             assert outcome.failure() == errors.PeerUnreachable("b")
 
     asyncio.run(scenario())
+
+
+def test_disconnect_ends_streams_before_their_deadline():
+    async def handle(request):
+        await asyncio.sleep(5)
+
+    async def scenario():
+        a, b = Peer("a"), Peer("b", handle)
+        async with run(a, b):
+            call = a.network.exchange(b.network.member, build_request())
+            task = asyncio.ensure_future(call)
+            await asyncio.sleep(0.05)
+            a.network.disconnect(b.network.member)
+            assert (await task).failure() == errors.ConnectionLost("b")
+
+    asyncio.run(scenario())
--- a/packages/entry/dewstep_entry/targets/pool_test.py
+++ b/packages/entry/dewstep_entry/targets/pool_test.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import datetime
+import socket
 
 import pytest
 
@@ -158,6 +159,18 @@
     asyncio.run(scenario())
 
 
+def test_connection_that_closed_unseen_by_the_event_loop_is_not_used():
+    # The request would otherwise be reported as lost although it cannot have run.
+    async def scenario():
+        async with serve(answer_with(OK), limit=1) as (channel, seen):
+            (await channel.exchange(build_request(), STAMP)).unwrap()
+            seen[0].get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+            (await channel.exchange(build_request(), STAMP)).unwrap()
+            assert len(seen) == 2
+
+    asyncio.run(scenario())
+
+
 def test_connections_stay_under_the_limit_and_are_reused():
     async def scenario():
         async with serve(answer_with(OK), limit=4) as (channel, seen):
