Read a target's answer head once

Cause: h11 looks headers up in Python, and the connection searched each answer's head five times. Ruled out: h11's private header list.

--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -30,6 +30,7 @@
 
     __slots__ = (
         "head",
+        "headers",
         "length",
         "method",
         "pump",
@@ -39,11 +40,12 @@
         "timer",
     )
 
-    def __init__(self, request: h11.Request, drained, closed):
+    def __init__(self, method: bytes, request_id: bytes, drained, closed):
         super().__init__(BUFFER_BYTES, drained, closed)
-        self.method = request.method
-        self.request_id = header_rules.find_header(request.headers, REQUEST_ID)
+        self.method = method
+        self.request_id = request_id
         self.head: h11.Response | None = None
+        self.headers: list[tuple[bytes, bytes]] = []
         self.length: int | None = None
         self.refusal = ""
         self.sent = False
@@ -157,7 +159,11 @@
         return not self.usable or bool(self.poll.poll(0))
 
     async def exchange(
-        self, head: h11.Request, body: data.Body, remaining: float
+        self,
+        head: h11.Request,
+        body: data.Body,
+        remaining: float,
+        request_id: bytes = b"",
     ) -> result.Result[data.Answer, interfaces.Failure]:
         """Send a request and return the answer.
 
@@ -169,6 +175,8 @@
             Body of the request.
         remaining : float
             Seconds until the deadline, which also covers the answer's body.
+        request_id : bytes
+            Id that the answer must name if it names one.
 
         Returns
         -------
@@ -176,7 +184,7 @@
             The answer, or `TargetRefused`, `ConnectionLost`, `DeadlineExceeded` or
             `AnswerInvalid`.
         """
-        exchange = Exchange(head, self._drained, self.abort)
+        exchange = Exchange(head.method, request_id, self._drained, self.abort)
         self.current = exchange
         exchange.timer = asyncio.get_running_loop().call_later(
             remaining, self._fail, outcome.Event.OVERDUE
@@ -242,8 +250,11 @@
             self._fail(outcome.Event.CLOSED)
 
     def _take_head(self, exchange: Exchange, head: h11.Response) -> None:
-        length = header_rules.find_header(head.headers, b"content-length")
-        coding = header_rules.find_header(head.headers, b"transfer-encoding")
+        # h11 looks every header up in Python; one list serves all that follows.
+        exchange.headers = list(head.headers)
+        fields = dict(exchange.headers)
+        length = fields.get(b"content-length")
+        coding = fields.get(b"transfer-encoding")
         if length is not None and coding is not None:
             raise h11.RemoteProtocolError("both Content-Length and Transfer-Encoding")
         if (
@@ -254,14 +265,13 @@
         ):
             # A body that ends with the connection cannot be told from a cut one.
             raise h11.RemoteProtocolError("the body's length is not announced")
-        answered_id = header_rules.find_header(head.headers, REQUEST_ID)
+        answered_id = fields.get(REQUEST_ID)
         if answered_id is not None and answered_id != exchange.request_id:
             # Checked before a refusal counts, which may be another request's.
             raise h11.RemoteProtocolError("the answer names another request")
         exchange.head = head
         exchange.length = int(length) if length is not None else None
-        refusal = header_rules.find_header(head.headers, b"dewstep-refused")
-        exchange.refusal = (refusal or b"").decode("latin-1")
+        exchange.refusal = fields.get(b"dewstep-refused", b"").decode("latin-1")
         exchange.wake()
 
     def _finish(self, exchange: Exchange) -> None:
@@ -307,9 +317,7 @@
 
 def build_answer(exchange: Exchange) -> data.Answer:
     """Return the answer of an exchange whose head has arrived."""
-    headers = header_rules.drop_headers(
-        list(exchange.head.headers), header_rules.ANSWER_DROPPED
-    )
+    headers = header_rules.drop_headers(exchange.headers, header_rules.ANSWER_DROPPED)
     start = exchange.take() if exchange.chunks else b""
     rest = None if exchange.ended else exchange
     length = exchange.length
--- a/packages/entry/dewstep_entry/targets/pool.py
+++ b/packages/entry/dewstep_entry/targets/pool.py
@@ -109,7 +109,8 @@
         if remaining <= 0:
             self._free(connection)
             return result.Failure(self._unavailable("the deadline has passed"))
-        return await connection.exchange(head, request.body, remaining)
+        request_id = header_rules.encode_value(request.request_id)
+        return await connection.exchange(head, request.body, remaining, request_id)
 
     async def read_clock(
         self,
