--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -21,18 +21,31 @@
 BUFFER_BYTES = 262_144
 """Bytes of an answer that may wait for their reader before the socket is paused."""
 WRITE_BUFFER_BYTES = 131_072
+REQUEST_ID = b"dewstep-request-id"
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
 class Exchange(bodies.ChunkQueue):
     """One request and its answer, whose body it holds."""
 
-    __slots__ = ("head", "length", "method", "pump", "refusal", "sent", "timer")
+    __slots__ = (
+        "head",
+        "headers",
+        "length",
+        "method",
+        "pump",
+        "refusal",
+        "request_id",
+        "sent",
+        "timer",
+    )
 
-    def __init__(self, method: str, drained, closed):
+    def __init__(self, method: bytes, request_id: bytes, drained, closed):
         super().__init__(BUFFER_BYTES, drained, closed)
         self.method = method
+        self.request_id = request_id
         self.head: h11.Response | None = None
+        self.headers: list[tuple[bytes, bytes]] = []
         self.length: int | None = None
         self.refusal = ""
         self.sent = False
@@ -81,6 +94,8 @@
         self.usable = True
         self.failed = False
         """Whether the target ended the connection or let a deadline pass."""
+        self.freed_at = 0.0
+        """Time of the event loop at which the last exchange ended."""
         self.reading = True
         self.writable: asyncio.Future | None = None
         self.poll = select.poll()
@@ -144,7 +159,11 @@
         return not self.usable or bool(self.poll.poll(0))
 
     async def exchange(
-        self, head: h11.Request, body: data.Body, remaining: float
+        self,
+        head: h11.Request,
+        body: data.Body,
+        remaining: float,
+        request_id: bytes = b"",
     ) -> result.Result[data.Answer, interfaces.Failure]:
         """Send a request and return the answer.
 
@@ -156,6 +175,8 @@
             Body of the request.
         remaining : float
             Seconds until the deadline, which also covers the answer's body.
+        request_id : bytes
+            Id that the answer must name if it names one.
 
         Returns
         -------
@@ -163,7 +184,7 @@
             The answer, or `TargetRefused`, `ConnectionLost`, `DeadlineExceeded` or
             `AnswerInvalid`.
         """
-        exchange = Exchange(head.method.decode(), self._drained, self.abort)
+        exchange = Exchange(head.method, request_id, self._drained, self.abort)
         self.current = exchange
         exchange.timer = asyncio.get_running_loop().call_later(
             remaining, self._fail, outcome.Event.OVERDUE
@@ -229,22 +250,28 @@
             self._fail(outcome.Event.CLOSED)
 
     def _take_head(self, exchange: Exchange, head: h11.Response) -> None:
-        length = header_rules.find_header(head.headers, b"content-length")
-        coding = header_rules.find_header(head.headers, b"transfer-encoding")
+        # h11 looks every header up in Python; one list serves all that follows.
+        exchange.headers = list(head.headers)
+        fields = dict(exchange.headers)
+        length = fields.get(b"content-length")
+        coding = fields.get(b"transfer-encoding")
         if length is not None and coding is not None:
             raise h11.RemoteProtocolError("both Content-Length and Transfer-Encoding")
         if (
             length is None
             and coding is None
-            and exchange.method != "HEAD"
+            and exchange.method != b"HEAD"
             and head.status_code not in NO_BODY_STATUSES
         ):
             # A body that ends with the connection cannot be told from a cut one.
             raise h11.RemoteProtocolError("the body's length is not announced")
+        answered_id = fields.get(REQUEST_ID)
+        if answered_id is not None and answered_id != exchange.request_id:
+            # Checked before a refusal counts, which may be another request's.
+            raise h11.RemoteProtocolError("the answer names another request")
         exchange.head = head
         exchange.length = int(length) if length is not None else None
-        refusal = header_rules.find_header(head.headers, b"dewstep-refused")
-        exchange.refusal = (refusal or b"").decode("latin-1")
+        exchange.refusal = fields.get(b"dewstep-refused", b"").decode("latin-1")
         exchange.wake()
 
     def _finish(self, exchange: Exchange) -> None:
@@ -290,15 +317,13 @@
 
 def build_answer(exchange: Exchange) -> data.Answer:
     """Return the answer of an exchange whose head has arrived."""
-    headers = header_rules.drop_headers(
-        list(exchange.head.headers), header_rules.ANSWER_DROPPED
-    )
+    headers = header_rules.drop_headers(exchange.headers, header_rules.ANSWER_DROPPED)
     start = exchange.take() if exchange.chunks else b""
     rest = None if exchange.ended else exchange
     length = exchange.length
     if rest is None and length is None:
         length = len(start)
-        if exchange.method == "HEAD" or exchange.head.status_code in NO_BODY_STATUSES:
+        if exchange.method == b"HEAD" or exchange.head.status_code in NO_BODY_STATUSES:
             length = None
     body = data.Body(start, rest)
     return data.Answer(exchange.head.status_code, headers, length, body, "")
