--- a/packages/core/dewstep_core/settings.py
+++ b/packages/core/dewstep_core/settings.py
@@ -11,6 +11,12 @@
     port: int
 
 
+def format_address(address: Address) -> str:
+    """Return `address` in the form that settings files hold."""
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    return f"{host}:{address.port}"
+
+
 class CallerLimits(NamedTuple):
     """What a caller may send, and how slowly."""
 
--- a/packages/emulator/dewstep_emulator/fleet.py
+++ b/packages/emulator/dewstep_emulator/fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import datetime
 import itertools
-import json
 import pathlib
 import random
 import socket
@@ -16,7 +15,7 @@
 from dewstep_core import data, records, settings
 from dewstep_core.http import client
 from dewstep_core.platform import table
-from dewstep_emulator import deployments, history, processes
+from dewstep_emulator import deployments, history, processes, toml_text
 
 CALL_TIMEOUT = 5.0
 STOP_SECONDS = 25.0
@@ -48,19 +47,6 @@
     peers: settings.Address
 
 
-def format_toml(values: Mapping[str, Any], table_name: str = "") -> str:
-    """Return settings as TOML; nested mappings become tables."""
-    lines = [f"[{table_name}]"] if table_name else []
-    nested = []
-    for name, value in values.items():
-        if isinstance(value, Mapping):
-            nested.append(format_toml(value, name))
-        else:
-            # The JSON form of strings, numbers and lists is valid TOML.
-            lines.append(f"{name} = {json.dumps(value)}")
-    return "\n".join(lines + nested) + "\n"
-
-
 class Fleet:
     """The processes of one deployment.
 
@@ -196,7 +182,7 @@
             **({"seeds": seeds} if seeds else {}),
             **self.options.entry_settings,
         }
-        file.write_text(format_toml(values))
+        file.write_text(toml_text.format_toml(values))
         process = processes.Process(
             name, ("dewstep_entry.main", f"--settings={file}"), self.folder
         )
--- a/packages/entry/dewstep_entry/gate/rows.py
+++ b/packages/entry/dewstep_entry/gate/rows.py
@@ -3,7 +3,8 @@
 Beyond the design's fields, a gate row holds two that successors need: `horizon_ms`,
 the time for which this gate will act without the table (a later configuration may
 name a shorter one, which a gate that is cut off does not know), and `released`,
-whether the previous gate handed over after it had stopped sending.
+whether the previous gate handed over after it had stopped sending. A third,
+`operator_address`, lets operators' commands find the gate's process.
 """
 
 import datetime
@@ -25,6 +26,8 @@
     horizon: datetime.timedelta
     released: bool
     operation_id: str
+    operator_address: str = ""
+    """Empty if the process that wrote the row did not know it."""
 
 
 class QuarantineRecord(NamedTuple):
@@ -64,7 +67,7 @@
 def encode_gate(record: GateRecord) -> Mapping:
     """Return the value of a gate row."""
     row = record.row
-    return {
+    value = {
         "entry": row.entry,
         "incarnation": row.incarnation,
         "host": row.host,
@@ -74,6 +77,9 @@
         "released": record.released,
         "operation_id": record.operation_id,
     }
+    if record.operator_address:
+        value["operator_address"] = record.operator_address
+    return value
 
 
 def decode_gate(
@@ -97,6 +103,7 @@
             datetime.timedelta(milliseconds=int(milliseconds)),
             value.get("released") is True,
             str(value.get("operation_id", "")),
+            str(value.get("operator_address", "")),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         return result.Failure(errors.RowInvalid(row.key, repr(error)))
--- a/packages/entry/dewstep_entry/gate/takeover.py
+++ b/packages/entry/dewstep_entry/gate/takeover.py
@@ -130,7 +130,11 @@
         row = data.GateRow(
             target, gate.entry, gate.incarnation, gate.host, gate.port, term, version
         )
-        record = rows.GateRecord(row, horizon, released, operation_id)
+        operators = ""
+        if gate.operator_port:
+            address = setting.Address(gate.host, gate.operator_port)
+            operators = setting.format_address(address)
+        record = rows.GateRecord(row, horizon, released, operation_id, operators)
         key = rows.name_gate(target)
         transaction = data.Transaction(
             operation_id,
--- a/packages/entry/dewstep_entry/gate/transfer.py
+++ b/packages/entry/dewstep_entry/gate/transfer.py
@@ -89,6 +89,7 @@
         "horizon_s": record.horizon / SECOND,
         "released": record.released,
         "operation_id": record.operation_id,
+        "operator_address": record.operator_address,
         "entries": encode_entries(memory.entries, now),
         "floor": memory.floor.isoformat(),
         "shard_floors": [[s, time.isoformat()] for s, time in memory.shard_floors],
@@ -123,6 +124,7 @@
         value["horizon_s"] * SECOND,
         value["released"],
         value["operation_id"],
+        value.get("operator_address", ""),
     )
     read_time = datetime.datetime.fromisoformat
     entries = tuple(
--- a/packages/entry/dewstep_entry/operators.py
+++ b/packages/entry/dewstep_entry/operators.py
@@ -50,7 +50,7 @@
                 "entry": state.member.entry,
                 "incarnation": state.member.incarnation,
                 "data_centre": state.member.data_centre,
-                "operator_address": format_address(
+                "operator_address": settings.format_address(
                     settings.Address(state.member.host, state.member.operator_port)
                 ),
                 "alive": state.alive,
@@ -60,12 +60,6 @@
     }
 
 
-def format_address(address: settings.Address) -> str:
-    """Return an address in the form of the settings."""
-    host = f"[{address.host}]" if ":" in address.host else address.host
-    return f"{host}:{address.port}"
-
-
 class OperatorPort:
     """Serves the operators' port.
 
--- a/packages/operator/dewstep_operator/builders.py
+++ b/packages/operator/dewstep_operator/builders.py
@@ -11,7 +11,7 @@
 
 from dewstep_core import clock, data, errors, settings
 from dewstep_core.platform import memory_table
-from dewstep_operator import entries, failures, main, output, session as sessions
+from dewstep_operator import failures, main, output, session as sessions
 
 RECORDS = """
 [[service]]
@@ -97,7 +97,7 @@
         """Return the document at `path`, or that nobody listens."""
         if (address, path) in self.documents:
             return result.Success(self.documents[address, path])
-        name = entries.format_address(address)
+        name = settings.format_address(address)
         return result.Failure(failures.EntryUnreachable(name, "refused"))
 
     async def post(
@@ -165,7 +165,7 @@
                     "entry": name,
                     "incarnation": "i1",
                     "data_centre": "ub1",
-                    "operator_address": entries.format_address(address),
+                    "operator_address": settings.format_address(address),
                     "alive": True,
                 }
             )
--- a/packages/operator/dewstep_operator/entries.py
+++ b/packages/operator/dewstep_operator/entries.py
@@ -65,7 +65,7 @@
     timeout_seconds: float,
 ) -> result.Result[Any, failures.Failure]:
     """Make one call and wait for its answer."""
-    name = format_address(address)
+    name = settings.format_address(address)
     connection = http.client.HTTPConnection(
         address.host, address.port, timeout=timeout_seconds
     )
@@ -105,12 +105,6 @@
         return result.Failure(failures.EntryAnswerLost(name, str(error)))
 
 
-def format_address(address: settings.Address) -> str:
-    """Return `address` in the form that `fields.read_address` reads."""
-    host = f"[{address.host}]" if ":" in address.host else address.host
-    return f"{host}:{address.port}"
-
-
 class Entry(NamedTuple):
     """An entry process as operators' commands know it."""
 
@@ -190,7 +184,8 @@
             if isinstance(document, Mapping)
             else result.Failure(
                 failures.EntryAnswerLost(
-                    format_address(entry.operator_address), "the dump is no object"
+                    settings.format_address(entry.operator_address),
+                    "the dump is no object",
                 )
             )
         )
--- a/packages/operator/dewstep_operator/listings.py
+++ b/packages/operator/dewstep_operator/listings.py
@@ -5,7 +5,7 @@
 
 from returns import result
 
-from dewstep_core import data
+from dewstep_core import data, settings
 from dewstep_operator import (
     entries,
     failures,
@@ -145,7 +145,7 @@
     if isinstance(read, result.Failure):
         return read
     gates = read.unwrap()
-    found = await fleet.find_listed(session, gates)
+    found = dict(sorted((await fleet.find_listed(session, gates)).items()))
     dumps = await asyncio.gather(
         *(entries.read_dump(session.entry_client, entry) for entry in found.values())
     )
@@ -157,7 +157,7 @@
                 entry.name,
                 entry.data_centre,
                 entry.incarnation,
-                entries.format_address(address) if address else None,
+                settings.format_address(address) if address else None,
                 entry.alive,
                 isinstance(dump, result.Success),
                 fleet.get_revision(dump.value_or({})),
