Take a declaration of death only for the gates that it speaks of

Cause: a declaration that no gate took stayed in the table and would have shortened the wait of any later gate, although the operator never judged its predecessor. Ruled out: deleting outdated rows; the operators' command replaces them anyway. Requests also carry Dewstep-Kind, which targets log.

--- a/packages/entry/dewstep_entry/gate/manager_test.py
+++ b/packages/entry/dewstep_entry/gate/manager_test.py
@@ -210,6 +210,29 @@
     run(scenario)
 
 
+def test_a_declaration_for_an_older_gate_does_not_shorten_the_wait():
+    # A declaration that nobody took would otherwise speak of a gate that the
+    # operator never judged.
+    async def scenario():
+        fleet = Fleet()
+        fleet.add("e1")
+        await fleet.pass_time(500 * MS)
+        fleet.add("e2")
+        fleet.freeze("e1")
+        fleet.servers["t1"].reachable = False
+        await fleet.pass_time(3 * SECOND, 100 * MS)
+        term = fleet.table.get("gate/t1").value["term"]
+        old = {"operator": "o", "time": "", "term": term - 2}
+        fleet.table.put("declared-dead/t1", old)
+        await fleet.pass_time(5 * SECOND, 100 * MS)
+        assert set(fleet.read_owners()) == {"t1"}
+        fleet.table.put("declared-dead/t1", old | {"term": term - 1})
+        await fleet.pass_time(5 * SECOND, 100 * MS)
+        assert set(fleet.read_owners()) == {"t2"}
+
+    run(scenario)
+
+
 def test_an_operators_declaration_shortens_the_wait_once():
     async def scenario():
         fleet = Fleet()
@@ -219,7 +242,7 @@
         fleet.freeze("e1")
         fleet.servers["t1"].reachable = False
         await fleet.pass_time(3 * SECOND, 100 * MS)
-        fleet.table.put("declared-dead/t1", {"operator": "o", "time": ""})
+        fleet.table.put("declared-dead/t1", {"operator": "o", "time": "", "term": 1})
         await fleet.pass_time(5 * SECOND, 100 * MS)
         assert set(fleet.read_owners()) == {"t2"}
         assert fleet.table.get("declared-dead/t1").value is None
--- a/packages/entry/dewstep_entry/gate/moves.py
+++ b/packages/entry/dewstep_entry/gate/moves.py
@@ -95,13 +95,23 @@
     async def take_declaration(self, gate: gates.Gate) -> bool:
         """Return whether an operator declared the earlier gates of a target dead.
 
-        The declaration is deleted before it takes effect. One that stayed could
-        shorten the wait of a later gate, whose predecessor it does not mean.
+        A declaration speaks of the gate whose term it names and of those before it.
+        It counts only if that covers all gates before this one. It is deleted before
+        it takes effect, so that it shortens one wait only.
         """
         key = rows.name_declaration(gate.target.name)
         found = await self.table.read(key)
         if isinstance(found, result.Failure) or found.unwrap().value is None:
             return False
+        declared = found.unwrap().value.get("term")
+        if not isinstance(declared, int) or declared < gate.term - 1:
+            logging.warning(
+                "event=declaration_outdated target=%s declared_term=%s term=%d",
+                gate.target.name,
+                declared,
+                gate.term,
+            )
+            return False
         checks = (
             data.Check(key, found.unwrap().version),
             data.Check(rows.name_gate(gate.target.name), gate.record.row.version),
--- a/packages/entry/dewstep_entry/targets/pool.py
+++ b/packages/entry/dewstep_entry/targets/pool.py
@@ -295,6 +295,7 @@
             (b"dewstep-entry", self.entry),
             (b"dewstep-request-id", encode(request.request_id)),
             (b"dewstep-key", encode(request.key)),
+            (b"dewstep-kind", encode(request.kind)),
             (b"dewstep-term", b"%d" % stamp.term),
             (b"dewstep-epoch", b"%d" % stamp.epoch),
             (b"dewstep-boot", encode(stamp.boot)),
