--- /dev/null
+++ b/packages/emulator/dewstep_emulator/losses.py
@@ -0,0 +1,126 @@
+"""Measures how long a key stays unserved after a loss, over many trials.
+
+One fleet serves all trials. Each breaks something, waits until a key of the broken
+target is served again, repairs the damage, and waits until the fleet is ready.
+"""
+
+import asyncio
+import json
+import pathlib
+import random
+import statistics
+import tempfile
+from typing import Annotated
+
+import typer
+import uvloop
+
+from dewstep_core import registry
+from dewstep_emulator import deployments, fleet as fleets, scenarios
+
+QUANTILE = 0.99
+SETTLE = 1.5
+"""Seconds between the repair and the next trial."""
+
+losses: registry.Registry = registry.Registry("loss")
+
+
+@losses.register("target-killed")
+async def kill_target(stage: scenarios.Stage, name: str) -> None:
+    """Kill a target, measure, and start it again."""
+    target = scenarios.choose_target(stage, "history")
+    process = stage.fleet.targets[target]
+    await scenarios.measure_restoration(stage, name, target, process.kill)
+    await stage.fleet.restart_target(target)
+
+
+@losses.register("target-frozen")
+async def freeze_target(stage: scenarios.Stage, name: str) -> None:
+    """Freeze a target, measure, and let it go on."""
+    target = scenarios.choose_target(stage, "history")
+    process = stage.fleet.targets[target]
+
+    async def freeze() -> None:
+        process.freeze()
+
+    await scenarios.measure_restoration(stage, name, target, freeze)
+    process.resume()
+
+
+@losses.register("gate-killed")
+async def kill_gate(stage: scenarios.Stage, name: str) -> None:
+    """Kill the gate of a target, measure, and start another entry process."""
+    target = scenarios.choose_target(stage, "history")
+    entry = await scenarios.find_gate(stage, target)
+    await scenarios.measure_restoration(stage, name, target, entry.process.kill)
+    await stage.fleet.start_entry(int(entry.name.removeprefix("entry-")))
+
+
+@losses.register("gate-frozen")
+async def freeze_gate(stage: scenarios.Stage, name: str) -> None:
+    """Freeze the gate of a target, measure, and let it go on."""
+    target = scenarios.choose_target(stage, "history")
+    entry = await scenarios.find_gate(stage, target)
+
+    async def freeze() -> None:
+        entry.process.freeze()
+
+    await scenarios.measure_restoration(stage, name, target, freeze)
+    entry.process.resume()
+
+
+async def find_owning(stage: scenarios.Stage) -> None:
+    """Wait until each history target owns shards again, so that it can be lost."""
+    async with asyncio.timeout(60):
+        while True:
+            owners = set(await stage.fleet.read_owners("history"))
+            names = {name for name in stage.fleet.targets if name.startswith("history")}
+            if owners == names:
+                return
+            await asyncio.sleep(0.2)
+
+
+async def run_trials(
+    kind: str, trials: int, seed: int, folder: pathlib.Path
+) -> list[float]:
+    """Return the unserved times in seconds."""
+    options = fleets.FleetOptions(entries=9, seed=seed)
+    fleet = fleets.Fleet(deployments.plan_tsagaan(0.2), options, folder)
+    stage = scenarios.Stage(fleet, random.Random(seed), lambda text: None, {}, [])
+    try:
+        await fleet.start()
+        for number in range(trials):
+            await find_owning(stage)
+            await losses.get(kind)(stage, f"{kind}-{number}")
+            await fleet.wait_ready()
+            await asyncio.sleep(SETTLE)
+        await fleet.stop()
+    finally:
+        await fleet.kill_all()
+    return list(stage.measures.values())
+
+
+def main(
+    kind: Annotated[str, typer.Argument(help="Kind of loss.")],
+    trials: int = 100,
+    seed: int = 1,
+    file: Annotated[pathlib.Path | None, typer.Option("--json")] = None,
+) -> None:
+    """Run trials and exit 0 if 99 in 100 are within one second."""
+    if losses.get(kind) is None:
+        raise typer.BadParameter(f"one of: {', '.join(losses)}")
+    with tempfile.TemporaryDirectory(prefix="dewstep-") as folder:
+        took = uvloop.run(run_trials(kind, trials, seed, pathlib.Path(folder)))
+    took.sort()
+    within = sum(value <= scenarios.RESTORED_LIMIT for value in took) / len(took)
+    typer.echo(
+        f"{kind} seed={seed} trials={len(took)} median={statistics.median(took):.3f} s "
+        f"longest={took[-1]:.3f} s within_1s={within:.1%}"
+    )
+    if file is not None:
+        file.write_text(json.dumps({"kind": kind, "seed": seed, "seconds": took}))
+    raise typer.Exit(0 if within >= QUANTILE else 1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/packages/entry/dewstep_entry/state/exchange.py
+++ b/packages/entry/dewstep_entry/state/exchange.py
@@ -24,6 +24,8 @@
 ASSIGNMENT = "assignment"
 GATES = "gates"
 HEARTBEAT = "heartbeat"
+PAUSE_FACTOR = 2
+"""Intervals between two heartbeats after which this process counts as paused."""
 PROBE_EVERY = 3
 """Heartbeats after which silent data centres are asked again."""
 FULL_EVERY = 8
@@ -89,10 +91,18 @@
     async def run(self) -> None:
         """Send heartbeats and look for silent members until cancelled."""
         self.publish_members()
+        last = self.clock.monotonic()
         while True:
             now = self.clock.monotonic()
+            if now - last > PAUSE_FACTOR * self.settings.heartbeat_interval:
+                logging.warning(
+                    "event=paused seconds=%.3f", (now - last).total_seconds()
+                )
+                self.members.excuse(now)
+            last = now
             self.learn_gates(now)
-            for suspicion in self.members.expire(now):
+            silent = self.members.expire(now)
+            for suspicion in silent:
                 logging.warning(
                     "event=member_suspected entry=%s reason=silent", suspicion.entry
                 )
@@ -101,11 +111,25 @@
             self.publish_members()
             self.beats += 1
             self.send_heartbeats(full=self.beats % FULL_EVERY == 0)
+            if silent:
+                self.tell_near(self.build_heartbeat(full=False))
             if self.beats % PROBE_EVERY == 0:
-                for member in self.members.select_probes(now):
-                    self.network.send(member, messages.Fetch(HEARTBEAT, ""))
+                self.probe(now)
             await self.clock.sleep(self.settings.heartbeat_interval)
 
+    def tell_near(self, message) -> None:
+        """Send to all live processes of the data centre, for rare news."""
+        for member in self.members.list_near():
+            self.network.send(member, message)
+
+    def probe(self, now: datetime.timedelta) -> None:
+        """Ask suspects and silent data centres for a sign of life."""
+        for member in (
+            *self.members.select_probes(now),
+            *self.members.select_suspects(now),
+        ):
+            self.network.send(member, messages.Fetch(HEARTBEAT, ""))
+
     def learn_gates(self, now: datetime.timedelta) -> None:
         """Learn the processes that gate rows name.
 
--- a/packages/entry/dewstep_entry/state/membership.py
+++ b/packages/entry/dewstep_entry/state/membership.py
@@ -31,6 +31,9 @@
 SHARED_MEMBERS = 8
 """Members named in one heartbeat, so that its size does not grow with the fleet."""
 SHARED_SUSPICIONS = 8
+RECHECK = datetime.timedelta(seconds=30)
+"""How long a suspect is asked again. Most suspicions of a process in another data
+centre come from others, and only its own answer can refute them."""
 SUSPICION_SPREAD = datetime.timedelta(seconds=1)
 """How long a new suspicion is named in heartbeats."""
 
@@ -161,6 +164,31 @@
                 found.append(data.Suspicion(entry, peer.member.incarnation))
         return found
 
+    def excuse(self, now: datetime.timedelta) -> None:
+        """Forget all silence: this process itself was paused and heard nobody."""
+        self.centres = dict.fromkeys(self.centres, now)
+        for entry, peer in self.peers.items():
+            self.peers[entry] = peer._replace(last_heard=now)
+
+    def list_near(self) -> list[data.Member]:
+        """Return the live members of the own data centre."""
+        return [
+            peer.member
+            for peer in self.peers.values()
+            if peer.suspected is None
+            and peer.member.data_centre == self.own.data_centre
+        ]
+
+    def select_suspects(self, now: datetime.timedelta) -> list[data.Member]:
+        """Return the newest suspects, which are asked whether they live."""
+        suspects = [
+            peer
+            for peer in self.peers.values()
+            if peer.suspected is not None and now - peer.suspected < RECHECK
+        ]
+        suspects.sort(key=lambda peer: peer.suspected, reverse=True)
+        return [peer.member for peer in suspects[:SHARED_SUSPICIONS]]
+
     def select_probes(self, now: datetime.timedelta) -> list[data.Member]:
         """Return a live member of each data centre that has not been heard lately."""
         probes = []
--- a/packages/entry/dewstep_entry/state/membership_test.py
+++ b/packages/entry/dewstep_entry/state/membership_test.py
@@ -92,6 +92,24 @@
     assert all(peer.suspected is None for peer in found.peers.values())
 
 
+def test_excuse_forgets_the_silence_of_an_own_pause():
+    # A process that was frozen would otherwise spread suspicions of all others.
+    found = build_membership(2, 1)
+    found.note_heartbeat("e01")
+    later = 10 * membership.CENTRE_SILENCE
+    found.excuse(later)
+    assert found.expire(later) == [] and found.expire_centres(later) == []
+
+
+def test_suspects_are_asked_again():
+    # Only the answer of a process itself refutes what others said of it.
+    found = build_membership(1, 1)
+    assert found.suspect(data.Suspicion("e02", "i1"), LIMIT)
+    assert [member.entry for member in found.select_suspects(LIMIT)] == ["e02"]
+    assert [member.entry for member in found.list_near()] == ["e01"]
+    assert found.select_suspects(LIMIT + membership.RECHECK) == []
+
+
 def test_learn_and_forget():
     found = build_membership(1)
     assert found.learn(build_member(9), ZERO)
