Pass on only own suspicions, so that rumours end

Ruled out: a limit of hops; the monitors tell all processes of their data centre themselves, and a change of gate is pushed to the others. The dump names what keeps a process from being ready.

--- a/packages/emulator/dewstep_emulator/fleet.py
+++ b/packages/emulator/dewstep_emulator/fleet.py
@@ -24,6 +24,10 @@
 HOST = "127.0.0.1"
 
 
+class NotReadyError(Exception):
+    """Carries what each entry process misses to serve all keys."""
+
+
 class FleetOptions(NamedTuple):
     """What a fleet consists of, beside its deployment."""
 
@@ -377,16 +381,21 @@
 
         Raises
         ------
-        TimeoutError
+        NotReadyError
             If that takes longer than `limit` seconds.
         """
-        async with asyncio.timeout(limit):
-            for name, entry in self.entries.items():
-                while entry.process.is_running():
-                    dump = await self.read_dump(name)
-                    if dump is not None and dump["ready"]:
-                        break
-                    await asyncio.sleep(POLL)
+        missing = {}
+        try:
+            async with asyncio.timeout(limit):
+                for name, entry in self.entries.items():
+                    while entry.process.is_running():
+                        dump = await self.read_dump(name)
+                        missing[name] = None if dump is None else dump["unserved"]
+                        if missing[name] == []:
+                            break
+                        await asyncio.sleep(POLL)
+        except TimeoutError as error:
+            raise NotReadyError(missing) from error
 
     def read_runs(self) -> tuple[history.Run, ...]:
         """Return all runs that the targets have logged."""
--- a/packages/emulator/dewstep_emulator/losses.py
+++ b/packages/emulator/dewstep_emulator/losses.py
@@ -105,12 +105,16 @@
     trials: int = 100,
     seed: int = 1,
     file: Annotated[pathlib.Path | None, typer.Option("--json")] = None,
+    folder: Annotated[
+        pathlib.Path | None, typer.Option(help="Keeps logs and settings there.")
+    ] = None,
 ) -> None:
     """Run trials and exit 0 if 99 in 100 are within one second."""
     if losses.get(kind) is None:
         raise typer.BadParameter(f"one of: {', '.join(losses)}")
-    with tempfile.TemporaryDirectory(prefix="dewstep-") as folder:
-        took = uvloop.run(run_trials(kind, trials, seed, pathlib.Path(folder)))
+    with tempfile.TemporaryDirectory(prefix="dewstep-") as temporary:
+        place = folder or pathlib.Path(temporary)
+        took = uvloop.run(run_trials(kind, trials, seed, place))
     took.sort()
     within = sum(value <= scenarios.RESTORED_LIMIT for value in took) / len(took)
     typer.echo(
--- a/packages/entry/dewstep_entry/dump.py
+++ b/packages/entry/dewstep_entry/dump.py
@@ -27,6 +27,8 @@
     incarnation: str
     data_centre: str
     ready: bool
+    unserved: list[str]
+    """Rows that are not known, and targets that own keys without a live gate."""
     stopping: bool
     uptime_s: float
     revision: int
@@ -46,8 +48,8 @@
     broken_invariants: dict[str, int]
 
 
-def is_ready(current: view.View, own: str, gates: Mapping[str, bool]) -> bool:
-    """Return whether every key can be served as far as this process knows.
+def find_unserved(current: view.View, own: str, gates: Mapping[str, bool]) -> list[str]:
+    """Return what this process misses to serve every key, as far as it knows.
 
     Parameters
     ----------
@@ -56,18 +58,23 @@
         Name of this process.
     gates : Mapping
         For each gate of this process, whether it may send.
+
+    Returns
+    -------
+    list of str
+        Names of missing rows, and of targets that own keys without a live gate.
     """
     configuration = current.configuration
     if configuration is None:
-        return False
+        return ["configuration"]
     served = {target.service for target in configuration.targets.values()}
+    missing = [f"assignment/{name}" for name in served - current.assignments.keys()]
     owners: set[str] = set()
-    for service in served:
-        assignment = current.assignments.get(service)
-        if assignment is None:
-            return False
+    for service in served & current.assignments.keys():
+        assignment = current.assignments[service]
         owners.update(assignment.owners, assignment.overrides.values())
-    return all(has_gate(current, own, gates, owner) for owner in owners)
+    lost = [owner for owner in owners if not has_gate(current, own, gates, owner)]
+    return sorted(missing) + sorted(lost)
 
 
 def has_gate(
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -368,10 +368,12 @@
             name: gate.describe() for name, gate in sorted(self.gates.gates.items())
         }
         sending = {name: gate["may_send"] for name, gate in gates.items()}
+        unserved = dump.find_unserved(self.holder.current, self.own.entry, sending)
         failure = self.reader.last_failure
         return dump.Dump(
             version=dump.VERSION,
-            ready=dump.is_ready(self.holder.current, self.own.entry, sending),
+            ready=not unserved,
+            unserved=unserved,
             stopping=self.stopping,
             uptime_s=(now - self.started).total_seconds(),
             table_failure="" if failure is None else repr(failure),
--- a/packages/entry/dewstep_entry/state/membership.py
+++ b/packages/entry/dewstep_entry/state/membership.py
@@ -51,6 +51,8 @@
     """Whether it has ever sent anything to this process."""
     by_centre: bool = False
     """Whether it is suspect only because its whole data centre is silent."""
+    observed: bool = False
+    """Whether this process itself missed it or was refused by it."""
 
 
 class Membership:
@@ -123,7 +125,7 @@
             return False
         if known.suspected is not None:
             return False
-        if now - known.last_heard < self.settings.suspect_after and known.watched:
+        if now - known.last_heard < self.settings.suspect_after:
             return False
         self.peers[suspicion.entry] = known._replace(suspected=now)
         return True
@@ -133,7 +135,7 @@
         known = self.peers.get(entry)
         if known is None or known.suspected is not None:
             return False
-        self.peers[entry] = known._replace(suspected=now)
+        self.peers[entry] = known._replace(suspected=now, observed=True)
         return True
 
     def note_heartbeat(self, entry: str) -> None:
@@ -160,7 +162,7 @@
             silent = now - peer.last_heard >= limit
             expected = peer.watched or not peer.heard
             if expected and silent and peer.suspected is None:
-                self.peers[entry] = peer._replace(suspected=now)
+                self.peers[entry] = peer._replace(suspected=now, observed=True)
                 found.append(data.Suspicion(entry, peer.member.incarnation))
         return found
 
@@ -246,12 +248,16 @@
         return tuple(self.random.sample(alive, min(SHARED_MEMBERS, len(alive))))
 
     def select_suspicions(self, now: datetime.timedelta) -> tuple[data.Suspicion, ...]:
-        """Return the newest suspicions, to name in a heartbeat."""
+        """Return the newest suspicions of this process, to name in a heartbeat.
+
+        Those that it only heard of are not passed on: a rumour that each receiver
+        renews would never end.
+        """
         recent = [
             peer
             for peer in self.peers.values()
             if peer.suspected is not None
-            and not peer.by_centre
+            and peer.observed
             and now - peer.suspected < SUSPICION_SPREAD
         ]
         recent.sort(key=lambda peer: peer.suspected, reverse=True)
