Prove more promises under faults; split scenarios by subject

The checker also knows terms that go back, changed bodies and runs that their target did not finish. Fleets that run at one time take their ports from ranges of their own.

Cause: section 1.2 and section 7 of the design page had lines without a scenario. Ruled out: two-gates-killed failed with 2 entry processes for each data centre because none was left to succeed, not because of the router; it has 3 now.

--- /dev/null
+++ b/packages/emulator/dewstep_emulator/addresses.py
@@ -0,0 +1,117 @@
+"""Ports, addresses and control calls of the processes of a test fleet."""
+
+import itertools
+import json
+import random
+import socket
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from returns import result
+
+from dewstep_core import settings
+from dewstep_core.http import client
+
+HOST = "127.0.0.1"
+CALL_TIMEOUT = 5.0
+
+
+def format_toml(values: Mapping[str, Any], table_name: str = "") -> str:
+    """Return settings as TOML; nested mappings become tables."""
+    lines = [f"[{table_name}]"] if table_name else []
+    nested = []
+    for name, value in values.items():
+        if isinstance(value, Mapping):
+            nested.append(format_toml(value, name))
+        else:
+            # The JSON form of strings, numbers and lists is valid TOML.
+            lines.append(f"{name} = {json.dumps(value)}")
+    return "\n".join(lines + nested) + "\n"
+
+
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+"""The kernel takes the ports of outgoing connections from above this; one of them
+could otherwise occupy a port before its process listens on it."""
+RANGE_PORTS = 200
+
+
+class PortRange:
+    """Ports that only this process hands out.
+
+    Several fleets can run at one time. Without ranges of their own, two of them could
+    choose the same port before either listens on it. The first port of the range is
+    bound as long as this process runs, and so marks the range as taken.
+    """
+
+    def __init__(self):
+        self.mark: socket.socket | None = None
+        self.ports: Iterator[int] = iter(())
+
+    def reserve(self) -> None:
+        """Take a range that no other process holds."""
+        starts = list(range(FIRST_PORT, LAST_PORT, RANGE_PORTS))
+        random.SystemRandom().shuffle(starts)
+        for start in starts:
+            mark = socket.socket()
+            try:
+                mark.bind((HOST, start))
+                mark.listen(1)
+            except OSError:
+                mark.close()
+                continue
+            self.mark = mark
+            self.ports = itertools.cycle(range(start + 1, start + RANGE_PORTS))
+            return
+        raise OSError("no range of ports is free")
+
+    def find_free(self) -> int:
+        """Return a port of the range that no process listens on."""
+        if self.mark is None:
+            self.reserve()
+        for _ in range(RANGE_PORTS):
+            port = next(self.ports)
+            with socket.socket() as probe:
+                try:
+                    probe.bind((HOST, port))
+                except OSError:
+                    continue
+                return port
+        raise OSError("no port of the range is free")
+
+
+port_range = PortRange()
+
+
+def find_free_port() -> int:
+    """Return a port that no process listens on and no other fleet chooses."""
+    return port_range.find_free()
+
+
+def get_address(line: Mapping[str, Any]) -> settings.Address:
+    """Return the main address in the line that a stand-in prints."""
+    return settings.Address(line["host"], line["port"])
+
+
+def format_address(line: Mapping[str, Any]) -> str:
+    """Return the main address of a stand-in as settings write it."""
+    return f"{line['host']}:{line['port']}"
+
+
+async def post(
+    address: settings.Address, path: str, value: Mapping[str, Any]
+) -> result.Result:
+    """Send a JSON value to a control port and return the answer.
+
+    Raises
+    ------
+    returns.primitives.exceptions.UnwrapFailedError
+        If no answer comes; a test cannot go on without the fault it asked for.
+    """
+    caller = client.Client(address, CALL_TIMEOUT)
+    answer = await caller.call_json("POST", path, value)
+    await caller.close()
+    response = answer.unwrap()
+    if response.status != 200:
+        raise ValueError(f"{path}: status {response.status}: {response.body!r}")
+    return answer
--- a/packages/emulator/dewstep_emulator/fleet.py
+++ b/packages/emulator/dewstep_emulator/fleet.py
@@ -2,26 +2,18 @@
 
 import asyncio
 import datetime
-import itertools
-import json
 import pathlib
-import random
-import socket
 import uuid
 from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
-from returns import result
-
 from dewstep_core import data, records, settings
 from dewstep_core.http import client
 from dewstep_core.platform import table
-from dewstep_emulator import deployments, history, processes
+from dewstep_emulator import addresses, deployments, history, processes
 
-CALL_TIMEOUT = 5.0
 STOP_SECONDS = 25.0
 POLL = 0.05
-HOST = "127.0.0.1"
 
 
 class FleetOptions(NamedTuple):
@@ -33,6 +25,8 @@
     crash_marker: str = ""
     writes_per_second: float = 400
     reads_per_second: float = 2_000
+    distribution: str = "exponential"
+    """Of the targets' service times."""
     entry_settings: Mapping[str, Any] = {}
     """More settings for each entry process, by their TOML names."""
 
@@ -48,19 +42,6 @@
     peers: settings.Address
 
 
-def format_toml(values: Mapping[str, Any], table_name: str = "") -> str:
-    """Return settings as TOML; nested mappings become tables."""
-    lines = [f"[{table_name}]"] if table_name else []
-    nested = []
-    for name, value in values.items():
-        if isinstance(value, Mapping):
-            nested.append(format_toml(value, name))
-        else:
-            # The JSON form of strings, numbers and lists is valid TOML.
-            lines.append(f"{name} = {json.dumps(value)}")
-    return "\n".join(lines + nested) + "\n"
-
-
 class Fleet:
     """The processes of one deployment.
 
@@ -91,6 +72,8 @@
         self.table: table.TableClient | None = None
         self.configuration: data.Configuration | None = None
         self.departures: list[history.Departure] = []
+        self.seed_names: tuple[str, ...] = ()
+        """Entry processes that a new one gets as seeds; all if this is empty."""
 
     # Start and stop.
 
@@ -104,7 +87,7 @@
         await asyncio.gather(*(self.start_target(name) for name in self.list_targets()))
         await self.apply(self.build_configuration(1))
         for number in range(self.options.entries):
-            self.peer_ports[f"entry-{number}"] = find_free_port()
+            self.peer_ports[f"entry-{number}"] = addresses.find_free_port()
         await asyncio.gather(
             *(self.start_entry(number) for number in range(self.options.entries))
         )
@@ -127,7 +110,7 @@
         )
         await asyncio.gather(self.table_process.start(), self.list_process.start())
         self.table = table.TableClient(
-            (get_address(self.table_process.addresses),), "operator", "none"
+            (addresses.get_address(self.table_process.addresses),), "operator", "none"
         )
 
     def list_targets(self) -> dict[str, tuple[str, str]]:
@@ -136,6 +119,7 @@
 
     async def start_target(self, name: str, port: int = 0) -> None:
         """Start a target, on the same port as before if `port` says so."""
+        port = port or addresses.find_free_port()
         service, _ = self.list_targets()[name]
         plan = next(
             item for item in self.deployment.services if item.service.name == service
@@ -151,7 +135,7 @@
                 f"--slots={self.deployment.slots}",
                 f"--connections={self.deployment.connections}",
                 f"--service-time-ms={plan.service_time.total_seconds() * 1000}",
-                "--distribution=exponential",
+                f"--distribution={self.options.distribution}",
                 f"--seed={self.options.seed}",
                 "--fenced" if name not in self.options.unfenced else "--no-fenced",
                 f"--log={self.folder / f'{name}.{number}.runs'}",
@@ -179,24 +163,29 @@
         earlier = self.entries.get(name)
         if earlier is not None:
             self.ended.append(earlier.process)
-            self.peer_ports[name] = find_free_port()
+        if earlier is not None or name not in self.peer_ports:
+            self.peer_ports[name] = addresses.find_free_port()
         file = self.folder / f"{name}.toml"
         seeds = [
-            f"{HOST}:{port}" for other, port in self.peer_ports.items() if other != name
+            f"{addresses.HOST}:{port}"
+            for other, port in self.peer_ports.items()
+            if other != name and other in (self.seed_names or self.peer_ports)
         ]
         values = {
             "entry": name,
             "data_centre": data_centre,
-            "caller_address": f"{HOST}:{find_free_port()}",
-            "peer_address": f"{HOST}:{self.peer_ports[name]}",
-            "operator_address": f"{HOST}:{find_free_port()}",
-            "table_addresses": [format_address(self.table_process.addresses)],
-            "instance_list_address": format_address(self.list_process.addresses),
+            "caller_address": f"{addresses.HOST}:{addresses.find_free_port()}",
+            "peer_address": f"{addresses.HOST}:{self.peer_ports[name]}",
+            "operator_address": f"{addresses.HOST}:{addresses.find_free_port()}",
+            "table_addresses": [addresses.format_address(self.table_process.addresses)],
+            "instance_list_address": addresses.format_address(
+                self.list_process.addresses
+            ),
             "fault_injection": True,
             **({"seeds": seeds} if seeds else {}),
             **self.options.entry_settings,
         }
-        file.write_text(format_toml(values))
+        file.write_text(addresses.format_toml(values))
         process = processes.Process(
             name, ("dewstep_entry.main", f"--settings={file}"), self.folder
         )
@@ -205,9 +194,9 @@
             process,
             name,
             data_centre,
-            settings.Address(HOST, line["caller_port"]),
-            settings.Address(HOST, line["operator_port"]),
-            settings.Address(HOST, line["peer_port"]),
+            settings.Address(addresses.HOST, line["caller_port"]),
+            settings.Address(addresses.HOST, line["operator_port"]),
+            settings.Address(addresses.HOST, line["peer_port"]),
         )
         self.entries[name] = handle
         self.withdrawn.discard(name)
@@ -254,12 +243,12 @@
         self, revision: int, draining: Iterable[str] = ()
     ) -> data.Configuration:
         """Return the configuration for the running targets."""
-        addresses = {
-            name: get_address(process.addresses)
+        found = {
+            name: addresses.get_address(process.addresses)
             for name, process in self.targets.items()
         }
         built = deployments.build_configuration(
-            self.deployment, addresses, revision, self.options.unfenced
+            self.deployment, found, revision, self.options.unfenced
         )
         targets = {
             name: target._replace(draining=name in set(draining))
@@ -268,7 +257,13 @@
         return built._replace(targets=targets)
 
     async def apply(self, configuration: data.Configuration) -> None:
-        """Write a configuration into the table, as the operators' command does."""
+        """Write a configuration into the table, as the operators' command does.
+
+        Raises
+        ------
+        returns.primitives.exceptions.UnwrapFailedError
+            If the table does not confirm it.
+        """
         row = (await self.table.read("configuration")).unwrap()
         value = records.encode_configuration(configuration)
         transaction = data.Transaction(
@@ -307,19 +302,32 @@
         )
         (await self.table.commit(transaction)).unwrap()
 
+    async def list_leaving(self, target: str) -> None:
+        """Show a target as leaving in the instance list."""
+        instance = {
+            "instance": target,
+            "data_centre": self.list_targets()[target][1],
+            "address": addresses.format_address(self.targets[target].addresses),
+            "role": "target",
+            "state": "leaving",
+        }
+        control = self.list_process.addresses["control_port"]
+        address = settings.Address(addresses.HOST, control)
+        await addresses.post(address, "/instances", {"update": [instance]})
+
     # Faults.
 
     async def set_faults(
         self, process: processes.Process, faults: Mapping[str, Any]
     ) -> None:
         """Change the faults of a stand-in."""
-        address = settings.Address(HOST, process.addresses["control_port"])
-        await post(address, "/faults", faults)
+        address = settings.Address(addresses.HOST, process.addresses["control_port"])
+        await addresses.post(address, "/faults", faults)
 
     async def set_cut(self, entry: str, names: Iterable[str]) -> None:
         """Cut the links of one entry process to data centres or entry processes."""
         operators = self.entries[entry].operators
-        await post(operators, "/faults/cut", {"names": sorted(names)})
+        await addresses.post(operators, "/faults/cut", {"names": sorted(names)})
 
     async def cut_data_centre(self, data_centre: str) -> None:
         """Separate a data centre from the others and from the platform."""
@@ -356,7 +364,7 @@
 
     async def read_dump(self, entry: str) -> dict[str, Any] | None:
         """Return the state dump of an entry process, or None if it does not answer."""
-        caller = client.Client(self.entries[entry].operators, CALL_TIMEOUT)
+        caller = client.Client(self.entries[entry].operators, addresses.CALL_TIMEOUT)
         answer = await caller.call("GET", "/dump")
         await caller.close()
         response = answer.value_or(None)
@@ -398,53 +406,3 @@
     def list_slots(self) -> dict[str, int]:
         """Return the number of slots of each target."""
         return dict.fromkeys(self.targets, self.deployment.slots)
-
-
-candidate_ports = itertools.cycle(
-    random.SystemRandom().sample(range(10_000, 32_000), 22_000)
-)
-
-
-def find_free_port() -> int:
-    """Return a port that no process listens on.
-
-    It lies outside the range from which the kernel takes the ports of outgoing
-    connections, one of which could otherwise take it before its process starts.
-    """
-    for port in candidate_ports:
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-            return port
-    raise AssertionError("the cycle of ports does not end")
-
-
-def get_address(line: Mapping[str, Any]) -> settings.Address:
-    """Return the main address in the line that a stand-in prints."""
-    return settings.Address(line["host"], line["port"])
-
-
-def format_address(line: Mapping[str, Any]) -> str:
-    """Return the main address of a stand-in as settings write it."""
-    return f"{line['host']}:{line['port']}"
-
-
-async def post(
-    address: settings.Address, path: str, value: Mapping[str, Any]
-) -> result.Result:
-    """Send a JSON value to a control port and return the answer.
-
-    Raises
-    ------
-    returns.primitives.exceptions.UnwrapFailedError
-        If no answer comes; a test cannot go on without the fault it asked for.
-    """
-    caller = client.Client(address, CALL_TIMEOUT)
-    answer = await caller.call_json("POST", path, value)
-    await caller.close()
-    response = answer.unwrap()
-    if response.status != 200:
-        raise ValueError(f"{path}: status {response.status}: {response.body!r}")
-    return answer
--- a/packages/emulator/dewstep_emulator/history.py
+++ b/packages/emulator/dewstep_emulator/history.py
@@ -41,6 +41,8 @@
     answered_id: str
     """Request id that the target wrote into the answer's body, "" if there is none."""
     answered_key: str
+    body_kept: bool = True
+    """Whether the target received the body that the caller sent."""
 
 
 class Run(NamedTuple):
@@ -75,7 +77,7 @@
 
 
 class FalseRefusal(NamedTuple):
-    """All answers to a request said "not run", but it took effect."""
+    """All answers to a request said "not run", but it ran."""
 
     request_id: str
     target: str
@@ -102,6 +104,20 @@
     second: Run
 
 
+class TermWentBack(NamedTuple):
+    """A target ran a request of an older gate after one of a newer gate."""
+
+    target: str
+    first: Run
+    second: Run
+
+
+class BodyChanged(NamedTuple):
+    """A target received another body than the caller sent."""
+
+    request_id: str
+
+
 class SlotsExceeded(NamedTuple):
     """A target ran more requests at the same time than it has slots."""
 
@@ -207,7 +223,10 @@
 def find_false_refusals(
     calls: Iterable[Call], runs: Iterable[Run]
 ) -> list[FalseRefusal]:
-    """Return the requests that took effect although every answer said "not run"."""
+    """Return the requests that ran although every answer said "not run".
+
+    A run whose target ended meanwhile counts: parts of it may have had effect.
+    """
     outcomes: dict[str, set[str]] = defaultdict(set)
     for call in calls:
         outcomes[call.request_id].add(call.outcome)
@@ -219,7 +238,7 @@
     return [
         FalseRefusal(run.request_id, run.target)
         for run in runs
-        if run.result == "end" and run.request_id in refused
+        if run.result in ("end", "") and run.request_id in refused
     ]
 
 
@@ -264,6 +283,33 @@
     return found
 
 
+def find_terms_back(runs: Iterable[Run]) -> list[TermWentBack]:
+    """Return the runs that began under an older term than an earlier run.
+
+    One boot of a target must see the terms of its gates rise: otherwise two gates
+    sent to it at one time.
+    """
+    latest: dict[tuple[str, str], Run] = {}
+    found = []
+    for run in sorted(runs, key=lambda run: run.start):
+        place = (run.target, run.boot)
+        earlier = latest.get(place)
+        if earlier is not None and run.term < earlier.term:
+            found.append(TermWentBack(run.target, earlier, run))
+        else:
+            latest[place] = run
+    return found
+
+
+def find_changed_bodies(calls: Iterable[Call]) -> list[BodyChanged]:
+    """Return the answered requests whose body the target did not get as it was sent."""
+    return [
+        BodyChanged(call.request_id)
+        for call in calls
+        if call.outcome == ANSWERED and not call.body_kept
+    ]
+
+
 def find_exceeded_slots(
     runs: Iterable[Run], slots: Mapping[str, int]
 ) -> list[SlotsExceeded]:
@@ -322,6 +368,8 @@
         *find_lost(calls, runs),
         *find_crossed(calls),
         *find_two_owners(runs),
+        *find_terms_back(runs),
+        *find_changed_bodies(calls),
         *find_exceeded_slots(runs, slots),
         *find_work_after_departure(runs, departures),
     )
--- a/packages/emulator/dewstep_emulator/history_test.py
+++ b/packages/emulator/dewstep_emulator/history_test.py
@@ -148,3 +148,23 @@
     calls = [build_call(), build_call("r2", history.UNKNOWN)]
     found = history.summarize(calls, [build_run()])
     assert (found.sent, found.answered, found.unknown, found.lost) == (2, 1, 1, 0)
+
+
+def test_run_of_an_older_gate_after_a_newer_one_is_reported():
+    old = build_run("r1", start=3, finish=4, term=1)
+    new = build_run("r2", start=1, finish=2, term=2)
+    assert history.find_terms_back([old, new]) == [history.TermWentBack("t1", new, old)]
+    # After a restart a target has forgotten the terms that it saw.
+    assert history.find_terms_back([new, old._replace(boot="b2")]) == []
+
+
+def test_body_that_changed_on_the_way_is_reported():
+    call = build_call(body_kept=False)
+    assert history.find_changed_bodies([call]) == [history.BodyChanged("r1")]
+
+
+def test_run_that_its_target_did_not_finish_contradicts_not_run():
+    run = build_run(result="")._replace(finish=None)
+    assert check([build_call(outcome=history.NOT_RUN)], [run]) == (
+        history.FalseRefusal("r1", "t1"),
+    )
--- a/packages/emulator/dewstep_emulator/load.py
+++ b/packages/emulator/dewstep_emulator/load.py
@@ -8,6 +8,7 @@
 import asyncio
 import bisect
 import datetime
+import hashlib
 import itertools
 import json
 import random
@@ -18,7 +19,7 @@
 from hdrh import histogram
 from returns import result
 
-from dewstep_core import clock as clocks, errors, settings
+from dewstep_core import clock as clocks, data, errors, settings
 from dewstep_core.http import client
 from dewstep_emulator import deployments, history
 
@@ -27,6 +28,8 @@
 CALL_TIMEOUT = 15.0
 """Seconds; longer than every deadline, so that dewstep answers first."""
 MOST_TRIES = 4
+TIME_ORDERED = "memory"
+"""Deduplication method that needs time-ordered request ids."""
 LONGEST_WAIT = 1.0
 """Seconds that a caller waits before it sends again."""
 SERVER_ERROR = 500
@@ -47,6 +50,8 @@
     """Exponent of the distribution of keys (0: all alike)."""
     resend: bool
     """Whether callers send again after a refusal or an unknown outcome."""
+    tries: int = MOST_TRIES
+    """Times that a caller sends one request at most, if it sends again at all."""
 
 
 class Caller:
@@ -75,9 +80,10 @@
         self.latencies = histogram.HdrHistogram(1, LARGEST_LATENCY, 3)
         self.stopped = False
 
-    def choose_entry(self) -> client.Client:
+    def choose_entry(self, address: settings.Address | None = None) -> client.Client:
         """Return the connections to a random entry process, as a balancer does."""
-        address = self.random.choice(self.list_addresses())
+        if address is None:
+            address = self.random.choice(self.list_addresses())
         if address not in self.clients:
             self.clients[address] = client.Client(
                 address, CALL_TIMEOUT, connections=CONNECTIONS
@@ -101,7 +107,8 @@
             plan = self.random.choices(mix.calls, shares)[0]
             position = bisect.bisect(weights, self.random.random() * weights[-1])
             key = f"{plan.service}-{min(position, mix.keys - 1)}"
-            task = asyncio.ensure_future(self.call(plan, key, mix.resend))
+            tries = mix.tries if mix.resend else 1
+            task = asyncio.ensure_future(self.call(plan, key, tries))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
         if tasks:
@@ -111,34 +118,58 @@
         """Send no more new requests; `run` returns after the last answer."""
         self.stopped = True
 
-    async def call(self, plan: deployments.CallPlan, key: str, resend: bool) -> None:
+    async def call(
+        self,
+        plan: deployments.CallPlan,
+        key: str,
+        tries: int = MOST_TRIES,
+        request_id: str = "",
+        body: bytes | None = None,
+    ) -> history.Call:
         """Send one request until it is answered or the caller loses patience."""
-        request_id = str(uuid.UUID(int=self.random.getrandbits(128), version=4))
-        tries = MOST_TRIES if resend else 1
-        for attempt in range(tries):
-            call, pause = await self.send(plan, key, request_id)
-            self.calls.append(call)
+        request_id = request_id or self.make_id(plan.kind)
+        while True:
+            call, pause = await self.send(plan, key, request_id, body)
+            tries -= 1
             final = call.outcome in (history.ANSWERED, history.BAD_REQUEST)
-            if final or attempt == tries - 1:
-                return
+            if final or tries <= 0:
+                return call
             await asyncio.sleep(min(pause, LONGEST_WAIT) * self.random.random())
 
+    def make_id(self, kind: data.RequestKind) -> str:
+        """Return a new request id: time-ordered where the kind needs that."""
+        if kind.deduplication != TIME_ORDERED:
+            return str(uuid.UUID(int=self.random.getrandbits(128), version=4))
+        milliseconds = int(self.clock.now().timestamp() * 1000)
+        return make_time_ordered_id(milliseconds, self.random.getrandbits(74))
+
     async def send(
-        self, plan: deployments.CallPlan, key: str, request_id: str
+        self,
+        plan: deployments.CallPlan,
+        key: str,
+        request_id: str,
+        body: bytes | None = None,
+        address: settings.Address | None = None,
     ) -> tuple[history.Call, float]:
-        """Send one request; return what the caller saw and when to come back."""
-        entry = self.choose_entry()
+        """Send one request; return what the caller saw and when to come back.
+
+        Parameters
+        ----------
+        body : bytes, optional
+            Instead of the zeros that the plan says.
+        address : settings.Address, optional
+            Entry process to use instead of a random one.
+        """
+        entry = self.choose_entry(address)
         path = plan.kind.path.replace("{key}", key)
+        body = bytes(plan.body_bytes) if body is None else body
         started = self.clock.monotonic()
-        answer = await call_with_id(
-            entry, plan.kind.method, path, bytes(plan.body_bytes), request_id
-        )
-        took = self.clock.monotonic() - started
-        call = describe_call(
-            plan, key, request_id, started, self.clock.monotonic(), answer
-        )
+        answer = await call_with_id(entry, plan.kind.method, path, body, request_id)
+        ended = self.clock.monotonic()
+        call = describe_call(plan, key, request_id, started, ended, answer, body)
+        self.calls.append(call)
         if call.outcome == history.ANSWERED:
-            microseconds = took // datetime.timedelta(microseconds=1)
+            microseconds = (ended - started) // datetime.timedelta(microseconds=1)
             self.latencies.record_value(min(max(microseconds, 1), LARGEST_LATENCY))
         return call, read_retry_after(answer)
 
@@ -155,6 +186,21 @@
     return await entry.call(method, path, body, headers=headers)
 
 
+def make_time_ordered_id(milliseconds: int, bits: int) -> str:
+    """Return a UUID of version 7 (RFC 9562).
+
+    Parameters
+    ----------
+    milliseconds : int
+        Since the epoch.
+    bits : int
+        74 random bits.
+    """
+    high, low = bits >> 62, bits & ((1 << 62) - 1)
+    value = (milliseconds << 80) | (7 << 76) | (high << 64) | (2 << 62) | low
+    return str(uuid.UUID(int=value))
+
+
 def build_key_weights(count: int, skew: float) -> list[float]:
     """Return the cumulated weights of `count` keys, the most frequent first."""
     return list(itertools.accumulate(1 / (rank + 1) ** skew for rank in range(count)))
@@ -176,8 +222,10 @@
     sent: datetime.timedelta,
     received: datetime.timedelta,
     answer: result.Result[client.Response, object],
+    body: bytes = b"",
 ) -> history.Call:
     """Return the record of one call for the history checker."""
+    body_kept = True
     response = answer.value_or(None)
     outcome, status, failure = history.BROKEN, 0, ""
     if isinstance(answer, result.Failure):
@@ -192,7 +240,8 @@
             outcome = history.UNKNOWN
         elif not outcome:
             outcome = history.ANSWERED
-            answered_id, answered_key = read_answer(response.body)
+            answered_id, answered_key, digest = read_answer(response.body)
+            body_kept = digest == hashlib.sha256(body).hexdigest()
     return history.Call(
         request_id,
         plan.service,
@@ -206,13 +255,14 @@
         failure,
         answered_id,
         answered_key,
+        body_kept,
     )
 
 
-def read_answer(body: bytes) -> tuple[str, str]:
-    """Return the request id and key that a target wrote into its answer."""
+def read_answer(body: bytes) -> tuple[str, str, str]:
+    """Return request id, key and digest of the body that a target answered with."""
     try:
         value = json.loads(body)
-        return str(value["request_id"]), str(value["key"])
+        return str(value["request_id"]), str(value["key"]), str(value["body_sha256"])
     except (ValueError, KeyError, TypeError):
-        return "", ""
+        return "", "", ""
--- a/packages/emulator/dewstep_emulator/processes.py
+++ b/packages/emulator/dewstep_emulator/processes.py
@@ -110,3 +110,24 @@
         except TimeoutError:
             await self.kill()
             return None
+
+
+class Completed(NamedTuple):
+    """A command that has ended."""
+
+    code: int
+    output: str
+    errors: str
+
+
+async def run_command(arguments: Sequence[str]) -> Completed:
+    """Run `python -m` with `arguments` to its end."""
+    child = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    output, errors = await child.communicate()
+    return Completed(child.returncode, output.decode(), errors.decode())
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/scenarios/departures.py
@@ -0,0 +1,76 @@
+"""Targets and entry processes that leave as planned."""
+
+import asyncio
+import datetime
+import signal
+
+from dewstep_emulator import fleet as fleets, history, promises
+from dewstep_emulator.scenarios import measures, staging
+
+EXIT_CUT = 3
+"""Exit code of an entry process that had to cut work in progress."""
+SECOND_SIGNAL_LIMIT = 1.0
+LIST_LAG = datetime.timedelta(seconds=3)
+"""Seconds that the stand-in of the instance list is late (docs/platform.md)."""
+
+
+@staging.scenario("target-drained", planned=True)
+async def drain_target(stage: staging.Stage) -> None:
+    """Drain targets, which then get no new work and finish what runs."""
+    for service in ("history", "booker"):
+        await stage.fleet.drain(measures.choose_target(stage, service))
+        await asyncio.sleep(3.0)
+
+
+@staging.scenario("entries-replaced", planned=True, entries=6)
+async def replace_entries(stage: staging.Stage) -> None:
+    """Stop entry processes as planned and replace them one after the other."""
+    fleet = stage.fleet
+    for number in range(3):
+        handle = fleet.entries[f"entry-{number}"]
+        stage.fleet.remove_from_balancer(handle.name)
+        code = await handle.process.terminate(fleets.STOP_SECONDS)
+        if code != 0:
+            stage.problems.append(f"{handle.name} stopped with exit code {code}")
+        await fleet.start_entry(number)
+        await asyncio.sleep(1.0)
+
+
+@staging.scenario("target-leaving-by-list", planned=True)
+async def leave_by_list(stage: staging.Stage) -> None:
+    """Show a target as leaving in the lagging list only, which its health denies."""
+    for service in ("history", "booker"):
+        name = measures.choose_target(stage, service)
+        process = stage.fleet.targets[name]
+        await stage.fleet.set_faults(process, {"load": {"state": "live", "load": 0.0}})
+        await stage.fleet.list_leaving(name)
+        shown = history.parse_time(asyncio.get_running_loop().time()) + LIST_LAG
+        stage.fleet.departures.append(history.Departure(name, shown))
+    await asyncio.sleep(LIST_LAG.total_seconds() + 4.0)
+
+
+@staging.scenario("second-signal")
+async def signal_twice(stage: staging.Stage) -> None:
+    """Send SIGTERM twice while slow requests are in progress."""
+    fleet = stage.fleet
+    for name, process in fleet.targets.items():
+        if name.startswith("booker"):
+            await fleet.set_faults(process, {"slow_factor": 100.0})
+    await asyncio.sleep(0.5)
+    entry = await measures.find_gate(stage, "booker-0")
+    fleet.remove_from_balancer(entry.name)
+    entry.process.send(signal.SIGTERM)
+    await asyncio.sleep(0.2)
+    if not entry.process.is_running():
+        stage.violations.append(promises.NotPressed("nothing was in progress"))
+    began = asyncio.get_running_loop().time()
+    code = await entry.process.terminate(fleets.STOP_SECONDS)
+    took = asyncio.get_running_loop().time() - began
+    stage.measures["end after second signal"] = took
+    if code != EXIT_CUT or took > SECOND_SIGNAL_LIMIT:
+        stage.problems.append(f"second SIGTERM: exit code {code} after {took:.2f} s")
+    for name, process in fleet.targets.items():
+        if name.startswith("booker"):
+            await fleet.set_faults(process, {"slow_factor": 1.0})
+    await fleet.start_entry(int(entry.name.removeprefix("entry-")))
+    await asyncio.sleep(2.0)
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/scenarios/losses.py
@@ -0,0 +1,97 @@
+"""Targets and gates that are killed or frozen, one at a time or together."""
+
+import asyncio
+
+from dewstep_emulator.scenarios import measures, staging
+
+
+@staging.scenario("no-fault", planned=True)
+async def run_undisturbed(stage: staging.Stage) -> None:
+    """Let requests run without any fault."""
+    await asyncio.sleep(3.0)
+
+
+@staging.scenario("target-killed")
+async def kill_target(stage: staging.Stage) -> None:
+    """Kill a target and start it again later."""
+    target = measures.choose_target(stage, "history")
+    process = stage.fleet.targets[target]
+    await measures.measure_restoration(stage, "target killed", target, process.kill)
+    await asyncio.sleep(1.0)
+    await stage.fleet.restart_target(target)
+
+
+@staging.scenario("target-frozen")
+async def freeze_target(stage: staging.Stage) -> None:
+    """Freeze targets that later return as though nothing had happened."""
+    for service in ("history", "booker"):
+        target = measures.choose_target(stage, service)
+        process = stage.fleet.targets[target]
+
+        async def freeze(process=process) -> None:
+            process.freeze()
+
+        if service == "history":
+            await measures.measure_restoration(stage, "target frozen", target, freeze)
+        else:
+            await freeze()
+        await asyncio.sleep(2.0)
+        process.resume()
+        await asyncio.sleep(1.0)
+
+
+@staging.scenario("gate-killed")
+async def kill_gate(stage: staging.Stage) -> None:
+    """Kill the entry process that is the gate of a target."""
+    for service in ("history", "booker"):
+        target = measures.choose_target(stage, service)
+        entry = await measures.find_gate(stage, target)
+        if service == "history":
+            await measures.measure_restoration(
+                stage, "gate killed", target, entry.process.kill
+            )
+        else:
+            await entry.process.kill()
+        await asyncio.sleep(1.5)
+
+
+@staging.scenario("gate-frozen")
+async def freeze_gate(stage: staging.Stage) -> None:
+    """Pause a gate for longer than any grant and let it go on."""
+    target = measures.choose_target(stage, "history")
+    entry = await measures.find_gate(stage, target)
+
+    async def freeze() -> None:
+        entry.process.freeze()
+
+    await measures.measure_restoration(stage, "gate frozen", target, freeze)
+    await asyncio.sleep(2.0)
+    entry.process.resume()
+    await asyncio.sleep(1.0)
+
+
+@staging.scenario("gate-and-target-killed")
+async def kill_gate_and_target(stage: staging.Stage) -> None:
+    """Lose a target and its gate together, then declare the target dead."""
+    target = measures.choose_target(stage, "history")
+    entry = await measures.find_gate(stage, target)
+    await entry.process.kill()
+    await stage.fleet.targets[target].kill()
+    await asyncio.sleep(2.0)
+    key = await measures.find_key(stage, "history", target)
+    await stage.fleet.declare_dead(target)
+    took = await measures.probe(stage, key, asyncio.get_running_loop().time())
+    stage.measures["served after declaration"] = took
+    if took >= measures.PROBE_SECONDS:
+        stage.problems.append("the keys of a target declared dead stay unserved")
+
+
+@staging.scenario("two-gates-killed", entries=9)
+async def kill_gates_twice(stage: staging.Stage) -> None:
+    """Kill a gate and then its successor; a third process of the data centre lives."""
+    target = measures.choose_target(stage, "history")
+    for _ in range(2):
+        entry = await measures.find_gate(stage, target)
+        await measures.measure_restoration(
+            stage, f"{entry.name} killed", target, entry.process.kill
+        )
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/scenarios/outages.py
@@ -0,0 +1,84 @@
+"""Table service and data centres that cannot be reached or lose answers."""
+
+import asyncio
+
+from dewstep_emulator import history
+from dewstep_emulator.scenarios import measures, requests, staging
+
+
+@staging.scenario("table-down")
+async def take_table_down(stage: staging.Stage) -> None:
+    """Refuse all calls to the table; lose a target and restart one meanwhile."""
+    fleet = stage.fleet
+    await fleet.set_faults(fleet.table_process, {"down": "refuse"})
+    await asyncio.sleep(2.0)
+    await fleet.targets[measures.choose_target(stage, "history")].kill()
+    await fleet.restart_target(measures.choose_target(stage, "history"))
+    await asyncio.sleep(3.0)
+    await fleet.set_faults(fleet.table_process, {"down": ""})
+    await asyncio.sleep(3.0)
+
+
+@staging.scenario("table-slow")
+async def slow_table(stage: staging.Stage) -> None:
+    """Let each call to the table take most of its client's timeout."""
+    fleet = stage.fleet
+    await fleet.set_faults(fleet.table_process, {"delay": 0.3})
+    await fleet.targets[measures.choose_target(stage, "booker")].kill()
+    await asyncio.sleep(4.0)
+    await fleet.set_faults(fleet.table_process, {"delay": None})
+    await asyncio.sleep(1.0)
+
+
+@staging.scenario("answers-lost")
+async def lose_answers(stage: staging.Stage) -> None:
+    """Lose the answers of a third of the writes while owners change."""
+    fleet = stage.fleet
+    faults = {"lose_answers": {"ratio": 0.33, "seed": stage.random.randrange(1000)}}
+    await fleet.set_faults(fleet.table_process, faults)
+    await asyncio.sleep(1.0)
+    await fleet.targets[measures.choose_target(stage, "booker")].kill()
+    await asyncio.sleep(2.0)
+    entry = await measures.find_gate(stage, measures.choose_target(stage, "booker"))
+    await entry.process.kill()
+    await asyncio.sleep(3.0)
+    await fleet.set_faults(fleet.table_process, {"lose_answers": None})
+
+
+@staging.scenario("data-centre-cut-off")
+async def cut_data_centre(stage: staging.Stage) -> None:
+    """Separate a data centre from the others and from the platform."""
+    fleet = stage.fleet
+    await fleet.cut_data_centre(fleet.deployment.data_centres[0])
+    await asyncio.sleep(5.0)
+    await fleet.heal()
+    await asyncio.sleep(2.0)
+
+
+@staging.scenario("table-down-new-entry")
+async def start_in_outage(stage: staging.Stage) -> None:
+    """Start an entry process during an outage; it forwards by what its peers know."""
+    fleet = stage.fleet
+    await fleet.set_faults(fleet.table_process, {"down": "refuse"})
+    await asyncio.sleep(1.0)
+    number = len(fleet.entries)
+    entry = await fleet.start_entry(number)
+    target = measures.choose_target(stage, "history")
+    key = f"outage-{number}"
+    began = asyncio.get_running_loop().time()
+    plan = requests.find_plan(stage, "due")
+    while True:
+        call, _ = await stage.caller.send(
+            plan, key, stage.caller.make_id(plan.kind), address=entry.callers
+        )
+        took = asyncio.get_running_loop().time() - began
+        if call.outcome == history.ANSWERED or took > measures.PROBE_SECONDS:
+            break
+        await asyncio.sleep(measures.POLL)
+    stage.measures["forwards after the start"] = took
+    if took > measures.RESTORED_LIMIT:
+        stage.problems.append(f"{took:.2f} s until the new process forwarded")
+    await fleet.targets[target].kill()
+    await asyncio.sleep(2.0)
+    await fleet.set_faults(fleet.table_process, {"down": ""})
+    await asyncio.sleep(3.0)
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/scenarios/plans.py
@@ -0,0 +1,45 @@
+"""Changes of deployments, for scenarios that need special records."""
+
+import datetime
+from collections.abc import Callable
+
+from dewstep_core import data
+from dewstep_emulator import deployments
+
+ServiceChange = Callable[[data.Service], data.Service]
+
+
+def change_services(
+    deployment: deployments.Deployment, change: ServiceChange
+) -> deployments.Deployment:
+    """Return the deployment with each service changed."""
+    plans = (
+        plan._replace(service=change(plan.service)) for plan in deployment.services
+    )
+    return deployment._replace(services=tuple(plans))
+
+
+def use_memory(deployment: deployments.Deployment) -> deployments.Deployment:
+    """Deduplicate at-most-once kinds by memory and time-ordered ids."""
+
+    def change(service: data.Service) -> data.Service:
+        kinds = tuple(
+            kind if kind.idempotent else kind._replace(deduplication="memory")
+            for kind in service.kinds
+        )
+        return service._replace(kinds=kinds)
+
+    return change_services(deployment, change)
+
+
+def shorten_horizon(
+    horizon: datetime.timedelta,
+) -> Callable[[deployments.Deployment], deployments.Deployment]:
+    """Return the change that gives all services this horizon."""
+
+    def change(deployment: deployments.Deployment) -> deployments.Deployment:
+        return change_services(
+            deployment, lambda service: service._replace(outage_horizon=horizon)
+        )
+
+    return change
--- /dev/null
+++ b/tests/proofs_test.py
@@ -0,0 +1,97 @@
+"""Promises of the design page under faults, with real processes.
+
+Each test runs one scenario of `dewstep_emulator.scenarios` with a fixed seed, which it
+prints; docs/PROOFS.md says which promise it proves. Several scenarios run at one
+time. `pytest -m "not proofs"` leaves them out.
+"""
+
+import concurrent.futures
+import os
+import subprocess
+import sys
+
+import pytest
+
+pytestmark = pytest.mark.proofs
+
+WORKERS = max(1, min(4, (os.cpu_count() or 1) // 2))
+LIMIT_SECONDS = 120
+
+SCENARIOS = {
+    "answers-lost": 1,
+    "bad-callers": 1,
+    "crashing-request": 1,
+    "data-centre-cut-off": 1,
+    "entries-replaced": 1,
+    "entry-frozen-across-revisions": 1,
+    "entry-started-by-lagging-peer": 1,
+    "gate-and-target-killed": 1,
+    "gate-frozen": 1,
+    "gate-killed": 1,
+    "gate-killed-before-answer-memory": 1,
+    "gate-killed-before-answer-table": 1,
+    "gate-paused-with-requests": 1,
+    "large-bodies-target-killed": 1,
+    "late-and-wrong-answers": 1,
+    "no-fault": 1,
+    "operators-race": 1,
+    "operators-race-answers-lost": 1,
+    "revisions-in-quick-succession": 1,
+    "schema-versions-mixed": 1,
+    "second-signal": 1,
+    "shards-moved": 1,
+    "shards-moved-answers-lost": 1,
+    "table-down": 1,
+    "table-down-new-entry": 1,
+    "table-slow": 1,
+    "target-drained": 1,
+    "target-frozen": 1,
+    "target-killed": 1,
+    "target-leaving-by-list": 1,
+    "target-paused-with-requests": 1,
+    "two-gates-killed": 1,
+    "unfenced-gate-declared-dead": 1,
+    "unfenced-gate-killed": 1,
+    "unfenced-gate-paused": 1,
+    "unfenced-gate-released": 1,
+    "upload-across-pause": 1,
+}
+"""Seeds by scenario."""
+
+
+def run_scenario(name, folder):
+    """Run a scenario to its end; return the completed process."""
+    command = [sys.executable, "-m", "dewstep_emulator.scenarios", name]
+    command += [f"--seed={SCENARIOS[name]}", f"--folder={folder}"]
+    return subprocess.run(
+        command,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        timeout=LIMIT_SECONDS,
+    )
+
+
+@pytest.fixture(scope="module")
+def runs(request, tmp_path_factory):
+    """Start the scenarios of all selected tests, some at a time."""
+    selected = [
+        item.callspec.params["name"]
+        for item in request.session.items
+        if item.module is request.module and hasattr(item, "callspec")
+    ]
+    folder = tmp_path_factory.mktemp("proofs")
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        started = {name: pool.submit(run_scenario, name, folder) for name in selected}
+        yield started
+        for run in started.values():
+            run.cancel()
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_promises_hold(runs, name):
+    """Guards against every violation that the checker of the scenario knows."""
+    print(f"scenario {name} seed {SCENARIOS[name]}")
+    completed = runs[name].result()
+    print(completed.stdout)
+    assert completed.returncode == 0, completed.stdout
