Raise the term of a fenced target after its shards were evacuated

Cause: after an unplanned move the gate granted again under the same term as soon as the target answered. A request that was still in progress there (an upload, or a slow run) passed the target's last check under the new grant and took effect for a key that another target owned. Ruled out: the grant that was in force at the pause had expired; the target's log shows the runs 1 s after its return, under the term of the first grant. Waiting for the end of the runs at the gate would rely on the target noticing a closed connection. Conclusion: the evacuated target's gate writes its row with the next term and starts anew, so the fence covers what is still in progress. It costs one write for each lost target that had shards.

--- a/packages/emulator/dewstep_emulator/scenarios/bodies.py
+++ b/packages/emulator/dewstep_emulator/scenarios/bodies.py
@@ -56,7 +56,9 @@
         "PUT", f"/intake/{key}/bundle", request_id, UPLOAD_CHUNK * UPLOAD_CHUNKS
     )
     pieces = [head] + [bytes(UPLOAD_CHUNK)] * UPLOAD_CHUNKS
-    await raw.converse(address, pieces, UPLOAD_PAUSE)
+    status = await raw.converse(address, pieces, UPLOAD_PAUSE)
+    name = f"uploads with status {status}"
+    stage.measures[name] = stage.measures.get(name, 0) + 1
 
 
 @staging.scenario("upload-across-pause", rate=60)
--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import datetime
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 
 from absl import logging
 from returns import result
@@ -82,7 +82,12 @@
             holder, table, clock, make_operation_id
         )
         self.mover = moves.Mover(
-            self.assignments, table, clock, wiring.plan_evacuation, self.list_usable
+            self.assignments,
+            table,
+            clock,
+            wiring.plan_evacuation,
+            self.list_usable,
+            self.raise_term,
         )
 
     # Loop.
@@ -160,9 +165,14 @@
 
     def start_takeover(self, target: data.Target, service: data.Service) -> None:
         """Start the task that takes a target over."""
-        task = asyncio.ensure_future(self.take_over(target, service))
-        self.takeovers[target.name] = task
-        task.add_done_callback(lambda done: self.takeovers.pop(target.name, None))
+        self.run_takeover(target.name, self.take_over(target, service))
+
+    def run_takeover(self, target: str, work: Coroutine) -> asyncio.Task:
+        """Run the task that starts a gate of `target`."""
+        task = asyncio.ensure_future(work)
+        self.takeovers[target] = task
+        task.add_done_callback(lambda done: self.takeovers.pop(target, None))
+        return task
 
     async def take_over(self, target: data.Target, service: data.Service) -> None:
         """Raise the term and start the gate."""
@@ -225,6 +235,20 @@
         self.gates[target.name] = gate
         gate.run()
 
+    async def raise_term(self, gate: gates.Gate) -> bool:
+        """Replace a gate by one of the next term; return whether its term has ended."""
+        written = await self.rows.write(
+            gate.target.name, gate.record, self.own, gate.record.horizon, False
+        )
+        if isinstance(written, result.Failure):
+            return isinstance(written.failure(), errors.Conflict)
+        record, sent = written.unwrap()
+        start = lifecycle.Start(sent, gate.get_expired_at(), None, False)
+        await self.run_takeover(
+            gate.target.name, self.start_gate(gate.target, gate.service, record, start)
+        )
+        return True
+
     async def receive_handover(self, message: handover.Handover) -> None:
         """Start a gate that another process handed to this one."""
         row = message.record.row
@@ -250,12 +274,9 @@
             return
         now = self.clock.monotonic()
         start = handover.make_start(message, now, self.settings.grants)
-        task = asyncio.ensure_future(
-            self.start_gate(target, service, message.record, start)
+        await self.run_takeover(
+            row.target, self.start_gate(target, service, message.record, start)
         )
-        self.takeovers[row.target] = task
-        task.add_done_callback(lambda done: self.takeovers.pop(row.target, None))
-        await task
 
     # Emptying targets.
 
--- a/packages/entry/dewstep_entry/gate/manager_test.py
+++ b/packages/entry/dewstep_entry/gate/manager_test.py
@@ -178,6 +178,44 @@
     run(scenario)
 
 
+def test_an_evacuated_target_gets_no_more_grants_of_its_old_term():
+    """Guards against requests of the old term that run on when a target returns."""
+
+    async def scenario():
+        fleet = Fleet()
+        fleet.add("e1")
+        await fleet.pass_time(500 * MS)
+        server = fleet.servers["t1"]
+        term, expires = server.term, server.expires
+        server.reachable = False
+        await fleet.pass_time(SECOND)
+        assert set(fleet.read_owners()) == {"t2"}
+        server.reachable = True
+        while server.expires == expires:
+            await fleet.pass_time(10 * MS)
+            assert server.term > term or server.expires == expires
+        assert server.term == term + 1
+
+    run(scenario)
+
+
+def test_a_target_that_stays_alone_keeps_its_term():
+    """Guards against terms that rise for as long as a lost target cannot move."""
+
+    async def scenario():
+        fleet = Fleet()
+        fleet.add("e1")
+        await fleet.pass_time(500 * MS)
+        fleet.servers["t2"].reachable = False
+        await fleet.pass_time(SECOND)
+        term = fleet.servers["t1"].term
+        fleet.servers["t1"].reachable = False
+        await fleet.pass_time(5 * SECOND)
+        assert fleet.table.get("gate/t1").value["term"] == term
+
+    run(scenario)
+
+
 def test_an_evacuation_is_made_again_after_a_conflict():
     async def scenario():
         fleet = Fleet()
--- a/packages/entry/dewstep_entry/gate/moves.py
+++ b/packages/entry/dewstep_entry/gate/moves.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import datetime
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Awaitable, Callable, Collection, Mapping
 
 from absl import logging
 from returns import result
@@ -35,6 +35,8 @@
         Pure planner of the new owners.
     list_usable : Callable[[str, str], tuple[str, ...]]
         Returns the targets of a service that may get shards, without one.
+    raise_term : Callable[[gates.Gate], Awaitable[bool]]
+        Replaces a gate by one of the next term; returns whether its term has ended.
     """
 
     def __init__(
@@ -44,12 +46,14 @@
         clock: clocks.Clock,
         plan_evacuation: PlanEvacuation,
         list_usable: Callable[[str, str], tuple[str, ...]],
+        raise_term: Callable[[gates.Gate], Awaitable[bool]],
     ):
         self.writer = writer
         self.table = table
         self.clock = clock
         self.plan_evacuation = plan_evacuation
         self.list_usable = list_usable
+        self.raise_term = raise_term
         self.moving: set[asyncio.Task] = set()
 
     # Lost targets.
@@ -67,13 +71,25 @@
                 gate.service.name, gate.record, self.make_evacuation(gate, owned)
             )
             self.note_moved(gate)
-            gate.end_evacuation()
             logging.warning(
                 "target_evacuated target=%s term=%d outcome=%s",
                 gate.target.name,
                 gate.term,
                 describe_outcome(outcome),
             )
+            if gate.fenced and gate.ownership.list_owned() != owned:
+                await self.end_term(gate)
+                return
+            gate.end_evacuation()
+            await self.clock.sleep(RETRY_PAUSE)
+
+    async def end_term(self, gate: gates.Gate) -> None:
+        """End the term of an evacuated target.
+
+        Its requests may still be in progress there, for keys that others own by now.
+        If it returned and got a grant of the same term, they would take effect.
+        """
+        while not gate.releasing and not await self.raise_term(gate):
             await self.clock.sleep(RETRY_PAUSE)
 
     async def wait_expiry(self, gate: gates.Gate) -> None:
