--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import datetime
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 
 from returns import result
 
@@ -77,20 +77,28 @@
         self.leaving_targets: frozenset[str] = frozenset()
         self.leaving_entries: frozenset[str] = frozenset()
         self.stopping = False
+        make_id = make_operation_id
         self.rows = takeover.GateRowWriter(
-            own, holder, table, clock, settings.grants, make_operation_id
-        )
-        self.assignments = assignments.AssignmentWriter(
-            holder, table, clock, make_operation_id
+            own, holder, table, clock, settings.grants, make_id
         )
+        self.assignments = assignments.AssignmentWriter(holder, table, clock, make_id)
         self.mover = moves.Mover(
-            self.assignments, table, clock, wiring.plan_evacuation, self.list_usable
+            self.assignments,
+            table,
+            clock,
+            wiring.plan_evacuation,
+            self.list_usable,
+            self.raise_term,
         )
 
     # Loop.
 
     async def run(self) -> None:
         """Act on vacancies, losses and leaving targets until cancelled."""
+        await timing.keep_running(self.clock, self.run_steps)
+
+    async def run_steps(self) -> None:
+        """Step without end."""
         while True:
             self.step()
             await self.clock.sleep(STEP)
@@ -197,9 +205,14 @@
         self, target: data.Target, service: data.Service, outside: bool
     ) -> None:
         """Start the task that takes a target over."""
-        task = asyncio.ensure_future(self.take_over(target, service, outside))
-        self.takeovers[target.name] = task
-        task.add_done_callback(lambda done: self.takeovers.pop(target.name, None))
+        self.run_takeover(target.name, self.take_over(target, service, outside))
+
+    def run_takeover(self, target: str, work: Coroutine) -> asyncio.Task:
+        """Run the task that starts a gate of `target`."""
+        task = asyncio.ensure_future(work)
+        self.takeovers[target] = task
+        task.add_done_callback(lambda done: self.takeovers.pop(target, None))
+        return task
 
     async def is_reachable(self, target: data.Target) -> bool:
         """Return whether a target answers to this process."""
@@ -280,6 +293,20 @@
         self.wiring.observer.start(target)
         gate.run()
 
+    async def raise_term(self, gate: gates.Gate) -> bool:
+        """Replace a gate by one of the next term; return whether its term has ended."""
+        written = await self.rows.write(
+            gate.target.name, gate.record, self.own, gate.record.horizon, False
+        )
+        if isinstance(written, result.Failure):
+            return isinstance(written.failure(), errors.Conflict)
+        record, sent = written.unwrap()
+        start = lifecycle.Start(sent, gate.get_expired_at(), None, False)
+        await self.run_takeover(
+            gate.target.name, self.start_gate(gate.target, gate.service, record, start)
+        )
+        return True
+
     async def receive_handover(self, message: handover.Handover) -> None:
         """Start a gate that another process handed to this one."""
         row = message.record.row
@@ -305,12 +332,9 @@
             return
         now = self.clock.monotonic()
         start = handover.make_start(message, now, self.settings.grants)
-        task = asyncio.ensure_future(
-            self.start_gate(target, service, message.record, start)
+        await self.run_takeover(
+            row.target, self.start_gate(target, service, message.record, start)
         )
-        self.takeovers[row.target] = task
-        task.add_done_callback(lambda done: self.takeovers.pop(row.target, None))
-        await task
 
     # Emptying targets.
 
@@ -410,6 +434,10 @@
         for gate in list(self.gates.values()):
             await gate.refresh_quarantine()
 
+    def describe(self) -> dict:
+        """Return the state of all gates for the dump."""
+        return description.describe_gates(self)
+
     # Stop.
 
     def find_successor(self, target: data.Target) -> data.Member | None:
@@ -441,16 +469,7 @@
 
     async def hand_over(self, gate: gates.Gate) -> None:
         """Hand one gate over."""
-        outcome = await handover.hand_over(
-            gate,
-            self.rows,
-            self.find_successor,
-            self.wiring.send_handover,
-            self.clock,
-        )
+        find, send = self.find_successor, self.wiring.send_handover
+        outcome = await handover.hand_over(gate, self.rows, find, send, self.clock)
         if isinstance(outcome, result.Success):
             self.gates.pop(gate.target.name, None)
-
-    def describe(self) -> dict:
-        """Return the state of all gates for the dump."""
-        return description.describe_gates(self)
--- a/packages/entry/dewstep_entry/gate/manager_test.py
+++ b/packages/entry/dewstep_entry/gate/manager_test.py
@@ -178,6 +178,44 @@
     run(scenario)
 
 
+def test_an_evacuated_target_gets_no_more_grants_of_its_old_term():
+    """Guards against requests of the old term that run on when a target returns."""
+
+    async def scenario():
+        fleet = Fleet()
+        fleet.add("e1")
+        await fleet.pass_time(500 * MS)
+        server = fleet.servers["t1"]
+        term, expires = server.term, server.expires
+        server.reachable = False
+        await fleet.pass_time(SECOND)
+        assert set(fleet.read_owners()) == {"t2"}
+        server.reachable = True
+        while server.expires == expires:
+            await fleet.pass_time(10 * MS)
+            assert server.term > term or server.expires == expires
+        assert server.term == term + 1
+
+    run(scenario)
+
+
+def test_a_target_that_stays_alone_keeps_its_term():
+    """Guards against terms that rise for as long as a lost target cannot move."""
+
+    async def scenario():
+        fleet = Fleet()
+        fleet.add("e1")
+        await fleet.pass_time(500 * MS)
+        fleet.servers["t2"].reachable = False
+        await fleet.pass_time(SECOND)
+        term = fleet.servers["t1"].term
+        fleet.servers["t1"].reachable = False
+        await fleet.pass_time(5 * SECOND)
+        assert fleet.table.get("gate/t1").value["term"] == term
+
+    run(scenario)
+
+
 def test_an_evacuation_is_made_again_after_a_conflict():
     async def scenario():
         fleet = Fleet()
@@ -194,6 +232,19 @@
     run(scenario)
 
 
+def test_a_superseded_gate_cannot_move_shards():
+    async def scenario():
+        fleet = Fleet()
+        process = fleet.add("e1")
+        await fleet.pass_time(500 * MS)
+        fleet.table.put("gate/t1", {**fleet.table.get("gate/t1").value, "term": 2})
+        outcomes = await process.move_shards("s", {0: "t2"})
+        assert outcomes["t1"].failure() == errors.NotTheGate("t1", 1)
+        assert set(fleet.read_owners()) == {"t1"}
+
+    run(scenario)
+
+
 def test_a_successor_that_cannot_reach_the_target_waits_for_the_horizon():
     async def scenario():
         fleet = Fleet()
@@ -210,6 +261,29 @@
     run(scenario)
 
 
+def test_a_declaration_for_an_older_gate_does_not_shorten_the_wait():
+    # A declaration that nobody took would otherwise speak of a gate that the
+    # operator never judged.
+    async def scenario():
+        fleet = Fleet()
+        fleet.add("e1")
+        await fleet.pass_time(500 * MS)
+        fleet.add("e2")
+        fleet.freeze("e1")
+        fleet.servers["t1"].reachable = False
+        await fleet.pass_time(3 * SECOND, 100 * MS)
+        term = fleet.table.get("gate/t1").value["term"]
+        old = {"operator": "o", "time": "", "term": term - 2}
+        fleet.table.put("declared-dead/t1", old)
+        await fleet.pass_time(5 * SECOND, 100 * MS)
+        assert set(fleet.read_owners()) == {"t1"}
+        fleet.table.put("declared-dead/t1", old | {"term": term - 1})
+        await fleet.pass_time(5 * SECOND, 100 * MS)
+        assert set(fleet.read_owners()) == {"t2"}
+
+    run(scenario)
+
+
 def test_an_operators_declaration_shortens_the_wait_once():
     async def scenario():
         fleet = Fleet()
@@ -219,7 +293,7 @@
         fleet.freeze("e1")
         fleet.servers["t1"].reachable = False
         await fleet.pass_time(3 * SECOND, 100 * MS)
-        fleet.table.put("declared-dead/t1", {"operator": "o", "time": ""})
+        fleet.table.put("declared-dead/t1", {"operator": "o", "time": "", "term": 1})
         await fleet.pass_time(5 * SECOND, 100 * MS)
         assert set(fleet.read_owners()) == {"t2"}
         assert fleet.table.get("declared-dead/t1").value is None
--- a/packages/entry/dewstep_entry/gate/moves.py
+++ b/packages/entry/dewstep_entry/gate/moves.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import datetime
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Awaitable, Callable, Collection, Mapping
 
 from returns import result
 
@@ -34,6 +34,8 @@
         Pure planner of the new owners.
     list_usable : Callable[[str, str], tuple[str, ...]]
         Returns the targets of a service that may get shards, without one.
+    raise_term : Callable[[gates.Gate], Awaitable[bool]]
+        Replaces a gate by one of the next term; returns whether its term has ended.
     """
 
     def __init__(
@@ -43,12 +45,14 @@
         clock: clocks.Clock,
         plan_evacuation: PlanEvacuation,
         list_usable: Callable[[str, str], tuple[str, ...]],
+        raise_term: Callable[[gates.Gate], Awaitable[bool]],
     ):
         self.writer = writer
         self.table = table
         self.clock = clock
         self.plan_evacuation = plan_evacuation
         self.list_usable = list_usable
+        self.raise_term = raise_term
         self.moving: set[asyncio.Task] = set()
 
     # Lost targets.
@@ -66,13 +70,25 @@
                 gate.service.name, gate.record, self.make_evacuation(gate, owned)
             )
             self.note_moved(gate)
-            gate.end_evacuation()
             events.warning(
                 "target_evacuated",
                 target=gate.target.name,
                 term=gate.term,
                 outcome=describe_outcome(outcome),
             )
+            if gate.fenced and gate.ownership.list_owned() != owned:
+                await self.end_term(gate)
+                return
+            gate.end_evacuation()
+            await self.clock.sleep(RETRY_PAUSE)
+
+    async def end_term(self, gate: gates.Gate) -> None:
+        """End the term of an evacuated target.
+
+        Its requests may still be in progress there, for keys that others own by now.
+        If it returned and got a grant of the same term, they would take effect.
+        """
+        while not gate.releasing and not await self.raise_term(gate):
             await self.clock.sleep(RETRY_PAUSE)
 
     async def wait_expiry(self, gate: gates.Gate) -> None:
@@ -94,13 +110,23 @@
     async def take_declaration(self, gate: gates.Gate) -> bool:
         """Return whether an operator declared the earlier gates of a target dead.
 
-        The declaration is deleted before it takes effect. One that stayed could
-        shorten the wait of a later gate, whose predecessor it does not mean.
+        A declaration speaks of the gate whose term it names and of those before it.
+        It counts only if that covers all gates before this one. It is deleted before
+        it takes effect, so that it shortens one wait only.
         """
         key = rows.name_declaration(gate.target.name)
         found = await self.table.read(key)
         if isinstance(found, result.Failure) or found.unwrap().value is None:
             return False
+        declared = found.unwrap().value.get("term")
+        if not isinstance(declared, int) or declared < gate.term - 1:
+            events.warning(
+                "declaration_outdated",
+                target=gate.target.name,
+                declared_term=declared,
+                term=gate.term,
+            )
+            return False
         checks = (
             data.Check(key, found.unwrap().version),
             data.Check(rows.name_gate(gate.target.name), gate.record.row.version),
--- a/packages/entry/dewstep_entry/state/membership.py
+++ b/packages/entry/dewstep_entry/state/membership.py
@@ -31,6 +31,9 @@
 SHARED_MEMBERS = 8
 """Members named in one heartbeat, so that its size does not grow with the fleet."""
 SHARED_SUSPICIONS = 8
+RECHECK = datetime.timedelta(seconds=30)
+"""How long a suspect is asked again. Most suspicions of a process in another data
+centre come from others, and only its own answer can refute them."""
 SUSPICION_SPREAD = datetime.timedelta(seconds=1)
 """How long a new suspicion is named in heartbeats."""
 
@@ -48,6 +51,8 @@
     """Whether it has ever sent anything to this process."""
     by_centre: bool = False
     """Whether it is suspect only because its whole data centre is silent."""
+    observed: bool = False
+    """Whether this process itself missed it or was refused by it."""
 
 
 class Membership:
@@ -120,7 +125,7 @@
             return False
         if known.suspected is not None:
             return False
-        if now - known.last_heard < self.settings.suspect_after and known.watched:
+        if now - known.last_heard < self.settings.suspect_after:
             return False
         self.peers[suspicion.entry] = known._replace(suspected=now)
         return True
@@ -130,7 +135,7 @@
         known = self.peers.get(entry)
         if known is None or known.suspected is not None:
             return False
-        self.peers[entry] = known._replace(suspected=now)
+        self.peers[entry] = known._replace(suspected=now, observed=True)
         return True
 
     def note_heartbeat(self, entry: str) -> None:
@@ -157,10 +162,35 @@
             silent = now - peer.last_heard >= limit
             expected = peer.watched or not peer.heard
             if expected and silent and peer.suspected is None:
-                self.peers[entry] = peer._replace(suspected=now)
+                self.peers[entry] = peer._replace(suspected=now, observed=True)
                 found.append(data.Suspicion(entry, peer.member.incarnation))
         return found
 
+    def excuse(self, now: datetime.timedelta) -> None:
+        """Forget all silence: this process itself was paused and heard nobody."""
+        self.centres = dict.fromkeys(self.centres, now)
+        for entry, peer in self.peers.items():
+            self.peers[entry] = peer._replace(last_heard=now)
+
+    def list_near(self) -> list[data.Member]:
+        """Return the live members of the own data centre."""
+        return [
+            peer.member
+            for peer in self.peers.values()
+            if peer.suspected is None
+            and peer.member.data_centre == self.own.data_centre
+        ]
+
+    def select_suspects(self, now: datetime.timedelta) -> list[data.Member]:
+        """Return the newest suspects, which are asked whether they live."""
+        suspects = [
+            peer
+            for peer in self.peers.values()
+            if peer.suspected is not None and now - peer.suspected < RECHECK
+        ]
+        suspects.sort(key=lambda peer: peer.suspected, reverse=True)
+        return [peer.member for peer in suspects[:SHARED_SUSPICIONS]]
+
     def select_probes(self, now: datetime.timedelta) -> list[data.Member]:
         """Return a live member of each data centre that has not been heard lately."""
         probes = []
@@ -218,12 +248,16 @@
         return tuple(self.random.sample(alive, min(SHARED_MEMBERS, len(alive))))
 
     def select_suspicions(self, now: datetime.timedelta) -> tuple[data.Suspicion, ...]:
-        """Return the newest suspicions, to name in a heartbeat."""
+        """Return the newest suspicions of this process, to name in a heartbeat.
+
+        Those that it only heard of are not passed on: a rumour that each receiver
+        renews would never end.
+        """
         recent = [
             peer
             for peer in self.peers.values()
             if peer.suspected is not None
-            and not peer.by_centre
+            and peer.observed
             and now - peer.suspected < SUSPICION_SPREAD
         ]
         recent.sort(key=lambda peer: peer.suspected, reverse=True)
--- a/tests/operators_test.py
+++ b/tests/operators_test.py
@@ -14,6 +14,7 @@
 from dewstep_core import clock as clocks, hashing
 from dewstep_core.http import client
 from dewstep_emulator import (
+    addresses,
     deployments,
     fleet as fleets,
     history,
@@ -34,7 +35,7 @@
         self.run = runner.run
         self.fleet = fleet
         self.file = fleet.folder / "records.toml"
-        table = fleets.format_address(fleet.table_process.addresses)
+        table = addresses.format_address(fleet.table_process.addresses)
         self.environment = {**os.environ, "DEWSTEP_TABLE": table}
 
     def start_command(self, *arguments):
