Send counters, widen the state dump, and list alarms

Cause: The entry process sent five gauges and no counter, since nothing called Metrics.count; the dump showed no limits, outliers, peers' silence, owned shards or past failures; the pages listed neither metrics nor fields nor alarms. Ruled out: Counting in the gates' modules, which others change; a filter around the router and one around the table client see the same calls. Conclusion: Counters are sums since the start; statsd gets their rise once a second, and the dump shows the sums themselves.

--- a/packages/core/dewstep_core/events.py
+++ b/packages/core/dewstep_core/events.py
@@ -8,6 +8,7 @@
 nor costs much. What is left out is counted, and `report_left_out` logs the counts.
 """
 
+import collections
 import datetime
 import json
 import re
@@ -24,6 +25,8 @@
 """Lines of one event that are written at once."""
 RATE = 10.0
 """Lines/s of one event beyond the burst."""
+KEPT_LINES = 4
+"""Last lines of one event that the state dump shows."""
 
 PLAIN_VALUE = re.compile(r'[^\s"=\\\x00-\x1f\x7f]+')
 
@@ -60,7 +63,35 @@
         return left_out
 
 
-limiter = Limiter()
+class Journal:
+    """Counts all events, and keeps the last warnings and errors for the state dump.
+
+    Parameters
+    ----------
+    read_time : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, read_time: Callable[[], float] = time.monotonic):
+        self.read_time = read_time
+        self.limiter = Limiter(read_time)
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.recent: dict[str, collections.deque[tuple[float, str]]] = {}
+        """Times and lines by event, so that a flood of one does not displace others."""
+
+    def keep(self, name: str, line: str) -> None:
+        """Keep a line among the last ones of its event."""
+        kept = self.recent.setdefault(name, collections.deque(maxlen=KEPT_LINES))
+        kept.append((self.read_time(), line))
+
+    def list_recent(self) -> list[tuple[float, str]]:
+        """Return age in seconds and text of the lines kept, the newest first."""
+        now = self.read_time()
+        lines = (item for kept in self.recent.values() for item in kept)
+        return [(now - kept, line) for kept, line in sorted(lines, reverse=True)]
+
+
+journal = Journal()
 
 
 def render(name: str, /, **fields: Any) -> str:
@@ -89,8 +120,14 @@
 
 def log(level: int, name: str, /, **fields: Any) -> None:
     """Log an event unless its rate is exceeded."""
-    if limiter.admit(name):
-        logging.log(level, "%s", render(name, **fields))
+    journal.counts[name] += 1
+    if not journal.limiter.admit(name):
+        return
+    line = render(name, **fields)
+    # The levels of absl fall with the severity.
+    if level <= logging.WARNING:
+        journal.keep(name, line)
+    logging.log(level, "%s", line)
 
 
 def info(name: str, /, **fields: Any) -> None:
@@ -117,5 +154,5 @@
 
 def report_left_out() -> None:
     """Log how many lines of each event were left out since the last call."""
-    for name, count in limiter.take_left_out().items():
+    for name, count in journal.limiter.take_left_out().items():
         logging.warning("%s", render("lines_left_out", name=name, count=count))
--- a/packages/core/dewstep_core/events_test.py
+++ b/packages/core/dewstep_core/events_test.py
@@ -23,14 +23,15 @@
 def test_a_flood_of_one_event_is_limited_and_counted(monkeypatch):
     # Guards against a log that grows with the rate of failing requests.
     now = [0.0]
-    limiter = events.Limiter(lambda: now[0])
+    journal = events.Journal(lambda: now[0])
+    limiter = journal.limiter
     assert sum(limiter.admit("request_failed") for _ in range(1_000)) == events.BURST
     assert limiter.admit("gate_taken")
     assert limiter.take_left_out() == {"request_failed": 1_000 - events.BURST}
     now[0] = 1.0
     admitted = sum(limiter.admit("request_failed") for _ in range(100))
     assert admitted == events.RATE
-    monkeypatch.setattr(events, "limiter", limiter)
+    monkeypatch.setattr(events, "journal", journal)
     lines = []
     monkeypatch.setattr(
         events.logging, "warning", lambda form, line: lines.append(line)
@@ -49,3 +50,19 @@
         events.exception("handler_failed", error, request_id="r1")
     assert lines[0].startswith("event=handler_failed request_id=r1 error=ValueError")
     assert "secret" not in lines[0] and "events_test.py:" in lines[0]
+
+
+def test_the_last_failures_of_each_event_are_kept(monkeypatch):
+    # Guards against a flood of one event that displaces the others from the dump.
+    now = [0.0]
+    monkeypatch.setattr(events, "journal", events.Journal(lambda: now[0]))
+    events.error("row_refused", failure="old")
+    now[0] = 1.0
+    for number in range(20):
+        events.warning("request_failed", request_id=number)
+    events.info("started")
+    recent = events.journal.list_recent()
+    assert len(recent) == events.KEPT_LINES + 1
+    assert recent[0] == (0.0, "event=request_failed request_id=19")
+    assert recent[-1] == (1.0, "event=row_refused failure=old")
+    assert events.journal.counts["request_failed"] == 20
--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -264,6 +264,7 @@
             method = head.method
             outcome = await self._handle(head)
         except request_body.CallerFault as fault:
+            self.listener.note_refusal(fault.failure)
             outcome = result.Failure(fault.failure)
         if isinstance(outcome, result.Success):
             answer = outcome.unwrap()
@@ -284,6 +285,7 @@
             )
         outcome = self.listener.identify(head.method, head.target, headers, length)
         if not isinstance(outcome, result.Success):
+            self.listener.note_refusal(outcome.failure())
             await self._discard_body(length)
             return outcome
         request = outcome.unwrap()
--- a/packages/entry/dewstep_entry/caller/listener.py
+++ b/packages/entry/dewstep_entry/caller/listener.py
@@ -39,6 +39,8 @@
         Name of this entry process.
     spread : callable
         Jitter of retry times, from 0 to 1.
+    note_refusal : callable
+        Takes the failure of each request that did not reach the handler.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         handler: interfaces.RequestHandler,
         entry: str,
         spread: Callable[[], float] = random.random,
+        note_refusal: Callable[[interfaces.Failure], None] = lambda failure: None,
     ):
         self.address = address
         self.limits = limits
@@ -58,6 +61,7 @@
         self.handler = handler
         self.entry = entry
         self.spread = spread
+        self.note_refusal = note_refusal
         self.connections: set[connections.CallerConnection] = set()
         self.stopping = False
         self.server: asyncio.Server | None = None
--- a/packages/entry/dewstep_entry/dump.py
+++ b/packages/entry/dewstep_entry/dump.py
@@ -2,12 +2,12 @@
 
 import datetime
 from collections.abc import Mapping
-from typing import Any, TypedDict
+from typing import TypedDict
 
 from dewstep_core import data
 from dewstep_entry.state import view
 
-VERSION = 1
+VERSION = 2
 
 
 class MemberDump(TypedDict):
@@ -19,6 +19,70 @@
     alive: bool
 
 
+class AdmissionDump(TypedDict):
+    """Queue, slots and limit of one target."""
+
+    slots: int
+    limit: float
+    """Concurrent requests allowed at present, at most `slots`."""
+    in_progress: int
+    waiting: int
+    service_time_s: float
+    service_deviation_s: float
+    held_for_s: float | None
+    """How long nothing more is sent to a target that shed or failed."""
+    admitted: int
+    refused: int
+    evicted: int
+    expired: int
+
+
+class GateDump(TypedDict):
+    """A gate of this process with what it knows of its target; times in seconds."""
+
+    target: str
+    term: int
+    fenced: bool
+    lost: bool
+    evacuating: bool
+    releasing: bool
+    waiting_for_earlier_gates: bool
+    may_send: bool
+    horizon_left_s: float
+    expired_in_s: float
+    higher_term: int | None
+    running: int
+    waiting: int
+    ids_in_progress: int
+    ids_remembered: int
+    bytes_remembered: int
+    suspects: int
+    blocked_shards: list[int]
+    blocked_keys: list[str]
+    owned_shards: list[int]
+    owned_keys: list[str]
+    put_aside_steps: int
+    admission: AdmissionDump | None
+
+
+class PeerDump(TypedDict):
+    """What this process has heard of a peer."""
+
+    entry: str
+    last_heard_s: float
+    suspected_for_s: float | None
+    watched: bool
+    """Whether the peer sends heartbeats to this process at every interval."""
+    linked: bool
+
+
+class ErrorDump(TypedDict):
+    """A warning or error that was logged."""
+
+    age_s: float
+    line: str
+
+
 class Dump(TypedDict):
     """Everything that an operator may want to know of one process."""
 
@@ -41,11 +105,18 @@
     in_progress: int
     waiting: int
     tries_again: int
-    gates: dict[str, dict[str, Any]]
+    gates: dict[str, GateDump]
     """By target."""
+    takeovers: list[str]
+    """Targets of which this process is becoming the gate."""
+    emptying: list[str]
+    """Targets whose shards this process is moving away."""
     members: list[MemberDump]
-    counts: dict[str, int]
+    peers: list[PeerDump]
+    counts: dict[str, float]
     broken_invariants: dict[str, int]
+    last_errors: list[ErrorDump]
+    """The newest first; at most four lines of each event."""
 
 
 def find_unserved(current: view.View, own: str, gates: Mapping[str, bool]) -> list[str]:
--- a/packages/entry/dewstep_entry/metrics.py
+++ b/packages/entry/dewstep_entry/metrics.py
@@ -1,11 +1,12 @@
-"""Metrics by statsd: counters of requests and gauges of the state.
+"""Metrics by statsd: counters of what happened and gauges of the state.
 
 Counters are sent once a second as sums, not once a request, so that their cost does
-not grow with the load.
+not grow with the load. Names are listed in docs/operators.md.
 """
 
 import collections
 import datetime
+import re
 from collections.abc import Callable, Mapping
 
 import statsd
@@ -14,10 +15,12 @@
 
 PREFIX = "dewstep"
 INTERVAL = datetime.timedelta(seconds=1)
+RESERVED = re.compile(r"[:|@\s]")
+"""Characters that separate the parts of a statsd line."""
 
 
 class Metrics:
-    """Counts events and sends them with gauges to a statsd server.
+    """Sends counters and gauges to a statsd server.
 
     Parameters
     ----------
@@ -25,38 +28,47 @@
         The statsd server; None sends nothing.
     entry : str
         Name of this process, part of each metric's name.
+
+    Attributes
+    ----------
+    counts : collections.Counter
+        Sums since the start, by name; the stages of the process add to it.
     """
 
     def __init__(self, address: settings.Address | None, entry: str):
         self.counts: collections.Counter[str] = collections.Counter()
-        self.totals: collections.Counter[str] = collections.Counter()
+        self.sent: dict[str, float] = {}
         self.client = None
         if address is not None:
             self.client = statsd.StatsClient(
                 address.host, address.port, prefix=f"{PREFIX}.{entry}"
             )
 
-    def count(self, name: str, amount: int = 1) -> None:
-        """Add to a counter."""
-        self.counts[name] += amount
+    def send(self, totals: Mapping[str, float], gauges: Mapping[str, float]) -> None:
+        """Send by how much each total rose since the last call, and the gauges.
 
-    def send(self, gauges: Mapping[str, float]) -> None:
-        """Send the counters since the last call, and gauges."""
-        counts, self.counts = self.counts, collections.Counter()
-        self.totals.update(counts)
+        A total that fell belongs to a part that was made anew, and counts from zero.
+        """
         if self.client is None:
             return
         with self.client.pipeline() as pipeline:
-            for name, amount in counts.items():
-                pipeline.incr(name, amount)
+            for name, total in totals.items():
+                before = self.sent.get(name, 0)
+                rise = total - before if total >= before else total
+                if rise:
+                    pipeline.incr(RESERVED.sub("_", name), round(rise, 3))
             for name, value in gauges.items():
-                pipeline.gauge(name, value)
+                pipeline.gauge(RESERVED.sub("_", name), round(value, 3))
+        self.sent = dict(totals)
 
     async def run(
-        self, clock: clocks.Clock, read_gauges: Callable[[], Mapping[str, float]]
+        self,
+        clock: clocks.Clock,
+        read_totals: Callable[[], Mapping[str, float]],
+        read_gauges: Callable[[], Mapping[str, float]],
     ) -> None:
         """Send once an interval until cancelled; report log lines left out."""
         while True:
             await clock.sleep(INTERVAL)
-            self.send(read_gauges())
+            self.send(read_totals(), read_gauges())
             events.report_left_out()
--- /dev/null
+++ b/packages/entry/dewstep_entry/pipeline/metering_test.py
@@ -0,0 +1,65 @@
+import asyncio
+import collections
+import datetime
+
+import pytest
+from returns import result
+
+from dewstep_core import clock, errors, events
+from dewstep_emulator import builders
+from dewstep_entry import failures
+from dewstep_entry.pipeline import metering
+
+FAILURE = errors.NotReady("assignment/history")
+
+
+class Handler:
+    def __init__(self, outcome):
+        self.outcome = outcome
+
+    async def handle(self, request):
+        if self.outcome is None:
+            raise asyncio.CancelledError
+        return self.outcome
+
+
+def measure(outcome):
+    counts = collections.Counter()
+    meter = metering.Meter(Handler(outcome), clock.SystemClock(), counts)
+    asyncio.run(meter.handle(builders.build_request()))
+    return {name: count for name, count in counts.items() if "total" not in name}
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [result.Failure(FAILURE), result.Success(failures.answer_failure(FAILURE))],
+)
+def test_a_failure_counts_wherever_it_arose(monkeypatch, outcome):
+    # Guards against failures of a gate that count as answers.
+    monkeypatch.setattr(events, "journal", events.Journal())
+    counts = measure(outcome)
+    assert counts["failures.NotReady"] == 1
+    assert [n for n in counts if n.endswith(".not-run")]
+    assert not [n for n in counts if n.endswith(".answered")]
+    assert events.journal.counts["request_failed"] == 1
+
+
+def test_a_caller_who_leaves_counts_as_cancelled():
+    counts = collections.Counter()
+    meter = metering.Meter(Handler(None), clock.SystemClock(), counts)
+    with pytest.raises(asyncio.CancelledError):
+        asyncio.run(meter.handle(builders.build_request()))
+    assert [name.rpartition(".")[2] for name in counts] == ["cancelled"]
+
+
+def test_a_refusal_before_identification_counts():
+    counts = collections.Counter()
+    meter = metering.Meter(Handler(None), clock.SystemClock(), counts)
+    meter.note_refusal(errors.BodyTooLarge(1))
+    assert counts == {"requests.refused.bad-request": 1, "failures.BodyTooLarge": 1}
+
+
+def test_buckets_include_their_bounds():
+    times = (5, 14, 15, 1_001)
+    names = [metering.name_bucket(datetime.timedelta(milliseconds=t)) for t in times]
+    assert names == ["to_5_ms", "to_14_ms", "to_50_ms", "above_1000_ms"]
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import functools
 import random
 import secrets
 from collections.abc import Coroutine
@@ -18,18 +19,19 @@
     settings as setting,
 )
 from dewstep_core.platform import instances, table as tables
-from dewstep_entry import dump, metrics, operators
+from dewstep_entry import metrics, operators, reporting
 from dewstep_entry.balancing import balancer, workload
 from dewstep_entry.caller import listener
 from dewstep_entry.gate import handover, manager, transfer, wiring
 from dewstep_entry.peers import link
-from dewstep_entry.pipeline import identify, routing
+from dewstep_entry.pipeline import identify, metering, routing
 from dewstep_entry.policy import admission, retries
 from dewstep_entry.state import (
     bootstrap,
     exchange,
     instance_reader,
     membership,
+    metered_table,
     table_reader,
     view,
 )
@@ -69,13 +71,16 @@
         self.routes = identify.EMPTY
         self.budgets = retries.Retries(self.random)
         self.metrics = metrics.Metrics(settings.statsd_address, settings.entry)
-        self.table = tables.TableClient(
+        client = tables.TableClient(
             settings.table_addresses,
             settings.entry,
             settings.data_centre,
             clock,
             settings.table_timeout,
         )
+        self.table = metered_table.MeteredTable(
+            client, settings.entry, self.metrics.counts
+        )
         self.build_state()
         self.build_gates()
         self.build_ports()
@@ -142,17 +147,19 @@
             self.budgets,
             self.reader.refresh,
         )
+        self.meter = metering.Meter(self.router, self.clock, self.metrics.counts)
         self.listener = listener.Listener(
             self.settings.caller_address,
             self.settings.caller_limits,
             self.identify,
             self.find_body_limit,
-            self.router,
+            self.meter,
             self.settings.entry,
+            note_refusal=self.meter.note_refusal,
         )
         cut = self.network.set_cut if self.settings.fault_injection else None
         self.operators = operators.OperatorPort(
-            self.holder, self.describe, self.move, cut
+            self.holder, functools.partial(reporting.describe, self), self.move, cut
         )
 
     # Life.
@@ -169,7 +176,13 @@
         self.spawn(self.balancer.run())
         self.spawn(self.greet_seeds())
         self.spawn(self.refresh_quarantine())
-        self.spawn(self.metrics.run(self.clock, self.read_gauges))
+        self.spawn(
+            self.metrics.run(
+                self.clock,
+                functools.partial(reporting.read_totals, self),
+                functools.partial(reporting.read_gauges, self),
+            )
+        )
         if self.instances is not None:
             reader = instance_reader.InstanceReader(
                 self.instances.read,
@@ -357,43 +370,6 @@
             return result.Failure(errors.NotTheGate(owner, self.gates.get_term(owner)))
         return next(iter(outcomes.values()))
 
-    def describe(self) -> dump.Dump:
-        """Return the state dump."""
-        now = self.clock.monotonic()
-        gates = {
-            name: gate.describe() for name, gate in sorted(self.gates.gates.items())
-        }
-        sending = {name: gate["may_send"] for name, gate in gates.items()}
-        unserved = dump.find_unserved(self.holder.current, self.own.entry, sending)
-        failure = self.reader.last_failure
-        return dump.Dump(
-            version=dump.VERSION,
-            ready=not unserved,
-            unserved=unserved,
-            stopping=self.stopping,
-            uptime_s=(now - self.started).total_seconds(),
-            table_failure="" if failure is None else repr(failure),
-            callers=len(self.listener.connections),
-            in_progress=self.router.in_progress,
-            waiting=self.router.waiting,
-            tries_again=self.router.tries_again,
-            gates=gates,
-            counts=dict(self.metrics.totals + self.gates.checks.counts),
-            broken_invariants=self.gates.checks.list_broken(),
-            **dump.describe_view(self.holder.current, self.own, now),
-        )
-
-    def read_gauges(self) -> dict[str, float]:
-        """Return the gauges for statsd."""
-        alive = sum(state.alive for state in self.holder.current.members.values())
-        return {
-            "callers": len(self.listener.connections),
-            "requests.in_progress": self.router.in_progress,
-            "requests.waiting": self.router.waiting,
-            "gates": len(self.gates.gates),
-            "members.alive": alive,
-        }
-
 
 class GateBudget:
     """The retry budget of the gates, in the form that they use."""
--- /dev/null
+++ b/packages/entry/dewstep_entry/reporting.py
@@ -0,0 +1,171 @@
+"""What an entry process tells of itself: counters, gauges and the state dump."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from dewstep_core import events
+from dewstep_entry import dump
+
+ADMISSION_COUNTS = ("admitted", "refused", "evicted", "expired")
+OVERDUE_INTERVALS = 2
+"""Heartbeat intervals without a message after which a heartbeat counts as missed."""
+
+
+def read_totals(process: Any) -> dict[str, float]:
+    """Return all sums since the start of the process, by name."""
+    totals: dict[str, float] = dict(process.metrics.counts)
+    for name, count in events.journal.counts.items():
+        totals[f"events.{name}"] = count
+    broken = process.gates.checks.list_broken()
+    for name, count in process.gates.checks.counts.items():
+        totals[f"{'invariants' if name in broken else 'gates'}.{name}"] = count
+    totals["retries.routing"] = process.router.tries_again
+    budgets = process.budgets.describe().values()
+    totals["retries.sent"] = sum(budget.retries for budget in budgets)
+    totals["retries.refused"] = sum(budget.refused for budget in budgets)
+    totals["moves.balancer"] = process.balancer.moved
+    for target, queue in process.observer.admissions.items():
+        state = queue.describe()
+        for name in ADMISSION_COUNTS:
+            totals[f"targets.{target}.{name}"] = getattr(state, name)
+    return totals
+
+
+def read_gauges(process: Any) -> dict[str, float]:
+    """Return the gauges, by name."""
+    current = process.holder.current
+    alive = sum(state.alive for state in current.members.values())
+    now = process.clock.monotonic()
+    age = dump.compute_age(current.table_contact, now)
+    gauges = {
+        "callers": len(process.listener.connections),
+        "requests.in_progress": process.router.in_progress,
+        "requests.waiting": process.router.waiting,
+        "gates": len(process.gates.gates),
+        "gates.lost": sum(gate.lost for gate in process.gates.gates.values()),
+        "members.alive": alive,
+        "members.suspected": len(current.members) - alive,
+        "heartbeats.missed": count_overdue(process, now),
+        "revision": current.configuration.revision if current.configuration else 0,
+    }
+    if age is not None:
+        gauges["table.contact_age_s"] = age
+    for name in process.gates.gates:
+        gauges.update(read_target_gauges(process, name, now))
+    return gauges
+
+
+def count_overdue(process: Any, now: Any) -> int:
+    """Return from how many watched processes a heartbeat is overdue."""
+    limit = OVERDUE_INTERVALS * process.settings.peers.heartbeat_interval
+    return sum(
+        peer.watched and now - peer.last_heard > limit
+        for peer in process.members.peers.values()
+    )
+
+
+def read_target_gauges(process: Any, name: str, now: Any) -> dict[str, float]:
+    """Return the gauges of one target whose gate is here."""
+    observer, gate = process.observer, process.gates.gates[name]
+    gauges = {
+        f"targets.{name}.running": len(gate.runs.runs),
+        f"targets.{name}.waiting": len(gate.queue.waiting),
+        f"targets.{name}.hot_keys": len(gate.ownership.list_owned().keys),
+    }
+    if name in observer.admissions:
+        state = observer.admissions[name].describe()
+        gauges[f"targets.{name}.limit"] = state.limit
+        gauges[f"targets.{name}.slots"] = state.slots
+    if name in observer.loads:
+        hottest = observer.loads[name].keys.summarize(now, limit=1).keys
+        gauges[f"targets.{name}.hottest_key_load"] = hottest[0].rate if hottest else 0.0
+    gauges[f"targets.{name}.put_aside"] = get_step(process, gate)
+    return gauges
+
+
+def get_step(process: Any, gate: Any) -> int:
+    """Return by how many steps a target is put aside as an outlier."""
+    watch = process.observer.outliers.get(gate.service.name)
+    watched = watch.targets.get(gate.target.name) if watch is not None else None
+    return watched.step if watched is not None else 0
+
+
+def describe(process: Any) -> dump.Dump:
+    """Return the state dump of a process."""
+    now = process.clock.monotonic()
+    gates = {
+        name: describe_gate(process, gate, now)
+        for name, gate in sorted(process.gates.gates.items())
+    }
+    sending = {name: gate["may_send"] for name, gate in gates.items()}
+    unserved = dump.find_unserved(process.holder.current, process.own.entry, sending)
+    failure = process.reader.last_failure
+    return dump.Dump(
+        version=dump.VERSION,
+        ready=not unserved,
+        unserved=unserved,
+        stopping=process.stopping,
+        uptime_s=(now - process.started).total_seconds(),
+        table_failure="" if failure is None else repr(failure),
+        callers=len(process.listener.connections),
+        in_progress=process.router.in_progress,
+        waiting=process.router.waiting,
+        tries_again=process.router.tries_again,
+        gates=gates,
+        takeovers=sorted(process.gates.takeovers),
+        emptying=sorted(process.gates.emptying),
+        peers=list(describe_peers(process, now)),
+        counts=read_totals(process),
+        broken_invariants=process.gates.checks.list_broken(),
+        last_errors=describe_errors(),
+        **dump.describe_view(process.holder.current, process.own, now),
+    )
+
+
+def describe_gate(process: Any, gate: Any, now: Any) -> dump.GateDump:
+    """Return the state of a gate with the limits and verdicts on its target."""
+    owned = gate.ownership.list_owned()
+    described = {
+        **gate.describe(),
+        "owned_shards": sorted(owned.shards),
+        "owned_keys": sorted(owned.keys),
+        "put_aside_steps": get_step(process, gate),
+        "admission": None,
+    }
+    queue = process.observer.admissions.get(gate.target.name)
+    if queue is not None:
+        state = queue.describe()
+        counts = {name: getattr(state, name) for name in ADMISSION_COUNTS}
+        held = state.held_until
+        described["admission"] = dump.AdmissionDump(
+            slots=state.slots,
+            limit=state.limit,
+            in_progress=state.in_progress,
+            waiting=state.waiting,
+            service_time_s=state.service_time.total_seconds(),
+            service_deviation_s=state.service_deviation.total_seconds(),
+            held_for_s=None if held is None else (held - now).total_seconds(),
+            **counts,
+        )
+    return described
+
+
+def describe_peers(process: Any, now: Any) -> Iterator[dump.PeerDump]:
+    """Yield what this process has heard of each peer."""
+    linked = {link.member.entry for link in process.network.links.values()}
+    for entry, peer in sorted(process.members.peers.items()):
+        yield dump.PeerDump(
+            entry=entry,
+            last_heard_s=(now - peer.last_heard).total_seconds(),
+            suspected_for_s=dump.compute_age(peer.suspected, now),
+            watched=peer.watched,
+            linked=entry in linked,
+        )
+
+
+def describe_errors() -> list[dump.ErrorDump]:
+    """Return the last warnings and errors in the log, the newest first."""
+    return [
+        dump.ErrorDump(age_s=age, line=line)
+        for age, line in events.journal.list_recent()
+    ]
--- a/packages/operator/dewstep_operator/declaring.py
+++ b/packages/operator/dewstep_operator/declaring.py
@@ -22,6 +22,17 @@
     session as sessions,
 )
 
+SHOWN_FIELDS = (
+    "lost",
+    "running",
+    "waiting",
+    "may_send",
+    "waiting_for_earlier_gates",
+    "horizon_left_s",
+    "expired_in_s",
+)
+"""Fields of a gate in the state dump that bear on the decision."""
+
 
 class Evidence(NamedTuple):
     """What is known of a target and its gate."""
@@ -73,7 +84,11 @@
         if evidence.state is None:
             lines.append("the gate does not answer, so the target's state is not known")
         else:
-            shown = ", ".join(f"{k}={v}" for k, v in sorted(evidence.state.items()))
+            shown = ", ".join(
+                f"{name}={evidence.state[name]}"
+                for name in SHOWN_FIELDS
+                if name in evidence.state
+            )
             lines.append(f"the gate says of the target: {shown}")
     lines.append(
         "consequence: its keys go to other targets without waiting for the horizon; "
--- a/tests/operations_page_test.py
+++ b/tests/operations_page_test.py
@@ -3,6 +3,10 @@
 import ast
 import pathlib
 import re
+import typing
+
+from dewstep_core import errors
+from dewstep_entry import dump
 
 ROOT = pathlib.Path(__file__).parents[1]
 PAGE = (ROOT / "docs/operators.md").read_text()
@@ -53,3 +57,32 @@
         for name in list_names(names)
     }
     assert listed == find_events()
+
+
+def test_the_page_names_each_field_of_the_state_dump():
+    # Guards against fields that an operator sees and cannot look up.
+    cells = [cell for row in read_table("State dump") for cell in row]
+    listed = set().union(*map(list_names, cells))
+    fields = set()
+    for kind in vars(dump).values():
+        if typing.is_typeddict(kind):
+            fields.update(kind.__annotations__)
+    assert fields <= listed
+    assert f"version of this form: {dump.VERSION}" in PAGE
+
+
+def test_alarms_rest_on_listed_metrics_events_and_failures():
+    # Guards against an alarm on a name that nothing sends.
+    metrics = {name for row in read_table("Metrics") for name in list_names(row[0])}
+    rows = [row for row in PAGE.split("\n## Alarms\n")[1].splitlines() if "| " in row]
+    watched = set().union(*(list_names(row.split(" | ")[1]) for row in rows))
+    for name in (name for name in watched if "." in name):
+        prefix, _, rest = name.partition(".")
+        if prefix == "events":
+            assert rest in find_events(), name
+        elif prefix == "failures":
+            assert rest in errors.answer_rules, name
+        elif prefix == "table" and rest.startswith("failures."):
+            assert hasattr(errors, rest.partition(".")[2]), name
+        elif name not in metrics:
+            assert prefix in ("gates", "latency"), name
--- a/tests/operators_test.py
+++ b/tests/operators_test.py
@@ -1,10 +1,14 @@
 """Every operators' command against a fleet of real processes."""
 
 import asyncio
+import contextlib
 import datetime
 import json
 import os
+import pathlib
+import re
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -22,17 +26,29 @@
     processes,
     toml_text,
 )
+from dewstep_entry import dump as dumps
 
 LOAD_RATE = 80.0
 MARKER = "crashes-its-target"
 STOP_LIMIT = 8.0
 
 
+METRIC = r"dewstep\.entry-[0-9]\.([^:]+):([0-9.]+)\|([cg])"
+METRICS_SECONDS = 1.5
+"""Longer than the interval at which the entry processes send."""
+PAGE = pathlib.Path(__file__).parents[1] / "docs/operators.md"
+
+
+def get_parts(match):
+    return match.groups()
+
+
 class World:
     """A fleet, the event loop of its processes, and the command in a shell."""
 
-    def __init__(self, runner, fleet):
+    def __init__(self, runner, fleet, statsd):
         self.run = runner.run
+        self.statsd = statsd
         self.fleet = fleet
         self.file = fleet.folder / "records.toml"
         table = addresses.format_address(fleet.table_process.addresses)
@@ -79,6 +95,17 @@
         await caller.close()
         return answer.value_or(None)
 
+    def read_metrics(self):
+        """Return the metrics received since the last call as (name, value, type)."""
+        lines = []
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                lines += self.statsd.recv(65_536).decode().split("\n")
+        matches = (re.fullmatch(METRIC, line) for line in lines)
+        return [
+            (name, float(value), kind) for name, value, kind in map(get_parts, matches)
+        ]
+
     def run_under_load(self, seed, work):
         """Run `work` while callers send requests; fail if it cut any of them.
 
@@ -105,16 +132,24 @@
         assert not history.check_history(caller.calls, fleet.read_runs(), slots)
         assert not history.find_cut_off(caller.calls)
         assert not history.find_unknown(caller.calls)
-        assert sum(c.outcome == history.ANSWERED for c in caller.calls) > 50
+        self.answered = sum(c.outcome == history.ANSWERED for c in caller.calls)
+        assert self.answered > 50
         return outcome
 
 
 @pytest.fixture(scope="module")
 def world(tmp_path_factory):
+    statsd = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    statsd.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 << 20)
+    statsd.bind((addresses.HOST, 0))
+    statsd.setblocking(False)
     options = fleets.FleetOptions(
         entries=6,
         crash_marker=MARKER,
-        entry_settings={"stop_limit": f"{STOP_LIMIT:.0f}s"},
+        entry_settings={
+            "stop_limit": f"{STOP_LIMIT:.0f}s",
+            "statsd_address": f"{addresses.HOST}:{statsd.getsockname()[1]}",
+        },
     )
     fleet = fleets.Fleet(
         deployments.plan_tsagaan(0.15), options, tmp_path_factory.mktemp("fleet")
@@ -122,9 +157,10 @@
     with asyncio.Runner() as runner:
         try:
             runner.run(fleet.start())
-            yield World(runner, fleet)
+            yield World(runner, fleet, statsd)
         finally:
             runner.run(fleet.kill_all())
+            statsd.close()
 
 
 def test_configuration_is_checked_compared_and_applied_everywhere(world):
@@ -182,6 +218,10 @@
     dump = world.call("dump", "entry-3")[0]
     assert dump["entry"] == "entry-3"
     assert dump["revision"] == world.call("show")[0]["revision"]
+    assert set(dump) == set(dumps.Dump.__annotations__)
+    for gate in dump["gates"].values():
+        assert set(gate) == set(dumps.GateDump.__annotations__)
+    assert dump["counts"]["events.started"] == 1
 
 
 def test_a_shard_and_a_key_are_moved_and_explained(world):
@@ -215,6 +255,30 @@
     assert world.get_rows("targets", "target")[name]["draining"] is False
 
 
+def test_metrics_arrive_as_sums_under_the_names_of_the_page(world):
+    # Guards against alarms on names that do not exist, and counts that are lost.
+    time.sleep(METRICS_SECONDS)
+    world.read_metrics()
+    world.run_under_load(3, lambda: asyncio.sleep(0.5))
+    time.sleep(METRICS_SECONDS)
+    received = world.read_metrics()
+    counts = [item for item in received if item[2] == "c"]
+    answered = [v for name, v, _ in counts if re.match("requests.*answered$", name)]
+    assert sum(answered) == world.answered
+    timed = [v for n, v, _ in counts if re.match(r"latency\..*\.(to|above)_", n)]
+    assert sum(timed) >= world.answered
+    section = PAGE.read_text().split("\n## Metrics\n")[1].split("\n## ")[0]
+    listed = re.findall(r"^\| `([^`]+)`", section, re.MULTILINE)
+    patterns = [re.sub(r"[A-Z]{2,}", "[^.]+", re.escape(name)) for name in listed]
+    names = {name for name, _, _ in received}
+    unlisted = {n for n in names if not any(re.fullmatch(p, n) for p in patterns)}
+    assert not unlisted
+    gauges = {name for name, _, kind in received if kind == "g"}
+    assert {"gates", "members.alive", "revision", "table.contact_age_s"} <= gauges
+    assert {"targets.history-0.waiting", "targets.history-0.limit"} <= gauges
+    assert "claims.written" in names and "table.reads" in names
+
+
 def test_a_request_that_crashes_targets_is_listed_and_released(world):
     path = "/booker/quarantined/booking"
 
