--- a/packages/entry/dewstep_entry/header_rules.py
+++ b/packages/entry/dewstep_entry/header_rules.py
@@ -17,17 +17,9 @@
     b"trailer",
     b"upgrade",
 }
-# A caller must not be able to present itself as a gate.
-REQUEST_DROPPED = HOP_BY_HOP | {
-    b"dewstep-boot",
-    b"dewstep-deadline",
-    b"dewstep-deadline-ms",
-    b"dewstep-entry",
-    b"dewstep-epoch",
-    b"dewstep-key",
-    b"dewstep-request-id",
-    b"dewstep-term",
-}
+# A caller must not be able to present itself as a gate: targets trust all headers with
+# this prefix, also those that a later version adds.
+OWN_PREFIX = b"dewstep-"
 # A target's answer must not look like an answer that dewstep generated.
 ANSWER_DROPPED = HOP_BY_HOP | {
     b"dewstep-failure",
@@ -39,7 +31,9 @@
 
 
 def drop_headers(
-    headers: Iterable[tuple[bytes, bytes]], dropped: frozenset[bytes]
+    headers: Iterable[tuple[bytes, bytes]],
+    dropped: frozenset[bytes],
+    prefixes: tuple[bytes, ...] = (),
 ) -> data.Headers:
     """Return the headers without `dropped` and those that `Connection` names.
 
@@ -49,10 +43,12 @@
         Names in lower case, as h11 gives them.
     dropped : frozenset of bytes
         Names in lower case.
+    prefixes : tuple of bytes
+        Names that start with one of these are dropped as well.
     """
     kept = []
     for header in headers:
-        if header[0] in dropped:
+        if header[0] in dropped or header[0].startswith(prefixes):
             if header[0] == b"connection" and header[1].lower() not in (
                 b"close",
                 b"keep-alive",
@@ -61,6 +57,7 @@
                 return drop_headers(
                     [item for item in headers if item[0] != b"connection"],
                     dropped | named,
+                    prefixes,
                 )
         else:
             kept.append(header)
--- a/packages/entry/dewstep_entry/metrics.py
+++ b/packages/entry/dewstep_entry/metrics.py
@@ -19,6 +19,11 @@
 """Characters that separate the parts of a statsd line."""
 
 
+def name_part(name: str) -> str:
+    """Return a configured name as one part of a metric's name, which dots separate."""
+    return name.replace(".", "_")
+
+
 class Metrics:
     """Sends counters and gauges to a statsd server.
 
@@ -41,7 +46,7 @@
         self.client = None
         if address is not None:
             self.client = statsd.StatsClient(
-                address.host, address.port, prefix=f"{PREFIX}.{entry}"
+                address.host, address.port, prefix=f"{PREFIX}.{name_part(entry)}"
             )
 
     def send(self, totals: Mapping[str, float], gauges: Mapping[str, float]) -> None:
--- a/packages/entry/dewstep_entry/peers/session.py
+++ b/packages/entry/dewstep_entry/peers/session.py
@@ -187,7 +187,8 @@
     def _take_hello(self, frame: Any) -> None:
         if not isinstance(frame, messages.Hello) or frame.protocol != wire.PROTOCOL:
             self.abort()
-        elif self.is_cut(frame.member):
+        elif not all(frame.member[:3]) or self.is_cut(frame.member):
+            # Without entry, incarnation and data centre the peer cannot be told apart.
             self.abort()
         else:
             self.peer = frame.member
--- a/packages/entry/dewstep_entry/pipeline/metering.py
+++ b/packages/entry/dewstep_entry/pipeline/metering.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from dewstep_core import clock as clocks, data, errors, events
-from dewstep_entry import failures, interfaces
+from dewstep_entry import failures, interfaces, metrics
 
 BUCKETS_MS = (5, 14, 50, 200, 1_000)
 """Upper bounds of the counters of latency. 14 ms is the users' objective for 99% of
@@ -27,6 +27,11 @@
     return f"above_{BUCKETS_MS[-1]}_ms"
 
 
+def name_request(request: data.Request) -> str:
+    """Return service and kind as parts of a metric's name."""
+    return f"{metrics.name_part(request.service)}.{metrics.name_part(request.kind)}"
+
+
 def find_failure(outcome: result.Result[data.Answer, Any]) -> str:
     """Return the type of dewstep's own failure in `outcome`, or ""."""
     if isinstance(outcome, result.Failure):
@@ -67,7 +72,7 @@
             self.count(request, CANCELLED)
             raise
         took = self.clock.monotonic() - started
-        place = f"latency.{request.service}.{request.kind}"
+        place = f"latency.{name_request(request)}"
         self.counts[f"{place}.{name_bucket(took)}"] += 1
         self.counts[f"{place}.total_ms"] += took / MILLISECOND
         failure = find_failure(outcome)
@@ -79,7 +84,7 @@
 
     def count(self, request: data.Request, outcome: str) -> None:
         """Count a request by its outcome."""
-        self.counts[f"requests.{request.service}.{request.kind}.{outcome}"] += 1
+        self.counts[f"requests.{name_request(request)}.{outcome}"] += 1
 
     def note_failure(self, request: data.Request, failure: str) -> None:
         """Count and log a failure that dewstep itself answers with."""
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -22,7 +22,7 @@
 from dewstep_entry import metrics, operators, reporting
 from dewstep_entry.balancing import balancer, workload
 from dewstep_entry.caller import listener
-from dewstep_entry.gate import handover, manager, transfer, wiring
+from dewstep_entry.gate import handover, manager, timing, transfer, wiring
 from dewstep_entry.peers import link
 from dewstep_entry.pipeline import identify, metering, routing
 from dewstep_entry.policy import admission, retries
@@ -169,20 +169,17 @@
         await self.network.start()
         await self.operators.start(self.settings.operator_address)
         await self.listener.start()
-        self.spawn(self.exchange.run())
-        self.spawn(self.exchange.run_announcements())
-        self.spawn(self.run_table())
-        self.spawn(self.gates.run())
-        self.spawn(self.balancer.run())
-        self.spawn(self.greet_seeds())
-        self.spawn(self.refresh_quarantine())
-        self.spawn(
-            self.metrics.run(
-                self.clock,
-                functools.partial(reporting.read_totals, self),
-                functools.partial(reporting.read_gauges, self),
-            )
-        )
+        loops = [
+            self.exchange.run,
+            self.exchange.run_announcements,
+            self.reader.run,
+            self.create_assignments,
+            self.gates.run,
+            self.balancer.run,
+            self.greet_seeds,
+            self.refresh_quarantine,
+            self.report,
+        ]
         if self.instances is not None:
             reader = instance_reader.InstanceReader(
                 self.instances.read,
@@ -191,7 +188,9 @@
                 self.gates.set_leaving,
                 self.random,
             )
-            self.spawn(reader.run())
+            loops.append(reader.run)
+        for loop in loops:
+            self.spawn(timing.keep_running(self.clock, loop))
         events.info(
             "started",
             entry=self.own.entry,
@@ -200,21 +199,28 @@
         )
 
     def spawn(self, work: Coroutine) -> None:
-        """Run a task until the process stops; its failure ends the process."""
+        """Run a task, at most until the process stops."""
         task = asyncio.ensure_future(work)
         self.tasks.add(task)
         task.add_done_callback(self.receive_end)
 
     def receive_end(self, task: asyncio.Task) -> None:
-        """Log the failure of a task that should run for ever."""
+        """Forget a task that ended, and log its failure."""
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             name = task.get_coro().__qualname__
             events.exception("task_failed", task.exception(), task=name)
 
-    async def run_table(self) -> None:
-        """Read the table until cancelled, and create missing assignments."""
-        self.spawn(self.reader.run())
+    async def report(self) -> None:
+        """Send metrics until cancelled."""
+        await self.metrics.run(
+            self.clock,
+            functools.partial(reporting.read_totals, self),
+            functools.partial(reporting.read_gauges, self),
+        )
+
+    async def create_assignments(self) -> None:
+        """Create the assignments of new services until cancelled."""
         sequence = -1
         while True:
             sequence = await self.holder.wait_change(sequence)
@@ -322,14 +328,10 @@
         if decoded is None:
             await self.exchange.receive(sender, message)
         elif isinstance(decoded, result.Success):
-            self.spawn_once(self.gates.receive_handover(decoded.unwrap()))
+            self.spawn(self.gates.receive_handover(decoded.unwrap()))
         else:
             events.error("handover_unreadable", failure=decoded.failure())
 
-    def spawn_once(self, work: Coroutine) -> None:
-        """Run a task that ends by itself."""
-        self.spawn(work)
-
     def identify(
         self,
         method: bytes,
--- a/packages/entry/dewstep_entry/reporting.py
+++ b/packages/entry/dewstep_entry/reporting.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from dewstep_core import events
-from dewstep_entry import dump
+from dewstep_entry import dump, metrics
 
 ADMISSION_COUNTS = ("admitted", "refused", "evicted", "expired")
 OVERDUE_INTERVALS = 2
@@ -25,9 +25,9 @@
     totals["retries.refused"] = sum(budget.refused for budget in budgets)
     totals["moves.balancer"] = process.balancer.moved
     for target, queue in process.observer.admissions.items():
-        state = queue.describe()
+        state, place = queue.describe(), f"targets.{metrics.name_part(target)}"
         for name in ADMISSION_COUNTS:
-            totals[f"targets.{target}.{name}"] = getattr(state, name)
+            totals[f"{place}.{name}"] = getattr(state, name)
     return totals
 
 
@@ -68,19 +68,19 @@
     """Return the gauges of one target whose gate is here."""
     observer, gate = process.observer, process.gates.gates[name]
     gauges = {
-        f"targets.{name}.running": len(gate.runs.runs),
-        f"targets.{name}.waiting": len(gate.queue.waiting),
-        f"targets.{name}.hot_keys": len(gate.ownership.list_owned().keys),
+        "running": len(gate.runs.runs),
+        "waiting": len(gate.queue.waiting),
+        "hot_keys": len(gate.ownership.list_owned().keys),
+        "put_aside": get_step(process, gate),
     }
     if name in observer.admissions:
         state = observer.admissions[name].describe()
-        gauges[f"targets.{name}.limit"] = state.limit
-        gauges[f"targets.{name}.slots"] = state.slots
+        gauges.update(limit=state.limit, slots=state.slots)
     if name in observer.loads:
         hottest = observer.loads[name].keys.summarize(now, limit=1).keys
-        gauges[f"targets.{name}.hottest_key_load"] = hottest[0].rate if hottest else 0.0
-    gauges[f"targets.{name}.put_aside"] = get_step(process, gate)
-    return gauges
+        gauges["hottest_key_load"] = hottest[0].rate if hottest else 0.0
+    place = f"targets.{metrics.name_part(name)}"
+    return {f"{place}.{gauge}": value for gauge, value in gauges.items()}
 
 
 def get_step(process: Any, gate: Any) -> int:
--- a/packages/entry/dewstep_entry/targets/pool.py
+++ b/packages/entry/dewstep_entry/targets/pool.py
@@ -278,7 +278,9 @@
 
     def _build_head(self, request: data.Request, stamp: data.Stamp) -> h11.Request:
         headers = list(
-            header_rules.drop_headers(request.headers, header_rules.REQUEST_DROPPED)
+            header_rules.drop_headers(
+                request.headers, header_rules.HOP_BY_HOP, (header_rules.OWN_PREFIX,)
+            )
         )
         if header_rules.find_header(headers, b"host") is None:
             headers.append((b"host", self.host))
--- a/packages/entry/dewstep_entry/targets/pool_test.py
+++ b/packages/entry/dewstep_entry/targets/pool_test.py
@@ -15,6 +15,8 @@
 HEADERS = (
     (b"accept", b"*/*"),
     (b"dewstep-term", b"99"),
+    (b"dewstep-kind", b"forged"),
+    (b"dewstep-unknown", b"forged"),
     (b"connection", b"x-hop"),
     (b"x-hop", b"1"),
 )
@@ -83,6 +85,7 @@
         assert lines.count(b"dewstep-" + line) == 1
     # A caller's own term or a hop-by-hop header must not reach the target.
     assert b"dewstep-term: 99" not in lines and b"x-hop: 1" not in lines
+    assert not [line for line in lines if b"forged" in line]
 
 
 REFUSED = b"HTTP/1.1 409 No\r\nDewstep-Refused: fenced\r\nContent-Length: 0\r\n\r\n"
--- a/packages/operator/dewstep_operator/commands_test.py
+++ b/packages/operator/dewstep_operator/commands_test.py
@@ -5,7 +5,7 @@
 from returns import result
 
 from dewstep_core import errors, records
-from dewstep_operator import builders, failures, propagation, rows
+from dewstep_operator import builders, failures, listings, propagation, rows
 
 
 @pytest.fixture
@@ -33,8 +33,12 @@
         (3, 0, "ub1-a"),
         (1, 1, "ub1-b"),
     ]
-    owned = [(item["owned"], item["target"]) for item in run_json(world, "owners")]
-    assert owned == [("shards 0-2", "h1"), ("shards 3", "h2"), ("key 7", "h2")]
+    owned = [
+        (item["target"], item["shard_count"], item["shards"], item["keys"])
+        for item in run_json(world, "owners")
+    ]
+    assert owned == [("h1", 3, "0-2", []), ("h2", 1, "3", ["7"])]
+    assert listings.format_shards([0, 2, 3, 4, 9]) == "0, 2-4, 9"
     run_json(world, "owners", "story", code=2)
     first, second = run_json(world, "entries")
     assert (first["entry"], first["revision"], first["gates"]) == ("ub1-a", 1, 1)
--- a/packages/operator/dewstep_operator/listings.py
+++ b/packages/operator/dewstep_operator/listings.py
@@ -109,34 +109,44 @@
         for name, assignment in sorted(known.assignments.items())
         if service in (None, name)
     ]
-    ranges = [
-        (item.service, item.version, f"shards {format_range(first, last)}", owner)
-        for item in assignments
-        for first, last, owner in group_shards(item.owners)
-    ]
-    keys = [
-        (item.service, item.version, f"key {key}", owner)
-        for item in assignments
-        for key, owner in sorted(item.overrides.items())
+    columns = ("service", "assignment_version", "target", "shard_count", "shards",
+               "keys")  # fmt: skip
+    items = [row for assignment in assignments for row in describe_owners(assignment)]
+    return result.Success(build_report("Owners", columns, items))
+
+
+def describe_owners(assignment: data.Assignment) -> list[tuple]:
+    """Return one row for each target that owns something of a service."""
+    shards: dict[str, list[int]] = {}
+    for shard, owner in enumerate(assignment.owners):
+        shards.setdefault(owner, []).append(shard)
+    keys: dict[str, list[str]] = {}
+    for key, owner in sorted(assignment.overrides.items()):
+        keys.setdefault(owner, []).append(key)
+    return [
+        (
+            assignment.service,
+            assignment.version,
+            target,
+            len(shards.get(target, ())),
+            format_shards(shards.get(target, [])),
+            keys.get(target, []),
+        )
+        for target in sorted(shards.keys() | keys.keys())
     ]
-    columns = ("service", "assignment_version", "owned", "target")
-    return result.Success(build_report("Owners", columns, ranges + keys))
 
 
-def group_shards(owners: tuple[str, ...]) -> list[tuple[int, int, str]]:
-    """Return the runs of consecutive shards with the same owner."""
-    groups: list[tuple[int, int, str]] = []
-    for shard, owner in enumerate(owners):
-        if groups and groups[-1][2] == owner:
-            groups[-1] = (groups[-1][0], shard, owner)
+def format_shards(shards: list[int]) -> str:
+    """Return ascending shards as text, with runs such as "3-7"."""
+    runs: list[list[int]] = []
+    for shard in shards:
+        if runs and runs[-1][1] == shard - 1:
+            runs[-1][1] = shard
         else:
-            groups.append((shard, shard, owner))
-    return groups
-
-
-def format_range(first: int, last: int) -> str:
-    """Return the text of a run of shards."""
-    return str(first) if first == last else f"{first}-{last}"
+            runs.append([shard, shard])
+    return ", ".join(
+        str(first) if first == last else f"{first}-{last}" for first, last in runs
+    )
 
 
 async def list_entries(session: sessions.Session) -> ReportResult:
--- a/packages/operator/dewstep_operator/output.py
+++ b/packages/operator/dewstep_operator/output.py
@@ -119,6 +119,8 @@
         return "yes" if value else "no"
     if isinstance(value, datetime.timedelta):
         return durations.format_duration(value)
+    if isinstance(value, list):
+        return ", ".join(map(str, value))
     return str(value)
 
 
