--- a/packages/emulator/dewstep_emulator/losses.py
+++ b/packages/emulator/dewstep_emulator/losses.py
@@ -16,7 +16,8 @@
 import uvloop
 
 from dewstep_core import registry
-from dewstep_emulator import deployments, fleet as fleets, scenarios
+from dewstep_emulator import deployments, fleet as fleets
+from dewstep_emulator.scenarios import measures, staging
 
 QUANTILE = 0.99
 SETTLE = 1.5
@@ -25,72 +26,65 @@
 losses: registry.Registry = registry.Registry("loss")
 
 
+async def choose_owner(stage: staging.Stage) -> str:
+    """Return a random target that owns shards, so that its loss can be measured."""
+    return stage.random.choice(sorted(set(await stage.fleet.read_owners("history"))))
+
+
 @losses.register("target-killed")
-async def kill_target(stage: scenarios.Stage, name: str) -> None:
+async def kill_target(stage: staging.Stage, name: str) -> None:
     """Kill a target, measure, and start it again."""
-    target = scenarios.choose_target(stage, "history")
+    target = await choose_owner(stage)
     process = stage.fleet.targets[target]
-    await scenarios.measure_restoration(stage, name, target, process.kill)
+    await measures.measure_restoration(stage, name, target, process.kill)
     await stage.fleet.restart_target(target)
 
 
 @losses.register("target-frozen")
-async def freeze_target(stage: scenarios.Stage, name: str) -> None:
+async def freeze_target(stage: staging.Stage, name: str) -> None:
     """Freeze a target, measure, and let it go on."""
-    target = scenarios.choose_target(stage, "history")
+    target = await choose_owner(stage)
     process = stage.fleet.targets[target]
 
     async def freeze() -> None:
         process.freeze()
 
-    await scenarios.measure_restoration(stage, name, target, freeze)
+    await measures.measure_restoration(stage, name, target, freeze)
     process.resume()
 
 
 @losses.register("gate-killed")
-async def kill_gate(stage: scenarios.Stage, name: str) -> None:
+async def kill_gate(stage: staging.Stage, name: str) -> None:
     """Kill the gate of a target, measure, and start another entry process."""
-    target = scenarios.choose_target(stage, "history")
-    entry = await scenarios.find_gate(stage, target)
-    await scenarios.measure_restoration(stage, name, target, entry.process.kill)
+    target = await choose_owner(stage)
+    entry = await measures.find_gate(stage, target)
+    await measures.measure_restoration(stage, name, target, entry.process.kill)
     await stage.fleet.start_entry(int(entry.name.removeprefix("entry-")))
 
 
 @losses.register("gate-frozen")
-async def freeze_gate(stage: scenarios.Stage, name: str) -> None:
+async def freeze_gate(stage: staging.Stage, name: str) -> None:
     """Freeze the gate of a target, measure, and let it go on."""
-    target = scenarios.choose_target(stage, "history")
-    entry = await scenarios.find_gate(stage, target)
+    target = await choose_owner(stage)
+    entry = await measures.find_gate(stage, target)
 
     async def freeze() -> None:
         entry.process.freeze()
 
-    await scenarios.measure_restoration(stage, name, target, freeze)
+    await measures.measure_restoration(stage, name, target, freeze)
     entry.process.resume()
 
 
-async def find_owning(stage: scenarios.Stage) -> None:
-    """Wait until each history target owns shards again, so that it can be lost."""
-    async with asyncio.timeout(60):
-        while True:
-            owners = set(await stage.fleet.read_owners("history"))
-            names = {name for name in stage.fleet.targets if name.startswith("history")}
-            if owners == names:
-                return
-            await asyncio.sleep(0.2)
-
-
 async def run_trials(
     kind: str, trials: int, seed: int, folder: pathlib.Path
 ) -> list[float]:
     """Return the unserved times in seconds."""
     options = fleets.FleetOptions(entries=9, seed=seed)
     fleet = fleets.Fleet(deployments.plan_tsagaan(0.2), options, folder)
-    stage = scenarios.Stage(fleet, random.Random(seed), lambda text: None, {}, [])
+    stage = staging.Stage(fleet, random.Random(seed), lambda text: None, {}, [])
     try:
         await fleet.start()
         for number in range(trials):
-            await find_owning(stage)
             await losses.get(kind)(stage, f"{kind}-{number}")
             await fleet.wait_ready()
             await asyncio.sleep(SETTLE)
@@ -116,7 +110,7 @@
         place = folder or pathlib.Path(temporary)
         took = uvloop.run(run_trials(kind, trials, seed, place))
     took.sort()
-    within = sum(value <= scenarios.RESTORED_LIMIT for value in took) / len(took)
+    within = sum(value <= measures.RESTORED_LIMIT for value in took) / len(took)
     typer.echo(
         f"{kind} seed={seed} trials={len(took)} median={statistics.median(took):.3f} s "
         f"longest={took[-1]:.3f} s within_1s={within:.1%}"
