Serve the keys of a lost data centre after an operator's declaration

Cause: nobody could become the gate of a target whose whole data centre was lost: the processes of other data centres ask the target first, and it does not answer. A stop also reported gates as cut that another process had taken over meanwhile. Ruled out: a takeover without a declaration; from outside, a lost data centre looks like one that is cut off and still serves its keys. The declarations are read with the rest of the table.

--- a/packages/emulator/dewstep_emulator/scenarios/losses.py
+++ b/packages/emulator/dewstep_emulator/scenarios/losses.py
@@ -95,3 +95,27 @@
         await measures.measure_restoration(
             stage, f"{entry.name} killed", target, entry.process.kill
         )
+
+
+@staging.scenario("data-centre-lost", rate=60)
+async def lose_data_centre(stage: staging.Stage) -> None:
+    """Lose all instances of a data centre, then declare its targets dead."""
+    fleet = stage.fleet
+    centre = fleet.deployment.data_centres[1]
+    lost = [name for name, place in fleet.list_targets().items() if place[1] == centre]
+    key = await measures.find_key(
+        stage, "history", next(name for name in lost if name.startswith("history"))
+    )
+    for entry in fleet.entries.values():
+        if entry.data_centre == centre:
+            await entry.process.kill()
+    for name in lost:
+        await fleet.targets[name].kill()
+    await asyncio.sleep(3.0)
+    for name in lost:
+        await fleet.declare_dead(name)
+    took = await measures.probe(stage, key, asyncio.get_running_loop().time())
+    stage.measures["served after declaration"] = took
+    stage.say(f"a key was served again {took:.3f} s after the declaration")
+    if took >= measures.PROBE_SECONDS:
+        stage.problems.append("the keys of a data centre declared dead stay unserved")
--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -217,9 +217,11 @@
     async def is_reachable(self, target: data.Target) -> bool:
         """Return whether a target answers to this process."""
         channel = self.wiring.make_channel(target)
-        answer = await channel.read_clock()
+        answered, answer = await timing.wait_at_most(
+            self.clock, channel.read_clock(), OUTSIDE_PAUSE
+        )
         await channel.close()
-        return isinstance(answer, result.Success)
+        return answered and isinstance(answer, result.Success)
 
     async def take_over(
         self, target: data.Target, service: data.Service, outside: bool
@@ -227,9 +229,12 @@
         """Raise the term and start the gate.
 
         A target of another data centre has to be reachable first. If it is not, its
-        data centre may be cut off, and its gate there still serves it.
+        data centre may be cut off, and its gate there still serves it, unless an
+        operator has declared both dead.
         """
-        if outside and not await self.is_reachable(target):
+        declared = self.holder.current.declared.get(target.name, 0)
+        known_dead = declared >= max(1, self.get_term(target.name))
+        if outside and not known_dead and not await self.is_reachable(target):
             await self.clock.sleep(OUTSIDE_PAUSE)
             return
         held = self.gates.get(target.name)
@@ -470,6 +475,8 @@
     async def hand_over(self, gate: gates.Gate) -> None:
         """Hand one gate over."""
         find, send = self.find_successor, self.wiring.send_handover
-        outcome = await handover.hand_over(gate, self.rows, find, send, self.clock)
-        if isinstance(outcome, result.Success):
-            self.gates.pop(gate.target.name, None)
+        await handover.hand_over(gate, self.rows, find, send, self.clock)
+        # Either the row names the successor, or another process was faster.
+        if self.gates.get(gate.target.name) is gate:
+            del self.gates[gate.target.name]
+            self.wiring.observer.end(gate.target)
--- a/packages/entry/dewstep_entry/gate/manager_test.py
+++ b/packages/entry/dewstep_entry/gate/manager_test.py
@@ -40,8 +40,8 @@
         self.processes = {}
         self.sent = []
 
-    def add(self, entry, incarnation="i1"):
-        own = data.Member(entry, incarnation, "dc1", "127.0.0.1", 1)
+    def add(self, entry, incarnation="i1", data_centre="dc1"):
+        own = data.Member(entry, incarnation, data_centre, "127.0.0.1", 1)
         holder = view.ViewHolder()
         holder.offer_configuration(self.configuration)
         connections = wiring.Wiring(
@@ -391,6 +391,59 @@
     run(scenario)
 
 
+def test_a_gate_that_was_superseded_meanwhile_is_not_reported_as_cut():
+    # A stop that finds another process in the row has nothing left to hand over.
+    async def scenario():
+        fleet = Fleet()
+        old = fleet.add("e1")
+        await fleet.pass_time(500 * MS)
+        fleet.processes.pop("e1")
+        value = dict(fleet.table.get("gate/t1").value)
+        fleet.table.put("gate/t1", value | {"entry": "e9", "term": 2})
+        stopping = asyncio.ensure_future(old.stop())
+        await fakes.pass_time(fleet.clock, 2 * SECOND)
+        assert await stopping == ()
+
+    run(scenario)
+
+
+def test_a_target_of_a_lost_data_centre_is_taken_over_after_a_declaration():
+    # No process of the other data centres reaches it, which could also mean that it
+    # is cut off and still served there; only an operator knows.
+    async def scenario():
+        fleet = Fleet()
+        fleet.add("e1")
+        await fleet.pass_time(500 * MS)
+        fleet.freeze("e1")
+        for server in fleet.servers.values():
+            server.reachable = False
+        outside = fleet.add("e2", data_centre="dc2")
+        await fleet.pass_time(4 * SECOND, 50 * MS)
+        assert outside.gates == {}
+        outside.holder.set_declared({"t1": 1})
+        await fleet.pass_time(4 * SECOND, 50 * MS)
+        assert set(outside.gates) == {"t1"}
+
+    run(scenario)
+
+
+def test_a_gate_goes_back_to_its_data_centre():
+    async def scenario():
+        fleet = Fleet()
+        outside = fleet.add("e2", data_centre="dc2")
+        await fleet.pass_time(2 * SECOND)
+        assert set(outside.gates) == {"t1", "t2"}
+        near = fleet.add("e1")
+        outside.holder.set_table_contact(fleet.clock.monotonic())
+        await fleet.pass_time(9 * SECOND, 50 * MS)
+        assert near.gates == {}
+        outside.holder.set_table_contact(fleet.clock.monotonic())
+        await fleet.pass_time(4 * SECOND, 50 * MS)
+        assert set(near.gates) == {"t1", "t2"} and outside.gates == {}
+
+    run(scenario)
+
+
 def test_a_hand_over_by_a_waiting_gate_does_not_end_the_wait():
     async def scenario():
         fleet = Fleet(fenced=False)
--- a/packages/entry/dewstep_entry/gate/rows.py
+++ b/packages/entry/dewstep_entry/gate/rows.py
@@ -7,7 +7,7 @@
 """
 
 import datetime
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from returns import result
@@ -61,6 +61,19 @@
     return f"declared-dead/{target}"
 
 
+def decode_declarations(found: Iterable[data.Row]) -> dict[str, int]:
+    """Return the terms of gates declared dead, by target.
+
+    A declaration without a term speaks of no gate and is left out.
+    """
+    terms = {}
+    for row in found:
+        term = (row.value or {}).get("term")
+        if isinstance(term, int):
+            terms[row.key.removeprefix(name_declaration(""))] = term
+    return terms
+
+
 def encode_gate(record: GateRecord) -> Mapping:
     """Return the value of a gate row."""
     row = record.row
--- a/packages/entry/dewstep_entry/state/table_reader.py
+++ b/packages/entry/dewstep_entry/state/table_reader.py
@@ -95,7 +95,8 @@
         configuration = await self.table.read(CONFIGURATION_KEY)
         gates = await self.table.read_prefix("gate/")
         assignments = await self.table.read_prefix("assignment/")
-        for answer in (configuration, gates, assignments):
+        declarations = await self.table.read_prefix(rows.name_declaration(""))
+        for answer in (configuration, gates, assignments, declarations):
             if isinstance(answer, result.Failure):
                 self.last_failure = answer.failure()
                 logging.warning("event=table_read_failed failure=%r", answer.failure())
@@ -107,6 +108,7 @@
             self.offer(rows.decode_gate(row, view.DEFAULT_HORIZON), self.offer_gate)
         for row in assignments.unwrap():
             self.offer(rows.decode_assignment(row), self.holder.offer_assignment)
+        self.holder.set_declared(rows.decode_declarations(declarations.unwrap()))
         self.holder.set_table_contact(started)
         self.last_failure = None
         return True
--- a/packages/entry/dewstep_entry/state/view.py
+++ b/packages/entry/dewstep_entry/state/view.py
@@ -33,6 +33,8 @@
     """By entry process; includes this process."""
     table_contact: datetime.timedelta | None
     """Sending time of the last successful read of the table."""
+    declared: Mapping[str, int] = {}
+    """Terms of the gates that operators declared dead, by target."""
 
 
 DEFAULT_HORIZON = datetime.timedelta(hours=4)
@@ -76,6 +78,12 @@
         members = {**self.current.members, state.member.entry: state}
         return self.replace(members=members)
 
+    def set_declared(self, declared: Mapping[str, int]) -> bool:
+        """Replace the operators' declarations; return whether they changed."""
+        if declared == self.current.declared:
+            return False
+        return self.replace(declared=declared)
+
     def set_table_contact(self, contact: datetime.timedelta) -> bool:
         """Note the sending time of a successful read of the table."""
         held = self.current.table_contact
--- a/tests/proofs_test.py
+++ b/tests/proofs_test.py
@@ -22,6 +22,7 @@
     "bad-callers": 1,
     "crashing-request": 1,
     "data-centre-cut-off": 1,
+    "data-centre-lost": 1,
     "entries-replaced": 1,
     "entry-frozen-across-revisions": 1,
     "entry-started-by-lagging-peer": 1,
