Work out who monitors whom, and end a process whose task has failed

Ruled out: missing everybody who said hello; most processes of a large data centre send their heartbeats to others. Monotonic time now includes suspensions of the machine.

--- a/packages/core/dewstep_core/clock.py
+++ b/packages/core/dewstep_core/clock.py
@@ -28,8 +28,12 @@
     """The operating system's clocks."""
 
     def monotonic(self) -> datetime.timedelta:
-        """Return the reading of CLOCK_MONOTONIC."""
-        return datetime.timedelta(seconds=time.monotonic())
+        """Return the time since the machine started, including its suspensions.
+
+        CLOCK_MONOTONIC stands still while a machine is suspended, so that a gate that
+        was suspended would act beyond its horizon.
+        """
+        return datetime.timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
 
     def now(self) -> datetime.datetime:
         """Return the wall time in UTC."""
--- a/packages/entry/dewstep_entry/main.py
+++ b/packages/entry/dewstep_entry/main.py
@@ -14,6 +14,8 @@
 from dewstep_core import clock as clocks, settings as setting, settings_file
 from dewstep_entry import process
 
+EXIT_FAILED = 1
+"""Exit code of a process that stopped because one of its tasks had failed."""
 EXIT_CUT = 3
 """Exit code of a stop that had to cut work in progress."""
 
@@ -27,12 +29,18 @@
         loop.add_signal_handler(number, signals.put_nowait, number)
     await entry.start()
     announce(entry)
-    await signals.get()
+    first = asyncio.ensure_future(signals.get())
+    failed = asyncio.ensure_future(entry.failed.wait())
+    await asyncio.wait((first, failed), return_when=asyncio.FIRST_COMPLETED)
+    first.cancel()
+    failed.cancel()
     stopping = asyncio.ensure_future(entry.stop())
     second = asyncio.ensure_future(signals.get())
     await asyncio.wait((stopping, second), return_when=asyncio.FIRST_COMPLETED)
     if stopping.done():
         second.cancel()
+        if entry.failed.is_set():
+            return EXIT_FAILED
         return EXIT_CUT if stopping.result() else 0
     stopping.cancel()
     gates = ", ".join(sorted(entry.gates.gates)) or "none"
@@ -66,7 +74,8 @@
 ) -> None:
     """Run an entry process until SIGTERM or SIGINT.
 
-    Exit codes: 0 stopped, 2 wrong settings, 3 work in progress had to be cut.
+    Exit codes: 0 stopped, 1 a task failed, 2 wrong settings, 3 work in progress had
+    to be cut.
     """
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO if verbose else logging.WARNING)
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -56,6 +56,7 @@
         self.clock = clock
         self.started = clock.monotonic()
         self.stopping = False
+        self.failed = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
         self.random = random.Random()
         self.own = data.Member(
@@ -193,9 +194,14 @@
         task.add_done_callback(self.receive_end)
 
     def receive_end(self, task: asyncio.Task) -> None:
-        """Log the failure of a task that should run for ever."""
+        """Ask for a stop if a task has failed: the process is no longer whole.
+
+        A process without heartbeats, for example, would still look alive to its
+        callers, while its peers could not tell when it freezes.
+        """
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
+            self.failed.set()
             logging.error(
                 "event=task_failed task=%s", task.get_coro(), exc_info=task.exception()
             )
--- a/packages/entry/dewstep_entry/state/exchange.py
+++ b/packages/entry/dewstep_entry/state/exchange.py
@@ -108,9 +108,13 @@
                 )
             for centre in self.members.expire_centres(now):
                 logging.warning("event=data_centre_silent data_centre=%s", centre)
+            for entry in self.members.forget_lost(now):
+                self.holder.remove_member(entry)
             self.publish_members()
             self.beats += 1
             self.send_heartbeats(full=self.beats % FULL_EVERY == 0)
+            for member in self.members.select_silent(now):
+                self.network.send(member, messages.Fetch(HEARTBEAT, ""))
             if silent:
                 self.tell_near(self.build_heartbeat(full=False))
             if self.beats % PROBE_EVERY == 0:
@@ -220,7 +224,6 @@
     ) -> None:
         """Learn members, suspicions, loads and versions from a heartbeat."""
         now = self.clock.monotonic()
-        self.members.note_heartbeat(sender.entry)
         changed = [self.members.learn(member, now) for member in heartbeat.members]
         for suspicion in heartbeat.suspicions:
             changed.append(self.members.suspect(suspicion, now))
@@ -318,3 +321,6 @@
             if known is None or (known.member, known.alive) != (peer.member, alive):
                 state = view.MemberState(peer.member, peer.last_heard, alive)
                 self.holder.set_member(state)
+                if not alive:
+                    # Requests at a frozen process would wait for their deadlines.
+                    self.network.disconnect(peer.member)
--- a/packages/entry/dewstep_entry/state/membership.py
+++ b/packages/entry/dewstep_entry/state/membership.py
@@ -11,7 +11,6 @@
 
 import datetime
 import random
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from dewstep_core import data
@@ -34,6 +33,8 @@
 RECHECK = datetime.timedelta(seconds=30)
 """How long a suspect is asked again. Most suspicions of a process in another data
 centre come from others, and only its own answer can refute them."""
+FORGET = datetime.timedelta(minutes=10)
+"""Time after which a suspect counts as gone for good."""
 SUSPICION_SPREAD = datetime.timedelta(seconds=1)
 """How long a new suspicion is named in heartbeats."""
 
@@ -45,8 +46,6 @@
     last_heard: datetime.timedelta
     suspected: datetime.timedelta | None
     """Since when it has been suspect, or None."""
-    watched: bool
-    """Whether it sends heartbeats to this process at every interval."""
     heard: bool
     """Whether it has ever sent anything to this process."""
     by_centre: bool = False
@@ -83,7 +82,7 @@
         known = self.peers.get(member.entry)
         if known is not None:
             return False
-        self.peers[member.entry] = Peer(member, now, None, False, False)
+        self.peers[member.entry] = Peer(member, now, None, False)
         return True
 
     def hear(self, member: data.Member, now: datetime.timedelta) -> bool:
@@ -95,9 +94,8 @@
             return False
         known = self.peers.get(member.entry)
         changed = known is None or known.member != member or known.suspected is not None
-        watched = known is not None and known.watched
         changed = self.hear_centre(member.data_centre, now) or changed
-        self.peers[member.entry] = Peer(member, now, None, watched, True)
+        self.peers[member.entry] = Peer(member, now, None, True)
         return changed
 
     def hear_centre(self, data_centre: str, now: datetime.timedelta) -> bool:
@@ -138,29 +136,33 @@
         self.peers[entry] = known._replace(suspected=now, observed=True)
         return True
 
-    def note_heartbeat(self, entry: str) -> None:
-        """Note that `entry` chose this process as a monitor.
+    def list_ring(self) -> list[str]:
+        """Return the live processes of the own data centre, this one included."""
+        return sorted([self.own.entry, *(item.entry for item in self.list_near())])
 
-        Processes of other data centres choose at random each time, so that the
-        silence of a single one says nothing.
+    def find_monitored(self) -> set[str]:
+        """Return the members of which this process is a monitor.
+
+        Sender and receiver work this out for themselves from who they know, so that
+        a member need not have sent a heartbeat before it is missed.
         """
-        known = self.peers.get(entry)
-        if known is None or known.member.data_centre != self.own.data_centre:
-            return
-        if not known.watched:
-            self.peers[entry] = known._replace(watched=True)
+        ring = self.list_ring()
+        place = ring.index(self.own.entry)
+        before = ring[:place][::-1] + ring[place + 1 :][::-1]
+        return set(before[:MONITORS])
 
     def expire(self, now: datetime.timedelta) -> list[data.Suspicion]:
         """Return the members that have just become suspect.
 
-        These are the watched ones that are silent, and those that this process knows
-        by name only and that have not answered within `INTRODUCTION`.
+        These are the monitored ones that are silent, and those that this process
+        knows by name only and that have not answered within `INTRODUCTION`.
         """
         found = []
+        monitored = self.find_monitored()
         for entry, peer in self.peers.items():
             limit = self.settings.suspect_after if peer.heard else INTRODUCTION
             silent = now - peer.last_heard >= limit
-            expected = peer.watched or not peer.heard
+            expected = entry in monitored or not peer.heard
             if expected and silent and peer.suspected is None:
                 self.peers[entry] = peer._replace(suspected=now, observed=True)
                 found.append(data.Suspicion(entry, peer.member.incarnation))
@@ -181,6 +183,19 @@
             and peer.member.data_centre == self.own.data_centre
         ]
 
+    def select_silent(self, now: datetime.timedelta) -> list[data.Member]:
+        """Return the monitored members that have been silent for a while.
+
+        They are asked before they become suspect, since processes may differ for a
+        moment about who monitors whom.
+        """
+        return [
+            peer.member
+            for entry in sorted(self.find_monitored())
+            if (peer := self.peers.get(entry)) is not None
+            and now - peer.last_heard >= self.settings.suspect_after / 2
+        ]
+
     def select_suspects(self, now: datetime.timedelta) -> list[data.Member]:
         """Return the newest suspects, which are asked whether they live."""
         suspects = [
@@ -225,11 +240,7 @@
 
         Only full heartbeats go to other data centres as well.
         """
-        near = sorted(
-            peer.member
-            for peer in self.peers.values()
-            if peer.member.data_centre == self.own.data_centre
-        )
+        near = sorted(self.list_near())
         after = [member for member in near if member.entry > self.own.entry]
         before = [member for member in near if member.entry < self.own.entry]
         monitors = (after + before)[:MONITORS]
@@ -273,7 +284,16 @@
             for peer in self.peers.values()
         )
 
-    def forget(self, entries: Iterable[str]) -> None:
-        """Remove members that have left for good."""
-        for entry in entries:
-            self.peers.pop(entry, None)
+    def forget_lost(self, now: datetime.timedelta) -> list[str]:
+        """Remove the members that have been suspect for long; return their names.
+
+        With hundreds of replacements a day the list would otherwise only grow.
+        """
+        lost = [
+            entry
+            for entry, peer in self.peers.items()
+            if peer.suspected is not None and now - peer.suspected >= FORGET
+        ]
+        for entry in lost:
+            del self.peers[entry]
+        return lost
--- a/packages/entry/dewstep_entry/state/membership_test.py
+++ b/packages/entry/dewstep_entry/state/membership_test.py
@@ -25,14 +25,34 @@
     return found
 
 
-def test_expire_suspects_only_watched_members_that_are_silent():
+def test_expire_suspects_only_members_that_this_process_monitors():
     # A member that sends its heartbeats to others must not look dead here.
-    found = build_membership(2)
-    found.note_heartbeat("e01")
+    found = build_membership(5)
     assert found.expire(LIMIT - datetime.timedelta(milliseconds=1)) == []
-    assert found.expire(LIMIT) == [data.Suspicion("e01", "i1")]
-    assert found.expire(LIMIT) == []
-    assert found.count_near() == 2
+    # In the ring e04 -> e05 -> e00, the process e00 is a monitor of e04 and e05.
+    expected = [data.Suspicion("e04", "i1"), data.Suspicion("e05", "i1")]
+    assert found.expire(LIMIT) == expected
+    assert found.count_near() == 4
+
+
+def test_a_member_frozen_before_its_first_heartbeat_is_suspected():
+    # Its hello was heard, but no heartbeat had shown yet who its monitors are.
+    found = build_membership(2)
+    assert len(found.expire(LIMIT)) == 2
+
+
+def test_a_process_that_knows_nobody_has_nobody_to_miss():
+    # This once raised an error that ended the heartbeats of each new process.
+    assert build_membership(0).expire(LIMIT) == []
+
+
+def test_silent_members_are_asked_before_they_are_suspected():
+    # Two processes may differ for a moment about who monitors whom.
+    found = build_membership(5)
+    asked = [member.entry for member in found.select_silent(LIMIT / 2)]
+    assert asked == ["e04", "e05"]
+    found.hear(build_member(4), LIMIT / 2)
+    assert found.expire(LIMIT) == [data.Suspicion("e05", "i1")]
 
 
 def test_hear_ends_suspicion_and_replaces_an_older_incarnation():
@@ -48,7 +68,6 @@
 def test_suspect_ignores_reports_about_a_member_heard_just_now():
     # Otherwise a process that is cut off could make all others suspect each other.
     found = build_membership(1)
-    found.note_heartbeat("e01")
     report = data.Suspicion("e01", "i1")
     assert not found.suspect(report, LIMIT / 2)
     assert found.suspect(report, LIMIT)
@@ -57,7 +76,6 @@
 def test_only_own_observations_are_passed_on():
     # A rumour that each receiver passed on again would outlive every refutation.
     found = build_membership(2)
-    found.note_heartbeat("e01")
     assert found.suspect(data.Suspicion("e02", "i1"), LIMIT)
     assert found.select_suspicions(LIMIT) == ()
     observed = tuple(found.expire(LIMIT))
@@ -105,7 +123,6 @@
 def test_excuse_forgets_the_silence_of_an_own_pause():
     # A process that was frozen would otherwise spread suspicions of all others.
     found = build_membership(2, 1)
-    found.note_heartbeat("e01")
     later = 10 * membership.CENTRE_SILENCE
     found.excuse(later)
     assert found.expire(later) == [] and found.expire_centres(later) == []
@@ -125,5 +142,7 @@
     assert found.learn(build_member(9), ZERO)
     assert not found.learn(build_member(9), ZERO)
     assert not found.learn(build_member(0), ZERO)
-    found.forget(["e09"])
+    found.refuse("e09", LIMIT)
+    assert found.forget_lost(LIMIT + membership.FORGET / 2) == []
+    assert found.forget_lost(LIMIT + membership.FORGET) == ["e09"]
     assert found.learn(build_member(9), ZERO)
--- a/packages/entry/dewstep_entry/state/view.py
+++ b/packages/entry/dewstep_entry/state/view.py
@@ -78,6 +78,13 @@
         members = {**self.current.members, state.member.entry: state}
         return self.replace(members=members)
 
+    def remove_member(self, entry: str) -> bool:
+        """Forget an entry process."""
+        members = {
+            name: state for name, state in self.current.members.items() if name != entry
+        }
+        return self.replace(members=members)
+
     def set_declared(self, declared: Mapping[str, int]) -> bool:
         """Replace the operators' declarations; return whether they changed."""
         if declared == self.current.declared:
