Pause longer between idle reads of a gate row; need two failures for a loss

Cause: in an outage every gate would have read its row four times a second, several thousand reads at once for a table service that comes back. One slow request could make an unfenced target with little traffic count as lost. Ruled out: no reads at all until a new boot id (the horizon would not be extended).

--- a/packages/entry/dewstep_entry/gate/gate_test.py
+++ b/packages/entry/dewstep_entry/gate/gate_test.py
@@ -82,6 +82,7 @@
         assert world.server.runs == [("r1", 1)]
         # Rule G7: without the table, a restarted target gets no grant.
         world.table.down = True
+        await fakes.pass_time(world.clock, 12 * SECOND, 50 * MS)
         world.server.restart()
         await fakes.pass_time(world.clock, 300 * MS)
         outcome = await world.ask("r2")
--- a/packages/entry/dewstep_entry/gate/grants.py
+++ b/packages/entry/dewstep_entry/gate/grants.py
@@ -204,10 +204,13 @@
 
     def needs_row(self, now: datetime.timedelta) -> bool:
         """Return whether the gate's row should be read now (rules G6, G7)."""
-        unconfirmed = (
-            self.reading is not None and self.reading.boot != self.confirmed_boot
+        return self.is_row_urgent(now) or (
+            now >= self.tenure.contact + ROW_READ_INTERVAL
         )
-        return unconfirmed or now >= self.tenure.contact + ROW_READ_INTERVAL
+
+    def is_row_urgent(self, now: datetime.timedelta) -> bool:
+        """Return whether the target gets no grant before the row is read."""
+        return self.reading is not None and self.reading.boot != self.confirmed_boot
 
     def is_lost(self, now: datetime.timedelta) -> bool:
         """Return whether the target counts as lost."""
--- a/packages/entry/dewstep_entry/gate/renewal.py
+++ b/packages/entry/dewstep_entry/gate/renewal.py
@@ -15,8 +15,13 @@
 # the time after which a target counts as lost.
 CALL_TIMEOUT = datetime.timedelta(milliseconds=200)
 
-# Pause after a failed read of the gate's row, and longest sleep of both loops.
+# Pause after a failed read of the gate's row, for a target that waits for it and for
+# one that does not. The second is long so that all gates together do not overload a
+# table service that comes back.
 ROW_RETRY = datetime.timedelta(milliseconds=250)
+IDLE_ROW_RETRY = datetime.timedelta(seconds=5)
+
+# Longest sleep of both loops.
 LONGEST_SLEEP = datetime.timedelta(milliseconds=100)
 
 # A channel names this reason when nothing listens at the target's address.
@@ -137,7 +142,7 @@
         reading = outcome.unwrap()
         if self.grant.receive_reading(reading):
             self.on_restart(reading.boot)
-        if self.grant.needs_row(self.clock.monotonic()):
+        if self.grant.is_row_urgent(self.clock.monotonic()):
             self.row_due.set()
 
     async def run_row_loop(self) -> None:
@@ -148,9 +153,17 @@
                 self.row_due.clear()
                 continue
             if not await self.read_row():
-                await self.clock.sleep(ROW_RETRY)
+                await self.pause_row_loop()
             self.target_due.set()
 
+    async def pause_row_loop(self) -> None:
+        """Pause after a failed read; a new boot id ends a long pause."""
+        if self.grant.is_row_urgent(self.clock.monotonic()):
+            await self.clock.sleep(ROW_RETRY)
+            return
+        await timing.wait_event(self.clock, self.row_due, IDLE_ROW_RETRY)
+        self.row_due.clear()
+
     async def read_row(self) -> bool:
         """Read the gate row once; return whether it shows the own term."""
         sent = self.clock.monotonic()
--- a/packages/entry/dewstep_entry/gate/sending.py
+++ b/packages/entry/dewstep_entry/gate/sending.py
@@ -215,7 +215,8 @@
 
     async def receive_failure(self, run: runs.Run, failure: interfaces.Failure) -> None:
         """Draw the conclusions from a failed exchange."""
-        self.note_reached(run, isinstance(failure, errors.TargetRefused))
+        reached = isinstance(failure, errors.TargetRefused | errors.AnswerInvalid)
+        self.note_reached(run, reached)
         if isinstance(failure, errors.TargetRefused) and failure.reason == FENCED:
             self.checks.counts["target-refused-fenced"] += 1
             if self.target.fenced:
--- a/packages/entry/dewstep_entry/gate/unfenced.py
+++ b/packages/entry/dewstep_entry/gate/unfenced.py
@@ -23,6 +23,7 @@
         self.old_gates_end = old_gates_end
         self.open_deadline = ZERO
         self.failing_since: datetime.timedelta | None = None
+        self.last_failure = ZERO
         self.renewing = True
 
     def may_send(self, now: datetime.timedelta) -> bool:
@@ -37,6 +38,10 @@
         """Return whether the gate's row should be read now."""
         return now >= self.tenure.contact + grants.ROW_READ_INTERVAL
 
+    def is_row_urgent(self, now: datetime.timedelta) -> bool:
+        """Return whether the target gets nothing before the row is read."""
+        return now >= self.tenure.horizon_end
+
     def receive_row(self, term: int, sent: datetime.timedelta) -> None:
         """Note a successful read of the gate's row that was sent at `sent`."""
         self.tenure.receive_row(term, sent)
@@ -52,15 +57,20 @@
         if reached:
             self.failing_since = None
             return
+        self.last_failure = now
         self.open_deadline = max(self.open_deadline, deadline)
         if self.failing_since is None:
             self.failing_since = now
 
     def is_lost(self, now: datetime.timedelta) -> bool:
-        """Return whether exchanges have failed for long enough."""
+        """Return whether exchanges have failed for long enough.
+
+        One failure is not enough, however long ago: it may be a single slow request
+        at a target with little traffic.
+        """
         return (
             self.failing_since is not None
-            and now >= self.failing_since + grants.LOST_AFTER
+            and self.last_failure >= self.failing_since + grants.LOST_AFTER
         )
 
     def compute_expired_at(self) -> datetime.timedelta:
