--- a/packages/entry/dewstep_entry/gate/manager_test.py
+++ b/packages/entry/dewstep_entry/gate/manager_test.py
@@ -256,6 +256,36 @@
     run(scenario)
 
 
+def test_a_planned_move_commits_only_after_the_requests_in_progress():
+    async def scenario():
+        fleet = Fleet()
+        process = fleet.add("e1")
+        await fleet.pass_time(500 * MS)
+        hold = fleet.servers["t1"].hold = asyncio.Event()
+        running = asyncio.ensure_future(fleet.ask(process))
+        await fakes.settle()
+        moving = asyncio.ensure_future(process.move_key("s", "k1", "t2"))
+        await fleet.pass_time(SECOND)
+        assert fleet.table.get("assignment/s").version == 1
+        # The operator's call goes away; the move goes on.
+        moving.cancel()
+        hold.set()
+        assert (await running).unwrap()
+        await fleet.pass_time(100 * MS)
+        assert fleet.table.get("assignment/s").value["overrides"] == {"k1": "t2"}
+        # Requests that do not end in time keep the key where it is, in service.
+        fleet.servers["t2"].hold = asyncio.Event()
+        running = asyncio.ensure_future(fleet.ask(process, "r2", deadline=99 * SECOND))
+        await fakes.settle()
+        moving = asyncio.ensure_future(process.move_key("s", "k1", "t1"))
+        await fleet.pass_time(11 * SECOND, 50 * MS)
+        assert isinstance((await moving).failure(), errors.DeadlineExceeded)
+        assert not process.gates["t2"].ownership.blocked_keys
+        running.cancel()
+
+    run(scenario)
+
+
 def test_planned_moves_of_shards_and_keys():
     async def scenario():
         fleet = Fleet()
