--- a/packages/emulator/dewstep_emulator/fleet.py
+++ b/packages/emulator/dewstep_emulator/fleet.py
@@ -10,7 +10,7 @@
 from dewstep_core import data, records, settings
 from dewstep_core.http import client
 from dewstep_core.platform import table
-from dewstep_emulator import addresses, deployments, history, processes
+from dewstep_emulator import addresses, deployments, history, processes, toml_text
 
 STOP_SECONDS = 25.0
 POLL = 0.05
@@ -189,7 +189,7 @@
             **({"seeds": seeds} if seeds else {}),
             **self.options.entry_settings,
         }
-        file.write_text(addresses.format_toml(values))
+        file.write_text(toml_text.format_toml(values))
         process = processes.Process(
             name, ("dewstep_entry.main", f"--settings={file}"), self.folder
         )
--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -10,10 +10,9 @@
 from typing import Any
 
 import h11
-from absl import logging
 from returns import result
 
-from dewstep_core import data, errors
+from dewstep_core import data, errors, events
 from dewstep_entry import bodies
 from dewstep_entry.caller import pacing, rendering, request_body
 
@@ -253,8 +252,8 @@
         except asyncio.CancelledError:
             self.transport.abort()
             raise
-        except Exception:
-            logging.exception("event=caller-connection-error")
+        except Exception as error:
+            events.exception("caller_connection_failed", error)
             self.transport.abort()
 
     async def _serve_next(self) -> bool:
@@ -265,6 +264,7 @@
             method = head.method
             outcome = await self._handle(head)
         except request_body.CallerFault as fault:
+            self.listener.note_refusal(fault.failure)
             outcome = result.Failure(fault.failure)
         if isinstance(outcome, result.Success):
             answer = outcome.unwrap()
@@ -285,6 +285,7 @@
             )
         outcome = self.listener.identify(head.method, head.target, headers, length)
         if not isinstance(outcome, result.Success):
+            self.listener.note_refusal(outcome.failure())
             await self._discard_body(length)
             return outcome
         request = outcome.unwrap()
@@ -294,8 +295,8 @@
         body = await self._read_body(length, limit)
         try:
             return await self.listener.handler.handle(request._replace(body=body))
-        except Exception:
-            logging.exception("event=handler-error request_id=%s", request.request_id)
+        except Exception as error:
+            events.exception("handler_failed", error, request_id=request.request_id)
             return result.Failure(errors.ConnectionLost(self.listener.entry))
 
     async def _write_answer(self, answer: data.Answer, method: bytes) -> bool:
@@ -319,7 +320,8 @@
             self.transport.write(b"".join(pieces))
             await self._wait_writable()
         except (bodies.BodyFailure, h11.LocalProtocolError) as error:
-            logging.info("event=answer-cut detail=%s", error)
+            failure = getattr(error, "failure", error)
+            events.info("answer_cut", failure=type(failure).__name__)
             return False
         finally:
             if body.rest is not None:
--- a/packages/entry/dewstep_entry/gate/moves.py
+++ b/packages/entry/dewstep_entry/gate/moves.py
@@ -4,10 +4,9 @@
 import datetime
 from collections.abc import Awaitable, Callable, Collection, Mapping
 
-from absl import logging
 from returns import result
 
-from dewstep_core import clock as clocks, data, errors, hashing
+from dewstep_core import clock as clocks, data, errors, events, hashing
 from dewstep_entry import interfaces
 from dewstep_entry.gate import assignments, gate as gates, ownership, rows, timing
 
@@ -71,11 +70,11 @@
                 gate.service.name, gate.record, self.make_evacuation(gate, owned)
             )
             self.note_moved(gate)
-            logging.warning(
-                "target_evacuated target=%s term=%d outcome=%s",
-                gate.target.name,
-                gate.term,
-                describe_outcome(outcome),
+            events.warning(
+                "target_evacuated",
+                target=gate.target.name,
+                term=gate.term,
+                outcome=describe_outcome(outcome),
             )
             if gate.fenced and gate.ownership.list_owned() != owned:
                 await self.end_term(gate)
@@ -121,11 +120,11 @@
             return False
         declared = found.unwrap().value.get("term")
         if not isinstance(declared, int) or declared < gate.term - 1:
-            logging.warning(
-                "event=declaration_outdated target=%s declared_term=%s term=%d",
-                gate.target.name,
-                declared,
-                gate.term,
+            events.warning(
+                "declaration_outdated",
+                target=gate.target.name,
+                declared_term=declared,
+                term=gate.term,
             )
             return False
         checks = (
@@ -139,7 +138,7 @@
         )
         if isinstance(outcome, result.Failure):
             return False
-        logging.warning("declaration_taken target=%s", gate.target.name)
+        events.warning("declaration_taken", target=gate.target.name)
         gate.forget_old_gates()
         return True
 
@@ -203,11 +202,11 @@
                 gate.service.name, gate.record, self.make_evacuation(gate, idle)
             )
             self.note_moved(gate)
-            logging.info(
-                "target_vacated target=%s shards=%d outcome=%s",
-                gate.target.name,
-                len(idle.shards),
-                describe_outcome(outcome),
+            events.info(
+                "target_vacated",
+                target=gate.target.name,
+                shards=len(idle.shards),
+                outcome=describe_outcome(outcome),
             )
             if not is_all_moved(gate, idle):
                 await self.clock.sleep(RETRY_PAUSE)
