Add a benchmark command with scenarios on real processes

Cause: the objectives of the design page had no measurement with real processes. Ruled out: the general HTTP client as load tool (it parses with h11 and costs more than the processes that are measured).

--- /dev/null
+++ b/packages/emulator/dewstep_emulator/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with real processes: named scenarios, measures and comparison."""
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/bench/accounting.py
@@ -0,0 +1,93 @@
+"""What processes cost, read from `/proc` (proc_pid_stat(5), proc_pid_io(5))."""
+
+import os
+import pathlib
+import time
+from collections.abc import Iterable
+from typing import NamedTuple
+
+TICKS = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGESIZE")
+MEBIBYTE = 1_048_576
+
+
+class Usage(NamedTuple):
+    """Totals of a process since its start."""
+
+    time: float
+    """Monotonic time of the reading in seconds."""
+    processor: float
+    """Seconds in user and kernel mode."""
+    memory: int
+    """Resident bytes now."""
+    moved: int
+    """Bytes passed to read and write calls; uvloop uses these for its sockets."""
+
+
+class Cost(NamedTuple):
+    """What a process used between two readings."""
+
+    seconds: float
+    processor: float
+    """Seconds."""
+    memory: int
+    moved: int
+
+    @property
+    def share(self) -> float:
+        """Part of one core."""
+        return self.processor / self.seconds if self.seconds > 0 else 0.0
+
+
+def read_usage(pid: int) -> Usage | None:
+    """Return the totals of a process, or None if it has ended."""
+    folder = pathlib.Path("/proc") / str(pid)
+    try:
+        # The name of the program may contain spaces and stands in parentheses.
+        fields = (folder / "stat").read_text().rpartition(")")[2].split()
+        counters = dict(
+            line.split(": ") for line in (folder / "io").read_text().splitlines()
+        )
+    except (OSError, ValueError):
+        return None
+    return Usage(
+        time.monotonic(),
+        (int(fields[11]) + int(fields[12])) / TICKS,
+        int(fields[21]) * PAGE_BYTES,
+        int(counters["rchar"]) + int(counters["wchar"]),
+    )
+
+
+def subtract(before: Usage, after: Usage) -> Cost:
+    """Return what was used between two readings."""
+    return Cost(
+        after.time - before.time,
+        after.processor - before.processor,
+        after.memory,
+        after.moved - before.moved,
+    )
+
+
+class Meter:
+    """Adds up what a changing set of processes uses."""
+
+    def __init__(self):
+        self.first: dict[int, Usage] = {}
+        self.last: dict[int, Usage] = {}
+
+    def read(self, pids: Iterable[int]) -> None:
+        """Read all processes; one that is new counts from its first reading."""
+        for pid in pids:
+            usage = read_usage(pid)
+            if usage is not None:
+                self.first.setdefault(pid, usage)
+                self.last[pid] = usage
+
+    def compute_costs(self) -> dict[int, Cost]:
+        """Return the cost of each process between its first and last reading."""
+        return {pid: subtract(self.first[pid], self.last[pid]) for pid in self.last}
+
+
+def read_machine_load() -> float:
+    """Return the load average of the machine over the last minute."""
+    return os.getloadavg()[0]
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/bench/measures.py
@@ -0,0 +1,209 @@
+"""Measures of the design page (section 1.6), computed from records and rows.
+
+Pure functions: they take what callers saw, what targets ran and who owned what.
+"""
+
+import collections
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from hdrh import histogram
+
+from dewstep_core import hashing
+from dewstep_emulator.bench import generator, wires
+
+LARGEST = 60_000_000
+"""Microseconds; the largest latency that a histogram holds."""
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+GAP = 0.1
+"""Seconds; the grain of unavailable time."""
+LEAST_REQUESTS = 3
+"""Requests for which a shard counts; one failure alone would say little."""
+
+
+class Imbalance(NamedTuple):
+    """Load of the busiest target of a service."""
+
+    over_mean: float
+    over_bound: float
+    """Over max(mean, rate of the hottest key): no placement can do better."""
+
+
+class Churn(NamedTuple):
+    """Change of owners between two assignments."""
+
+    shards: float
+    """Part of the shards that changed owner."""
+    keys: float
+    """Part of the requested keys that changed owner."""
+    over_least: float | None
+    """Moved shards over the least that the event needs; None if it needs none."""
+
+
+def build_histogram(seconds: Iterable[float]) -> histogram.HdrHistogram:
+    """Return a histogram of times in microseconds."""
+    counts = histogram.HdrHistogram(1, LARGEST, 3)
+    for value in seconds:
+        counts.record_value(min(max(int(value * 1e6), 1), LARGEST))
+    return counts
+
+
+def compute_percentiles(seconds: Iterable[float]) -> dict[str, float]:
+    """Return percentiles in milliseconds, by name."""
+    counts = build_histogram(seconds)
+    if not counts.total_count:
+        return {}
+    return {
+        f"p{percentile:g}": counts.get_value_at_percentile(percentile) / 1000
+        for percentile in PERCENTILES
+    }
+
+
+def compute_imbalance(
+    loads: Mapping[str, float], keys: Mapping[str, float], targets: int
+) -> Imbalance:
+    """Return the imbalance from requests by target and by key of one service."""
+    total = sum(loads.values())
+    if not total or not targets:
+        return Imbalance(0.0, 0.0)
+    mean = total / targets
+    busiest = max(loads.values())
+    return Imbalance(busiest / mean, busiest / max(mean, max(keys.values())))
+
+
+def count_loads(
+    records: Iterable[generator.Record],
+    owners: Sequence[str],
+    overrides: Mapping[str, str],
+) -> tuple[collections.Counter, collections.Counter]:
+    """Return requests by owning target and by key, under a given assignment."""
+    loads: collections.Counter = collections.Counter()
+    keys: collections.Counter = collections.Counter()
+    for record in records:
+        shard = hashing.compute_shard(record.key, len(owners))
+        loads[overrides.get(record.key, owners[shard])] += 1
+        keys[record.key] += 1
+    return loads, keys
+
+
+def compute_churn(
+    before: Sequence[str],
+    after: Sequence[str],
+    keys: Iterable[str],
+    least: int,
+) -> Churn:
+    """Return how much changed between two lists of owners.
+
+    Parameters
+    ----------
+    before, after : sequence of str
+        Owner of each shard.
+    keys : iterable of str
+        Keys that were requested.
+    least : int
+        Shards that the event makes move at least.
+    """
+    moved = {
+        shard
+        for shard, (old, new) in enumerate(zip(before, after, strict=True))
+        if old != new
+    }
+    asked = set(keys)
+    changed = sum(hashing.compute_shard(key, len(before)) in moved for key in asked)
+    return Churn(
+        len(moved) / len(before),
+        changed / len(asked) if asked else 0.0,
+        len(moved) / least if least else None,
+    )
+
+
+def compute_unavailable(
+    records: Iterable[generator.Record], shards: int, services: Sequence[str]
+) -> dict[str, float]:
+    """Return the unavailable time of shards in seconds.
+
+    A shard is unavailable from the schedule of the first request in a row that its
+    caller never got answered until the schedule of the next one that was answered.
+    The sum is over shards; a shard with few requests counts coarsely.
+
+    Returns
+    -------
+    dict
+        `longest`, `p99` over the unavailable spells, and the `mean` over all shards
+        that were asked for.
+    """
+    lines: dict[tuple, list] = collections.defaultdict(list)
+    for record in records:
+        place = (services[record.kind], hashing.compute_shard(record.key, shards))
+        answered = record.outcome in (wires.ANSWERED, "bad-request")
+        lines[place].append((record.scheduled, record.finished, answered))
+    spells = []
+    for line in lines.values():
+        begin = None
+        for scheduled, _, answered in sorted(line):
+            if not answered and begin is None:
+                begin = scheduled
+            elif answered and begin is not None:
+                spells.append(scheduled - begin)
+                begin = None
+        if begin is not None:
+            spells.append(max(item[0] for item in line) - begin)
+    spells.sort()
+    return {
+        "spells": len(spells),
+        "longest_s": spells[-1] if spells else 0.0,
+        "p99_s": spells[int(len(spells) * 0.99)] if spells else 0.0,
+        "mean_per_shard_s": sum(spells) / len(lines) if lines else 0.0,
+    }
+
+
+def compute_answered(
+    records: Iterable[generator.Record], weights: Sequence[float]
+) -> dict[str, float]:
+    """Return the answered part of the requests, plain and weighted by kind."""
+    total = answered = weighted_total = weighted = 0.0
+    for record in records:
+        weight = weights[record.kind]
+        total += 1
+        weighted_total += weight
+        if record.outcome in (wires.ANSWERED, "bad-request"):
+            answered += 1
+            weighted += weight
+    return {
+        "requests": total,
+        "answered": answered / total if total else 0.0,
+        "answered_weighted": weighted / weighted_total if weighted_total else 0.0,
+    }
+
+
+def select_answered(
+    records: Iterable[generator.Record], begin: float = 0.0, end: float = float("inf")
+) -> list[generator.Record]:
+    """Return the answered requests that were scheduled in a time span."""
+    return [
+        record
+        for record in records
+        if record.outcome == wires.ANSWERED and begin <= record.scheduled < end
+    ]
+
+
+def get_latencies(records: Iterable[generator.Record]) -> list[float]:
+    """Return the times from the scheduled arrival to the last answer in seconds."""
+    return [record.finished - record.scheduled for record in records]
+
+
+def compute_retries(records: Sequence[generator.Record], runs: int) -> dict[str, float]:
+    """Return the load that is added by callers' and dewstep's repeated tries.
+
+    Parameters
+    ----------
+    records : sequence of generator.Record
+    runs : int
+        Runs that the targets started.
+    """
+    if not records:
+        return {}
+    return {
+        "callers": sum(record.tries - 1 for record in records) / len(records),
+        "runs_per_request": runs / len(records),
+    }
