--- a/packages/emulator/dewstep_emulator/bench/__main__.py
+++ b/packages/emulator/dewstep_emulator/bench/__main__.py
@@ -9,16 +9,23 @@
 import uvloop
 
 from dewstep_emulator import deployments
-from dewstep_emulator.bench import plans, report as reports, running, scripts  # noqa: F401
+from dewstep_emulator.bench import (
+    overhead,
+    plans,
+    profiling,
+    report as reports,
+    running,
+    scripts,  # noqa: F401
+)
 
 application = typer.Typer(add_completion=False, no_args_is_help=True)
 
 
 def list_names() -> list[str]:
     """Return the names of all benchmarks."""
-    return [
-        f"{user}-{kind}" for user in deployments.deployments for kind in plans.scenarios
-    ]
+    users = deployments.deployments
+    names = [f"{user}-{kind}" for user in users for kind in plans.scenarios]
+    return [*names, overhead.NAME]
 
 
 @application.command()
@@ -31,6 +38,13 @@
     capacity: Annotated[
         float, typer.Option(help="Requests/s at which all targets are busy.")
     ] = plans.CAPACITY,
+    relays: Annotated[
+        bool, typer.Option(help="Bare relays with static hashing and no queue.")
+    ] = False,
+    rate: Annotated[
+        float | None, typer.Option(help="Of 'overhead'; by default half load.")
+    ] = None,
+    rounds: Annotated[int, typer.Option(help="Of 'overhead'.")] = 5,
     folder: Annotated[
         pathlib.Path | None, typer.Option(help="Keeps logs and settings there.")
     ] = None,
@@ -43,7 +57,11 @@
         raise typer.BadParameter(f"one of: {', '.join(list_names())}")
     with tempfile.TemporaryDirectory(prefix="dewstep-bench-") as temporary:
         place = folder or pathlib.Path(temporary)
-        report = uvloop.run(running.run(name, seed, place, capacity, typer.echo))
+        if name == overhead.NAME:
+            work = overhead.run(seed, place, rounds, rate=rate, say=typer.echo)
+        else:
+            work = running.run(name, seed, place, capacity, typer.echo, relays)
+        report = uvloop.run(work)
     reports.print_report(report)
     if json_file is not None:
         json_file.parent.mkdir(parents=True, exist_ok=True)
@@ -63,5 +81,17 @@
     raise typer.Exit(1 if worse else 0)
 
 
+@application.command()
+def profile(
+    seed: Annotated[int, typer.Option(help="Decides keys and arrivals.")] = 1,
+    rate: Annotated[float, typer.Option(help="Requests/s.")] = 400.0,
+    seconds: Annotated[float, typer.Option(help="Length of the load.")] = 8.0,
+) -> None:
+    """Profile a receiving process and a gate under load."""
+    with tempfile.TemporaryDirectory(prefix="dewstep-bench-") as temporary:
+        place = pathlib.Path(temporary)
+        uvloop.run(profiling.run(seed, place, rate, seconds, typer.echo))
+
+
 if __name__ == "__main__":
     application()
--- a/packages/emulator/dewstep_emulator/bench/accounting.py
+++ b/packages/emulator/dewstep_emulator/bench/accounting.py
@@ -68,24 +68,38 @@
     )
 
 
+def add(before: Cost, more: Cost) -> Cost:
+    """Return the cost of two spans together, with the memory of the later one."""
+    return Cost(
+        before.seconds + more.seconds,
+        before.processor + more.processor,
+        more.memory,
+        before.moved + more.moved,
+    )
+
+
 class Meter:
     """Adds up what a changing set of processes uses."""
 
     def __init__(self):
-        self.first: dict[int, Usage] = {}
         self.last: dict[int, Usage] = {}
+        self.costs: dict[int, Cost] = {}
 
     def read(self, pids: Iterable[int]) -> None:
         """Read all processes; one that is new counts from its first reading."""
         for pid in pids:
             usage = read_usage(pid)
-            if usage is not None:
-                self.first.setdefault(pid, usage)
-                self.last[pid] = usage
-
-    def compute_costs(self) -> dict[int, Cost]:
-        """Return the cost of each process between its first and last reading."""
-        return {pid: subtract(self.first[pid], self.last[pid]) for pid in self.last}
+            if usage is None:
+                continue
+            if pid in self.last:
+                self.costs[pid] = add(self.costs[pid], subtract(self.last[pid], usage))
+            elif pid not in self.costs:
+                self.costs[pid] = Cost(0.0, 0.0, usage.memory, 0)
+            self.last[pid] = usage
+
+    def pause(self) -> None:
+        """Leave out the time until the next reading."""
+        self.last.clear()
 
 
 def read_machine_load() -> float:
--- a/packages/emulator/dewstep_emulator/bench/loads.py
+++ b/packages/emulator/dewstep_emulator/bench/loads.py
@@ -10,8 +10,8 @@
 from dewstep_emulator import processes
 from dewstep_emulator.bench import accounting, generator
 
-RATE_OF_PROCESS = 400
-"""Requests/s that one process is given; it can send about five times as many."""
+RATE_OF_PROCESS = 600
+"""Requests/s that one process is given, which takes it a part of a core."""
 MOST_PROCESSES = 4
 LAG_LIMIT = 0.010
 """Seconds by which 99% of the requests must leave after their scheduled time."""
@@ -120,6 +120,8 @@
                 self.write()
             if self.control.factor:
                 self.meter.read(process.child.pid for process in self.processes)
+            else:
+                self.meter.pause()
             await asyncio.sleep(REFRESH_SECONDS)
 
     async def stop(self) -> Load:
@@ -135,7 +137,7 @@
             records += (generator.Record(*item) for item in result["records"])
         records.sort()
         lags = sorted(record.sent - record.scheduled for record in records)
-        costs = self.meter.compute_costs().values()
+        costs = self.meter.costs.values()
         return Load(
             tuple(records),
             len(self.processes),
--- a/packages/emulator/dewstep_emulator/bench/running.py
+++ b/packages/emulator/dewstep_emulator/bench/running.py
@@ -18,6 +18,7 @@
     folder: pathlib.Path,
     capacity: float = plans.CAPACITY,
     say: Callable[[str], None] = lambda text: None,
+    relays: bool = False,
 ) -> dict[str, Any]:
     """Run the scenario `<deployment>-<scenario>` and return its report.
 
@@ -32,7 +33,7 @@
     if plan is None or scenario is None:
         raise LookupError(name)
     deployment = plans.fit_capacity(plan(), capacity)
-    stage = stages.Stage(deployment, scenario, seed, folder, capacity, say)
+    stage = stages.Stage(deployment, scenario, seed, folder, capacity, say, relays)
     try:
         await stage.start()
         watching = asyncio.ensure_future(stage.watch_costs())
@@ -48,7 +49,8 @@
     finally:
         await stage.load.kill()
         await stage.fleet.kill_all()
-    return build_report(name, seed, capacity, stage, load, runs)
+    label = f"{name} (relays)" if relays else name
+    return build_report(label, seed, capacity, stage, load, runs)
 
 
 def build_report(
@@ -168,7 +170,7 @@
 
 def describe_costs(meter: accounting.Meter, answered: int) -> dict[str, float]:
     """Return what the entry tier used."""
-    costs = list(meter.compute_costs().values())
+    costs = list(meter.costs.values())
     processor = sum(cost.processor for cost in costs)
     return {
         "processes": len(costs),
--- a/packages/emulator/dewstep_emulator/bench/stage.py
+++ b/packages/emulator/dewstep_emulator/bench/stage.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple
 
 from dewstep_emulator import deployments, fleet as fleets
-from dewstep_emulator.bench import accounting, loads, plans
+from dewstep_emulator.bench import accounting, baseline, loads, plans
 
 METER_SECONDS = 0.25
 WARM_SECONDS = 2.0
@@ -43,6 +43,8 @@
         Requests/s.
     say : callable
         Called with a line of text for whoever watches.
+    relays : bool
+        Whether bare relays take the place of the entry processes.
     """
 
     def __init__(
@@ -53,13 +55,15 @@
         folder: pathlib.Path,
         capacity: float,
         say: Callable[[str], None],
+        relays: bool = False,
     ):
         self.deployment = deployment
         self.scenario = scenario
         self.random = random.Random(seed)
         self.say = say
         options = fleets.FleetOptions(deployment.entries, seed, **scenario.options)
-        self.fleet = fleets.Fleet(deployment, options, folder)
+        fleet_type = baseline.RelayFleet if relays else fleets.Fleet
+        self.fleet = fleet_type(deployment, options, folder)
         plan = plans.build_plan(deployment, scenario, seed, capacity)
         self.load = loads.LoadTool(plan, folder, self.fleet.list_callers)
         self.meter = accounting.Meter()
@@ -109,11 +113,17 @@
         owners, overrides = {}, {}
         for plan in self.deployment.services:
             name = plan.service.name
-            row = (await self.fleet.table.read(f"assignment/{name}")).unwrap()
-            owners[name] = list(row.value["owners"])
-            overrides[name] = dict(row.value.get("overrides") or {})
+            owners[name] = await self.fleet.read_owners(name)
+            overrides[name] = await self.read_overrides(name)
         return Snapshot(owners, overrides)
 
+    async def read_overrides(self, service: str) -> dict[str, str]:
+        """Return the keys that were lifted out of their shards, with their owners."""
+        if self.fleet.table is None:
+            return {}
+        row = (await self.fleet.table.read(f"assignment/{service}")).unwrap()
+        return dict(row.value.get("overrides") or {})
+
     def expect_moves(self, target: str) -> None:
         """Note that all shards of a target must move."""
         service = target.rpartition("-")[0]
--- a/packages/emulator/dewstep_emulator/fleet.py
+++ b/packages/emulator/dewstep_emulator/fleet.py
@@ -33,6 +33,10 @@
     crash_marker: str = ""
     writes_per_second: float = 400
     reads_per_second: float = 2_000
+    distribution: str = "exponential"
+    """Of the targets' service times."""
+    entry_command: tuple[str, ...] = ("dewstep_entry.main",)
+    """Arguments of `python -m`; "{name}" stands for the name of the process."""
     entry_settings: Mapping[str, Any] = {}
     """More settings for each entry process, by their TOML names."""
 
@@ -151,7 +155,7 @@
                 f"--slots={self.deployment.slots}",
                 f"--connections={self.deployment.connections}",
                 f"--service-time-ms={plan.service_time.total_seconds() * 1000}",
-                "--distribution=exponential",
+                f"--distribution={self.options.distribution}",
                 f"--seed={self.options.seed}",
                 "--fenced" if name not in self.options.unfenced else "--no-fenced",
                 f"--log={self.folder / f'{name}.{number}.runs'}",
@@ -197,9 +201,8 @@
             **self.options.entry_settings,
         }
         file.write_text(format_toml(values))
-        process = processes.Process(
-            name, ("dewstep_entry.main", f"--settings={file}"), self.folder
-        )
+        command = [part.format(name=name) for part in self.options.entry_command]
+        process = processes.Process(name, (*command, f"--settings={file}"), self.folder)
         line = await process.start()
         handle = EntryHandle(
             process,
