--- a/packages/emulator/dewstep_emulator/bench/__main__.py
+++ b/packages/emulator/dewstep_emulator/bench/__main__.py
@@ -16,6 +16,7 @@
     report as reports,
     running,
     scripts,  # noqa: F401
+    sizes,
 )
 
 application = typer.Typer(add_completion=False, no_args_is_help=True)
@@ -25,7 +26,7 @@
     """Return the names of all benchmarks."""
     users = deployments.deployments
     names = [f"{user}-{kind}" for user in users for kind in plans.scenarios]
-    return [*names, overhead.NAME]
+    return [*names, overhead.NAME, sizes.NAME]
 
 
 @application.command()
@@ -59,6 +60,8 @@
         place = folder or pathlib.Path(temporary)
         if name == overhead.NAME:
             work = overhead.run(seed, place, rounds, rate=rate, say=typer.echo)
+        elif name == sizes.NAME:
+            work = sizes.run(seed, place, typer.echo)
         else:
             work = running.run(name, seed, place, capacity, typer.echo, relays)
         report = uvloop.run(work)
--- a/packages/emulator/dewstep_emulator/bench/measures.py
+++ b/packages/emulator/dewstep_emulator/bench/measures.py
@@ -5,7 +5,7 @@
 
 import collections
 from collections.abc import Iterable, Mapping, Sequence
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from hdrh import histogram
 
@@ -15,10 +15,6 @@
 LARGEST = 60_000_000
 """Microseconds; the largest latency that a histogram holds."""
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
-GAP = 0.1
-"""Seconds; the grain of unavailable time."""
-LEAST_REQUESTS = 3
-"""Requests for which a shard counts; one failure alone would say little."""
 
 
 class Imbalance(NamedTuple):
@@ -117,43 +113,65 @@
     )
 
 
+def find_groups(
+    records: Iterable[generator.Record],
+    owners: Mapping[str, Sequence[str]],
+    services: Sequence[str],
+) -> dict[str, list[generator.Record]]:
+    """Return the records by the target that owned their keys at the beginning.
+
+    Parameters
+    ----------
+    records : iterable of generator.Record
+    owners : mapping
+        Owner of each shard, by service.
+    services : sequence of str
+        Service of each kind of request.
+    """
+    groups: dict[str, list] = collections.defaultdict(list)
+    for record in records:
+        listed = owners[services[record.kind]]
+        groups[listed[hashing.compute_shard(record.key, len(listed))]].append(record)
+    return groups
+
+
 def compute_unavailable(
-    records: Iterable[generator.Record], shards: int, services: Sequence[str]
-) -> dict[str, float]:
-    """Return the unavailable time of shards in seconds.
+    groups: Mapping[str, Sequence[generator.Record]], since: float
+) -> dict[str, Any]:
+    """Return the unavailable time of the keys of each target, in seconds.
 
-    A shard is unavailable from the schedule of the first request in a row that its
-    caller never got answered until the schedule of the next one that was answered.
-    The sum is over shards; a shard with few requests counts coarsely.
+    The keys of a target are unavailable from the schedule of the first request in a
+    row that was never answered until the schedule of the next one that was.
 
-    Returns
-    -------
-    dict
-        `longest`, `p99` over the unavailable spells, and the `mean` over all shards
-        that were asked for.
+    Parameters
+    ----------
+    groups : mapping
+        Result of `find_groups`.
+    since : float
+        Time of the fault, from which `restored_s` counts: until the first answer to a
+        request that was scheduled later, for the target where that took longest.
     """
-    lines: dict[tuple, list] = collections.defaultdict(list)
-    for record in records:
-        place = (services[record.kind], hashing.compute_shard(record.key, shards))
-        answered = record.outcome in (wires.ANSWERED, "bad-request")
-        lines[place].append((record.scheduled, record.finished, answered))
     spells = []
-    for line in lines.values():
+    restored = {}
+    for name, line in groups.items():
         begin = None
-        for scheduled, _, answered in sorted(line):
-            if not answered and begin is None:
-                begin = scheduled
-            elif answered and begin is not None:
-                spells.append(scheduled - begin)
+        for record in sorted(line):
+            if record.outcome not in (wires.ANSWERED, "bad-request"):
+                begin = record.scheduled if begin is None else begin
+            elif begin is not None:
+                spells.append(record.scheduled - begin)
                 begin = None
         if begin is not None:
-            spells.append(max(item[0] for item in line) - begin)
-    spells.sort()
+            spells.append(max(record.scheduled for record in line) - begin)
+        answers = [record.finished for record in select_answered(line, since)]
+        restored[name] = min(answers) - since if answers else None
+    last = max(restored, key=lambda name: restored[name] or LARGEST, default="")
     return {
         "spells": len(spells),
-        "longest_s": spells[-1] if spells else 0.0,
-        "p99_s": spells[int(len(spells) * 0.99)] if spells else 0.0,
-        "mean_per_shard_s": sum(spells) / len(lines) if lines else 0.0,
+        "longest_s": max(spells, default=0.0),
+        "mean_per_target_s": sum(spells) / len(groups) if groups else 0.0,
+        "restored_s": restored.get(last),
+        "restored_last": last,
     }
 
 
--- a/packages/emulator/dewstep_emulator/bench/profiling.py
+++ b/packages/emulator/dewstep_emulator/bench/profiling.py
@@ -1,19 +1,15 @@
-"""Profiles the receiving process and the gate under load, with cProfile.
+"""Shows where a receiving process and a gate spend their processor time under load."""
 
-The profiler makes each call slower, short ones the most, so its times rank functions
-and are no measure of cost.
-"""
-
-import io
+import json
 import pathlib
-import pstats
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from dewstep_emulator import fleet as fleets
 from dewstep_emulator.bench import overhead
 
 ROLES = {"entry-1": "receiving", "entry-0": "gate"}
-LINES = 45
+LINES = 40
+SAMPLER = "dewstep_emulator.bench.sampler"
 
 
 async def run(
@@ -25,24 +21,31 @@
 ) -> None:
     """Load two entry processes and print where their time goes."""
     comparison = overhead.Comparison(seed, folder, say)
-    output = str(folder / "{name}.profile")
     comparison.router.options = comparison.router.options._replace(
-        entry_command=("cProfile", "-o", output, "-m", "dewstep_entry.main")
+        entry_command=(SAMPLER, str(folder / "{name}.samples"))
     )
     try:
         await comparison.start()
         await comparison.start_load(rate, "profile")
         path = next(item for item in comparison.paths if item.name == overhead.ROUTER)
         await comparison.measure(path, seconds)
-        results = await comparison.stop_load()
+        await comparison.stop_load()
+        span = comparison.spans[-1]
+        say(f"{sum(cost.processor for cost in span.costs):.2f} s in {seconds:.0f} s")
         for entry in comparison.router.entries.values():
             await entry.process.terminate(fleets.STOP_SECONDS)
     finally:
         await comparison.kill()
-    requests = len(results[overhead.ROUTER].records)
     for name, role in ROLES.items():
-        say(f"{role}: {requests} requests")
-        text = io.StringIO()
-        statistics = pstats.Stats(str(folder / f"{name}.profile"), stream=text)
-        statistics.strip_dirs().sort_stats("tottime").print_stats(LINES)
-        say(text.getvalue())
+        counts = json.loads((folder / f"{name}.samples").read_text())
+        say(f"{role}: {counts['total']} samples")
+        for kind in ("own", "inclusive"):
+            say(f"  {kind}, %:")
+            for line in list_top(counts[kind], counts["total"]):
+                say(f"  {line}")
+
+
+def list_top(counts: Mapping[str, int], total: int) -> list[str]:
+    """Return the functions with the most samples, one line each."""
+    ranked = sorted(counts.items(), key=lambda item: item[1], reverse=True)
+    return [f"{100 * count / total:6.1f} {name}" for name, count in ranked[:LINES]]
--- a/packages/emulator/dewstep_emulator/bench/running.py
+++ b/packages/emulator/dewstep_emulator/bench/running.py
@@ -10,6 +10,8 @@
 from dewstep_emulator.bench import accounting, loads, measures, plans, stage as stages
 
 COOL_SECONDS = 0.5
+FAULT = "fault"
+"""Name of the mark from which the restoration counts."""
 
 
 async def run(
@@ -69,7 +71,8 @@
     answered = measures.select_answered(records)
     refusals = [time for record in records for time in record.refusals]
     started = sum(begin <= read_time(run) < end for run in runs)
-    shards = len(next(iter(stage.before.owners.values())))
+    groups = measures.find_groups(records, stage.before.owners, services)
+    faults = [mark.time for mark in stage.marks if mark.name == FAULT]
     return {
         "name": name,
         "seed": seed,
@@ -90,9 +93,13 @@
             **measures.compute_percentiles(refusals),
         },
         "retries": measures.compute_retries(records, started),
-        "unavailable": measures.compute_unavailable(records, shards, services),
+        "unavailable": measures.compute_unavailable(groups, (*faults, begin)[0]),
         "imbalance": describe_imbalance(stage, records),
         "churn": describe_churn(stage, records),
+        "control_writes": {
+            prefix.strip("/"): count - stage.before.versions[prefix]
+            for prefix, count in stage.after.versions.items()
+        },
         "entry_tier": describe_costs(stage.meter, len(answered)),
         "phases": describe_phases(stage, records),
         "marks": [(mark.name, mark.time - begin) for mark in stage.marks],
--- a/packages/emulator/dewstep_emulator/bench/scripts.py
+++ b/packages/emulator/dewstep_emulator/bench/scripts.py
@@ -53,7 +53,7 @@
     """Let a target take ten times as long while it reports that it is idle."""
     await asyncio.sleep(BEFORE_SECONDS)
     target = stage.choose_target(stage.main_service)
-    faults = {"slow_factor": 10.0, "load": {"lie": {"state": "live", "load": 0.0}}}
+    faults = {"slow_factor": 10.0, "load": {"state": "live", "load": 0.0}}
     await stage.fleet.set_faults(stage.fleet.targets[target], faults)
     stage.notes["slow_target"] = target
     stage.mark("fault")
--- a/packages/emulator/dewstep_emulator/bench/stage.py
+++ b/packages/emulator/dewstep_emulator/bench/stage.py
@@ -11,6 +11,7 @@
 from dewstep_emulator.bench import accounting, baseline, loads, plans
 
 METER_SECONDS = 0.25
+CONTROL_ROWS = ("assignment/", "gate/")
 WARM_SECONDS = 2.0
 """Load before the measured time: connections open and slots fill."""
 
@@ -28,6 +29,8 @@
 
     owners: dict[str, list[str]]
     overrides: dict[str, dict[str, str]]
+    versions: dict[str, int]
+    """Sum of the versions of all rows with a prefix: each write adds one."""
 
 
 class Stage:
@@ -115,7 +118,7 @@
             name = plan.service.name
             owners[name] = await self.fleet.read_owners(name)
             overrides[name] = await self.read_overrides(name)
-        return Snapshot(owners, overrides)
+        return Snapshot(owners, overrides, await self.read_versions())
 
     async def read_overrides(self, service: str) -> dict[str, str]:
         """Return the keys that were lifted out of their shards, with their owners."""
@@ -124,6 +127,16 @@
         row = (await self.fleet.table.read(f"assignment/{service}")).unwrap()
         return dict(row.value.get("overrides") or {})
 
+    async def read_versions(self) -> dict[str, int]:
+        """Return the sums of the versions of the rows of control."""
+        if self.fleet.table is None:
+            return {}
+        versions = {}
+        for prefix in CONTROL_ROWS:
+            rows = (await self.fleet.table.read_prefix(prefix)).unwrap()
+            versions[prefix] = sum(row.version for row in rows)
+        return versions
+
     def expect_moves(self, target: str) -> None:
         """Note that all shards of a target must move."""
         service = target.rpartition("-")[0]
