--- a/packages/emulator/dewstep_emulator/bench/overhead.py
+++ b/packages/emulator/dewstep_emulator/bench/overhead.py
@@ -79,10 +79,19 @@
     folder : pathlib.Path
     say : callable
         Called with a line of text for whoever watches.
+    settle : float, optional
+        Seconds of load before each measured span.
     """
 
-    def __init__(self, seed: int, folder: pathlib.Path, say: Callable[[str], None]):
+    def __init__(
+        self,
+        seed: int,
+        folder: pathlib.Path,
+        say: Callable[[str], None],
+        settle: float = SETTLE_SECONDS,
+    ):
         self.seed = seed
+        self.settle = settle
         self.folder = folder
         self.say = say
         options = fleets.FleetOptions(2, seed, distribution="constant")
@@ -139,7 +148,7 @@
     async def measure(self, path: Path, seconds: float) -> None:
         """Load one path and note its costs."""
         path.tool.change(factor=1.0)
-        await asyncio.sleep(SETTLE_SECONDS)
+        await asyncio.sleep(self.settle)
         before = [accounting.read_usage(pid) for pid in path.pids]
         begin = asyncio.get_running_loop().time()
         await asyncio.sleep(seconds)
@@ -148,7 +157,7 @@
         path.tool.change(factor=0.0)
         costs = tuple(map(accounting.subtract, before, after))
         self.spans.append(Span(path.name, begin, end, costs))
-        await asyncio.sleep(SETTLE_SECONDS / 2)
+        await asyncio.sleep(self.settle / 2)
 
     async def stop_load(self) -> dict[str, loads.Load]:
         """End the load tools and return what they saw."""
@@ -196,9 +205,10 @@
     seconds: float = 4.0,
     rate: float | None = None,
     say: Callable[[str], None] = lambda text: None,
+    settle: float = SETTLE_SECONDS,
 ) -> dict[str, Any]:
     """Compare the three ways; `rate` None stands for half load of the entry tier."""
-    comparison = Comparison(seed, folder, say)
+    comparison = Comparison(seed, folder, say, settle)
     try:
         await comparison.start()
         idle = await measure_idle(comparison)
--- /dev/null
+++ b/tests/regression_test.py
@@ -0,0 +1,53 @@
+"""Guards the objectives of the design page, section 1.6, against gradual losses.
+
+The bounds are the stated objectives. Each round compares with a bare relay under the
+same conditions. Other work on the machine disturbs single rounds, so a failure needs
+three of four rounds beyond a bound; the full measurement is
+`python -m dewstep_emulator.bench run overhead`.
+"""
+
+import pytest
+import uvloop
+
+from dewstep_emulator.bench import overhead
+
+SEED = 1
+RATE = 1_000.0
+"""Requests/s; at a lower one the control traffic would count for too much."""
+ROUNDS = 4
+SECONDS = 0.9
+SETTLE = 0.3
+ALLOWED_ROUNDS = 2
+"""Rounds that may be beyond a bound."""
+PROCESSOR_RATIO = 1.5
+ADDED_LATENCY_RATIO = 2.0
+LEAST_ANSWERED = 0.95
+"""Of the requests; with fewer answers the costs of a request would say nothing."""
+
+
+@pytest.fixture(scope="module")
+def report(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("overhead")
+    return uvloop.run(overhead.run(SEED, folder, ROUNDS, SECONDS, RATE, settle=SETTLE))
+
+
+def count_beyond(ratios, bound):
+    return sum(ratio > bound for ratio in ratios)
+
+
+def test_requests_are_answered(report):
+    # Guards against a fast but wrong entry tier: refusals cost little.
+    answered = report["dewstep"]["answered"] / report["dewstep"]["requests"]
+    assert answered >= LEAST_ANSWERED
+
+
+def test_processor_time_per_request_stays_near_that_of_a_bare_relay(report):
+    # Guards against work that is added to the path of every request.
+    ratios = report["rounds_processor_ratio"]
+    assert count_beyond(ratios, PROCESSOR_RATIO) <= ALLOWED_ROUNDS, ratios
+
+
+def test_added_latency_stays_near_that_of_a_bare_relay(report):
+    # Guards against waits and pauses in the path of a request.
+    ratios = report["rounds_added_ratio_p99"]
+    assert count_beyond(ratios, ADDED_LATENCY_RATIO) <= ALLOWED_ROUNDS, ratios
