--- /dev/null
+++ b/packages/emulator/dewstep_emulator/bench/plans_test.py
@@ -0,0 +1,47 @@
+import pytest
+
+from dewstep_emulator import deployments
+from dewstep_emulator.bench import generator, plans, scripts
+
+CAPACITY = 600.0
+
+
+def test_all_scenarios_are_registered():
+    assert {name for name in plans.scenarios} >= {
+        "steady",
+        "rush",
+        "overload",
+        "target-lost",
+        "target-slow",
+        "entry-lost",
+        "rolling",
+        "table-outage",
+        "centre-cut-off",
+    }
+    assert scripts.STEADY_SECONDS > 0
+
+
+@pytest.mark.parametrize("plan", [deployments.plan_tsagaan, deployments.plan_division])
+def test_fit_capacity_fills_every_service_at_the_same_rate(plan):
+    deployment = plans.fit_capacity(plan(), CAPACITY)
+    shares = {}
+    for call in deployments.plan_calls(deployment):
+        shares[call.service] = shares.get(call.service, 0) + call.share
+    for service in deployment.services:
+        seconds = service.service_time.total_seconds()
+        full = service.targets * deployment.slots / seconds
+        needed = CAPACITY * shares[service.service.name]
+        # A service with few requests is not slowed down without limit.
+        assert full == pytest.approx(needed, rel=0.01) or seconds == 0.4
+
+
+def test_hot_keys_change_with_the_rotation():
+    scenario = plans.scenarios.get("rush")
+    plan = plans.build_plan(deployments.plan_tsagaan(), scenario, 1, CAPACITY)
+    chooser = generator.KeyChooser(plan)
+    source = generator.random.Random(1)
+    for rotation in (0, 1):
+        keys = [chooser.choose(source, "history", rotation) for _ in range(2000)]
+        hot = {key for key in keys if "-hot-" in key}
+        assert hot <= {f"history-hot-{rotation}-{number}" for number in range(34)}
+        assert 0.4 < sum("-hot-" in key for key in keys) / len(keys) < 0.6
