Compute imbalance from the true shares of keys, and size fleets by data centre

Cause: counts of ten seconds at 300 requests/s add about a fifth to the busiest of 20 targets; and with 9 or more entry processes in one data centre gates change hands without a fault, which hid the slopes. Ruled out: longer runs (minutes for each scenario). The suspicion of members that no heartbeat reaches (state/membership.py, MONITORS = 4) is the likely cause and is reported, not changed here.

--- a/packages/emulator/dewstep_emulator/bench/generator.py
+++ b/packages/emulator/dewstep_emulator/bench/generator.py
@@ -118,6 +118,20 @@
         position = bisect.bisect(self.cold, source.random() * self.cold[-1])
         return f"{service}-{min(position, self.plan.keys - 1)}"
 
+    def list_shares(self, service: str, rotation: int) -> dict[str, float]:
+        """Return the part of a service's requests that each key gets."""
+        hot_share = self.plan.hot_share
+        shares = {}
+        for names, cumulated, part in (
+            (f"{service}-hot-{rotation}-", self.hot, hot_share),
+            (f"{service}-", self.cold, 1 - hot_share),
+        ):
+            before = 0.0
+            for position, total in enumerate(cumulated):
+                shares[f"{names}{position}"] = part * (total - before) / cumulated[-1]
+                before = total
+        return shares
+
 
 def accumulate_weights(count: int, exponent: float) -> list[float]:
     """Return cumulated weights, the most frequent first."""
--- a/packages/emulator/dewstep_emulator/bench/measures.py
+++ b/packages/emulator/dewstep_emulator/bench/measures.py
@@ -67,19 +67,15 @@
     return Imbalance(busiest / mean, busiest / max(mean, max(keys.values())))
 
 
-def count_loads(
-    records: Iterable[generator.Record],
-    owners: Sequence[str],
-    overrides: Mapping[str, str],
-) -> tuple[collections.Counter, collections.Counter]:
-    """Return requests by owning target and by key, under a given assignment."""
+def compute_loads(
+    keys: Mapping[str, float], owners: Sequence[str], overrides: Mapping[str, str]
+) -> collections.Counter:
+    """Return the load of each target from the loads of keys and an assignment."""
     loads: collections.Counter = collections.Counter()
-    keys: collections.Counter = collections.Counter()
-    for record in records:
-        shard = hashing.compute_shard(record.key, len(owners))
-        loads[overrides.get(record.key, owners[shard])] += 1
-        keys[record.key] += 1
-    return loads, keys
+    for key, load in keys.items():
+        shard = hashing.compute_shard(key, len(owners))
+        loads[overrides.get(key, owners[shard])] += load
+    return loads
 
 
 def compute_churn(
--- a/packages/emulator/dewstep_emulator/bench/measures_test.py
+++ b/packages/emulator/dewstep_emulator/bench/measures_test.py
@@ -24,9 +24,8 @@
 
 
 def test_loads_follow_owners_and_overrides():
-    records = [record(0, key="a-1"), record(1, key="a-2")]
-    loads, keys = measures.count_loads(records, ["t1"], {"a-2": "t2"})
-    assert loads == {"t1": 1, "t2": 1} and keys == {"a-1": 1, "a-2": 1}
+    loads = measures.compute_loads({"a-1": 1, "a-2": 3}, ["t1"], {"a-2": "t2"})
+    assert loads == {"t1": 1, "t2": 3}
 
 
 def test_churn_counts_moves_over_the_least():
--- a/packages/emulator/dewstep_emulator/bench/plans_test.py
+++ b/packages/emulator/dewstep_emulator/bench/plans_test.py
@@ -45,3 +45,12 @@
         hot = {key for key in keys if "-hot-" in key}
         assert hot <= {f"history-hot-{rotation}-{number}" for number in range(34)}
         assert 0.4 < sum("-hot-" in key for key in keys) / len(keys) < 0.6
+
+
+def test_shares_of_keys_add_up_to_one():
+    scenario = plans.scenarios.get("rush")
+    plan = plans.build_plan(deployments.plan_tsagaan(), scenario, 1, CAPACITY)
+    shares = generator.KeyChooser(plan).list_shares("history", 1)
+    assert sum(shares.values()) == pytest.approx(1)
+    hot = [share for key, share in shares.items() if "-hot-1-" in key]
+    assert len(hot) == 34 and sum(hot) == pytest.approx(0.5)
--- a/packages/emulator/dewstep_emulator/bench/running.py
+++ b/packages/emulator/dewstep_emulator/bench/running.py
@@ -7,7 +7,14 @@
 from typing import Any
 
 from dewstep_emulator import deployments, history
-from dewstep_emulator.bench import accounting, loads, measures, plans, stage as stages
+from dewstep_emulator.bench import (
+    accounting,
+    generator,
+    loads,
+    measures,
+    plans,
+    stage as stages,
+)
 
 COOL_SECONDS = 0.5
 FAULT = "fault"
@@ -94,7 +101,7 @@
         },
         "retries": measures.compute_retries(records, started),
         "unavailable": measures.compute_unavailable(groups, (*faults, begin)[0]),
-        "imbalance": describe_imbalance(stage, records),
+        "imbalance": describe_imbalance(stage),
         "churn": describe_churn(stage, records),
         "control_writes": {
             prefix.strip("/"): count - stage.before.versions[prefix]
@@ -134,31 +141,27 @@
     return phases
 
 
-def describe_imbalance(stage: stages.Stage, records: list) -> dict[str, Any]:
-    """Return the imbalance by service in the last phase, with and without moves.
+def describe_imbalance(stage: stages.Stage) -> dict[str, Any]:
+    """Return the imbalance by service at the end, with and without the moves.
 
-    Each request counts for the owner of its key, also if that owner refused it.
+    It is computed from the true shares of the keys: counts of a few seconds would add
+    their own noise to the busiest target.
     """
-    since = stage.marks[-2].time
+    chooser = generator.KeyChooser(stage.load.plan)
     found = {}
     for plan in stage.deployment.services:
         name = plan.service.name
-        part = [
-            item
-            for item in records
-            if item.scheduled >= since and item.key.startswith(f"{name}-")
-        ]
-        if not part:
-            continue
-        figures = {}
-        for label, snapshot in (("static", stage.before), ("moved", stage.after)):
-            loads_, keys = measures.count_loads(
-                part, snapshot.owners[name], snapshot.overrides[name]
-            )
-            figures[label] = measures.compute_imbalance(
-                loads_, keys, plan.targets
+        keys = chooser.list_shares(name, stage.load.control.rotation)
+        found[name] = {
+            label: measures.compute_imbalance(
+                measures.compute_loads(
+                    keys, snapshot.owners[name], snapshot.overrides[name]
+                ),
+                keys,
+                plan.targets,
             )._asdict()
-        found[name] = {"requests": len(part), **figures}
+            for label, snapshot in (("static", stage.before), ("moved", stage.after))
+        }
     return found
 
 
--- a/packages/emulator/dewstep_emulator/bench/sizes.py
+++ b/packages/emulator/dewstep_emulator/bench/sizes.py
@@ -1,11 +1,13 @@
 """Cost of idle entry processes at several sizes, and its slopes.
 
-Two series: more targets at the same number of entry processes, and more entry
-processes at the same number of targets. What a process costs without requests is the
-control overhead of the design page: heartbeats, grants and reads of the table.
+Three series: more targets at the same number of entry processes, more entry processes
+at the same number of targets over three data centres, and the same in one data centre.
+What a process costs without requests is the control overhead of the design page:
+heartbeats, grants and reads of the table.
 """
 
 import asyncio
+import json
 import pathlib
 import statistics
 from collections.abc import Callable, Sequence
@@ -15,9 +17,10 @@
 from dewstep_emulator.bench import accounting
 
 NAME = "sizes"
-TARGET_SERIES = ((4, 8), (4, 16), (4, 32))
-"""Entry processes and targets."""
-ENTRY_SERIES = ((2, 12), (6, 12), (12, 12))
+TARGET_SERIES = ((3, 9, 3), (3, 18, 3), (3, 36, 3))
+"""Entry processes, targets and data centres."""
+ENTRY_SERIES = ((3, 12, 3), (6, 12, 3), (12, 12, 3))
+CENTRE_SERIES = ((3, 12, 1), (6, 12, 1), (9, 12, 1))
 SETTLE_SECONDS = 3.0
 MEASURE_SECONDS = 6.0
 SERVICE_MILLISECONDS = 4.0
@@ -28,6 +31,7 @@
 
     entries: int
     targets: int
+    centres: int
     gates_per_entry: float
     processor_percent: float
     """Of a core."""
@@ -39,51 +43,65 @@
     table_bytes_per_s: float
     gate_rows_bytes: int
     """Size of one read of all gate rows."""
+    terms_per_s: float
+    """Changes of gate; none should happen while no process ends."""
 
 
-def plan_deployment(entries: int, targets: int) -> deployments.Deployment:
-    """Return one service in one data centre."""
+def plan_deployment(entries: int, targets: int, centres: int) -> deployments.Deployment:
+    """Return one service."""
     service = deployments.plan_service(
         targets,
         SERVICE_MILLISECONDS,
         "history",
         deployments.build_kind("due", "GET", "/history/{key}", True),
     )
-    return deployments.Deployment(NAME, ("centre",), (service,), 4, 110, entries)
+    names = tuple(f"centre-{number}" for number in range(centres))
+    return deployments.Deployment(NAME, names, (service,), 4, 110, entries)
 
 
 async def measure_size(
-    entries: int, targets: int, seed: int, folder: pathlib.Path
+    entries: int, targets: int, centres: int, seed: int, folder: pathlib.Path
 ) -> Sample:
     """Start a fleet without load and return what it costs."""
     options = fleets.FleetOptions(entries, seed)
-    fleet = fleets.Fleet(plan_deployment(entries, targets), options, folder)
+    deployment = plan_deployment(entries, targets, centres)
+    fleet = fleets.Fleet(deployment, options, folder)
     try:
         await fleet.start()
         await asyncio.sleep(SETTLE_SECONDS)
         pids = [entry.process.child.pid for entry in fleet.entries.values()]
         pids.append(fleet.table_process.child.pid)
+        first = await sum_terms(fleet)
         before = [accounting.read_usage(pid) for pid in pids]
         await asyncio.sleep(MEASURE_SECONDS)
         after = [accounting.read_usage(pid) for pid in pids]
         *costs, table = map(accounting.subtract, before, after)
         rows = (await fleet.table.read_prefix("gate/")).unwrap()
+        last = await sum_terms(fleet)
         await fleet.stop()
     finally:
         await fleet.kill_all()
     return Sample(
         entries,
         targets,
+        centres,
         targets / entries,
         100 * statistics.mean(cost.share for cost in costs),
         statistics.mean(cost.memory for cost in costs) / accounting.MEBIBYTE,
         statistics.mean(cost.moved / cost.seconds for cost in costs),
         100 * table.share,
         table.moved / table.seconds,
-        sum(len(str(row.value)) + len(row.key) for row in rows),
+        sum(len(json.dumps(row.value)) + len(row.key) for row in rows),
+        (last - first) / table.seconds,
     )
 
 
+async def sum_terms(fleet: fleets.Fleet) -> int:
+    """Return the sum of the terms of all gates."""
+    rows = (await fleet.table.read_prefix("gate/")).unwrap()
+    return sum(row.value["term"] for row in rows)
+
+
 def fit_line(points: Sequence[tuple[float, float]]) -> tuple[float, float]:
     """Return slope and value at zero of the line of least squares."""
     slope, intercept = statistics.linear_regression(*zip(*points, strict=True))
@@ -114,10 +132,10 @@
     seed: int, folder: pathlib.Path, say: Callable[[str], None] = lambda text: None
 ) -> dict[str, Any]:
     """Measure all sizes and fit the slopes."""
-    samples: dict[tuple[int, int], Sample] = {}
+    samples: dict[tuple[int, int, int], Sample] = {}
     machine_load = []
-    for size in dict.fromkeys((*TARGET_SERIES, *ENTRY_SERIES)):
-        place = folder / f"{size[0]}-{size[1]}"
+    for size in dict.fromkeys((*TARGET_SERIES, *ENTRY_SERIES, *CENTRE_SERIES)):
+        place = folder / "-".join(map(str, size))
         samples[size] = await measure_size(*size, seed, place)
         machine_load.append(accounting.read_machine_load())
         say(
@@ -132,4 +150,7 @@
         "samples": [sample._asdict() for sample in samples.values()],
         "by_targets": fit_series([samples[size] for size in TARGET_SERIES], "targets"),
         "by_entries": fit_series([samples[size] for size in ENTRY_SERIES], "entries"),
+        "in_one_centre": fit_series(
+            [samples[size] for size in CENTRE_SERIES], "entries"
+        ),
     }
