Write peers' frames at once instead of in a later turn of the event loop

Cause: each frame waited for one more turn of the loop on its way, twice a request, although uvloop's transport joins the writes of a turn by itself. Ruled out: keeping the list for plain asyncio, which no dewstep process runs on.

--- a/packages/entry/dewstep_entry/peers/session.py
+++ b/packages/entry/dewstep_entry/peers/session.py
@@ -1,8 +1,9 @@
 """One connection to a peer: hello, framing and a bounded write buffer.
 
-Frames written in one turn of the event loop leave in one send. The buffer's bound
-holds for all streams together; a stream with a body waits in `wait_writable`, so that
-a peer that reads nothing costs a bounded amount of memory.
+uvloop's transport sends what is written in one turn of the event loop together, so
+frames go to it at once. The buffer's bound holds for all streams together; a stream
+with a body waits in `wait_writable`, so that a peer that reads nothing costs a bounded
+amount of memory.
 """
 
 import asyncio
@@ -57,9 +58,6 @@
         self.peer: data.Member | None = None
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
-        self.outgoing: list[bytes] = []
-        self.pending = 0
-        self.unsent: list[Any] = []
         self.paused = False
         self.writable: asyncio.Future | None = None
         self.lost = False
@@ -118,10 +116,10 @@
     @property
     def blocked(self) -> bool:
         """Whether the write buffer is full."""
-        return self.paused or self.pending > WRITE_BUFFER_BYTES
+        return self.paused
 
     def write(self, encoded: bytes, stream: Any = None) -> None:
-        """Write a frame at the end of this turn of the event loop.
+        """Write a frame.
 
         Parameters
         ----------
@@ -132,12 +130,14 @@
         """
         if self.lost:
             return
-        if not self.outgoing:
-            asyncio.get_running_loop().call_soon(self._flush)
-        self.outgoing.append(encoded)
-        self.pending += len(encoded)
         if stream is not None:
-            self.unsent.append(stream)
+            stream.sent = True
+        if self.peer is not None and self.is_cut(self.peer):
+            self.dropped = True
+            return
+        self.transport.write(encoded)
+        if self.transport.get_write_buffer_size() > ABORT_BYTES:
+            self.abort()
 
     async def wait_writable(self) -> None:
         """Return when the buffer has room or the session has ended."""
@@ -152,7 +152,6 @@
         if self.lost:
             return
         self.lost = True
-        self.outgoing.clear()
         if self.transport is not None:
             self.transport.abort()
         self._wake()
@@ -160,25 +159,6 @@
 
     # Internals.
 
-    def _flush(self) -> None:
-        if self.lost:
-            return
-        for stream in self.unsent:
-            stream.sent = True
-        self.unsent.clear()
-        outgoing, self.outgoing = self.outgoing, []
-        self.pending = 0
-        if self.peer is not None and self.is_cut(self.peer):
-            self.dropped = True
-        else:
-            self.transport.write(
-                outgoing[0] if len(outgoing) == 1 else b"".join(outgoing)
-            )
-            if self.transport.get_write_buffer_size() > ABORT_BYTES:
-                self.abort()
-        if not self.paused:
-            self._wake()
-
     def _wake(self) -> None:
         if self.writable is not None:
             self.writable.set_result(None)
