--- a/packages/core/dewstep_core/settings.py
+++ b/packages/core/dewstep_core/settings.py
@@ -11,6 +11,12 @@
     port: int
 
 
+def format_address(address: Address) -> str:
+    """Return `address` in the form that settings files hold."""
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    return f"{host}:{address.port}"
+
+
 class CallerLimits(NamedTuple):
     """What a caller may send, and how slowly."""
 
@@ -37,8 +43,8 @@
 class PeerSettings(NamedTuple):
     """Timing of the messages between entry processes."""
 
-    heartbeat_interval: datetime.timedelta = datetime.timedelta(milliseconds=100)
-    suspect_after: datetime.timedelta = datetime.timedelta(milliseconds=400)
+    heartbeat_interval: datetime.timedelta = datetime.timedelta(milliseconds=150)
+    suspect_after: datetime.timedelta = datetime.timedelta(milliseconds=450)
     connect_timeout: datetime.timedelta = datetime.timedelta(milliseconds=300)
 
 
--- a/packages/emulator/dewstep_emulator/relay_test.py
+++ b/packages/emulator/dewstep_emulator/relay_test.py
@@ -5,7 +5,7 @@
 from dewstep_core import settings
 from dewstep_core.http import client
 from dewstep_emulator import program, relay, target
-from dewstep_emulator.fleet import find_free_port
+from dewstep_emulator.addresses import find_free_port
 
 NOBODY = settings.Address("127.0.0.1", 1)
 
--- a/packages/entry/dewstep_entry/caller/listener.py
+++ b/packages/entry/dewstep_entry/caller/listener.py
@@ -4,10 +4,9 @@
 import random
 from collections.abc import Callable
 
-from absl import logging
 from returns import result
 
-from dewstep_core import data, settings
+from dewstep_core import data, events, settings
 from dewstep_entry import interfaces
 from dewstep_entry.caller import connection as connections
 
@@ -40,6 +39,8 @@
         Name of this entry process.
     spread : callable
         Jitter of retry times, from 0 to 1.
+    note_refusal : callable
+        Takes the failure of each request that did not reach the handler.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         handler: interfaces.RequestHandler,
         entry: str,
         spread: Callable[[], float] = random.random,
+        note_refusal: Callable[[interfaces.Failure], None] = lambda failure: None,
     ):
         self.address = address
         self.limits = limits
@@ -59,6 +61,7 @@
         self.handler = handler
         self.entry = entry
         self.spread = spread
+        self.note_refusal = note_refusal
         self.connections: set[connections.CallerConnection] = set()
         self.stopping = False
         self.server: asyncio.Server | None = None
@@ -100,9 +103,7 @@
     def enter(self, connection: connections.CallerConnection) -> bool:
         """Count a new connection; false if it must be closed."""
         if self.stopping or len(self.connections) >= self.limits.connections:
-            logging.warning(
-                "event=caller-refused connections=%d", len(self.connections)
-            )
+            events.warning("caller_refused", connections=len(self.connections))
             return False
         self.connections.add(connection)
         return True
--- a/packages/entry/dewstep_entry/gate/gate.py
+++ b/packages/entry/dewstep_entry/gate/gate.py
@@ -10,10 +10,9 @@
 import uuid
 from collections.abc import Callable, Iterable
 
-from absl import logging
 from returns import result
 
-from dewstep_core import clock as clocks, data, errors, settings as setting
+from dewstep_core import clock as clocks, data, errors, events, settings as setting
 from dewstep_entry import interfaces
 from dewstep_entry.gate import (
     arrivals,
@@ -24,6 +23,7 @@
     grants,
     invariants,
     lifecycle,
+    observation,
     once,
     ownership,
     renewal,
@@ -32,6 +32,7 @@
     sending,
     serving,
     slots,
+    timing,
     unfenced,
 )
 from dewstep_entry.state import view
@@ -75,6 +76,7 @@
         events: asyncio.Queue,
         budget: sending.RetryBudget,
         start: lifecycle.Start,
+        observer: observation.Observer | None = None,
         checks: invariants.Invariants | None = None,
         make_operation_id: Callable[[], str] = lambda: str(uuid.uuid4()),
     ):
@@ -121,6 +123,7 @@
             self.checks,
             self.loops,
             self.ownership,
+            observer or observation.Blind(),
         )
         context = deduplication.Context(
             service.name,
@@ -153,11 +156,12 @@
     def run(self) -> None:
         """Start the tasks of the gate."""
         self.ownership.get_assignment()
-        self.tasks = [asyncio.ensure_future(self.loops.run_row_loop())]
         loop = self.loops.run_target_loop
         if not self.fenced:
             loop = self.loops.run_watch_loop
-        self.tasks.append(asyncio.ensure_future(loop()))
+        for work in (self.loops.run_row_loop, loop):
+            task = asyncio.ensure_future(timing.keep_running(self.clock, work))
+            self.tasks.append(task)
         self.arrivals.begin()
 
     async def stop(self) -> None:
@@ -183,6 +187,11 @@
         expired_at = self.grant.compute_expired_at()
         return lifecycle.Release(self.once.export(), not waiting, expired_at)
 
+    def may_receive_shards(self) -> bool:
+        """Return whether the target can be given more to own."""
+        working = not (self.lost or self.releasing or self.evacuating)
+        return working and self.grant.may_send(self.clock.monotonic())
+
     def is_waiting(self) -> bool:
         """Return whether an earlier gate may still act for the target."""
         end = self.grant.old_gates_end
@@ -313,7 +322,7 @@
 
     def receive_restart(self, boot: str) -> None:
         """Report a new boot id."""
-        logging.warning("target_restarted target=%s boot=%s", self.target.name, boot)
+        events.warning("target_restarted", target=self.target.name, boot=boot)
         self.report(event.TargetRestarted(self.target.name, self.term, boot))
 
     @property
--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -3,12 +3,11 @@
 import asyncio
 import collections
 import datetime
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 
-from absl import logging
 from returns import result
 
-from dewstep_core import clock as clocks, data, errors, settings as setting
+from dewstep_core import clock as clocks, data, errors, events, settings as setting
 from dewstep_entry import interfaces
 from dewstep_entry.gate import (
     assignments,
@@ -29,6 +28,8 @@
 from dewstep_entry.state import view
 
 STEP = datetime.timedelta(milliseconds=50)
+RECENT_CONTACT = datetime.timedelta(seconds=10)
+OUTSIDE_PAUSE = datetime.timedelta(seconds=1)
 RETRY_PAUSE = datetime.timedelta(milliseconds=200)
 
 
@@ -72,23 +73,32 @@
         self.takeovers: dict[str, asyncio.Task] = {}
         self.emptying: dict[str, asyncio.Task] = {}
         self.endings: set[asyncio.Task] = set()
+        self.returning: set[asyncio.Task] = set()
         self.leaving_targets: frozenset[str] = frozenset()
         self.leaving_entries: frozenset[str] = frozenset()
         self.stopping = False
+        make_id = make_operation_id
         self.rows = takeover.GateRowWriter(
-            own, holder, table, clock, settings.grants, make_operation_id
-        )
-        self.assignments = assignments.AssignmentWriter(
-            holder, table, clock, make_operation_id
+            own, holder, table, clock, settings.grants, make_id
         )
+        self.assignments = assignments.AssignmentWriter(holder, table, clock, make_id)
         self.mover = moves.Mover(
-            self.assignments, table, clock, wiring.plan_evacuation, self.list_usable
+            self.assignments,
+            table,
+            clock,
+            wiring.plan_evacuation,
+            self.list_usable,
+            self.raise_term,
         )
 
     # Loop.
 
     async def run(self) -> None:
         """Act on vacancies, losses and leaving targets until cancelled."""
+        await timing.keep_running(self.clock, self.run_steps)
+
+    async def run_steps(self) -> None:
+        """Step without end."""
         while True:
             self.step()
             await self.clock.sleep(STEP)
@@ -108,16 +118,21 @@
             self.start_emptying(gate)
         if not self.stopping:
             for target in configuration.targets.values():
-                if target.data_centre == self.own.data_centre:
-                    self.look_for_vacancy(target, configuration)
+                self.look_for_vacancy(target, configuration)
+            self.look_for_heir()
 
     def receive_event(self, message: event.Event) -> None:
         """Process one message of a gate."""
-        logging.info("gate_event %s", message)
+        change = type(message).__name__
+        events.info(
+            "gate_changed", target=message.target, term=message.term, change=change
+        )
         gate = self.gates.get(message.target)
         if gate is None or gate.term != message.term:
             return
-        self.checks.counts[type(message).__name__] += 1
+        self.checks.counts[change] += 1
+        if isinstance(message, event.TargetRestarted):
+            self.wiring.observer.restart(gate.target)
         if isinstance(message, event.Superseded):
             self.end_gate(gate)
 
@@ -125,6 +140,7 @@
         """Drop a gate and let its running requests end by themselves."""
         if self.gates.get(gate.target.name) is gate:
             del self.gates[gate.target.name]
+            self.wiring.observer.end(gate.target)
         task = asyncio.ensure_future(gate.stop())
         self.endings.add(task)
         task.add_done_callback(self.endings.discard)
@@ -156,23 +172,78 @@
         self.vacant_since[target.name] = (vacancy.reason, since)
         service = configuration.services.get(target.service)
         if service is not None and now - since >= vacancy.delay:
-            self.start_takeover(target, service)
+            self.start_takeover(target, service, vacancy.outside)
 
-    def start_takeover(self, target: data.Target, service: data.Service) -> None:
+    def look_for_heir(self) -> None:
+        """Hand one gate to the process that should have it, if there is such a gate.
+
+        Only after a recent contact with the table: a gate that has been released
+        can't be served before the row names its successor.
+        """
+        now = self.clock.monotonic()
+        contact = self.holder.current.table_contact
+        if self.returning or contact is None or now - contact > RECENT_CONTACT:
+            return
+        for gate in self.gates.values():
+            if gate.releasing or gate.lost or gate.target.name in self.emptying:
+                continue
+            heir = succession.choose_heir(
+                gate.target,
+                self.holder.current.members,
+                self.own,
+                self.leaving_entries,
+                now,
+            )
+            if heir is not None and not gate.is_waiting():
+                events.info("gate_returned", target=gate.target.name, heir=heir.entry)
+                task = asyncio.ensure_future(self.hand_over(gate))
+                self.returning.add(task)
+                task.add_done_callback(self.returning.discard)
+                return
+
+    def start_takeover(
+        self, target: data.Target, service: data.Service, outside: bool
+    ) -> None:
         """Start the task that takes a target over."""
-        task = asyncio.ensure_future(self.take_over(target, service))
-        self.takeovers[target.name] = task
-        task.add_done_callback(lambda done: self.takeovers.pop(target.name, None))
+        self.run_takeover(target.name, self.take_over(target, service, outside))
+
+    def run_takeover(self, target: str, work: Coroutine) -> asyncio.Task:
+        """Run the task that starts a gate of `target`."""
+        task = asyncio.ensure_future(work)
+        self.takeovers[target] = task
+        task.add_done_callback(lambda done: self.takeovers.pop(target, None))
+        return task
+
+    async def is_reachable(self, target: data.Target) -> bool:
+        """Return whether a target answers to this process."""
+        channel = self.wiring.make_channel(target)
+        answered, answer = await timing.wait_at_most(
+            self.clock, channel.read_clock(), OUTSIDE_PAUSE
+        )
+        await channel.close()
+        return answered and isinstance(answer, result.Success)
+
+    async def take_over(
+        self, target: data.Target, service: data.Service, outside: bool
+    ) -> None:
+        """Raise the term and start the gate.
 
-    async def take_over(self, target: data.Target, service: data.Service) -> None:
-        """Raise the term and start the gate."""
+        A target of another data centre has to be reachable first. If it is not, its
+        data centre may be cut off, and its gate there still serves it, unless an
+        operator has declared both dead.
+        """
+        declared = self.holder.current.declared.get(target.name, 0)
+        known_dead = declared >= max(1, self.get_term(target.name))
+        if outside and not known_dead and not await self.is_reachable(target):
+            await self.clock.sleep(OUTSIDE_PAUSE)
+            return
         held = self.gates.get(target.name)
         outcome = await self.rows.take_over(
             target, service.outage_horizon, None if held is None else held.term
         )
         if isinstance(outcome, result.Failure):
-            logging.warning(
-                "takeover_failed target=%s reason=%s", target.name, outcome.failure()
+            events.warning(
+                "takeover_failed", target=target.name, failure=outcome.failure()
             )
             await self.clock.sleep(RETRY_PAUSE)
             return
@@ -219,12 +290,28 @@
             events=self.events,
             budget=self.wiring.budget,
             start=start,
+            observer=self.wiring.observer,
             checks=self.checks,
             make_operation_id=self.make_operation_id,
         )
         self.gates[target.name] = gate
+        self.wiring.observer.start(target)
         gate.run()
 
+    async def raise_term(self, gate: gates.Gate) -> bool:
+        """Replace a gate by one of the next term; return whether its term has ended."""
+        written = await self.rows.write(
+            gate.target.name, gate.record, self.own, gate.record.horizon, False
+        )
+        if isinstance(written, result.Failure):
+            return isinstance(written.failure(), errors.Conflict)
+        record, sent = written.unwrap()
+        start = lifecycle.Start(sent, gate.get_expired_at(), None, False)
+        await self.run_takeover(
+            gate.target.name, self.start_gate(gate.target, gate.service, record, start)
+        )
+        return True
+
     async def receive_handover(self, message: handover.Handover) -> None:
         """Start a gate that another process handed to this one."""
         row = message.record.row
@@ -235,7 +322,7 @@
             self.own.entry,
             self.own.incarnation,
         ):
-            logging.warning("handover_refused target=%s term=%d", row.target, row.term)
+            events.warning("handover_refused", target=row.target, term=row.term)
             return
         if self.get_term(row.target) > row.term:
             return
@@ -250,12 +337,9 @@
             return
         now = self.clock.monotonic()
         start = handover.make_start(message, now, self.settings.grants)
-        task = asyncio.ensure_future(
-            self.start_gate(target, service, message.record, start)
+        await self.run_takeover(
+            row.target, self.start_gate(target, service, message.record, start)
         )
-        self.takeovers[row.target] = task
-        task.add_done_callback(lambda done: self.takeovers.pop(row.target, None))
-        await task
 
     # Emptying targets.
 
@@ -355,6 +439,10 @@
         for gate in list(self.gates.values()):
             await gate.refresh_quarantine()
 
+    def describe(self) -> dict:
+        """Return the state of all gates for the dump."""
+        return description.describe_gates(self)
+
     # Stop.
 
     def find_successor(self, target: data.Target) -> data.Member | None:
@@ -386,16 +474,9 @@
 
     async def hand_over(self, gate: gates.Gate) -> None:
         """Hand one gate over."""
-        outcome = await handover.hand_over(
-            gate,
-            self.rows,
-            self.find_successor,
-            self.wiring.send_handover,
-            self.clock,
-        )
-        if isinstance(outcome, result.Success):
-            self.gates.pop(gate.target.name, None)
-
-    def describe(self) -> dict:
-        """Return the state of all gates for the dump."""
-        return description.describe_gates(self)
+        find, send = self.find_successor, self.wiring.send_handover
+        await handover.hand_over(gate, self.rows, find, send, self.clock)
+        # Either the row names the successor, or another process was faster.
+        if self.gates.get(gate.target.name) is gate:
+            del self.gates[gate.target.name]
+            self.wiring.observer.end(gate.target)
--- a/packages/entry/dewstep_entry/gate/rows.py
+++ b/packages/entry/dewstep_entry/gate/rows.py
@@ -3,11 +3,12 @@
 Beyond the design's fields, a gate row holds two that successors need: `horizon_ms`,
 the time for which this gate will act without the table (a later configuration may
 name a shorter one, which a gate that is cut off does not know), and `released`,
-whether the previous gate handed over after it had stopped sending.
+whether the previous gate handed over after it had stopped sending. A third,
+`operator_address`, lets operators' commands find the gate's process.
 """
 
 import datetime
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from returns import result
@@ -25,6 +26,8 @@
     horizon: datetime.timedelta
     released: bool
     operation_id: str
+    operator_address: str = ""
+    """Empty if the process that wrote the row did not know it."""
 
 
 class QuarantineRecord(NamedTuple):
@@ -61,10 +64,23 @@
     return f"declared-dead/{target}"
 
 
+def decode_declarations(found: Iterable[data.Row]) -> dict[str, int]:
+    """Return the terms of gates declared dead, by target.
+
+    A declaration without a term speaks of no gate and is left out.
+    """
+    terms = {}
+    for row in found:
+        term = (row.value or {}).get("term")
+        if isinstance(term, int):
+            terms[row.key.removeprefix(name_declaration(""))] = term
+    return terms
+
+
 def encode_gate(record: GateRecord) -> Mapping:
     """Return the value of a gate row."""
     row = record.row
-    return {
+    value = {
         "entry": row.entry,
         "incarnation": row.incarnation,
         "host": row.host,
@@ -74,6 +90,9 @@
         "released": record.released,
         "operation_id": record.operation_id,
     }
+    if record.operator_address:
+        value["operator_address"] = record.operator_address
+    return value
 
 
 def decode_gate(
@@ -97,6 +116,7 @@
             datetime.timedelta(milliseconds=int(milliseconds)),
             value.get("released") is True,
             str(value.get("operation_id", "")),
+            str(value.get("operator_address", "")),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         return result.Failure(errors.RowInvalid(row.key, repr(error)))
--- a/packages/entry/dewstep_entry/gate/sending.py
+++ b/packages/entry/dewstep_entry/gate/sending.py
@@ -4,16 +4,16 @@
 import datetime
 from typing import Protocol
 
-from absl import logging
 from returns import result
 
-from dewstep_core import clock as clocks, data, errors
+from dewstep_core import clock as clocks, data, errors, events
 from dewstep_entry import interfaces
 from dewstep_entry.gate import (
     crashes,
     deduplication,
     exclusion,
     invariants,
+    observation,
     ownership,
     quarantine,
     renewal,
@@ -65,6 +65,7 @@
         checks: invariants.Invariants,
         loops: renewal.Renewal,
         owned: ownership.Ownership,
+        observer: observation.Observer,
     ):
         self.target = target
         self.grant = grant
@@ -76,6 +77,7 @@
         self.checks = checks
         self.loops = loops
         self.owned = owned
+        self.observer = observer
         self.exclusion = exclusion.Exclusion(clock)
 
     async def send(
@@ -176,10 +178,15 @@
         known = run.may_have_run
         run.sent = run.may_have_run = run.body_used = True
         run.crash_counted = False
+        started = self.clock.monotonic()
         try:
             outcome = await self.channel.exchange(run.request, stamp)
         finally:
             run.sent = False
+        held = self.clock.monotonic() - started
+        self.observer.record(
+            self.target, run.shard, run.request.key, run.single, outcome, held
+        )
         if isinstance(outcome, result.Success):
             run.sent = True
             self.note_reached(run, True)
@@ -215,7 +222,8 @@
 
     async def receive_failure(self, run: runs.Run, failure: interfaces.Failure) -> None:
         """Draw the conclusions from a failed exchange."""
-        self.note_reached(run, isinstance(failure, errors.TargetRefused))
+        reached = isinstance(failure, errors.TargetRefused | errors.AnswerInvalid)
+        self.note_reached(run, reached)
         if isinstance(failure, errors.TargetRefused) and failure.reason == FENCED:
             self.checks.counts["target-refused-fenced"] += 1
             if self.target.fenced:
@@ -245,10 +253,8 @@
         for other in struck:
             other.crash_counted = True
         self.loops.wake()
-        logging.warning(
-            "target_broke_connections target=%s requests=%d",
-            self.target.name,
-            len(struck),
+        events.warning(
+            "target_broke_connections", target=self.target.name, requests=len(struck)
         )
         writing = asyncio.ensure_future(
             self.recorder.receive_crash(
--- a/packages/entry/dewstep_entry/gate/takeover.py
+++ b/packages/entry/dewstep_entry/gate/takeover.py
@@ -5,10 +5,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from absl import logging
 from returns import result
 
-from dewstep_core import clock as clocks, data, errors, settings as setting
+from dewstep_core import clock as clocks, data, errors, events, settings as setting
 from dewstep_entry import interfaces
 from dewstep_entry.gate import rows, succession
 from dewstep_entry.state import view
@@ -106,12 +105,12 @@
         writing = written.unwrap()
         now = self.clock.monotonic()
         wait = succession.compute_wait(previous, now, self.settings)
-        logging.info(
-            "gate_taken target=%s term=%d reason=%s wait=%s",
-            target.name,
-            writing.record.row.term,
-            vacancy,
-            wait.reason,
+        events.info(
+            "gate_taken",
+            target=target.name,
+            term=writing.record.row.term,
+            reason=vacancy,
+            wait=wait.reason,
         )
         return result.Success(Won(writing.record, writing.sent, wait, previous is None))
 
@@ -130,7 +129,11 @@
         row = data.GateRow(
             target, gate.entry, gate.incarnation, gate.host, gate.port, term, version
         )
-        record = rows.GateRecord(row, horizon, released, operation_id)
+        operators = ""
+        if gate.operator_port:
+            address = setting.Address(gate.host, gate.operator_port)
+            operators = setting.format_address(address)
+        record = rows.GateRecord(row, horizon, released, operation_id, operators)
         key = rows.name_gate(target)
         transaction = data.Transaction(
             operation_id,
--- a/packages/entry/dewstep_entry/gate/timing.py
+++ b/packages/entry/dewstep_entry/gate/timing.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import datetime
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
-from dewstep_core import clock as clocks
+from dewstep_core import clock as clocks, events
+
+# Pause before a loop that failed is started again.
+RESTART_PAUSE = datetime.timedelta(milliseconds=100)
 
 
 async def wait_at_most(
@@ -35,3 +38,16 @@
     """Wait until `event` is set or `duration` has passed; return whether it is set."""
     done, _ = await wait_at_most(clock, event.wait(), duration)
     return done
+
+
+async def keep_running(clock: clocks.Clock, loop: Callable[[], Awaitable]) -> None:
+    """Run `loop` until it returns, and start it again when it raises.
+
+    A loop that ended unnoticed would leave its target without renewals for good.
+    """
+    while True:
+        try:
+            return await loop()
+        except Exception as error:
+            events.exception("loop_failed", error)
+            await clock.sleep(RESTART_PAUSE)
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -2,33 +2,36 @@
 
 import asyncio
 import datetime
+import functools
 import random
 import secrets
 from collections.abc import Coroutine
 from typing import Any
 
-from absl import logging
 from returns import result
 
 from dewstep_core import (
     clock as clocks,
     data,
     errors,
+    events,
     placement,
     settings as setting,
 )
 from dewstep_core.platform import instances, table as tables
-from dewstep_entry import dump, metrics, operators
+from dewstep_entry import metrics, operators, reporting
+from dewstep_entry.balancing import balancer, workload
 from dewstep_entry.caller import listener
 from dewstep_entry.gate import handover, manager, transfer, wiring
 from dewstep_entry.peers import link
-from dewstep_entry.pipeline import identify, routing
+from dewstep_entry.pipeline import identify, metering, routing
 from dewstep_entry.policy import admission, retries
 from dewstep_entry.state import (
     bootstrap,
     exchange,
     instance_reader,
     membership,
+    metered_table,
     table_reader,
     view,
 )
@@ -55,6 +58,7 @@
         self.clock = clock
         self.started = clock.monotonic()
         self.stopping = False
+        self.failed = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
         self.random = random.Random()
         self.own = data.Member(
@@ -68,13 +72,16 @@
         self.routes = identify.EMPTY
         self.budgets = retries.Retries(self.random)
         self.metrics = metrics.Metrics(settings.statsd_address, settings.entry)
-        self.table = tables.TableClient(
+        client = tables.TableClient(
             settings.table_addresses,
             settings.entry,
             settings.data_centre,
             clock,
             settings.table_timeout,
         )
+        self.table = metered_table.MeteredTable(
+            client, settings.entry, self.metrics.counts
+        )
         self.build_state()
         self.build_gates()
         self.build_ports()
@@ -94,6 +101,7 @@
 
     def build_gates(self) -> None:
         """Make the manager of the gates and the links to peers."""
+        self.observer = workload.Observer(self.clock)
         self.gates = manager.GateManager(
             self.own,
             self.holder,
@@ -106,6 +114,7 @@
                 GateBudget(self.budgets),
                 self.plan_evacuation,
                 self.send_handover,
+                self.observer,
             ),
         )
         self.network = link.PeerNetwork(
@@ -123,7 +132,9 @@
             self.members,
             self.network,
             self.clock,
-            dict,
+        )
+        self.balancer = balancer.Balancer(
+            self.own, self.holder, self.clock, self.gates, self.network, self.observer
         )
 
     def build_ports(self) -> None:
@@ -137,17 +148,19 @@
             self.budgets,
             self.reader.refresh,
         )
+        self.meter = metering.Meter(self.router, self.clock, self.metrics.counts)
         self.listener = listener.Listener(
             self.settings.caller_address,
             self.settings.caller_limits,
             self.identify,
             self.find_body_limit,
-            self.router,
+            self.meter,
             self.settings.entry,
+            note_refusal=self.meter.note_refusal,
         )
         cut = self.network.set_cut if self.settings.fault_injection else None
         self.operators = operators.OperatorPort(
-            self.holder, self.describe, self.move, cut
+            self.holder, functools.partial(reporting.describe, self), self.move, cut
         )
 
     # Life.
@@ -157,13 +170,17 @@
         await self.network.start()
         await self.operators.start(self.settings.operator_address)
         await self.listener.start()
-        self.spawn(self.exchange.run())
-        self.spawn(self.exchange.run_announcements())
-        self.spawn(self.run_table())
-        self.spawn(self.gates.run())
-        self.spawn(self.greet_seeds())
-        self.spawn(self.refresh_quarantine())
-        self.spawn(self.metrics.run(self.clock, self.read_gauges))
+        loops = [
+            self.exchange.run,
+            self.exchange.run_announcements,
+            self.reader.run,
+            self.create_assignments,
+            self.gates.run,
+            self.balancer.run,
+            self.greet_seeds,
+            self.refresh_quarantine,
+            self.report,
+        ]
         if self.instances is not None:
             reader = instance_reader.InstanceReader(
                 self.instances.read,
@@ -172,31 +189,44 @@
                 self.gates.set_leaving,
                 self.random,
             )
-            self.spawn(reader.run())
-        logging.info(
-            "event=started entry=%s incarnation=%s data_centre=%s",
-            self.own.entry,
-            self.own.incarnation,
-            self.own.data_centre,
+            loops.append(reader.run)
+        for loop in loops:
+            self.spawn(loop())
+        events.info(
+            "started",
+            entry=self.own.entry,
+            incarnation=self.own.incarnation,
+            data_centre=self.own.data_centre,
         )
 
     def spawn(self, work: Coroutine) -> None:
-        """Run a task until the process stops; its failure ends the process."""
+        """Run a task until it ends or the process stops; a failure asks for a stop."""
         task = asyncio.ensure_future(work)
         self.tasks.add(task)
         task.add_done_callback(self.receive_end)
 
     def receive_end(self, task: asyncio.Task) -> None:
-        """Log the failure of a task that should run for ever."""
+        """Ask for a stop if a task has failed: the process is no longer whole.
+
+        A process without heartbeats, for example, would still look alive to its
+        callers, while its peers could not tell when it freezes.
+        """
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            logging.error(
-                "event=task_failed task=%s", task.get_coro(), exc_info=task.exception()
-            )
+            self.failed.set()
+            name = task.get_coro().__qualname__
+            events.exception("task_failed", task.exception(), task=name)
+
+    async def report(self) -> None:
+        """Send metrics until cancelled."""
+        await self.metrics.run(
+            self.clock,
+            functools.partial(reporting.read_totals, self),
+            functools.partial(reporting.read_gauges, self),
+        )
 
-    async def run_table(self) -> None:
-        """Read the table until cancelled, and create missing assignments."""
-        self.spawn(self.reader.run())
+    async def create_assignments(self) -> None:
+        """Create the assignments of new services until cancelled."""
         sequence = -1
         while True:
             sequence = await self.holder.wait_change(sequence)
@@ -226,7 +256,7 @@
     async def stop(self) -> tuple[str, ...]:
         """Finish what runs and hand on the gates; return what had to be cut."""
         self.stopping = True
-        logging.info("event=stopping entry=%s", self.own.entry)
+        events.info("stopping", entry=self.own.entry)
         limit = self.settings.stop_limit.total_seconds()
         closing = asyncio.ensure_future(self.listener.stop())
         remaining = await self.gates.stop()
@@ -240,8 +270,8 @@
         await self.clock.sleep(LINGER)
         await self.close()
         for item in cut:
-            logging.error("event=stop_cut what=%s", item)
-        logging.info("event=stopped entry=%s cut=%d", self.own.entry, len(cut))
+            events.error("stop_cut", what=item)
+        events.info("stopped", entry=self.own.entry, cut=len(cut))
         return tuple(cut)
 
     async def close(self) -> None:
@@ -264,7 +294,9 @@
 
     def make_admission(self, target: data.Target) -> admission.Admission:
         """Return the queue of a target."""
-        return admission.Admission(target.name, target.slots, self.random)
+        queue = admission.Admission(target.name, target.slots, self.random)
+        self.observer.admissions[target.name] = queue
+        return queue
 
     def plan_evacuation(
         self, assignment: data.Assignment, lost: str, candidates
@@ -281,12 +313,9 @@
     async def send_handover(self, entry: str, message: handover.Handover) -> None:
         """Send a hand-over to the successor."""
         state = self.holder.current.members.get(entry)
-        if state is None:
-            logging.warning("event=handover_unsent entry=%s", entry)
-            return
         value = transfer.encode_handover(message, self.clock.monotonic())
-        if not self.network.send(state.member, value):
-            logging.warning("event=handover_unsent entry=%s", entry)
+        if state is None or not self.network.send(state.member, value):
+            events.warning("handover_unsent", entry=entry)
 
     def note_change(self, member: data.Member, change: link.Change) -> None:
         """Note what happened to a peer's connection."""
@@ -300,16 +329,14 @@
     async def receive(self, sender: data.Member, message: Any) -> None:
         """Take a message of a peer; hand-overs go to the gates."""
         decoded = transfer.decode_handover(message, self.clock.monotonic())
+        if decoded is None and self.balancer.receive(sender, message):
+            return
         if decoded is None:
             await self.exchange.receive(sender, message)
         elif isinstance(decoded, result.Success):
-            self.spawn_once(self.gates.receive_handover(decoded.unwrap()))
+            self.spawn(self.gates.receive_handover(decoded.unwrap()))
         else:
-            logging.error("event=handover_refused failure=%r", decoded.failure())
-
-    def spawn_once(self, work: Coroutine) -> None:
-        """Run a task that ends by itself."""
-        self.spawn(work)
+            events.error("handover_unreadable", failure=decoded.failure())
 
     def identify(
         self,
@@ -351,41 +378,6 @@
             return result.Failure(errors.NotTheGate(owner, self.gates.get_term(owner)))
         return next(iter(outcomes.values()))
 
-    def describe(self) -> dump.Dump:
-        """Return the state dump."""
-        now = self.clock.monotonic()
-        gates = {
-            name: gate.describe() for name, gate in sorted(self.gates.gates.items())
-        }
-        sending = {name: gate["may_send"] for name, gate in gates.items()}
-        failure = self.reader.last_failure
-        return dump.Dump(
-            version=dump.VERSION,
-            ready=dump.is_ready(self.holder.current, self.own.entry, sending),
-            stopping=self.stopping,
-            uptime_s=(now - self.started).total_seconds(),
-            table_failure="" if failure is None else repr(failure),
-            callers=len(self.listener.connections),
-            in_progress=self.router.in_progress,
-            waiting=self.router.waiting,
-            tries_again=self.router.tries_again,
-            gates=gates,
-            counts=dict(self.metrics.totals + self.gates.checks.counts),
-            broken_invariants=self.gates.checks.list_broken(),
-            **dump.describe_view(self.holder.current, self.own, now),
-        )
-
-    def read_gauges(self) -> dict[str, float]:
-        """Return the gauges for statsd."""
-        alive = sum(state.alive for state in self.holder.current.members.values())
-        return {
-            "callers": len(self.listener.connections),
-            "requests.in_progress": self.router.in_progress,
-            "requests.waiting": self.router.waiting,
-            "gates": len(self.gates.gates),
-            "members.alive": alive,
-        }
-
 
 class GateBudget:
     """The retry budget of the gates, in the form that they use."""
--- a/packages/entry/dewstep_entry/state/exchange.py
+++ b/packages/entry/dewstep_entry/state/exchange.py
@@ -11,10 +11,9 @@
 import random
 from collections.abc import Mapping
 
-from absl import logging
 from returns import result
 
-from dewstep_core import clock as clocks, data, records
+from dewstep_core import clock as clocks, data, events, records
 from dewstep_core.settings import PeerSettings
 from dewstep_entry.gate import rows
 from dewstep_entry.peers import messages
@@ -23,6 +22,14 @@
 CONFIGURATION = "configuration"
 ASSIGNMENT = "assignment"
 GATES = "gates"
+HEARTBEAT = "heartbeat"
+PAUSE_FACTOR = 2
+"""Intervals between two heartbeats after which this process counts as paused."""
+PROBE_EVERY = 3
+"""Heartbeats after which silent data centres are asked again."""
+FULL_EVERY = 8
+"""Heartbeats of which one is full: it also goes to other data centres and names
+members, so that the others stay below 100 bytes."""
 
 
 def encode_gates(gates: Mapping[str, data.GateRow]) -> bytes:
@@ -65,20 +72,17 @@
     network : dewstep_entry.peers.link.PeerNetwork
         Sends messages.
     clock : clocks.Clock
-    report_loads : callable
-        Returns the load of each target whose gate this process is.
     """
 
-    def __init__(self, own, settings, holder, members, network, clock, report_loads):
+    def __init__(self, own, settings, holder, members, network, clock):
         self.own: data.Member = own
         self.settings: PeerSettings = settings
         self.holder: view.ViewHolder = holder
         self.members: membership.Membership = members
         self.network = network
         self.clock: clocks.Clock = clock
-        self.report_loads = report_loads
         self.random = random.Random()
-        self.loads: dict[str, float] = {}
+        self.beats = 0
         self.fetching: dict[tuple[str, str], int] = {}
 
     # Sending.
@@ -86,17 +90,47 @@
     async def run(self) -> None:
         """Send heartbeats and look for silent members until cancelled."""
         self.publish_members()
+        last = self.clock.monotonic()
         while True:
             now = self.clock.monotonic()
+            if now - last > PAUSE_FACTOR * self.settings.heartbeat_interval:
+                events.warning("paused", duration=now - last)
+                self.members.excuse(now)
+            last = now
             self.learn_gates(now)
-            for suspicion in self.members.expire(now):
-                logging.warning(
-                    "event=member_suspected entry=%s reason=silent", suspicion.entry
+            silent = self.members.expire(now)
+            for suspicion in silent:
+                events.warning(
+                    "member_suspected", entry=suspicion.entry, reason="silent"
                 )
+            for centre in self.members.expire_centres(now):
+                events.warning("data_centre_silent", data_centre=centre)
+            for entry in self.members.forget_lost(now):
+                self.holder.remove_member(entry)
             self.publish_members()
-            self.send_heartbeats()
+            self.beats += 1
+            self.send_heartbeats(full=self.beats % FULL_EVERY == 0)
+            for member in self.members.select_silent(now):
+                self.network.send(member, messages.Fetch(HEARTBEAT, ""))
+            if silent:
+                self.tell_near(self.build_heartbeat(full=False))
+            if self.beats % PROBE_EVERY == 0:
+                self.probe(now)
             await self.clock.sleep(self.settings.heartbeat_interval)
 
+    def tell_near(self, message) -> None:
+        """Send to all live processes of the data centre, for rare news."""
+        for member in self.members.list_near():
+            self.network.send(member, message)
+
+    def probe(self, now: datetime.timedelta) -> None:
+        """Ask suspects and silent data centres for a sign of life."""
+        for member in (
+            *self.members.select_probes(now),
+            *self.members.select_suspects(now),
+        ):
+            self.network.send(member, messages.Fetch(HEARTBEAT, ""))
+
     def learn_gates(self, now: datetime.timedelta) -> None:
         """Learn the processes that gate rows name.
 
@@ -142,8 +176,8 @@
         versions = {name: item.version for name, item in current.assignments.items()}
         return (configuration.revision if configuration else 0), versions
 
-    def build_heartbeat(self) -> messages.Heartbeat:
-        """Return the heartbeat to send now."""
+    def build_heartbeat(self, full: bool = True) -> messages.Heartbeat:
+        """Return the heartbeat to send now; only a full one names members."""
         revision, versions = self.describe_versions()
         contact = self.holder.current.table_contact
         now = self.clock.monotonic()
@@ -153,18 +187,18 @@
             revision=revision,
             versions=versions,
             table_contact_age=None if contact is None else now - contact,
-            members=self.members.select_shared_members(),
+            members=self.members.select_shared_members() if full else (),
             suspicions=self.members.select_suspicions(now),
-            loads=self.report_loads(),
+            loads={},
         )
 
-    def send_heartbeats(self) -> None:
+    def send_heartbeats(self, full: bool = True) -> None:
         """Send one heartbeat to each recipient."""
-        self.push(self.build_heartbeat())
+        self.push(self.build_heartbeat(full), full)
 
-    def push(self, message) -> None:
+    def push(self, message, full: bool = True) -> None:
         """Send `message` to the recipients of heartbeats."""
-        for member in self.members.select_recipients():
+        for member in self.members.select_recipients(full):
             self.network.send(member, message)
 
     # Receiving.
@@ -173,7 +207,7 @@
         """Process one message from a peer."""
         now = self.clock.monotonic()
         if self.members.hear(sender, now):
-            logging.info("event=member_heard entry=%s", sender.entry)
+            events.info("member_heard", entry=sender.entry)
             self.publish_members()
         if isinstance(message, messages.Heartbeat):
             self.receive_heartbeat(sender, message)
@@ -187,13 +221,11 @@
     ) -> None:
         """Learn members, suspicions, loads and versions from a heartbeat."""
         now = self.clock.monotonic()
-        self.members.note_heartbeat(sender.entry)
         changed = [self.members.learn(member, now) for member in heartbeat.members]
         for suspicion in heartbeat.suspicions:
             changed.append(self.members.suspect(suspicion, now))
         if any(changed):
             self.publish_members()
-        self.loads.update(heartbeat.loads)
         self.fetch_newer(sender, heartbeat)
 
     def fetch_newer(self, sender: data.Member, heartbeat: messages.Heartbeat) -> None:
@@ -220,7 +252,9 @@
         """Send what a peer asked for, if it is known here."""
         current = self.holder.current
         answer = None
-        if question.what == CONFIGURATION and current.configuration is not None:
+        if question.what == HEARTBEAT:
+            answer = self.build_heartbeat(full=False)
+        elif question.what == CONFIGURATION and current.configuration is not None:
             configuration = current.configuration
             value = records.encode_configuration(configuration)
             payload = json.dumps(value).encode()
@@ -250,25 +284,22 @@
                 for gate in decode_gates(value.payload):
                     self.holder.offer_gate(gate)
         except (ValueError, TypeError, result.UnwrapFailedError) as error:
-            logging.error(
-                "event=peer_value_refused what=%s name=%s error=%r",
-                value.what,
-                value.name,
-                error,
+            events.error(
+                "peer_value_refused", what=value.what, name=value.name, failure=error
             )
 
     def take_configuration(self, value: messages.Value) -> None:
         """Take over a configuration; one that is not valid is refused whole."""
         decoded = records.decode_configuration(json.loads(value.payload))
         if isinstance(decoded, result.Failure):
-            logging.error("event=configuration_refused failure=%r", decoded.failure())
+            events.error("configuration_refused", failure=decoded.failure())
             return
         self.holder.offer_configuration(decoded.unwrap())
 
     def note_refused(self, entry: str) -> None:
         """Note that a peer's connection was refused or reset."""
         if self.members.refuse(entry, self.clock.monotonic()):
-            logging.warning("event=member_suspected entry=%s reason=refused", entry)
+            events.warning("member_suspected", entry=entry, reason="refused")
             self.publish_members()
             self.send_heartbeats()
 
@@ -284,3 +315,6 @@
             if known is None or (known.member, known.alive) != (peer.member, alive):
                 state = view.MemberState(peer.member, peer.last_heard, alive)
                 self.holder.set_member(state)
+                if not alive:
+                    # Requests at a frozen process would wait for their deadlines.
+                    self.network.disconnect(peer.member)
--- a/packages/entry/dewstep_entry/state/membership.py
+++ b/packages/entry/dewstep_entry/state/membership.py
@@ -11,22 +11,30 @@
 
 import datetime
 import random
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from dewstep_core import data
 from dewstep_core.settings import PeerSettings
 
-MONITORS = 4
-"""Successors in the ring that watch a process. Four, so that the loss of one data
-centre rack with two of them still leaves two."""
+MONITORS = 2
+"""Successors in the ring that watch a process."""
 OTHER_DATA_CENTRES = 2
-"""Random members of other data centres that get each heartbeat."""
+"""Random members of other data centres that get each full heartbeat."""
+PROBE_AFTER = datetime.timedelta(milliseconds=900)
+"""Time without a message from a data centre after which its processes are asked."""
+CENTRE_SILENCE = datetime.timedelta(seconds=2)
+"""Time without a message from any process of a data centre after which it counts as
+cut off or lost. Three questions have then remained unanswered."""
 INTRODUCTION = datetime.timedelta(seconds=1)
 """Time that a member known by name only has to answer a first heartbeat."""
 SHARED_MEMBERS = 8
 """Members named in one heartbeat, so that its size does not grow with the fleet."""
 SHARED_SUSPICIONS = 8
+RECHECK = datetime.timedelta(seconds=30)
+"""How long a suspect is asked again. Most suspicions of a process in another data
+centre come from others, and only its own answer can refute them."""
+FORGET = datetime.timedelta(minutes=10)
+"""Time after which a suspect counts as gone for good."""
 SUSPICION_SPREAD = datetime.timedelta(seconds=1)
 """How long a new suspicion is named in heartbeats."""
 
@@ -38,10 +46,12 @@
     last_heard: datetime.timedelta
     suspected: datetime.timedelta | None
     """Since when it has been suspect, or None."""
-    watched: bool
-    """Whether it sends heartbeats to this process at every interval."""
     heard: bool
     """Whether it has ever sent anything to this process."""
+    by_centre: bool = False
+    """Whether it is suspect only because its whole data centre is silent."""
+    observed: bool = False
+    """Whether this process itself missed it or was refused by it."""
 
 
 class Membership:
@@ -63,6 +73,7 @@
         self.settings = settings
         self.random = generator
         self.peers: dict[str, Peer] = {}
+        self.centres: dict[str, datetime.timedelta] = {}
 
     def learn(self, member: data.Member, now: datetime.timedelta) -> bool:
         """Add a member heard of from others; return whether it is new."""
@@ -71,7 +82,7 @@
         known = self.peers.get(member.entry)
         if known is not None:
             return False
-        self.peers[member.entry] = Peer(member, now, None, False, False)
+        self.peers[member.entry] = Peer(member, now, None, False)
         return True
 
     def hear(self, member: data.Member, now: datetime.timedelta) -> bool:
@@ -83,10 +94,24 @@
             return False
         known = self.peers.get(member.entry)
         changed = known is None or known.member != member or known.suspected is not None
-        watched = known is not None and known.watched
-        self.peers[member.entry] = Peer(member, now, None, watched, True)
+        changed = self.hear_centre(member.data_centre, now) or changed
+        self.peers[member.entry] = Peer(member, now, None, True)
         return changed
 
+    def hear_centre(self, data_centre: str, now: datetime.timedelta) -> bool:
+        """Note a message from a data centre; return whether it had been silent."""
+        self.centres[data_centre] = now
+        returned = [
+            entry
+            for entry, peer in self.peers.items()
+            if peer.by_centre and peer.member.data_centre == data_centre
+        ]
+        for entry in returned:
+            self.peers[entry] = self.peers[entry]._replace(
+                suspected=None, last_heard=now, by_centre=False
+            )
+        return bool(returned)
+
     def suspect(self, suspicion: data.Suspicion, now: datetime.timedelta) -> bool:
         """Note that a process is suspect; return whether that is news.
 
@@ -98,7 +123,7 @@
             return False
         if known.suspected is not None:
             return False
-        if now - known.last_heard < self.settings.suspect_after and known.watched:
+        if now - known.last_heard < self.settings.suspect_after:
             return False
         self.peers[suspicion.entry] = known._replace(suspected=now)
         return True
@@ -108,41 +133,119 @@
         known = self.peers.get(entry)
         if known is None or known.suspected is not None:
             return False
-        self.peers[entry] = known._replace(suspected=now)
+        self.peers[entry] = known._replace(suspected=now, observed=True)
         return True
 
-    def note_heartbeat(self, entry: str) -> None:
-        """Note that `entry` chose this process as a monitor."""
-        known = self.peers.get(entry)
-        if known is not None and not known.watched:
-            self.peers[entry] = known._replace(watched=True)
+    def list_ring(self) -> list[str]:
+        """Return the live processes of the own data centre, this one included."""
+        return sorted([self.own.entry, *(item.entry for item in self.list_near())])
+
+    def find_monitored(self) -> set[str]:
+        """Return the members of which this process is a monitor.
+
+        Sender and receiver work this out for themselves from who they know, so that
+        a member need not have sent a heartbeat before it is missed.
+        """
+        ring = self.list_ring()
+        place = ring.index(self.own.entry)
+        before = ring[:place][::-1] + ring[place + 1 :][::-1]
+        return set(before[:MONITORS])
 
     def expire(self, now: datetime.timedelta) -> list[data.Suspicion]:
         """Return the members that have just become suspect.
 
-        These are the watched ones that are silent, and those that this process knows
-        by name only and that have not answered within `INTRODUCTION`.
+        These are the monitored ones that are silent, and those that this process
+        knows by name only and that have not answered within `INTRODUCTION`.
         """
         found = []
+        monitored = self.find_monitored()
         for entry, peer in self.peers.items():
             limit = self.settings.suspect_after if peer.heard else INTRODUCTION
             silent = now - peer.last_heard >= limit
-            expected = peer.watched or not peer.heard
+            expected = entry in monitored or not peer.heard
             if expected and silent and peer.suspected is None:
-                self.peers[entry] = peer._replace(suspected=now)
+                self.peers[entry] = peer._replace(suspected=now, observed=True)
                 found.append(data.Suspicion(entry, peer.member.incarnation))
         return found
 
-    def select_recipients(self) -> list[data.Member]:
-        """Return the members that get the next heartbeat."""
-        near = sorted(
+    def excuse(self, now: datetime.timedelta) -> None:
+        """Forget all silence: this process itself was paused and heard nobody."""
+        self.centres = dict.fromkeys(self.centres, now)
+        for entry, peer in self.peers.items():
+            self.peers[entry] = peer._replace(last_heard=now)
+
+    def list_near(self) -> list[data.Member]:
+        """Return the live members of the own data centre."""
+        return [
             peer.member
             for peer in self.peers.values()
-            if peer.member.data_centre == self.own.data_centre
-        )
+            if peer.suspected is None
+            and peer.member.data_centre == self.own.data_centre
+        ]
+
+    def select_silent(self, now: datetime.timedelta) -> list[data.Member]:
+        """Return the monitored members that have been silent for a while.
+
+        They are asked before they become suspect, since processes may differ for a
+        moment about who monitors whom.
+        """
+        return [
+            peer.member
+            for entry in sorted(self.find_monitored())
+            if (peer := self.peers.get(entry)) is not None
+            and now - peer.last_heard >= self.settings.suspect_after / 2
+        ]
+
+    def select_suspects(self, now: datetime.timedelta) -> list[data.Member]:
+        """Return the newest suspects, which are asked whether they live."""
+        suspects = [
+            peer
+            for peer in self.peers.values()
+            if peer.suspected is not None and now - peer.suspected < RECHECK
+        ]
+        suspects.sort(key=lambda peer: peer.suspected, reverse=True)
+        return [peer.member for peer in suspects[:SHARED_SUSPICIONS]]
+
+    def select_probes(self, now: datetime.timedelta) -> list[data.Member]:
+        """Return a live member of each data centre that has not been heard lately."""
+        probes = []
+        for centre, heard in self.centres.items():
+            if centre == self.own.data_centre or now - heard < PROBE_AFTER:
+                continue
+            alive = [
+                peer.member
+                for peer in self.peers.values()
+                if peer.suspected is None and peer.member.data_centre == centre
+            ]
+            if alive:
+                probes.append(self.random.choice(alive))
+        return probes
+
+    def expire_centres(self, now: datetime.timedelta) -> list[str]:
+        """Suspect all processes of data centres that have just become silent."""
+        silent = {
+            centre
+            for centre, heard in self.centres.items()
+            if centre != self.own.data_centre and now - heard >= CENTRE_SILENCE
+        }
+        for entry, peer in self.peers.items():
+            if peer.member.data_centre in silent and peer.suspected is None:
+                self.peers[entry] = peer._replace(suspected=now, by_centre=True)
+        for centre in silent:
+            del self.centres[centre]
+        return sorted(silent)
+
+    def select_recipients(self, full: bool) -> list[data.Member]:
+        """Return the members that get the next heartbeat.
+
+        Only full heartbeats go to other data centres as well.
+        """
+        near = sorted(self.list_near())
         after = [member for member in near if member.entry > self.own.entry]
         before = [member for member in near if member.entry < self.own.entry]
         monitors = (after + before)[:MONITORS]
+        if not full:
+            return monitors
         far = [
             peer.member
             for peer in self.peers.values()
@@ -156,11 +259,17 @@
         return tuple(self.random.sample(alive, min(SHARED_MEMBERS, len(alive))))
 
     def select_suspicions(self, now: datetime.timedelta) -> tuple[data.Suspicion, ...]:
-        """Return the newest suspicions, to name in a heartbeat."""
+        """Return the newest suspicions of this process, to name in a heartbeat.
+
+        Those that it only heard of are not passed on: a rumour that each receiver
+        renews would never end.
+        """
         recent = [
             peer
             for peer in self.peers.values()
-            if peer.suspected is not None and now - peer.suspected < SUSPICION_SPREAD
+            if peer.suspected is not None
+            and peer.observed
+            and now - peer.suspected < SUSPICION_SPREAD
         ]
         recent.sort(key=lambda peer: peer.suspected, reverse=True)
         return tuple(
@@ -175,7 +284,16 @@
             for peer in self.peers.values()
         )
 
-    def forget(self, entries: Iterable[str]) -> None:
-        """Remove members that have left for good."""
-        for entry in entries:
-            self.peers.pop(entry, None)
+    def forget_lost(self, now: datetime.timedelta) -> list[str]:
+        """Remove the members that have been suspect for long; return their names.
+
+        With hundreds of replacements a day the list would otherwise only grow.
+        """
+        lost = [
+            entry
+            for entry, peer in self.peers.items()
+            if peer.suspected is not None and now - peer.suspected >= FORGET
+        ]
+        for entry in lost:
+            del self.peers[entry]
+        return lost
--- a/packages/entry/dewstep_entry/state/table_reader.py
+++ b/packages/entry/dewstep_entry/state/table_reader.py
@@ -12,10 +12,9 @@
 import random
 from collections.abc import Callable
 
-from absl import logging
 from returns import result
 
-from dewstep_core import clock as clocks, records
+from dewstep_core import clock as clocks, events, records
 from dewstep_entry import interfaces
 from dewstep_entry.gate import rows
 from dewstep_entry.state import view
@@ -95,10 +94,11 @@
         configuration = await self.table.read(CONFIGURATION_KEY)
         gates = await self.table.read_prefix("gate/")
         assignments = await self.table.read_prefix("assignment/")
-        for answer in (configuration, gates, assignments):
+        declarations = await self.table.read_prefix(rows.name_declaration(""))
+        for answer in (configuration, gates, assignments, declarations):
             if isinstance(answer, result.Failure):
                 self.last_failure = answer.failure()
-                logging.warning("event=table_read_failed failure=%r", answer.failure())
+                events.warning("table_read_failed", failure=answer.failure())
                 return False
         row = configuration.unwrap()
         if row.value is not None:
@@ -107,6 +107,7 @@
             self.offer(rows.decode_gate(row, view.DEFAULT_HORIZON), self.offer_gate)
         for row in assignments.unwrap():
             self.offer(rows.decode_assignment(row), self.holder.offer_assignment)
+        self.holder.set_declared(rows.decode_declarations(declarations.unwrap()))
         self.holder.set_table_contact(started)
         self.last_failure = None
         return True
@@ -127,6 +128,6 @@
         """Pass a decoded row on, or log why it is refused."""
         if isinstance(decoded, result.Failure):
             self.last_failure = decoded.failure()
-            logging.error("event=row_refused failure=%r", decoded.failure())
+            events.error("row_refused", failure=decoded.failure())
             return
         accept(decoded.unwrap())
