Count a crash only if the target has certainly ended

Ruled out: not counting at all where a target lives behind the same address; a crashed one refuses connections or shows another boot id, and both are asked for at once.

--- a/packages/entry/dewstep_entry/gate/gate_test.py
+++ b/packages/entry/dewstep_entry/gate/gate_test.py
@@ -272,6 +272,25 @@
     run(scenario)
 
 
+def test_a_broken_connection_is_no_crash_if_the_target_lives_on():
+    # A partition or a reset would otherwise have innocent requests refused.
+    async def scenario():
+        world = await World().start()
+
+        async def exchange(request, stamp):
+            return result.Failure(errors.ConnectionLost("t1"))
+
+        world.channel.exchange = exchange
+        world.budget.retries = 0
+        for number in range(4):
+            outcome = await world.ask(f"r{number}", path="/reset")
+            assert isinstance(outcome.failure(), errors.ConnectionLost)
+        assert not world.gate.recorder.suspects
+        await world.gate.stop()
+
+    run(scenario)
+
+
 def test_a_crashing_request_is_quarantined_and_an_innocent_one_is_served():
     async def scenario():
         world = await World().start()
@@ -281,6 +300,8 @@
             world.server.runs.append((request.path, stamp.term))
             if request.path == "/bad" or not crash.is_set():
                 await crash.wait()
+                if (request.path, stamp.boot) == ("/bad", world.server.boot):
+                    world.server.restart()
                 return result.Failure(errors.ConnectionLost("t1"))
             answer = data.Answer(200, (), None, data.Body(b"", None), "")
             return result.Success(answer)
--- a/packages/entry/dewstep_entry/gate/renewal.py
+++ b/packages/entry/dewstep_entry/gate/renewal.py
@@ -27,6 +27,12 @@
 CONNECTION_REFUSED = "refused"
 
 
+def is_connection_refused(failure: interfaces.Failure) -> bool:
+    """Return whether nothing listens at the target's address."""
+    unavailable = isinstance(failure, errors.TargetUnavailable)
+    return unavailable and CONNECTION_REFUSED in failure.reason
+
+
 class Renewal:
     """Renews the grant of one fenced target and reads its gate row.
 
@@ -129,10 +135,7 @@
     ) -> None:
         """Take over the reading in an answer, or note why there is none."""
         if isinstance(outcome, result.Failure):
-            failure = outcome.failure()
-            if isinstance(failure, errors.TargetUnavailable) and (
-                CONNECTION_REFUSED in failure.reason
-            ):
+            if is_connection_refused(outcome.failure()):
                 self.grant.receive_connection_refused()
             return
         reading = outcome.unwrap()
--- a/packages/entry/dewstep_entry/gate/sending.py
+++ b/packages/entry/dewstep_entry/gate/sending.py
@@ -27,6 +27,11 @@
 ATTEMPT_LIMIT = 3
 FIRST_PAUSE = datetime.timedelta(milliseconds=10)
 
+# A crashed target closes its ports one after the other, so that the first question
+# may still be accepted and remain unanswered.
+CRASH_CHECKS = 3
+CRASH_CHECK_LIMIT = datetime.timedelta(milliseconds=100)
+
 # Longest wait for the rows of a crash before its requests are answered. A resend
 # then meets another gate that can know of the crash.
 CRASH_WRITE_LIMIT = datetime.timedelta(milliseconds=500)
@@ -194,7 +199,7 @@
         failure = outcome.failure()
         if is_certainly_not_run(failure):
             run.may_have_run = known
-        await self.receive_failure(run, failure)
+        await self.receive_failure(run, failure, stamp)
         return outcome
 
     def explain_refusal(self, run: runs.Run) -> interfaces.Failure | None:
@@ -220,7 +225,9 @@
             term=tenure.term,
         )
 
-    async def receive_failure(self, run: runs.Run, failure: interfaces.Failure) -> None:
+    async def receive_failure(
+        self, run: runs.Run, failure: interfaces.Failure, stamp: data.Stamp
+    ) -> None:
         """Draw the conclusions from a failed exchange."""
         reached = isinstance(failure, errors.TargetRefused | errors.AnswerInvalid)
         self.note_reached(run, reached)
@@ -232,7 +239,7 @@
         elif isinstance(failure, errors.TargetUnavailable):
             self.loops.wake()
         elif isinstance(failure, errors.ConnectionLost):
-            await self.receive_crash(run)
+            await self.receive_broken(run, stamp)
 
     def note_reached(self, run: runs.Run, reached: bool) -> None:
         """Tell the state of an unfenced target whether it was reached."""
@@ -241,8 +248,8 @@
                 reached, run.request.deadline, self.clock.monotonic()
             )
 
-    async def receive_crash(self, run: runs.Run) -> None:
-        """Count a broken connection against all requests at the target.
+    async def receive_broken(self, run: runs.Run, stamp: data.Stamp) -> None:
+        """Count a broken connection against all requests at the target, if it crashed.
 
         The first broken connection counts for all of them; the others follow from
         the same crash and are not counted again.
@@ -253,18 +260,38 @@
         for other in struck:
             other.crash_counted = True
         self.loops.wake()
+        if not await self.has_ended(stamp.boot):
+            return
         events.warning(
             "target_broke_connections", target=self.target.name, requests=len(struck)
         )
         writing = asyncio.ensure_future(
             self.recorder.receive_crash(
-                [other.fingerprint for other in struck], alone=len(struck) == 1
+                list(dict.fromkeys(other.fingerprint for other in struck)),
+                alone=len(struck) == 1,
             )
         )
         await timing.wait_at_most(
             self.clock, asyncio.shield(writing), CRASH_WRITE_LIMIT
         )
 
+    async def has_ended(self, boot: str) -> bool:
+        """Return whether the run `boot` of the target has certainly ended.
+
+        A connection also breaks in a partition, or if something between resets it.
+        Only a target that refuses connections or shows another boot id has crashed.
+        """
+        for _ in range(CRASH_CHECKS):
+            _, answer = await timing.wait_at_most(
+                self.clock, self.channel.read_clock(), CRASH_CHECK_LIMIT
+            )
+            if isinstance(answer, result.Success):
+                return bool(boot) and answer.unwrap().boot != boot
+            if answer is not None and renewal.is_connection_refused(answer.failure()):
+                return True
+            await self.clock.sleep(CRASH_CHECK_LIMIT / 4)
+        return False
+
     async def receive_success(self, run: runs.Run) -> None:
         """Clear a suspect whose answer was complete."""
         if self.recorder.suspects and run.fingerprint in self.recorder.suspects.entries:
