--- a/packages/emulator/dewstep_emulator/losses.py
+++ b/packages/emulator/dewstep_emulator/losses.py
@@ -75,13 +75,21 @@
     entry.process.resume()
 
 
+def build_stage(fleet: fleets.Fleet, seed: int) -> staging.Stage:
+    """Return a stage without callers, whose load would only blur the times."""
+    generator = random.Random(seed)
+    return staging.Stage(
+        fleet, generator, lambda text: None, None, None, 0.0, {}, [], [], [], {}
+    )
+
+
 async def run_trials(
     kind: str, trials: int, seed: int, folder: pathlib.Path
 ) -> list[float]:
     """Return the unserved times in seconds."""
     options = fleets.FleetOptions(entries=9, seed=seed)
     fleet = fleets.Fleet(deployments.plan_tsagaan(0.2), options, folder)
-    stage = staging.Stage(fleet, random.Random(seed), lambda text: None, {}, [])
+    stage = build_stage(fleet, seed)
     try:
         await fleet.start()
         for number in range(trials):
--- a/packages/entry/dewstep_entry/state/table_reader.py
+++ b/packages/entry/dewstep_entry/state/table_reader.py
@@ -91,6 +91,7 @@
         """Read everything once; return whether all reads succeeded."""
         started = self.clock.monotonic()
         self.reads += 1
+        self.last_failure = None
         configuration = await self.table.read(CONFIGURATION_KEY)
         gates = await self.table.read_prefix("gate/")
         assignments = await self.table.read_prefix("assignment/")
@@ -109,7 +110,6 @@
             self.offer(rows.decode_assignment(row), self.holder.offer_assignment)
         self.holder.set_declared(rows.decode_declarations(declarations.unwrap()))
         self.holder.set_table_contact(started)
-        self.last_failure = None
         return True
 
     def offer_gate(self, record: rows.GateRecord) -> bool:
