Judge restoration only by targets with enough requests

Cause: restored_s named a service with 6 requests/s, where it showed the wait for the next request (2 to 6 s in all scenarios, also without a fault). Ruled out: probes at a fixed interval, which scenarios.py already has.

--- a/packages/emulator/dewstep_emulator/bench/measures.py
+++ b/packages/emulator/dewstep_emulator/bench/measures.py
@@ -14,6 +14,8 @@
 
 LARGEST = 60_000_000
 """Microseconds; the largest latency that a histogram holds."""
+LEAST_REQUESTS = 20
+"""Requests to a target's keys from which its restoration is judged."""
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
 
@@ -146,6 +148,7 @@
     since : float
         Time of the fault, from which `restored_s` counts: until the first answer to a
         request that was scheduled later, for the target where that took longest.
+        Targets with few requests are left out: the wait for the next one would count.
     """
     spells = []
     restored = {}
@@ -159,6 +162,8 @@
                 begin = None
         if begin is not None:
             spells.append(max(record.scheduled for record in line) - begin)
+        if sum(record.scheduled >= since for record in line) < LEAST_REQUESTS:
+            continue
         answers = [record.finished for record in select_answered(line, since)]
         restored[name] = min(answers) - since if answers else None
     last = max(restored, key=lambda name: restored[name] or LARGEST, default="")
--- a/packages/emulator/dewstep_emulator/bench/measures_test.py
+++ b/packages/emulator/dewstep_emulator/bench/measures_test.py
@@ -34,7 +34,8 @@
     assert measures.compute_churn(["a"], ["a"], ["k"], 0) == (0.0, 0.0, None)
 
 
-def test_unavailable_time_ends_with_the_next_answered_request():
+def test_unavailable_time_ends_with_the_next_answered_request(monkeypatch):
+    monkeypatch.setattr(measures, "LEAST_REQUESTS", 1)
     line = [record(0), record(1, wires.BROKEN), record(2, wires.NOT_RUN), record(4)]
     found = measures.compute_unavailable({"t1": line, "t2": [record(3)]}, 0.5)
     assert found["longest_s"] == 3 and found["spells"] == 1
@@ -42,13 +43,19 @@
     assert found["restored_s"] == pytest.approx(3.6)
 
 
-def test_unavailable_time_without_a_later_answer_lasts_to_the_end():
+def test_unavailable_time_without_a_later_answer_lasts_to_the_end(monkeypatch):
+    monkeypatch.setattr(measures, "LEAST_REQUESTS", 1)
     # A target that never returns must not look as good as one that always answered.
     line = [record(0), record(1, wires.BROKEN), record(5, wires.BROKEN)]
     found = measures.compute_unavailable({"t1": line, "t2": [record(3)]}, 0.5)
     assert found["longest_s"] == 4 and found["restored_s"] is None
 
 
+def test_restoration_is_not_judged_by_targets_with_few_requests():
+    found = measures.compute_unavailable({"t1": [record(9)]}, 0.0)
+    assert found["restored_s"] is None and found["restored_last"] == ""
+
+
 def test_answered_requests_are_weighted_by_kind():
     records = [record(0), record(1, wires.UNKNOWN, kind=1)]
     found = measures.compute_answered(records, [1.0, 9.0])
