--- a/tests/regression_test.py
+++ b/tests/regression_test.py
@@ -4,8 +4,8 @@
 same conditions. Other work on the machine disturbs single rounds, so the bound of the
 processor time is broken if three of four rounds are beyond it, and latencies are
 compared by the medians of the quieter windows. A saturated machine gives no verdict:
-the tests of ratios are skipped, with the figure that shows it. The 99th percentile needs a longer run
-on a quiet machine: `python -m dewstep_emulator.bench run overhead`.
+the tests of ratios are skipped, with the figure that shows it. The 99th percentile
+needs a longer run on a quiet machine: `python -m dewstep_emulator.bench run overhead`.
 """
 
 import pytest
