Name a process that ended while its cost was measured

Cause: entry processes that stopped by themselves (a failed report of gauges in an intermediate merge) showed up as an AttributeError of the benchmark. Ruled out: counting an ended process as free.

--- a/packages/emulator/dewstep_emulator/bench/accounting.py
+++ b/packages/emulator/dewstep_emulator/bench/accounting.py
@@ -58,6 +58,27 @@
     )
 
 
+class ProcessEnded(Exception):
+    """A process whose cost is to be measured has ended."""
+
+
+def read_all(pids: Iterable[int]) -> list[Usage]:
+    """Return the totals of processes that must be running.
+
+    Raises
+    ------
+    ProcessEnded
+        If one of them is not.
+    """
+    found = []
+    for pid in pids:
+        usage = read_usage(pid)
+        if usage is None:
+            raise ProcessEnded(f"process {pid} has ended")
+        found.append(usage)
+    return found
+
+
 def subtract(before: Usage, after: Usage) -> Cost:
     """Return what was used between two readings."""
     return Cost(
--- a/packages/emulator/dewstep_emulator/bench/accounting_test.py
+++ b/packages/emulator/dewstep_emulator/bench/accounting_test.py
@@ -1,5 +1,7 @@
 import os
 
+import pytest
+
 from dewstep_emulator.bench import accounting
 
 
@@ -13,6 +15,8 @@
 
 def test_read_usage_of_an_ended_process_is_none():
     assert accounting.read_usage(2**22 + 1) is None
+    with pytest.raises(accounting.ProcessEnded):
+        accounting.read_all([os.getpid(), 2**22 + 1])
 
 
 def test_meter_leaves_pauses_out(monkeypatch):
--- a/packages/emulator/dewstep_emulator/bench/overhead.py
+++ b/packages/emulator/dewstep_emulator/bench/overhead.py
@@ -154,10 +154,10 @@
         """Load one path and note its costs."""
         path.tool.change(factor=1.0)
         await asyncio.sleep(self.settle)
-        before = [accounting.read_usage(pid) for pid in path.pids]
+        before = accounting.read_all(path.pids)
         begin = asyncio.get_running_loop().time()
         await asyncio.sleep(seconds)
-        after = [accounting.read_usage(pid) for pid in path.pids]
+        after = accounting.read_all(path.pids)
         end = asyncio.get_running_loop().time()
         path.tool.change(factor=0.0)
         costs = tuple(map(accounting.subtract, before, after))
@@ -265,9 +265,9 @@
 async def measure_idle(comparison: Comparison, seconds: float = 2.0) -> float:
     """Return the processor seconds per second of the entry tier without load."""
     pids = [item.process.child.pid for item in comparison.router.entries.values()]
-    before = [accounting.read_usage(pid) for pid in pids]
+    before = accounting.read_all(pids)
     await asyncio.sleep(seconds)
-    after = [accounting.read_usage(pid) for pid in pids]
+    after = accounting.read_all(pids)
     return sum(cost.share for cost in map(accounting.subtract, before, after))
 
 
--- a/packages/emulator/dewstep_emulator/bench/sizes.py
+++ b/packages/emulator/dewstep_emulator/bench/sizes.py
@@ -72,9 +72,9 @@
         pids = [entry.process.child.pid for entry in fleet.entries.values()]
         pids.append(fleet.table_process.child.pid)
         first = await sum_terms(fleet)
-        before = [accounting.read_usage(pid) for pid in pids]
+        before = accounting.read_all(pids)
         await asyncio.sleep(MEASURE_SECONDS)
-        after = [accounting.read_usage(pid) for pid in pids]
+        after = accounting.read_all(pids)
         *costs, table = map(accounting.subtract, before, after)
         rows = (await fleet.table.read_prefix("gate/")).unwrap()
         last = await sum_terms(fleet)
