Follow the new membership in dump and metrics; keep stops within their limit

A stop gave gates and callers stop_limit one after the other. Ruled out: Ending the process when metrics fail; requests do not depend on them, so the loop that sends them starts again instead. Conclusion: The dump shows `monitored`, worked out as the membership does it.

--- a/packages/entry/dewstep_entry/dump.py
+++ b/packages/entry/dewstep_entry/dump.py
@@ -71,8 +71,8 @@
     entry: str
     last_heard_s: float
     suspected_for_s: float | None
-    watched: bool
-    """Whether the peer sends heartbeats to this process at every interval."""
+    monitored: bool
+    """Whether this process monitors the peer, which sends it all heartbeats."""
     linked: bool
 
 
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -22,7 +22,7 @@
 from dewstep_entry import metrics, operators, reporting
 from dewstep_entry.balancing import balancer, workload
 from dewstep_entry.caller import listener
-from dewstep_entry.gate import handover, manager, transfer, wiring
+from dewstep_entry.gate import handover, manager, timing, transfer, wiring
 from dewstep_entry.peers import link
 from dewstep_entry.pipeline import identify, metering, routing
 from dewstep_entry.policy import admission, retries
@@ -179,7 +179,6 @@
             self.balancer.run,
             self.greet_seeds,
             self.refresh_quarantine,
-            self.report,
         ]
         if self.instances is not None:
             reader = instance_reader.InstanceReader(
@@ -192,6 +191,8 @@
             loops.append(reader.run)
         for loop in loops:
             self.spawn(loop())
+        # A fault in reporting must not end a process that serves requests.
+        self.spawn(timing.keep_running(self.clock, self.report))
         events.info(
             "started",
             entry=self.own.entry,
@@ -200,7 +201,7 @@
         )
 
     def spawn(self, work: Coroutine) -> None:
-        """Run a task until it ends or the process stops; its failure asks for a stop."""
+        """Run a task until it ends or the process stops; its failure stops both."""
         task = asyncio.ensure_future(work)
         self.tasks.add(task)
         task.add_done_callback(self.receive_end)
@@ -257,12 +258,13 @@
         """Finish what runs and hand on the gates; return what had to be cut."""
         self.stopping = True
         events.info("stopping", entry=self.own.entry)
-        limit = self.settings.stop_limit.total_seconds()
+        end = self.clock.monotonic() + self.settings.stop_limit
         closing = asyncio.ensure_future(self.listener.stop())
         remaining = await self.gates.stop()
         cut = [f"gate of {target}" for target in remaining]
         try:
-            async with asyncio.timeout(limit):
+            left = (end - self.clock.monotonic()).total_seconds()
+            async with asyncio.timeout(max(left, 0.0)):
                 await closing
         except TimeoutError:
             cut.append(f"{len(self.listener.connections)} connections of callers")
