--- a/packages/entry/dewstep_entry/dump.py
+++ b/packages/entry/dewstep_entry/dump.py
@@ -72,7 +72,7 @@
     last_heard_s: float
     suspected_for_s: float | None
     monitored: bool
-    """Whether this process monitors the peer, which sends it all heartbeats."""
+    """Whether the peer sends heartbeats to this process at every interval."""
     linked: bool
 
 
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -201,7 +201,7 @@
         )
 
     def spawn(self, work: Coroutine) -> None:
-        """Run a task until it ends or the process stops; its failure stops both."""
+        """Run a task until it ends or the process stops; a failure asks for a stop."""
         task = asyncio.ensure_future(work)
         self.tasks.add(task)
         task.add_done_callback(self.receive_end)
--- a/packages/entry/dewstep_entry/reporting.py
+++ b/packages/entry/dewstep_entry/reporting.py
@@ -58,10 +58,10 @@
 def count_overdue(process: Any, now: Any) -> int:
     """Return from how many monitored processes a heartbeat is overdue."""
     limit = OVERDUE_INTERVALS * process.settings.peers.heartbeat_interval
-    monitored = process.members.find_monitored()
+    peers = process.members.peers
     return sum(
-        entry in monitored and now - peer.last_heard > limit
-        for entry, peer in process.members.peers.items()
+        now - peers[entry].last_heard > limit
+        for entry in process.members.find_monitored()
     )
 
 
