--- a/packages/emulator/dewstep_emulator/addresses.py
+++ b/packages/emulator/dewstep_emulator/addresses.py
@@ -1,7 +1,6 @@
 """Ports, addresses and control calls of the processes of a test fleet."""
 
 import itertools
-import json
 import random
 import socket
 from collections.abc import Iterator, Mapping
@@ -16,19 +15,6 @@
 CALL_TIMEOUT = 5.0
 
 
-def format_toml(values: Mapping[str, Any], table_name: str = "") -> str:
-    """Return settings as TOML; nested mappings become tables."""
-    lines = [f"[{table_name}]"] if table_name else []
-    nested = []
-    for name, value in values.items():
-        if isinstance(value, Mapping):
-            nested.append(format_toml(value, name))
-        else:
-            # The JSON form of strings, numbers and lists is valid TOML.
-            lines.append(f"{name} = {json.dumps(value)}")
-    return "\n".join(lines + nested) + "\n"
-
-
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
 """The kernel takes the ports of outgoing connections from above this; one of them
--- a/packages/entry/dewstep_entry/gate/timing.py
+++ b/packages/entry/dewstep_entry/gate/timing.py
@@ -5,9 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from absl import logging
-
-from dewstep_core import clock as clocks
+from dewstep_core import clock as clocks, events
 
 # Pause before a loop that failed is started again.
 RESTART_PAUSE = datetime.timedelta(milliseconds=100)
@@ -50,6 +48,6 @@
     while True:
         try:
             return await loop()
-        except Exception:
-            logging.exception("loop_failed")
+        except Exception as error:
+            events.exception("loop_failed", error)
             await clock.sleep(RESTART_PAUSE)
--- a/packages/entry/dewstep_entry/state/exchange.py
+++ b/packages/entry/dewstep_entry/state/exchange.py
@@ -11,10 +11,9 @@
 import random
 from collections.abc import Mapping
 
-from absl import logging
 from returns import result
 
-from dewstep_core import clock as clocks, data, records
+from dewstep_core import clock as clocks, data, events, records
 from dewstep_core.settings import PeerSettings
 from dewstep_entry.gate import rows
 from dewstep_entry.peers import messages
@@ -95,22 +94,24 @@
         while True:
             now = self.clock.monotonic()
             if now - last > PAUSE_FACTOR * self.settings.heartbeat_interval:
-                logging.warning(
-                    "event=paused seconds=%.3f", (now - last).total_seconds()
-                )
+                events.warning("paused", duration=now - last)
                 self.members.excuse(now)
             last = now
             self.learn_gates(now)
             silent = self.members.expire(now)
             for suspicion in silent:
-                logging.warning(
-                    "event=member_suspected entry=%s reason=silent", suspicion.entry
+                events.warning(
+                    "member_suspected", entry=suspicion.entry, reason="silent"
                 )
             for centre in self.members.expire_centres(now):
-                logging.warning("event=data_centre_silent data_centre=%s", centre)
+                events.warning("data_centre_silent", data_centre=centre)
+            for entry in self.members.forget_lost(now):
+                self.holder.remove_member(entry)
             self.publish_members()
             self.beats += 1
             self.send_heartbeats(full=self.beats % FULL_EVERY == 0)
+            for member in self.members.select_silent(now):
+                self.network.send(member, messages.Fetch(HEARTBEAT, ""))
             if silent:
                 self.tell_near(self.build_heartbeat(full=False))
             if self.beats % PROBE_EVERY == 0:
@@ -206,7 +207,7 @@
         """Process one message from a peer."""
         now = self.clock.monotonic()
         if self.members.hear(sender, now):
-            logging.info("event=member_heard entry=%s", sender.entry)
+            events.info("member_heard", entry=sender.entry)
             self.publish_members()
         if isinstance(message, messages.Heartbeat):
             self.receive_heartbeat(sender, message)
@@ -220,7 +221,6 @@
     ) -> None:
         """Learn members, suspicions, loads and versions from a heartbeat."""
         now = self.clock.monotonic()
-        self.members.note_heartbeat(sender.entry)
         changed = [self.members.learn(member, now) for member in heartbeat.members]
         for suspicion in heartbeat.suspicions:
             changed.append(self.members.suspect(suspicion, now))
@@ -284,25 +284,22 @@
                 for gate in decode_gates(value.payload):
                     self.holder.offer_gate(gate)
         except (ValueError, TypeError, result.UnwrapFailedError) as error:
-            logging.error(
-                "event=peer_value_refused what=%s name=%s error=%r",
-                value.what,
-                value.name,
-                error,
+            events.error(
+                "peer_value_refused", what=value.what, name=value.name, failure=error
             )
 
     def take_configuration(self, value: messages.Value) -> None:
         """Take over a configuration; one that is not valid is refused whole."""
         decoded = records.decode_configuration(json.loads(value.payload))
         if isinstance(decoded, result.Failure):
-            logging.error("event=configuration_refused failure=%r", decoded.failure())
+            events.error("configuration_refused", failure=decoded.failure())
             return
         self.holder.offer_configuration(decoded.unwrap())
 
     def note_refused(self, entry: str) -> None:
         """Note that a peer's connection was refused or reset."""
         if self.members.refuse(entry, self.clock.monotonic()):
-            logging.warning("event=member_suspected entry=%s reason=refused", entry)
+            events.warning("member_suspected", entry=entry, reason="refused")
             self.publish_members()
             self.send_heartbeats()
 
@@ -318,3 +315,6 @@
             if known is None or (known.member, known.alive) != (peer.member, alive):
                 state = view.MemberState(peer.member, peer.last_heard, alive)
                 self.holder.set_member(state)
+                if not alive:
+                    # Requests at a frozen process would wait for their deadlines.
+                    self.network.disconnect(peer.member)
