Count a crash only if the target has ended

Cause: the gate took each broken connection for a crash of its target. A network that reset connections for 0.3 s had hot look-ups suspected, run alone, broken again within 20 ms and quarantined for good. One crash was also counted once for each request of the same fingerprint. Ruled out: the boot id of the reading that the grant holds, since it may be that of the new run by then; the boot id that the request was sent with decides. Conclusion: after a broken connection the gate asks the target for its clock, for at most 0.5 s.

--- a/packages/entry/dewstep_entry/gate/renewal.py
+++ b/packages/entry/dewstep_entry/gate/renewal.py
@@ -27,6 +27,14 @@
 CONNECTION_REFUSED = "refused"
 
 
+def is_refused_connection(failure: interfaces.Failure) -> bool:
+    """Return whether nothing listens at the target's address."""
+    return (
+        isinstance(failure, errors.TargetUnavailable)
+        and CONNECTION_REFUSED in failure.reason
+    )
+
+
 class Renewal:
     """Renews the grant of one fenced target and reads its gate row.
 
@@ -130,9 +138,7 @@
         """Take over the reading in an answer, or note why there is none."""
         if isinstance(outcome, result.Failure):
             failure = outcome.failure()
-            if isinstance(failure, errors.TargetUnavailable) and (
-                CONNECTION_REFUSED in failure.reason
-            ):
+            if is_refused_connection(failure):
                 self.grant.receive_connection_refused()
             return
         reading = outcome.unwrap()
--- a/packages/entry/dewstep_entry/gate/runs.py
+++ b/packages/entry/dewstep_entry/gate/runs.py
@@ -20,6 +20,8 @@
         """How it holds the target: alone, with others, or not yet (None)."""
         self.sent = False
         """Whether it is on its way to or at the target now."""
+        self.boot = ""
+        """Boot id of the target to which it was sent last."""
         self.may_have_run = False
         self.body_used = False
         self.crash_counted = False
--- a/packages/entry/dewstep_entry/gate/sending.py
+++ b/packages/entry/dewstep_entry/gate/sending.py
@@ -31,6 +31,9 @@
 # then meets another gate that can know of the crash.
 CRASH_WRITE_LIMIT = datetime.timedelta(milliseconds=500)
 
+# Longest time to find out if a target that broke a connection has ended.
+CRASH_CONFIRM_LIMIT = datetime.timedelta(milliseconds=500)
+
 FENCED = "fenced"
 
 
@@ -178,6 +181,7 @@
         known = run.may_have_run
         run.sent = run.may_have_run = run.body_used = True
         run.crash_counted = False
+        run.boot = stamp.boot
         started = self.clock.monotonic()
         try:
             outcome = await self.channel.exchange(run.request, stamp)
@@ -242,7 +246,7 @@
             )
 
     async def receive_crash(self, run: runs.Run) -> None:
-        """Count a broken connection against all requests at the target.
+        """Count a crash of the target against all requests at it.
 
         The first broken connection counts for all of them; the others follow from
         the same crash and are not counted again.
@@ -256,15 +260,39 @@
         events.warning(
             "target_broke_connections", target=self.target.name, requests=len(struck)
         )
+        ended = await self.has_ended(run.boot)
+        if ended is False:
+            return
+        # Requests for one hot key can have one fingerprint, which crashed once.
+        fingerprints = list(dict.fromkeys(other.fingerprint for other in struck))
+        alone = len(struck) == 1 and ended is True
         writing = asyncio.ensure_future(
-            self.recorder.receive_crash(
-                [other.fingerprint for other in struck], alone=len(struck) == 1
-            )
+            self.recorder.receive_crash(fingerprints, alone)
         )
         await timing.wait_at_most(
             self.clock, asyncio.shield(writing), CRASH_WRITE_LIMIT
         )
 
+    async def has_ended(self, boot: str) -> bool | None:
+        """Return whether the target's run `boot` has ended, None if that stays open.
+
+        A network can reset the connections to a target that goes on running. An
+        unfenced target has no boot id, so there every broken connection counts.
+        """
+        if not self.target.fenced:
+            return True
+        limit = self.clock.monotonic() + CRASH_CONFIRM_LIMIT
+        while self.clock.monotonic() < limit:
+            done, outcome = await timing.wait_at_most(
+                self.clock, self.channel.read_clock(), renewal.CALL_TIMEOUT
+            )
+            if done and isinstance(outcome, result.Success):
+                return outcome.unwrap().boot != boot
+            if done and renewal.is_refused_connection(outcome.failure()):
+                return True
+            await self.clock.sleep(FIRST_PAUSE)
+        return None
+
     async def receive_success(self, run: runs.Run) -> None:
         """Clear a suspect whose answer was complete."""
         if self.recorder.suspects and run.fingerprint in self.recorder.suspects.entries:
