--- a/packages/emulator/dewstep_emulator/fleet.py
+++ b/packages/emulator/dewstep_emulator/fleet.py
@@ -261,21 +261,9 @@
         return built._replace(targets=targets)
 
     async def apply(self, configuration: data.Configuration) -> None:
-        """Write a configuration into the table, as the operators' command does.
-
-        Raises
-        ------
-        returns.primitives.exceptions.UnwrapFailedError
-            If the table does not confirm it.
-        """
-        row = (await self.table.read("configuration")).unwrap()
+        """Write a configuration into the table, as the operators' command does."""
         value = records.encode_configuration(configuration)
-        transaction = data.Transaction(
-            str(uuid.uuid4()),
-            (data.Check("configuration", row.version),),
-            (data.Write("configuration", value),),
-        )
-        (await self.table.commit(transaction)).unwrap()
+        await self.write_row("configuration", value)
         self.configuration = configuration
 
     async def drain(self, name: str) -> None:
@@ -292,33 +280,24 @@
 
     async def declare_dead(self, target: str) -> None:
         """Declare a target dead, as the operators' command does."""
-        row = (await self.table.read(f"declared-dead/{target}")).unwrap()
         gate = (await self.table.read(f"gate/{target}")).unwrap()
         value = {
             "operator": "test",
             "time": datetime.datetime.now(datetime.UTC).isoformat(),
             "term": gate.value["term"],
         }
+        await self.write_row(f"declared-dead/{target}", value)
+
+    async def write_row(self, key: str, value: Mapping[str, Any]) -> None:
+        """Write a row over its present version."""
+        row = (await self.table.read(key)).unwrap()
         transaction = data.Transaction(
             str(uuid.uuid4()),
-            (data.Check(row.key, row.version),),
-            (data.Write(row.key, value),),
+            (data.Check(key, row.version),),
+            (data.Write(key, value),),
         )
         (await self.table.commit(transaction)).unwrap()
 
-    async def list_leaving(self, target: str) -> None:
-        """Show a target as leaving in the instance list."""
-        instance = {
-            "instance": target,
-            "data_centre": self.list_targets()[target][1],
-            "address": addresses.format_address(self.targets[target].addresses),
-            "role": "target",
-            "state": "leaving",
-        }
-        control = self.list_process.addresses["control_port"]
-        address = settings.Address(addresses.HOST, control)
-        await addresses.post(address, "/instances", {"update": [instance]})
-
     # Faults.
 
     async def set_faults(
--- a/packages/emulator/dewstep_emulator/scenarios/departures.py
+++ b/packages/emulator/dewstep_emulator/scenarios/departures.py
@@ -4,7 +4,8 @@
 import datetime
 import signal
 
-from dewstep_emulator import fleet as fleets, history, promises
+from dewstep_core import settings
+from dewstep_emulator import addresses, fleet as fleets, history, promises
 from dewstep_emulator.scenarios import measures, staging
 
 EXIT_CUT = 3
@@ -42,6 +43,20 @@
         await asyncio.sleep(1.0)
 
 
+async def list_leaving(fleet: fleets.Fleet, target: str) -> None:
+    """Show a target as leaving in the instance list."""
+    instance = {
+        "instance": target,
+        "data_centre": fleet.list_targets()[target][1],
+        "address": addresses.format_address(fleet.targets[target].addresses),
+        "role": "target",
+        "state": "leaving",
+    }
+    control = fleet.list_process.addresses["control_port"]
+    address = settings.Address(addresses.HOST, control)
+    await addresses.post(address, "/instances", {"update": [instance]})
+
+
 @staging.scenario("target-leaving-by-list", planned=True)
 async def leave_by_list(stage: staging.Stage) -> None:
     """Show a target as leaving in the lagging list only, which its health denies."""
@@ -49,7 +64,7 @@
         name = measures.choose_target(stage, service)
         process = stage.fleet.targets[name]
         await stage.fleet.set_faults(process, {"load": {"state": "live", "load": 0.0}})
-        await stage.fleet.list_leaving(name)
+        await list_leaving(stage.fleet, name)
         shown = history.parse_time(asyncio.get_running_loop().time()) + LIST_LAG
         stage.fleet.departures.append(history.Departure(name, shown))
     await asyncio.sleep(LIST_LAG.total_seconds() + 4.0)
