Read the rows of a lost transaction in an order that allows a verdict

Cause: after a lost answer the client read the written row first and the rows that the transaction only checks last. A late copy that committed between the reads, followed by a change of the checked row, was judged as never committed. Ruled out: harm to assignments and gate rows, whose writers look for their operation again after a conflict. A claim could stay behind for a request that was refused as not run. Conclusion: if a checked row has moved on before the written rows are read, they show for good whether the transaction committed.

--- a/packages/core/dewstep_core/platform/table.py
+++ b/packages/core/dewstep_core/platform/table.py
@@ -174,10 +174,10 @@
         self, transaction: data.Transaction, lost: errors.AnswerLost
     ) -> tuple[Verdict, result.Result[data.Commit, Any]]:
         """Read the rows of a transaction and decide what became of it."""
-        keys = [item.key for item in (*transaction.writes, *transaction.checks)]
+        keys = order_read_back(transaction)
         pause = PAUSE
         for _ in range(READ_BACKS):
-            rows = await self.read_rows(dict.fromkeys(keys))
+            rows = await self.read_rows(keys)
             if rows is not None:
                 verdict = judge_rows(transaction, rows)
                 return verdict, build_outcome(verdict, transaction, rows, lost)
@@ -252,6 +252,18 @@
     )
 
 
+def order_read_back(transaction: data.Transaction) -> dict[str, None]:
+    """Return the keys of a transaction's rows in the order in which to read them.
+
+    The rows are not read at one moment. Those that it only checks come first: if one
+    of them has moved on, the transaction can no longer commit, so that the written
+    rows, read later, show whether it did.
+    """
+    written = dict.fromkeys(item.key for item in transaction.writes)
+    checked = (item.key for item in transaction.checks if item.key not in written)
+    return {**dict.fromkeys(checked), **written}
+
+
 def judge_rows(transaction: data.Transaction, rows: Mapping[str, data.Row]) -> Verdict:
     """Decide from the rows' present state what became of a transaction.
 
@@ -261,7 +273,7 @@
         Whose answer was lost.
     rows : Mapping
         Row by key, for all keys written and checked, read after the answer was
-        lost.
+        lost and in the order of `order_read_back`.
     """
     operation = transaction.operation_id
     puts = [item for item in transaction.writes if item.value is not None]
