Report monitored peers by the ring and not by a field that is gone

Each entry process ended itself a second after its start. Conclusion: the dump and the gauges ask the membership whom this process monitors.

--- a/packages/entry/dewstep_entry/reporting.py
+++ b/packages/entry/dewstep_entry/reporting.py
@@ -58,9 +58,10 @@
 def count_overdue(process: Any, now: Any) -> int:
     """Return from how many watched processes a heartbeat is overdue."""
     limit = OVERDUE_INTERVALS * process.settings.peers.heartbeat_interval
+    monitored = process.members.find_monitored()
     return sum(
-        peer.watched and now - peer.last_heard > limit
-        for peer in process.members.peers.values()
+        entry in monitored and now - peer.last_heard > limit
+        for entry, peer in process.members.peers.items()
     )
 
 
@@ -153,12 +154,13 @@
 def describe_peers(process: Any, now: Any) -> Iterator[dump.PeerDump]:
     """Yield what this process has heard of each peer."""
     linked = {link.member.entry for link in process.network.links.values()}
+    monitored = process.members.find_monitored()
     for entry, peer in sorted(process.members.peers.items()):
         yield dump.PeerDump(
             entry=entry,
             last_heard_s=(now - peer.last_heard).total_seconds(),
             suspected_for_s=dump.compute_age(peer.suspected, now),
-            watched=peer.watched,
+            watched=entry in monitored,
             linked=entry in linked,
         )
 
