Report entry processes that end by themselves, and load that is not sent

Cause: a scenario passed in which all entry processes had ended and not a single request was sent. Ruled out: the checker of the history, which had nothing to check. The harness now reports the processes, the failed calls of the load tool and a history without any answer. Conclusion: a run counts only if something was answered and nothing ended that nobody ended.

--- a/packages/emulator/dewstep_emulator/load.py
+++ b/packages/emulator/dewstep_emulator/load.py
@@ -79,6 +79,8 @@
         self.calls: list[history.Call] = []
         self.latencies = histogram.HdrHistogram(1, LARGEST_LATENCY, 3)
         self.stopped = False
+        self.failures: list[str] = []
+        """What went wrong in the load tool itself."""
 
     def choose_entry(self, address: settings.Address | None = None) -> client.Client:
         """Return the connections to a random entry process, as a balancer does."""
@@ -111,9 +113,15 @@
             task = asyncio.ensure_future(self.call(plan, key, tries))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
+            task.add_done_callback(self.note_end)
         if tasks:
             await asyncio.wait(tasks)
 
+    def note_end(self, task: asyncio.Task) -> None:
+        """Keep the exception of a task, which is no answer to a caller."""
+        if not task.cancelled() and task.exception() is not None:
+            self.failures.append(repr(task.exception()))
+
     def stop(self) -> None:
         """Send no more new requests; `run` returns after the last answer."""
         self.stopped = True
--- a/packages/emulator/dewstep_emulator/processes.py
+++ b/packages/emulator/dewstep_emulator/processes.py
@@ -44,6 +44,8 @@
         self.child: asyncio.subprocess.Process | None = None
         self.addresses: dict[str, Any] = {}
         self.frozen = False
+        self.stopped = False
+        """Whether it was told to end; one that ends by itself has failed."""
 
     async def start(self) -> dict[str, Any]:
         """Start the process and return the JSON line that it prints.
@@ -79,9 +81,14 @@
         """Return whether the process has not ended."""
         return self.child is not None and self.child.returncode is None
 
+    def has_failed(self) -> bool:
+        """Return whether the process has ended although nobody told it to."""
+        return self.child is not None and not (self.is_running() or self.stopped)
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it still runs."""
         if self.is_running():
+            self.stopped = self.stopped or number == signal.SIGTERM
             os.kill(self.child.pid, number)
 
     def freeze(self) -> None:
@@ -96,6 +103,7 @@
 
     async def kill(self) -> None:
         """End the process without a chance to clean up."""
+        self.stopped = self.stopped or self.is_running()
         self.send(signal.SIGKILL)
         if self.child is not None:
             await self.child.wait()
--- a/packages/emulator/dewstep_emulator/scenarios/staging.py
+++ b/packages/emulator/dewstep_emulator/scenarios/staging.py
@@ -135,6 +135,7 @@
         await running
         await caller.close()
         await check_invariants(stage)
+        check_running(stage)
         await watcher.stop()
         codes = await fleet.stop()
     finally:
@@ -172,6 +173,11 @@
     if chosen.planned:
         violations += history.find_cut_off(calls)
         violations += history.find_unknown(calls)
+    if stage.caller.failures:
+        count = len(stage.caller.failures)
+        stage.problems.append(f"{count} calls failed: {stage.caller.failures[0]}")
+    if not any(call.outcome == history.ANSWERED for call in calls):
+        stage.problems.append("no request was answered")
     for name, code in codes.items():
         if code != stage.expected_codes.get(name, 0):
             stage.problems.append(f"{name} ended with exit code {code}")
@@ -201,6 +207,16 @@
     return summaries
 
 
+def check_running(stage: Stage) -> None:
+    """Note the entry processes that ended by themselves, in this or an earlier run."""
+    fleet = stage.fleet
+    current = [entry.process for entry in fleet.entries.values()]
+    for process in (*current, *fleet.ended):
+        if process.name in fleet.entries and process.has_failed():
+            code = process.child.returncode
+            stage.problems.append(f"{process.name} ended by itself with code {code}")
+
+
 async def check_invariants(stage: Stage) -> None:
     """Note the invariants that the entry processes found broken in themselves."""
     for name, entry in stage.fleet.entries.items():
