--- a/packages/emulator/dewstep_emulator/fleet.py
+++ b/packages/emulator/dewstep_emulator/fleet.py
@@ -31,6 +31,8 @@
     reads_per_second: float = 2_000
     distribution: str = "exponential"
     """Of the targets' service times."""
+    entry_command: tuple[str, ...] = ("dewstep_entry.main",)
+    """Arguments of `python -m`; "{name}" stands for the name of the process."""
     entry_settings: Mapping[str, Any] = {}
     """More settings for each entry process, by their TOML names."""
 
@@ -190,9 +192,8 @@
             **self.options.entry_settings,
         }
         file.write_text(toml_text.format_toml(values))
-        process = processes.Process(
-            name, ("dewstep_entry.main", f"--settings={file}"), self.folder
-        )
+        command = [part.format(name=name) for part in self.options.entry_command]
+        process = processes.Process(name, (*command, f"--settings={file}"), self.folder)
         line = await process.start()
         handle = EntryHandle(
             process,
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -170,20 +170,17 @@
         await self.network.start()
         await self.operators.start(self.settings.operator_address)
         await self.listener.start()
-        self.spawn(self.exchange.run())
-        self.spawn(self.exchange.run_announcements())
-        self.spawn(self.run_table())
-        self.spawn(self.gates.run())
-        self.spawn(self.balancer.run())
-        self.spawn(self.greet_seeds())
-        self.spawn(self.refresh_quarantine())
-        self.spawn(
-            self.metrics.run(
-                self.clock,
-                functools.partial(reporting.read_totals, self),
-                functools.partial(reporting.read_gauges, self),
-            )
-        )
+        loops = [
+            self.exchange.run,
+            self.exchange.run_announcements,
+            self.reader.run,
+            self.create_assignments,
+            self.gates.run,
+            self.balancer.run,
+            self.greet_seeds,
+            self.refresh_quarantine,
+            self.report,
+        ]
         if self.instances is not None:
             reader = instance_reader.InstanceReader(
                 self.instances.read,
@@ -192,7 +189,9 @@
                 self.gates.set_leaving,
                 self.random,
             )
-            self.spawn(reader.run())
+            loops.append(reader.run)
+        for loop in loops:
+            self.spawn(loop())
         events.info(
             "started",
             entry=self.own.entry,
@@ -201,7 +200,7 @@
         )
 
     def spawn(self, work: Coroutine) -> None:
-        """Run a task until the process stops; its failure ends the process."""
+        """Run a task until it ends or the process stops; a failure asks for a stop."""
         task = asyncio.ensure_future(work)
         self.tasks.add(task)
         task.add_done_callback(self.receive_end)
@@ -218,9 +217,16 @@
             name = task.get_coro().__qualname__
             events.exception("task_failed", task.exception(), task=name)
 
-    async def run_table(self) -> None:
-        """Read the table until cancelled, and create missing assignments."""
-        self.spawn(self.reader.run())
+    async def report(self) -> None:
+        """Send metrics until cancelled."""
+        await self.metrics.run(
+            self.clock,
+            functools.partial(reporting.read_totals, self),
+            functools.partial(reporting.read_gauges, self),
+        )
+
+    async def create_assignments(self) -> None:
+        """Create the assignments of new services until cancelled."""
         sequence = -1
         while True:
             sequence = await self.holder.wait_change(sequence)
@@ -328,14 +334,10 @@
         if decoded is None:
             await self.exchange.receive(sender, message)
         elif isinstance(decoded, result.Success):
-            self.spawn_once(self.gates.receive_handover(decoded.unwrap()))
+            self.spawn(self.gates.receive_handover(decoded.unwrap()))
         else:
             events.error("handover_unreadable", failure=decoded.failure())
 
-    def spawn_once(self, work: Coroutine) -> None:
-        """Run a task that ends by itself."""
-        self.spawn(work)
-
     def identify(
         self,
         method: bytes,
