--- a/packages/emulator/dewstep_emulator/mutations.py
+++ b/packages/emulator/dewstep_emulator/mutations.py
@@ -22,6 +22,7 @@
 PACKAGES = ("core", "entry", "operator", "emulator")
 LIMIT_SECONDS = 180
 VIOLATION = re.compile(r"^  violation: (\w+)\(", re.MULTILINE)
+REPORT = re.compile(r"^[\w-]+ seed=\d+ promises ", re.MULTILINE)
 NOT_CAUGHT = 1
 
 
@@ -43,6 +44,13 @@
         """Return whether the expected violation was seen."""
         return self.expected in self.seen
 
+    def describe(self) -> str:
+        """Return the verdict in a few words."""
+        if self.is_caught():
+            return "caught"
+        # Without a report the scenario itself failed, which says nothing.
+        return "NOT CAUGHT" if REPORT.search(self.output) else "NOT RUN TO ITS END"
+
 
 def find_packages() -> pathlib.Path:
     """Return the folder that holds the four packages."""
@@ -115,9 +123,9 @@
             known = ", ".join(mutation_list.mutations)
             raise typer.BadParameter(f"one of: {known}")
         outcome = run_mutation(mutation, seed)
-        verdict = "caught" if outcome.is_caught() else "NOT CAUGHT"
         typer.echo(
-            f"{chosen} ({mutation.scenario} seed {outcome.seed}) {verdict}: expected "
+            f"{chosen} ({mutation.scenario} seed {outcome.seed}) "
+            f"{outcome.describe()}: expected "
             f"{outcome.expected}, saw {', '.join(outcome.seen) or 'no violation'}"
         )
         if verbose:
--- a/packages/emulator/dewstep_emulator/mutations_test.py
+++ b/packages/emulator/dewstep_emulator/mutations_test.py
@@ -25,3 +25,12 @@
             mutations.replace_text(file, mutation_list.Edit("module.py", old, ""))
     mutations.replace_text(file, mutation_list.Edit("module.py", "a = 1", "a = 2"))
     assert file.read_text() == "a = 2\nb = 1\n"
+
+
+def test_scenario_that_failed_is_not_taken_for_one_that_saw_nothing():
+    """A mutation would otherwise seem harmless on a machine that is too busy."""
+    outcome = mutations.Outcome("m", 1, (), "TwoOwners", "Traceback")
+    assert outcome.describe() == "NOT RUN TO ITS END"
+    ended = outcome._replace(output="no-fault seed=1 promises kept: sent=1")
+    assert ended.describe() == "NOT CAUGHT"
+    assert ended._replace(seen=("TwoOwners",)).describe() == "caught"
