--- a/packages/entry/dewstep_entry/gate/renewal.py
+++ b/packages/entry/dewstep_entry/gate/renewal.py
@@ -27,10 +27,12 @@
 CONNECTION_REFUSED = "refused"
 
 
-def is_connection_refused(failure: interfaces.Failure) -> bool:
+def is_refused_connection(failure: interfaces.Failure) -> bool:
     """Return whether nothing listens at the target's address."""
-    unavailable = isinstance(failure, errors.TargetUnavailable)
-    return unavailable and CONNECTION_REFUSED in failure.reason
+    return (
+        isinstance(failure, errors.TargetUnavailable)
+        and CONNECTION_REFUSED in failure.reason
+    )
 
 
 class Renewal:
@@ -135,7 +137,8 @@
     ) -> None:
         """Take over the reading in an answer, or note why there is none."""
         if isinstance(outcome, result.Failure):
-            if is_connection_refused(outcome.failure()):
+            failure = outcome.failure()
+            if is_refused_connection(failure):
                 self.grant.receive_connection_refused()
             return
         reading = outcome.unwrap()
--- a/packages/entry/dewstep_entry/gate/sending.py
+++ b/packages/entry/dewstep_entry/gate/sending.py
@@ -27,15 +27,13 @@
 ATTEMPT_LIMIT = 3
 FIRST_PAUSE = datetime.timedelta(milliseconds=10)
 
-# A crashed target closes its ports one after the other, so that the first question
-# may still be accepted and remain unanswered.
-CRASH_CHECKS = 3
-CRASH_CHECK_LIMIT = datetime.timedelta(milliseconds=100)
-
 # Longest wait for the rows of a crash before its requests are answered. A resend
 # then meets another gate that can know of the crash.
 CRASH_WRITE_LIMIT = datetime.timedelta(milliseconds=500)
 
+# Longest time to find out if a target that broke a connection has ended.
+CRASH_CONFIRM_LIMIT = datetime.timedelta(milliseconds=500)
+
 FENCED = "fenced"
 
 
@@ -183,6 +181,7 @@
         known = run.may_have_run
         run.sent = run.may_have_run = run.body_used = True
         run.crash_counted = False
+        run.boot = stamp.boot
         started = self.clock.monotonic()
         try:
             outcome = await self.channel.exchange(run.request, stamp)
@@ -199,7 +198,7 @@
         failure = outcome.failure()
         if is_certainly_not_run(failure):
             run.may_have_run = known
-        await self.receive_failure(run, failure, stamp)
+        await self.receive_failure(run, failure)
         return outcome
 
     def explain_refusal(self, run: runs.Run) -> interfaces.Failure | None:
@@ -225,9 +224,7 @@
             term=tenure.term,
         )
 
-    async def receive_failure(
-        self, run: runs.Run, failure: interfaces.Failure, stamp: data.Stamp
-    ) -> None:
+    async def receive_failure(self, run: runs.Run, failure: interfaces.Failure) -> None:
         """Draw the conclusions from a failed exchange."""
         reached = isinstance(failure, errors.TargetRefused | errors.AnswerInvalid)
         self.note_reached(run, reached)
@@ -239,7 +236,7 @@
         elif isinstance(failure, errors.TargetUnavailable):
             self.loops.wake()
         elif isinstance(failure, errors.ConnectionLost):
-            await self.receive_broken(run, stamp)
+            await self.receive_crash(run)
 
     def note_reached(self, run: runs.Run, reached: bool) -> None:
         """Tell the state of an unfenced target whether it was reached."""
@@ -248,8 +245,8 @@
                 reached, run.request.deadline, self.clock.monotonic()
             )
 
-    async def receive_broken(self, run: runs.Run, stamp: data.Stamp) -> None:
-        """Count a broken connection against all requests at the target, if it crashed.
+    async def receive_crash(self, run: runs.Run) -> None:
+        """Count a crash of the target against all requests at it.
 
         The first broken connection counts for all of them; the others follow from
         the same crash and are not counted again.
@@ -260,37 +257,41 @@
         for other in struck:
             other.crash_counted = True
         self.loops.wake()
-        if not await self.has_ended(stamp.boot):
-            return
         events.warning(
             "target_broke_connections", target=self.target.name, requests=len(struck)
         )
+        ended = await self.has_ended(run.boot)
+        if ended is False:
+            return
+        # Requests for one hot key can have one fingerprint, which crashed once.
+        fingerprints = list(dict.fromkeys(other.fingerprint for other in struck))
+        alone = len(struck) == 1 and ended is True
         writing = asyncio.ensure_future(
-            self.recorder.receive_crash(
-                list(dict.fromkeys(other.fingerprint for other in struck)),
-                alone=len(struck) == 1,
-            )
+            self.recorder.receive_crash(fingerprints, alone)
         )
         await timing.wait_at_most(
             self.clock, asyncio.shield(writing), CRASH_WRITE_LIMIT
         )
 
-    async def has_ended(self, boot: str) -> bool:
-        """Return whether the run `boot` of the target has certainly ended.
+    async def has_ended(self, boot: str) -> bool | None:
+        """Return whether the target's run `boot` has ended, None if that stays open.
 
-        A connection also breaks in a partition, or if something between resets it.
-        Only a target that refuses connections or shows another boot id has crashed.
+        A network can reset the connections to a target that goes on running. An
+        unfenced target has no boot id, so there every broken connection counts.
         """
-        for _ in range(CRASH_CHECKS):
-            _, answer = await timing.wait_at_most(
-                self.clock, self.channel.read_clock(), CRASH_CHECK_LIMIT
+        if not self.target.fenced:
+            return True
+        limit = self.clock.monotonic() + CRASH_CONFIRM_LIMIT
+        while self.clock.monotonic() < limit:
+            done, outcome = await timing.wait_at_most(
+                self.clock, self.channel.read_clock(), renewal.CALL_TIMEOUT
             )
-            if isinstance(answer, result.Success):
-                return bool(boot) and answer.unwrap().boot != boot
-            if answer is not None and renewal.is_connection_refused(answer.failure()):
+            if done and isinstance(outcome, result.Success):
+                return outcome.unwrap().boot != boot
+            if done and renewal.is_refused_connection(outcome.failure()):
                 return True
-            await self.clock.sleep(CRASH_CHECK_LIMIT / 4)
-        return False
+            await self.clock.sleep(FIRST_PAUSE)
+        return None
 
     async def receive_success(self, run: runs.Run) -> None:
         """Clear a suspect whose answer was complete."""
--- a/tests/proofs_test.py
+++ b/tests/proofs_test.py
@@ -14,7 +14,7 @@
 
 pytestmark = pytest.mark.proofs
 
-WORKERS = max(1, min(4, (os.cpu_count() or 1) // 2))
+WORKERS = max(1, min(5, (os.cpu_count() or 1) // 2))
 """Scenarios at one time; each keeps about one processor busy."""
 LIMIT_SECONDS = 120
 
@@ -48,6 +48,7 @@
     "second-signal": 1,
     "shards-moved": 1,
     "shards-moved-answers-lost": 1,
+    "short-horizon": 1,
     "table-down": 1,
     "table-down-new-entry": 1,
     "table-slow": 1,
