Split the end of an entry process and the drain into short functions

Cause: run_process waited for the end, stopped, and told exit codes in one function, and drain_target wrote the configuration in the middle of its checks. The whole suite was not run on this commit. Conclusion: Behaviour is unchanged; the second signal logs gates as a list.

--- a/packages/entry/dewstep_entry/main.py
+++ b/packages/entry/dewstep_entry/main.py
@@ -29,11 +29,21 @@
         loop.add_signal_handler(number, signals.put_nowait, number)
     await entry.start()
     announce(entry)
-    first = asyncio.ensure_future(signals.get())
+    await wait_end(entry, signals)
+    return await stop_process(entry, signals)
+
+
+async def wait_end(entry: process.EntryProcess, signals: asyncio.Queue) -> None:
+    """Wait for a signal or for the failure of a task."""
+    signalled = asyncio.ensure_future(signals.get())
     failed = asyncio.ensure_future(entry.failed.wait())
-    await asyncio.wait((first, failed), return_when=asyncio.FIRST_COMPLETED)
-    first.cancel()
+    await asyncio.wait((signalled, failed), return_when=asyncio.FIRST_COMPLETED)
+    signalled.cancel()
     failed.cancel()
+
+
+async def stop_process(entry: process.EntryProcess, signals: asyncio.Queue) -> int:
+    """Stop as planned, or at once at another signal; return the exit code."""
     stopping = asyncio.ensure_future(entry.stop())
     second = asyncio.ensure_future(signals.get())
     await asyncio.wait((stopping, second), return_when=asyncio.FIRST_COMPLETED)
@@ -43,13 +53,12 @@
             return EXIT_FAILED
         return EXIT_CUT if stopping.result() else 0
     stopping.cancel()
-    gates = ", ".join(sorted(entry.gates.gates)) or "none"
     events.error(
         "stop_cut",
         what="second signal",
         in_progress=entry.router.in_progress,
         callers=len(entry.listener.connections),
-        gates=gates,
+        gates=list(entry.gates.gates),
     )
     return EXIT_CUT
 
--- a/packages/operator/dewstep_operator/draining.py
+++ b/packages/operator/dewstep_operator/draining.py
@@ -43,17 +43,10 @@
     target = current.configuration.targets.get(name)
     if target is None:
         return result.Failure(failures.NameUnknown("target", name))
-    revision = current.configuration.revision
-    if target.draining == undo:
-        targets = {
-            **current.configuration.targets,
-            name: target._replace(draining=not undo),
-        }
-        changed = current.configuration._replace(targets=targets)
-        written = await configurations.write_next(session, current, changed)
-        if isinstance(written, result.Failure):
-            return written
-        revision = written.unwrap()
+    written = await set_draining(session, current, target, not undo)
+    if isinstance(written, result.Failure):
+        return written
+    revision = written.unwrap()
     document = {"target": name, "draining": not undo, "revision": revision}
     state = "takes new work again" if undo else "is draining"
     line = f"target {name} {state} as of revision {revision}"
@@ -68,6 +61,23 @@
     )
 
 
+async def set_draining(
+    session: sessions.Session,
+    current: configurations.Current,
+    target: data.Target,
+    draining: bool,
+) -> result.Result[int, failures.Failure]:
+    """Return the revision with `draining` as wanted, written if it was not yet."""
+    configuration = current.configuration
+    if target.draining == draining:
+        return result.Success(configuration.revision)
+    changed = target._replace(draining=draining)
+    targets = {**configuration.targets, target.name: changed}
+    return await configurations.write_next(
+        session, current, configuration._replace(targets=targets)
+    )
+
+
 async def wait_empty(
     session: sessions.Session, target: data.Target, limit: datetime.timedelta
 ) -> result.Result[None, failures.Failure]:
