--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -19,6 +19,7 @@
     lifecycle,
     moves,
     ownership,
+    releases,
     rows,
     succession,
     takeover,
@@ -28,7 +29,6 @@
 from dewstep_entry.state import view
 
 STEP = datetime.timedelta(milliseconds=50)
-RECENT_CONTACT = datetime.timedelta(seconds=10)
 OUTSIDE_PAUSE = datetime.timedelta(seconds=1)
 RETRY_PAUSE = datetime.timedelta(milliseconds=200)
 
@@ -73,7 +73,6 @@
         self.takeovers: dict[str, asyncio.Task] = {}
         self.emptying: dict[str, asyncio.Task] = {}
         self.endings: set[asyncio.Task] = set()
-        self.returning: set[asyncio.Task] = set()
         self.leaving_targets: frozenset[str] = frozenset()
         self.leaving_entries: frozenset[str] = frozenset()
         self.stopping = False
@@ -90,6 +89,7 @@
             self.list_usable,
             self.raise_term,
         )
+        self.releases = releases.Releases(self)
 
     # Loop.
 
@@ -119,7 +119,7 @@
         if not self.stopping:
             for target in configuration.targets.values():
                 self.look_for_vacancy(target, configuration)
-            self.look_for_heir()
+            self.releases.return_one()
 
     def receive_event(self, message: event.Event) -> None:
         """Process one message of a gate."""
@@ -174,33 +174,6 @@
         if service is not None and now - since >= vacancy.delay:
             self.start_takeover(target, service, vacancy.outside)
 
-    def look_for_heir(self) -> None:
-        """Hand one gate to the process that should have it, if there is such a gate.
-
-        Only after a recent contact with the table: a gate that has been released
-        can't be served before the row names its successor.
-        """
-        now = self.clock.monotonic()
-        contact = self.holder.current.table_contact
-        if self.returning or contact is None or now - contact > RECENT_CONTACT:
-            return
-        for gate in self.gates.values():
-            if gate.releasing or gate.lost or gate.target.name in self.emptying:
-                continue
-            heir = succession.choose_heir(
-                gate.target,
-                self.holder.current.members,
-                self.own,
-                self.leaving_entries,
-                now,
-            )
-            if heir is not None and not gate.is_waiting():
-                events.info("gate_returned", target=gate.target.name, heir=heir.entry)
-                task = asyncio.ensure_future(self.hand_over(gate))
-                self.returning.add(task)
-                task.add_done_callback(self.returning.discard)
-                return
-
     def start_takeover(
         self, target: data.Target, service: data.Service, outside: bool
     ) -> None:
@@ -445,38 +418,10 @@
 
     # Stop.
 
-    def find_successor(self, target: data.Target) -> data.Member | None:
-        """Return the process that gets a target at a planned stop."""
-        excluded = self.leaving_entries | {self.own.entry}
-        members = self.holder.current.members
-        return succession.choose_successor(target, members, excluded)
-
     async def stop(self) -> tuple[str, ...]:
         """Hand over all gates within the stop limit; return those that remain."""
         self.stopping = True
         await timing.wait_at_most(
-            self.clock, self.hand_over_all(), self.settings.stop_limit
+            self.clock, self.releases.hand_over_all(), self.settings.stop_limit
         )
         return tuple(sorted(self.gates))
-
-    async def hand_over_all(self) -> None:
-        """Hand over all gates, including those that are just being taken over."""
-        work = [self.hand_over(gate) for gate in self.gates.values()]
-        work += [self.hand_over_later(name) for name in self.takeovers]
-        await asyncio.gather(*work)
-
-    async def hand_over_later(self, target: str) -> None:
-        """Hand a target over that is being taken over now."""
-        await asyncio.wait({self.takeovers[target]})
-        gate = self.gates.get(target)
-        if gate is not None and not gate.releasing:
-            await self.hand_over(gate)
-
-    async def hand_over(self, gate: gates.Gate) -> None:
-        """Hand one gate over."""
-        find, send = self.find_successor, self.wiring.send_handover
-        await handover.hand_over(gate, self.rows, find, send, self.clock)
-        # Either the row names the successor, or another process was faster.
-        if self.gates.get(gate.target.name) is gate:
-            del self.gates[gate.target.name]
-            self.wiring.observer.end(gate.target)
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/releases.py
@@ -0,0 +1,94 @@
+"""Gates that this process gives to another one: at a planned stop, or back.
+
+A replaced process gets its share of the gates again, and a target's gate comes back
+to the target's own data centre, one gate at a time.
+"""
+
+import asyncio
+import datetime
+from typing import Any
+
+from dewstep_core import data, events
+from dewstep_entry.gate import gate as gates, handover, succession
+
+RECENT_CONTACT = datetime.timedelta(seconds=10)
+
+
+class Releases:
+    """Hands over the gates of a `GateManager`.
+
+    Parameters
+    ----------
+    manager : dewstep_entry.gate.manager.GateManager
+        Owner of the gates.
+    """
+
+    def __init__(self, manager: Any):
+        self.manager = manager
+        self.returning: set[asyncio.Task] = set()
+
+    def return_one(self) -> None:
+        """Hand one gate to the process that should have it, if there is such a gate.
+
+        Only after a recent contact with the table: a gate that has been released
+        can't be served before the row names its successor.
+        """
+        now = self.manager.clock.monotonic()
+        contact = self.manager.holder.current.table_contact
+        if self.returning or contact is None or now - contact > RECENT_CONTACT:
+            return
+        for gate in self.manager.gates.values():
+            heir = self.find_heir(gate, now)
+            if heir is not None:
+                events.info("gate_returned", target=gate.target.name, heir=heir.entry)
+                task = asyncio.ensure_future(self.hand_over(gate))
+                self.returning.add(task)
+                task.add_done_callback(self.returning.discard)
+                return
+
+    def find_heir(
+        self, gate: gates.Gate, now: datetime.timedelta
+    ) -> data.Member | None:
+        """Return the process that a working gate should go to, or None."""
+        manager = self.manager
+        busy = gate.target.name in manager.emptying or gate.is_waiting()
+        if busy or gate.releasing or gate.lost:
+            return None
+        members = manager.holder.current.members
+        return succession.choose_heir(
+            gate.target, members, manager.own, manager.leaving_entries, now
+        )
+
+    def find_successor(self, target: data.Target) -> data.Member | None:
+        """Return the process that gets a target."""
+        excluded = self.manager.leaving_entries | {self.manager.own.entry}
+        members = self.manager.holder.current.members
+        return succession.choose_successor(target, members, excluded)
+
+    async def hand_over_all(self) -> None:
+        """Hand over all gates, including those that are just being taken over."""
+        work = [
+            self.hand_over(gate)
+            for gate in self.manager.gates.values()
+            if not gate.releasing
+        ]
+        work += self.returning
+        work += [self.hand_over_later(name) for name in self.manager.takeovers]
+        await asyncio.gather(*work)
+
+    async def hand_over_later(self, target: str) -> None:
+        """Hand a target over that is being taken over now."""
+        await asyncio.wait({self.manager.takeovers[target]})
+        gate = self.manager.gates.get(target)
+        if gate is not None and not gate.releasing:
+            await self.hand_over(gate)
+
+    async def hand_over(self, gate: gates.Gate) -> None:
+        """Hand one gate over."""
+        manager = self.manager
+        find, send = self.find_successor, manager.wiring.send_handover
+        await handover.hand_over(gate, manager.rows, find, send, manager.clock)
+        # Either the row names the successor, or another process was faster.
+        if manager.gates.get(gate.target.name) is gate:
+            del manager.gates[gate.target.name]
+            manager.wiring.observer.end(gate.target)
