--- a/packages/entry/dewstep_entry/policy/decay.py
+++ b/packages/entry/dewstep_entry/policy/decay.py
@@ -10,6 +10,8 @@
 import datetime
 import math
 
+LARGEST_EXPONENT = 1000.0
+"""Just below the exponent at which a float overflows."""
 RESCALE_EXPONENT = 256.0
 """Doublings after which counts are rescaled, far below the range of a float."""
 
@@ -31,7 +33,9 @@
 
     def weigh(self, now: datetime.timedelta) -> float:
         """Return the weight of an event at `now`."""
-        return 2.0 ** ((now - self.start) / self.half_life)
+        # A count from so long ago is zero after the division; without the bound, the
+        # power overflows on a machine that has been up for 1,024 half-lives.
+        return 2.0 ** min((now - self.start) / self.half_life, LARGEST_EXPONENT)
 
     def is_spent(self, now: datetime.timedelta) -> bool:
         """Return whether `rescale` is due."""
