State the rule that names the owner of a key once

Cause: the same two lines stood in gate/ownership.py, pipeline/locate.py, balancing/planner.py and the operators' move command. Ruled out: a change of behaviour; the order of the result is the gates' one.

--- a/packages/entry/dewstep_entry/balancing/planner.py
+++ b/packages/entry/dewstep_entry/balancing/planner.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from dewstep_core import data, hashing, ledger, placement, rebalancing
+from dewstep_core import data, ledger, owners, placement, rebalancing
 from dewstep_entry.balancing import workload
 from dewstep_entry.policy import outliers
 
@@ -45,8 +45,7 @@
     loads = {}
     for report in reports:
         for key, load in report.load.keys.items():
-            shard = hashing.compute_shard(key, len(assignment.owners))
-            owner = assignment.overrides.get(key, assignment.owners[shard])
+            owner, _ = owners.find_owner(assignment, key)
             if owner == report.target:
                 loads[key] = load
     return loads
@@ -68,9 +67,9 @@
     usable = [targets[report.target] for report in reports if report.target in targets]
     factors = {report.target: report.factor for report in reports}
     shard_loads = collect_shard_loads(assignment, reports)
-    owners = set(assignment.owners)
+    owning = set(assignment.owners)
     for target in usable:
-        if target.name not in owners and not target.draining:
+        if target.name not in owning and not target.draining:
             moves = placement.plan_join(
                 assignment, target.name, usable, shard_loads, factors
             )
--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -7,7 +7,14 @@
 
 from returns import result
 
-from dewstep_core import clock as clocks, data, errors, events, settings as setting
+from dewstep_core import (
+    clock as clocks,
+    data,
+    errors,
+    events,
+    owners,
+    settings as setting,
+)
 from dewstep_entry import interfaces
 from dewstep_entry.gate import (
     assignments,
@@ -18,7 +25,6 @@
     invariants,
     lifecycle,
     moves,
-    ownership,
     releases,
     rows,
     succession,
@@ -381,7 +387,7 @@
     ) -> result.Result[data.Assignment, interfaces.Failure]:
         """Move a single key whose target has its gate here."""
         assignment = self.holder.current.assignments[service]
-        owner, _ = ownership.find_owner(assignment, key)
+        owner, _ = owners.find_owner(assignment, key)
         gate = self.gates.get(owner)
         if gate is None:
             return result.Failure(errors.NotTheGate(owner, self.get_term(owner)))
@@ -401,7 +407,7 @@
         assignment = self.holder.current.assignments.get(request.service)
         if assignment is None:
             return result.Failure(errors.NotReady(f"assignment/{request.service}"))
-        owner, shard = ownership.find_owner(assignment, request.key)
+        owner, shard = owners.find_owner(assignment, request.key)
         gate = self.gates.get(owner)
         if gate is None:
             return result.Failure(errors.NotTheGate(owner, self.get_term(owner)))
--- a/packages/entry/dewstep_entry/gate/ownership.py
+++ b/packages/entry/dewstep_entry/gate/ownership.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from dewstep_core import data, errors, hashing
+from dewstep_core import data, errors
 from dewstep_entry import interfaces
 from dewstep_entry.gate import invariants, rows
 from dewstep_entry.state import view
@@ -16,12 +16,6 @@
     keys: frozenset[str] = frozenset()
 
 
-def find_owner(assignment: data.Assignment, key: str) -> tuple[str, int]:
-    """Return the target that owns a key, and the shard of the key."""
-    shard = hashing.compute_shard(key, len(assignment.owners))
-    return assignment.overrides.get(key, assignment.owners[shard]), shard
-
-
 def find_arrivals(
     target: str, held: data.Assignment, assignment: data.Assignment
 ) -> KeySet:
--- a/packages/entry/dewstep_entry/pipeline/locate.py
+++ b/packages/entry/dewstep_entry/pipeline/locate.py
@@ -4,7 +4,7 @@
 
 from returns import result
 
-from dewstep_core import data, errors, hashing
+from dewstep_core import data, errors, owners
 from dewstep_entry import interfaces
 from dewstep_entry.state import view
 
@@ -20,12 +20,6 @@
     gate: data.GateRow
 
 
-def find_owner(assignment: data.Assignment, key: str) -> tuple[int, str]:
-    """Return the shard of `key` and the target that owns the key."""
-    shard = hashing.compute_shard(key, len(assignment.owners))
-    return shard, assignment.overrides.get(key, assignment.owners[shard])
-
-
 def locate(
     current: view.View, service: str, key: str
 ) -> result.Result[Location, interfaces.Failure]:
@@ -33,7 +27,7 @@
     assignment = current.assignments.get(service)
     if assignment is None:
         return result.Failure(errors.NotReady(f"assignment/{service}"))
-    shard, owner = find_owner(assignment, key)
+    owner, shard = owners.find_owner(assignment, key)
     gate = current.gates.get(owner)
     if gate is None:
         return result.Failure(errors.GateUnknown(owner))
--- a/packages/entry/dewstep_entry/pipeline/locate_test.py
+++ b/packages/entry/dewstep_entry/pipeline/locate_test.py
@@ -5,12 +5,6 @@
 GATE = data.GateRow("t1", "e1", "i1", "127.0.0.1", 1, 3, 3)
 
 
-def test_find_owner_prefers_the_override_of_a_key():
-    assignment = data.Assignment("history", 7, ("t1",) * 4, {"hot": "t2"}, ())
-    assert locate.find_owner(assignment, "hot")[1] == "t2"
-    assert locate.find_owner(assignment, "cold")[1] == "t1"
-
-
 def test_locate_names_what_is_missing():
     holder = view.ViewHolder()
     missing = locate.locate(holder.current, "history", "k").failure()
--- a/packages/operator/dewstep_operator/moving.py
+++ b/packages/operator/dewstep_operator/moving.py
@@ -9,7 +9,7 @@
 
 from returns import result
 
-from dewstep_core import data, hashing
+from dewstep_core import data, owners
 from dewstep_operator import (
     entries,
     failures,
@@ -33,8 +33,7 @@
 def get_owner(assignment: data.Assignment, subject: Subject) -> str | None:
     """Return the owner of `subject`, or None for a shard that does not exist."""
     if subject.key is not None:
-        shard = hashing.compute_shard(subject.key, len(assignment.owners))
-        return assignment.overrides.get(subject.key, assignment.owners[shard])
+        return owners.find_owner(assignment, subject.key)[0]
     if not 0 <= subject.shard < len(assignment.owners):
         return None
     return assignment.owners[subject.shard]
