Don't write to transports that are closing

Cause: uvloop closes a transport after a failed write and calls connection_lost one turn of the event loop later. A write in that turn raises RuntimeError, where asyncio's own transports ignore it. A heartbeat that met it ended the task Exchange.run, and with it the entry process (exit code 1), which peers saw as another lost process.

Ruled out: a fault of the hand-over; the log names session.py, transport.write, as the end of each of the traces.

Conclusion: all writes to sockets go through a check of is_closing. A frame or request that is not written because of it counts as not sent, so its outcome is "not run" rather than "unknown".

--- a/packages/core/dewstep_core/http/client.py
+++ b/packages/core/dewstep_core/http/client.py
@@ -14,6 +14,7 @@
 from returns import result
 
 from dewstep_core import errors, settings
+from dewstep_core.http import transports
 
 CONNECTIONS = 8
 """Default limit of open connections per client."""
@@ -102,7 +103,8 @@
         if body:
             parts.append(self.http.send(h11.Data(data=body)))
         parts.append(self.http.send(h11.EndOfMessage()))
-        self.transport.write(b"".join(parts))
+        if not transports.write(self.transport, b"".join(parts)):
+            raise ConnectionResetError("the connection closed before the request")
         return await self.read_response()
 
     async def read_response(self) -> Response:
--- a/packages/core/dewstep_core/http/server.py
+++ b/packages/core/dewstep_core/http/server.py
@@ -16,6 +16,7 @@
 import h11
 
 from dewstep_core import events, settings
+from dewstep_core.http import transports
 
 BACKLOG = 512
 MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
@@ -134,7 +135,8 @@
 
     def write(self, content: bytes) -> None:
         """Send bytes as they are; what they mean is the handler's affair."""
-        self.connection.transport.write(content)
+        if not transports.write(self.connection.transport, content):
+            raise ConnectionResetError("the caller closed the connection")
 
     def close(self) -> None:
         """Close the connection after the bytes written so far."""
@@ -236,7 +238,7 @@
             return b""
         if self.http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
-            self.transport.write(self.http.send(go_on))
+            transports.write(self.transport, self.http.send(go_on))
         event = await self.next_event()
         if isinstance(event, h11.Data):
             return bytes(event.data)
@@ -300,9 +302,8 @@
             return
         status = error.error_status_hint
         headers = [("Content-Length", "0"), ("Connection", "close")]
-        self.transport.write(
-            self.http.send(h11.Response(status_code=status, headers=headers))
-        )
+        answer = h11.Response(status_code=status, headers=headers)
+        transports.write(self.transport, self.http.send(answer))
 
     def stop(self) -> None:
         """Close now if idle, else after the exchange in progress."""
--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -13,6 +13,7 @@
 from returns import result
 
 from dewstep_core import data, errors, events
+from dewstep_core.http import transports
 from dewstep_entry import bodies
 from dewstep_entry.caller import pacing, rendering, request_body
 
@@ -202,9 +203,8 @@
     async def read_chunk(self) -> bytes | None:
         """Return the next piece of the request's body, None at its end."""
         if self.http.they_are_waiting_for_100_continue:
-            self.transport.write(
-                self.http.send(h11.InformationalResponse(status_code=100, headers=[]))
-            )
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            transports.write(self.transport, self.http.send(go_on))
         phase = self.phase
         began = self.loop.time()
         event = await self._read_event(Phase.BODY)
@@ -310,14 +310,15 @@
             if shown and body.start:
                 pieces.append(http.send(h11.Data(data=body.start)))
             if body.rest is not None and shown:
-                self.transport.write(b"".join(pieces))
+                transports.write(self.transport, b"".join(pieces))
                 pieces.clear()
                 async for chunk in body.rest:
                     await self._wait_writable()
                     if chunk:
-                        self.transport.write(http.send(h11.Data(data=chunk)))
+                        chunk = http.send(h11.Data(data=chunk))
+                        transports.write(self.transport, chunk)
             pieces.append(http.send(h11.EndOfMessage()))
-            self.transport.write(b"".join(pieces))
+            transports.write(self.transport, b"".join(pieces))
             await self._wait_writable()
         except (bodies.BodyFailure, h11.LocalProtocolError) as error:
             failure = getattr(error, "failure", error)
--- a/packages/entry/dewstep_entry/peers/session.py
+++ b/packages/entry/dewstep_entry/peers/session.py
@@ -128,7 +128,9 @@
         stream : object, optional
             Its attribute `sent` becomes true when the frame goes to the socket.
         """
-        if self.lost:
+        # A transport that is closing has lost the session one turn of the event loop
+        # before it says so; what is not written then counts as not sent.
+        if self.lost or self.transport.is_closing():
             return
         if stream is not None:
             stream.sent = True
--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -14,6 +14,7 @@
 from returns import result
 
 from dewstep_core import data
+from dewstep_core.http import transports
 from dewstep_entry import bodies, header_rules, interfaces
 from dewstep_entry.targets import outcome
 
@@ -159,7 +160,9 @@
 
         The event loop may not have seen either yet; one system call makes sure.
         """
-        return not self.usable or bool(self.poll.poll(0))
+        if not self.usable or self.transport.is_closing():
+            return True
+        return bool(self.poll.poll(0))
 
     async def exchange(
         self,
@@ -222,6 +225,9 @@
             pieces.append(self.http.send(h11.Data(data=body.start)))
         if body.rest is None:
             pieces.append(self.http.send(h11.EndOfMessage()))
+        if self.transport.is_closing():
+            self._fail(outcome.Event.CLOSED)
+            return
         exchange.sent = True
         self.transport.write(b"".join(pieces))
         if body.rest is not None:
@@ -234,9 +240,11 @@
                     await self.writable
                 if self.current is not exchange:
                     return
-                self.transport.write(self.http.send(h11.Data(data=chunk)))
+                chunk = self.http.send(h11.Data(data=chunk))
+                if not transports.write(self.transport, chunk):
+                    return
             if self.current is exchange:
-                self.transport.write(self.http.send(h11.EndOfMessage()))
+                transports.write(self.transport, self.http.send(h11.EndOfMessage()))
         except (bodies.BodyFailure, h11.LocalProtocolError) as error:
             if self.current is exchange:
                 self._fail(outcome.Event.ABANDONED, str(error))
