Hand no gates back to a process that is stopping

Cause: a gate goes back to the first candidate of its target once that process has lived for 10 s. A process that is about to end still looks alive, so its successors handed its gates back to it within 0.1 s (log: gate_released, then gate_returned with the stopping process as heir). Requests that it took then were cut or ended as unknown. The scenario entries-replaced did not show it on a quiet machine, because none of its processes had lived for 10 s when the stops began.

Ruled out: excluding only the process that released the gate; a third process may hold another gate of which the stopping one is the first candidate.

After: a stopping process announces it to the processes that hold gates which could come to it; it gets no gate any more, and refuses a hand-over that was already under way.

--- a/packages/emulator/dewstep_emulator/scenarios/departures.py
+++ b/packages/emulator/dewstep_emulator/scenarios/departures.py
@@ -11,6 +11,7 @@
 EXIT_CUT = 3
 """Exit code of an entry process that had to cut work in progress."""
 SECOND_SIGNAL_LIMIT = 1.0
+SETTLED_SECONDS = 10.0
 SLOW_BOOKINGS = 25.0
 """Factor of service times; a run takes 0.2 s."""
 LIST_LAG = datetime.timedelta(seconds=3)
@@ -33,6 +34,9 @@
         if name.startswith("booker"):
             # At-most-once requests are in progress at every moment of the stops.
             await fleet.set_faults(process, {"slow_factor": SLOW_BOOKINGS})
+    # Gates go back only to processes that have lived this long. A gate that returns to
+    # a process which is stopping would be missed without the wait.
+    await asyncio.sleep(SETTLED_SECONDS)
     for target in ("booker-0", "booker-1", "history-0"):
         handle = await measures.find_gate(stage, target)
         stage.fleet.remove_from_balancer(handle.name)
--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -305,6 +305,11 @@
             return
         if self.get_term(row.target) > row.term:
             return
+        if self.stopping:
+            # Its requests would be cut when this process ends. The others take the
+            # target over as soon as that happens.
+            events.warning("handover_refused", target=row.target, term=row.term)
+            return
         self.holder.offer_gate(row)
         running = self.takeovers.get(row.target)
         if running is not None:
--- a/packages/entry/dewstep_entry/gate/succession.py
+++ b/packages/entry/dewstep_entry/gate/succession.py
@@ -96,7 +96,7 @@
     live = [
         state.member
         for state in members.values()
-        if state.alive and state.member.entry not in excluded
+        if state.alive and not state.stopping and state.member.entry not in excluded
     ]
     near = [member for member in live if member.data_centre == target.data_centre]
     names = (member.entry for member in near or live)
--- a/packages/entry/dewstep_entry/gate/succession_test.py
+++ b/packages/entry/dewstep_entry/gate/succession_test.py
@@ -62,6 +62,21 @@
     assert succession.choose_successor(target, {}, ()) is None
 
 
+def test_a_process_that_has_announced_its_stop_gets_no_gates():
+    # Guards against a gate that goes back to a process which is about to end: the
+    # requests that it takes there are cut.
+    members = make_members((OWN, True), (OWN._replace(entry="e2"), True))
+    target = fakes.make_target()
+    first = succession.rank_candidates(target, members, ())[0]
+    own = next(state.member for name, state in members.items() if name != first)
+    late = succession.SETTLED
+    heir = succession.choose_heir(target, members, own, (), late)
+    assert heir.entry == first
+    members[first] = members[first]._replace(stopping=True)
+    assert succession.choose_heir(target, members, own, (), late) is None
+    assert succession.choose_successor(target, members, (own.entry,)) is None
+
+
 def test_the_wait_outlasts_the_slowest_old_gate_and_its_last_grant():
     now = 50 * SECOND
     wait = succession.compute_wait(make_record(), now, fakes.GRANTS)
--- a/packages/entry/dewstep_entry/peers/session.py
+++ b/packages/entry/dewstep_entry/peers/session.py
@@ -12,6 +12,7 @@
 from typing import Any, Protocol
 
 from dewstep_core import data
+from dewstep_core.http import transports
 from dewstep_entry.peers import messages, wire
 
 WRITE_BUFFER_BYTES = 262_144
@@ -128,16 +129,20 @@
         stream : object, optional
             Its attribute `sent` becomes true when the frame goes to the socket.
         """
-        # A transport that is closing has lost the session one turn of the event loop
-        # before it says so; what is not written then counts as not sent.
-        if self.lost or self.transport.is_closing():
+        if self.lost:
             return
-        if stream is not None:
-            stream.sent = True
         if self.peer is not None and self.is_cut(self.peer):
+            if stream is not None:
+                stream.sent = True
             self.dropped = True
             return
-        self.transport.write(encoded)
+        if not transports.write(self.transport, encoded):
+            # The transport has closed and has not said so yet; the frame counts as not
+            # sent.
+            self.abort()
+            return
+        if stream is not None:
+            stream.sent = True
         if self.transport.get_write_buffer_size() > ABORT_BYTES:
             self.abort()
 
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -258,6 +258,7 @@
         """Finish what runs and hand on the gates; return what had to be cut."""
         self.stopping = True
         events.info("stopping", entry=self.own.entry)
+        self.exchange.announce_stop()
         end = self.clock.monotonic() + self.settings.stop_limit
         closing = asyncio.ensure_future(self.listener.stop())
         remaining = await self.gates.stop()
--- a/packages/entry/dewstep_entry/state/exchange.py
+++ b/packages/entry/dewstep_entry/state/exchange.py
@@ -21,6 +21,7 @@
 
 CONFIGURATION = "configuration"
 ASSIGNMENT = "assignment"
+STOPPING = "stopping"
 GATES = "gates"
 HEARTBEAT = "heartbeat"
 PAUSE_FACTOR = 2
@@ -118,6 +119,28 @@
                 self.probe(now)
             await self.clock.sleep(self.settings.heartbeat_interval)
 
+    def announce_stop(self) -> None:
+        """Tell the holders of gates that could come to this process that it stops.
+
+        Otherwise they would hand gates back to it while it still lives, because it
+        is the first candidate for them. They are the processes of this data centre,
+        and those elsewhere that stand in for them.
+        """
+        current = self.holder.current
+        targets = current.configuration.targets if current.configuration else {}
+        entries = {member.entry for member in self.members.list_near()}
+        entries |= {
+            row.entry
+            for row in current.gates.values()
+            if row.target in targets
+            and targets[row.target].data_centre == self.own.data_centre
+        }
+        incarnation = self.own.incarnation.encode()
+        announcement = messages.Value(STOPPING, self.own.entry, 0, incarnation)
+        for entry in sorted(entries - {self.own.entry}):
+            if entry in current.members:
+                self.network.send(current.members[entry].member, announcement)
+
     def tell_near(self, message) -> None:
         """Send to all live processes of the data centre, for rare news."""
         for member in self.members.list_near():
@@ -280,6 +303,10 @@
                     f"assignment/{value.name}", value.version, json.loads(value.payload)
                 )
                 self.holder.offer_assignment(rows.decode_assignment(row).unwrap())
+            elif value.what == STOPPING:
+                if self.members.note_stopping(value.name, value.payload.decode()):
+                    events.info("member_stopping", entry=value.name)
+                    self.publish_members()
             elif value.what == GATES:
                 for gate in decode_gates(value.payload):
                     self.holder.offer_gate(gate)
@@ -312,8 +339,8 @@
         for peer in self.members.peers.values():
             alive = peer.suspected is None
             known = held.get(peer.member.entry)
-            if known is None or (known.member, known.alive) != (peer.member, alive):
-                state = view.MemberState(peer.member, peer.last_heard, alive)
+            state = view.MemberState(peer.member, peer.last_heard, alive, peer.stopping)
+            if known is None or known != state._replace(last_heard=known.last_heard):
                 self.holder.set_member(state)
                 if not alive:
                     # Requests at a frozen process would wait for their deadlines.
--- a/packages/entry/dewstep_entry/state/exchange_test.py
+++ b/packages/entry/dewstep_entry/state/exchange_test.py
@@ -94,6 +94,21 @@
     assert {entry for entry, _ in found.network.sent[1:]} == {"e2", "e3"}
 
 
+def test_an_announced_stop_holds_until_the_process_is_replaced():
+    # Guards against gates that go back to a stopping process after its heartbeat.
+    old, new = build_exchange(PEER), build_exchange(OWN)
+    old.members.hear(OWN, old.clock.monotonic())
+    old.publish_members()
+    receive(new, new.build_heartbeat())
+    old.announce_stop()
+    ((_, announcement),) = old.network.sent
+    receive(new, announcement)
+    receive(new, old.build_heartbeat())
+    assert new.holder.current.members["e2"].stopping
+    receive(new, old.build_heartbeat(), PEER._replace(incarnation="i9"))
+    assert not new.holder.current.members["e2"].stopping
+
+
 def test_processes_that_gate_rows_name_are_learned():
     # A new process would otherwise take a gate for dead that it has not met yet.
     found = build_exchange()
--- a/packages/entry/dewstep_entry/state/membership.py
+++ b/packages/entry/dewstep_entry/state/membership.py
@@ -52,6 +52,8 @@
     """Whether it is suspect only because its whole data centre is silent."""
     observed: bool = False
     """Whether this process itself missed it or was refused by it."""
+    stopping: bool = False
+    """Whether it has announced its planned stop."""
 
 
 class Membership:
@@ -95,9 +97,22 @@
         known = self.peers.get(member.entry)
         changed = known is None or known.member != member or known.suspected is not None
         changed = self.hear_centre(member.data_centre, now) or changed
-        self.peers[member.entry] = Peer(member, now, None, True)
+        stopping = (
+            known is not None
+            and known.stopping
+            and known.member.incarnation == member.incarnation
+        )
+        self.peers[member.entry] = Peer(member, now, None, True, stopping=stopping)
         return changed
 
+    def note_stopping(self, entry: str, incarnation: str) -> bool:
+        """Note that a process announced its stop; return whether that is news."""
+        known = self.peers.get(entry)
+        if known is None or known.member.incarnation != incarnation or known.stopping:
+            return False
+        self.peers[entry] = known._replace(stopping=True)
+        return True
+
     def hear_centre(self, data_centre: str, now: datetime.timedelta) -> bool:
         """Note a message from a data centre; return whether it had been silent."""
         self.centres[data_centre] = now
--- a/packages/entry/dewstep_entry/state/view.py
+++ b/packages/entry/dewstep_entry/state/view.py
@@ -19,6 +19,8 @@
     last_heard: datetime.timedelta
     """Monotonic time in this process."""
     alive: bool
+    stopping: bool = False
+    """Whether it has announced its planned stop; it then gets no gates any more."""
 
 
 class View(NamedTuple):
--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -225,11 +225,10 @@
             pieces.append(self.http.send(h11.Data(data=body.start)))
         if body.rest is None:
             pieces.append(self.http.send(h11.EndOfMessage()))
-        if self.transport.is_closing():
+        if not transports.write(self.transport, b"".join(pieces)):
             self._fail(outcome.Event.CLOSED)
             return
         exchange.sent = True
-        self.transport.write(b"".join(pieces))
         if body.rest is not None:
             exchange.pump = asyncio.ensure_future(self._send_rest(exchange, body.rest))
 
