Press the proofs of at most once with as many requests as slots; judge ratios always

Cause 1: gate-killed-before-answer-memory asks that half of 24 requests take effect. A target has 4 slots, so only 4 of 8 requests of a round can be between sending and answering when the gate ends; with the method "memory" the others are refused later. Ruled out: a fault of the gate; the requests without effect were all in its queue. The bound (12 of 24) is unchanged.

Cause 2: the two ratios of tests/regression_test.py were skipped where the bare relay alone added more than 1.5 ms, so that a slow machine gave a verdict without a check. After: they are always judged, by the same bounds.

--- a/packages/emulator/dewstep_emulator/scenarios/once.py
+++ b/packages/emulator/dewstep_emulator/scenarios/once.py
@@ -12,14 +12,15 @@
 
 SERVICE = "booker"
 KIND = "booking"
-REQUESTS = 8
-"""Requests that are between sending and answering when the gate ends."""
+REQUESTS = 4
+"""Requests that are between sending and answering when the gate ends: one for each
+slot of the target. Others would wait at the gate, without an effect."""
 ANSWER_DELAY = 0.7
 """Seconds between the effect and the answer."""
 SENT_AFTER = 0.3
 """Seconds until all requests have taken effect, well within the delay."""
 RESEND_SECONDS = 2.0
-ROUNDS = 3
+ROUNDS = 6
 
 
 def check_pressed(stage: staging.Stage, ids: list[str]) -> None:
--- a/tests/regression_test.py
+++ b/tests/regression_test.py
@@ -3,9 +3,8 @@
 The bounds are the stated objectives. Each round compares with a bare relay under the
 same conditions. Other work on the machine disturbs single rounds, so the bound of the
 processor time is broken if three of four rounds are beyond it, and latencies are
-compared by the medians of the quieter windows. A saturated machine gives no verdict:
-the tests of ratios are skipped, with the figure that shows it. The 99th percentile
-needs a longer run on a quiet machine: `python -m dewstep_emulator.bench run overhead`.
+compared by the medians of the quieter windows. The 99th percentile needs a longer run
+on a quiet machine: `python -m dewstep_emulator.bench run overhead`.
 """
 
 import pytest
@@ -23,7 +22,6 @@
 """Rounds that may be beyond a bound."""
 PROCESSOR_RATIO = 1.5
 ADDED_LATENCY_RATIO = 2.0
-ADDED_LATENCY_MS = 3.0
 LEAST_ANSWERED = 0.95
 """Of the requests; with fewer answers the costs of a request would say nothing."""
 
@@ -38,18 +36,6 @@
     return sum(ratio > bound for ratio in ratios)
 
 
-def require_free_cores(report):
-    """Skip where the bare relay alone adds more than half of the absolute bound.
-
-    The relative and the absolute bound of the design page exclude each other there.
-    Such a machine has no free cores, and each switch between processes costs the
-    larger program more, also in processor time.
-    """
-    by_relay = report["quiet_relay_added_p50_ms"]
-    if by_relay > ADDED_LATENCY_MS / ADDED_LATENCY_RATIO:
-        pytest.skip(f"the machine is too busy: a bare relay adds {by_relay:.1f} ms")
-
-
 def test_requests_are_answered(report):
     # Guards against a fast but wrong entry tier: refusals cost little.
     answered = report["dewstep"]["answered"] / report["dewstep"]["requests"]
@@ -59,14 +45,12 @@
 def test_processor_time_per_request_stays_near_that_of_a_bare_relay(report):
     # Guards against work that is added to the path of every request. The cost of
     # control without requests has an objective of its own and is left out.
-    require_free_cores(report)
     ratios = report["rounds_marginal_processor_ratio"]
     assert count_beyond(ratios, PROCESSOR_RATIO) <= ALLOWED_ROUNDS, ratios
 
 
 def test_added_latency_stays_near_that_of_a_bare_relay(report):
     # Guards against waits and pauses in the path of a request.
-    require_free_cores(report)
     assert report["quiet_ratio_p50"] <= ADDED_LATENCY_RATIO, {
         name: value for name, value in report.items() if "p50" in name
     }
