Give the gates a retry budget for each service and data centre

Cause: GateBudget kept the tokens of all gates of a process under the one key ("", "gate"), so that a service that fails entirely spent the retries of healthy ones. Ruled out: a budget for each gate. A service would then save as many bursts of ten tokens as it has targets here. Before: the new test in process_test.py ran 11 attempts for 8 requests to the failing service and 1 for the failed request of the healthy one. After: 8 and 3. The tests of process, gate/ and pipeline/ pass. Sender uses the methods of retries.Budget as they are, so that the adapter GateBudget is gone; the mutation claim-after-sending names the new text.

--- a/packages/emulator/dewstep_emulator/mutation_list.py
+++ b/packages/emulator/dewstep_emulator/mutation_list.py
@@ -120,9 +120,9 @@
         "        claimed = await method.claim(run.request)\n"
         "        if isinstance(claimed, result.Failure):\n"
         "            return claimed\n"
-        "        self.budget.deposit(self.clock.monotonic())\n"
+        "        self.budget.add_first_attempt()\n"
         "        outcome = await self.attempt_repeatedly(run, idempotent)\n",
-        "        self.budget.deposit(self.clock.monotonic())\n"
+        "        self.budget.add_first_attempt()\n"
         "        outcome = await self.attempt_repeatedly(run, idempotent)\n"
         "        claimed = await method.claim(run.request)\n"
         "        if isinstance(claimed, result.Failure):\n"
--- a/packages/entry/dewstep_entry/gate/fakes_test.py
+++ b/packages/entry/dewstep_entry/gate/fakes_test.py
@@ -68,10 +68,10 @@
     def __init__(self, retries: int = 100):
         self.retries = retries
 
-    def deposit(self, now):
+    def add_first_attempt(self):
         pass
 
-    def withdraw(self, now):
+    def take(self):
         self.retries -= 1
         return self.retries >= 0
 
--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -267,7 +267,7 @@
             self.wiring.make_admission(target),
             holder=self.holder,
             events=self.events,
-            budget=self.wiring.budget,
+            budget=self.wiring.get_budget(target),
             start=start,
             observer=self.wiring.observer,
             checks=self.checks,
--- a/packages/entry/dewstep_entry/gate/manager_test.py
+++ b/packages/entry/dewstep_entry/gate/manager_test.py
@@ -47,7 +47,7 @@
         connections = wiring.Wiring(
             lambda target: fakes.Channel(self.servers[target.name], self.fenced),
             lambda target: fakes.FirstCome(target.slots),
-            fakes.Budget(),
+            lambda target: fakes.Budget(),
             plan_round_robin,
             self.send,
         )
--- a/packages/entry/dewstep_entry/gate/sending.py
+++ b/packages/entry/dewstep_entry/gate/sending.py
@@ -40,11 +40,11 @@
 class RetryBudget(Protocol):
     """Limit of the extra load by retries (`policy/retries.py`)."""
 
-    def deposit(self, now: datetime.timedelta) -> None:
-        """Note a first attempt."""
+    def add_first_attempt(self) -> None:
+        """Note that a request was sent for the first time."""
 
-    def withdraw(self, now: datetime.timedelta) -> bool:
-        """Return whether one retry may be made, and count it."""
+    def take(self) -> bool:
+        """Take a token for a retry; return whether there was one."""
 
 
 def is_certainly_not_run(failure: interfaces.Failure) -> bool:
@@ -93,7 +93,7 @@
         claimed = await method.claim(run.request)
         if isinstance(claimed, result.Failure):
             return claimed
-        self.budget.deposit(self.clock.monotonic())
+        self.budget.add_first_attempt()
         outcome = await self.attempt_repeatedly(run, idempotent)
         if isinstance(outcome, result.Failure) and not run.may_have_run:
             await method.abandon(claimed.unwrap(), run.request)
@@ -141,9 +141,8 @@
             )
         safe = idempotent or is_certainly_not_run(failure)
         whole = run.request.body.rest is None or not run.body_used
-        now = self.clock.monotonic()
-        in_time = now + pause < run.request.deadline
-        return worthwhile and safe and whole and in_time and self.budget.withdraw(now)
+        in_time = self.clock.monotonic() + pause < run.request.deadline
+        return worthwhile and safe and whole and in_time and self.budget.take()
 
     async def take_turn(self, run: runs.Run) -> interfaces.Failure | None:
         """Wait until the request may be at the target, alone if it is a suspect."""
--- a/packages/entry/dewstep_entry/gate/wiring.py
+++ b/packages/entry/dewstep_entry/gate/wiring.py
@@ -13,7 +13,7 @@
 
     make_channel: Callable[[data.Target], interfaces.TargetChannel]
     make_admission: Callable[[data.Target], slots.Admission]
-    budget: sending.RetryBudget
+    get_budget: Callable[[data.Target], sending.RetryBudget]
     plan_evacuation: moves.PlanEvacuation
     send_handover: handover.SendHandover
     observer: observation.Observer = observation.Blind()
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -111,7 +111,7 @@
             wiring.Wiring(
                 self.make_channel,
                 self.make_admission,
-                GateBudget(self.budgets),
+                self.get_gate_budget,
                 self.plan_evacuation,
                 self.send_handover,
                 self.observer,
@@ -300,6 +300,10 @@
         self.observer.admissions[target.name] = queue
         return queue
 
+    def get_gate_budget(self, target: data.Target) -> retries.Budget:
+        """Return the retry budget that all gates of a service share here."""
+        return self.budgets.get_budget(target.service, target.data_centre)
+
     def plan_evacuation(
         self, assignment: data.Assignment, lost: str, candidates
     ) -> tuple[str, ...]:
@@ -379,18 +383,3 @@
             owner = assignment.owners[order.shard]
             return result.Failure(errors.NotTheGate(owner, self.gates.get_term(owner)))
         return next(iter(outcomes.values()))
-
-
-class GateBudget:
-    """The retry budget of the gates, in the form that they use."""
-
-    def __init__(self, budgets: retries.Retries):
-        self.budgets = budgets
-
-    def deposit(self, now: datetime.timedelta) -> None:
-        """Note a first attempt."""
-        self.budgets.get_budget("", "gate").add_first_attempt()
-
-    def withdraw(self, now: datetime.timedelta) -> bool:
-        """Take a token for a retry; return whether there was one."""
-        return self.budgets.get_budget("", "gate").take()
--- a/packages/entry/dewstep_entry/process_test.py
+++ b/packages/entry/dewstep_entry/process_test.py
@@ -2,8 +2,9 @@
 import datetime
 import time
 
-from dewstep_core import clock, settings
+from dewstep_core import clock, data, errors, hashing, settings
 from dewstep_entry import process
+from dewstep_entry.gate import fakes_test as fakes, lifecycle, rows
 
 LIMIT = datetime.timedelta(seconds=0.6)
 
@@ -19,6 +20,69 @@
         self.aborted = True
 
 
+def build_process(timer, **fields):
+    address = settings.Address("127.0.0.1", 1)
+    return process.EntryProcess(
+        settings.Settings("e1", "dc", address, address, address, (address,), **fields),
+        timer,
+    )
+
+
+async def start_gate(unit, service):
+    """Start a gate of the only target of a service; return the gate and its target."""
+    assignment = data.Assignment(service, 1, (service,) * 8, {}, ())
+
+    async def read_assignment(name):
+        return assignment
+
+    server = fakes.TargetServer(unit.clock)
+    unit.holder.offer_assignment(assignment)
+    unit.gates.assignments.read_until_answered = read_assignment
+    unit.gates.wiring = unit.gates.wiring._replace(
+        make_channel=lambda target: fakes.Channel(server)
+    )
+    row = data.GateRow(service, "e1", "i1", "127.0.0.1", 1, 1, 1)
+    record = rows.GateRecord(row, 100 * fakes.SECOND, False, "op")
+    unit.gates.table.put(f"gate/{service}", rows.encode_gate(record))
+    await unit.gates.start_gate(
+        fakes.make_target(service, service=service),
+        fakes.SERVICE._replace(name=service),
+        record,
+        lifecycle.Start(datetime.timedelta(), datetime.timedelta(), None, True),
+    )
+    await fakes.pass_time(unit.clock, 200 * fakes.MS)
+    return unit.gates.gates[service], server
+
+
+async def ask(gate, request_id):
+    request = fakes.make_request(request_id, service=gate.service.name)
+    asked = gate.handle(request, hashing.compute_shard(request.key, 8), 1)
+    asking = asyncio.ensure_future(asked)
+    await fakes.pass_time(gate.clock, 100 * fakes.MS)
+    return await asking
+
+
+def test_a_failing_service_leaves_the_retries_of_others():
+    # With one budget for all gates of a process, the requests of a service that
+    # fails entirely are sent again in place of those of a healthy one.
+    async def fail():
+        unit = build_process(clock.ManualClock())
+        unit.gates.table = fakes.Table()
+        failing, failing_target = await start_gate(unit, "failing")
+        healthy, healthy_target = await start_gate(unit, "healthy")
+        invalid = errors.AnswerInvalid("t1", "cut off")
+        for number in range(30):
+            assert (await ask(healthy, f"r{number}")).unwrap()
+        for number in range(8):
+            failing_target.answers[f"r{number}"] = invalid
+            assert (await ask(failing, f"r{number}")).failure() == invalid
+        healthy_target.answers["late"] = invalid
+        assert (await ask(healthy, "late")).failure() == invalid
+        return [len(target.runs) for target in (failing_target, healthy_target)]
+
+    assert asyncio.run(asyncio.wait_for(fail(), 20)) == [8, 30 + 3]
+
+
 def test_a_stop_that_must_cut_ends_within_its_limit():
     # Guards against gates and callers that get the limit one after the other.
     async def hold_gates():
@@ -26,13 +90,7 @@
         return ("t1",)
 
     async def stop():
-        address = settings.Address("127.0.0.1", 1)
-        unit = process.EntryProcess(
-            settings.Settings(
-                "e1", "dc", address, address, address, (address,), stop_limit=LIMIT
-            ),
-            clock.SystemClock(),
-        )
+        unit = build_process(clock.SystemClock(), stop_limit=LIMIT)
         unit.gates.stop = hold_gates
         unit.listener = BusyListener()
         started = time.monotonic()
