Let the budget of a gate decide for callers of its own process, too

Cause: the router took a failure of a gate in its own process for the loss of that gate, and sent the request again within its own budget after the gate had done so within the gate's. The two budgets multiplied, beyond the 10% that retries may add. Ruled out: failures of gates in other processes, which arrive as answers and were final already. Before: the extended test in routing_test.py saw 2 calls of the own gate. After: 1 call; the tests of pipeline/ pass. Failures of the way to the target still wait for a newer view.

--- a/packages/entry/dewstep_entry/pipeline/routing.py
+++ b/packages/entry/dewstep_entry/pipeline/routing.py
@@ -53,14 +53,23 @@
 
 
 def describe_attempt(
-    outcome: result.Result[data.Answer, interfaces.Failure],
+    outcome: result.Result[data.Answer, interfaces.Failure], by_gate: bool = False
 ) -> Attempt:
-    """Return `outcome` with the failure that it holds."""
+    """Return `outcome` with the failure that it holds.
+
+    Gates of other processes answer with their failures; `by_gate` says that the
+    outcome is that of a gate of this process.
+    """
     if isinstance(outcome, result.Failure):
-        return Attempt(outcome, outcome.failure(), False)
+        return Attempt(outcome, outcome.failure(), by_gate)
     return Attempt(outcome, failures.restore_failure(outcome.unwrap()), True)
 
 
+def describe_unreachable(entry: str) -> Attempt:
+    """Return the attempt that ended before a gate's process got the request."""
+    return describe_attempt(result.Failure(errors.PeerUnreachable(entry)))
+
+
 def find_kind(current: view.View, service: str, kind: str) -> data.RequestKind | None:
     """Return a request kind by its name."""
     configuration = current.configuration
@@ -121,7 +130,7 @@
         number = 1
         while True:
             sequence = self.holder.sequence
-            attempt = describe_attempt(await self.try_once(request))
+            attempt = await self.try_once(request)
             if attempt.failure is None or request.body.rest is not None:
                 return attempt.outcome
             if isinstance(attempt.failure, REROUTED):
@@ -177,21 +186,19 @@
         finally:
             self.waiting -= 1
 
-    async def try_once(
-        self, request: data.Request
-    ) -> result.Result[data.Answer, interfaces.Failure]:
+    async def try_once(self, request: data.Request) -> Attempt:
         """Send the request to the gate that the current view names."""
         current = self.holder.current
         found = locate.locate(current, request.service, request.key)
         if isinstance(found, result.Failure):
-            return found
+            return describe_attempt(found)
         gate = found.unwrap().gate
         if gate.entry == self.entry:
-            return await self.gates.handle(request)
+            return describe_attempt(await self.gates.handle(request), True)
         state = current.members.get(gate.entry)
         if state is None or not state.alive:
-            return result.Failure(errors.PeerUnreachable(gate.entry))
+            return describe_unreachable(gate.entry)
         if state.member.incarnation != gate.incarnation:
             # The process that became the gate has been replaced since.
-            return result.Failure(errors.PeerUnreachable(gate.entry))
-        return await self.network.exchange(state.member, request)
+            return describe_unreachable(gate.entry)
+        return describe_attempt(await self.network.exchange(state.member, request))
--- a/packages/entry/dewstep_entry/pipeline/routing_test.py
+++ b/packages/entry/dewstep_entry/pipeline/routing_test.py
@@ -100,6 +100,12 @@
     gates = Gates(result.Success(answered))
     assert ask(build_router(gates)).unwrap().failure == "ConnectionLost"
     assert gates.calls == 1
+    gates = Gates(result.Failure(errors.ConnectionLost("t1")))
+    own = build_router(gates, entry="e2")
+    for _ in range(20):
+        own.budgets.add_first_attempt("history", "")
+    assert isinstance(ask(own).failure(), errors.ConnectionLost)
+    assert gates.calls == 1
 
 
 def test_a_body_that_is_being_streamed_is_sent_once():
