End all processes of a fleet when a start or a run is broken off

Cause: Process.start left its child running when it was cancelled before the child's first line, and the fleet entered a target only after that line; a scenario runner had no handler for SIGTERM and ended without its clean-up. A script that failed also left restart_lost running, which went on to start targets that kill_all had ended. Ruled out: a cancellation during the creation itself; asyncio and uvloop end the child then (5 moments tried on each loop, only the wait for the first line leaked). Conclusion: a fleet keeps every process in a Group from before its start; the commands for scenarios, losses, benchmarks and the demo run under processes.run. The scripts use measures.restarting, which now also reports a restart that failed (soak ignored it, crashing-request did not). A runner that gets SIGKILL still leaves its fleet.

--- a/packages/emulator/dewstep_emulator/bench/__main__.py
+++ b/packages/emulator/dewstep_emulator/bench/__main__.py
@@ -6,9 +6,8 @@
 from typing import Annotated
 
 import typer
-import uvloop
 
-from dewstep_emulator import deployments
+from dewstep_emulator import deployments, processes
 from dewstep_emulator.bench import (
     overhead,
     plans,
@@ -64,7 +63,7 @@
             work = sizes.run(seed, place, typer.echo)
         else:
             work = running.run(name, seed, place, capacity, typer.echo, relays)
-        report = uvloop.run(work)
+        report = processes.run(work)
     reports.print_report(report)
     if json_file is not None:
         json_file.parent.mkdir(parents=True, exist_ok=True)
@@ -93,7 +92,7 @@
     """Profile a receiving process and a gate under load."""
     with tempfile.TemporaryDirectory(prefix="dewstep-bench-") as temporary:
         place = pathlib.Path(temporary)
-        uvloop.run(profiling.run(seed, place, rate, seconds, typer.echo))
+        processes.run(profiling.run(seed, place, rate, seconds, typer.echo))
 
 
 if __name__ == "__main__":
--- a/packages/emulator/dewstep_emulator/bench/baseline.py
+++ b/packages/emulator/dewstep_emulator/bench/baseline.py
@@ -80,7 +80,7 @@
             ),
             self.folder,
         )
-        line = await process.start()
+        line = await self.group.start(process)
         centres = self.deployment.data_centres
         callers = settings.Address(line["host"], line["port"])
         handle = fleets.EntryHandle(
--- a/packages/emulator/dewstep_emulator/demo.py
+++ b/packages/emulator/dewstep_emulator/demo.py
@@ -15,10 +15,9 @@
 import rich.console
 import rich.table
 import typer
-import uvloop
 
 from dewstep_core import clock as clocks
-from dewstep_emulator import deployments, fleet as fleets, history, load
+from dewstep_emulator import deployments, fleet as fleets, history, load, processes
 
 ENTRIES = 9
 SCALE = 0.15
@@ -137,7 +136,7 @@
     console.print(f"seed {seed}")
     with tempfile.TemporaryDirectory(prefix="dewstep-demo-") as temporary:
         place = folder or pathlib.Path(temporary)
-        outcome = uvloop.run(run_fleet(place, seed, console.print))
+        outcome = processes.run(run_fleet(place, seed, console.print))
     print_outcome(console, outcome)
     failed = outcome.violations or any(outcome.exit_codes.values())
     if failed or not outcome.summary.answered:
--- a/packages/emulator/dewstep_emulator/fleet.py
+++ b/packages/emulator/dewstep_emulator/fleet.py
@@ -68,6 +68,7 @@
         self.deployment = deployment
         self.options = options
         self.folder = folder
+        self.group = processes.Group()
         self.table_process: processes.Process | None = None
         self.list_process: processes.Process | None = None
         self.targets: dict[str, processes.Process] = {}
@@ -114,7 +115,9 @@
         self.list_process = processes.Process(
             "instances", ("dewstep_emulator.instance_list",), self.folder
         )
-        await asyncio.gather(self.table_process.start(), self.list_process.start())
+        await asyncio.gather(
+            self.group.start(self.table_process), self.group.start(self.list_process)
+        )
         self.table = table.TableClient(
             (addresses.get_address(self.table_process.addresses),), "operator", "none"
         )
@@ -148,7 +151,7 @@
             ),
             self.folder,
         )
-        await process.start()
+        await self.group.start(process)
         self.targets[name] = process
         if self.options.crash_marker:
             await self.set_faults(process, {"crash": self.options.crash_marker})
@@ -194,7 +197,7 @@
         file.write_text(toml_text.format_toml(values))
         command = [part.format(name=name) for part in self.options.entry_command]
         process = processes.Process(name, (*command, f"--settings={file}"), self.folder)
-        line = await process.start()
+        line = await self.group.start(process)
         handle = EntryHandle(
             process,
             name,
@@ -234,13 +237,8 @@
         return codes
 
     async def kill_all(self) -> None:
-        """End all processes at once, for a test that failed."""
-        every = [entry.process for entry in self.entries.values()]
-        every += [*self.targets.values(), self.table_process, self.list_process]
-        for process in every:
-            if process is not None:
-                process.resume()
-                await process.kill()
+        """End all processes at once, also those that are being started."""
+        await self.group.kill()
 
     # Configuration.
 
--- a/packages/emulator/dewstep_emulator/losses.py
+++ b/packages/emulator/dewstep_emulator/losses.py
@@ -13,10 +13,9 @@
 from typing import Annotated
 
 import typer
-import uvloop
 
 from dewstep_core import registry
-from dewstep_emulator import deployments, fleet as fleets
+from dewstep_emulator import deployments, fleet as fleets, processes
 from dewstep_emulator.scenarios import measures, staging
 
 QUANTILE = 0.99
@@ -111,7 +110,7 @@
         raise typer.BadParameter(f"one of: {', '.join(losses)}")
     with tempfile.TemporaryDirectory(prefix="dewstep-") as temporary:
         place = folder or pathlib.Path(temporary)
-        took = uvloop.run(run_trials(kind, trials, seed, place))
+        took = processes.run(run_trials(kind, trials, seed, place))
     took.sort()
     within = sum(value <= measures.RESTORED_LIMIT for value in took) / len(took)
     typer.echo(
--- a/packages/emulator/dewstep_emulator/processes.py
+++ b/packages/emulator/dewstep_emulator/processes.py
@@ -6,12 +6,17 @@
 import pathlib
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
 from typing import Any, NamedTuple
 
+import uvloop
+
 START_SECONDS = 20.0
 """Longest time that a process takes until it prints its addresses."""
 
+SIGNAL_STATUS = 128
+"""Added to the number of the signal that ended a process."""
+
 
 class StartFailed(NamedTuple):
     """A process ended or stayed silent before it printed its addresses."""
@@ -71,6 +76,10 @@
             await self.kill()
             detail = f"{error!r}; {self.read_log_end()}"
             raise ProcessError(StartFailed(self.name, detail)) from error
+        except asyncio.CancelledError:
+            # The caller has not received the process and could not end it.
+            await self.kill()
+            raise
         return self.addresses
 
     def read_log_end(self) -> str:
@@ -88,7 +97,8 @@
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it still runs."""
         if self.is_running():
-            self.stopped = self.stopped or number == signal.SIGTERM
+            ends = number in (signal.SIGTERM, signal.SIGKILL)
+            self.stopped = self.stopped or ends
             os.kill(self.child.pid, number)
 
     def freeze(self) -> None:
@@ -103,7 +113,6 @@
 
     async def kill(self) -> None:
         """End the process without a chance to clean up."""
-        self.stopped = self.stopped or self.is_running()
         self.send(signal.SIGKILL)
         if self.child is not None:
             await self.child.wait()
@@ -120,6 +129,68 @@
             return None
 
 
+class Group:
+    """Processes that are ended together, also those that are still being started."""
+
+    def __init__(self):
+        self.processes: list[Process] = []
+        self.closed = False
+
+    async def start(self, process: Process) -> dict[str, Any]:
+        """Start a process of the group and return the JSON line that it prints.
+
+        Raises
+        ------
+        ProcessError
+            If no such line comes, or if the group is or was ended meanwhile.
+        """
+        if not self.closed:
+            self.processes.append(process)
+            line = await process.start()
+        if self.closed:
+            await process.kill()
+            raise ProcessError(StartFailed(process.name, "the group has been ended"))
+        return line
+
+    async def kill(self) -> None:
+        """End all processes, also frozen ones; none can be started any more."""
+        self.closed = True
+        for process in self.processes:
+            process.send(signal.SIGKILL)
+        for process in self.processes:
+            await process.kill()
+
+
+def run(work: Coroutine) -> Any:
+    """Return what `work` returns; SIGTERM cancels it, so that it ends its processes.
+
+    Raises
+    ------
+    SystemExit
+        With the status of a process that SIGTERM has ended.
+    """
+    received: list[signal.Signals] = []
+
+    async def main():
+        task = asyncio.current_task()
+
+        def stop():
+            # A second signal must not interrupt the end of the processes.
+            if not received:
+                task.cancel()
+            received.append(signal.SIGTERM)
+
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
+        return await work
+
+    try:
+        return uvloop.run(main())
+    except asyncio.CancelledError:
+        if not received:
+            raise
+        raise SystemExit(SIGNAL_STATUS + signal.SIGTERM) from None
+
+
 class Completed(NamedTuple):
     """A command that has ended."""
 
@@ -137,5 +208,10 @@
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.PIPE,
     )
-    output, errors = await child.communicate()
+    try:
+        output, errors = await child.communicate()
+    finally:
+        if child.returncode is None:
+            child.kill()
+            await child.wait()
     return Completed(child.returncode, output.decode(), errors.decode())
--- a/packages/emulator/dewstep_emulator/scenarios/__main__.py
+++ b/packages/emulator/dewstep_emulator/scenarios/__main__.py
@@ -5,8 +5,8 @@
 from typing import Annotated
 
 import typer
-import uvloop
 
+from dewstep_emulator import processes
 from dewstep_emulator.scenarios import catalogue, staging
 
 VIOLATIONS_SHOWN = 20
@@ -31,7 +31,7 @@
             raise typer.BadParameter(f"one of: {known}")
         with tempfile.TemporaryDirectory(prefix="dewstep-") as temporary:
             place = (folder or pathlib.Path(temporary)) / chosen
-            report = uvloop.run(
+            report = processes.run(
                 staging.run_scenario(chosen, seed, place, typer.echo, seconds)
             )
         print_report(report)
--- a/packages/emulator/dewstep_emulator/scenarios/crashes.py
+++ b/packages/emulator/dewstep_emulator/scenarios/crashes.py
@@ -1,7 +1,6 @@
 """Requests that crash each target that runs them (section 4.4 of the design page)."""
 
 import asyncio
-import contextlib
 
 from dewstep_core import hashing
 from dewstep_emulator import history, promises
@@ -66,22 +65,19 @@
     """Send requests that crash their targets, also after their gate was killed."""
     check_crashes(stage, 2)
     await slow_down(stage, "history")
-    restarting = asyncio.ensure_future(measures.restart_lost(stage))
-    target = measures.choose_target(stage, "history")
-    look_up = await measures.find_key(stage, "history", target, MARKER)
-    booker = measures.choose_target(stage, "booker")
-    booking = await measures.find_key(stage, "booker", booker, MARKER)
-    await asyncio.gather(
-        send_again(stage, "due", look_up), send_again(stage, "booking", booking)
-    )
-    guilty = (("due", "history", look_up), ("booking", "booker", booking))
-    for kind, service, key in guilty:
-        owners = await stage.fleet.read_owners(service)
-        owner = owners[hashing.compute_shard(key, len(owners))]
-        gate = await measures.find_gate(stage, owner)
-        await gate.process.kill()
-        await asyncio.sleep(1.0)
-        await send_again(stage, kind, key)
-    restarting.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await restarting
+    async with measures.restarting(stage):
+        target = measures.choose_target(stage, "history")
+        look_up = await measures.find_key(stage, "history", target, MARKER)
+        booker = measures.choose_target(stage, "booker")
+        booking = await measures.find_key(stage, "booker", booker, MARKER)
+        await asyncio.gather(
+            send_again(stage, "due", look_up), send_again(stage, "booking", booking)
+        )
+        guilty = (("due", "history", look_up), ("booking", "booker", booking))
+        for kind, service, key in guilty:
+            owners = await stage.fleet.read_owners(service)
+            owner = owners[hashing.compute_shard(key, len(owners))]
+            gate = await measures.find_gate(stage, owner)
+            await gate.process.kill()
+            await asyncio.sleep(1.0)
+            await send_again(stage, kind, key)
--- a/packages/emulator/dewstep_emulator/scenarios/measures.py
+++ b/packages/emulator/dewstep_emulator/scenarios/measures.py
@@ -1,7 +1,8 @@
 """What scripts need again and again: choices, probes and measured times."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 from returns import result
 
@@ -142,8 +143,21 @@
         await asyncio.sleep(POLL)
 
 
-async def restart_lost(stage: staging.Stage, pause: float = 0.3) -> None:
-    """Start targets that ended again until cancelled, as their platform does."""
+@contextlib.asynccontextmanager
+async def restarting(stage: staging.Stage, pause: float = 0.3) -> AsyncIterator[None]:
+    """Start targets that ended again, as their platform does, until the block ends."""
+    task = asyncio.ensure_future(restart_lost(stage, pause))
+    try:
+        yield
+    finally:
+        task.cancel()
+        await asyncio.wait({task})
+    if not task.cancelled():
+        task.result()
+
+
+async def restart_lost(stage: staging.Stage, pause: float) -> None:
+    """Start targets that ended again until cancelled."""
     while True:
         for name, process in list(stage.fleet.targets.items()):
             if not process.is_running():
--- a/packages/emulator/dewstep_emulator/scenarios/soak.py
+++ b/packages/emulator/dewstep_emulator/scenarios/soak.py
@@ -110,7 +110,7 @@
 
 @faults.register("target killed")
 async def kill_target(stage: staging.Stage):
-    """Kill a target; `measures.restart_lost` starts it again."""
+    """Kill a target; `measures.restarting` starts it again."""
     await get_any_target(stage).kill()
     return repair_nothing
 
@@ -222,24 +222,22 @@
     loop = asyncio.get_running_loop()
     end = loop.time() + stage.seconds
     lasting: set[asyncio.Task] = set()
-    restarting = asyncio.ensure_future(measures.restart_lost(stage, RESTART_PAUSE))
-    while loop.time() < end:
-        name = stage.random.choice(list(faults))
-        seconds = stage.random.uniform(0.2, LONGEST_FAULT)
-        stage.say(f"{name} for {seconds:.1f} s")
-        task = asyncio.ensure_future(run_fault(stage, name, seconds))
-        lasting.add(task)
-        if stage.random.random() < TOGETHER:
+    async with measures.restarting(stage, RESTART_PAUSE):
+        while loop.time() < end:
+            name = stage.random.choice(list(faults))
+            seconds = stage.random.uniform(0.2, LONGEST_FAULT)
+            stage.say(f"{name} for {seconds:.1f} s")
+            task = asyncio.ensure_future(run_fault(stage, name, seconds))
+            lasting.add(task)
+            if stage.random.random() < TOGETHER:
+                await asyncio.sleep(stage.random.uniform(0.0, LONGEST_PAUSE))
+                lasting = {task for task in lasting if not task.done()}
+                continue
+            await asyncio.gather(*lasting)
+            lasting = set()
             await asyncio.sleep(stage.random.uniform(0.0, LONGEST_PAUSE))
-            lasting = {task for task in lasting if not task.done()}
-            continue
         await asyncio.gather(*lasting)
-        lasting = set()
-        await asyncio.sleep(stage.random.uniform(0.0, LONGEST_PAUSE))
-    await asyncio.gather(*lasting)
-    await asyncio.sleep(5.0)
-    restarting.cancel()
-    await asyncio.gather(restarting, return_exceptions=True)
+        await asyncio.sleep(5.0)
     await check_repaired(stage)
 
 
