Remove the unused clock argument of create_missing

Cause: nothing in the function reads a time. Ruled out: a use by callers; there are two. Before / after: the tests of state/ and process_test.py pass.

--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -234,7 +234,7 @@
             if self.holder.current.table_contact is None:
                 continue
             if bootstrap.find_missing(self.holder.current):
-                await bootstrap.create_missing(self.holder, self.table, self.clock)
+                await bootstrap.create_missing(self.holder, self.table)
                 self.reader.refresh()
                 await self.clock.sleep(table_reader.LEAST_INTERVAL)
 
--- a/packages/entry/dewstep_entry/state/bootstrap.py
+++ b/packages/entry/dewstep_entry/state/bootstrap.py
@@ -9,7 +9,7 @@
 
 from returns import result
 
-from dewstep_core import clock as clocks, data, errors, events, placement
+from dewstep_core import data, errors, events, placement
 from dewstep_entry import interfaces
 from dewstep_entry.gate import rows
 from dewstep_entry.state import view
@@ -55,7 +55,7 @@
 
 
 async def create_missing(
-    holder: view.ViewHolder, table: interfaces.TableClient, clock: clocks.Clock
+    holder: view.ViewHolder, table: interfaces.TableClient
 ) -> None:
     """Create what is missing; called after a successful read of the whole table."""
     current = holder.current
--- a/packages/entry/dewstep_entry/state/table_reader_test.py
+++ b/packages/entry/dewstep_entry/state/table_reader_test.py
@@ -129,7 +129,7 @@
     missing = bootstrap.find_missing(holder.current)
     assert missing
     for _ in range(2):
-        asyncio.run(bootstrap.create_missing(holder, table, clocks.ManualClock()))
+        asyncio.run(bootstrap.create_missing(holder, table))
     for service in missing:
         row = table.get_row(f"assignment/{service.name}")
         assert row.version == 1
