Build the clients of the platform on their caller

Cause: each of the three clients held a PlatformCaller and repeated its construction, its close, the repeatable GET and the failure for an unexpected status. Ruled out: one class with the names and timeouts as class attributes; the constructors with defaults show more at a glance.

--- a/packages/core/dewstep_core/platform/caller.py
+++ b/packages/core/dewstep_core/platform/caller.py
@@ -1,5 +1,6 @@
 """Calls to a platform service that listens at several addresses."""
 
+import datetime
 from typing import Any
 
 from returns import result
@@ -18,6 +19,8 @@
 class PlatformCaller:
     """Sends calls to the address that answered last, else to the others in turn.
 
+    The clients of the platform's services are built on it.
+
     Parameters
     ----------
     service : str
@@ -26,8 +29,8 @@
         At least one address of the service.
     entry, data_centre : str
         Sent with each call as `Dewstep-Entry` and `Dewstep-Data-Centre`.
-    timeout : float
-        Seconds for one call to one address.
+    timeout : datetime.timedelta
+        For one call to one address.
     """
 
     def __init__(
@@ -36,11 +39,12 @@
         addresses: tuple[settings.Address, ...],
         entry: str,
         data_centre: str,
-        timeout: float,
+        timeout: datetime.timedelta,
     ):
         self.service = service
         headers = (("Dewstep-Entry", entry), ("Dewstep-Data-Centre", data_centre))
-        self.clients = [client.Client(item, timeout, headers) for item in addresses]
+        seconds = timeout.total_seconds()
+        self.clients = [client.Client(item, seconds, headers) for item in addresses]
         self.preferred = 0
 
     async def call(
@@ -95,14 +99,22 @@
         if response.status == TOO_MANY_REQUESTS:
             return result.Failure(errors.RateExceeded(self.service))
         if response.status == UNAVAILABLE:
-            detail = f"{self.service}: status {response.status}"
-            return result.Failure(errors.PlatformUnavailable(detail))
+            return self.fail_status(response.status)
         if response.status >= SERVER_ERROR:
             # Only 503 is documented to mean that nothing was done.
             detail = f"{self.service}: status {response.status}"
             return result.Failure(errors.AnswerLost(detail))
         return outcome
 
+    def fail_status(self, status: int) -> result.Result[Any, Any]:
+        """Return the failure for a refusal with this status: nothing was done."""
+        detail = f"{self.service}: status {status}"
+        return result.Failure(errors.PlatformUnavailable(detail))
+
+    async def get(self, path: str) -> result.Result[client.Response, Any]:
+        """Send a GET, which may be sent again; failures as for `call`."""
+        return await self.call("GET", path, repeatable=True)
+
     async def close(self) -> None:
         """Close all connections."""
         for item in self.clients:
--- a/packages/core/dewstep_core/platform/caller_test.py
+++ b/packages/core/dewstep_core/platform/caller_test.py
@@ -1,4 +1,5 @@
 import asyncio
+import datetime
 
 import pytest
 
@@ -23,7 +24,8 @@
     servers = [server.Server(handle) for _ in statuses]
     bound = [await item.start("127.0.0.1", 0) for item in servers]
     addresses = [f"{item.host}:{item.port}" for item in bound]
-    client = caller.PlatformCaller("test", (*extra, *bound), "e1", "dc1", 1)
+    limit = datetime.timedelta(seconds=1)
+    client = caller.PlatformCaller("test", (*extra, *bound), "e1", "dc1", limit)
     # Calls at the same time must not turn each other away from the live address.
     same = (client.call("GET", "/", repeatable=repeatable) for _ in range(2))
     outcome, other = await asyncio.gather(*same)
--- a/packages/core/dewstep_core/platform/instances.py
+++ b/packages/core/dewstep_core/platform/instances.py
@@ -22,15 +22,13 @@
     instances: tuple[data.Instance, ...]
 
 
-class InstanceClient:
+class InstanceClient(caller.PlatformCaller):
     """Reads the instance list.
 
     Parameters
     ----------
-    addresses : tuple of settings.Address
-        At least one address of the service.
-    entry, data_centre : str
-        Name and data centre of the calling process.
+    addresses, entry, data_centre
+        As for `caller.PlatformCaller`.
     timeout : datetime.timedelta, optional
         For one call to one address.
     """
@@ -42,9 +40,7 @@
         data_centre: str,
         timeout: datetime.timedelta = TIMEOUT,
     ):
-        self.caller = caller.PlatformCaller(
-            "instance list", addresses, entry, data_centre, timeout.total_seconds()
-        )
+        super().__init__("instance list", addresses, entry, data_centre, timeout)
 
     async def read(self) -> result.Result[InstanceList, Any]:
         """Return the list as the platform shows it now.
@@ -55,7 +51,7 @@
             `RateExceeded`, `PlatformUnavailable`, `AnswerLost`, or `RowInvalid` if
             the answer does not have the published form.
         """
-        outcome = await self.caller.call("GET", "/instances", repeatable=True)
+        outcome = await self.get("/instances")
         if not isinstance(outcome, result.Success):
             return outcome
         try:
@@ -65,10 +61,6 @@
         except (KeyError, TypeError, ValueError) as error:
             return result.Failure(errors.RowInvalid("instances", repr(error)))
 
-    async def close(self) -> None:
-        """Close all connections."""
-        await self.caller.close()
-
 
 def parse_instance(item: Any) -> data.Instance:
     """Return an instance from its JSON form.
--- a/packages/core/dewstep_core/platform/objects.py
+++ b/packages/core/dewstep_core/platform/objects.py
@@ -12,15 +12,13 @@
 TIMEOUT = datetime.timedelta(seconds=5)
 
 
-class ObjectClient:
+class ObjectClient(caller.PlatformCaller):
     """Reads and writes whole objects.
 
     Parameters
     ----------
-    addresses : tuple of settings.Address
-        At least one address of the service.
-    entry, data_centre : str
-        Name and data centre of the calling process.
+    addresses, entry, data_centre
+        As for `caller.PlatformCaller`.
     timeout : datetime.timedelta, optional
         For one call to one address.
     """
@@ -32,9 +30,7 @@
         data_centre: str,
         timeout: datetime.timedelta = TIMEOUT,
     ):
-        self.caller = caller.PlatformCaller(
-            "object store", addresses, entry, data_centre, timeout.total_seconds()
-        )
+        super().__init__("object store", addresses, entry, data_centre, timeout)
 
     async def read(self, name: str) -> result.Result[bytes | None, Any]:
         """Return the content of an object, or None if it is absent.
@@ -44,14 +40,14 @@
         result.Result
             `RateExceeded`, `PlatformUnavailable` or `AnswerLost`.
         """
-        outcome = await self.caller.call("GET", build_path(name), repeatable=True)
+        outcome = await self.get(build_path(name))
         if not isinstance(outcome, result.Success):
             return outcome
         response = outcome.unwrap()
         if response.status == caller.NOT_FOUND:
             return result.Success(None)
         if response.status != caller.OK:
-            return fail_status(response.status)
+            return self.fail_status(response.status)
         return result.Success(response.body)
 
     async def write(self, name: str, content: bytes) -> result.Result[None, Any]:
@@ -66,27 +62,18 @@
             `RateExceeded` or `PlatformUnavailable` (nothing was written), or
             `AnswerLost` (it may still be written).
         """
-        outcome = await self.caller.call("PUT", build_path(name), content)
+        outcome = await self.call("PUT", build_path(name), content)
         if isinstance(outcome, result.Success):
             status = outcome.unwrap().status
             if status == caller.OK:
                 return result.Success(None)
-            return fail_status(status)
+            return self.fail_status(status)
         if isinstance(outcome.failure(), errors.AnswerLost):
             if (await self.read(name)).value_or(None) == content:
                 return result.Success(None)
         return outcome
 
-    async def close(self) -> None:
-        """Close all connections."""
-        await self.caller.close()
-
 
 def build_path(name: str) -> str:
     """Return the request path of an object."""
     return "/objects/" + urllib.parse.quote(name, safe="/")
-
-
-def fail_status(status: int) -> result.Result:
-    """Return the failure for a refusal with an undocumented status."""
-    return result.Failure(errors.PlatformUnavailable(f"object store: status {status}"))
--- a/packages/core/dewstep_core/platform/table.py
+++ b/packages/core/dewstep_core/platform/table.py
@@ -44,15 +44,13 @@
     UNCERTAIN = "uncertain"
 
 
-class TableClient:
+class TableClient(caller.PlatformCaller):
     """Reads rows and commits transactions; implements the `TableClient` protocol.
 
     Parameters
     ----------
-    addresses : tuple of settings.Address
-        At least one address of the service.
-    entry, data_centre : str
-        Name and data centre of the calling process.
+    addresses, entry, data_centre
+        As for `caller.PlatformCaller`.
     clock : clocks.Clock, optional
         Paces retries.
     timeout : datetime.timedelta, optional
@@ -67,10 +65,8 @@
         clock: clocks.Clock | None = None,
         timeout: datetime.timedelta = TIMEOUT,
     ):
+        super().__init__("table service", addresses, entry, data_centre, timeout)
         self.clock = clock or clocks.SystemClock()
-        self.caller = caller.PlatformCaller(
-            "table service", addresses, entry, data_centre, timeout.total_seconds()
-        )
 
     async def read(self, key: str) -> result.Result[data.Row, Any]:
         """Return the row; version 0 and value None if it is absent.
@@ -82,7 +78,7 @@
             the answer does not have the published form.
         """
         path = "/rows/" + urllib.parse.quote(key, safe="/")
-        outcome = await self.caller.call("GET", path, repeatable=True)
+        outcome = await self.get(path)
         if not isinstance(outcome, result.Success):
             return outcome
         response = outcome.unwrap()
@@ -106,7 +102,7 @@
             Failures as for `read`.
         """
         path = "/rows?" + urllib.parse.urlencode({"prefix": prefix})
-        outcome = await self.caller.call("GET", path, repeatable=True)
+        outcome = await self.get(path)
         if not isinstance(outcome, result.Success):
             return outcome
         answer = outcome.unwrap().read_json()
@@ -154,7 +150,7 @@
 
     async def send(self, body: bytes) -> result.Result[data.Commit, Any]:
         """Send a transaction once."""
-        outcome = await self.caller.call("POST", "/transactions", body)
+        outcome = await self.call("POST", "/transactions", body)
         if not isinstance(outcome, result.Success):
             return outcome
         response = outcome.unwrap()
@@ -167,8 +163,7 @@
                 return result.Failure(errors.Conflict(keys))
         if caller.OK <= response.status < 300:
             return result.Failure(errors.AnswerLost("table service: answer unclear"))
-        detail = f"table service: status {response.status}"
-        return result.Failure(errors.PlatformUnavailable(detail))
+        return self.fail_status(response.status)
 
     async def settle(
         self, transaction: data.Transaction, lost: errors.AnswerLost
@@ -195,10 +190,6 @@
             rows[key] = outcome.unwrap()
         return rows
 
-    async def close(self) -> None:
-        """Close all connections."""
-        await self.caller.close()
-
 
 def is_success(outcome: result.Result) -> bool:
     """Return whether `outcome` holds a value."""
