Build the kinds of the test data as the deployments do

Cause: builders.py spelled out the eight fields of each kind. Ruled out: the kinds of plan_tsagaan itself; the tests rely on a key in a header and on the deduplication by memory. Before / after: builders.KINDS prints the same text; the tests of core/, operator/ and builders_test.py pass.

--- a/packages/emulator/dewstep_emulator/builders.py
+++ b/packages/emulator/dewstep_emulator/builders.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from dewstep_core import data
+from dewstep_emulator import deployments
 
 DATA_CENTRES = ("ub1", "ub2", "ub3")
 TARGET_COUNTS = {"history": 20, "booker": 6, "intake": 6}
@@ -27,59 +28,33 @@
 
 KINDS = {
     "history": (
-        data.RequestKind(
-            name="history",
-            method="GET",
-            path="/history/{key}",
-            idempotent=True,
-            weight=1.0,
-            deadline=datetime.timedelta(seconds=2),
-            maximum_body_bytes=0,
-            deduplication="none",
-        ),
-        data.RequestKind(
-            name="due",
-            method="GET",
-            path="/history/{key}/due",
-            idempotent=True,
-            weight=1.0,
-            deadline=datetime.timedelta(seconds=2),
-            maximum_body_bytes=0,
-            deduplication="none",
-        ),
+        deployments.build_kind("history", "GET", "/history/{key}", True, body=0),
+        deployments.build_kind("due", "GET", "/history/{key}/due", True, body=0),
     ),
     "booker": (
-        data.RequestKind(
-            name="booking",
-            method="POST",
-            path="/bookings",
-            idempotent=False,
-            weight=10.0,
-            deadline=datetime.timedelta(seconds=5),
-            maximum_body_bytes=65_536,
-            deduplication="table",
+        deployments.build_kind(
+            "booking", "POST", "/bookings", False, weight=10.0, seconds=5.0
         ),
-        data.RequestKind(
-            name="reminder",
-            method="POST",
-            path="/reminders",
-            idempotent=False,
+        deployments.build_kind(
+            "reminder",
+            "POST",
+            "/reminders",
+            False,
             weight=5.0,
-            deadline=datetime.timedelta(seconds=5),
-            maximum_body_bytes=4_096,
+            seconds=5.0,
+            body=4_096,
             deduplication="memory",
         ),
     ),
     "intake": (
-        data.RequestKind(
-            name="photos",
-            method="PUT",
-            path="/intake/{key}/photos",
-            idempotent=True,
+        deployments.build_kind(
+            "photos",
+            "PUT",
+            "/intake/{key}/photos",
+            True,
             weight=5.0,
-            deadline=datetime.timedelta(seconds=30),
-            maximum_body_bytes=64 * MEBIBYTE,
-            deduplication="none",
+            seconds=30.0,
+            body=64 * MEBIBYTE,
         ),
     ),
 }
