Split the stand-in of a target by subject

Ruled out: a change of the protocol or of the text of the mutation in target.py. A long echo now sees the faults that were set when it began.

--- a/packages/emulator/dewstep_emulator/faults_test.py
+++ b/packages/emulator/dewstep_emulator/faults_test.py
@@ -1,7 +1,7 @@
 import pytest
 from returns import result
 
-from dewstep_emulator import faults, target
+from dewstep_emulator import faults, target_options
 
 
 def test_trigger_counts_and_repeats_by_seed():
@@ -22,7 +22,7 @@
 
 
 def test_change_faults_keeps_members_that_are_not_named():
-    state = target.TargetFaults()
+    state = target_options.TargetFaults()
     for change in (
         {"shed": {"count": 3}, "slow_factor": 4, "load": {"state": "live", "load": 0}},
         {"cut": {"entries": ["e1"]}, "drain": True, "crash": "x", "shed": None},
@@ -55,5 +55,5 @@
 )
 def test_change_faults_refuses_wrong_forms(change):
     # Guards against a test whose fault is silently not switched on.
-    outcome = faults.change_faults(target.TargetFaults(), change)
+    outcome = faults.change_faults(target_options.TargetFaults(), change)
     assert isinstance(outcome, result.Failure)
--- a/packages/emulator/dewstep_emulator/relay_test.py
+++ b/packages/emulator/dewstep_emulator/relay_test.py
@@ -4,7 +4,7 @@
 
 from dewstep_core import settings
 from dewstep_core.http import client
-from dewstep_emulator import program, relay, target
+from dewstep_emulator import program, relay, target, target_options
 from dewstep_emulator.addresses import find_free_port
 
 NOBODY = settings.Address("127.0.0.1", 1)
@@ -36,7 +36,7 @@
 
 def test_requests_pass_over_two_relays_with_their_bodies():
     async def run():
-        stand_in = target.Target(target.TargetOptions(fenced=False, echo=True))
+        stand_in = target.Target(target_options.TargetOptions(fenced=False, echo=True))
         async with program.serving(stand_in) as address:
             port = find_free_port()
             routes = build_routes(port, address)
--- a/packages/emulator/dewstep_emulator/target.py
+++ b/packages/emulator/dewstep_emulator/target.py
@@ -2,35 +2,32 @@
 
 Usage: ``python -m dewstep_emulator.target --name t1 --service history``. The protocol
 is in docs/platform.md.
-
-The log is the ground truth of what ran: an event is written after the check that
-permits it and carries the time of that check.
 """
 
 import asyncio
-import hashlib
-import json
 import os
 import pathlib
 import random
 import secrets
-import tempfile
 import time
-from collections.abc import Callable, Iterator
-from typing import Annotated, Any, BinaryIO, NamedTuple
+from collections.abc import Callable
+from typing import Annotated, Any
 
 import typer
 
 from dewstep_core.http import server
-from dewstep_emulator import faults, fencing, program, service_times
+from dewstep_emulator import (
+    fencing,
+    program,
+    run_log,
+    service_times,
+    target_answers,
+    target_options,
+    uploads,
+)
 
 CRASH_STATUS = 70
 """Exit status after a request with the crash marker (EX_SOFTWARE)."""
-SPOOL_BYTES = 256 * 1024
-"""Body bytes kept in memory for an echo; longer bodies go to a temporary file."""
-CHUNK_BYTES = 64 * 1024
-SURPLUS = b"surplus-surplus-"
-"""Bytes that follow an answer that is longer than it announced."""
 CLOCK_OFFSET_SECONDS = 100_000.0
 """Largest random offset of the target's clock. Different offsets show mistakes that
 compare the clocks of two machines, which one test machine would otherwise hide."""
@@ -42,105 +39,12 @@
 STATUSES = {FENCED: 409, SHED: 503, DRAINING: 503}
 
 
-class TargetOptions(NamedTuple):
-    """How a target behaves; times in seconds."""
-
-    name: str = "target"
-    service: str = "history"
-    slots: int = 4
-    fenced: bool = True
-    echo: bool = False
-    service_time: float = 0.005
-    distribution: str = "constant"
-    seed: int = 0
-    cold_start: float = 0.0
-    cold_factor: float = 5.0
-    load_lag: float = 1.0
-
-
-class TargetFaults(NamedTuple):
-    """Faults of a target."""
-
-    shed: faults.Trigger = faults.Trigger()
-    slow_factor: float = 1.0
-    drain: bool = False
-    load: faults.Load = faults.Load()
-    answer_delay: faults.Delay = faults.Delay()
-    answer_twice: faults.Trigger = faults.Trigger()
-    answer_cut: faults.Trigger = faults.Trigger()
-    answer_long: faults.Trigger = faults.Trigger()
-    crash: str = ""
-    refuse: bool = False
-    cut: faults.Cut = faults.Cut()
-
-
-class Run(NamedTuple):
-    """A request as the log and the fence see it."""
-
-    request_id: str
-    key: str
-    kind: str
-    epoch: int
-    term: int
-    boot: str
-    deadline: float | None
-    method: str
-    path: str
-
-
-class Upload(NamedTuple):
-    """A request body that was read to its end."""
-
-    size: int
-    digest: str
-    marked: bool
-    """Whether the body contains the crash marker."""
-    content: BinaryIO | None
-    """For an echo."""
-
-
-class RunLog:
-    """Appends events to a file, one JSON line each, without buffering.
-
-    Parameters
-    ----------
-    path : pathlib.Path or None
-        Of the file; None drops the events.
-    target, boot : str
-        Members of each line.
-    """
-
-    def __init__(self, path: pathlib.Path | None, target: str, boot: str):
-        self.file = None if path is None else path.open("ab", buffering=0)
-        self.target = target
-        self.boot = boot
-
-    def write(self, event: str, run: Run, now: float) -> None:
-        """Write one event; `now` is CLOCK_MONOTONIC without the target's offset."""
-        if self.file is None:
-            return
-        line = {
-            "event": event,
-            "request_id": run.request_id,
-            "key": run.key,
-            "kind": run.kind,
-            "epoch": run.epoch,
-            "term": run.term,
-            "time": now,
-            "target": self.target,
-            "boot": self.boot,
-            "method": run.method,
-            "path": run.path,
-        }
-        self.file.write(json.dumps(line, separators=(",", ":")).encode() + b"\n")
-
-
 class Target(program.StandIn):
     """A target behind HTTP.
 
     Parameters
     ----------
-    options : TargetOptions
+    options : target_options.TargetOptions
         Its behaviour.
     log : pathlib.Path or None
         File for the events of runs.
@@ -150,17 +54,17 @@
 
     def __init__(
         self,
-        options: TargetOptions,
+        options: target_options.TargetOptions,
         log: pathlib.Path | None = None,
         monotonic: Callable[[], float] = time.monotonic,
     ):
-        super().__init__(TargetFaults())
+        super().__init__(target_options.TargetFaults())
         self.options = options
         self.monotonic = monotonic
         self.started = monotonic()
         self.offset = random.uniform(0, CLOCK_OFFSET_SECONDS)
         self.fence = fencing.Fence(secrets.token_hex(8))
-        self.log = RunLog(log, options.name, self.fence.boot)
+        self.log = run_log.RunLog(log, options.name, self.fence.boot)
         self.random = random.Random(options.seed)
         self.draw = service_times.distributions.get(options.distribution)
         self.stopping = False
@@ -265,7 +169,7 @@
 
     async def handle_request(self, exchange: server.Exchange) -> None:
         """Run a request in a slot and answer it, or refuse it."""
-        run = parse_run(exchange)
+        run = run_log.parse_run(exchange)
         if run is None:
             exchange.respond(server.build_json(400, {"error": "wrong header"}))
             return
@@ -275,7 +179,8 @@
             return
         self.running += 1
         try:
-            upload = await self.receive(exchange)
+            marker = self.faults.crash.encode()
+            upload = await uploads.receive_upload(exchange, marker, self.options.echo)
             refusal = await self.execute(run, upload)
         finally:
             self.running -= 1
@@ -284,7 +189,7 @@
         else:
             await self.answer(exchange, run, upload)
 
-    def find_refusal(self, run: Run) -> tuple[str, str] | None:
+    def find_refusal(self, run: run_log.Run) -> tuple[str, str] | None:
         """Return the name and detail of a refusal, or None to take the request."""
         if self.is_draining():
             return DRAINING, ""
@@ -295,7 +200,7 @@
         reason = self.check_start(run, self.monotonic())
         return (FENCED, reason) if reason else None
 
-    def check_start(self, run: Run, now: float) -> str:
+    def check_start(self, run: run_log.Run, now: float) -> str:
         """Return why a run must not start, or ""; unfenced targets check nothing."""
         if not self.options.fenced:
             return ""
@@ -304,34 +209,13 @@
             return "deadline"
         return self.fence.check(run.boot, run.term, clock)
 
-    def check_effect(self, run: Run, now: float) -> str:
+    def check_effect(self, run: run_log.Run, now: float) -> str:
         """Return why a run must not take effect, or ""."""
         if not self.options.fenced:
             return ""
         return self.fence.check(run.boot, run.term, now + self.offset)
 
-    async def receive(self, exchange: server.Exchange) -> Upload:
-        """Read the request body without keeping it, unless it is echoed."""
-        marker = self.faults.crash.encode()
-        content = (
-            tempfile.SpooledTemporaryFile(SPOOL_BYTES) if self.options.echo else None
-        )
-        digest = hashlib.sha256()
-        size = 0
-        tail = b""
-        marked = False
-        while chunk := await exchange.read_chunk():
-            size += len(chunk)
-            digest.update(chunk)
-            if content is not None:
-                content.write(chunk)
-            if marker:
-                # The marker may lie across the border of two chunks.
-                marked = marked or marker in tail + chunk
-                tail = (tail + chunk)[1 - len(marker) :] if len(marker) > 1 else b""
-        return Upload(size, digest.hexdigest(), marked, content)
-
-    async def execute(self, run: Run, upload: Upload) -> str:
+    async def execute(self, run: run_log.Run, upload: uploads.Upload) -> str:
         """Run a request; return "" if it took effect, or why not."""
         now = self.monotonic()
         if reason := self.check_start(run, now):
@@ -384,7 +268,9 @@
             ("Dewstep-Boot", self.fence.boot),
         )
 
-    async def answer(self, exchange: server.Exchange, run: Run, upload: Upload) -> None:
+    async def answer(
+        self, exchange: server.Exchange, run: run_log.Run, upload: uploads.Upload
+    ) -> None:
         """Send the answer of a run, with the faults of answers."""
         if seconds := self.faults.answer_delay.get_seconds():
             await asyncio.sleep(seconds)
@@ -395,7 +281,7 @@
         )
         if upload.content is not None:
             with upload.content:
-                await self.send_echo(exchange, headers, upload)
+                await target_answers.send_echo(exchange, headers, upload, self.faults)
             return
         form = {
             "request_id": run.request_id,
@@ -407,68 +293,8 @@
             "body_bytes": upload.size,
             "body_sha256": upload.digest,
         }
-        self.send_small(exchange, server.build_json(200, form, headers))
-
-    def send_small(self, exchange: server.Exchange, response: server.Response) -> None:
-        """Send an answer from memory."""
-        rendered = exchange.render(response)
-        if self.faults.answer_cut.fires():
-            exchange.write(rendered[: -(len(response.body) + 1) // 2])
-            exchange.close()
-            return
-        exchange.write(rendered)
-        if self.faults.answer_long.fires():
-            exchange.write(SURPLUS)
-        if self.faults.answer_twice.fires():
-            exchange.write(rendered)
-
-    async def send_echo(
-        self, exchange: server.Exchange, headers: tuple, upload: Upload
-    ) -> None:
-        """Send the request body back."""
-        upload.content.seek(0)
-        if upload.size <= SPOOL_BYTES:
-            response = server.Response(200, upload.content.read(), headers)
-            self.send_small(exchange, response)
-            return
-        if self.faults.answer_cut.fires():
-            exchange.write(exchange.render_head(200, headers, upload.size))
-            for chunk in read_chunks(upload.content, upload.size // 2):
-                exchange.write(chunk)
-                await exchange.connection.drain()
-            exchange.close()
-            return
-        chunks = read_chunks(upload.content, upload.size)
-        await exchange.respond_stream(200, headers, upload.size, chunks)
-        if self.faults.answer_long.fires():
-            exchange.write(SURPLUS)
-
-
-def read_chunks(content: BinaryIO, size: int) -> Iterator[bytes]:
-    """Yield the first `size` bytes of a file in parts."""
-    while size > 0 and (chunk := content.read(min(size, CHUNK_BYTES))):
-        size -= len(chunk)
-        yield chunk
-
-
-def parse_run(exchange: server.Exchange) -> Run | None:
-    """Return the run that a request's headers describe, or None if one is wrong."""
-    get = exchange.get_header
-    try:
-        deadline = get("Dewstep-Deadline")
-        return Run(
-            get("Dewstep-Request-Id"),
-            get("Dewstep-Key"),
-            get("Dewstep-Kind"),
-            int(get("Dewstep-Epoch") or 0),
-            int(get("Dewstep-Term") or 0),
-            get("Dewstep-Boot"),
-            float(deadline) if deadline else None,
-            exchange.method,
-            exchange.path,
-        )
-    except ValueError:
-        return None
+        response = server.build_json(200, form, headers)
+        target_answers.send_small(exchange, response, self.faults)
 
 
 def main(
@@ -495,7 +321,7 @@
     """Run a target."""
     if service_times.distributions.get(distribution) is None:
         raise typer.BadParameter(f"distribution {distribution!r}")
-    options = TargetOptions(
+    options = target_options.TargetOptions(
         name,
         service,
         slots,
--- a/packages/emulator/dewstep_emulator/target_test.py
+++ b/packages/emulator/dewstep_emulator/target_test.py
@@ -11,7 +11,14 @@
 
 from dewstep_core import errors, settings
 from dewstep_core.http import client
-from dewstep_emulator import program, target, testing
+from dewstep_emulator import (
+    program,
+    target,
+    target_answers,
+    target_options,
+    testing,
+    uploads,
+)
 
 
 class Harness:
@@ -60,7 +67,7 @@
 async def running(tmp_path, **options):
     """Yield the harness of a target in this process."""
     log = tmp_path / "log"
-    served = target.Target(target.TargetOptions("t1", **options), log)
+    served = target.Target(target_options.TargetOptions("t1", **options), log)
     async with program.serving(served) as address, testing.calling(address) as caller:
         yield Harness(served, caller, log)
 
@@ -194,7 +201,7 @@
         await harness.fault(answer_twice=once)
         assert (await read_raw(harness)).count(b"HTTP/1.1 200") == 2
         await harness.fault(answer_long=once)
-        assert (await read_raw(harness)).endswith(target.SURPLUS)
+        assert (await read_raw(harness)).endswith(target_answers.SURPLUS)
         await harness.fault(answer_cut=once)
         head, _, body = (await read_raw(harness)).partition(b"\r\n\r\n")
         assert f"Content-Length: {len(body)}".encode() not in head
@@ -225,7 +232,7 @@
 async def test_echo_returns_large_bodies(tmp_path):
     async with running(tmp_path, echo=True) as harness:
         await harness.grant()
-        for size in (0, 1000, 3 * target.SPOOL_BYTES + 1):
+        for size in (0, 1000, 3 * uploads.SPOOL_BYTES + 1):
             body = os.urandom(size)
             answer = (await harness.call("r1", body=body)).unwrap()
             assert answer.body == body
