--- a/packages/core/dewstep_core/http/client_test.py
+++ b/packages/core/dewstep_core/http/client_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from dewstep_core import errors
-from dewstep_core.http import server
+from dewstep_core.http import exchanges
 from dewstep_emulator import testing
 
 
@@ -40,7 +40,7 @@
 async def test_surplus_bytes_are_never_taken_for_the_next_answer(pause):
     # Guards against an answer that is delivered to the wrong call.
     async def answer_twice(exchange):
-        rendered = exchange.render(server.Response(200, exchange.path.encode()))
+        rendered = exchange.render(exchanges.Response(200, exchange.path.encode()))
         exchange.write(rendered)
         await asyncio.sleep(pause)
         exchange.write(rendered)
--- /dev/null
+++ b/packages/core/dewstep_core/http/routing.py
@@ -0,0 +1,95 @@
+"""Handlers of the HTTP server by method and path, for small calls."""
+
+import json
+import re
+import urllib.parse
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, NamedTuple
+
+from dewstep_core.http import exchanges
+
+
+class Call(NamedTuple):
+    """A whole request, as the handlers of `Routes` receive it."""
+
+    exchange: exchanges.Exchange
+    parameter: str
+    """Text in place of the `{...}` of the route's template."""
+    query: Mapping[str, str]
+    body: bytes
+
+    def read_json(self) -> Any:
+        """Return the decoded body, or None if it is not valid JSON."""
+        try:
+            return json.loads(self.body)
+        except ValueError:
+            return None
+
+
+RouteHandler = Callable[[Call], Awaitable[exchanges.Response]]
+
+
+class Route(NamedTuple):
+    """A handler and the requests that it answers."""
+
+    method: str
+    pattern: re.Pattern
+    handler: RouteHandler
+
+
+class Routes:
+    """Handlers by method and path; `handle` is the `Handler` for a `Server`.
+
+    Parameters
+    ----------
+    body_limit : int, optional
+        Largest request body in bytes.
+    """
+
+    def __init__(self, body_limit: int = exchanges.MAXIMUM_BODY_BYTES):
+        self.body_limit = body_limit
+        self.routes: list[Route] = []
+
+    def add(self, method: str, template: str, handler: RouteHandler) -> None:
+        """Register a handler.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        template : str
+            Path; one `{name}` at its end stands for the rest, slashes included.
+        handler : RouteHandler
+            Returns the response to a `Call`.
+        """
+        fixed, brace, _ = template.partition("{")
+        pattern = re.compile(re.escape(fixed) + ("(.+)" if brace else "()"), re.DOTALL)
+        self.routes.append(Route(method, pattern, handler))
+
+    def find(self, method: str, path: str) -> tuple[RouteHandler | None, str, bool]:
+        """Return the handler, its parameter, and whether any method has the path."""
+        known = False
+        for route in self.routes:
+            if found := route.pattern.fullmatch(path):
+                if route.method == method:
+                    return route.handler, found[1], True
+                known = True
+        return None, "", known
+
+    async def answer(self, exchange: exchanges.Exchange) -> exchanges.Response:
+        """Return the response to a request without sending it."""
+        handler, parameter, known = self.find(exchange.method, exchange.path)
+        if handler is None:
+            return exchanges.build_json(
+                405 if known else 404, {"error": "no such route"}
+            )
+        try:
+            body = await exchange.read_body(self.body_limit)
+        except exchanges.BodyTooLong:
+            return exchanges.build_json(413, {"error": "body too long"})
+        query = dict(urllib.parse.parse_qsl(exchange.query, keep_blank_values=True))
+        return await handler(Call(exchange, parameter, query, body))
+
+    async def handle(self, exchange: exchanges.Exchange) -> None:
+        """Answer a request."""
+        exchange.respond(await self.answer(exchange))
--- a/packages/core/dewstep_core/http/server.py
+++ b/packages/core/dewstep_core/http/server.py
@@ -6,20 +6,16 @@
 """
 
 import asyncio
-import json
-import re
 import socket
-import urllib.parse
-from collections.abc import Awaitable, Callable, Iterable, Mapping
-from typing import Any, NamedTuple
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import h11
 
 from dewstep_core import events, settings
+from dewstep_core.http import exchanges
 
 BACKLOG = 512
-MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
-"""Largest body that `Exchange.read_body` collects, unless told otherwise."""
 READ_AHEAD_BYTES = 128 * 1024
 """Bytes held for a handler that does not read; reading pauses above this."""
 SKIPPED_BODY_BYTES = 1024 * 1024
@@ -27,125 +23,7 @@
 SKIP_SECONDS = 2.0
 """Longest time spent on skipping an unread body."""
 
-ExtraHeaders = Iterable[tuple[str, str]]
-
-
-class BodyTooLong(Exception):
-    """A request body is longer than its handler accepts."""
-
-
-class Response(NamedTuple):
-    """An answer whose body is held in memory."""
-
-    status: int
-    body: bytes = b""
-    headers: tuple[tuple[str, str], ...] = ()
-
-
-def build_json(status: int, value: Any, headers: ExtraHeaders = ()) -> Response:
-    """Return a response with `value` as its JSON body."""
-    body = json.dumps(value, separators=(",", ":")).encode()
-    return Response(status, body, (("Content-Type", "application/json"), *headers))
-
-
-class Exchange:
-    """One request and the means to answer it.
-
-    Attributes
-    ----------
-    method, path, query : str
-        Of the request line; `path` is percent-decoded, `query` is not.
-    headers : dict of bytes to bytes
-        By lower-case name; the last one counts where a name is repeated.
-    """
-
-    __slots__ = ("connection", "headers", "method", "path", "query")
-
-    def __init__(self, connection: "Connection", head: h11.Request):
-        self.connection = connection
-        self.method = head.method.decode("ascii")
-        path, _, query = head.target.partition(b"?")
-        self.path = path.decode("latin-1")
-        if "%" in self.path:
-            self.path = urllib.parse.unquote(self.path, errors="replace")
-        self.query = query.decode("latin-1")
-        self.headers = dict(head.headers)
-
-    def get_header(self, name: str) -> str:
-        """Return the value of a header as text, or "" if it is absent."""
-        value = self.headers.get(name.lower().encode("ascii"), b"")
-        return value.decode("utf-8", "replace")
-
-    async def read_chunk(self) -> bytes:
-        """Return the next part of the request body, or b"" at its end."""
-        return await self.connection.read_body()
-
-    async def read_body(self, limit: int = MAXIMUM_BODY_BYTES) -> bytes:
-        """Return the whole request body.
-
-        Raises
-        ------
-        BodyTooLong
-            If the body has more than `limit` bytes.
-        """
-        chunks = []
-        total = 0
-        while chunk := await self.read_chunk():
-            total += len(chunk)
-            if total > limit:
-                raise BodyTooLong
-            chunks.append(chunk)
-        return b"".join(chunks)
-
-    def render(self, response: Response) -> bytes:
-        """Return the bytes of `response` without sending them."""
-        head = self.render_head(response.status, response.headers, len(response.body))
-        http = self.connection.http
-        return head + self.render_chunk(response.body) + http.send(h11.EndOfMessage())
-
-    def render_head(self, status: int, headers: ExtraHeaders, length: int) -> bytes:
-        """Return the bytes of an answer's head with its announced body length."""
-        lines = [("Content-Length", str(length)), *headers]
-        if self.connection.stopping:
-            lines.append(("Connection", "close"))
-        return self.connection.http.send(
-            h11.Response(status_code=status, headers=lines)
-        )
-
-    def render_chunk(self, chunk: bytes) -> bytes:
-        """Return the bytes of one part of the answer's body."""
-        if not chunk or self.method == "HEAD":
-            return b""
-        return self.connection.http.send(h11.Data(data=chunk))
-
-    def respond(self, response: Response) -> None:
-        """Send a whole answer."""
-        self.write(self.render(response))
-
-    async def respond_stream(
-        self, status: int, headers: ExtraHeaders, length: int, chunks: Iterable[bytes]
-    ) -> None:
-        """Send an answer from `chunks`, waiting while the caller does not read."""
-        self.write(self.render_head(status, headers, length))
-        for chunk in chunks:
-            self.write(self.render_chunk(chunk))
-            await self.connection.drain()
-        self.write(self.connection.http.send(h11.EndOfMessage()))
-
-    def write(self, content: bytes) -> None:
-        """Send bytes as they are; what they mean is the handler's affair."""
-        self.connection.transport.write(content)
-
-    def close(self) -> None:
-        """Close the connection after the bytes written so far."""
-        self.connection.transport.close()
-
-    def abort(self) -> None:
-        """Close the connection at once and drop the bytes not yet sent."""
-        self.connection.transport.abort()
-
-
-Handler = Callable[[Exchange], Awaitable[None]]
+Handler = Callable[[exchanges.Exchange], Awaitable[None]]
 
 
 class Connection(asyncio.Protocol):
@@ -268,7 +146,7 @@
             return False
         self.busy = True
         self.body_complete = False
-        await self.server.handler(Exchange(self, head))
+        await self.server.handler(exchanges.Exchange(self, head))
         if self.transport.is_closing() or not await self.skip_body():
             return False
         if self.http.our_state is not h11.DONE:
@@ -407,87 +285,3 @@
         bound.close()
         raise
     return bound
-
-
-class Call(NamedTuple):
-    """A whole request, as the handlers of `Routes` receive it."""
-
-    exchange: Exchange
-    parameter: str
-    """Text in place of the `{...}` of the route's template."""
-    query: Mapping[str, str]
-    body: bytes
-
-    def read_json(self) -> Any:
-        """Return the decoded body, or None if it is not valid JSON."""
-        try:
-            return json.loads(self.body)
-        except ValueError:
-            return None
-
-
-RouteHandler = Callable[[Call], Awaitable[Response]]
-
-
-class Route(NamedTuple):
-    """A handler and the requests that it answers."""
-
-    method: str
-    pattern: re.Pattern
-    handler: RouteHandler
-
-
-class Routes:
-    """Handlers by method and path; `handle` is the `Handler` for a `Server`.
-
-    Parameters
-    ----------
-    body_limit : int, optional
-        Largest request body in bytes.
-    """
-
-    def __init__(self, body_limit: int = MAXIMUM_BODY_BYTES):
-        self.body_limit = body_limit
-        self.routes: list[Route] = []
-
-    def add(self, method: str, template: str, handler: RouteHandler) -> None:
-        """Register a handler.
-
-        Parameters
-        ----------
-        method : str
-            HTTP method.
-        template : str
-            Path; one `{name}` at its end stands for the rest, slashes included.
-        handler : RouteHandler
-            Returns the response to a `Call`.
-        """
-        fixed, brace, _ = template.partition("{")
-        pattern = re.compile(re.escape(fixed) + ("(.+)" if brace else "()"), re.DOTALL)
-        self.routes.append(Route(method, pattern, handler))
-
-    def find(self, method: str, path: str) -> tuple[RouteHandler | None, str, bool]:
-        """Return the handler, its parameter, and whether any method has the path."""
-        known = False
-        for route in self.routes:
-            if found := route.pattern.fullmatch(path):
-                if route.method == method:
-                    return route.handler, found[1], True
-                known = True
-        return None, "", known
-
-    async def answer(self, exchange: Exchange) -> Response:
-        """Return the response to a request without sending it."""
-        handler, parameter, known = self.find(exchange.method, exchange.path)
-        if handler is None:
-            return build_json(405 if known else 404, {"error": "no such route"})
-        try:
-            body = await exchange.read_body(self.body_limit)
-        except BodyTooLong:
-            return build_json(413, {"error": "body too long"})
-        query = dict(urllib.parse.parse_qsl(exchange.query, keep_blank_values=True))
-        return await handler(Call(exchange, parameter, query, body))
-
-    async def handle(self, exchange: Exchange) -> None:
-        """Answer a request."""
-        exchange.respond(await self.answer(exchange))
--- a/packages/core/dewstep_core/http/server_test.py
+++ b/packages/core/dewstep_core/http/server_test.py
@@ -1,15 +1,15 @@
 import asyncio
 
 from dewstep_core import errors
-from dewstep_core.http import server
+from dewstep_core.http import exchanges, routing, server
 from dewstep_emulator import testing
 
 
 def build_routes():
     async def show(call):
-        return server.build_json(200, [call.parameter, call.query, call.read_json()])
+        return exchanges.build_json(200, [call.parameter, call.query, call.read_json()])
 
-    routes = server.Routes(body_limit=100)
+    routes = routing.Routes(body_limit=100)
     routes.add("PUT", "/rows/{key}", show)
     return routes
 
@@ -54,7 +54,7 @@
     async def slow(exchange):
         started.set()
         await asyncio.sleep(0.1)
-        exchange.respond(server.Response(200, b"done"))
+        exchange.respond(exchanges.Response(200, b"done"))
 
     async with testing.serving(slow) as (served, caller):
         call = asyncio.ensure_future(caller.call("GET", "/"))
--- a/packages/core/dewstep_core/platform/caller_test.py
+++ b/packages/core/dewstep_core/platform/caller_test.py
@@ -4,7 +4,7 @@
 import pytest
 
 from dewstep_core import errors
-from dewstep_core.http import server
+from dewstep_core.http import exchanges, server
 from dewstep_core.platform import caller
 from dewstep_emulator import testing
 
@@ -17,7 +17,7 @@
         status = statuses[addresses.index(exchange.get_header("Host"))]
         calls.append((status, exchange.get_header("Dewstep-Data-Centre")))
         if status:
-            exchange.respond(server.Response(status))
+            exchange.respond(exchanges.Response(status))
         else:
             exchange.abort()
 
--- a/packages/emulator/dewstep_emulator/faults.py
+++ b/packages/emulator/dewstep_emulator/faults.py
@@ -12,7 +12,7 @@
 from returns import result
 
 from dewstep_core import errors, registry
-from dewstep_core.http import server
+from dewstep_core.http import exchanges
 
 Faults = TypeVar("Faults", bound=NamedTuple)
 
@@ -63,7 +63,7 @@
     """"hold": no answer until the cut ends or the caller closes the connection;
     "close": the connection closes at once. The call has no effect meanwhile."""
 
-    def matches(self, exchange: server.Exchange) -> bool:
+    def matches(self, exchange: exchanges.Exchange) -> bool:
         """Return whether the caller is cut off."""
         return (
             exchange.get_header("Dewstep-Entry") in self.entries
--- a/packages/emulator/dewstep_emulator/instance_list.py
+++ b/packages/emulator/dewstep_emulator/instance_list.py
@@ -12,7 +12,7 @@
 
 import typer
 
-from dewstep_core.http import server
+from dewstep_core.http import exchanges, routing
 from dewstep_core.platform import instances
 from dewstep_emulator import faults, program
 
@@ -132,21 +132,21 @@
         self.switch.add("POST", "/instances", self.change)
         self.add_route("POST", "/instances", self.change)
 
-    async def show(self, call: server.Call) -> server.Response:
+    async def show(self, call: routing.Call) -> exchanges.Response:
         """Answer `GET /instances`."""
         now = self.monotonic()
         shown = self.list.shown if self.faults.frozen else self.list.show(now, self.lag)
         listed = list(shown.instances.values())
         answer = {"revision": shown.revision, "instances": listed}
-        return server.build_json(200, answer)
+        return exchanges.build_json(200, answer)
 
-    async def change(self, call: server.Call) -> server.Response:
+    async def change(self, call: routing.Call) -> exchanges.Response:
         """Answer `POST /instances`."""
         form = call.read_json()
         if mistake := find_mistake(form):
-            return server.build_json(400, {"error": mistake})
+            return exchanges.build_json(400, {"error": mistake})
         recorded = self.list.change(form, self.monotonic())
-        return server.build_json(200, {"revision": recorded.revision})
+        return exchanges.build_json(200, {"revision": recorded.revision})
 
 
 def main(
--- a/packages/emulator/dewstep_emulator/limited.py
+++ b/packages/emulator/dewstep_emulator/limited.py
@@ -5,7 +5,7 @@
 
 import typer
 
-from dewstep_core.http import server
+from dewstep_core.http import exchanges
 from dewstep_emulator import program, rates
 
 WRITES_PER_SECOND = 400.0
@@ -30,7 +30,7 @@
         writes_per_second: float = WRITES_PER_SECOND,
         reads_per_second: float = READS_PER_SECOND,
         monotonic: Callable[[], float] = time.monotonic,
-        body_limit: int = server.MAXIMUM_BODY_BYTES,
+        body_limit: int = exchanges.MAXIMUM_BODY_BYTES,
     ):
         super().__init__(body_limit=body_limit)
         self.monotonic = monotonic
--- a/packages/emulator/dewstep_emulator/object_store.py
+++ b/packages/emulator/dewstep_emulator/object_store.py
@@ -6,7 +6,7 @@
 
 from typing import Any
 
-from dewstep_core.http import server
+from dewstep_core.http import exchanges, routing
 from dewstep_emulator import limited
 
 MAXIMUM_OBJECT_BYTES = 32 * 1024 * 1024
@@ -27,22 +27,22 @@
         self.add_route("PUT", "/objects/{name}", self.write)
         self.add_route("GET", "/objects/{name}", self.read)
 
-    async def write(self, call: server.Call) -> server.Response:
+    async def write(self, call: routing.Call) -> exchanges.Response:
         """Answer `PUT /objects/<name>`."""
         if self.write_bucket.take(1, self.monotonic()) > 0:
-            return server.build_json(429, {"error": "rate exceeded"})
+            return exchanges.build_json(429, {"error": "rate exceeded"})
         self.objects[call.parameter] = call.body
-        return server.build_json(200, {"bytes": len(call.body)})
+        return exchanges.build_json(200, {"bytes": len(call.body)})
 
-    async def read(self, call: server.Call) -> server.Response:
+    async def read(self, call: routing.Call) -> exchanges.Response:
         """Answer `GET /objects/<name>`."""
         if self.read_bucket.take(1, self.monotonic()) > 0:
-            return server.build_json(429, {"error": "rate exceeded"})
+            return exchanges.build_json(429, {"error": "rate exceeded"})
         content = self.objects.get(call.parameter)
         if content is None:
-            return server.build_json(404, {"error": "no such object"})
+            return exchanges.build_json(404, {"error": "no such object"})
         headers = (("Content-Type", "application/octet-stream"),)
-        return server.Response(200, content, headers)
+        return exchanges.Response(200, content, headers)
 
 
 if __name__ == "__main__":
--- a/packages/emulator/dewstep_emulator/program.py
+++ b/packages/emulator/dewstep_emulator/program.py
@@ -14,7 +14,7 @@
 from returns import result
 
 from dewstep_core import settings
-from dewstep_core.http import server
+from dewstep_core.http import exchanges, routing, server
 from dewstep_emulator import faults
 
 REFUSE = "refuse"
@@ -52,11 +52,11 @@
         self.faults_changed = asyncio.Event()
         self.server: server.Server | None = None
         self.control: server.Server | None = None
-        self.switch = server.Routes()
+        self.switch = routing.Routes()
         self.switch.add("GET", "/faults", self.show_faults)
         self.switch.add("POST", "/faults", self.change_faults)
 
-    async def serve(self, exchange: server.Exchange) -> None:
+    async def serve(self, exchange: exchanges.Exchange) -> None:
         """Answer a request on the main port; for subclasses."""
         raise NotImplementedError
 
@@ -76,23 +76,23 @@
         if self.refuses_connections():
             self.server.stop_listening()
 
-    async def handle(self, exchange: server.Exchange) -> None:
+    async def handle(self, exchange: exchanges.Exchange) -> None:
         """Answer a request: the fault switch itself, or `serve`."""
         if exchange.path == "/faults":
             await self.switch.handle(exchange)
         else:
             await self.serve(exchange)
 
-    async def show_faults(self, call: server.Call) -> server.Response:
+    async def show_faults(self, call: routing.Call) -> exchanges.Response:
         """Answer `GET /faults`."""
-        return server.build_json(200, faults.describe_faults(self.faults))
+        return exchanges.build_json(200, faults.describe_faults(self.faults))
 
-    async def change_faults(self, call: server.Call) -> server.Response:
+    async def change_faults(self, call: routing.Call) -> exchanges.Response:
         """Answer `POST /faults`."""
         outcome = faults.change_faults(self.faults, call.read_json())
         if not isinstance(outcome, result.Success):
             failure = outcome.failure()
-            return server.build_json(400, {"error": failure._asdict()})
+            return exchanges.build_json(400, {"error": failure._asdict()})
         self.faults = outcome.unwrap()
         if not self.refuses_connections():
             await self.server.resume_listening()
@@ -102,7 +102,7 @@
         self.faults_changed = asyncio.Event()
         return await self.show_faults(call)
 
-    async def pass_cut(self, exchange: server.Exchange) -> bool:
+    async def pass_cut(self, exchange: exchanges.Exchange) -> bool:
         """Return once the caller is not cut off; False if it was turned away."""
         while self.faults.cut.matches(exchange):
             if self.faults.cut.mode == faults.CLOSE:
@@ -173,17 +173,17 @@
     def __init__(
         self,
         initial: NamedTuple = NO_FAULTS,
-        body_limit: int = server.MAXIMUM_BODY_BYTES,
+        body_limit: int = exchanges.MAXIMUM_BODY_BYTES,
     ):
         super().__init__(initial)
-        self.routes = server.Routes(body_limit)
+        self.routes = routing.Routes(body_limit)
 
     def add_route(
-        self, method: str, template: str, handler: server.RouteHandler
+        self, method: str, template: str, handler: routing.RouteHandler
     ) -> None:
         """Register a handler that is subject to the fault `delay`."""
 
-        async def answer(call: server.Call) -> server.Response:
+        async def answer(call: routing.Call) -> exchanges.Response:
             if seconds := self.faults.delay.get_seconds():
                 # A service that has received a call carries it out although the
                 # caller has closed the connection, so cancelling has no effect here.
@@ -202,12 +202,12 @@
         if self.refuses_connections():
             self.server.abort_connections()
 
-    async def serve(self, exchange: server.Exchange) -> None:
+    async def serve(self, exchange: exchanges.Exchange) -> None:
         """Answer a call unless a fault prevents it."""
         if not await self.pass_cut(exchange):
             return
         if self.faults.down:
-            exchange.respond(server.build_json(503, {"error": "down"}))
+            exchange.respond(exchanges.build_json(503, {"error": "down"}))
             return
         response = await self.routes.answer(exchange)
         written = exchange.method != "GET" and response.status == 200
@@ -218,8 +218,8 @@
 
 
 async def answer_later(
-    seconds: float, handler: server.RouteHandler, call: server.Call
-) -> server.Response:
+    seconds: float, handler: routing.RouteHandler, call: routing.Call
+) -> exchanges.Response:
     """Return the handler's response after a wait."""
     await asyncio.sleep(seconds)
     return await handler(call)
--- a/packages/emulator/dewstep_emulator/program_test.py
+++ b/packages/emulator/dewstep_emulator/program_test.py
@@ -20,7 +20,7 @@
 
     async def act(self, call):
         self.effects += 1
-        return program.server.build_json(200, self.effects)
+        return program.exchanges.build_json(200, self.effects)
 
 
 @contextlib.asynccontextmanager
--- a/packages/emulator/dewstep_emulator/run_log.py
+++ b/packages/emulator/dewstep_emulator/run_log.py
@@ -8,7 +8,7 @@
 import pathlib
 from typing import NamedTuple
 
-from dewstep_core.http import server
+from dewstep_core.http import exchanges
 
 
 class Run(NamedTuple):
@@ -25,7 +25,7 @@
     path: str
 
 
-def parse_run(exchange: server.Exchange) -> Run | None:
+def parse_run(exchange: exchanges.Exchange) -> Run | None:
     """Return the run that a request's headers describe, or None if one is wrong."""
     get = exchange.get_header
     try:
--- a/packages/emulator/dewstep_emulator/table_service.py
+++ b/packages/emulator/dewstep_emulator/table_service.py
@@ -6,7 +6,7 @@
 
 from typing import Any, NamedTuple
 
-from dewstep_core.http import server
+from dewstep_core.http import exchanges, routing
 from dewstep_emulator import limited
 
 ROWS_PER_READ = 100
@@ -99,50 +99,50 @@
         self.add_route("GET", "/rows", self.read_prefix)
         self.add_route("GET", "/counts", self.show_counts)
 
-    async def commit(self, call: server.Call) -> server.Response:
+    async def commit(self, call: routing.Call) -> exchanges.Response:
         """Answer `POST /transactions`."""
         form = call.read_json()
         if not is_transaction(form):
-            return server.build_json(400, {"error": "not a transaction"})
+            return exchanges.build_json(400, {"error": "not a transaction"})
         wait = self.write_bucket.take(max(1, len(form["writes"])), self.monotonic())
         if wait > 0:
             return self.refuse(wait)
         if conflicts := self.table.find_conflicts(form["checks"]):
             self.counts["conflicts"] += 1
             answer = {"committed": False, "conflicts": conflicts}
-            return server.build_json(409, answer)
+            return exchanges.build_json(409, answer)
         self.counts["writes"] += len(form["writes"])
         versions = self.table.write(form["writes"])
-        return server.build_json(200, {"committed": True, "versions": versions})
+        return exchanges.build_json(200, {"committed": True, "versions": versions})
 
-    async def read(self, call: server.Call) -> server.Response:
+    async def read(self, call: routing.Call) -> exchanges.Response:
         """Answer `GET /rows/<key>`."""
         if (wait := self.read_bucket.take(1, self.monotonic())) > 0:
             return self.refuse(wait)
         self.counts["reads"] += 1
         row = self.table.read(call.parameter)
         if row is None:
-            return server.build_json(404, {"error": "no such row"})
-        return server.build_json(200, row)
+            return exchanges.build_json(404, {"error": "no such row"})
+        return exchanges.build_json(200, row)
 
-    async def read_prefix(self, call: server.Call) -> server.Response:
+    async def read_prefix(self, call: routing.Call) -> exchanges.Response:
         """Answer `GET /rows?prefix=P`."""
         rows = self.table.read_prefix(call.query.get("prefix", ""))
         cost = max(1, -(-len(rows) // ROWS_PER_READ))
         if (wait := self.read_bucket.take(cost, self.monotonic())) > 0:
             return self.refuse(wait)
         self.counts["reads"] += cost
-        return server.build_json(200, {"rows": rows})
+        return exchanges.build_json(200, {"rows": rows})
 
-    def refuse(self, wait: float) -> server.Response:
+    def refuse(self, wait: float) -> exchanges.Response:
         """Return the answer to a call above the rate limit."""
         self.counts["refused"] += 1
         headers = (("Retry-After", str(max(1, round(wait)))),)
-        return server.build_json(429, {"error": "rate exceeded"}, headers)
+        return exchanges.build_json(429, {"error": "rate exceeded"}, headers)
 
-    async def show_counts(self, call: server.Call) -> server.Response:
+    async def show_counts(self, call: routing.Call) -> exchanges.Response:
         """Answer `GET /counts`: what the service has done since its start."""
-        return server.build_json(200, self.counts)
+        return exchanges.build_json(200, self.counts)
 
 
 if __name__ == "__main__":
--- a/packages/emulator/dewstep_emulator/target.py
+++ b/packages/emulator/dewstep_emulator/target.py
@@ -15,7 +15,7 @@
 
 import typer
 
-from dewstep_core.http import server
+from dewstep_core.http import exchanges, routing
 from dewstep_emulator import (
     fencing,
     program,
@@ -74,7 +74,7 @@
         self.inactive.set()
         self.load = {"state": LIVE, "load": 0.0}
         self.sampler: asyncio.Task | None = None
-        self.routes = server.Routes()
+        self.routes = routing.Routes()
         self.routes.add("GET", "/control/clock", self.show_clock)
         self.routes.add("PUT", "/control/grant", self.take_grant)
         self.routes.add("GET", "/control/load", self.show_load)
@@ -123,35 +123,35 @@
 
     # Control calls.
 
-    async def show_clock(self, call: server.Call) -> server.Response:
+    async def show_clock(self, call: routing.Call) -> exchanges.Response:
         """Answer `GET /control/clock`."""
-        return server.build_json(200, self.describe_clock())
+        return exchanges.build_json(200, self.describe_clock())
 
-    async def take_grant(self, call: server.Call) -> server.Response:
+    async def take_grant(self, call: routing.Call) -> exchanges.Response:
         """Answer `PUT /control/grant`."""
         if not self.options.fenced:
-            return server.build_json(404, {"error": "takes no grants"})
+            return exchanges.build_json(404, {"error": "takes no grants"})
         grant = fencing.parse_grant(call.read_json())
         if grant is None:
-            return server.build_json(400, {"error": "not a grant"})
+            return exchanges.build_json(400, {"error": "not a grant"})
         refusal = self.fence.accept(*grant, self.read_clock())
         answer = self.describe_clock()
         if refusal:
-            return server.build_json(409, {**answer, "reason": refusal})
-        return server.build_json(200, answer)
+            return exchanges.build_json(409, {**answer, "reason": refusal})
+        return exchanges.build_json(200, answer)
 
     def describe_clock(self) -> dict[str, Any]:
         """Return the boot id, clock and highest term."""
         fence = self.fence
         return {"boot": fence.boot, "clock": self.read_clock(), "term": fence.term}
 
-    async def show_load(self, call: server.Call) -> server.Response:
+    async def show_load(self, call: routing.Call) -> exchanges.Response:
         """Answer `GET /control/load`, truthfully or not."""
-        return server.build_json(200, self.faults.load.describe() or self.load)
+        return exchanges.build_json(200, self.faults.load.describe() or self.load)
 
     # Requests.
 
-    async def serve(self, exchange: server.Exchange) -> None:
+    async def serve(self, exchange: exchanges.Exchange) -> None:
         """Answer a control call, or run a request."""
         if not await self.pass_cut(exchange):
             return
@@ -167,11 +167,11 @@
             if self.active == 0:
                 self.inactive.set()
 
-    async def handle_request(self, exchange: server.Exchange) -> None:
+    async def handle_request(self, exchange: exchanges.Exchange) -> None:
         """Run a request in a slot and answer it, or refuse it."""
         run = run_log.parse_run(exchange)
         if run is None:
-            exchange.respond(server.build_json(400, {"error": "wrong header"}))
+            exchange.respond(exchanges.build_json(400, {"error": "wrong header"}))
             return
         refusal = self.find_refusal(run)
         if refusal:
@@ -248,7 +248,7 @@
 
     # Answers.
 
-    def refuse(self, exchange: server.Exchange, refusal: str, detail: str) -> None:
+    def refuse(self, exchange: exchanges.Exchange, refusal: str, detail: str) -> None:
         """Answer that the request has had no effect."""
         form = {
             "refused": refusal,
@@ -257,9 +257,11 @@
             "boot": self.fence.boot,
         }
         headers = (("Dewstep-Refused", refusal), *self.build_headers(exchange))
-        exchange.respond(server.build_json(STATUSES[refusal], form, headers))
+        exchange.respond(exchanges.build_json(STATUSES[refusal], form, headers))
 
-    def build_headers(self, exchange: server.Exchange) -> tuple[tuple[str, Any], ...]:
+    def build_headers(
+        self, exchange: exchanges.Exchange
+    ) -> tuple[tuple[str, Any], ...]:
         """Return the headers that name the request and this target."""
         request_id = exchange.headers.get(b"dewstep-request-id", b"")
         return (
@@ -269,7 +271,7 @@
         )
 
     async def answer(
-        self, exchange: server.Exchange, run: run_log.Run, upload: uploads.Upload
+        self, exchange: exchanges.Exchange, run: run_log.Run, upload: uploads.Upload
     ) -> None:
         """Send the answer of a run, with the faults of answers."""
         if seconds := self.faults.answer_delay.get_seconds():
@@ -293,7 +295,7 @@
             "body_bytes": upload.size,
             "body_sha256": upload.digest,
         }
-        response = server.build_json(200, form, headers)
+        response = exchanges.build_json(200, form, headers)
         target_answers.send_small(exchange, response, self.faults)
 
 
--- a/packages/emulator/dewstep_emulator/target_answers.py
+++ b/packages/emulator/dewstep_emulator/target_answers.py
@@ -1,6 +1,6 @@
 """Answers of the stand-in of a target, with the faults that spoil them."""
 
-from dewstep_core.http import server
+from dewstep_core.http import exchanges
 from dewstep_emulator import target_options, uploads
 
 SURPLUS = b"surplus-surplus-"
@@ -8,8 +8,8 @@
 
 
 def send_small(
-    exchange: server.Exchange,
-    response: server.Response,
+    exchange: exchanges.Exchange,
+    response: exchanges.Response,
     active: target_options.TargetFaults,
 ) -> None:
     """Send an answer from memory."""
@@ -26,7 +26,7 @@
 
 
 async def send_echo(
-    exchange: server.Exchange,
+    exchange: exchanges.Exchange,
     headers: tuple,
     upload: uploads.Upload,
     active: target_options.TargetFaults,
@@ -34,7 +34,7 @@
     """Send the request body back."""
     upload.content.seek(0)
     if upload.size <= uploads.SPOOL_BYTES:
-        response = server.Response(200, upload.content.read(), headers)
+        response = exchanges.Response(200, upload.content.read(), headers)
         send_small(exchange, response, active)
         return
     if active.answer_cut.fires():
--- a/packages/emulator/dewstep_emulator/uploads.py
+++ b/packages/emulator/dewstep_emulator/uploads.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from typing import BinaryIO, NamedTuple
 
-from dewstep_core.http import server
+from dewstep_core.http import exchanges
 
 SPOOL_BYTES = 256 * 1024
 """Body bytes kept in memory for an echo; longer bodies go to a temporary file."""
@@ -24,13 +24,13 @@
 
 
 async def receive_upload(
-    exchange: server.Exchange, marker: bytes, keep: bool
+    exchange: exchanges.Exchange, marker: bytes, keep: bool
 ) -> Upload:
     """Read a request body; keep it only for an echo.
 
     Parameters
     ----------
-    exchange : server.Exchange
+    exchange : exchanges.Exchange
         Whose body is read.
     marker : bytes
         The crash marker; empty if there is none.
--- a/packages/entry/dewstep_entry/operators.py
+++ b/packages/entry/dewstep_entry/operators.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from dewstep_core import settings
-from dewstep_core.http import server
+from dewstep_core.http import exchanges, routing, server
 from dewstep_entry import failures, interfaces
 from dewstep_entry.state import view
 
@@ -85,7 +85,7 @@
         self.describe = describe
         self.move = move
         self.set_cut = set_cut
-        routes = server.Routes()
+        routes = routing.Routes()
         routes.add("GET", "/dump", self.answer_dump)
         routes.add("GET", "/members", self.answer_members)
         routes.add("POST", "/orders/move", self.answer_move)
@@ -101,19 +101,19 @@
         """Stop listening."""
         await self.server.close(grace=1.0)
 
-    async def answer_dump(self, call: server.Call) -> server.Response:
+    async def answer_dump(self, call: routing.Call) -> exchanges.Response:
         """Answer `GET /dump`."""
-        return server.build_json(200, self.describe())
+        return exchanges.build_json(200, self.describe())
 
-    async def answer_members(self, call: server.Call) -> server.Response:
+    async def answer_members(self, call: routing.Call) -> exchanges.Response:
         """Answer `GET /members`."""
-        return server.build_json(200, list_members(self.holder.current))
+        return exchanges.build_json(200, list_members(self.holder.current))
 
-    async def answer_move(self, call: server.Call) -> server.Response:
+    async def answer_move(self, call: routing.Call) -> exchanges.Response:
         """Answer `POST /orders/move`."""
         order = parse_order(call.read_json())
         if isinstance(order, result.Failure):
-            return server.build_json(400, {"expected": order.failure().expected})
+            return exchanges.build_json(400, {"expected": order.failure().expected})
         moved = await self.move(order.unwrap())
         if isinstance(moved, result.Failure):
             failure = moved.failure()
@@ -121,14 +121,14 @@
                 "type": type(failure).__name__,
                 "detail": failures.pack_fields(failure),
             }
-            return server.build_json(409, content)
-        return server.build_json(200, {"moved": True})
+            return exchanges.build_json(409, content)
+        return exchanges.build_json(200, {"moved": True})
 
-    async def answer_cut(self, call: server.Call) -> server.Response:
+    async def answer_cut(self, call: routing.Call) -> exchanges.Response:
         """Answer `POST /faults/cut`."""
         value = call.read_json()
         names = value.get("names") if isinstance(value, Mapping) else None
         if not isinstance(names, list):
-            return server.build_json(400, {"expected": "names (list)"})
+            return exchanges.build_json(400, {"expected": "names (list)"})
         self.set_cut([str(name) for name in names])
-        return server.build_json(200, {"cut": names})
+        return exchanges.build_json(200, {"cut": names})
