Split the emptying of targets from the manager of gates

Ruled out: a change of what is emptied or of the two mutations that name the rule. Conclusion: kept, in the form that releases.py has.

--- a/packages/emulator/dewstep_emulator/mutation_list.py
+++ b/packages/emulator/dewstep_emulator/mutation_list.py
@@ -239,7 +239,7 @@
     "target-leaving-by-list",
     "WorkAfterDeparture",
     Edit(
-        GATE + "manager.py",
+        GATE + "emptying.py",
         "return gate.target.draining or gate.target.name in self.leaving_targets",
         "return gate.target.draining",
     ),
@@ -249,7 +249,7 @@
     "target-drained",
     "WorkAfterDeparture",
     Edit(
-        GATE + "manager.py",
+        GATE + "emptying.py",
         "return gate.target.draining or gate.target.name in self.leaving_targets",
         "return gate.target.name in self.leaving_targets",
     ),
--- a/packages/entry/dewstep_entry/gate/description.py
+++ b/packages/entry/dewstep_entry/gate/description.py
@@ -35,6 +35,6 @@
     return {
         "gates": {name: describe_gate(gate) for name, gate in manager.gates.items()},
         "takeovers": sorted(manager.takeovers),
-        "emptying": sorted(manager.emptying),
+        "emptying": sorted(manager.emptying.tasks),
         "counts": dict(manager.checks.counts),
     }
--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -19,6 +19,7 @@
 from dewstep_entry.gate import (
     assignments,
     description,
+    emptying,
     events as event,
     gate as gates,
     handover,
@@ -77,9 +78,7 @@
         self.gates: dict[str, gates.Gate] = {}
         self.vacant_since: dict[str, tuple[str, datetime.timedelta]] = {}
         self.takeovers: dict[str, asyncio.Task] = {}
-        self.emptying: dict[str, asyncio.Task] = {}
         self.endings: set[asyncio.Task] = set()
-        self.leaving_targets: frozenset[str] = frozenset()
         self.leaving_entries: frozenset[str] = frozenset()
         self.stopping = False
         make_id = make_operation_id
@@ -87,12 +86,13 @@
             own, holder, table, clock, settings.grants, make_id
         )
         self.assignments = assignments.AssignmentWriter(holder, table, clock, make_id)
+        self.emptying = emptying.Emptying(self)
         self.mover = moves.Mover(
             self.assignments,
             table,
             clock,
             wiring.plan_evacuation,
-            self.list_usable,
+            self.emptying.list_usable,
             self.raise_term,
         )
         self.releases = releases.Releases(self)
@@ -121,7 +121,7 @@
             service = configuration.services.get(gate.service.name)
             if target is not None and service is not None:
                 gate.receive_configuration(target, service)
-            self.start_emptying(gate)
+            self.emptying.start(gate)
         if not self.stopping:
             for target in configuration.targets.values():
                 self.look_for_vacancy(target, configuration)
@@ -320,50 +320,13 @@
             row.target, self.start_gate(target, service, message.record, start)
         )
 
-    # Emptying targets.
+    # Moves.
 
     def set_leaving(self, targets: frozenset[str], entries: frozenset[str]) -> None:
         """Note what the instance list shows as leaving."""
-        self.leaving_targets = targets
+        self.emptying.leaving_targets = targets
         self.leaving_entries = entries
 
-    def list_usable(self, service: str, without: str) -> tuple[str, ...]:
-        """Return the targets of a service that may get shards."""
-        configuration = self.holder.current.configuration
-        lost = {name for name, gate in self.gates.items() if gate.lost}
-        return tuple(
-            sorted(
-                target.name
-                for target in configuration.targets.values()
-                if target.service == service
-                and target.name != without
-                and not target.draining
-                and target.name not in self.leaving_targets
-                and target.name not in lost
-            )
-        )
-
-    def is_leaving(self, gate: gates.Gate) -> bool:
-        """Return whether the target of a gate should get no new work."""
-        return gate.target.draining or gate.target.name in self.leaving_targets
-
-    def start_emptying(self, gate: gates.Gate) -> None:
-        """Start to move shards away from a lost or leaving target."""
-        name = gate.target.name
-        if name in self.emptying or not moves.owns_anything(gate):
-            return
-        if gate.lost:
-            work = self.mover.evacuate(gate)
-        elif self.is_leaving(gate):
-            work = self.mover.vacate(gate, lambda: self.is_leaving(gate))
-        elif not gate.fenced and gate.is_waiting():
-            work = self.mover.wait_declaration(gate)
-        else:
-            return
-        task = asyncio.ensure_future(work)
-        self.emptying[name] = task
-        task.add_done_callback(lambda done: self.emptying.pop(name, None))
-
     async def move_shards(
         self, service: str, shard_moves: Mapping[int, str]
     ) -> dict[str, result.Result[data.Assignment, interfaces.Failure]]:
--- a/packages/entry/dewstep_entry/gate/releases.py
+++ b/packages/entry/dewstep_entry/gate/releases.py
@@ -51,7 +51,7 @@
     ) -> data.Member | None:
         """Return the process that a working gate should go to, or None."""
         manager = self.manager
-        busy = gate.target.name in manager.emptying or gate.is_waiting()
+        busy = gate.target.name in manager.emptying.tasks or gate.is_waiting()
         if busy or gate.releasing or gate.lost:
             return None
         members = manager.holder.current.members
--- a/packages/entry/dewstep_entry/reporting.py
+++ b/packages/entry/dewstep_entry/reporting.py
@@ -114,7 +114,7 @@
         tries_again=process.router.tries_again,
         gates=gates,
         takeovers=sorted(process.gates.takeovers),
-        emptying=sorted(process.gates.emptying),
+        emptying=sorted(process.gates.emptying.tasks),
         peers=list(describe_peers(process, now)),
         counts=read_totals(process),
         broken_invariants=process.gates.checks.list_broken(),
