Split what the processes of a fleet are started with from the fleet

Ruled out: cuts or configurations as functions of their own, which dozens of places would have had to call in a new way; the relays' fleet also overrides the cut. FleetOptions moved; its callers are updated.

--- a/packages/emulator/dewstep_emulator/bench/overhead.py
+++ b/packages/emulator/dewstep_emulator/bench/overhead.py
@@ -14,7 +14,7 @@
 from typing import Any, NamedTuple
 
 from dewstep_core import settings
-from dewstep_emulator import addresses, deployments, fleet as fleets
+from dewstep_emulator import addresses, deployments, fleet as fleets, launching
 from dewstep_emulator.bench import (
     accounting,
     baseline,
@@ -99,7 +99,7 @@
         self.settle = settle
         self.folder = folder
         self.say = say
-        options = fleets.FleetOptions(2, seed, distribution="constant")
+        options = launching.FleetOptions(2, seed, distribution="constant")
         deployment = plan_deployment()
         self.router = fleets.Fleet(deployment, options, folder / ROUTER)
         self.relays = baseline.RelayFleet(deployment, options, folder / RELAY)
--- a/packages/emulator/dewstep_emulator/bench/sizes.py
+++ b/packages/emulator/dewstep_emulator/bench/sizes.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
-from dewstep_emulator import deployments, fleet as fleets
+from dewstep_emulator import deployments, fleet as fleets, launching
 from dewstep_emulator.bench import accounting
 
 NAME = "sizes"
@@ -63,7 +63,7 @@
     entries: int, targets: int, centres: int, seed: int, folder: pathlib.Path
 ) -> Sample:
     """Start a fleet without load and return what it costs."""
-    options = fleets.FleetOptions(entries, seed)
+    options = launching.FleetOptions(entries, seed)
     deployment = plan_deployment(entries, targets, centres)
     fleet = fleets.Fleet(deployment, options, folder)
     try:
--- a/packages/emulator/dewstep_emulator/bench/stage.py
+++ b/packages/emulator/dewstep_emulator/bench/stage.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from dewstep_emulator import deployments, fleet as fleets
+from dewstep_emulator import deployments, fleet as fleets, launching
 from dewstep_emulator.bench import accounting, baseline, loads, plans
 
 METER_SECONDS = 0.25
@@ -64,7 +64,7 @@
         self.scenario = scenario
         self.random = random.Random(seed)
         self.say = say
-        options = fleets.FleetOptions(deployment.entries, seed, **scenario.options)
+        options = launching.FleetOptions(deployment.entries, seed, **scenario.options)
         fleet_type = baseline.RelayFleet if relays else fleets.Fleet
         self.fleet = fleet_type(deployment, options, folder)
         plan = plans.build_plan(deployment, scenario, seed, capacity)
--- a/packages/emulator/dewstep_emulator/demo.py
+++ b/packages/emulator/dewstep_emulator/demo.py
@@ -17,7 +17,14 @@
 import typer
 
 from dewstep_core import clock as clocks
-from dewstep_emulator import deployments, fleet as fleets, history, load, processes
+from dewstep_emulator import (
+    deployments,
+    fleet as fleets,
+    history,
+    launching,
+    load,
+    processes,
+)
 
 ENTRIES = 9
 SCALE = 0.15
@@ -81,7 +88,7 @@
 
 async def run_fleet(folder: pathlib.Path, seed: int, say) -> Outcome:
     """Run the fleet with its disturbances and check the history."""
-    options = fleets.FleetOptions(entries=ENTRIES, seed=seed)
+    options = launching.FleetOptions(entries=ENTRIES, seed=seed)
     fleet = fleets.Fleet(combine_deployments(SCALE), options, folder)
     try:
         started = time.monotonic()
--- a/packages/emulator/dewstep_emulator/fleet.py
+++ b/packages/emulator/dewstep_emulator/fleet.py
@@ -10,7 +10,14 @@
 from dewstep_core import data, records, settings
 from dewstep_core.http import client
 from dewstep_core.platform import table
-from dewstep_emulator import addresses, deployments, history, processes, toml_text
+from dewstep_emulator import (
+    addresses,
+    deployments,
+    history,
+    launching,
+    processes,
+    toml_text,
+)
 
 STOP_SECONDS = 25.0
 POLL = 0.05
@@ -20,23 +27,6 @@
     """Carries what each entry process misses to serve all keys."""
 
 
-class FleetOptions(NamedTuple):
-    """What a fleet consists of, beside its deployment."""
-
-    entries: int
-    seed: int = 0
-    unfenced: frozenset[str] = frozenset()
-    crash_marker: str = ""
-    writes_per_second: float = 400
-    reads_per_second: float = 2_000
-    distribution: str = "exponential"
-    """Of the targets' service times."""
-    entry_command: tuple[str, ...] = ("dewstep_entry.main",)
-    """Arguments of `python -m`; "{name}" stands for the name of the process."""
-    entry_settings: Mapping[str, Any] = {}
-    """More settings for each entry process, by their TOML names."""
-
-
 class EntryHandle(NamedTuple):
     """An entry process and its ports."""
 
@@ -54,7 +44,7 @@
     Parameters
     ----------
     deployment : deployments.Deployment
-    options : FleetOptions
+    options : launching.FleetOptions
     folder : pathlib.Path
         Gets settings, logs and the targets' logs of runs.
     """
@@ -62,7 +52,7 @@
     def __init__(
         self,
         deployment: deployments.Deployment,
-        options: FleetOptions,
+        options: launching.FleetOptions,
         folder: pathlib.Path,
     ):
         self.deployment = deployment
@@ -102,14 +92,9 @@
 
     async def start_platform(self) -> None:
         """Start the table service and the instance list."""
-        options = self.options
         self.table_process = processes.Process(
             "table",
-            (
-                "dewstep_emulator.table_service",
-                f"--writes-per-second={options.writes_per_second}",
-                f"--reads-per-second={options.reads_per_second}",
-            ),
+            launching.list_table_arguments(self.options),
             self.folder,
         )
         self.list_process = processes.Process(
@@ -129,28 +114,11 @@
     async def start_target(self, name: str, port: int = 0) -> None:
         """Start a target, on the same port as before if `port` says so."""
         port = port or addresses.find_free_port()
-        service, _ = self.list_targets()[name]
-        plan = next(
-            item for item in self.deployment.services if item.service.name == service
-        )
-        number = len(self.ended)
-        process = processes.Process(
-            name,
-            (
-                "dewstep_emulator.target",
-                f"--name={name}",
-                f"--service={service}",
-                f"--port={port}",
-                f"--slots={self.deployment.slots}",
-                f"--connections={self.deployment.connections}",
-                f"--service-time-ms={plan.service_time.total_seconds() * 1000}",
-                f"--distribution={self.options.distribution}",
-                f"--seed={self.options.seed}",
-                "--fenced" if name not in self.options.unfenced else "--no-fenced",
-                f"--log={self.folder / f'{name}.{number}.runs'}",
-            ),
-            self.folder,
+        log = self.folder / f"{name}.{len(self.ended)}.runs"
+        arguments = launching.list_target_arguments(
+            self.deployment, self.options, name, port, log
         )
+        process = processes.Process(name, arguments, self.folder)
         await self.group.start(process)
         self.targets[name] = process
         if self.options.crash_marker:
@@ -180,21 +148,17 @@
             for other, port in self.peer_ports.items()
             if other != name and other in (self.seed_names or self.peer_ports)
         ]
-        values = {
-            "entry": name,
-            "data_centre": data_centre,
-            "caller_address": f"{addresses.HOST}:{addresses.find_free_port()}",
-            "peer_address": f"{addresses.HOST}:{self.peer_ports[name]}",
-            "operator_address": f"{addresses.HOST}:{addresses.find_free_port()}",
-            "table_addresses": [addresses.format_address(self.table_process.addresses)],
-            "instance_list_address": addresses.format_address(
-                self.list_process.addresses
-            ),
-            "fault_injection": True,
-            **({"seeds": seeds} if seeds else {}),
-            **self.options.entry_settings,
-        }
-        file.write_text(toml_text.format_toml(values))
+        values = launching.build_entry_settings(
+            name,
+            data_centre,
+            self.peer_ports[name],
+            seeds,
+            addresses.format_address(self.table_process.addresses),
+            addresses.format_address(self.list_process.addresses),
+        )
+        file.write_text(
+            toml_text.format_toml({**values, **self.options.entry_settings})
+        )
         command = [part.format(name=name) for part in self.options.entry_command]
         process = processes.Process(name, (*command, f"--settings={file}"), self.folder)
         line = await self.group.start(process)
--- a/packages/emulator/dewstep_emulator/fleet_test.py
+++ b/packages/emulator/dewstep_emulator/fleet_test.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from dewstep_emulator import deployments, fleet as fleets, processes
+from dewstep_emulator import deployments, fleet as fleets, launching, processes
 
 STEP = 0.02
 
@@ -33,7 +33,7 @@
 
 
 def build_fleet(folder):
-    options = fleets.FleetOptions(entries=1)
+    options = launching.FleetOptions(entries=1)
     return fleets.Fleet(deployments.plan_tsagaan(0.1), options, folder)
 
 
--- a/packages/emulator/dewstep_emulator/losses.py
+++ b/packages/emulator/dewstep_emulator/losses.py
@@ -15,7 +15,7 @@
 import typer
 
 from dewstep_core import registry
-from dewstep_emulator import deployments, fleet as fleets, processes
+from dewstep_emulator import deployments, fleet as fleets, launching, processes
 from dewstep_emulator.scenarios import measures, staging
 
 QUANTILE = 0.99
@@ -81,7 +81,7 @@
     kind: str, trials: int, seed: int, folder: pathlib.Path
 ) -> list[float]:
     """Return the unserved times in seconds."""
-    options = fleets.FleetOptions(entries=9, seed=seed)
+    options = launching.FleetOptions(entries=9, seed=seed)
     fleet = fleets.Fleet(deployments.plan_tsagaan(0.2), options, folder)
     stage = build_stage(fleet, seed)
     try:
--- a/packages/emulator/dewstep_emulator/scenarios/staging.py
+++ b/packages/emulator/dewstep_emulator/scenarios/staging.py
@@ -8,7 +8,14 @@
 from typing import Any, NamedTuple
 
 from dewstep_core import clock as clocks, registry
-from dewstep_emulator import deployments, fleet as fleets, history, load, watch
+from dewstep_emulator import (
+    deployments,
+    fleet as fleets,
+    history,
+    launching,
+    load,
+    watch,
+)
 
 SETTLE_SECONDS = 1.5
 """Load that goes on after the last fault has ended."""
@@ -119,7 +126,7 @@
 ) -> Report:
     """Run a scenario under load and check its history."""
     chosen = scenarios.get(name)
-    options = fleets.FleetOptions(chosen.entries, seed, **chosen.options)
+    options = launching.FleetOptions(chosen.entries, seed, **chosen.options)
     deployment = chosen.plan(deployments.plan_tsagaan(chosen.scale))
     fleet = fleets.Fleet(deployment, options, folder)
     caller = load.Caller(fleet.list_callers, clocks.SystemClock(), seed)
--- a/tests/operators_test.py
+++ b/tests/operators_test.py
@@ -22,6 +22,7 @@
     deployments,
     fleet as fleets,
     history,
+    launching,
     load,
     processes,
     toml_text,
@@ -143,7 +144,7 @@
     statsd.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 << 20)
     statsd.bind((addresses.HOST, 0))
     statsd.setblocking(False)
-    options = fleets.FleetOptions(
+    options = launching.FleetOptions(
         entries=6,
         crash_marker=MARKER,
         entry_settings={
--- a/tests/pages_test.py
+++ b/tests/pages_test.py
@@ -11,7 +11,7 @@
 
 from dewstep_core import errors
 from dewstep_core.http import client
-from dewstep_emulator import deployments, fleet as fleets
+from dewstep_emulator import deployments, fleet as fleets, launching
 from dewstep_entry import failures
 
 ROOT = pathlib.Path(__file__).parents[1]
@@ -46,7 +46,7 @@
 def world(tmp_path_factory):
     folder = tmp_path_factory.mktemp("fleet")
     plan = deployments.plan_tsagaan(0.1)
-    fleet = fleets.Fleet(plan, fleets.FleetOptions(entries=3), folder)
+    fleet = fleets.Fleet(plan, launching.FleetOptions(entries=3), folder)
     with asyncio.Runner() as runner:
         try:
             runner.run(fleet.start())
