--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/fleet_test.py
@@ -0,0 +1,97 @@
+"""Several processes with their gates around one table, for tests."""
+
+import asyncio
+
+from dewstep_core import clock as clocks, data, hashing
+from dewstep_entry.gate import fakes_test as fakes, manager as managers, rows, wiring
+from dewstep_entry.state import view
+
+MS, SECOND = fakes.MS, fakes.SECOND
+SHARD = hashing.compute_shard("k1", 8)
+
+
+def plan_round_robin(assignment, lost, candidates):
+    return tuple(
+        candidates[shard % len(candidates)] if owner == lost else owner
+        for shard, owner in enumerate(assignment.owners)
+    )
+
+
+class Fleet:
+    """Entry processes e1 and e2 with targets t1 and t2, all shards at t1."""
+
+    def __init__(self, fenced=True):
+        self.clock = clocks.ManualClock()
+        self.table = fakes.Table()
+        targets = {n: fakes.make_target(n, fenced=fenced) for n in ("t1", "t2")}
+        self.configuration = data.Configuration(1, {"s": fakes.SERVICE}, targets)
+        assignment = data.Assignment("s", 0, ("t1",) * 8, {}, ())
+        self.table.put("assignment/s", rows.encode_assignment(assignment, "op0"))
+        self.servers = {name: fakes.TargetServer(self.clock) for name in targets}
+        self.fenced = fenced
+        self.processes = {}
+        self.sent = []
+
+    def add(self, entry, incarnation="i1", data_centre="dc1"):
+        own = data.Member(entry, incarnation, data_centre, "127.0.0.1", 1)
+        holder = view.ViewHolder()
+        holder.offer_configuration(self.configuration)
+        connections = wiring.Wiring(
+            lambda target: fakes.Channel(self.servers[target.name], self.fenced),
+            lambda target: fakes.FirstCome(target.slots),
+            lambda target: fakes.Budget(),
+            plan_round_robin,
+            self.send,
+        )
+        manager = managers.GateManager(
+            own,
+            holder,
+            self.table,
+            self.clock,
+            fakes.SETTINGS._replace(entry=entry),
+            connections,
+        )
+        self.processes[entry] = manager
+        for process in self.processes.values():
+            for other in self.processes.values():
+                self.show(process, other.own, True)
+        return manager
+
+    def show(self, process, member, alive):
+        state = view.MemberState(member, self.clock.monotonic(), alive)
+        process.holder.set_member(state)
+
+    async def send(self, entry, message):
+        self.sent.append(message)
+        await self.processes[entry].receive_handover(message)
+
+    async def pass_time(self, duration, step=10 * MS):
+        """Advance time; every 50 ms, all processes step and learn the rows."""
+        end = self.clock.monotonic() + duration
+        while self.clock.monotonic() < end:
+            for process in self.processes.values():
+                for name in ("t1", "t2"):
+                    row = self.table.get(f"gate/{name}")
+                    if row.value is not None and not self.table.down:
+                        record = rows.decode_gate(row, SECOND).unwrap()
+                        process.holder.offer_gate(record.row)
+                process.step()
+            await fakes.pass_time(self.clock, max(step, 50 * MS), step)
+
+    def read_owners(self):
+        return self.table.get("assignment/s").value["owners"]
+
+    def freeze(self, entry):
+        """Stop a process for the others; it does nothing any more."""
+        frozen = self.processes.pop(entry)
+        for process in self.processes.values():
+            self.show(process, frozen.own, False)
+        return frozen
+
+    async def ask(self, process, request_id="r1", **fields):
+        fields = {"deadline": self.clock.monotonic() + 9 * SECOND, **fields}
+        return await process.handle(fakes.make_request(request_id, **fields))
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario(), 30))
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/releases_test.py
@@ -0,0 +1,104 @@
+import asyncio
+import datetime
+
+import pytest
+
+from dewstep_core import data, errors
+from dewstep_entry.gate import fakes_test as fakes, fleet_test as fleets, handover, rows
+
+MS, SECOND = fakes.MS, fakes.SECOND
+
+
+@pytest.mark.parametrize("fenced", [True, False])
+def test_a_planned_stop_hands_over_gates_with_their_request_ids(fenced):
+    async def scenario():
+        fleet = fleets.Fleet(fenced)
+        old = fleet.add("e1")
+        await fleet.pass_time(500 * MS)
+        assert (await fleet.ask(old, "r1", kind="book")).unwrap()
+        new = fleet.add("e2")
+        stopping = asyncio.ensure_future(old.stop())
+        await fleet.pass_time(SECOND)
+        assert await stopping == ()
+        assert set(new.gates) == {"t1", "t2"}
+        value = fleet.table.get("gate/t1").value
+        assert (value["entry"], value["term"], value["released"]) == ("e2", 2, True)
+        assert (await fleet.ask(new, "r1", kind="book")).unwrap()
+        assert (await fleet.ask(new, "r2")).unwrap()
+        assert fleet.servers["t1"].runs == [("r1", 1), ("r2", 2)]
+
+    fleets.run(scenario)
+
+
+def test_a_gate_that_was_superseded_meanwhile_is_not_reported_as_cut():
+    # A stop that finds another process in the row has nothing left to hand over.
+    async def scenario():
+        fleet = fleets.Fleet()
+        old = fleet.add("e1")
+        await fleet.pass_time(500 * MS)
+        fleet.processes.pop("e1")
+        value = dict(fleet.table.get("gate/t1").value)
+        fleet.table.put("gate/t1", value | {"entry": "e9", "term": 2})
+        stopping = asyncio.ensure_future(old.stop())
+        await fakes.pass_time(fleet.clock, 2 * SECOND)
+        assert await stopping == ()
+
+    fleets.run(scenario)
+
+
+def test_a_gate_goes_back_to_its_data_centre():
+    async def scenario():
+        fleet = fleets.Fleet()
+        outside = fleet.add("e2", data_centre="dc2")
+        await fleet.pass_time(2 * SECOND)
+        assert set(outside.gates) == {"t1", "t2"}
+        near = fleet.add("e1")
+        outside.holder.set_table_contact(fleet.clock.monotonic())
+        await fleet.pass_time(9 * SECOND, 50 * MS)
+        assert near.gates == {}
+        outside.holder.set_table_contact(fleet.clock.monotonic())
+        await fleet.pass_time(4 * SECOND, 50 * MS)
+        assert set(near.gates) == {"t1", "t2"} and outside.gates == {}
+
+    fleets.run(scenario)
+
+
+def test_a_hand_over_by_a_waiting_gate_does_not_end_the_wait():
+    async def scenario():
+        fleet = fleets.Fleet(fenced=False)
+        fleet.add("e1")
+        await fleet.pass_time(500 * MS)
+        second = fleet.add("e2")
+        fleet.freeze("e1")
+        await fleet.pass_time(5 * SECOND, 100 * MS)
+        third = fleet.add("e3")
+        stopping = asyncio.ensure_future(second.stop())
+        await fleet.pass_time(2 * SECOND, 100 * MS)
+        await stopping
+        early = await fleet.ask(third)
+        assert isinstance(early.failure(), errors.TargetUnavailable)
+        assert fleet.servers["t1"].runs == []
+
+    fleets.run(scenario)
+
+
+def test_a_delayed_hand_over_message_is_no_contact_with_the_table():
+    async def scenario():
+        fleet = fleets.Fleet(fenced=False)
+        process = fleet.add("e1")
+        row = data.GateRow("t1", "e1", "i1", "127.0.0.1", 1, 2, 2)
+        record = rows.GateRecord(row, 100 * SECOND, True, "op")
+        memory = handover.once.HandoverMemory(
+            (), datetime.datetime.min.replace(tzinfo=datetime.UTC), (), ()
+        )
+        message = handover.Handover(record, memory)
+        receiving = asyncio.ensure_future(process.receive_handover(message))
+        await fakes.settle()
+        fleet.table.down = True
+        await receiving
+        await fakes.pass_time(fleet.clock, SECOND)
+        outcome = await fleet.ask(process)
+        assert isinstance(outcome.failure(), errors.TargetUnavailable)
+        assert fleet.servers["t1"].runs == []
+
+    fleets.run(scenario)
