Go on ending a fleet when one of its processes has just gone

Cause: kill_all now signals every process that the fleet has started; os.kill raised ProcessLookupError for one that had ended while the event loop stood still. Ruled out: the signal method of the child, which polls and can take the exit code away from the loop. Before: tests/operators_test.py (with tests/pages_test.py) ended with an error in the clean-up of its fleet; the new test in processes_test.py failed with that error. After: both pass (operators_test.py 44 s).

--- a/packages/emulator/dewstep_emulator/processes.py
+++ b/packages/emulator/dewstep_emulator/processes.py
@@ -1,6 +1,7 @@
 """Starts, signals and ends the processes of a test fleet, by their process ids."""
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -99,7 +100,9 @@
         if self.is_running():
             ends = number in (signal.SIGTERM, signal.SIGKILL)
             self.stopped = self.stopped or ends
-            os.kill(self.child.pid, number)
+            # The process may have ended without the event loop knowing it yet.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.child.pid, number)
 
     def freeze(self) -> None:
         """Stop the process as if its machine were paused."""
--- a/packages/emulator/dewstep_emulator/processes_test.py
+++ b/packages/emulator/dewstep_emulator/processes_test.py
@@ -1,6 +1,8 @@
 """Tests of the processes of a test fleet."""
 
 import asyncio
+import pathlib
+import time
 
 from dewstep_emulator import processes
 
@@ -32,3 +34,19 @@
             assert not told.has_failed()
 
     run(scenario())
+
+
+def test_process_that_ended_while_the_loop_stood_still_can_be_killed(tmp_path):
+    """Guards against a clean-up that stops at a process that has just gone."""
+    group = processes.Group()
+    process = processes.Process("gone", ("json.tool",), tmp_path)
+    group.processes.append(process)
+    with asyncio.Runner() as runner:
+        process.child = runner.run(asyncio.create_subprocess_exec("true"))
+        end = time.monotonic() + 10
+        while pathlib.Path(f"/proc/{process.child.pid}").exists():
+            assert time.monotonic() < end
+            time.sleep(0.01)
+        assert process.is_running()
+        runner.run(group.kill())
+        assert not process.is_running()
