--- a/packages/core/dewstep_core/platform/caller_test.py
+++ b/packages/core/dewstep_core/platform/caller_test.py
@@ -1,9 +1,10 @@
 import asyncio
+import datetime
 
 import pytest
 
 from dewstep_core import errors
-from dewstep_core.http import server
+from dewstep_core.http import exchanges, server
 from dewstep_core.platform import caller
 from dewstep_emulator import testing
 
@@ -16,14 +17,15 @@
         status = statuses[addresses.index(exchange.get_header("Host"))]
         calls.append((status, exchange.get_header("Dewstep-Data-Centre")))
         if status:
-            exchange.respond(server.Response(status))
+            exchange.respond(exchanges.Response(status))
         else:
             exchange.abort()
 
     servers = [server.Server(handle) for _ in statuses]
     bound = [await item.start("127.0.0.1", 0) for item in servers]
     addresses = [f"{item.host}:{item.port}" for item in bound]
-    client = caller.PlatformCaller("test", (*extra, *bound), "e1", "dc1", 1)
+    limit = datetime.timedelta(seconds=1)
+    client = caller.PlatformCaller("test", (*extra, *bound), "e1", "dc1", limit)
     # Calls at the same time must not turn each other away from the live address.
     same = (client.call("GET", "/", repeatable=repeatable) for _ in range(2))
     outcome, other = await asyncio.gather(*same)
--- a/packages/emulator/dewstep_emulator/losses.py
+++ b/packages/emulator/dewstep_emulator/losses.py
@@ -13,10 +13,9 @@
 from typing import Annotated
 
 import typer
-import uvloop
 
 from dewstep_core import registry
-from dewstep_emulator import deployments, fleet as fleets
+from dewstep_emulator import deployments, fleet as fleets, launching, processes
 from dewstep_emulator.scenarios import measures, staging
 
 QUANTILE = 0.99
@@ -82,7 +81,7 @@
     kind: str, trials: int, seed: int, folder: pathlib.Path
 ) -> list[float]:
     """Return the unserved times in seconds."""
-    options = fleets.FleetOptions(entries=9, seed=seed)
+    options = launching.FleetOptions(entries=9, seed=seed)
     fleet = fleets.Fleet(deployments.plan_tsagaan(0.2), options, folder)
     stage = build_stage(fleet, seed)
     try:
@@ -111,7 +110,7 @@
         raise typer.BadParameter(f"one of: {', '.join(losses)}")
     with tempfile.TemporaryDirectory(prefix="dewstep-") as temporary:
         place = folder or pathlib.Path(temporary)
-        took = uvloop.run(run_trials(kind, trials, seed, place))
+        took = processes.run(run_trials(kind, trials, seed, place))
     took.sort()
     within = sum(value <= measures.RESTORED_LIMIT for value in took) / len(took)
     typer.echo(
--- a/packages/emulator/dewstep_emulator/mutation_list.py
+++ b/packages/emulator/dewstep_emulator/mutation_list.py
@@ -120,9 +120,9 @@
         "        claimed = await method.claim(run.request)\n"
         "        if isinstance(claimed, result.Failure):\n"
         "            return claimed\n"
-        "        self.budget.deposit(self.clock.monotonic())\n"
+        "        self.budget.add_first_attempt()\n"
         "        outcome = await self.attempt_repeatedly(run, idempotent)\n",
-        "        self.budget.deposit(self.clock.monotonic())\n"
+        "        self.budget.add_first_attempt()\n"
         "        outcome = await self.attempt_repeatedly(run, idempotent)\n"
         "        claimed = await method.claim(run.request)\n"
         "        if isinstance(claimed, result.Failure):\n"
@@ -239,7 +239,7 @@
     "target-leaving-by-list",
     "WorkAfterDeparture",
     Edit(
-        GATE + "manager.py",
+        GATE + "emptying.py",
         "return gate.target.draining or gate.target.name in self.leaving_targets",
         "return gate.target.draining",
     ),
@@ -249,7 +249,7 @@
     "target-drained",
     "WorkAfterDeparture",
     Edit(
-        GATE + "manager.py",
+        GATE + "emptying.py",
         "return gate.target.draining or gate.target.name in self.leaving_targets",
         "return gate.target.name in self.leaving_targets",
     ),
