Let the grant of an idle target lapse and count silence from the first open call

Cause: a gate renewed the grant of each target every 150 ms whether or not requests came, 1.94 KB/s for each gate. It counted silence from the last answer, so that a gate whose process had been paused for 400 ms called its target lost although it had asked nothing, or could not read the answer.

A target without requests for 1 s now gets no further grant and is asked for its clock once a second. A request, or the end of the control connection, leads to a question at once; the first request waits for the clock reading and the grant. Until the first grant of a gate is accepted, and while a request runs, renewals go on as before. Time by which the renewal loop woke late does not count as silence of the target.

Ruled out: a grant with a longer life for idle targets, which would delay the moves after a loss (rule G4). Ending the loop that reads the gate's row: the horizon (G6) needs it.

--- a/packages/entry/dewstep_entry/gate/description.py
+++ b/packages/entry/dewstep_entry/gate/description.py
@@ -15,7 +15,7 @@
         "evacuating": gate.evacuating,
         "releasing": gate.releasing,
         "waiting_for_earlier_gates": gate.is_waiting(),
-        "may_send": gate.grant.may_send(now),
+        "may_send": gate.loops.can_send(),
         "horizon_left_s": (tenure.horizon_end - now).total_seconds(),
         "expired_in_s": (gate.get_expired_at() - now).total_seconds(),
         "higher_term": tenure.higher_term,
--- a/packages/entry/dewstep_entry/gate/fakes_test.py
+++ b/packages/entry/dewstep_entry/gate/fakes_test.py
@@ -169,6 +169,8 @@
         self.clock = clock or server.clock
         self.fenced = fenced
         self.closed = False
+        self.report_close = lambda: None
+        self.calls: list[str] = []
 
     async def reach(self):
         await asyncio.sleep(0)
@@ -178,13 +180,18 @@
             await asyncio.Event().wait()
         return None
 
+    def watch_close(self, report):
+        self.report_close = report
+
     async def read_clock(self):
+        self.calls.append("clock")
         sent = self.clock.monotonic()
         unreached = await self.reach()
         reading = self.server.read(sent, self.clock.monotonic())
         return unreached or result.Success(reading)
 
     async def send_grant(self, grant):
+        self.calls.append("grant")
         sent = self.clock.monotonic()
         unreached = await self.reach()
         if unreached is not None:
--- a/packages/entry/dewstep_entry/gate/gate.py
+++ b/packages/entry/dewstep_entry/gate/gate.py
@@ -111,6 +111,7 @@
             clock,
             self.receive_restart,
             self.watch,
+            lambda: self.floor_due or bool(self.runs.runs),
         )
         self.sender = sending.Sender(
             target,
@@ -190,7 +191,7 @@
     def may_receive_shards(self) -> bool:
         """Return whether the target can be given more to own."""
         working = not (self.lost or self.releasing or self.evacuating)
-        return working and self.grant.may_send(self.clock.monotonic())
+        return working and self.loops.can_send()
 
     def is_waiting(self) -> bool:
         """Return whether an earlier gate may still act for the target."""
@@ -261,6 +262,7 @@
         method = self.methods.get(kind.deduplication) if kind is not None else None
         if method is None:
             return result.Failure(errors.NotReady(f"kind {request.kind}"))
+        self.loops.note_demand()
         await self.arrivals.wait(request.key, shard)
         if not self.settle_floor() and method is self.methods["memory"]:
             return result.Failure(
--- a/packages/entry/dewstep_entry/gate/grants.py
+++ b/packages/entry/dewstep_entry/gate/grants.py
@@ -19,10 +19,23 @@
 # one exchange instead of two.
 MAXIMUM_READING_AGE = datetime.timedelta(milliseconds=250)
 
-# Without any answer for this long, a target counts as lost. It lies below the
-# lifetime of a grant, so that the detection adds nothing to the wait for its expiry.
+# A target that leaves calls unanswered for this long counts as lost. Together with the
+# interval of renewals it lies below the lifetime of a grant, so that the detection adds
+# nothing to the wait for its expiry.
 LOST_AFTER = datetime.timedelta(milliseconds=400)
 
+# Without requests for this long, the grant is left to lapse, since a renewal every
+# 150 ms costs 1.9 KB/s. The next request then waits for a clock reading and a grant.
+IDLE_AFTER = datetime.timedelta(seconds=1)
+
+# Time between two questions to a target without requests. A loss is then noticed by
+# the end of the control connection, by the first request, or by these questions.
+CHECK_INTERVAL = datetime.timedelta(seconds=1)
+
+# A grant with less time left is renewed before a request is sent, since a run that
+# begins just before the expiry would be aborted.
+LEAST_REMAINDER = datetime.timedelta(milliseconds=100)
+
 # How often a gate reads its own row to extend the horizon. 3,000 targets cause 300
 # reads/s of the table service's 2,000.
 ROW_READ_INTERVAL = datetime.timedelta(seconds=10)
@@ -129,8 +142,7 @@
     settings : dewstep_core.settings.GrantSettings
         Lifetime, interval and margins.
     now : datetime.timedelta
-        Start of the gate; the target counts as lost from `LOST_AFTER` later on if
-        it never answers.
+        Start of the gate.
     old_gates_end : datetime.timedelta
         Time at which no earlier gate renews any more. It matters until the target
         has accepted a grant of this term, which fences earlier gates.
@@ -151,11 +163,13 @@
         self.send_until = ZERO
         self.own_expired_at = ZERO
         self.old_gates_end: datetime.timedelta | None = old_gates_end
-        self.last_answer = now
+        self.demanded = now
+        self.unanswered_since: datetime.timedelta | None = None
         self.last_call: datetime.timedelta | None = None
         self.last_grant: datetime.timedelta | None = None
         self.refused_at = ZERO
         self.ask_at_once = False
+        self.closed_by_target = False
         self.refused_connection = False
         self.renewing = True
 
@@ -165,7 +179,8 @@
         """Return what to send to the target next."""
         if self.tenure.higher_term is not None:
             return Stop(self.tenure.higher_term)
-        if self.is_reading_usable(now) and self.may_renew(now):
+        wanted = self.is_wanted(now)
+        if wanted and self.is_reading_usable(now) and self.may_renew(now):
             due = self.compute_grant_due(now)
             if now < due:
                 return Wait(due)
@@ -174,9 +189,18 @@
             return SendGrant(grant, self.reading)
         if self.last_call is None or self.ask_at_once:
             return ReadClock()
-        due = self.last_call + self.settings.interval
+        doubtful = self.unanswered_since is not None or self.closed_by_target
+        soon = wanted or doubtful
+        due = self.last_call + (self.settings.interval if soon else CHECK_INTERVAL)
         return ReadClock() if now >= due else Wait(due)
 
+    def is_wanted(self, now: datetime.timedelta) -> bool:
+        """Return whether a grant should be in force.
+
+        Until the first one is accepted, earlier gates are not fenced (rule G5).
+        """
+        return self.old_gates_end is not None or now < self.demanded + IDLE_AFTER
+
     def compute_grant_due(self, now: datetime.timedelta) -> datetime.timedelta:
         """Return when the next grant is due."""
         if self.last_grant is None:
@@ -208,6 +232,14 @@
             self.tenure.higher_term is None and self.renewing and now < self.send_until
         )
 
+    def has_time(self, now: datetime.timedelta) -> bool:
+        """Return whether a request may be sent now without a renewal before it."""
+        return self.may_send(now + LEAST_REMAINDER)
+
+    def can_obtain(self, now: datetime.timedelta) -> bool:
+        """Return whether a clock reading and a grant are all that is missing."""
+        return self.old_gates_end is None and self.may_renew(now)
+
     def compute_send_limit(self) -> datetime.timedelta:
         """Return the end of the last grant sent, for the check of `may_send`."""
         return self.own_expired_at
@@ -221,8 +253,15 @@
         return self.reading is not None and self.reading.boot != self.confirmed_boot
 
     def is_lost(self, now: datetime.timedelta) -> bool:
-        """Return whether the target counts as lost."""
-        return self.refused_connection or now >= self.last_answer + LOST_AFTER
+        """Return whether the target counts as lost.
+
+        The time counts from the first unanswered call: a target that was asked
+        nothing has not been silent.
+        """
+        if self.refused_connection:
+            return True
+        since = self.unanswered_since
+        return since is not None and now >= since + LOST_AFTER
 
     def compute_expired_at(self) -> datetime.timedelta:
         """Return from when no grant of this or an earlier gate is in force."""
@@ -249,10 +288,22 @@
 
     # Events.
 
+    def note_demand(self, now: datetime.timedelta) -> None:
+        """Note that a request for the target is there or in progress."""
+        self.demanded = now
+
     def start_call(self, now: datetime.timedelta) -> None:
         """Note that a clock question or a grant is being sent."""
         self.last_call = now
         self.ask_at_once = False
+        self.closed_by_target = False
+        if self.unanswered_since is None:
+            self.unanswered_since = now
+
+    def excuse(self, late: datetime.timedelta) -> None:
+        """Leave out a time in which this process could not read answers."""
+        if self.unanswered_since is not None:
+            self.unanswered_since += late
 
     def start_grant(self, reading: data.ClockReading, now: datetime.timedelta) -> None:
         """Note that a grant on `reading` is being sent, whether or not it arrives."""
@@ -275,7 +326,7 @@
                 return False
             if reading.boot == held.boot and reading.sent < held.sent:
                 return False
-        self.last_answer = max(self.last_answer, reading.received)
+        self.unanswered_since = None
         self.refused_connection = False
         self.reading = reading
         if held is not None and reading.boot == held.boot:
@@ -311,6 +362,14 @@
         self.refused_at = now
         self.ask_at_once = True
 
+    def receive_close(self) -> None:
+        """Note that the target closed the control connection.
+
+        It may have ended, so that it is asked as soon as the interval of calls allows;
+        a target that closes after each answer is not asked without pause.
+        """
+        self.closed_by_target = True
+
     def receive_connection_refused(self) -> None:
         """Note that nothing listens at the target's address."""
         self.refused_connection = True
--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -121,6 +121,9 @@
             service = configuration.services.get(gate.service.name)
             if target is not None and service is not None:
                 gate.receive_configuration(target, service)
+            row = self.holder.current.gates.get(name)
+            if row is not None and row.term > gate.term:
+                gate.watch()
             self.start_emptying(gate)
         if not self.stopping:
             for target in configuration.targets.values():
--- a/packages/entry/dewstep_entry/gate/renewal.py
+++ b/packages/entry/dewstep_entry/gate/renewal.py
@@ -20,8 +20,12 @@
 ROW_RETRY = datetime.timedelta(milliseconds=250)
 IDLE_ROW_RETRY = datetime.timedelta(seconds=5)
 
-# Longest sleep of both loops.
-LONGEST_SLEEP = datetime.timedelta(milliseconds=100)
+# Interval at which the loss of an unfenced target is looked for.
+WATCH_INTERVAL = datetime.timedelta(milliseconds=100)
+
+# Longest wait of a request for the grant of an idle target. A target that does not
+# answer counts as lost before.
+GRANT_WAIT = datetime.timedelta(milliseconds=500)
 
 # A channel names this reason when nothing listens at the target's address.
 CONNECTION_REFUSED = "refused"
@@ -50,6 +54,8 @@
         Receives a new boot id.
     on_change : Callable[[], None]
         Called after each step, so that the gate can look for losses.
+    is_busy : Callable[[], bool]
+        Returns whether requests at the target, or the gate itself, need the grant.
     """
 
     def __init__(
@@ -61,6 +67,7 @@
         clock: clocks.Clock,
         on_restart: Callable[[str], None],
         on_change: Callable[[], None],
+        is_busy: Callable[[], bool],
     ):
         self.grant = grant
         self.target = target
@@ -69,27 +76,74 @@
         self.clock = clock
         self.on_restart = on_restart
         self.on_change = on_change
+        self.is_busy = is_busy
+        self.stepped = asyncio.Event()
+        """Set, and replaced by a new one, at each step of the target loop."""
         self.target_due = asyncio.Event()
         self.row_due = asyncio.Event()
+        channel.watch_close(self.receive_close)
 
     def wake(self) -> None:
         """Make both loops look again at what is due."""
         self.target_due.set()
         self.row_due.set()
 
+    def receive_close(self) -> None:
+        """Note that the target closed the control connection."""
+        self.grant.receive_close()
+        self.target_due.set()
+
+    def can_send(self) -> bool:
+        """Return whether requests may be sent now, or after a grant on demand."""
+        now = self.clock.monotonic()
+        return self.grant.may_send(now) or self.grant.can_obtain(now)
+
+    def note_demand(self) -> None:
+        """Note a request, so that the grant is obtained or goes on."""
+        now = self.clock.monotonic()
+        if not self.grant.is_wanted(now):
+            self.target_due.set()
+        self.grant.note_demand(now)
+
+    async def obtain_grant(self, deadline: datetime.timedelta) -> None:
+        """Wait for the grant of a target that has none for want of requests."""
+        self.note_demand()
+        now = self.clock.monotonic()
+        end = min(deadline, now + GRANT_WAIT)
+        while now < end and not self.grant.has_time(now) and self.grant.can_obtain(now):
+            await timing.wait_event(self.clock, self.stepped, end - now)
+            now = self.clock.monotonic()
+
+    def note_step(self) -> None:
+        """Let the gate and the waiting requests look at the grant."""
+        self.on_change()
+        self.stepped.set()
+        self.stepped = asyncio.Event()
+
+    def excuse_lateness(self, due: datetime.timedelta) -> None:
+        """Hold silence after `due` against the target only from now on.
+
+        If this process was paused or busy, answers may wait in the socket.
+        """
+        late = self.clock.monotonic() - due
+        if late > datetime.timedelta():
+            self.grant.excuse(late)
+
     async def run_target_loop(self) -> None:
         """Ask for the clock and send grants until a higher term is known."""
         while True:
             now = self.clock.monotonic()
+            if self.is_busy():
+                self.grant.note_demand(now)
             action = self.grant.plan(now)
-            self.on_change()
+            self.note_step()
             match action:
                 case grants.Stop():
                     return
                 case grants.Wait(until=until):
-                    pause = min(until - now, LONGEST_SLEEP)
-                    await timing.wait_event(self.clock, self.target_due, pause)
+                    await timing.wait_event(self.clock, self.target_due, until - now)
                     self.target_due.clear()
+                    self.excuse_lateness(until)
                 case grants.ReadClock():
                     await self.read_clock()
                 case grants.SendGrant(grant=grant, reading=reading):
@@ -98,15 +152,17 @@
     async def run_watch_loop(self) -> None:
         """Look for the loss of an unfenced target, which is asked nothing."""
         while True:
-            await self.clock.sleep(LONGEST_SLEEP)
+            await self.clock.sleep(WATCH_INTERVAL)
             self.on_change()
 
     async def read_clock(self) -> None:
         """Ask the target for its clock."""
-        self.grant.start_call(self.clock.monotonic())
+        now = self.clock.monotonic()
+        self.grant.start_call(now)
         done, outcome = await timing.wait_at_most(
             self.clock, self.channel.read_clock(), CALL_TIMEOUT
         )
+        self.excuse_lateness(now + CALL_TIMEOUT)
         if done:
             self.receive_answer(outcome)
 
@@ -118,6 +174,7 @@
         done, outcome = await timing.wait_at_most(
             self.clock, self.channel.send_grant(grant), CALL_TIMEOUT
         )
+        self.excuse_lateness(now + CALL_TIMEOUT)
         if not done:
             return
         if isinstance(outcome, result.Failure) and isinstance(
@@ -150,8 +207,10 @@
     async def run_row_loop(self) -> None:
         """Read the gate row whenever the grant's rules need it."""
         while self.grant.tenure.higher_term is None:
-            if not self.grant.needs_row(self.clock.monotonic()):
-                await timing.wait_event(self.clock, self.row_due, LONGEST_SLEEP)
+            now = self.clock.monotonic()
+            if not self.grant.needs_row(now):
+                left = self.grant.tenure.row_due - now
+                await timing.wait_event(self.clock, self.row_due, left)
                 self.row_due.clear()
                 continue
             if not await self.read_row():
--- a/packages/entry/dewstep_entry/gate/sending.py
+++ b/packages/entry/dewstep_entry/gate/sending.py
@@ -87,7 +87,7 @@
         self, run: runs.Run, idempotent: bool, method: deduplication.Method
     ) -> result.Result[data.Answer, interfaces.Failure]:
         """Claim and send a request that holds a slot; leaves the turn held."""
-        failure = await self.take_turn(run) or self.explain_refusal(run)
+        failure = await self.prepare(run)
         if failure is not None:
             return result.Failure(failure)
         claimed = await method.claim(run.request)
@@ -145,6 +145,11 @@
         in_time = now + pause < run.request.deadline
         return worthwhile and safe and whole and in_time and self.budget.withdraw(now)
 
+    async def prepare(self, run: runs.Run) -> interfaces.Failure | None:
+        """Wait for a grant and the turn; return why nothing may be sent, or None."""
+        await self.loops.obtain_grant(run.request.deadline)
+        return await self.take_turn(run) or self.explain_refusal(run)
+
     async def take_turn(self, run: runs.Run) -> interfaces.Failure | None:
         """Wait until the request may be at the target, alone if it is a suspect."""
         while True:
@@ -173,7 +178,7 @@
         self, run: runs.Run
     ) -> result.Result[data.Answer, interfaces.Failure]:
         """Send the request once."""
-        failure = await self.take_turn(run) or self.explain_refusal(run)
+        failure = await self.prepare(run)
         if failure is not None:
             return result.Failure(failure)
         # No await may stand between the checks above and the exchange.
--- a/packages/entry/dewstep_entry/gate/unfenced.py
+++ b/packages/entry/dewstep_entry/gate/unfenced.py
@@ -30,6 +30,21 @@
         """Return whether a request may be sent now."""
         return self.renewing and self.tenure.stands(now) and now >= self.old_gates_end
 
+    def is_wanted(self, now: datetime.timedelta) -> bool:
+        """Return True: the permission does not lapse without requests."""
+        return True
+
+    def note_demand(self, now: datetime.timedelta) -> None:
+        """Do nothing, since there is no grant to renew."""
+
+    def has_time(self, now: datetime.timedelta) -> bool:
+        """Return True: nothing has to be obtained before a request is sent."""
+        return True
+
+    def can_obtain(self, now: datetime.timedelta) -> bool:
+        """Return False: no call to the target gives a permission."""
+        return False
+
     def compute_send_limit(self) -> datetime.timedelta:
         """Return the end of the horizon, for the check of `may_send`."""
         return self.tenure.horizon_end
--- a/packages/entry/dewstep_entry/interfaces.py
+++ b/packages/entry/dewstep_entry/interfaces.py
@@ -1,5 +1,6 @@
 """Interfaces between the stages of the entry process."""
 
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from returns import result
@@ -61,6 +62,9 @@
     ) -> result.Result[data.ClockReading, Failure]:
         """Send a grant; `TargetRefused` if a higher term or another boot holds."""
 
+    def watch_close(self, report: Callable[[], None]) -> None:
+        """Have `report` called when the target closes the control connection."""
+
     async def close(self) -> None:
         """Close all connections."""
 
--- a/packages/entry/dewstep_entry/targets/control.py
+++ b/packages/entry/dewstep_entry/targets/control.py
@@ -7,6 +7,7 @@
 import asyncio
 import datetime
 import json
+from collections.abc import Callable
 
 import h11
 from returns import result
@@ -51,9 +52,11 @@
         self.lock = asyncio.Lock()
         self.connection: connections.Connection | None = None
         self.closed = False
+        self.report_close: Callable[[], None] | None = None
+        """Called when the target closes the connection between two calls."""
 
     async def call(
-        self, method: str, path: str, payload: bytes
+        self, method: str, path: str, payload: bytes = b""
     ) -> result.Result[data.ClockReading, interfaces.Failure]:
         """Send one control request and parse the clock in its answer.
 
@@ -67,7 +70,9 @@
             failure = await self._connect()
             if failure is not None:
                 return result.Failure(failure)
-            headers = [*self.headers, (b"content-length", b"%d" % len(payload))]
+            headers = list(self.headers)
+            if payload:
+                headers.append((b"content-length", b"%d" % len(payload)))
             head = h11.Request(method=method, target=path, headers=headers)
             sent = self.clock.monotonic()
             outcome = await self.connection.exchange(
@@ -91,7 +96,7 @@
         try:
             async with asyncio.timeout(self.timeout):
                 _, self.connection = await asyncio.get_running_loop().create_connection(
-                    lambda: connections.Connection(name, _ignore, _ignore),
+                    lambda: connections.Connection(name, _ignore, self._lose),
                     self.target.host,
                     self.target.port,
                 )
@@ -101,6 +106,12 @@
             return errors.TargetUnavailable(name, detail)
         return None
 
+    def _lose(self, connection: connections.Connection) -> None:
+        """Report a close by the target; a call in progress fails by itself."""
+        current = connection is self.connection and not self.lock.locked()
+        if current and not self.closed and self.report_close is not None:
+            self.report_close()
+
     def close(self) -> None:
         """Close the connection; later calls fail."""
         self.closed = True
--- a/packages/entry/dewstep_entry/targets/pool.py
+++ b/packages/entry/dewstep_entry/targets/pool.py
@@ -14,6 +14,7 @@
 import contextlib
 import datetime
 import json
+from collections.abc import Callable
 
 import h11
 from returns import result
@@ -116,7 +117,7 @@
         self,
     ) -> result.Result[data.ClockReading, interfaces.Failure]:
         """Ask for the target's clock and boot id."""
-        return await self.control.call("GET", "/control/clock", b"")
+        return await self.control.call("GET", "/control/clock")
 
     async def send_grant(
         self, grant: data.Grant
@@ -128,9 +129,15 @@
             "expires": grant.expires.total_seconds(),
         }
         return await self.control.call(
-            "PUT", "/control/grant", json.dumps(payload).encode()
+            "PUT",
+            "/control/grant",
+            json.dumps(payload, separators=(",", ":")).encode(),
         )
 
+    def watch_close(self, report: Callable[[], None]) -> None:
+        """Have `report` called when the target closes the control connection."""
+        self.control.report_close = report
+
     async def close(self) -> None:
         """Close all connections; requests in progress end as `ConnectionLost`."""
         self.closed = True
