Spread the questions of gates and look at shards only when a target is to be emptied

Cause: gates that start together read their rows and ask their targets in step for as long as they live.

Before: row reads of all gates of a fleet at the same moment each 10 s. After: the interval of a gate is shorter by up to a fifth, by the hash of its target's name. The shards are looked at after the other conditions.

Ruled out: jitter by chance, since the state machine of grants is pure.

--- a/packages/entry/dewstep_entry/gate/gate.py
+++ b/packages/entry/dewstep_entry/gate/gate.py
@@ -32,6 +32,7 @@
     sending,
     serving,
     slots,
+    tenure as tenures,
     timing,
     unfenced,
 )
@@ -94,7 +95,8 @@
         self.kinds = {kind.name: kind for kind in service.kinds}
         now = clock.monotonic()
         horizon = min(record.horizon, service.outage_horizon)
-        tenure = grants.Tenure(record.row.term, horizon, start.contact)
+        phase = tenures.compute_phase(target.name)
+        tenure = tenures.Tenure(record.row.term, horizon, start.contact, phase)
         grant_type = grants.FencedGrant if target.fenced else unfenced.UnfencedGrant
         self.grant = grant_type(tenure, settings.grants, now, start.old_gates_end)
         self.queue = slots.SlotQueue(admission, clock, target.slots, self.checks)
--- a/packages/entry/dewstep_entry/gate/grants.py
+++ b/packages/entry/dewstep_entry/gate/grants.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from dewstep_core import data, settings as setting
+from dewstep_entry.gate import tenure as tenures
 
 ZERO = datetime.timedelta()
 
@@ -28,23 +29,14 @@
 # 150 ms costs 1.9 KB/s. The next request then waits for a clock reading and a grant.
 IDLE_AFTER = datetime.timedelta(seconds=1)
 
-# Time between two questions to a target without requests. A loss is then noticed by
-# the end of the control connection, by the first request, or by these questions.
+# Most time between two questions to a target without requests. A loss is then noticed
+# by the end of the control connection, by the first request, or by these questions.
 CHECK_INTERVAL = datetime.timedelta(seconds=1)
 
 # A grant with less time left is renewed before a request is sent, since a run that
 # begins just before the expiry would be aborted.
 LEAST_REMAINDER = datetime.timedelta(milliseconds=100)
 
-# How often a gate reads its own row to extend the horizon. 3,000 targets cause 300
-# reads/s of the table service's 2,000.
-ROW_READ_INTERVAL = datetime.timedelta(seconds=10)
-
-# Least reads within one horizon; with a horizon below the interval, a gate would
-# otherwise stop serving between two reads although the table answers.
-READS_PER_HORIZON = 4
-
-
 # Part of the renewal interval after which a refused or unanswered grant is repeated.
 # It keeps a target that refuses every grant from being asked without pause.
 REPEAT_FRACTION = 0.2
@@ -83,61 +75,12 @@
     return received + settings.lifetime * (1 + settings.drift) + settings.margin
 
 
-class Tenure:
-    """A gate's right to act for a target without the table (rules G6 and G8).
-
-    Parameters
-    ----------
-    term : int
-        Term of this gate.
-    horizon : datetime.timedelta
-        Time for which it continues without a successful read of its row.
-    contact : datetime.timedelta
-        Sending time of the transaction or read that last showed this term.
-    """
-
-    def __init__(
-        self, term: int, horizon: datetime.timedelta, contact: datetime.timedelta
-    ):
-        self.term = term
-        self.horizon = horizon
-        self.contact = contact
-        self.higher_term: int | None = None
-
-    @property
-    def horizon_end(self) -> datetime.timedelta:
-        """Time from which nothing may be renewed or sent to an unfenced target."""
-        return self.contact + self.horizon
-
-    @property
-    def row_due(self) -> datetime.timedelta:
-        """Time at which the row should be read again."""
-        interval = min(ROW_READ_INTERVAL, self.horizon / READS_PER_HORIZON)
-        return self.contact + interval
-
-    def receive_row(self, term: int, sent: datetime.timedelta) -> None:
-        """Note the term in a row that was read or committed, asked for at `sent`."""
-        if term > self.term:
-            self.higher_term = max(self.higher_term or 0, term)
-        elif term == self.term:
-            self.contact = max(self.contact, sent)
-
-    def receive_term(self, term: int) -> None:
-        """Note a term seen elsewhere: in a peer's row or a target's answer."""
-        if term > self.term:
-            self.higher_term = max(self.higher_term or 0, term)
-
-    def stands(self, now: datetime.timedelta) -> bool:
-        """Return whether no higher term is known and the horizon is not over."""
-        return self.higher_term is None and now < self.horizon_end
-
-
 class FencedGrant:
     """Grant of a fenced target.
 
     Parameters
     ----------
-    tenure : Tenure
+    tenure : tenure.Tenure
         Term and horizon of the gate.
     settings : dewstep_core.settings.GrantSettings
         Lifetime, interval and margins.
@@ -150,7 +93,7 @@
 
     def __init__(
         self,
-        tenure: Tenure,
+        tenure: tenures.Tenure,
         settings: setting.GrantSettings,
         now: datetime.timedelta,
         old_gates_end: datetime.timedelta,
@@ -191,7 +134,10 @@
             return ReadClock()
         doubtful = self.unanswered_since is not None or self.closed_by_target
         soon = wanted or doubtful
-        due = self.last_call + (self.settings.interval if soon else CHECK_INTERVAL)
+        interval = self.settings.interval
+        if not soon:
+            interval = tenures.spread(CHECK_INTERVAL, self.tenure.phase)
+        due = self.last_call + interval
         return ReadClock() if now >= due else Wait(due)
 
     def is_wanted(self, now: datetime.timedelta) -> bool:
--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -353,16 +353,19 @@
     def start_emptying(self, gate: gates.Gate) -> None:
         """Start to move shards away from a lost or leaving target."""
         name = gate.target.name
-        if name in self.emptying or not moves.owns_anything(gate):
+        leaving = self.is_leaving(gate)
+        waiting = not gate.fenced and gate.is_waiting()
+        if name in self.emptying or not (gate.lost or leaving or waiting):
+            return
+        # This looks at all shards of the service, so it is not done at every step.
+        if not moves.owns_anything(gate):
             return
         if gate.lost:
             work = self.mover.evacuate(gate)
-        elif self.is_leaving(gate):
+        elif leaving:
             work = self.mover.vacate(gate, lambda: self.is_leaving(gate))
-        elif not gate.fenced and gate.is_waiting():
-            work = self.mover.wait_declaration(gate)
         else:
-            return
+            work = self.mover.wait_declaration(gate)
         task = asyncio.ensure_future(work)
         self.emptying[name] = task
         task.add_done_callback(lambda done: self.emptying.pop(name, None))
--- a/packages/entry/dewstep_entry/gate/unfenced.py
+++ b/packages/entry/dewstep_entry/gate/unfenced.py
@@ -3,7 +3,7 @@
 import datetime
 
 from dewstep_core import data, settings as setting
-from dewstep_entry.gate import grants
+from dewstep_entry.gate import grants, tenure as tenures
 
 ZERO = datetime.timedelta()
 
@@ -13,7 +13,7 @@
 
     def __init__(
         self,
-        tenure: grants.Tenure,
+        tenure: tenures.Tenure,
         settings: setting.GrantSettings,
         now: datetime.timedelta,
         old_gates_end: datetime.timedelta,
