Test the control connection over real sockets

Cause: control calls had no test of what they send, nor of how a close by the target is noticed.

After: control_test.py checks the heads and the body of both calls, and that a close between two calls is reported once, the own close and a call that was given up not at all.

Conclusion: the question has no Content-Length and the grant no JSON spaces.

--- /dev/null
+++ b/packages/entry/dewstep_entry/targets/control_test.py
@@ -0,0 +1,75 @@
+"""Tests of the control connection over real sockets."""
+
+import asyncio
+import datetime
+
+import pytest
+
+from dewstep_core import data
+from dewstep_entry.targets import pool_test
+
+BODY = b'{"boot": "b", "clock": 1.5, "term": 4}'
+READING = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(BODY), BODY)
+
+
+def test_control_calls_are_short():
+    """Guards the objective of 2 KB/s: one call for each target each second."""
+    heads = []
+
+    async def script(reader, writer):
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            heads.append(head.lower())
+            if head.startswith(b"PUT"):
+                heads.append(await reader.readuntil(b"}"))
+            writer.write(READING)
+
+    async def scenario():
+        async with pool_test.serve(script) as (channel, _):
+            await channel.read_clock()
+            await channel.send_grant(data.Grant("b", 3, datetime.timedelta(seconds=2)))
+
+    asyncio.run(scenario())
+    question, grant, body = heads
+    assert question.split(b"\r\n")[1:] == grant.split(b"\r\n")[1:3] + [b"", b""]
+    assert b"content-length" not in question and b"content-length" in grant
+    assert body == b'{"boot":"b","term":3,"expires":2.0}'
+
+
+@pytest.mark.parametrize("answers", [1, 2])
+def test_a_close_by_the_target_is_reported_at_once(answers):
+    """Guards against a target that has ended and is noticed by the next question."""
+    reports = []
+
+    async def scenario():
+        script = pool_test.answer_with(READING, requests=answers, then_close=True)
+        async with pool_test.serve(script) as (channel, _):
+            channel.watch_close(lambda: reports.append(True))
+            for _ in range(answers):
+                (await channel.read_clock()).unwrap()
+            await asyncio.sleep(0.05)
+            assert reports == [True]
+            # A call opens the connection again; the own close is no news.
+            (await channel.read_clock()).unwrap()
+            reports.clear()
+        await asyncio.sleep(0.05)
+        assert reports == []
+
+    asyncio.run(scenario())
+
+
+def test_a_call_that_fails_or_is_given_up_is_not_reported_as_a_close():
+    """Guards against an extra question after each call that has failed anyway."""
+    reports = []
+
+    async def hold(reader, writer):
+        await asyncio.sleep(60)
+
+    async def scenario():
+        async with pool_test.serve(hold) as (channel, _):
+            channel.watch_close(lambda: reports.append(True))
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(channel.read_clock(), 0.05)
+        assert reports == []
+
+    asyncio.run(scenario())
