Let the ownership machine meet idle targets and refused connections

Cause: the state machine of grants_test.py noted no demand, so that its grants lapsed after 1 s and most of its steps no longer met renewals.

After: steps note demand always, never or at times, and a new rule lets a gate see a refused connection while the target runs. No invariant and no bound has changed.

Conclusion: the machine checks more cases than before.

--- a/packages/entry/dewstep_entry/gate/grants_test.py
+++ b/packages/entry/dewstep_entry/gate/grants_test.py
@@ -56,10 +56,12 @@
     def pass_time(self, duration):
         self.now += duration * MS
 
-    @stateful.rule(index=st.integers(0, 2))
-    def step(self, index):
+    @stateful.rule(index=st.integers(0, 2), demanded=st.booleans())
+    def step(self, index, demanded):
         holder = self.holders[index % len(self.holders)]
         local = holder.read(self.now)
+        if demanded:
+            holder.grant.note_demand(local)
         match holder.grant.plan(local):
             case grants.ReadClock():
                 holder.grant.start_call(local)
@@ -151,18 +153,28 @@
             else:
                 holder.grant.resume()
 
+    @stateful.rule(index=st.integers(0, 2))
+    def refuse_connection(self, index):
+        """Let a gate see a refusal, also while the target goes on running."""
+        holder = self.holders[index % len(self.holders)]
+        holder.grant.receive_connection_refused()
+        self.give_up(index % len(self.holders))
+
     @stateful.rule(
         modes=st.tuples(*[st.sampled_from(MODES)] * 3),
         rounds=st.sampled_from([2, 5, 15, 80]),
+        demand=st.sampled_from(["always", "never", "at times"]),
     )
-    def run_partly(self, modes, rounds):
+    def run_partly(self, modes, rounds, demand):
         """Let the gates work, each as well as its mode allows."""
         held, self.messages = self.messages, []
-        for _ in range(rounds):
+        for number in range(rounds):
+            # Every 30 rounds are 1.5 s, so that grants lapse in between.
+            demanded = demand == "always" or (demand == "at times" and number % 30 == 0)
             for index, mode in enumerate(modes[: len(self.holders)]):
                 if mode == "paused":
                     continue
-                self.step(index)
+                self.step(index, demanded)
                 lost = {"no table": ("read",), "no target": ("ask", "grant")}
                 self.messages = [
                     message
