--- a/packages/entry/dewstep_entry/gate/renewal_test.py
+++ b/packages/entry/dewstep_entry/gate/renewal_test.py
@@ -1,5 +1,6 @@
 """Tests of the grant of an idle target and of what counts as silence."""
 
+import asyncio
 import datetime
 
 import pytest
@@ -74,7 +75,7 @@
 
     async def scenario():
         world = await start_idle()
-        world.server.hold = held = gate_test.asyncio.Event()
+        world.server.hold = held = asyncio.Event()
         answer = world.ask()
         for _ in range(50):
             await fakes.pass_time(world.clock, 100 * MS)
