--- a/packages/entry/dewstep_entry/gate/gate.py
+++ b/packages/entry/dewstep_entry/gate/gate.py
@@ -32,6 +32,7 @@
     sending,
     serving,
     slots,
+    tenure as tenures,
     timing,
     unfenced,
 )
@@ -94,7 +95,8 @@
         self.kinds = {kind.name: kind for kind in service.kinds}
         now = clock.monotonic()
         horizon = min(record.horizon, service.outage_horizon)
-        tenure = grants.Tenure(record.row.term, horizon, start.contact)
+        phase = tenures.compute_phase(target.name)
+        tenure = tenures.Tenure(record.row.term, horizon, start.contact, phase)
         grant_type = grants.FencedGrant if target.fenced else unfenced.UnfencedGrant
         self.grant = grant_type(tenure, settings.grants, now, start.old_gates_end)
         self.queue = slots.SlotQueue(admission, clock, target.slots, self.checks)
@@ -111,6 +113,7 @@
             clock,
             self.receive_restart,
             self.watch,
+            lambda: self.floor_due or bool(self.runs.runs),
         )
         self.sender = sending.Sender(
             target,
@@ -190,7 +193,7 @@
     def may_receive_shards(self) -> bool:
         """Return whether the target can be given more to own."""
         working = not (self.lost or self.releasing or self.evacuating)
-        return working and self.grant.may_send(self.clock.monotonic())
+        return working and self.loops.can_send()
 
     def is_waiting(self) -> bool:
         """Return whether an earlier gate may still act for the target."""
@@ -261,6 +264,7 @@
         method = self.methods.get(kind.deduplication) if kind is not None else None
         if method is None:
             return result.Failure(errors.NotReady(f"kind {request.kind}"))
+        self.loops.note_demand()
         await self.arrivals.wait(request.key, shard)
         if not self.settle_floor() and method is self.methods["memory"]:
             return result.Failure(
--- a/packages/entry/dewstep_entry/gate/grants_test.py
+++ b/packages/entry/dewstep_entry/gate/grants_test.py
@@ -3,7 +3,13 @@
 from hypothesis import settings, stateful, strategies as st
 
 from dewstep_core import data
-from dewstep_entry.gate import fakes_test as fakes, grants, succession, unfenced
+from dewstep_entry.gate import (
+    fakes_test as fakes,
+    grants,
+    succession,
+    tenure as tenures,
+    unfenced,
+)
 
 MS, SECOND = fakes.MS, fakes.SECOND
 HORIZON = 3 * SECOND
@@ -16,7 +22,7 @@
     def __init__(self, term, rate, start, now, waits):
         self.rate, self.start = rate, start
         local = self.read(now)
-        tenure = grants.Tenure(term, HORIZON, local)
+        tenure = tenures.Tenure(term, HORIZON, local)
         end = local
         if waits:
             end = succession.compute_horizon_end(local, HORIZON, fakes.GRANTS)
@@ -50,10 +56,12 @@
     def pass_time(self, duration):
         self.now += duration * MS
 
-    @stateful.rule(index=st.integers(0, 2))
-    def step(self, index):
+    @stateful.rule(index=st.integers(0, 2), demanded=st.booleans())
+    def step(self, index, demanded):
         holder = self.holders[index % len(self.holders)]
         local = holder.read(self.now)
+        if demanded:
+            holder.grant.note_demand(local)
         match holder.grant.plan(local):
             case grants.ReadClock():
                 holder.grant.start_call(local)
@@ -145,18 +153,28 @@
             else:
                 holder.grant.resume()
 
+    @stateful.rule(index=st.integers(0, 2))
+    def refuse_connection(self, index):
+        """Let a gate see a refusal, also while the target goes on running."""
+        holder = self.holders[index % len(self.holders)]
+        holder.grant.receive_connection_refused()
+        self.give_up(index % len(self.holders))
+
     @stateful.rule(
         modes=st.tuples(*[st.sampled_from(MODES)] * 3),
         rounds=st.sampled_from([2, 5, 15, 80]),
+        demand=st.sampled_from(["always", "never", "at times"]),
     )
-    def run_partly(self, modes, rounds):
+    def run_partly(self, modes, rounds, demand):
         """Let the gates work, each as well as its mode allows."""
         held, self.messages = self.messages, []
-        for _ in range(rounds):
+        for number in range(rounds):
+            # Every 30 rounds are 1.5 s, so that grants lapse in between.
+            demanded = demand == "always" or (demand == "at times" and number % 30 == 0)
             for index, mode in enumerate(modes[: len(self.holders)]):
                 if mode == "paused":
                     continue
-                self.step(index)
+                self.step(index, demanded)
                 lost = {"no table": ("read",), "no target": ("ask", "grant")}
                 self.messages = [
                     message
@@ -209,7 +227,7 @@
 
 
 def make_grant(now=datetime.timedelta()):
-    tenure = grants.Tenure(1, HORIZON, now)
+    tenure = tenures.Tenure(1, HORIZON, now)
     return grants.FencedGrant(tenure, fakes.GRANTS, now, now)
 
 
@@ -269,7 +287,7 @@
 
 
 def test_an_unfenced_target_is_lost_after_failed_exchanges_only():
-    tenure = grants.Tenure(1, HORIZON, 0 * MS)
+    tenure = tenures.Tenure(1, HORIZON, 0 * MS)
     grant = unfenced.UnfencedGrant(tenure, fakes.GRANTS, 0 * MS, 0 * MS)
     grant.receive_outcome(False, 9 * SECOND, 100 * MS)
     # A single slow request must not move the shards of a quiet target.
