--- a/packages/core/dewstep_core/data.py
+++ b/packages/core/dewstep_core/data.py
@@ -82,6 +82,14 @@
 # Ownership.
 
 
+class Order(NamedTuple):
+    """A move that an operator ordered."""
+
+    subject: int | str
+    """Shard number or key."""
+    time: datetime.datetime
+
+
 class Assignment(NamedTuple):
     """Owners of all shards of one service at one version."""
 
@@ -93,6 +101,8 @@
     """Targets of single keys that were lifted out of their shards."""
     operations: tuple[str, ...]
     """Ids of the most recent transactions, the newest last."""
+    orders: tuple[Order, ...] = ()
+    """The latest moves that operators ordered, which the balancer leaves alone."""
 
 
 class GateRow(NamedTuple):
--- a/packages/entry/dewstep_entry/gate/assignments.py
+++ b/packages/entry/dewstep_entry/gate/assignments.py
@@ -1,11 +1,11 @@
 """Transactions that move shards and keys away from a target (rule G4)."""
 
 import datetime
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from returns import result
 
-from dewstep_core import clock as clocks, data, errors, events
+from dewstep_core import clock as clocks, data, errors, events, owners as owner_rules
 from dewstep_entry import interfaces
 from dewstep_entry.gate import rows
 from dewstep_entry.state import view
@@ -166,3 +166,24 @@
         return assignment._replace(overrides=overrides)
 
     return change
+
+
+def check_shards(
+    assignment: data.Assignment, moves: Mapping[int, str], loser: str
+) -> result.Result[data.Assignment, errors.NotTheOwner]:
+    """Return the assignment if all `moves` are in force in it.
+
+    They are not if `loser` had lost a shard to somebody else before the transaction.
+    """
+    if all(assignment.owners[shard] == owner for shard, owner in moves.items()):
+        return result.Success(assignment)
+    return result.Failure(errors.NotTheOwner(loser, assignment.version))
+
+
+def check_key(
+    assignment: data.Assignment, key: str, new_owner: str, loser: str
+) -> result.Result[data.Assignment, errors.NotTheOwner]:
+    """Return the assignment if the owner of a key is `new_owner` in it."""
+    if owner_rules.find_owner(assignment, key)[0] == new_owner:
+        return result.Success(assignment)
+    return result.Failure(errors.NotTheOwner(loser, assignment.version))
--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -336,7 +336,7 @@
         self.leaving_entries = entries
 
     async def move_shards(
-        self, service: str, shard_moves: Mapping[int, str]
+        self, service: str, shard_moves: Mapping[int, str], ordered: bool = False
     ) -> dict[str, result.Result[data.Assignment, interfaces.Failure]]:
         """Move shards whose targets have their gates here; return results by target.
 
@@ -350,11 +350,11 @@
         for loser, moving in grouped.items():
             gate = self.gates.get(loser)
             if gate is not None:
-                outcomes[loser] = await self.mover.move_shards(gate, moving)
+                outcomes[loser] = await self.mover.move_shards(gate, moving, ordered)
         return outcomes
 
     async def move_key(
-        self, service: str, key: str, new_owner: str
+        self, service: str, key: str, new_owner: str, ordered: bool = False
     ) -> result.Result[data.Assignment, interfaces.Failure]:
         """Move a single key whose target has its gate here."""
         assignment = self.holder.current.assignments[service]
@@ -362,7 +362,7 @@
         gate = self.gates.get(owner)
         if gate is None:
             return result.Failure(errors.NotTheGate(owner, self.get_term(owner)))
-        return await self.mover.move_key(gate, key, new_owner)
+        return await self.mover.move_key(gate, key, new_owner, ordered)
 
     # Requests.
 
--- a/packages/entry/dewstep_entry/gate/manager_test.py
+++ b/packages/entry/dewstep_entry/gate/manager_test.py
@@ -145,3 +145,20 @@
         assert set(outside.gates) == {"t1"}
 
     fleets.run(scenario)
+
+
+def test_a_move_that_another_change_has_overtaken_is_not_acknowledged():
+    """Guards against "moved" for a shard that had gone elsewhere in the meantime."""
+
+    async def scenario():
+        fleet = fleets.Fleet()
+        process = fleet.add("e1")
+        await fleet.pass_time(500 * MS)
+        owners = ("t3", *("t1",) * 7)
+        assignment = data.Assignment("s", 1, owners, {}, ())
+        fleet.table.put("assignment/s", rows.encode_assignment(assignment, "op1"))
+        outcomes = await process.move_shards("s", {0: "t2"}, ordered=True)
+        assert isinstance(outcomes["t1"].failure(), errors.NotTheOwner)
+        assert fleet.read_owners()[0] == "t3"
+
+    fleets.run(scenario)
--- a/packages/entry/dewstep_entry/gate/moves.py
+++ b/packages/entry/dewstep_entry/gate/moves.py
@@ -8,7 +8,14 @@
 
 from dewstep_core import clock as clocks, data, errors, events, hashing
 from dewstep_entry import interfaces
-from dewstep_entry.gate import assignments, gate as gates, ownership, rows, timing
+from dewstep_entry.gate import (
+    assignments,
+    gate as gates,
+    orders,
+    ownership,
+    rows,
+    timing,
+)
 
 PlanEvacuation = Callable[[data.Assignment, str, Collection[str]], tuple[str, ...]]
 """Takes the assignment, the target to empty and the usable targets; returns the
@@ -226,19 +233,41 @@
     # Planned moves.
 
     async def move_shards(
-        self, gate: gates.Gate, moves: Mapping[int, str]
+        self, gate: gates.Gate, moves: Mapping[int, str], ordered: bool = False
     ) -> result.Result[data.Assignment, interfaces.Failure]:
-        """Move shards of a target to the owners in `moves`."""
+        """Move shards of a target to the owners in `moves`.
+
+        Parameters
+        ----------
+        ordered : bool
+            Whether an operator ordered it.
+        """
         change = assignments.move_shards(dict(moves), gate.target.name)
-        return await self.move(gate, ownership.make_key_set(moves), change)
+        if ordered:
+            change = orders.note_orders(change, moves, self.clock.now())
+        outcome = await self.move(gate, ownership.make_key_set(moves), change)
+        return outcome.bind(
+            lambda found: assignments.check_shards(found, moves, gate.target.name)
+        )
 
     async def move_key(
-        self, gate: gates.Gate, key: str, new_owner: str
+        self, gate: gates.Gate, key: str, new_owner: str, ordered: bool = False
     ) -> result.Result[data.Assignment, interfaces.Failure]:
-        """Move a single key of a target to `new_owner`."""
+        """Move a single key of a target to `new_owner`, on an operator's order or not.
+
+        Parameters
+        ----------
+        ordered : bool
+            Whether an operator ordered it.
+        """
         shard = hashing.compute_shard(key, gate.service.shard_count)
         change = assignments.move_key(key, shard, new_owner, gate.target.name)
-        return await self.move(gate, ownership.make_key_set(keys=(key,)), change)
+        if ordered:
+            change = orders.note_orders(change, [key], self.clock.now())
+        outcome = await self.move(gate, ownership.make_key_set(keys=(key,)), change)
+        return outcome.bind(
+            lambda found: assignments.check_key(found, key, new_owner, gate.target.name)
+        )
 
     async def move(
         self, gate: gates.Gate, moving: ownership.KeySet, change: assignments.Change
--- a/packages/entry/dewstep_entry/gate/rows.py
+++ b/packages/entry/dewstep_entry/gate/rows.py
@@ -131,9 +131,29 @@
         "owners": list(assignment.owners),
         "overrides": dict(assignment.overrides),
         "operations": list(operations),
+        "orders": encode_orders(assignment.orders),
     }
 
 
+def encode_orders(orders: Iterable[data.Order]) -> list[list]:
+    """Return the value of the orders in an assignment row."""
+    return [[order.subject, order.time.isoformat()] for order in orders]
+
+
+def decode_orders(value: Iterable) -> tuple[data.Order, ...]:
+    """Return the orders in an assignment row.
+
+    Raises
+    ------
+    TypeError, ValueError
+        If the value does not hold orders.
+    """
+    return tuple(
+        data.Order(subject, datetime.datetime.fromisoformat(time))
+        for subject, time in value
+    )
+
+
 def decode_assignment(
     row: data.Row,
 ) -> result.Result[data.Assignment, errors.RowInvalid]:
@@ -146,8 +166,9 @@
             tuple(str(owner) for owner in value["owners"]),
             {str(key): str(owner) for key, owner in value["overrides"].items()},
             tuple(str(operation) for operation in value.get("operations", ())),
+            decode_orders(value.get("orders", ())),
         )
-    except (KeyError, TypeError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
         return result.Failure(errors.RowInvalid(row.key, repr(error)))
     return result.Success(assignment)
 
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -374,11 +374,13 @@
         if assignment is None:
             return result.Failure(errors.NotReady(f"assignment/{order.service}"))
         if order.key is not None:
-            return await self.gates.move_key(order.service, order.key, order.target)
+            return await self.gates.move_key(
+                order.service, order.key, order.target, ordered=True
+            )
         if not 0 <= order.shard < len(assignment.owners):
             return result.Failure(errors.NotReady(f"shard {order.shard}"))
         outcomes = await self.gates.move_shards(
-            order.service, {order.shard: order.target}
+            order.service, {order.shard: order.target}, ordered=True
         )
         if not outcomes:
             owner = assignment.owners[order.shard]
--- a/packages/entry/dewstep_entry/state/exchange.py
+++ b/packages/entry/dewstep_entry/state/exchange.py
@@ -57,6 +57,7 @@
             "owners": assignment.owners,
             "overrides": dict(assignment.overrides),
             "operations": assignment.operations,
+            "orders": rows.encode_orders(assignment.orders),
         }
     ).encode()
 
