Keep processes with a late event loop out of the balancing

Cause: a process that gets too little processor time counts and reports loads late, which looks like uneven load. Ruled out: the heartbeats' notice of a pause (two intervals of 150 ms) as the signal: it only sees delays above 300 ms and is kept by no other part. A check in the planner: it is pure and runs at one process, while loads are reported and moves carried out at all. Evacuations, leaving targets and operators' moves go on. A starved fleet has not been measured again.

--- a/packages/entry/dewstep_entry/balancing/balancer.py
+++ b/packages/entry/dewstep_entry/balancing/balancer.py
@@ -3,7 +3,7 @@
 For each service one entry process plans: the first in rendezvous order of the live
 members. No agreement is needed on who that is. Each move is carried out by the gate of
 the losing target in a transaction, so that two plans at once cost moves but break
-nothing.
+nothing. A process whose event loop is late does not take part: its loads are late too.
 """
 
 import asyncio
@@ -13,7 +13,12 @@
 from returns import result
 
 from dewstep_core import clock as clocks, data, events, hashing, ledger
-from dewstep_entry.balancing import messages as balancing_messages, planner, workload
+from dewstep_entry.balancing import (
+    lateness,
+    messages as balancing_messages,
+    planner,
+    workload,
+)
 from dewstep_entry.gate import manager
 from dewstep_entry.peers import messages
 from dewstep_entry.state import view
@@ -72,6 +77,7 @@
         self.gates: manager.GateManager = gates
         self.network = network
         self.observer: workload.Observer = observer
+        self.loop_watch = lateness.LoopWatch(clock.monotonic())
         self.reports: dict[str, dict[str, planner.Report]] = {}
         self.history: dict[str, dict[int | str, datetime.timedelta]] = {}
         self.working: set[asyncio.Task] = set()
@@ -88,8 +94,21 @@
                 if chosen == self.own.entry:
                     await self.plan_service(service)
 
+    async def run_watch(self) -> None:
+        """Watch the event loop until cancelled."""
+        await self.loop_watch.run(self.clock)
+
+    def is_late(self, skipped: str, service: str) -> bool:
+        """Return whether the event loop is late, and log what is skipped for it."""
+        late = self.loop_watch.is_late(self.clock.monotonic())
+        if late:
+            events.info("balancing_paused", skipped=skipped, service=service)
+        return late
+
     async def plan_service(self, service: str) -> None:
         """Collect the loads of a service, plan, and send the orders."""
+        if self.is_late("plan", service):
+            return
         self.reports[service] = {}
         members = list_gate_members(self.holder.current, service)
         for member in members:
@@ -98,7 +117,7 @@
         reports = self.reports.pop(service, {})
         current = self.holder.current
         assignment = current.assignments.get(service)
-        if assignment is None or not reports:
+        if assignment is None or not reports or self.is_late("plan", service):
             return
         now = self.clock.monotonic()
         history = self.history.setdefault(service, {})
@@ -145,6 +164,8 @@
 
     def build_reports(self, service: str) -> list[planner.Report]:
         """Return the reports on the targets of a service whose gates are here."""
+        if self.is_late("report", service):
+            return []
         now = self.clock.monotonic()
         watch = self.observer.outliers.get(service)
         factors = watch.get_factors(now) if watch is not None else {}
@@ -201,11 +222,13 @@
         outcomes = []
         for move in moves:
             if move.action != ledger.SHARD:
+                if self.is_late("move", service):
+                    break
                 destination = move.destination or self.find_shard_owner(service, move)
                 outcomes.append(
                     await self.gates.move_key(service, move.subject, destination)
                 )
-        if shards:
+        if shards and not self.is_late("move", service):
             moved = await self.gates.move_shards(service, shards)
             outcomes += moved.values()
         for outcome in outcomes:
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -177,6 +177,7 @@
             self.create_assignments,
             self.gates.run,
             self.balancer.run,
+            self.balancer.run_watch,
             self.greet_seeds,
             self.refresh_quarantine,
         ]
