Let each target of a fleet draw service times of its own

Cause: all targets of a fleet got the same seed and drew the same sequence of service times, so that all were slow at the same time. Before: the new test failed (equal draws for two names). After: it passes.

--- a/packages/emulator/dewstep_emulator/target.py
+++ b/packages/emulator/dewstep_emulator/target.py
@@ -161,7 +161,8 @@
         self.offset = random.uniform(0, CLOCK_OFFSET_SECONDS)
         self.fence = fencing.Fence(secrets.token_hex(8))
         self.log = RunLog(log, options.name, self.fence.boot)
-        self.random = random.Random(options.seed)
+        # With the seed alone, all targets of a fleet would be slow at the same time.
+        self.random = random.Random(f"{options.seed}/{options.name}")
         self.draw = service_times.distributions.get(options.distribution)
         self.stopping = False
         self.running = 0
--- a/packages/emulator/dewstep_emulator/target_test.py
+++ b/packages/emulator/dewstep_emulator/target_test.py
@@ -289,3 +289,14 @@
         assert refusal(await call) == (200, None)
         assert process.wait(2) == 0
         assert harness.events() == [("start", "r1"), ("end", "r1")]
+
+
+def test_targets_of_one_seed_draw_times_of_their_own():
+    # Guards against a fleet whose targets are all slow at the same time: its capacity
+    # then changes by a tenth within a run, and phases of one run cannot be compared.
+    options = target.TargetOptions("t-1", "history", distribution="exponential")
+    made = [
+        target.Target(options._replace(name=name), None) for name in ("t-1", "t-2") * 2
+    ]
+    drawn = [[one.draw(one.random, 1.0) for _ in range(3)] for one in made]
+    assert drawn[0] == drawn[2] != drawn[1] == drawn[3]
