Keep the load of a shard known while it moves

Cause: the planner took the load of a shard or key from the report of its present owner only. The new owner begins to count at zero, so that a moved shard looks cold for a minute and its owner idle, and the next plan gives it more. The former owner's count decays meanwhile; each request is counted at one target, so that the sum is the load. Not settled: after a key is lifted, its shard still shows the key's decaying load at the former owner.

--- a/packages/entry/dewstep_entry/balancing/planner.py
+++ b/packages/entry/dewstep_entry/balancing/planner.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from dewstep_core import data, ledger, owners, placement, rebalancing
+from dewstep_core import data, ledger, placement, rebalancing
 from dewstep_entry.balancing import workload
 from dewstep_entry.policy import outliers
 
@@ -29,25 +29,25 @@
 def collect_shard_loads(
     assignment: data.Assignment, reports: Iterable[Report]
 ) -> list[float]:
-    """Return the load of each shard, from the report of its present owner."""
+    """Return the load of each shard.
+
+    After a move the count of the former owner decays as that of the new one grows;
+    their sum is the load of the shard, and either alone is too low for a minute.
+    """
     loads = [0.0] * len(assignment.owners)
     for report in reports:
         for shard, load in report.load.shards.items():
-            if shard < len(loads) and assignment.owners[shard] == report.target:
-                loads[shard] = load
+            if shard < len(loads):
+                loads[shard] += load
     return loads
 
 
-def collect_key_loads(
-    assignment: data.Assignment, reports: Iterable[Report]
-) -> dict[str, float]:
-    """Return the load of each hot key, from the report of its present owner."""
-    loads = {}
+def collect_key_loads(reports: Iterable[Report]) -> dict[str, float]:
+    """Return the load of each hot key, added up as that of the shards."""
+    loads: dict[str, float] = {}
     for report in reports:
         for key, load in report.load.keys.items():
-            owner, _ = owners.find_owner(assignment, key)
-            if owner == report.target:
-                loads[key] = load
+            loads[key] = loads.get(key, 0.0) + load
     return loads
 
 
@@ -74,7 +74,7 @@
                 assignment, target.name, usable, shard_loads, factors
             )
             return moves[:JOIN_LIMIT]
-    key_loads = collect_key_loads(assignment, reports)
+    key_loads = collect_key_loads(reports)
     return rebalancing.plan_moves(
         assignment, shard_loads, key_loads, usable, now, history, factors
     )
