--- a/packages/entry/dewstep_entry/policy/admission_test.py
+++ b/packages/entry/dewstep_entry/policy/admission_test.py
@@ -242,3 +242,29 @@
     finished = unit.counts["admitted"]
     assert len(decided) == len(set(decided)) and not set(decided) & set(running)
     assert len(offered) == finished + len(decided) + len(unit.queue)
+
+
+def test_late_runs_cost_no_slot():
+    # Guards against a concurrency limit that falls because the queue began runs too
+    # late, or because the target had not yet noticed the end of such a run.
+    unit = limit.Limit(4)
+    unit.record(limit.LATE, False, 300 * MS, SECOND)
+    unit.record(limit.SHED, False, MS, SECOND + limit.LATE_SHED)
+    assert unit.usable() == 4
+    unit.record(limit.SHED, False, MS, SECOND + limit.LATE_SHED + MS)
+    assert unit.usable() == 2
+    unit = limit.Limit(4)
+    unit.record(limit.LATE, True, 300 * MS, SECOND)
+    assert unit.usable() == 3
+
+
+def test_most_refusals_come_at_the_arrival():
+    # Guards against a queue that is filled up to the last request that can be in time
+    # by the mean: every longer service then evicts one that has waited.
+    units = [build(4) for _ in range(20)]
+    simulate(units, 4, 2, [LOOK_UP])
+    counts = [unit.describe() for unit in units]
+    arrival = sum(count.refused for count in counts)
+    later = sum(count.evicted + count.expired for count in counts)
+    print(f"refused at the arrival: {arrival}, from the queue: {later}")
+    assert later <= 0.1 * arrival
