--- a/packages/core/dewstep_core/http/exchanges.py
+++ b/packages/core/dewstep_core/http/exchanges.py
@@ -8,6 +8,8 @@
 
 import h11
 
+from dewstep_core.http import transports
+
 MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
 """Largest body that `Exchange.read_body` collects, unless told otherwise."""
 
@@ -133,7 +135,8 @@
 
     def write(self, content: bytes) -> None:
         """Send bytes as they are; what they mean is the handler's affair."""
-        self.connection.transport.write(content)
+        if not transports.write(self.connection.transport, content):
+            raise ConnectionResetError("the caller closed the connection")
 
     def close(self) -> None:
         """Close the connection after the bytes written so far."""
--- a/packages/core/dewstep_core/http/server.py
+++ b/packages/core/dewstep_core/http/server.py
@@ -13,7 +13,7 @@
 import h11
 
 from dewstep_core import events, settings
-from dewstep_core.http import exchanges
+from dewstep_core.http import exchanges, transports
 
 BACKLOG = 512
 READ_AHEAD_BYTES = 128 * 1024
@@ -114,7 +114,7 @@
             return b""
         if self.http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
-            self.transport.write(self.http.send(go_on))
+            transports.write(self.transport, self.http.send(go_on))
         event = await self.next_event()
         if isinstance(event, h11.Data):
             return bytes(event.data)
@@ -178,9 +178,8 @@
             return
         status = error.error_status_hint
         headers = [("Content-Length", "0"), ("Connection", "close")]
-        self.transport.write(
-            self.http.send(h11.Response(status_code=status, headers=headers))
-        )
+        answer = h11.Response(status_code=status, headers=headers)
+        transports.write(self.transport, self.http.send(answer))
 
     def stop(self) -> None:
         """Close now if idle, else after the exchange in progress."""
--- a/packages/entry/dewstep_entry/peers/session.py
+++ b/packages/entry/dewstep_entry/peers/session.py
@@ -12,6 +12,7 @@
 from typing import Any, Protocol
 
 from dewstep_core import data
+from dewstep_core.http import transports
 from dewstep_entry.peers import messages, wire
 
 WRITE_BUFFER_BYTES = 262_144
@@ -130,12 +131,18 @@
         """
         if self.lost:
             return
-        if stream is not None:
-            stream.sent = True
         if self.peer is not None and self.is_cut(self.peer):
+            if stream is not None:
+                stream.sent = True
             self.dropped = True
             return
-        self.transport.write(encoded)
+        if not transports.write(self.transport, encoded):
+            # The transport has closed and has not said so yet; the frame counts as not
+            # sent.
+            self.abort()
+            return
+        if stream is not None:
+            stream.sent = True
         if self.transport.get_write_buffer_size() > ABORT_BYTES:
             self.abort()
 
