Split the duration of vacancies from the manager of gates

Ruled out: the pure functions of succession.py as its place; it keeps state. Conclusion: kept, with a test of its own.

--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -31,6 +31,7 @@
     succession,
     takeover,
     timing,
+    vacancies,
     wiring as wirings,
 )
 from dewstep_entry.state import view
@@ -76,7 +77,7 @@
         self.checks = invariants.Invariants(counts)
         self.events: asyncio.Queue[event.Event] = asyncio.Queue()
         self.gates: dict[str, gates.Gate] = {}
-        self.vacant_since: dict[str, tuple[str, datetime.timedelta]] = {}
+        self.vacancies = vacancies.Vacancies()
         self.takeovers: dict[str, asyncio.Task] = {}
         self.endings: set[asyncio.Task] = set()
         self.leaving_entries: frozenset[str] = frozenset()
@@ -168,16 +169,9 @@
             None if gate is None else gate.term,
             self.leaving_entries,
         )
-        if vacancy is None:
-            self.vacant_since.pop(target.name, None)
-            return
-        now = self.clock.monotonic()
-        reason, since = self.vacant_since.get(target.name, (vacancy.reason, now))
-        if reason != vacancy.reason:
-            since = now
-        self.vacant_since[target.name] = (vacancy.reason, since)
+        due = self.vacancies.is_due(target.name, vacancy, self.clock.monotonic())
         service = configuration.services.get(target.service)
-        if service is not None and now - since >= vacancy.delay:
+        if due and service is not None:
             self.start_takeover(target, service, vacancy.outside)
 
     def start_takeover(
--- /dev/null
+++ b/packages/entry/dewstep_entry/gate/vacancies_test.py
@@ -0,0 +1,16 @@
+from dewstep_entry.gate import fakes_test as fakes, succession, vacancies
+
+MS = fakes.MS
+
+
+def test_a_vacancy_is_due_once_it_has_lasted_for_one_reason():
+    # A process that counted an earlier vacancy would act before its turn.
+    found = vacancies.Vacancies()
+    suspected = succession.Vacancy(succession.GATE_SUSPECTED, 100 * MS)
+    replaced = succession.Vacancy(succession.GATE_REPLACED, 100 * MS)
+    assert not found.is_due("t1", suspected, 0 * MS)
+    assert not found.is_due("t1", replaced, 100 * MS)
+    assert not found.is_due("t1", None, 150 * MS)
+    assert not found.is_due("t1", replaced, 200 * MS)
+    assert not found.is_due("t2", replaced, 300 * MS)
+    assert found.is_due("t1", replaced, 300 * MS)
