Report broken bounds of time and wrong exits as violations with a type

Cause: bounds such as "a key is served again within 1 s" were noted as free text among the problems of a run. A run failed by them, but a mutation cannot name them as what it must cause.

Ruled out: letting mutations match the text of problems; it also holds failures of the harness, which say nothing about a mechanism.

Before: problems without a type for late service, late revisions and wrong exit codes. After: ServedLate, InForceLate and WrongExit, with the same bounds. A report is clean under the same conditions as before.

Conclusion: scenarios that measure times can have mutations.

--- a/packages/emulator/dewstep_emulator/promises.py
+++ b/packages/emulator/dewstep_emulator/promises.py
@@ -34,6 +34,37 @@
     outcome: str
 
 
+class ServedLate(NamedTuple):
+    """A key was not served in time after a fault."""
+
+    fault: str
+    seconds: float
+    limit: float
+
+
+class InForceLate(NamedTuple):
+    """A revision was not in force everywhere in time."""
+
+    revision: int
+    seconds: float
+    behind: tuple[str, ...]
+
+
+class WrongExit(NamedTuple):
+    """A process ended with another exit code than promised, or too late."""
+
+    process: str
+    code: int | None
+    seconds: float
+
+
+class OrderRefused(NamedTuple):
+    """An operator's order was refused although nothing spoke against it."""
+
+    order: str
+    code: int
+
+
 class NotPressed(NamedTuple):
     """A scenario did not get into the state that it is about."""
 
--- a/packages/emulator/dewstep_emulator/scenarios/departures.py
+++ b/packages/emulator/dewstep_emulator/scenarios/departures.py
@@ -36,9 +36,11 @@
     for target in ("booker-0", "booker-1", "history-0"):
         handle = await measures.find_gate(stage, target)
         stage.fleet.remove_from_balancer(handle.name)
+        began = asyncio.get_running_loop().time()
         code = await handle.process.terminate(fleets.STOP_SECONDS)
         if code != 0:
-            stage.problems.append(f"{handle.name} stopped with exit code {code}")
+            took = asyncio.get_running_loop().time() - began
+            stage.violations.append(promises.WrongExit(handle.name, code, took))
         await fleet.start_entry(int(handle.name.removeprefix("entry-")))
         await asyncio.sleep(1.0)
 
@@ -89,7 +91,7 @@
     took = asyncio.get_running_loop().time() - began
     stage.measures["end after second signal"] = took
     if code != EXIT_CUT or took > SECOND_SIGNAL_LIMIT:
-        stage.problems.append(f"second SIGTERM: exit code {code} after {took:.2f} s")
+        stage.violations.append(promises.WrongExit(entry.name, code, took))
     for name, process in fleet.targets.items():
         if name.startswith("booker"):
             await fleet.set_faults(process, {"slow_factor": 1.0})
--- a/packages/emulator/dewstep_emulator/scenarios/losses.py
+++ b/packages/emulator/dewstep_emulator/scenarios/losses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from dewstep_emulator import promises
 from dewstep_emulator.scenarios import measures, staging
 
 
@@ -83,7 +84,8 @@
     took = await measures.probe(stage, key, asyncio.get_running_loop().time())
     stage.measures["served after declaration"] = took
     if took >= measures.PROBE_SECONDS:
-        stage.problems.append("the keys of a target declared dead stay unserved")
+        late = promises.ServedLate("declared dead", took, measures.PROBE_SECONDS)
+        stage.violations.append(late)
 
 
 @staging.scenario("two-gates-killed", entries=9)
@@ -118,4 +120,5 @@
     stage.measures["served after declaration"] = took
     stage.say(f"a key was served again {took:.3f} s after the declaration")
     if took >= measures.PROBE_SECONDS:
-        stage.problems.append("the keys of a data centre declared dead stay unserved")
+        late = promises.ServedLate("data centre lost", took, measures.PROBE_SECONDS)
+        stage.violations.append(late)
--- a/packages/emulator/dewstep_emulator/scenarios/measures.py
+++ b/packages/emulator/dewstep_emulator/scenarios/measures.py
@@ -7,7 +7,7 @@
 
 from dewstep_core import hashing
 from dewstep_core.http import client
-from dewstep_emulator import fleet as fleets
+from dewstep_emulator import fleet as fleets, promises
 from dewstep_emulator.scenarios import staging
 
 RESTORED_LIMIT = 1.0
@@ -88,7 +88,7 @@
     stage.measures[name] = took
     stage.say(f"{name}: a key of {target} was served again after {took:.3f} s")
     if took > RESTORED_LIMIT:
-        stage.problems.append(f"{name}: {took:.3f} s until a key was served again")
+        stage.violations.append(promises.ServedLate(name, took, RESTORED_LIMIT))
 
 
 def choose_target(stage: staging.Stage, service: str) -> str:
@@ -133,10 +133,8 @@
             if stage.watcher.revisions.get(entry.name, 0) < revision
         ]
         if took > limit:
-            stage.problems.append(
-                f"revision {revision} was not in force in {behind or 'all'} after "
-                f"{took:.1f} s"
-            )
+            late = promises.InForceLate(revision, took, tuple(behind))
+            stage.violations.append(late)
         if not behind or took > limit:
             return took
         await asyncio.sleep(POLL)
--- a/packages/emulator/dewstep_emulator/scenarios/outages.py
+++ b/packages/emulator/dewstep_emulator/scenarios/outages.py
@@ -78,7 +78,8 @@
         await asyncio.sleep(measures.POLL)
     stage.measures["forwards after the start"] = took
     if took > measures.RESTORED_LIMIT:
-        stage.problems.append(f"{took:.2f} s until the new process forwarded")
+        late = promises.ServedLate("new process", took, measures.RESTORED_LIMIT)
+        stage.violations.append(late)
     await fleet.targets[target].kill()
     await asyncio.sleep(2.0)
     await fleet.set_faults(fleet.table_process, {"down": ""})
