Do not let the refusal of a later try hide that an earlier one may have run

Cause: the receiving entry process sends an idempotent request again after it has lost the gate. It returned the failure of the last try.

Ruled out: the gate's own tries, which already return the first failure that leaves the outcome open; the history checker, which counts only runs that took effect or have no end.

The new test of the router failed with PeerUnreachable.

Conclusion: the failure of the first try that may have run is returned.

--- a/packages/entry/dewstep_entry/pipeline/routing.py
+++ b/packages/entry/dewstep_entry/pipeline/routing.py
@@ -69,6 +69,12 @@
     return next((item for item in kinds if item.name == kind), None)
 
 
+def may_have_run(failure: interfaces.Failure) -> bool:
+    """Return whether a failure leaves open if the request ran."""
+    rule = errors.answer_rules.get(type(failure).__name__)
+    return rule is None or rule.outcome == errors.UNKNOWN
+
+
 class Router:
     """Implements `RequestHandler` for requests that callers sent to this process.
 
@@ -115,7 +121,12 @@
     async def handle_tries(
         self, request: data.Request
     ) -> result.Result[data.Answer, interfaces.Failure]:
-        """Try until there is an answer, or until another try is not allowed."""
+        """Try until there is an answer, or until another try is not allowed.
+
+        After a try that may have run, its failure is returned even if later ones
+        certainly did not run.
+        """
+        first_unknown = None
         started = self.clock.monotonic()
         self.budgets.add_first_attempt(request.service, "")
         number = 1
@@ -124,12 +135,14 @@
             attempt = describe_attempt(await self.try_once(request))
             if attempt.failure is None or request.body.rest is not None:
                 return attempt.outcome
+            if first_unknown is None and may_have_run(attempt.failure):
+                first_unknown = attempt.outcome
             if isinstance(attempt.failure, REROUTED):
                 pause = self.choose_pause(request, started, number)
             else:
                 pause = self.ask_budget(request, attempt, number)
             if pause is None:
-                return attempt.outcome
+                return attempt.outcome if first_unknown is None else first_unknown
             number += 1
             self.tries_again += 1
             await self.wait_for_change(sequence, pause)
--- a/packages/entry/dewstep_entry/pipeline/routing_test.py
+++ b/packages/entry/dewstep_entry/pipeline/routing_test.py
@@ -124,3 +124,14 @@
 def test_the_own_gate_is_asked_without_a_link():
     gates = Gates(result.Success(ANSWER))
     assert ask(build_router(gates, entry="e2")).unwrap() == ANSWER
+
+
+def test_a_refusal_of_a_later_try_does_not_hide_that_an_earlier_one_may_have_run():
+    # "Not run" would be false if the gate that was lost had passed the request on.
+    lost = result.Failure(errors.ConnectionLost("e2"))
+    gates = Gates(lost, result.Failure(errors.PeerUnreachable("e2")))
+    router = build_router(gates)
+    for _ in range(20):
+        router.budgets.add_first_attempt("history", "")
+    assert isinstance(ask(router).failure(), errors.ConnectionLost)
+    assert gates.calls > 1
