Register mutations for scenarios that had none

Cause: for ten scenarios nothing showed that they would notice the loss of the mechanism that they are about.

Ruled out: connections-reset with only the verdict "the target goes on" ignored was not caught, since finding it out delays the next try beyond the reset (first try); the mutation now leaves the question out. A request that is sent again after its streamed body has been used was not caught twice by large-bodies-target-killed (57 not run, 18 unknown, no BodyChanged), so that scenario stays without a mutation.

Conclusion: nine of the ten scenarios, and operators-race, can fail for the reason that they are for. One run each does not show how often.

--- a/packages/emulator/dewstep_emulator/mutation_list.py
+++ b/packages/emulator/dewstep_emulator/mutation_list.py
@@ -1,122 +1,90 @@
 """The mutations: for each mechanism, the change that takes it out.
 
 Where a promise rests on two mechanisms, a mutation takes out both; the other one
-would otherwise hide the loss.
+would otherwise hide the loss. Importing this module registers all of them.
 """
 
-from typing import NamedTuple
+from dewstep_emulator import mutation_list_losses, mutation_types
 
-from dewstep_core import registry
+__all__ = ["mutation_list_losses", "mutations"]
 
+mutations = mutation_types.mutations
 
-class Edit(NamedTuple):
-    """Replaces a text that is in its file exactly once."""
-
-    file: str
-    """Path from the folder of the packages."""
-    old: str
-    new: str
-
-
-class Mutation(NamedTuple):
-    """The loss of one mechanism, and what must come of it."""
-
-    name: str
-    edits: tuple[Edit, ...]
-    scenario: str
-    seed: int
-    expected: str
-    """Type of the violation."""
-
-
-mutations: registry.Registry[Mutation] = registry.Registry("mutation")
-
-GATE = "entry/dewstep_entry/gate/"
-TARGETS = "entry/dewstep_entry/targets/"
-STATE = "entry/dewstep_entry/state/"
-EMULATOR = "emulator/dewstep_emulator/"
-
-
-def add(name: str, scenario: str, expected: str, *edits: Edit, seed: int = 1) -> None:
-    """Register a mutation."""
-    mutations.register(name)(Mutation(name, edits, scenario, seed, expected))
-
-
-add(
+mutation_types.add(
     "grant-counted-from-receipt",
     "target-paused-table-slow",
     "TwoOwners",
-    Edit(
-        EMULATOR + "target.py",
+    mutation_types.Edit(
+        mutation_types.EMULATOR + "target.py",
         "refusal = self.fence.accept(*grant, self.read_clock())",
         "now = self.read_clock()\n"
         "        refusal = self.fence.accept(grant.boot, grant.term, now + 0.6, now)",
     ),
 )
-add(
+mutation_types.add(
     "no-fence-by-term",
     "gate-paused-with-requests",
     "TermWentBack",
-    Edit(
-        EMULATOR + "fencing.py",
+    mutation_types.Edit(
+        mutation_types.EMULATOR + "fencing.py",
         "if term != self.term or term == 0:",
         "if term == 0:",
     ),
 )
-add(
+mutation_types.add(
     "no-wait-for-expiry",
     "target-out-of-reach",
     "TwoOwners",
-    Edit(
-        GATE + "gate.py",
+    mutation_types.Edit(
+        mutation_types.GATE + "gate.py",
         "if not self.lost or self.clock.monotonic() < self.get_expired_at():",
         "if not self.lost:",
     ),
-    Edit(
-        GATE + "moves.py",
+    mutation_types.Edit(
+        mutation_types.GATE + "moves.py",
         "left = gate.get_expired_at() - self.clock.monotonic()",
         "left = datetime.timedelta()",
     ),
 )
-add(
+mutation_types.add(
     "same-term-after-evacuation",
     "upload-across-pause",
     "TwoOwners",
-    Edit(
-        GATE + "moves.py",
+    mutation_types.Edit(
+        mutation_types.GATE + "moves.py",
         "if gate.fenced and gate.ownership.list_owned() != owned:",
         "if False:",
     ),
 )
-add(
+mutation_types.add(
     "no-drain-before-move",
     "shards-moved",
     "TwoOwners",
-    Edit(
-        GATE + "moves.py",
+    mutation_types.Edit(
+        mutation_types.GATE + "moves.py",
         "        drained, _ = await timing.wait_at_most(\n"
         "            self.clock, gate.drain_shards(*moving), DRAIN_LIMIT\n"
         "        )\n",
         "        drained = True\n",
     ),
 )
-add(
+mutation_types.add(
     "no-claim-rows",
     "gate-killed-before-answer-table",
     "Doubled",
-    Edit(
-        GATE + "deduplication.py",
+    mutation_types.Edit(
+        mutation_types.GATE + "deduplication.py",
         "        first = await self.write(key, 0, request)\n",
         "        return result.Success(NO_CLAIM)\n"
         "        first = await self.write(key, 0, request)\n",
     ),
 )
-add(
+mutation_types.add(
     "claim-after-sending",
     "gate-killed-before-answer-table",
     "Doubled",
-    Edit(
-        GATE + "sending.py",
+    mutation_types.Edit(
+        mutation_types.GATE + "sending.py",
         "        claimed = await method.claim(run.request)\n"
         "        if isinstance(claimed, result.Failure):\n"
         "            return claimed\n"
@@ -129,52 +97,52 @@
         "            return claimed\n",
     ),
 )
-add(
+mutation_types.add(
     "no-floor-of-time-ordered-ids",
     "gate-killed-before-answer-memory",
     "Doubled",
-    Edit(
-        GATE + "deduplication.py",
+    mutation_types.Edit(
+        mutation_types.GATE + "deduplication.py",
         "        self.floor = max(self.floor, self.compute_change_floor())\n",
         "        self.floor = self.floor\n",
     ),
 )
-add(
+mutation_types.add(
     "no-read-back",
     "operators-race-answers-lost",
     "RefusedApplied",
-    Edit(
+    mutation_types.Edit(
         "core/dewstep_core/platform/table.py",
         "            if failure is None or (lost is None and not is_lost(failure)):\n",
         "            if failure is None or not is_lost(failure):\n",
     ),
-    Edit(
+    mutation_types.Edit(
         "core/dewstep_core/platform/table.py",
         "            verdict, settled = await self.settle(transaction, lost)\n",
         "            verdict, settled = Verdict.PENDING, None\n",
     ),
-    Edit(
+    mutation_types.Edit(
         "operator/dewstep_operator/configuration.py",
         "    if transaction.operation_id in origin.operations:\n",
         "    if False:\n",
     ),
 )
-add(
+mutation_types.add(
     "older-revisions-accepted",
     "revisions-in-quick-succession",
     "RevisionWentBack",
-    Edit(
-        STATE + "view.py",
+    mutation_types.Edit(
+        mutation_types.STATE + "view.py",
         "configuration.revision <= held.revision:",
         "configuration.revision == held.revision:",
     ),
 )
-add(
+mutation_types.add(
     "overdue-connection-reused",
     "answers-overdue",
     "Crossed",
-    Edit(
-        TARGETS + "connection.py",
+    mutation_types.Edit(
+        mutation_types.TARGETS + "connection.py",
         "        if self.usable:\n            self.usable = False\n",
         "        if event is outcome.Event.OVERDUE and self.usable:\n"
         "            self.http = h11.Connection(h11.CLIENT)\n"
@@ -182,85 +150,196 @@
         "            return\n"
         "        if self.usable:\n            self.usable = False\n",
     ),
-    Edit(
-        TARGETS + "connection.py",
+    mutation_types.Edit(
+        mutation_types.TARGETS + "connection.py",
         "if answered_id is not None and answered_id != exchange.request_id:",
         "if False:",
     ),
 )
-add(
+mutation_types.add(
     "lost-connection-taken-for-unsent",
     "late-and-wrong-answers",
     "Doubled",
-    Edit(TARGETS + "outcome.py", "    if not progress.sent:\n", "    if True:\n"),
+    mutation_types.Edit(
+        mutation_types.TARGETS + "outcome.py",
+        "    if not progress.sent:\n",
+        "    if True:\n",
+    ),
 )
-add(
+mutation_types.add(
     "no-quarantine",
     "crashing-request",
     "CrashesExceeded",
-    Edit(
-        GATE + "quarantine.py",
+    mutation_types.Edit(
+        mutation_types.GATE + "quarantine.py",
         "refused = held.state == QUARANTINED or (alone and crashes >= CRASH_LIMIT)",
         "refused = False",
     ),
 )
-add(
+mutation_types.add(
     "quarantine-not-read",
     "crashing-request",
     "CrashesExceeded",
-    Edit(
-        GATE + "crashes.py",
+    mutation_types.Edit(
+        mutation_types.GATE + "crashes.py",
         "        self.suspects.receive_rows(records, written)\n",
         "",
     ),
 )
-add(
+mutation_types.add(
     "no-hand-over",
     "entries-replaced",
     "UnknownOutcome",
-    Edit(
+    mutation_types.Edit(
         "entry/dewstep_entry/process.py",
         "remaining = await self.gates.stop()",
         "remaining = ()",
     ),
 )
-add(
+mutation_types.add(
     "no-wait-for-horizon",
     "unfenced-gate-killed",
     "EarlySuccessor",
-    Edit(
-        GATE + "succession.py",
+    mutation_types.Edit(
+        mutation_types.GATE + "succession.py",
         "until = compute_horizon_end(committed, previous.horizon, settings)",
         "until = committed",
     ),
 )
-add(
+mutation_types.add(
     "instance-list-ignored",
     "target-leaving-by-list",
     "WorkAfterDeparture",
-    Edit(
-        GATE + "manager.py",
+    mutation_types.Edit(
+        mutation_types.GATE + "manager.py",
         "return gate.target.draining or gate.target.name in self.leaving_targets",
         "return gate.target.draining",
     ),
 )
-add(
+mutation_types.add(
     "drain-ignored",
     "target-drained",
     "WorkAfterDeparture",
-    Edit(
-        GATE + "manager.py",
+    mutation_types.Edit(
+        mutation_types.GATE + "manager.py",
         "return gate.target.draining or gate.target.name in self.leaving_targets",
         "return gate.target.name in self.leaving_targets",
     ),
 )
-add(
+mutation_types.add(
     "restart-not-confirmed",
     "target-restarted-old-gate-cut-off",
     "TwoOwners",
-    Edit(
-        GATE + "grants.py",
+    mutation_types.Edit(
+        mutation_types.GATE + "grants.py",
         "            and self.reading.boot == self.confirmed_boot\n",
         "",
     ),
 )
+mutation_types.add(
+    "assignment-written-unchecked",
+    "shards-moved-answers-lost",
+    "MoveLost",
+    mutation_types.Edit(
+        mutation_types.GATE + "assignments.py",
+        "            data.Check(key, assignment.version),\n",
+        "",
+    ),
+)
+mutation_types.add(
+    "lost-answer-taken-for-refusal",
+    "shards-moved-answers-lost",
+    "TwoOwners",
+    mutation_types.Edit(
+        "core/dewstep_core/platform/table.py",
+        "            if failure is None or (lost is None and not is_lost(failure)):\n",
+        "            if True:\n",
+    ),
+    mutation_types.Edit(
+        mutation_types.GATE + "assignments.py",
+        "if not isinstance(failure, errors.AnswerLost | errors.Conflict):",
+        "if not isinstance(failure, errors.Conflict):",
+    ),
+)
+mutation_types.add(
+    "nothing-fetched-from-peers",
+    "table-down-new-entry",
+    "ServedLate",
+    mutation_types.Edit(
+        mutation_types.STATE + "exchange.py",
+        "        self.fetch_newer(sender, heartbeat)\n",
+        "",
+    ),
+)
+mutation_types.add(
+    "first-schema-refused-in-rows",
+    "schema-versions-mixed",
+    "InForceLate",
+    mutation_types.Edit(
+        "core/dewstep_core/records.py",
+        '    records = reader.table.get("records")\n',
+        '    records = reader.table.get("records")\n'
+        '    if any(item["schema"] == 1 for item in records["service"]):\n'
+        "        return result.Failure(())\n",
+    ),
+)
+mutation_types.add(
+    "second-signal-ignored",
+    "second-signal",
+    "WrongExit",
+    mutation_types.Edit(
+        "entry/dewstep_entry/main.py",
+        "await asyncio.wait((stopping, second), return_when",
+        "await asyncio.wait((stopping,), return_when",
+    ),
+)
+mutation_types.add(
+    "resets-taken-for-crashes",
+    "connections-reset",
+    "WrongRefusal",
+    mutation_types.Edit(
+        mutation_types.GATE + "sending.py",
+        "ended = await self.has_ended(run.boot)",
+        "ended = True",
+    ),
+)
+mutation_types.add(
+    "row-reads-not-bound-to-horizon",
+    "short-horizon",
+    "Unserved",
+    mutation_types.Edit(
+        mutation_types.GATE + "grants.py",
+        "interval = min(ROW_READ_INTERVAL, self.horizon / READS_PER_HORIZON)",
+        "interval = ROW_READ_INTERVAL",
+    ),
+)
+mutation_types.add(
+    "bodies-not-limited",
+    "bad-callers",
+    "WrongStatus",
+    mutation_types.Edit(
+        "entry/dewstep_entry/caller/connection.py",
+        "if length is not None and length > limit:",
+        "if False:",
+    ),
+    mutation_types.Edit(
+        "entry/dewstep_entry/caller/connection.py",
+        "            if size > limit:\n",
+        "            if False:\n",
+    ),
+    mutation_types.Edit(
+        "entry/dewstep_entry/caller/request_body.py",
+        "if self.received > self.limit:",
+        "if False:",
+    ),
+)
+mutation_types.add(
+    "configuration-written-unchecked",
+    "operators-race",
+    "RevisionShared",
+    mutation_types.Edit(
+        "operator/dewstep_operator/configuration.py",
+        "(data.Check(records.ROW_KEY, current.version), *checks),",
+        "(*checks,),",
+    ),
+)
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/mutation_list_losses.py
@@ -0,0 +1,21 @@
+"""The mutations for the loss of gates and targets; importing this registers them."""
+
+from dewstep_emulator import mutation_types
+
+NOT_EVACUATED = mutation_types.Edit(
+    mutation_types.GATE + "moves.py",
+    "while gate.lost and not gate.releasing and owns_anything(gate):",
+    "while False:",
+)
+NOT_REPLACED = mutation_types.Edit(
+    mutation_types.GATE + "succession.py",
+    "return None if state.alive else GATE_SUSPECTED",
+    "return None",
+)
+
+mutation_types.add(
+    "lost-target-not-evacuated", "target-killed", "ServedLate", NOT_EVACUATED
+)
+mutation_types.add(
+    "suspected-gate-not-replaced", "gate-killed", "ServedLate", NOT_REPLACED
+)
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/mutation_types.py
@@ -0,0 +1,38 @@
+"""What a mutation consists of, and the registry of all mutations."""
+
+from typing import NamedTuple
+
+from dewstep_core import registry
+
+
+class Edit(NamedTuple):
+    """Replaces a text that is in its file exactly once."""
+
+    file: str
+    """Path from the folder of the packages."""
+    old: str
+    new: str
+
+
+class Mutation(NamedTuple):
+    """The loss of one mechanism, and what must come of it."""
+
+    name: str
+    edits: tuple[Edit, ...]
+    scenario: str
+    seed: int
+    expected: str
+    """Type of the violation."""
+
+
+mutations: registry.Registry[Mutation] = registry.Registry("mutation")
+
+GATE = "entry/dewstep_entry/gate/"
+TARGETS = "entry/dewstep_entry/targets/"
+STATE = "entry/dewstep_entry/state/"
+EMULATOR = "emulator/dewstep_emulator/"
+
+
+def add(name: str, scenario: str, expected: str, *edits: Edit, seed: int = 1) -> None:
+    """Register a mutation."""
+    mutations.register(name)(Mutation(name, edits, scenario, seed, expected))
--- a/packages/emulator/dewstep_emulator/mutations.py
+++ b/packages/emulator/dewstep_emulator/mutations.py
@@ -17,7 +17,7 @@
 
 import typer
 
-from dewstep_emulator import mutation_list
+from dewstep_emulator import mutation_list, mutation_types
 
 PACKAGES = ("core", "entry", "operator", "emulator")
 LIMIT_SECONDS = 180
@@ -57,7 +57,7 @@
     return pathlib.Path(__file__).resolve().parents[2]
 
 
-def replace_text(file: pathlib.Path, edit: mutation_list.Edit) -> None:
+def replace_text(file: pathlib.Path, edit: mutation_types.Edit) -> None:
     """Replace the text of an edit in its file.
 
     Raises
@@ -80,7 +80,7 @@
     return os.pathsep.join(str(folder / name) for name in PACKAGES)
 
 
-def run_mutation(mutation: mutation_list.Mutation, seed: int | None = None) -> Outcome:
+def run_mutation(mutation: mutation_types.Mutation, seed: int | None = None) -> Outcome:
     """Run the scenario of a mutation with the mutated packages."""
     seed = mutation.seed if seed is None else seed
     with tempfile.TemporaryDirectory(prefix="dewstep-mutation-") as temporary:
--- a/packages/emulator/dewstep_emulator/mutations_test.py
+++ b/packages/emulator/dewstep_emulator/mutations_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from dewstep_emulator import mutation_list, mutations
+from dewstep_emulator import mutation_list, mutation_types, mutations
 from dewstep_emulator.scenarios import catalogue
 
 
@@ -22,8 +22,8 @@
     file.write_text("a = 1\nb = 1\n")
     for old in ("c = 1", " = 1"):
         with pytest.raises(mutations.TextNotUnique):
-            mutations.replace_text(file, mutation_list.Edit("module.py", old, ""))
-    mutations.replace_text(file, mutation_list.Edit("module.py", "a = 1", "a = 2"))
+            mutations.replace_text(file, mutation_types.Edit("module.py", old, ""))
+    mutations.replace_text(file, mutation_types.Edit("module.py", "a = 1", "a = 2"))
     assert file.read_text() == "a = 2\nb = 1\n"
 
 
