Show the trace of a failed task in the report of a scenario

Cause: operators-race failed once with "entry-2 ended because a task had failed", and the log that names the task went away with the temporary folder.

Ruled out: keeping all folders, which fill up over many runs.

After: the problem holds the log from the first failed task on.

Conclusion: the fault itself is open; the next occurrence tells its place.

--- a/packages/emulator/dewstep_emulator/scenarios/staging.py
+++ b/packages/emulator/dewstep_emulator/scenarios/staging.py
@@ -78,6 +78,7 @@
         return not self.violations and not self.problems
 
 
+TRACE_CHARACTERS = 3_000
 TASK_FAILED = 1
 """Exit code of an entry process that stopped because of its own fault."""
 
@@ -188,7 +189,8 @@
         stage.problems.append("no request was answered")
     for name, entry in stage.fleet.entries.items():
         if entry.process.child.returncode == TASK_FAILED:
-            stage.problems.append(f"{name} ended because a task had failed")
+            trace = find_trace(entry.process.log.read_text(errors="replace"))
+            stage.problems.append(f"{name} ended because a task had failed: {trace}")
     return Report(
         chosen.name,
         seed,
@@ -201,6 +203,12 @@
     )
 
 
+def find_trace(log: str) -> str:
+    """Return the part of a process's log that tells which task failed first."""
+    start = log.find("task_failed")
+    return log[start : start + TRACE_CHARACTERS] if start >= 0 else "not in its log"
+
+
 def summarize_kinds(
     calls: list[history.Call], runs: tuple[history.Run, ...]
 ) -> dict[str, history.Summary]:
