Let runs of a paused gate end after those of the next one have begun

Cause: no-fence-by-term needs a run of the paused gate that takes effect after one of the next gate has begun, 0.5 to 0.7 s into the pause. Runs took 0.48 s on average, exponentially distributed, and when the gate goes on it cancels those that are left. It was a matter of luck, and nothing noticed when it did not happen.

After: a fourth round, in which one run takes 2.2 s in a pause of 2.6 s. Service times are constant, the load is 60 instead of 150 requests/s, and rounds end with a second without slow runs.

Conclusion: the bounds are as before; the scenario now also fails if no run outlasts its term. In the test of all scenarios, the two that have become longer come first.

--- a/packages/emulator/dewstep_emulator/scenarios/pauses.py
+++ b/packages/emulator/dewstep_emulator/scenarios/pauses.py
@@ -1,15 +1,30 @@
 """Processes that are paused while requests wait in their sockets."""
 
 import asyncio
+import datetime
 
 from dewstep_core import settings
-from dewstep_emulator import deployments, promises
+from dewstep_emulator import deployments, history, promises
 from dewstep_emulator.scenarios import measures, requests, staging
 
-GATE_PAUSES = (0.3, 0.7, 1.6)
+GATE_PAUSES = (0.3, 0.7, 1.6, 2.6)
 """Seconds; below, around and beyond the lifetime of a grant (0.6 s)."""
+OUTLASTING_PAUSE = 2.6
+"""Seconds; from here on, the runs of `LONG_BOOKINGS` end within the pause."""
 SLOW_BOOKINGS = 60.0
-"""Factor of service times; a run takes about half a second."""
+"""Factor of service times; a run takes half a second."""
+LONG_BOOKINGS = 275.0
+"""Factor of service times; a run takes 2.2 s. The next gate begins 0.5 to 0.7 s after
+the pause, and the paused one cancels its runs when it goes on."""
+LONG_RUNS = 1
+"""The next gate needs a free slot, also if bookings of the load become long as well."""
+DRAIN_SECONDS = 1.0
+"""Longer than a slow run. What still waits would become long in the next round and take
+the slots that the next gate needs."""
+BEGIN_SECONDS = 1.0
+"""Longest wait until the long runs have begun."""
+BEGIN_POLL = 0.01
+"""Seconds; a short one, so that few bookings of the load become long as well."""
 TABLE_DELAY = 0.25
 SLOW_TABLE_PAUSES = (1.0, 1.05, 1.1)
 """Seconds; the shards move after about 0.9 s, and the next term follows 0.5 s later."""
@@ -28,21 +43,34 @@
 TAIL_SECONDS = 0.8
 
 
-@staging.scenario("gate-paused-with-requests")
+@staging.scenario("gate-paused-with-requests", rate=60, distribution="constant")
 async def pause_gate(stage: staging.Stage) -> None:
-    """Pause a gate while requests wait in its sockets that others get, too."""
+    """Pause a gate while requests wait in its sockets that others get, too.
+
+    Some of its runs are long, so that they end after the runs of the next gate have
+    begun and before the paused one can cancel them: only the term keeps them from
+    taking effect.
+    """
     for number, pause in enumerate(GATE_PAUSES):
         target = await measures.choose_owner(stage, "booker")
         gate = await measures.find_gate(stage, target)
         plan = requests.find_plan(stage, "booking")
         keys = await requests.find_keys(stage, "booker", target, 20, f"pause-{number}")
         ids = [stage.caller.make_id(plan.kind) for _ in keys]
-        # Slow runs of the paused gate are still in progress when the next one begins.
         process = stage.fleet.targets[target]
+        await stage.fleet.set_faults(process, {"slow_factor": LONG_BOOKINGS})
+        long_ids = [stage.caller.make_id(plan.kind) for _ in range(LONG_RUNS)]
+        long = asyncio.ensure_future(
+            requests.send_all(stage, plan, keys[:LONG_RUNS], long_ids, gate.callers)
+        )
+        await wait_begun(stage, long_ids)
+        # Slow runs of the paused gate are still in progress when the next one begins.
         await stage.fleet.set_faults(process, {"slow_factor": SLOW_BOOKINGS})
         early = asyncio.ensure_future(send_new(stage, plan, keys, gate.callers))
         await asyncio.sleep(0.1)
         gate.process.freeze()
+        if pause >= OUTLASTING_PAUSE:
+            check_overlap(stage, target, asyncio.get_running_loop().time(), pause)
         waiting = asyncio.ensure_future(
             requests.send_all(stage, plan, keys, ids, gate.callers)
         )
@@ -51,8 +79,49 @@
         )
         await asyncio.sleep(pause)
         gate.process.resume()
-        await asyncio.gather(early, waiting, others)
+        await asyncio.gather(long, early, waiting, others)
         await stage.fleet.set_faults(process, {"slow_factor": 1.0})
+        await asyncio.sleep(DRAIN_SECONDS)
+
+
+async def wait_begun(stage: staging.Stage, ids: list[str]) -> None:
+    """Wait until requests run at their targets, for at most `BEGIN_SECONDS`."""
+    end = asyncio.get_running_loop().time() + BEGIN_SECONDS
+    while asyncio.get_running_loop().time() < end:
+        if set(ids) <= {run.request_id for run in stage.fleet.read_runs()}:
+            return
+        await asyncio.sleep(BEGIN_POLL)
+
+
+def check_overlap(
+    stage: staging.Stage, target: str, since: float, pause: float
+) -> None:
+    """Require that runs of a paused gate ended beside those of the next one."""
+    begin = history.parse_time(since)
+    end = begin + datetime.timedelta(seconds=pause)
+
+    def check(calls, runs):
+        at_target = [run for run in runs if run.target == target]
+        newer = [run for run in at_target if begin < run.start < end]
+        older = [
+            run
+            for run in at_target
+            if run.start <= begin
+            and run.finish is not None
+            and begin < run.finish < end
+        ]
+        if not any(
+            other.term > run.term and other.start < run.finish
+            for run in older
+            for other in newer
+        ):
+            ends = [round((run.finish - begin).total_seconds(), 2) for run in older]
+            starts = [round((run.start - begin).total_seconds(), 2) for run in newer]
+            yield promises.NotPressed(
+                f"{target}: runs ended after {ends} s, others began after {starts} s"
+            )
+
+    stage.checks.append(check)
 
 
 async def send_new(
--- /dev/null
+++ b/packages/emulator/dewstep_emulator/scenarios/pauses_test.py
@@ -0,0 +1,26 @@
+"""Tests of the checks that a scenario of pauses was in the state it is about."""
+
+import datetime
+import types
+
+from dewstep_emulator import history, history_test
+from dewstep_emulator.scenarios import pauses
+
+
+def test_pause_without_runs_that_outlast_their_term_is_reported():
+    """Guards against a scenario that passes because nothing met the fence."""
+    stage = types.SimpleNamespace(checks=[])
+    pauses.check_overlap(stage, "t1", 10.0, 1.6)
+    (check,) = stage.checks
+    begin = history.parse_time(10.0)
+    second = datetime.timedelta(seconds=1)
+    old = history_test.build_run()._replace(
+        target="t1", term=1, start=begin - 0.1 * second, finish=begin + second
+    )
+    new = old._replace(term=2, start=begin + 0.6 * second)
+    assert not list(check([], [old, new]))
+    early = old._replace(finish=begin + 0.5 * second)
+    late = old._replace(finish=begin + 2 * second)
+    same = new._replace(term=1)
+    for runs in ([old], [early, new], [late, new], [old, same]):
+        assert len(list(check([], runs))) == 1
--- a/tests/proofs_test.py
+++ b/tests/proofs_test.py
@@ -19,12 +19,13 @@
 LIMIT_SECONDS = 120
 
 SCENARIOS = {
+    "gate-paused-with-requests": 1,
+    "answers-overdue": 1,
     "crashing-request": 1,
     "target-restarted-old-gate-cut-off": 1,
     "unfenced-gate-killed": 1,
     "unfenced-gate-paused": 1,
     "answers-lost": 1,
-    "answers-overdue": 1,
     "bad-callers": 1,
     "connections-reset": 1,
     "data-centre-cut-off": 1,
@@ -37,7 +38,6 @@
     "gate-killed": 1,
     "gate-killed-before-answer-memory": 1,
     "gate-killed-before-answer-table": 1,
-    "gate-paused-with-requests": 1,
     "large-bodies-target-killed": 1,
     "late-and-wrong-answers": 1,
     "no-fault": 1,
