Add racing operators, bad callers, an unfenced target and memory to the soak

Cause: the soak left these out, so that they were never met together with other faults. It also caught the wrong exception at its end: if keys stayed unserved, it ended with a traceback instead of a verdict.

Ruled out: bad callers as one fault among others, since slow ones need longer than a fault lasts; they work throughout. Weights such as 1,000 to tell configurations apart, as in the scenarios of configurations, since they would let one kind pass all others; they differ by 0.001 here. The harness's own write of a configuration, since it can take back a revision of an operator; all changes now go through the operators' command.

In a soak, bad callers may also get 502, 503, 504 or a closed line, since entry processes end; any other answer to bad input is a violation, as in their own scenario.

--- a/packages/emulator/dewstep_emulator/scenarios/callers.py
+++ b/packages/emulator/dewstep_emulator/scenarios/callers.py
@@ -1,6 +1,7 @@
 """Callers that are slow, go away, or send oversized or broken input."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -14,6 +15,10 @@
 TRIES = 1
 """Good requests must be answered at the first attempt."""
 HUGE = 200_000
+UNAVAILABLE = frozenset({0, 502, 503, 504})
+"""Statuses that are right as well where entry processes stop, end or pause."""
+FAULTS_PAUSE = 0.3
+"""Seconds between two bad requests of one sort beside other faults."""
 
 Abuse = Callable[[settings.Address, str], Awaitable[int]]
 
@@ -126,21 +131,36 @@
     return await raw.converse(address, [head])
 
 
+async def abuse_once(
+    stage: staging.Stage, name: str, also: frozenset[int] = frozenset()
+) -> None:
+    """Be one bad caller once; `also` holds more statuses that are right."""
+    chosen = bad_callers.get(name)
+    entry = stage.random.choice(measures.list_serving(stage))
+    request_id = f"bad-{stage.random.getrandbits(64):x}"
+    status = await chosen.abuse(entry.callers, request_id)
+    stage.measures[f"bad: {name}: {status}"] = (
+        stage.measures.get(f"bad: {name}: {status}", 0) + 1
+    )
+    if status not in chosen.statuses | also:
+        stage.violations.append(WrongStatus(name, status))
+
+
 async def abuse_repeatedly(stage: staging.Stage, name: str, until: float) -> None:
     """Be one bad caller for a time."""
-    chosen = bad_callers.get(name)
     while asyncio.get_running_loop().time() < until:
-        entry = stage.random.choice(measures.list_serving(stage))
-        request_id = f"bad-{stage.random.getrandbits(64):x}"
-        status = await chosen.abuse(entry.callers, request_id)
-        stage.measures[f"bad: {name}: {status}"] = (
-            stage.measures.get(f"bad: {name}: {status}", 0) + 1
-        )
-        if status not in chosen.statuses:
-            stage.violations.append(WrongStatus(name, status))
+        await abuse_once(stage, name)
         await asyncio.sleep(0.05)
 
 
+async def abuse_beside_faults(stage: staging.Stage, name: str) -> None:
+    """Be one bad caller until cancelled, while entry processes end and start."""
+    while True:
+        with contextlib.suppress(OSError):
+            await abuse_once(stage, name, UNAVAILABLE)
+        await asyncio.sleep(FAULTS_PAUSE)
+
+
 @staging.scenario("bad-callers", planned=True, tries=TRIES, rate=100)
 async def abuse(stage: staging.Stage) -> None:
     """Let bad callers of all sorts work beside good ones, who must not suffer."""
--- a/packages/emulator/dewstep_emulator/scenarios/plans.py
+++ b/packages/emulator/dewstep_emulator/scenarios/plans.py
@@ -6,6 +6,8 @@
 from dewstep_core import data
 from dewstep_emulator import deployments
 
+UNFENCED_HORIZON = datetime.timedelta(seconds=12)
+"""Longer than the interval of 10 s at which a gate reads its row."""
 ServiceChange = Callable[[data.Service], data.Service]
 
 
@@ -32,6 +34,24 @@
     return change_services(deployment, change)
 
 
+def use_all_sorts(deployment: deployments.Deployment) -> deployments.Deployment:
+    """Use both deduplication methods, and a short horizon where bookings go.
+
+    The gate of an unfenced target is replaced only after the horizon.
+    """
+
+    def change(service: data.Service) -> data.Service:
+        if service.name != "booker":
+            return service
+        kinds = tuple(
+            kind._replace(deduplication="memory") if kind.name == "reminder" else kind
+            for kind in service.kinds
+        )
+        return service._replace(kinds=kinds, outage_horizon=UNFENCED_HORIZON)
+
+    return change_services(deployment, change)
+
+
 def shorten_horizon(
     horizon: datetime.timedelta,
 ) -> Callable[[deployments.Deployment], deployments.Deployment]:
--- a/packages/emulator/dewstep_emulator/scenarios/soak.py
+++ b/packages/emulator/dewstep_emulator/scenarios/soak.py
@@ -7,8 +7,16 @@
 from returns.primitives import exceptions
 
 from dewstep_core import registry
-from dewstep_emulator import processes, promises
-from dewstep_emulator.scenarios import crashes, measures, requests, staging
+from dewstep_emulator import fleet as fleets, processes, promises
+from dewstep_emulator.scenarios import (
+    callers,
+    configurations,
+    crashes,
+    measures,
+    plans,
+    requests,
+    staging,
+)
 
 Fault = Callable[[staging.Stage], Awaitable[Callable[[], Awaitable[None]]]]
 """Causes a fault and returns what repairs it."""
@@ -21,6 +29,14 @@
 REPAIR_SECONDS = 30.0
 PATIENT_TRIES = 20
 RESTART_PAUSE = 1.5
+UNFENCED = frozenset({"booker-1"})
+OPERATORS = 3
+MARK_STEP = 0.001
+"""Difference of the weights that tell configurations from each other; it is small, so
+that they all serve alike."""
+ORDERED = "orders of operators"
+ACKNOWLEDGED = "acknowledged orders"
+RACES_LOST = "races lost"
 
 
 def choose_process(stage: staging.Stage) -> str:
@@ -196,17 +212,51 @@
     return lambda: try_patiently(fleet.heal)
 
 
+async def order_change(stage: staging.Stage) -> configurations.Order:
+    """Drain one target and end the draining of all others, as an operator."""
+    number = stage.measures.get(ORDERED, 0) + 1
+    stage.measures[ORDERED] = number
+    draining = stage.random.sample(sorted(stage.fleet.targets), 1)
+    value = 1.0 + MARK_STEP * number
+    order = await configurations.apply_marked(stage, value, draining=draining)
+    names = {configurations.APPLIED: ACKNOWLEDGED, configurations.LOST_RACE: RACES_LOST}
+    if name := names.get(order.code):
+        stage.measures[name] = stage.measures.get(name, 0) + 1
+    return order
+
+
+async def order_changes(stage: staging.Stage, operators: int) -> None:
+    """Let operators race, and compare later what they were told with the table."""
+    orders = await asyncio.gather(*(order_change(stage) for _ in range(operators)))
+    stage.checks.append(
+        lambda calls, runs: configurations.find_broken_orders(stage, orders)
+    )
+
+
 @faults.register("configuration changed")
 async def change_configuration(stage: staging.Stage):
     """Put the next revision in force."""
-    fleet = stage.fleet
-    revision = fleet.configuration.revision + 1
-    draining = stage.random.sample(sorted(fleet.targets), 1)
-    with contextlib.suppress(exceptions.UnwrapFailedError):
-        await fleet.apply(fleet.build_configuration(revision, draining))
+    await order_changes(stage, 1)
     return repair_nothing
 
 
+@faults.register("operators race")
+async def race_operators(stage: staging.Stage):
+    """Let operators put different configurations in force at one time.
+
+    The table is slow meanwhile, so that their work overlaps.
+    """
+    table = stage.fleet.table_process
+    slow = {"delay": configurations.RACE_DELAY}
+    await stage.fleet.set_faults(table, slow)
+    await order_changes(stage, OPERATORS)
+
+    async def repair():
+        await stage.fleet.set_faults(table, {"delay": None})
+
+    return repair
+
+
 async def run_fault(stage: staging.Stage, name: str, seconds: float) -> None:
     """Cause a fault, wait, and repair it."""
     count = stage.measures.get(f"fault: {name}", 0)
@@ -216,9 +266,33 @@
     await repair()
 
 
-@staging.scenario("soak", rate=120, entries=9, crash_marker=crashes.MARKER)
+@staging.scenario(
+    "soak",
+    rate=120,
+    entries=9,
+    crash_marker=crashes.MARKER,
+    unfenced=UNFENCED,
+    plan=plans.use_all_sorts,
+)
 async def run_all_faults(stage: staging.Stage) -> None:
-    """Cause faults at random, also together, until the time is over."""
+    """Cause faults at random, also together, beside bad callers of all sorts."""
+    abusing = [
+        asyncio.ensure_future(callers.abuse_beside_faults(stage, name))
+        for name in callers.bad_callers
+    ]
+    await cause_faults(stage)
+    for task in abusing:
+        task.cancel()
+    for ended in await asyncio.gather(*abusing, return_exceptions=True):
+        if not isinstance(ended, asyncio.CancelledError):
+            stage.problems.append(f"a bad caller failed: {ended!r}")
+    if not stage.measures.get(ACKNOWLEDGED):
+        stage.violations.append(promises.NotPressed("no order was acknowledged"))
+    await check_repaired(stage)
+
+
+async def cause_faults(stage: staging.Stage) -> None:
+    """Cause and repair faults until the time is over."""
     loop = asyncio.get_running_loop()
     end = loop.time() + stage.seconds
     lasting: set[asyncio.Task] = set()
@@ -240,12 +314,12 @@
     await asyncio.sleep(5.0)
     restarting.cancel()
     await asyncio.gather(restarting, return_exceptions=True)
-    await check_repaired(stage)
 
 
 async def check_repaired(stage: staging.Stage) -> None:
     """Require that all keys are served once everything has been repaired."""
     try:
         await stage.fleet.wait_ready(REPAIR_SECONDS)
-    except TimeoutError:
-        stage.violations.append(promises.NotPressed("keys stay unserved after repair"))
+    except fleets.NotReadyError as error:
+        detail = f"keys stay unserved after repair: {error}"
+        stage.violations.append(promises.NotPressed(detail))
--- a/packages/emulator/dewstep_emulator/scenarios/unfenced.py
+++ b/packages/emulator/dewstep_emulator/scenarios/unfenced.py
@@ -6,14 +6,12 @@
 """
 
 import asyncio
-import datetime
 from typing import NamedTuple
 
 from dewstep_emulator import history
 from dewstep_emulator.scenarios import measures, plans, requests, staging
 
-HORIZON = datetime.timedelta(seconds=12)
-"""Longer than the interval of 10 s at which a gate reads its row."""
+HORIZON = plans.UNFENCED_HORIZON
 TARGETS = frozenset({"booker-0", "booker-1"})
 TARGET = "booker-0"
 AFTER_HORIZON = 4.0
