Count the outcomes of the uploads that meet a killed target

Cause: a mutation of this scenario was not caught, and the report did not tell how its uploads had ended.

Before: no counts.

--- a/packages/emulator/dewstep_emulator/scenarios/bodies.py
+++ b/packages/emulator/dewstep_emulator/scenarios/bodies.py
@@ -29,11 +29,15 @@
 @staging.scenario("large-bodies-target-killed", rate=60)
 async def kill_target(stage: staging.Stage) -> None:
     """Kill a target while it receives large bodies."""
-    stage.checks.append(
-        lambda calls, runs: promises.find_unserved(
-            calls, lambda call: call.kind == KIND and call.key.startswith("large")
-        )
-    )
+
+    def check(calls, runs):
+        uploads = [call for call in calls if call.key.startswith("large")]
+        for call in uploads:
+            name = f"uploads: {call.failure or call.outcome}"
+            stage.measures[name] = stage.measures.get(name, 0) + 1
+        yield from promises.find_unserved(uploads, lambda call: True)
+
+    stage.checks.append(check)
     target = measures.choose_target(stage, SERVICE)
     keys = await requests.find_keys(stage, SERVICE, target, UPLOADS, "large")
     sending = [
