Wait for the takeovers that were running when a stop began

Cause: at a planned stop, the hand-over of a target that is just being taken over looked its task up by name in its first step. A takeover that ended before that step was no longer there, and the KeyError ended the process with exit code 1.

Before: the new test fails with KeyError. After: it passes, with the other tests of the gates.

Conclusion: the hand-over gets the task itself.

--- a/packages/entry/dewstep_entry/gate/releases.py
+++ b/packages/entry/dewstep_entry/gate/releases.py
@@ -73,12 +73,16 @@
             if not gate.releasing
         ]
         work += self.returning
-        work += [self.hand_over_later(name) for name in self.manager.takeovers]
+        work += [
+            self.hand_over_later(name, takeover)
+            for name, takeover in self.manager.takeovers.items()
+        ]
         await asyncio.gather(*work)
 
-    async def hand_over_later(self, target: str) -> None:
+    async def hand_over_later(self, target: str, takeover: asyncio.Task) -> None:
         """Hand a target over that is being taken over now."""
-        await asyncio.wait({self.manager.takeovers[target]})
+        # The manager forgets a takeover that has ended before this first step.
+        await asyncio.wait({takeover})
         gate = self.manager.gates.get(target)
         if gate is not None and not gate.releasing:
             await self.hand_over(gate)
