Show the end of the log of a process that failed outside its tasks

Cause: an exception in the stop itself also ends a process with code 1, but logs no failed task, so that the report had no trace for it.

Ruled out: another exit code, which callers of the command would have to know.

Before: the text "not in its log".

Conclusion: the report names the place in both cases.

--- a/packages/emulator/dewstep_emulator/scenarios/staging.py
+++ b/packages/emulator/dewstep_emulator/scenarios/staging.py
@@ -190,7 +190,7 @@
     for name, entry in stage.fleet.entries.items():
         if entry.process.child.returncode == TASK_FAILED:
             trace = find_trace(entry.process.log.read_text(errors="replace"))
-            stage.problems.append(f"{name} ended because a task had failed: {trace}")
+            stage.problems.append(f"{name} ended because of its own fault: {trace}")
     return Report(
         chosen.name,
         seed,
@@ -204,9 +204,14 @@
 
 
 def find_trace(log: str) -> str:
-    """Return the part of a process's log that tells which task failed first."""
+    """Return the part of a process's log that tells what failed first.
+
+    That is the end of the log if the process ended by an exception outside its tasks.
+    """
     start = log.find("task_failed")
-    return log[start : start + TRACE_CHARACTERS] if start >= 0 else "not in its log"
+    if start < 0:
+        return log[-TRACE_CHARACTERS:]
+    return log[start : start + TRACE_CHARACTERS]
 
 
 def summarize_kinds(
