--- a/packages/emulator/dewstep_emulator/scenarios/staging.py
+++ b/packages/emulator/dewstep_emulator/scenarios/staging.py
@@ -85,6 +85,7 @@
         return not self.violations and not self.problems
 
 
+TRACE_CHARACTERS = 3_000
 TASK_FAILED = 1
 """Exit code of an entry process that stopped because of its own fault."""
 
@@ -195,7 +196,8 @@
         stage.problems.append("no request was answered")
     for name, entry in stage.fleet.entries.items():
         if entry.process.child.returncode == TASK_FAILED:
-            stage.problems.append(f"{name} ended because a task had failed")
+            trace = find_trace(entry.process.log.read_text(errors="replace"))
+            stage.problems.append(f"{name} ended because of its own fault: {trace}")
     return Report(
         chosen.name,
         seed,
@@ -208,6 +210,17 @@
     )
 
 
+def find_trace(log: str) -> str:
+    """Return the part of a process's log that tells what failed first.
+
+    That is the end of the log if the process ended by an exception outside its tasks.
+    """
+    start = log.find("task_failed")
+    if start < 0:
+        return log[-TRACE_CHARACTERS:]
+    return log[start : start + TRACE_CHARACTERS]
+
+
 def summarize_kinds(
     calls: list[history.Call], runs: tuple[history.Run, ...]
 ) -> dict[str, history.Summary]:
--- a/packages/entry/dewstep_entry/gate/releases_test.py
+++ b/packages/entry/dewstep_entry/gate/releases_test.py
@@ -1,10 +1,17 @@
 import asyncio
 import datetime
+import types
 
 import pytest
 
 from dewstep_core import data, errors
-from dewstep_entry.gate import fakes_test as fakes, fleet_test as fleets, handover, rows
+from dewstep_entry.gate import (
+    fakes_test as fakes,
+    fleet_test as fleets,
+    handover,
+    releases,
+    rows,
+)
 
 MS, SECOND = fakes.MS, fakes.SECOND
 
@@ -102,3 +109,19 @@
         assert fleet.servers["t1"].runs == []
 
     fleets.run(scenario)
+
+
+def test_a_takeover_that_ends_as_the_stop_begins_does_not_fail_the_stop():
+    """Guards against a KeyError that ended a stopping process with exit code 1."""
+
+    async def stop():
+        manager = types.SimpleNamespace(gates={}, takeovers={})
+        taking = asyncio.get_running_loop().create_future()
+        manager.takeovers["t1"] = taking
+        taking.add_done_callback(lambda done: manager.takeovers.pop("t1"))
+        # Its callback runs before the first step of the hand-over.
+        taking.set_result(None)
+        await releases.Releases(manager).hand_over_all()
+        assert not manager.takeovers
+
+    asyncio.run(stop())
