Keep answers that never come out of the estimate of the service time

Cause: since the limit no longer falls for late runs, each of them entered the estimate. A run without an answer after three times the estimate is a failure again, one that was cancelled after so long only counts as load.

--- a/packages/entry/dewstep_entry/balancing/workload.py
+++ b/packages/entry/dewstep_entry/balancing/workload.py
@@ -162,6 +162,8 @@
         verdict = classify(outcome)
         if verdict is None:
             return
+        if verdict == limit.LATE and self.is_overdue(target, held):
+            verdict = limit.FAILED
         now = self.clock.monotonic()
         load = self.loads.get(target.name)
         if load is not None and verdict == limit.SHED:
@@ -178,10 +180,7 @@
         queue = self.admissions.get(target.name)
         watch = self.outliers.get(target.service)
         if watch is not None:
-            usual = None if queue is None else queue.estimate.mean
-            overdue = usual is None or held > FAILURE_RATIO * usual
-            failed = verdict == limit.LATE and overdue
-            watch.record(target.name, limit.FAILED if failed else verdict, held, now)
+            watch.record(target.name, verdict, held, now)
         if queue is not None:
             queue.record(verdict, held, now)
 
@@ -195,15 +194,27 @@
     ) -> None:
         """Count an exchange that was given up after `held`.
 
-        Below the mean that is no news of the service time.
+        Below the mean that is no news of the service time, and far above it the
+        caller may have gone away as well as the target have failed.
         """
         load = self.loads.get(target.name)
         if load is not None:
             load.add_run(shard, key, single, held, self.clock.monotonic())
         queue = self.admissions.get(target.name)
-        if queue is not None and held > queue.estimate.mean:
+        if queue is None or held <= queue.estimate.mean:
+            return
+        if not self.is_overdue(target, held):
             self.learn(target, limit.LATE, held)
 
+    def is_overdue(self, target: data.Target, held: datetime.timedelta) -> bool:
+        """Return whether a run without an answer had more than enough time.
+
+        Its time must not enter the estimate: if a part of the answers never comes,
+        the estimate would exceed every deadline and all requests would be refused.
+        """
+        queue = self.admissions.get(target.name)
+        return queue is None or held > FAILURE_RATIO * queue.estimate.mean
+
     def record_unserved(
         self,
         target: data.Target,
--- a/packages/entry/dewstep_entry/balancing/workload_test.py
+++ b/packages/entry/dewstep_entry/balancing/workload_test.py
@@ -158,4 +158,24 @@
     assert summary.failures == 0 and queue.limit.usable() == 4
     observer.record(target, 3, "k", False, overdue, 10 * HELD)
     [summary] = observer.outliers[target.service].summarize(ZERO).values()
-    assert summary.failures == 1
+    assert summary.failures == 1 and queue.limit.usable() < 4
+
+
+def test_answers_that_never_come_do_not_raise_the_estimate():
+    # Guards against a target that loses a fifth of its answers and for which the
+    # queue then refuses nearly everything as impossible to serve in time.
+    clock = clocks.ManualClock()
+    target = builders.build_target()
+    observer = workload.Observer(clock)
+    observer.start(target)
+    queue = admission.Admission("t", 4, random.Random(1), service_time=HELD)
+    observer.admissions[target.name] = queue
+    success = result.Success(builders.build_answer())
+    overdue = result.Failure(errors.DeadlineExceeded("t"))
+    for _ in range(100):
+        clock.advance(HELD)
+        for _ in range(8):
+            observer.record(target, 3, "k", False, success, HELD)
+        observer.record(target, 3, "k", False, overdue, 20 * HELD)
+        observer.record_cancelled(target, 3, "k", False, 20 * HELD)
+    assert queue.estimate.mean == HELD
