--- a/packages/emulator/dewstep_emulator/scenarios/measures.py
+++ b/packages/emulator/dewstep_emulator/scenarios/measures.py
@@ -2,17 +2,21 @@
 
 import asyncio
 import contextlib
+import json
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 from returns import result
 
 from dewstep_core import hashing
 from dewstep_core.http import client
-from dewstep_emulator import fleet as fleets, promises
+from dewstep_emulator import addresses, fleet as fleets, promises
 from dewstep_emulator.scenarios import staging
 
 RESTORED_LIMIT = 1.0
 """Seconds within which a key is served again after a loss (design page, 1.6)."""
+TERM_SECONDS = 1.0
+REPLACED_LIMIT = 10.0
+"""Seconds; far above the bound of 1 s, which other scenarios check."""
 IN_FORCE_LIMIT = 3.0
 """Seconds within which a revision is in force everywhere (design page, 1.6)."""
 PROBE_INTERVAL = 0.02
@@ -118,6 +122,29 @@
     return stage.fleet.entries[gates[target]]
 
 
+async def read_term(stage: staging.Stage, target: str) -> int:
+    """Return the highest term that a target has accepted, 0 if it does not answer."""
+    address = addresses.get_address(stage.fleet.targets[target].addresses)
+    caller = client.Client(address, TERM_SECONDS)
+    answer = await caller.call("GET", "/control/clock")
+    await caller.close()
+    if isinstance(answer, result.Failure):
+        return 0
+    return json.loads(answer.unwrap().body)["term"]
+
+
+async def wait_replaced(stage: staging.Stage, target: str, term: int) -> None:
+    """Wait until a target has accepted a grant of a later term than `term`."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + REPLACED_LIMIT
+    while await read_term(stage, target) <= term:
+        if loop.time() > end:
+            detail = f"{target} was granted nothing after term {term}"
+            stage.violations.append(promises.NotPressed(detail))
+            return
+        await asyncio.sleep(0.05)
+
+
 async def wait_in_force(
     stage: staging.Stage, revision: int, since: float, limit: float = IN_FORCE_LIMIT
 ) -> float:
--- a/packages/emulator/dewstep_emulator/scenarios/pauses.py
+++ b/packages/emulator/dewstep_emulator/scenarios/pauses.py
@@ -266,20 +266,23 @@
     fleet = stage.fleet
     target = measures.choose_target(stage, "history")
     gate = await measures.find_gate(stage, target)
+    term = await measures.read_term(stage, target)
     keys = await requests.find_keys(stage, "history", target, HOT_KEYS, "forgotten")
     plan = requests.find_plan(stage, "due")
     await fleet.set_cut(gate.name, set(fleet.entries) - {gate.name})
     gate.process.freeze()
     table_cut = {"cut": {"entries": [gate.name], "mode": "close"}}
     await fleet.set_faults(fleet.table_process, table_cut)
-    await asyncio.sleep(1.5)
+    # A target that ends before its next gate has fenced the old one is not served
+    # before the horizon (rule G5), and the calls below would never be answered.
+    await measures.wait_replaced(stage, target, term)
     await fleet.targets[target].kill()
     await asyncio.sleep(1.5)
     if target in await fleet.read_owners("history"):
         stage.violations.append(promises.NotPressed(f"{target} kept its shards"))
     others = [name for name in fleet.entries if name != gate.name]
-    for key in keys:
-        await stage.caller.call(plan, key)
+    # Together, since a call that meets the paused gate waits until its caller gives up.
+    await asyncio.gather(*(stage.caller.call(plan, key) for key in keys))
     await fleet.restart_target(target)
     cut = {"cut": {"entries": others}}
     await fleet.set_faults(fleet.targets[target], cut)
