Encode the content of an assignment in one place

Cause: the table's row and the value for peers listed the same four fields, and both are read by decode_assignment; the field for operators' moves had to be added twice. Ruled out: one encoder with the version; the row counts it up, a peer's message carries it.

--- a/packages/entry/dewstep_entry/gate/rows.py
+++ b/packages/entry/dewstep_entry/gate/rows.py
@@ -9,7 +9,7 @@
 
 import datetime
 from collections.abc import Iterable, Mapping
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from returns import result
 
@@ -128,9 +128,16 @@
     operations = (*assignment.operations, operation_id)[-OPERATIONS_KEPT:]
     return {
         "version": assignment.version + 1,
+        **encode_content(assignment._replace(operations=operations)),
+    }
+
+
+def encode_content(assignment: data.Assignment) -> dict[str, Any]:
+    """Return what `decode_assignment` reads, as a JSON value without the version."""
+    return {
         "owners": list(assignment.owners),
         "overrides": dict(assignment.overrides),
-        "operations": list(operations),
+        "operations": list(assignment.operations),
         "orders": encode_orders(assignment.orders),
     }
 
--- a/packages/entry/dewstep_entry/state/exchange.py
+++ b/packages/entry/dewstep_entry/state/exchange.py
@@ -50,18 +50,6 @@
     return tuple(data.GateRow(**fields) for fields in json.loads(payload))
 
 
-def encode_assignment(assignment: data.Assignment) -> bytes:
-    """Return an assignment as the payload of a `Value`."""
-    return json.dumps(
-        {
-            "owners": assignment.owners,
-            "overrides": dict(assignment.overrides),
-            "operations": assignment.operations,
-            "orders": rows.encode_orders(assignment.orders),
-        }
-    ).encode()
-
-
 class Exchange:
     """Implements `interfaces.MessageHandler` and sends the heartbeats.
 
@@ -286,7 +274,7 @@
             answer = messages.Value(CONFIGURATION, "", configuration.revision, payload)
         elif question.what == ASSIGNMENT and question.name in current.assignments:
             assignment = current.assignments[question.name]
-            payload = encode_assignment(assignment)
+            payload = json.dumps(rows.encode_content(assignment)).encode()
             answer = messages.Value(
                 ASSIGNMENT, question.name, assignment.version, payload
             )
