Run scenarios within a limit by one function

Cause: tests/proofs_test.py had its own loop that ends a runner by SIGTERM, and its twin in mutations.py still killed the runner, which then leaves its fleet behind. Ruled out: a limit inside the runner; a stuck event loop would not keep it.

--- a/packages/emulator/dewstep_emulator/mutations.py
+++ b/packages/emulator/dewstep_emulator/mutations.py
@@ -10,14 +10,13 @@
 import pathlib
 import re
 import shutil
-import subprocess
 import sys
 import tempfile
 from typing import Annotated, NamedTuple
 
 import typer
 
-from dewstep_emulator import mutation_list, mutation_types
+from dewstep_emulator import bounded, mutation_list, mutation_types
 
 PACKAGES = ("core", "entry", "operator", "emulator")
 LIMIT_SECONDS = 180
@@ -88,21 +87,10 @@
         path = copy_packages(folder)
         for edit in mutation.edits:
             replace_text(folder / edit.file, edit)
-        ended = subprocess.run(
-            [
-                sys.executable,
-                "-m",
-                "dewstep_emulator.scenarios",
-                mutation.scenario,
-                f"--seed={seed}",
-            ],
-            env={**os.environ, "PYTHONPATH": path},
-            cwd=folder,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-            text=True,
-            timeout=LIMIT_SECONDS,
-        )
+        command = [sys.executable, "-m", "dewstep_emulator.scenarios"]
+        command += [mutation.scenario, f"--seed={seed}"]
+        environment = {**os.environ, "PYTHONPATH": path}
+        ended = bounded.run(command, LIMIT_SECONDS, environment, temporary)
     seen = tuple(dict.fromkeys(VIOLATION.findall(ended.stdout)))
     return Outcome(mutation.name, seed, seen, mutation.expected, ended.stdout)
 
--- a/tests/proofs_test.py
+++ b/tests/proofs_test.py
@@ -7,18 +7,17 @@
 
 import concurrent.futures
 import os
-import subprocess
 import sys
 
 import pytest
 
+from dewstep_emulator import bounded
+
 pytestmark = pytest.mark.proofs
 
 WORKERS = max(1, min(4, (os.cpu_count() or 1) // 2))
 """Scenarios at one time; each keeps about one processor busy."""
 LIMIT_SECONDS = 120
-END_SECONDS = 30
-"""Time in which a runner ends its processes after SIGTERM."""
 
 SCENARIOS = {
     "gate-paused-with-requests": 1,
@@ -73,17 +72,7 @@
     """Run a scenario to its end; return the completed process."""
     command = [sys.executable, "-m", "dewstep_emulator.scenarios", name]
     command += [f"--seed={SCENARIOS[name]}", f"--folder={folder}"]
-    process = subprocess.Popen(
-        command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
-    )
-    try:
-        output, _ = process.communicate(timeout=LIMIT_SECONDS)
-    except subprocess.TimeoutExpired:
-        # A runner that is killed would leave its fleet behind.
-        process.terminate()
-        output, _ = process.communicate(timeout=END_SECONDS)
-        output += f"given up after {LIMIT_SECONDS} s"
-    return subprocess.CompletedProcess(command, process.returncode, output)
+    return bounded.run(command, LIMIT_SECONDS)
 
 
 @pytest.fixture(scope="module")
