--- a/packages/core/dewstep_core/events.py
+++ b/packages/core/dewstep_core/events.py
@@ -92,6 +92,13 @@
 
 
 journal = Journal()
+write_json: Callable[[str], None] | None = None
+"""Takes events as JSON lines instead of absl's log."""
+LEVEL_NAMES = {
+    logging.INFO: "info",
+    logging.WARNING: "warning",
+    logging.ERROR: "error",
+}
 
 
 def render(name: str, /, **fields: Any) -> str:
@@ -127,7 +134,41 @@
     # The levels of absl fall with the severity.
     if level <= logging.WARNING:
         journal.keep(name, line)
-    logging.log(level, "%s", line)
+    if write_json is None:
+        logging.log(level, "%s", line)
+    else:
+        write_json(render_json(level, name, fields))
+
+
+def render_json(level: int, name: str, fields: dict[str, Any]) -> str:
+    """Return an event as a line with one JSON object."""
+    content = {
+        "time": datetime.datetime.now(datetime.UTC).isoformat(timespec="milliseconds"),
+        "level": LEVEL_NAMES.get(level, str(level)),
+        "event": name,
+    }
+    content.update((field, simplify(value)) for field, value in fields.items())
+    return json.dumps(content, separators=(",", ":"), ensure_ascii=False)
+
+
+def simplify(value: Any) -> Any:
+    """Return a field's value as JSON can hold it; a failure keeps its type."""
+    if isinstance(value, datetime.timedelta):
+        return durations.format_duration(value)
+    if isinstance(value, tuple) and hasattr(value, "_asdict"):
+        fields = {name: simplify(item) for name, item in value._asdict().items()}
+        return {"type": type(value).__name__, **fields}
+    if isinstance(value, list | tuple | set | frozenset):
+        return [simplify(item) for item in value]
+    if value is None or isinstance(value, bool | int | float | str):
+        return value
+    return str(value)
+
+
+def use_json(write: Callable[[str], None] | None) -> None:
+    """Write events as JSON lines with `write`; None brings back the text form."""
+    global write_json
+    write_json = write
 
 
 def info(name: str, /, **fields: Any) -> None:
@@ -155,4 +196,8 @@
 def report_left_out() -> None:
     """Log how many lines of each event were left out since the last call."""
     for name, count in journal.limiter.take_left_out().items():
-        logging.warning("%s", render("lines_left_out", name=name, count=count))
+        if write_json is None:
+            logging.warning("%s", render("lines_left_out", name=name, count=count))
+        else:
+            fields = {"name": name, "count": count}
+            write_json(render_json(logging.WARNING, "lines_left_out", fields))
--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -302,7 +302,9 @@
     async def _write_answer(self, answer: data.Answer, method: bytes) -> bool:
         """Write an answer; false if its end could not be written."""
         http = self.http
-        close = self.listener.stopping or http.their_state is not h11.DONE
+        listener = self.listener
+        close = listener.stopping or listener.last_answers
+        close = close or http.their_state is not h11.DONE
         body = answer.body
         shown = rendering.has_body(answer, method)
         try:
--- a/packages/entry/dewstep_entry/caller/listener.py
+++ b/packages/entry/dewstep_entry/caller/listener.py
@@ -64,6 +64,8 @@
         self.note_refusal = note_refusal
         self.connections: set[connections.CallerConnection] = set()
         self.stopping = False
+        self.last_answers = False
+        """Whether each answer ends its connection, before the listener stops."""
         self.server: asyncio.Server | None = None
         self.sweeper: asyncio.Task | None = None
         self.empty: asyncio.Future | None = None
@@ -116,10 +118,10 @@
 
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
-        limits = self.limits
-        shortest = min(limits.head_timeout, limits.body_grace, limits.idle_timeout)
-        interval = min(SWEEP_SECONDS, shortest.total_seconds() / 4)
         while True:
+            limits = self.limits
+            shortest = min(limits.head_timeout, limits.body_grace, limits.idle_timeout)
+            interval = min(SWEEP_SECONDS, shortest.total_seconds() / 4)
             await asyncio.sleep(interval)
             now = loop.time()
             for connection in list(self.connections):
--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -16,13 +16,12 @@
 from dewstep_core import data
 from dewstep_core.http import transports
 from dewstep_entry import bodies, header_rules, interfaces
-from dewstep_entry.targets import outcome
+from dewstep_entry.targets import answering, outcome
 
 HEAD_LIMIT_BYTES = 65_536
 BUFFER_BYTES = 262_144
 """Bytes of an answer that may wait for their reader before the socket is paused."""
 WRITE_BUFFER_BYTES = 131_072
-REQUEST_ID = b"dewstep-request-id"
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -32,18 +31,24 @@
     __slots__ = (
         "head",
         "headers",
+        "held_back",
         "length",
         "method",
         "pump",
         "refusal",
         "request_id",
         "sent",
+        "skipping",
         "timer",
     )
 
-    def __init__(self, method: bytes, request_id: bytes, drained, closed):
+    def __init__(
+        self, method: bytes, request_id: bytes, held_back: bool, drained, closed
+    ):
         super().__init__(BUFFER_BYTES, drained, closed)
         self.method = method
+        self.held_back = held_back
+        self.skipping = False
         self.request_id = request_id
         self.head: h11.Response | None = None
         self.headers: list[tuple[bytes, bytes]] = []
@@ -62,7 +67,9 @@
         """Whether the answer can be handed out; a small one only when complete."""
         if self.ended or self.head is None:
             return self.ended
-        return self.length is None or self.length > bodies.SMALL_BODY_BYTES
+        if self.length is None:
+            return not self.held_back or self.size > bodies.SMALL_BODY_BYTES
+        return self.length > bodies.SMALL_BODY_BYTES
 
 
 class Connection(asyncio.Protocol):
@@ -76,6 +83,8 @@
         Called with the connection when it can take the next request.
     lost : callable
         Called with the connection once, when it will never be used again.
+    rules : answering.AnswerRules, optional
+        How the target's answers name their request and refuse it.
     """
 
     def __init__(
@@ -83,8 +92,10 @@
         target: str,
         freed: Callable[["Connection"], None],
         lost: Callable[["Connection"], None],
+        rules: answering.AnswerRules = answering.OWN,
     ):
         self.target = target
+        self.rules = rules
         self.freed = freed
         self.lost = lost
         self.http = h11.Connection(
@@ -116,7 +127,15 @@
         self._fail(outcome.Event.CLOSED)
 
     def eof_received(self) -> bool:
-        """Treat the end of input like a lost connection."""
+        """End an answer that lasts until the connection closes; else fail it."""
+        exchange = self.current
+        if exchange is not None and exchange.head is not None:
+            try:
+                self.http.receive_data(b"")
+                self._process_input(exchange)
+            except h11.RemoteProtocolError:
+                # The answer announced more than came, as any lost connection.
+                pass
         self._fail(outcome.Event.CLOSED)
         return False
 
@@ -138,11 +157,7 @@
             return
         try:
             self.http.receive_data(chunk)
-            while exchange is self.current:
-                event = self.http.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
-                    break
-                self._process(exchange, event)
+            self._process_input(exchange)
         except h11.RemoteProtocolError as error:
             # What follows the colon quotes received bytes, which may be the rest of an
             # earlier answer and must not reach this caller.
@@ -190,7 +205,9 @@
             The answer, or `TargetRefused`, `ConnectionLost`, `DeadlineExceeded` or
             `AnswerInvalid`.
         """
-        exchange = Exchange(head.method, request_id, self._drained, self.abort)
+        exchange = Exchange(
+            head.method, request_id, self.rules.held_back, self._drained, self.abort
+        )
         self.current = exchange
         exchange.timer = asyncio.get_running_loop().call_later(
             remaining, self._fail, outcome.Event.OVERDUE
@@ -248,9 +265,21 @@
             if self.current is exchange:
                 self._fail(outcome.Event.ABANDONED, str(error))
 
+    def _process_input(self, exchange: Exchange) -> None:
+        while exchange is self.current:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                break
+            self._process(exchange, event)
+
     def _process(self, exchange: Exchange, event) -> None:
         kind = type(event)
-        if kind is h11.Data:
+        if exchange.skipping:
+            if kind is h11.EndOfMessage:
+                self._await_own_answer(exchange)
+            elif kind is h11.ConnectionClosed:
+                self._fail(outcome.Event.CLOSED)
+        elif kind is h11.Data:
             exchange.put(event.data)
         elif kind is h11.Response:
             self._take_head(exchange, event)
@@ -268,35 +297,61 @@
         if length is not None and coding is not None:
             raise h11.RemoteProtocolError("both Content-Length and Transfer-Encoding")
         if (
-            length is None
+            not self.rules.identified
+            and length is None
             and coding is None
             and exchange.method != b"HEAD"
             and head.status_code not in NO_BODY_STATUSES
         ):
             # A body that ends with the connection cannot be told from a cut one.
             raise h11.RemoteProtocolError("the body's length is not announced")
-        answered_id = fields.get(REQUEST_ID)
+        answered_id = fields.get(self.rules.request_id)
+        if answered_id is None and self.rules.identified:
+            raise h11.RemoteProtocolError("the answer names no request")
         if answered_id is not None and answered_id != exchange.request_id:
             # Checked before a refusal counts, which may be another request's.
-            raise h11.RemoteProtocolError("the answer names another request")
+            if not self.rules.identified or (length is None and coding is None):
+                raise h11.RemoteProtocolError("the answer names another request")
+            exchange.skipping = True
+            return
         exchange.head = head
         exchange.length = int(length) if length is not None else None
-        exchange.refusal = fields.get(b"dewstep-refused", b"").decode("latin-1")
+        exchange.refusal = answering.find_refusal(
+            self.rules, head.status_code, fields.get(self.rules.refusal)
+        )
         exchange.wake()
 
     def _finish(self, exchange: Exchange) -> None:
-        if self.http.trailing_data[0]:
+        trailing = bool(self.http.trailing_data[0])
+        if trailing and not self.rules.identified:
             self._fail(outcome.Event.INVALID, "bytes after the announced end")
             return
         self._detach(exchange)
         exchange.end()
         http = self.http
-        if http.our_state is h11.DONE and http.their_state is h11.DONE:
+        done = http.our_state is h11.DONE and http.their_state is h11.DONE
+        if done and not trailing:
             http.start_next_cycle()
             self.freed(self)
         else:
             self.abort()
 
+    def _await_own_answer(self, exchange: Exchange) -> None:
+        """Go on after a late answer to an earlier request on this connection."""
+        if self.http.our_state is not h11.DONE:
+            raise h11.RemoteProtocolError("the answer names another request")
+        trailing = self.http.trailing_data[0]
+        exchange.skipping = False
+        self.http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT_BYTES
+        )
+        # Only the state counts: the request itself has been sent before.
+        self.http.send(
+            h11.Request(method=exchange.method, target=b"/", headers=[(b"host", b"")])
+        )
+        self.http.send(h11.EndOfMessage())
+        self.http.receive_data(bytes(trailing))
+
     def _detach(self, exchange: Exchange) -> None:
         self.current = None
         exchange.timer.cancel()
--- a/packages/entry/dewstep_entry/targets/outcome.py
+++ b/packages/entry/dewstep_entry/targets/outcome.py
@@ -9,7 +9,8 @@
 
 from dewstep_core import errors
 
-REFUSAL_STATUSES = frozenset({409, 503})
+REFUSAL_STATUSES = frozenset({400, 409, 421, 429, 503})
+"""Statuses that can refuse a request; each protocol uses some of them."""
 
 
 class Event(enum.Enum):
--- a/packages/entry/dewstep_entry/targets/pool.py
+++ b/packages/entry/dewstep_entry/targets/pool.py
@@ -9,9 +9,6 @@
 therefore rests before it is used again, and whatever arrives meanwhile ends it.
 """
 
-import asyncio
-import collections
-import contextlib
 import datetime
 import json
 from collections.abc import Callable
@@ -19,17 +16,12 @@
 import h11
 from returns import result
 
-from dewstep_core import clock as clocks, data, errors
+from dewstep_core import clock as clocks, data, errors, settings
 from dewstep_entry import header_rules, interfaces
-from dewstep_entry.targets import connection as connections, control, openings
+from dewstep_entry.targets import control, pooling
 
-CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
-REST = datetime.timedelta(milliseconds=20)
-"""Many times the network's latency of 1 ms; with 4 slots and requests of 5 ms it takes
-16 connections more, of the 110 that a target accepts."""
 
-
-class TargetPool:
+class TargetPool(pooling.ConnectionPool):
     """Connections to one target; implements `interfaces.TargetChannel`.
 
     Parameters
@@ -59,24 +51,22 @@
         entry: str,
         data_centre: str,
         limit: int | None = None,
-        connect_timeout: datetime.timedelta = CONNECT_TIMEOUT,
+        connect_timeout: datetime.timedelta = pooling.CONNECT_TIMEOUT,
         control_timeout: datetime.timedelta = control.CONTROL_TIMEOUT,
-        rest: datetime.timedelta = REST,
+        rest: datetime.timedelta = pooling.REST,
     ):
+        most = target.connections // 2 if limit is None else limit
+        super().__init__(
+            target.name,
+            settings.Address(target.host, target.port),
+            clock,
+            most - 1,
+            connect_timeout,
+            rest,
+        )
         self.target = target
-        self.clock = clock
         self.data_centre = data_centre
-        self.connect_timeout = connect_timeout.total_seconds()
         self.control = control.ControlChannel(target, clock, entry, control_timeout)
-        most = target.connections // 2 if limit is None else limit
-        self.openings = openings.Openings(limit=max(1, most - 1))
-        self.rest = rest.total_seconds()
-        self.rest_timer: asyncio.TimerHandle | None = None
-        self.idle: collections.deque[connections.Connection] = collections.deque()
-        self.open: set[connections.Connection] = set()
-        self.waiting: collections.deque[asyncio.Future] = collections.deque()
-        self.attempts: set[asyncio.Task] = set()
-        self.closed = False
         self.host = f"{target.host}:{target.port}".encode()
         self.entry = entry.encode()
 
@@ -88,30 +78,15 @@
         Returns
         -------
         Result
-            The answer, or `TargetUnavailable` (not sent), `TargetRefused` (not run),
-            `ConnectionLost`, `DeadlineExceeded` or `AnswerInvalid` (unknown).
-            `MalformedRequest` if the head cannot be sent.
+            As for `ConnectionPool.send`; `MalformedRequest` if the head cannot be
+            sent.
         """
         try:
             head = self._build_head(request, stamp)
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             return result.Failure(errors.MalformedRequest(str(error)))
-        connection = self._take_idle()
-        while connection is None:
-            remaining = (request.deadline - self.clock.monotonic()).total_seconds()
-            outcome = await self._wait_connection(remaining)
-            if not isinstance(outcome, connections.Connection):
-                return result.Failure(outcome)
-            # The target may have closed it between the hand-over and now.
-            connection = None if outcome.is_stale() else outcome
-            if connection is None:
-                outcome.abort()
-        remaining = (request.deadline - self.clock.monotonic()).total_seconds()
-        if remaining <= 0:
-            self._free(connection)
-            return result.Failure(self._unavailable("the deadline has passed"))
         request_id = header_rules.encode_value(request.request_id)
-        return await connection.exchange(head, request.body, remaining, request_id)
+        return await self.send(head, request.body, request.deadline, request_id)
 
     async def read_clock(
         self,
@@ -140,146 +115,8 @@
 
     async def close(self) -> None:
         """Close all connections; requests in progress end as `ConnectionLost`."""
-        self.closed = True
         self.control.close()
-        for task in list(self.attempts):
-            task.cancel()
-        for connection in list(self.open):
-            connection.abort()
-        self._fail_waiting("the pool is closed")
-        if self.rest_timer is not None:
-            self.rest_timer.cancel()
-
-    # Connections.
-
-    def _take_idle(self) -> connections.Connection | None:
-        """Return the connection that rested longest, or None if it should rest on."""
-        while self.idle:
-            connection = self.idle.popleft()
-            if connection.is_stale():
-                connection.abort()
-                continue
-            full = self.openings.total >= self.openings.limit
-            if full or self._count_rest(connection) <= 0:
-                return connection
-            self.idle.appendleft(connection)
-            break
-        return None
-
-    def _count_rest(self, connection: connections.Connection) -> float:
-        """Return the seconds that a connection should still rest."""
-        return connection.freed_at + self.rest - asyncio.get_running_loop().time()
-
-    async def _wait_connection(self, remaining: float):
-        """Return a connection, or the failure if there is none in time."""
-        if self.closed:
-            return self._unavailable("the pool is closed")
-        if remaining <= 0:
-            return self._unavailable("the deadline has passed")
-        loop = asyncio.get_running_loop()
-        waiter = loop.create_future()
-        self.waiting.append(waiter)
-        timer = loop.call_later(
-            remaining, _settle, waiter, self._unavailable("no connection was free")
-        )
-        self._open_more()
-        self._serve_waiting()
-        try:
-            return await waiter
-        except asyncio.CancelledError:
-            if waiter.done() and not waiter.cancelled():
-                self._give_back(waiter.result())
-            raise
-        finally:
-            timer.cancel()
-            with contextlib.suppress(ValueError):
-                self.waiting.remove(waiter)
-
-    def _give_back(self, outcome) -> None:
-        if isinstance(outcome, connections.Connection) and outcome.usable:
-            self._free(outcome)
-
-    def _open_more(self) -> None:
-        waiting = sum(not waiter.done() for waiter in self.waiting)
-        count = openings.count_new(self.openings, waiting)
-        self.openings = openings.start(self.openings, count)
-        for _ in range(count):
-            task = asyncio.ensure_future(self._open())
-            self.attempts.add(task)
-            task.add_done_callback(self.attempts.discard)
-
-    async def _open(self) -> None:
-        connection = None
-        detail = "connecting took too long"
-        try:
-            async with asyncio.timeout(self.connect_timeout):
-                _, connection = await asyncio.get_running_loop().create_connection(
-                    lambda: connections.Connection(
-                        self.target.name, self._free, self._lose
-                    ),
-                    self.target.host,
-                    self.target.port,
-                )
-        except OSError as error:
-            detail = str(error) or detail
-        finally:
-            self.openings = openings.finish(self.openings, connection is not None)
-        if connection is None:
-            if not self.open:
-                self._fail_waiting(detail)
-            return
-        self.open.add(connection)
-        if self.closed or not connection.usable:
-            connection.abort()
-            self._lose(connection)
-        else:
-            # A new connection needs no rest.
-            self.idle.appendleft(connection)
-            self._serve_waiting()
-            self._open_more()
-
-    def _free(self, connection: connections.Connection) -> None:
-        """Keep a connection for the requests that wait or come."""
-        connection.freed_at = asyncio.get_running_loop().time()
-        self.idle.append(connection)
-        if self.waiting:
-            self._serve_waiting()
-
-    def _serve_waiting(self) -> None:
-        """Give connections to the requests that wait longest, now and after a rest."""
-        while self.waiting:
-            if self.waiting[0].done():
-                self.waiting.popleft()
-                continue
-            connection = self._take_idle()
-            if connection is None:
-                break
-            self.waiting.popleft().set_result(connection)
-        if self.waiting and self.idle and self.rest_timer is None:
-            self.rest_timer = asyncio.get_running_loop().call_later(
-                max(self._count_rest(self.idle[0]), 0.0), self._end_rest
-            )
-
-    def _end_rest(self) -> None:
-        self.rest_timer = None
-        self._serve_waiting()
-
-    def _lose(self, connection: connections.Connection) -> None:
-        if connection not in self.open:
-            return
-        self.open.discard(connection)
-        if connection in self.idle:
-            self.idle.remove(connection)
-        self.openings = openings.lose(self.openings, connection.failed)
-        if self.waiting and not self.closed:
-            self._open_more()
-
-    def _fail_waiting(self, detail: str) -> None:
-        while self.waiting:
-            _settle(self.waiting.popleft(), self._unavailable(detail))
-
-    def _unavailable(self, reason: str) -> errors.TargetUnavailable:
-        return errors.TargetUnavailable(self.target.name, reason)
+        await super().close()
 
     # Head of the request.
 
@@ -315,8 +152,3 @@
             target=request.path.encode("latin-1"),
             headers=headers,
         )
-
-
-def _settle(waiter: asyncio.Future, outcome) -> None:
-    if not waiter.done():
-        waiter.set_result(outcome)
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Instances that send to targets directly; a coordinator grants the key ranges."""
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/answers.py
@@ -0,0 +1,39 @@
+"""Answers that an instance gives itself, with times that may have fractions."""
+
+import datetime
+import json
+from typing import Any
+
+from dewstep_core import data, errors
+from dewstep_entry import failures
+
+
+def render(failure: Any, retry_after: datetime.timedelta | None) -> data.Answer:
+    """Return the answer that tells a caller of `failure`.
+
+    Parameters
+    ----------
+    failure : tuple
+        One of the failures of `dewstep_core.errors`.
+    retry_after : datetime.timedelta or None
+        When the caller should come back, if the request did not run.
+    """
+    rule = failures.find_rule(failure)
+    name = type(failure).__name__
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"dewstep-outcome", rule.outcome.encode()),
+        (b"dewstep-failure", name.encode()),
+    ]
+    if rule.outcome == errors.NOT_RUN and retry_after is not None:
+        seconds = retry_after.total_seconds()
+        headers.append((b"retry-after", b"%.3f" % seconds))
+    content = {
+        "type": name,
+        "outcome": rule.outcome,
+        "detail": failures.pack_fields(failure),
+    }
+    body = json.dumps(content).encode()
+    return data.Answer(
+        rule.status, tuple(headers), len(body), data.Body(body, None), name
+    )
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -0,0 +1,673 @@
+"""Who coordinates the fleet, and what its instances tell each other.
+
+One row of the store names the coordinator. The coordinator connects to all instances,
+sends each a beat with what changed, and gets a report in return. An instance that has
+heard no good beat for `SUSPICION` asks the others; if most of those that live hear none
+either, it replaces the row in a transaction. A beat is good if its sender reaches the
+store, so that a coordinator that the store turns away is replaced as well.
+"""
+
+import asyncio
+import collections
+import datetime
+import random
+from collections.abc import Callable
+
+from returns import result
+
+from dewstep_core import clock as clocks, errors, events
+from dewstep_fleet import (
+    directory as directories,
+    feeds as feeders,
+    frames,
+    granting,
+    links,
+    loads as load_counts,
+    model,
+)
+
+BEAT = datetime.timedelta(milliseconds=100)
+BEAT_PER_MEMBER = datetime.timedelta(milliseconds=6)
+"""Beats are rarer in a larger fleet: 166 frames/s, about 4% of a core, are sent."""
+QUIET = datetime.timedelta(milliseconds=700)
+"""Without a beat for this long, an instance reads the store for itself."""
+SUSPICION = datetime.timedelta(milliseconds=1000)
+SPREAD = datetime.timedelta(milliseconds=300)
+"""Challengers are spread over this time, so that one wins before others begin."""
+LAST_RESORT = datetime.timedelta(seconds=8)
+"""Without a beat for this long, a minority may choose a coordinator."""
+VOTE_TIMEOUT = datetime.timedelta(milliseconds=500)
+DIAL_PAUSE = datetime.timedelta(milliseconds=300)
+TICK = datetime.timedelta(milliseconds=50)
+PAUSE = datetime.timedelta(milliseconds=400)
+"""A tick that is late by this much shows that the process itself stood still."""
+CONTACT = datetime.timedelta(milliseconds=2300)
+"""Age of the store's last answer up to which an instance counts as reaching it; a
+watch of the fleet's table lasts 1 s."""
+RECENT = datetime.timedelta(milliseconds=1000)
+"""Age of a report up to which its sender counts as following."""
+RATE_WINDOW = 1.5
+"""Seconds in which past requests for a key lose all but 1/e of their weight."""
+LEAST_RATE = 0.02
+"""Requests/s below which a key is forgotten."""
+MOST_KEYS = 256
+"""Keys that one report names at most; more are sampled."""
+
+
+class Report:
+    """What a member last told the coordinator."""
+
+    __slots__ = ("at", "contact", "loads")
+
+    def __init__(self, at, contact, loads):
+        self.at = at
+        self.contact = contact
+        self.loads = loads
+
+
+class Demands:
+    """Rates of requests by key and speeds of targets, from all reports."""
+
+    def __init__(self, clock: clocks.Clock):
+        self.clock = clock
+        self.rates: dict[str, dict[int, float]] = {}
+        self.faded: dict[str, datetime.timedelta] = {}
+        self.seconds: dict[str, float] = {}
+
+    def add(
+        self, keys: tuple[frames.KeyCount, ...], reported: tuple[frames.Load, ...]
+    ) -> None:
+        """Add what an instance counted since its last report."""
+        for item in keys:
+            rates = self.fade(item.service)
+            rates[item.key] = rates.get(item.key, 0.0) + item.count / RATE_WINDOW
+        for load in reported:
+            if load.ended:
+                observed = load.busy_microseconds / 1e6 / load.ended
+                known = self.seconds.get(load.target)
+                weight = 1 - (1 - load_counts.WEIGHT) ** load.ended
+                if known is not None:
+                    observed = known + weight * (observed - known)
+                self.seconds[load.target] = observed
+
+    def fade(self, service: str) -> dict[int, float]:
+        """Return the rates of a service, with the time passed taken off."""
+        rates = self.rates.setdefault(service, {})
+        now = self.clock.monotonic()
+        elapsed = (now - self.faded.setdefault(service, now)).total_seconds()
+        if elapsed < 0.05:
+            return rates
+        self.faded[service] = now
+        kept = 2.718281828 ** (-elapsed / RATE_WINDOW)
+        faded = {
+            key: rate * kept for key, rate in rates.items() if rate * kept > LEAST_RATE
+        }
+        self.rates[service] = faded
+        return faded
+
+    def read(self, service: str, targets) -> granting.Demand:
+        """Return the demand for a service's keys; unknown targets are average."""
+        known = [self.seconds[name] for name in targets if name in self.seconds]
+        average = load_counts.FIRST_ESTIMATE.total_seconds()
+        if known:
+            average = sum(known) / len(known)
+        seconds = collections.defaultdict(lambda: average, self.seconds)
+        return granting.Demand(dict(self.fade(service)), seconds)
+
+
+class Fleet:
+    """This instance's part in the fleet.
+
+    Parameters
+    ----------
+    own : model.Member
+    directory : directories.Directory
+    feed : feeders.Feeds
+    store : model.Store
+    channel : model.GrantChannel
+    clock : clocks.Clock
+    timing : model.Timing
+    loads : load_counts.Loads
+    take_keys : callable
+        Returns the keys counted since the last call.
+    generator : random.Random
+    """
+
+    def __init__(
+        self,
+        own: model.Member,
+        directory: directories.Directory,
+        feed: feeders.Feeds,
+        store: model.Store,
+        channel: model.GrantChannel,
+        clock: clocks.Clock,
+        timing: model.Timing,
+        loads: load_counts.Loads,
+        take_keys: Callable[[], tuple[frames.KeyCount, ...]],
+        generator: random.Random,
+    ):
+        self.own = own
+        self.directory = directory
+        self.feeds = feed
+        self.store = store
+        self.clock = clock
+        self.loads = loads
+        self.take_keys = take_keys
+        self.random = generator
+        self.demands = Demands(clock)
+        self.granter = granting.Granter(
+            directory,
+            feed,
+            store,
+            channel,
+            clock,
+            timing,
+            self.has_support,
+            lambda service: self.demands.read(
+                service,
+                [item.name for item in directory.by_service.get(service, ())],
+            ),
+            self.push,
+        )
+        self.crashes: dict[bytes, int] = {}
+        """Requests that were at targets when these ended, and how often."""
+        self.fresh_crashes: list[frames.Crash] = []
+        now = clock.monotonic()
+        self.term = 0
+        self.coordinating = False
+        self.stopping = False
+        self.last_beat = now
+        self.last_good = now
+        self.patience = self.draw_patience()
+        self.live = 1
+        self.challenging = False
+        self.server: asyncio.Server | None = None
+        self.accepted: set[links.Link] = set()
+        self.upstream: links.Link | None = None
+        """Link on which the coordinator's last beat came."""
+        self.links: dict[str, links.Link] = {}
+        self.pending: dict[str, list[model.StoredRow]] = {}
+        self.dialling: dict[str, datetime.timedelta] = {}
+        self.reports: dict[str, Report] = {}
+        self.answers: dict[links.Link, asyncio.Future] = {}
+        self.granter_task: asyncio.Task | None = None
+        self.tasks: set[asyncio.Task] = set()
+        self.beat_at = now
+        self.pushing = False
+        self.registered = 0
+        directory.listeners.append(self.relay)
+
+    def draw_patience(self) -> datetime.timedelta:
+        """Return how long this instance waits for a good beat the next time."""
+        return SUSPICION + SPREAD * self.random.random()
+
+    # Life.
+
+    async def start(self) -> None:
+        """Listen for links of other instances."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            self._accept, self.own.host, self.own.port
+        )
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        try:
+            last = self.clock.monotonic()
+            while True:
+                await self.clock.sleep(TICK)
+                now = self.clock.monotonic()
+                if now - last > TICK + PAUSE:
+                    # Beats that came meanwhile have not been read yet.
+                    self.last_beat = self.last_good = now
+                    events.warning("paused", lasted=now - last)
+                last = now
+                self.tick(now)
+        finally:
+            for task in list(self.tasks):
+                task.cancel()
+            if self.granter_task is not None:
+                self.granter_task.cancel()
+            for link in [*self.links.values(), *self.accepted]:
+                link.close()
+            if self.server is not None:
+                self.server.close()
+
+    def spawn(self, work) -> None:
+        """Run a task that ends with the process."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            events.exception("coordination_failed", task.exception())
+
+    def tick(self, now: datetime.timedelta) -> None:
+        """Do what is due."""
+        self.directory.release_held_back()
+        self.choose_tables(now)
+        if self.coordinating:
+            if self.granter_task.done():
+                self.step_down("deposed")
+                return
+            self.dial_members(now)
+            if now - self.beat_at >= self.choose_interval():
+                self.beat(now)
+        elif not self.challenging and not self.stopping and self.suspects(now):
+            self.challenging = True
+            self.spawn(self.challenge())
+
+    def choose_tables(self, now: datetime.timedelta) -> None:
+        """Follow the tables that nobody else follows for this instance."""
+        if self.coordinating or now - self.last_beat > QUIET:
+            wanted = frozenset(model.TABLES)
+        elif now - self.last_good > QUIET or not self.feeds.current and not self.term:
+            wanted = frozenset({model.TABLES.fleet})
+        else:
+            wanted = frozenset()
+        if not self.term and not self.coordinating:
+            wanted = frozenset(model.TABLES)
+        self.feeds.follow(wanted)
+
+    # Election.
+
+    def suspects(self, now: datetime.timedelta) -> bool:
+        """Whether this instance should try to become the coordinator."""
+        if not self.feeds.in_contact(CONTACT):
+            return False
+        if model.TABLES.fleet not in self.feeds.current:
+            return False
+        leadership = self.directory.leadership
+        if not leadership.version or leadership.node == self.own.node:
+            # Nobody is, or an earlier run of this very process.
+            return leadership.incarnation != self.own.incarnation
+        return now - self.last_good > self.patience
+
+    async def challenge(self) -> None:
+        """Become the coordinator if most others miss it as well."""
+        try:
+            leadership = self.directory.leadership
+            vacant = not leadership.version or leadership.node == self.own.node
+            if not vacant and not await self.win_votes():
+                return
+            if not vacant and self.clock.monotonic() - self.last_good <= SUSPICION:
+                return
+            await self.claim()
+        finally:
+            self.patience = self.draw_patience()
+            self.challenging = False
+
+    async def win_votes(self) -> bool:
+        """Ask all others whether they hear a coordinator that reaches the store."""
+        others = [
+            member
+            for member in self.directory.members.values()
+            if member.node != self.own.node
+        ]
+        votes = await asyncio.gather(*(self.ask(member) for member in others))
+        silent = votes.count(None)
+        missing = votes.count(False)
+        heard = votes.count(True)
+        # Instances that refuse connections are not running and have no vote.
+        voters = 1 + silent + missing + heard
+        events.info("votes", missing=missing, heard=heard, silent=silent)
+        if heard:
+            return False
+        if 2 * (missing + 1) > voters:
+            return True
+        return self.clock.monotonic() - self.last_good > LAST_RESORT
+
+    async def ask(self, member: model.Member) -> bool | None | str:
+        """Ask one instance; None if it is silent, "down" if it does not run."""
+        link = None
+        try:
+            async with asyncio.timeout(VOTE_TIMEOUT.total_seconds()):
+                link = await links.connect(
+                    member.host, member.port, self._receive, self._lose
+                )
+                answer = asyncio.get_running_loop().create_future()
+                self.answers[link] = answer
+                link.send(self.make_frame("ask"))
+                return await answer
+        except ConnectionRefusedError:
+            return "down"
+        except OSError:
+            return None
+        finally:
+            if link is not None:
+                self.answers.pop(link, None)
+                link.close()
+
+    async def claim(self) -> None:
+        """Replace the coordinator's row."""
+        leadership = self.directory.leadership
+        record = directories.Leadership(
+            self.own.node, self.own.incarnation, leadership.term + 1, 0
+        )
+        value = directories.encode_record(record)
+        outcome = await self.store.commit(
+            {directories.COORDINATOR: leadership.version},
+            {directories.COORDINATOR: value},
+        )
+        if isinstance(outcome, result.Success):
+            row = model.StoredRow(
+                model.TABLES.fleet, directories.COORDINATOR, outcome.unwrap(), value
+            )
+            self.directory.take([row])
+        else:
+            events.info("claim_failed", failure=outcome.failure())
+            read = await self.store.read_table(model.TABLES.fleet)
+            if isinstance(read, result.Failure):
+                events.warning("read_back_failed", failure=read.failure())
+                return
+            self.directory.take_table(model.TABLES.fleet, read.unwrap())
+        self.begin_if_named()
+
+    def begin_if_named(self) -> None:
+        """Begin to coordinate if the row names this run of the process."""
+        current = self.directory.leadership
+        named = current.incarnation == self.own.incarnation
+        if not named or self.coordinating or current.term < self.term or self.stopping:
+            return
+        self.term = current.term
+        self.coordinating = True
+        self.last_beat = self.last_good = self.clock.monotonic()
+        self.reports.clear()
+        self.upstream = None
+        self.feeds.follow(frozenset(model.TABLES))
+        self.granter_task = asyncio.ensure_future(self.granter.run())
+        events.info("coordinating", term=self.term)
+
+    def step_down(self, reason: str) -> None:
+        """Stop coordinating."""
+        self.coordinating = False
+        self.granter_task.cancel()
+        self.last_beat = self.last_good = self.clock.monotonic()
+        for link in list(self.links.values()):
+            link.close()
+        self.links.clear()
+        self.pending.clear()
+        self.live = max(1, len(self.directory.members))
+        events.warning("coordination_ended", term=self.term, reason=reason)
+
+    def has_support(self) -> bool:
+        """Whether most instances follow and none of them reaches the store."""
+        if not self.coordinating:
+            return False
+        now = self.clock.monotonic()
+        recent = [item for item in self.reports.values() if now - item.at <= RECENT]
+        members = max(1, len(self.directory.members))
+        if any(item.contact for item in recent):
+            return False
+        return 2 * (len(recent) + 1) > members
+
+    # Links.
+
+    def _accept(self) -> links.Link:
+        link = links.Link(self._receive, self._lose)
+        self.accepted.add(link)
+        return link
+
+    def _lose(self, link: links.Link) -> None:
+        self.accepted.discard(link)
+        answer = self.answers.pop(link, None)
+        if answer is not None and not answer.done():
+            answer.set_result(None)
+        for node, known in list(self.links.items()):
+            if known is link:
+                del self.links[node]
+                self.pending.pop(node, None)
+                self.reports.pop(node, None)
+                events.info("member_lost", node=node)
+
+    def dial_members(self, now: datetime.timedelta) -> None:
+        """Connect to the instances to which there is no link."""
+        for node, member in self.directory.members.items():
+            if node == self.own.node or node in self.links:
+                continue
+            if now < self.dialling.get(node, now):
+                continue
+            self.dialling[node] = now + DIAL_PAUSE + links.CONNECT_TIMEOUT
+            self.spawn(self.dial(member))
+
+    async def dial(self, member: model.Member) -> None:
+        """Connect to one instance and tell it everything."""
+        try:
+            link = await links.connect(
+                member.host, member.port, self._receive, self._lose
+            )
+        except OSError as error:
+            events.info("dial_failed", node=member.node, error=type(error).__name__)
+            return
+        finally:
+            self.dialling[member.node] = self.clock.monotonic() + DIAL_PAUSE
+        if not self.coordinating or member.node in self.links:
+            link.close()
+            return
+        self.links[member.node] = link
+        self.pending[member.node] = list(self.directory.rows.values())
+        self.send_beat(member.node, link)
+
+    # Messages.
+
+    def make_frame(self, kind: str, **fields) -> frames.Frame:
+        """Return a message of this instance."""
+        return frames.Frame(
+            kind, self.term, self.own.node, self.own.incarnation, **fields
+        )
+
+    def choose_interval(self) -> datetime.timedelta:
+        """Return the time between two beats."""
+        return max(BEAT, BEAT_PER_MEMBER * len(self.links))
+
+    def relay(self, news: list[model.StoredRow]) -> None:
+        """Pass rows on that are news to this instance."""
+        if not self.coordinating:
+            self.begin_if_named()
+            return
+        for rows in self.pending.values():
+            rows.extend(news)
+        self.push()
+
+    def push(self) -> None:
+        """Send a beat to all soon, before the next one is due."""
+        if self.coordinating and not self.pushing:
+            self.pushing = True
+            asyncio.get_running_loop().call_soon(self._push)
+
+    def _push(self) -> None:
+        self.pushing = False
+        if self.coordinating:
+            self.beat(self.clock.monotonic())
+
+    def beat(self, now: datetime.timedelta) -> None:
+        """Send a beat to all members."""
+        self.beat_at = now
+        self.last_beat = now
+        self.receive_report(self.own.node, self.make_report())
+        self.live = 1 + sum(now - item.at <= RECENT for item in self.reports.values())
+        self.live -= self.own.node in self.reports
+        totals = self.sum_loads()
+        self.loads.take_totals(totals, now.total_seconds())
+        crashes, self.fresh_crashes = tuple(self.fresh_crashes), []
+        for node, link in list(self.links.items()):
+            silent = now - self.reports[node].at if node in self.reports else None
+            if silent is not None and silent > SUSPICION * 2:
+                # The connection may have gone silent for good.
+                link.close()
+                self._lose(link)
+                continue
+            self.send_beat(node, link, totals, crashes)
+
+    def send_beat(
+        self,
+        node: str,
+        link: links.Link,
+        totals: tuple[frames.Load, ...] = (),
+        crashes: tuple[frames.Crash, ...] = (),
+    ) -> None:
+        """Send one beat."""
+        rows, self.pending[node] = tuple(self.pending.get(node, ())), []
+        moving = tuple(
+            frames.Span(service, first, last)
+            for service, spans in self.directory.moving.items()
+            for first, last in spans
+        )
+        frame = self.make_frame(
+            "beat",
+            contact=self.feeds.in_contact(CONTACT),
+            members=self.live,
+            rows=rows,
+            loads=totals,
+            moving=moving,
+            crashes=crashes,
+            stopping=self.stopping,
+        )
+        if not link.send(frame):
+            self._lose(link)
+
+    def make_report(self) -> frames.Frame:
+        """Return what this instance counted since its last report."""
+        return self.make_frame(
+            "report",
+            contact=self.feeds.in_contact(CONTACT),
+            loads=self.loads.report(),
+            keys=self.take_keys(),
+            crashes=self.take_crashes(),
+            stopping=self.stopping,
+        )
+
+    def take_crashes(self) -> tuple[frames.Crash, ...]:
+        """Return the requests that were lost with their targets since the last call."""
+        if self.coordinating:
+            return ()
+        crashes, self.fresh_crashes = tuple(self.fresh_crashes), []
+        return crashes
+
+    def note_crash(self, fingerprint: bytes) -> None:
+        """Note a request whose target ended while it was there."""
+        self.crashes[fingerprint] = self.crashes.get(fingerprint, 0) + 1
+        self.fresh_crashes.append(frames.Crash(fingerprint, 1))
+
+    def sum_loads(self) -> tuple[frames.Load, ...]:
+        """Return the requests of all instances at each target, and its speed."""
+        totals: dict[str, int] = {}
+        for report in self.reports.values():
+            for load in report.loads:
+                totals[load.target] = totals.get(load.target, 0) + load.running
+        seconds = self.demands.seconds
+        return tuple(
+            frames.Load(target, running, 0, int(seconds.get(target, 0) * 1e6))
+            for target, running in totals.items()
+            if running
+        )
+
+    def receive_report(self, node: str, frame: frames.Frame) -> None:
+        """Take a member's report, or this instance's own."""
+        self.reports[node] = Report(self.clock.monotonic(), frame.contact, frame.loads)
+        self.demands.add(frame.keys, frame.loads)
+        for crash in frame.crashes:
+            known = self.crashes.get(crash.fingerprint, 0)
+            self.crashes[crash.fingerprint] = known + crash.count
+            self.fresh_crashes.append(
+                frames.Crash(crash.fingerprint, known + crash.count)
+            )
+
+    def _receive(self, link: links.Link, frame: frames.Frame) -> None:
+        now = self.clock.monotonic()
+        if frame.kind == "beat":
+            self._receive_beat(link, frame, now)
+        elif frame.kind == "report":
+            if frame.term > self.term:
+                self._meet_newer(frame)
+            elif self.coordinating and self.links.get(frame.node) is link:
+                self.receive_report(frame.node, frame)
+        elif frame.kind == "ask":
+            good = not self.stopping and self.coordinating
+            if self.coordinating:
+                heard = good and self.feeds.in_contact(CONTACT)
+            else:
+                heard = now - self.last_good <= SUSPICION
+            link.send(self.make_frame("tell", heard=heard))
+        elif frame.kind == "tell":
+            answer = self.answers.get(link)
+            if answer is not None and not answer.done():
+                answer.set_result(frame.heard)
+            if frame.term > self.term:
+                self._meet_newer(frame)
+
+    def _meet_newer(self, frame: frames.Frame) -> None:
+        """Learn that there is a newer term than the one that this instance knows."""
+        if self.coordinating:
+            self.step_down(f"term {frame.term} of another coordinator")
+
+    def _receive_beat(
+        self, link: links.Link, frame: frames.Frame, now: datetime.timedelta
+    ) -> None:
+        if frame.term < self.term:
+            link.send(self.make_frame("tell", heard=False))
+            link.close()
+            return
+        if self.coordinating:
+            if frame.node == self.own.node or frame.term == self.term:
+                return
+            self.step_down(f"beat of {frame.node}")
+        if frame.term > self.term:
+            events.info("coordinator_heard", node=frame.node, term=frame.term)
+        self.term = frame.term
+        self.upstream = link
+        self.last_beat = now
+        if frame.stopping:
+            self.last_good = now - SUSPICION
+            self.patience = SUSPICION
+        elif frame.contact:
+            self.last_good = now
+        self.live = max(1, frame.members)
+        if frame.rows:
+            self.directory.take(frame.rows)
+        moving: dict[str, tuple[tuple[int, int], ...]] = {}
+        for span in frame.moving:
+            spans = moving.get(span.service, ())
+            moving[span.service] = (*spans, (span.first, span.last))
+        if moving != self.directory.moving:
+            self.directory.moving = moving
+            self.directory.publish()
+        self.loads.take_totals(frame.loads, now.total_seconds())
+        for crash in frame.crashes:
+            known = self.crashes.get(crash.fingerprint, 0)
+            self.crashes[crash.fingerprint] = max(known, crash.count)
+        link.send(self.make_report())
+
+    # Registration.
+
+    async def register(self) -> None:
+        """Write this instance's row, and again whenever it is not as it should be."""
+        key = directories.MEMBER + self.own.node
+        value = directories.encode_record(self.own)
+        while True:
+            row = self.directory.rows.get((model.TABLES.fleet, key))
+            known = row is not None or model.TABLES.fleet in self.feeds.current
+            if known and (row is None or row.value != value):
+                version = row.version if row is not None and row.value else 0
+                outcome = await self.store.commit({key: version}, {key: value})
+                if isinstance(outcome, result.Success):
+                    self.directory.take(
+                        [
+                            model.StoredRow(
+                                model.TABLES.fleet, key, outcome.unwrap(), value
+                            )
+                        ]
+                    )
+                    return
+                events.warning("register_failed", failure=outcome.failure())
+                if isinstance(outcome.failure(), errors.Conflict | errors.AnswerLost):
+                    read = await self.store.read_table(model.TABLES.fleet)
+                    if isinstance(read, result.Success):
+                        self.directory.take_table(model.TABLES.fleet, read.unwrap())
+                await self.clock.sleep(granting.RETRY * (1 + self.random.random()))
+                continue
+            if row is not None and row.value == value:
+                return
+            await self.directory.wait_change(self.directory.sequence, 0.05)
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -0,0 +1,144 @@
+"""Encoding of the messages between instances (`fleet.capnp`)."""
+
+import pathlib
+from typing import Any, NamedTuple
+
+import capnp
+
+from dewstep_fleet import model
+
+MAXIMUM_BYTES = 8 * 1024 * 1024
+
+schema = capnp.load(str(pathlib.Path(__file__).with_name("fleet.capnp")))
+
+
+class Load(NamedTuple):
+    """Requests of one instance, or of all, at one target."""
+
+    target: str
+    running: int
+    ended: int
+    """Requests that ended since the last report."""
+    busy_microseconds: int
+    """Time that those spent at the target."""
+
+
+class Span(NamedTuple):
+    """A range of keys that is changing hands."""
+
+    service: str
+    first: int
+    last: int
+
+
+class KeyCount(NamedTuple):
+    """Requests for one key since the last report."""
+
+    service: str
+    key: int
+    count: int
+
+
+class Crash(NamedTuple):
+    """How often a request was at a target when the target ended."""
+
+    fingerprint: bytes
+    count: int
+
+
+class Frame(NamedTuple):
+    """One message; the fields that its kind does not use are empty."""
+
+    kind: str
+    """"beat" of the coordinator, "report" of a member; "ask" and "tell" whether a
+    coordinator is heard; "nominate" a member as the next coordinator."""
+    term: int
+    node: str
+    incarnation: str
+    heard: bool = False
+    contact: bool = False
+    members: int = 0
+    rows: tuple[model.StoredRow, ...] = ()
+    loads: tuple[Load, ...] = ()
+    moving: tuple[Span, ...] = ()
+    keys: tuple[KeyCount, ...] = ()
+    crashes: tuple[Crash, ...] = ()
+    stopping: bool = False
+
+
+def encode(frame: Frame) -> bytes:
+    """Return the bytes of a frame."""
+    message = schema.Frame.new_message(
+        kind=frame.kind,
+        term=frame.term,
+        node=frame.node,
+        incarnation=frame.incarnation,
+        heard=frame.heard,
+        contact=frame.contact,
+        members=frame.members,
+        stopping=frame.stopping,
+    )
+    if frame.rows:
+        message.rows = [
+            {
+                "table": row.table,
+                "key": row.key,
+                "version": row.version,
+                "value": row.value or b"",
+                "removed": row.value is None,
+            }
+            for row in frame.rows
+        ]
+    if frame.loads:
+        message.loads = [
+            {
+                "target": load.target,
+                "running": load.running,
+                "ended": load.ended,
+                "busyMicroseconds": load.busy_microseconds,
+            }
+            for load in frame.loads
+        ]
+    if frame.moving:
+        message.moving = [span._asdict() for span in frame.moving]
+    if frame.keys:
+        message.keys = [item._asdict() for item in frame.keys]
+    if frame.crashes:
+        message.crashes = [item._asdict() for item in frame.crashes]
+    return message.to_bytes_packed()
+
+
+def decode(content: bytes) -> Frame:
+    """Return the frame that `content` holds.
+
+    Raises
+    ------
+    capnp.KjException, ValueError
+        If it holds none.
+    """
+    message: Any = schema.Frame.from_bytes_packed(content)
+    rows = tuple(
+        model.StoredRow(
+            row.table, row.key, row.version, None if row.removed else bytes(row.value)
+        )
+        for row in message.rows
+    )
+    loads = tuple(
+        Load(load.target, load.running, load.ended, load.busyMicroseconds)
+        for load in message.loads
+    )
+    return Frame(
+        message.kind,
+        message.term,
+        message.node,
+        message.incarnation,
+        message.heard,
+        message.contact,
+        message.members,
+        rows,
+        loads,
+        tuple(Span(item.service, item.first, item.last) for item in message.moving),
+        tuple(KeyCount(item.service, item.key, item.count) for item in message.keys),
+        tuple(Crash(bytes(item.fingerprint), item.count) for item in message.crashes),
+        message.stopping,
+    )
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/links.py
@@ -0,0 +1,101 @@
+"""TCP connections between instances that carry length-prefixed frames."""
+
+import asyncio
+import datetime
+from collections.abc import Callable
+
+import capnp
+
+from dewstep_core import events
+from dewstep_core.http import transports
+from dewstep_fleet import frames
+
+LENGTH_BYTES = 4
+CONNECT_TIMEOUT = datetime.timedelta(milliseconds=400)
+"""Many times the 2 ms of a connection between data centres."""
+WRITE_BUFFER_BYTES = 1024 * 1024
+"""A peer that does not read this much is taken for silent."""
+
+
+class Link(asyncio.Protocol):
+    """One connection to another instance.
+
+    Parameters
+    ----------
+    receive : callable
+        Takes the link and each frame.
+    lose : callable
+        Takes the link once it has closed.
+    """
+
+    def __init__(
+        self,
+        receive: Callable[["Link", frames.Frame], None],
+        lose: Callable[["Link"], None],
+    ):
+        self.receive = receive
+        self.lose = lose
+        self.transport: asyncio.Transport | None = None
+        self.received = bytearray()
+        self.closed = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keep the transport."""
+        self.transport = transport
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Report the loss."""
+        self.closed = True
+        self.lose(self)
+
+    def data_received(self, content: bytes) -> None:
+        """Pass on all frames that are complete."""
+        self.received += content
+        while len(self.received) >= LENGTH_BYTES and not self.closed:
+            size = int.from_bytes(self.received[:LENGTH_BYTES], "big")
+            if size > frames.MAXIMUM_BYTES:
+                events.warning("frame_refused", size=size)
+                self.close()
+                return
+            if len(self.received) < LENGTH_BYTES + size:
+                return
+            content = bytes(self.received[LENGTH_BYTES : LENGTH_BYTES + size])
+            del self.received[: LENGTH_BYTES + size]
+            try:
+                frame = frames.decode(content)
+            except (capnp.KjException, ValueError) as error:
+                events.warning("frame_refused", error=type(error).__name__)
+                self.close()
+                return
+            self.receive(self, frame)
+
+    def send(self, frame: frames.Frame) -> bool:
+        """Send a frame; return false if the link has closed or its peer is stuck."""
+        if self.closed or self.transport is None:
+            return False
+        if self.transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
+            self.close()
+            return False
+        content = frames.encode(frame)
+        prefix = len(content).to_bytes(LENGTH_BYTES, "big")
+        return transports.write(self.transport, prefix + content)
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.closed = True
+        if self.transport is not None:
+            self.transport.abort()
+
+
+async def connect(host: str, port: int, receive, lose) -> Link:
+    """Return a link to another instance.
+
+    Raises
+    ------
+    OSError
+        If there is none within `CONNECT_TIMEOUT`.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+        _, link = await loop.create_connection(lambda: Link(receive, lose), host, port)
+    return link
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/planning.py
@@ -0,0 +1,220 @@
+"""Which ranges of keys change hands to even out the load of the targets.
+
+A target's load is the part of its slots that the requests for its keys keep busy. The
+planner takes from the most loaded target the narrowest range of keys that would bring
+it level with the least loaded one, so that few keys change hands.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from dewstep_fleet import model, ranges
+
+LEAST_LOAD = 0.5
+"""Below this part of its slots a target queues next to nothing: M/M/4 waits for 9% of
+the service time at one half."""
+LEAST_GAP = 0.2
+"""Difference of load that is worth a change of hands; smaller ones are mostly noise of
+a window of two seconds."""
+OVERSHOOT = 1.1
+"""Most load of a chosen range, in parts of what was wanted."""
+UNDERSHOOT = 0.35
+"""Least load of a chosen range, in parts of what was wanted."""
+
+
+class Move(NamedTuple):
+    """A range that should change hands."""
+
+    first: int
+    last: int
+    source: str
+    target: str
+
+
+class Capacity(NamedTuple):
+    """What a target can serve."""
+
+    target: str
+    rate: float
+    """Requests/s that keep all its slots busy."""
+
+
+def measure(
+    holdings: Iterable[model.Holding], rates: Mapping[int, float]
+) -> dict[str, float]:
+    """Return the requests/s for the keys of each target."""
+    totals: dict[str, float] = {}
+    ordered = sorted(rates.items())
+    position = 0
+    for holding in holdings:
+        total = 0.0
+        while position < len(ordered) and ordered[position][0] <= holding.last:
+            total += ordered[position][1]
+            position += 1
+        totals[holding.target] = totals.get(holding.target, 0.0) + total
+    return totals
+
+
+def plan(
+    holdings: tuple[model.Holding, ...],
+    rates: Mapping[int, float],
+    capacities: Mapping[str, Capacity],
+    most: int,
+) -> list[Move]:
+    """Return at most `most` moves, each of which lowers the highest load.
+
+    Parameters
+    ----------
+    holdings : tuple of model.Holding
+        Ranges that may be moved; others are left out.
+    rates : mapping of int to float
+        Requests/s by key.
+    capacities : mapping of str to Capacity
+        Targets that can own keys.
+    most : int
+        Limit of the moves of one plan.
+    """
+    totals = measure(holdings, rates)
+    for target in capacities:
+        totals.setdefault(target, 0.0)
+    moves: list[Move] = []
+    tried: set[str] = set()
+    while len(moves) < most:
+        loads = {
+            target: totals[target] / capacity.rate
+            for target, capacity in capacities.items()
+        }
+        sources = [target for target in loads if target not in tried]
+        if len(loads) < 2 or not sources:
+            break
+        hottest = max(sources, key=loads.__getitem__)
+        coldest = min(loads, key=loads.__getitem__)
+        idle = not any(holding.target == coldest for holding in holdings)
+        gap = loads[hottest] - loads[coldest]
+        level = loads[hottest] >= LEAST_LOAD and gap >= LEAST_GAP
+        if hottest == coldest or not (level or idle):
+            break
+        here, there = capacities[hottest].rate, capacities[coldest].rate
+        wanted = gap * here * there / (here + there)
+        move = choose_range(holdings, rates, hottest, coldest, wanted)
+        if move is None:
+            tried.add(hottest)
+            continue
+        moves.append(move)
+        share = sum(
+            rate for key, rate in rates.items() if move.first <= key <= move.last
+        )
+        totals[hottest] -= share
+        totals[coldest] += share
+        holdings = ranges.cut(holdings, move.first, move.last) + (
+            model.Holding(move.first, move.last, coldest, 0, 0),
+        )
+        holdings = tuple(sorted(holdings, key=ranges.get_first))
+    return moves
+
+
+def choose_range(
+    holdings: Iterable[model.Holding],
+    rates: Mapping[int, float],
+    source: str,
+    target: str,
+    wanted: float,
+) -> Move | None:
+    """Return the narrowest range of `source` with about `wanted` requests/s."""
+    best = None
+    for holding in holdings:
+        if holding.target != source:
+            continue
+        keys = sorted(
+            (key, rate)
+            for key, rate in rates.items()
+            if holding.first <= key <= holding.last
+        )
+        found = find_window(keys, wanted)
+        if found is None:
+            continue
+        first, last = found
+        width = last - first
+        if best is None or width < best[0]:
+            best = width, Move(first, last, source, target)
+    if best is not None:
+        return best[1]
+    return None
+
+
+def find_window(keys: list[tuple[int, float]], wanted: float) -> tuple[int, int] | None:
+    """Return first and last key of the narrowest run with about `wanted` requests/s."""
+    best = None
+    total = 0.0
+    start = 0
+    for end, (key, rate) in enumerate(keys):
+        total += rate
+        while total > wanted * OVERSHOOT and start <= end:
+            total -= keys[start][1]
+            start += 1
+        if start > end or total < wanted * UNDERSHOOT:
+            continue
+        # A run that comes close to what is wanted beats a narrower one that does not.
+        shortfall = max(0.0, wanted - total) / wanted
+        quality = shortfall * model.KEYS / 16 + (key - keys[start][0])
+        if best is None or quality < best[0]:
+            best = quality, keys[start][0], key
+    return None if best is None else best[1:]
+
+
+def spread(
+    holdings: Iterable[model.Holding],
+    rates: Mapping[int, float],
+    capacities: Mapping[str, Capacity],
+    totals: Mapping[str, float],
+) -> list[Move]:
+    """Return the moves that give the ranges of lost targets to the others.
+
+    Each range goes to the target that is then least loaded; a busy one is cut in two
+    first, as long as a half is worth it.
+    """
+    loads = {target: totals.get(target, 0.0) for target in capacities}
+    moves: list[Move] = []
+    if not capacities:
+        return moves
+    for holding in holdings:
+        for first, last in divide(holding, rates, len(capacities)):
+            share = sum(rate for key, rate in rates.items() if first <= key <= last)
+            target = min(
+                loads, key=lambda name: (loads[name] + share) / capacities[name].rate
+            )
+            # Without any load the ranges still go to different targets.
+            loads[target] += share + capacities[target].rate * 0.01
+            moves.append(Move(first, last, holding.target, target))
+    return moves
+
+
+PIECES = 4
+"""Most pieces into which the range of a lost target is cut."""
+
+
+def divide(
+    holding: model.Holding, rates: Mapping[int, float], targets: int
+) -> list[tuple[int, int]]:
+    """Return a range in pieces of about equal load."""
+    keys = sorted(
+        (key, rate)
+        for key, rate in rates.items()
+        if holding.first <= key <= holding.last
+    )
+    pieces = min(PIECES, targets)
+    total = sum(rate for _, rate in keys)
+    if total <= 0 or len(keys) < pieces:
+        return [(holding.first, holding.last)]
+    spans = []
+    first = holding.first
+    taken = 0.0
+    for key, rate in keys:
+        taken += rate
+        if taken >= total * (len(spans) + 1) / pieces and key < holding.last:
+            spans.append((first, key))
+            first = key + 1
+            if len(spans) == pieces - 1:
+                break
+    spans.append((first, holding.last))
+    return spans
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/routes.py
@@ -0,0 +1,70 @@
+"""Finds the route of a request, and the service that serves it."""
+
+from typing import NamedTuple
+
+from dewstep_fleet import model
+
+
+class Index(NamedTuple):
+    """The routes of one table, ready for look-ups."""
+
+    version: int
+    hosts: dict[str, dict[str, model.Route]]
+    """Routes by host and prefix."""
+
+
+EMPTY = Index(-1, {})
+
+
+def build_index(table: model.RouteTable) -> Index:
+    """Return an index of all routes."""
+    hosts: dict[str, dict[str, model.Route]] = {}
+    for route in table.routes:
+        hosts.setdefault(route.host.lower(), {})[route.prefix] = route
+    return Index(table.version, hosts)
+
+
+def find(index: Index, host: str, path: str) -> model.Route | None:
+    """Return the route with the longest prefix that begins the path."""
+    prefixes = index.hosts.get(host.lower())
+    if prefixes is None:
+        name, _, port = host.rpartition(":")
+        if port.isdigit():
+            prefixes = index.hosts.get(name.lower())
+    if prefixes is None:
+        return None
+    path = path.partition("?")[0]
+    end = len(path)
+    while (end := path.rfind("/", 0, end)) >= 0:
+        route = prefixes.get(path[: end + 1])
+        if route is not None:
+            return route
+    return None
+
+
+class Splitter:
+    """Distributes the requests of each route over its parts, by weight.
+
+    The part that lags behind its weight most gets the next request, so that shares hold
+    over any stretch of requests, not only on average.
+    """
+
+    def __init__(self):
+        self.credits: dict[tuple[str, tuple[model.Part, ...]], list[float]] = {}
+
+    def choose(self, route: model.Route) -> str:
+        """Return the service that gets the next request of `route`."""
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        weights = [max(0.0, part.weight) for part in route.parts]
+        total = sum(weights)
+        if total <= 0:
+            return route.parts[0].service
+        credits = self.credits.setdefault(
+            (route.name, route.parts), [0.0] * len(weights)
+        )
+        for position, weight in enumerate(weights):
+            credits[position] += weight / total
+        chosen = max(range(len(weights)), key=credits.__getitem__)
+        credits[chosen] -= 1
+        return route.parts[chosen].service
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -0,0 +1,120 @@
+"""Counters, latency histograms and the state dump of an instance."""
+
+from typing import Any
+
+import prometheus_client
+from returns import result
+
+from dewstep_core import clock as clocks, data, events
+from dewstep_fleet import dispatch, model
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0)
+"""Seconds; the aims of both users' kinds of request lie between 0.4 and 1.5 s."""
+
+
+class Telemetry:
+    """What an instance counts about its requests."""
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.answers = prometheus_client.Counter(
+            "dewstep_answers",
+            "Answers to callers.",
+            ("status", "failure"),
+            registry=self.registry,
+        )
+        self.seconds = prometheus_client.Histogram(
+            "dewstep_answer_seconds",
+            "Time from the head of a request to its answer.",
+            registry=self.registry,
+            buckets=BUCKETS,
+        )
+        self.gauges = prometheus_client.Gauge(
+            "dewstep_state",
+            "State of this instance.",
+            ("name",),
+            registry=self.registry,
+        )
+        self.events = prometheus_client.Gauge(
+            "dewstep_events", "Log events so far.", ("event",), registry=self.registry
+        )
+
+    def render(self, process) -> bytes:
+        """Return all metrics as text."""
+        for name, value in describe_numbers(process).items():
+            self.gauges.labels(name).set(value)
+        for name, count in events.journal.counts.items():
+            self.events.labels(name).set(count)
+        return prometheus_client.generate_latest(self.registry)
+
+
+class Meter:
+    """Counts the answers of a handler and passes them on.
+
+    Parameters
+    ----------
+    handler : dispatch.Dispatcher
+    clock : clocks.Clock
+    telemetry : Telemetry
+    """
+
+    def __init__(
+        self, handler: dispatch.Dispatcher, clock: clocks.Clock, telemetry: Telemetry
+    ):
+        self.handler = handler
+        self.clock = clock
+        self.telemetry = telemetry
+
+    async def handle(self, arrival: model.Arrival) -> result.Result[data.Answer, Any]:
+        """Return the answer to a request, and count it."""
+        outcome = await self.handler.handle(arrival)
+        answer = outcome.unwrap()
+        elapsed = (self.clock.monotonic() - arrival.arrived).total_seconds()
+        self.telemetry.answers.labels(str(answer.status), answer.failure).inc()
+        self.telemetry.seconds.observe(elapsed)
+        return outcome
+
+
+def describe_numbers(process) -> dict[str, float]:
+    """Return the figures of an instance's state."""
+    fleet = process.fleet
+    return {
+        "coordinating": float(fleet.coordinating),
+        "term": fleet.term,
+        "live_instances": fleet.live,
+        "requests_in_progress": process.dispatcher.in_progress,
+        "caller_connections": len(process.listener.connections),
+        "target_connections": sum(
+            len(pool.open) for pool in process.dispatcher.pools.values()
+        ),
+        "targets": len(process.directory.targets),
+        "ranges": sum(
+            len(item.holdings) for item in process.directory.ownerships.values()
+        ),
+    }
+
+
+def describe(process) -> dict[str, Any]:
+    """Return the state of an instance for operators."""
+    directory = process.directory
+    now = process.clock.monotonic().total_seconds()
+    targets = {}
+    for name, target in directory.targets.items():
+        estimate = process.loads.estimate(target.service, name, now)
+        targets[name] = {**target._asdict(), **estimate._asdict()}
+    routes = directory.routes
+    return {
+        "schema": 1,
+        "node": process.instance.member._asdict(),
+        "numbers": describe_numbers(process),
+        "coordinator": directory.leadership._asdict(),
+        "configuration": routes.version if routes is not None else None,
+        "members": [item._asdict() for item in directory.members.values()],
+        "targets": targets,
+        "owners": {
+            service: [item._asdict() for item in ownership.holdings]
+            for service, ownership in directory.ownerships.items()
+        },
+        "moving": directory.moving,
+    }
