--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -116,7 +116,7 @@
 
 
 class Fleet:
-    """This instance's part in the fleet.
+    """Part that one instance takes in the fleet.
 
     Parameters
     ----------
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/directory_test.py
@@ -0,0 +1,125 @@
+from returns import result
+
+from dewstep_core import clock as clocks
+from dewstep_fleet import builders, directory as directories, model, ranges
+
+
+def build():
+    clock = clocks.ManualClock()
+    return clock, builders.build_directory(clock)
+
+
+def test_older_rows_never_replace_newer_ones():
+    # Guards against news relayed late undoing what the store said since.
+    _, known = build()
+    target = builders.build_target("t")
+    known.take([builders.build_target_row(target._replace(leaving=True), 9)])
+    assert known.take([builders.build_target_row(target, 8)]) == []
+    assert known.targets["t"].leaving
+
+
+def test_removal_stays_in_force_against_older_rows():
+    _, known = build()
+    known.take([builders.build_target_row(builders.build_target("t"), 5)])
+    known.take([builders.build_row(model.TABLES.targets, "t", 7, None)])
+    known.take([builders.build_target_row(builders.build_target("t"), 6)])
+    assert "t" not in known.targets
+
+
+def test_unreadable_entry_names_no_target_and_harms_no_other():
+    # Guards against one bad entry of another writer stopping all traffic.
+    _, known = build()
+    row = builders.build_row(model.TABLES.targets, "bad", 6, b"\xff{")
+    known.take([row, builders.build_target_row(builders.build_target("t"), 5)])
+    assert set(known.targets) == {"t"}
+
+
+def test_target_that_becomes_unreadable_is_used_no_more():
+    _, known = build()
+    known.take([builders.build_target_row(builders.build_target("t"), 5)])
+    known.take([builders.build_row(model.TABLES.targets, "t", 6, b"[1]")])
+    assert known.targets == {} and known.by_service == {}
+
+
+def test_removals_after_an_outage_wait_for_the_target_to_report():
+    # Guards against all targets being taken for gone when the store comes back.
+    clock, known = build()
+    known.take([builders.build_target_row(builders.build_target("t"), 5)])
+    known.note_return()
+    known.take([builders.build_row(model.TABLES.targets, "t", 7, None)])
+    assert "t" in known.targets
+    clock.advance(builders.SECOND)
+    known.release_held_back()
+    known.take([builders.build_target_row(builders.build_target("t"), 8)])
+    clock.advance(2 * builders.SECOND)
+    known.release_held_back()
+    assert "t" in known.targets
+
+
+def test_target_that_does_not_report_after_an_outage_is_gone():
+    clock, known = build()
+    known.take([builders.build_target_row(builders.build_target("t"), 5)])
+    known.note_return()
+    known.take_table(model.TABLES.targets, model.TableState((), 9))
+    assert "t" in known.targets
+    clock.advance(directories.RETURN_GRACE)
+    known.release_held_back()
+    assert "t" not in known.targets
+
+
+def test_leaving_target_is_not_kept_by_an_outage():
+    # Guards against requests to a target whose leaving was already known.
+    _, known = build()
+    target = builders.build_target("t", leaving=True)
+    known.take([builders.build_target_row(target, 5)])
+    known.note_return()
+    known.take([builders.build_row(model.TABLES.targets, "t", 7, None)])
+    assert "t" not in known.targets
+
+
+def test_whole_table_removes_what_it_leaves_out():
+    _, known = build()
+    for name in "ab":
+        known.take([builders.build_target_row(builders.build_target(name), 5)])
+    row = builders.build_target_row(builders.build_target("a"), 5)
+    known.take_table(model.TABLES.targets, model.TableState((row,), 9))
+    assert set(known.targets) == {"a"}
+
+
+def test_older_configuration_is_not_put_in_force():
+    # Guards against a configuration that reverts.
+    clock = clocks.ManualClock()
+    tables = iter([builders.build_table(version=4), builders.build_table(version=3)])
+    known = directories.Directory(
+        clock, lambda content: result.Success(next(tables)), builders.decode_target
+    )
+    for version in (5, 6):
+        row = builders.build_row(model.TABLES.configuration, "config", version, b"")
+        known.take([row])
+    assert known.routes.version == 4
+
+
+def test_unreadable_rows_of_the_fleet_change_nothing():
+    _, known = build()
+    ownership = ranges.Ownership("s", 0, 1, builders.build_holdings("a"))
+    leader = directories.encode_record(directories.Leadership("n", "i", 3, 0))
+    member = directories.encode_record(model.Member("n", "i", "dc", "h", 1))
+    values = {
+        "ranges/s": ranges.encode(ownership),
+        "coordinator": leader,
+        "member/n": member,
+    }
+    for version, bad in ((5, False), (6, True)):
+        for key, value in values.items():
+            content = b'{"schema":9}' if bad else value
+            known.take([builders.build_row(model.TABLES.fleet, key, version, content)])
+    assert known.ownerships["s"].version == 5
+    assert known.leadership.term == 3 and known.leadership.version == 5
+    assert known.members["n"].port == 1
+
+
+def test_moving_keys_are_known():
+    _, known = build()
+    known.moving = {"s": ((5, 9),)}
+    assert known.is_moving("s", 9) and not known.is_moving("s", 10)
+    assert not known.is_moving("other", 5)
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -207,12 +207,11 @@
         timed = timeout is not None and now + timeout < deadline
         limit = now + timeout if timed else deadline
         self.allowance.get(name).add_request()
-        digest = hashlib.blake2b(digest_size=16)
-        for part in (arrival.method, arrival.path):
-            digest.update(part.encode("latin-1") + b"\n")
-        digest.update(arrival.body.start)
+        fingerprint = compute_fingerprint(
+            arrival.method, arrival.path, arrival.body.start
+        )
         return result.Success(
-            Plan(arrival, route, service, key, deadline, limit, timed, digest.digest())
+            Plan(arrival, route, service, key, deadline, limit, timed, fingerprint)
         )
 
     # Serving.
@@ -566,6 +565,14 @@
     return min(base * (1 + spread / 2), max(left / 3, datetime.timedelta()))
 
 
+def compute_fingerprint(method: str, path: str, body: bytes) -> bytes:
+    """Return what equal requests have in common, whoever sends them."""
+    digest = hashlib.blake2b(digest_size=16)
+    digest.update(f"{method}\n{path}\n".encode("latin-1"))
+    digest.update(body)
+    return digest.digest()
+
+
 def read_key(value: bytes | None) -> int | None:
     """Return the key in a header, or None if it holds none."""
     if value is None or not value.isdigit():
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -239,7 +239,6 @@
 
     async def adopt_service(self, service: str) -> None:
         """Write the ranges of a service under new generation numbers."""
-        inherited = self.directory.ownerships.get(service)
 
         def build(current: ranges.Ownership | None) -> ranges.Ownership:
             if current is not None and current.holdings:
@@ -254,8 +253,7 @@
             self.moving.pop(service, None)
         if not done:
             return
-        if inherited is not None:
-            self.inherit(inherited)
+        self.inherit(self.directory.ownerships[service])
         self.adopted.add(service)
         events.info(
             "ranges_adopted",
@@ -270,8 +268,8 @@
             self.clock.monotonic() + SUCCESSION + self.bound(self.timing.longest_hold)
         )
         for holding in ownership.holdings:
-            post = Post(holding.target, holding.life)
-            self.posts.setdefault(post, PostState(expiry))
+            state = self.get_post(Post(holding.target, holding.life))
+            state.expiry = state.unanswered = expiry
 
     def bound(self, duration: datetime.timedelta) -> datetime.timedelta:
         """Return for how long a grant sent now may hold at most."""
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/planning_test.py
@@ -0,0 +1,123 @@
+"""Load patterns that the planner answers, each named by its test."""
+
+from dewstep_fleet import builders, model, planning
+
+TARGETS = "abcde"
+
+
+def build_even(total):
+    """Return the same rate for one key in 64."""
+    keys = range(0, model.KEYS, 64)
+    return {key: total / len(keys) for key in keys}
+
+
+def apply(holdings, moves):
+    for move in moves:
+        kept = []
+        for item in holdings:
+            if item.last < move.first or item.first > move.last:
+                kept.append(item)
+                continue
+            assert item.target == move.source
+            if item.first < move.first:
+                kept.append(item._replace(last=move.first - 1))
+            if item.last > move.last:
+                kept.append(item._replace(first=move.last + 1))
+        kept.append(model.Holding(move.first, move.last, move.target, 1, 9))
+        holdings = tuple(sorted(kept))
+    return holdings
+
+
+def plan_until_quiet(holdings, rates, capacities, most=8):
+    moved = 0
+    for _ in range(20):
+        moves = planning.plan(holdings, rates, capacities, most)
+        if not moves:
+            return holdings, moved
+        moved += sum(move.last - move.first + 1 for move in moves)
+        holdings = apply(holdings, moves)
+    raise AssertionError("the plan does not settle")
+
+
+def test_even_load_moves_nothing():
+    # Guards against keys that change hands all the time because of noise.
+    holdings = builders.build_holdings(*TARGETS)
+    capacities = builders.build_capacities(*TARGETS)
+    assert not planning.plan(holdings, build_even(60), capacities, 8)
+
+
+def test_light_load_moves_nothing():
+    holdings = builders.build_holdings(*TARGETS)
+    capacities = builders.build_capacities(*TARGETS)
+    assert not planning.plan(holdings, {5: 8.0}, capacities, 8)
+
+
+def test_hot_keys_side_by_side_are_shared_by_all():
+    # Guards against the morning rush, when 200 neighbouring keys draw 40% of look-ups.
+    holdings = builders.build_holdings(*TARGETS)
+    capacities = builders.build_capacities(*TARGETS)
+    rates = build_even(36)
+    for key in range(20_000, 20_200):
+        rates[key] = rates.get(key, 0) + 24 / 200
+    holdings, moved = plan_until_quiet(holdings, rates, capacities)
+    totals = planning.measure(holdings, rates)
+    assert max(totals.values()) <= 0.2 * 20 + sum(rates.values()) / 5
+    assert moved < model.KEYS / 8
+
+
+def test_single_hot_key_keeps_its_owner_for_itself():
+    # Guards against a hot key that takes its neighbours down with it.
+    holdings = builders.build_holdings(*TARGETS)
+    capacities = builders.build_capacities(*TARGETS)
+    rates = build_even(40)
+    rates[30_000] = 30.0
+    holdings, _ = plan_until_quiet(holdings, rates, capacities)
+    owner = next(item for item in holdings if item.first <= 30_000 <= item.last).target
+    totals = planning.measure(holdings, rates)
+    assert totals[owner] <= 30.0 + 0.2 * 20 + 1
+    assert all(total < 20 for name, total in totals.items() if name != owner)
+
+
+def test_slow_target_gets_fewer_keys():
+    # Guards against speeds that differ by more than two within a service.
+    holdings = builders.build_holdings("a", "b")
+    capacities = {
+        "a": planning.Capacity("a", 10.0),
+        "b": planning.Capacity("b", 25.0),
+    }
+    holdings, _ = plan_until_quiet(holdings, build_even(24), capacities)
+    totals = planning.measure(holdings, build_even(24))
+    assert totals["a"] < totals["b"]
+
+
+def test_newcomer_gets_keys_at_any_load():
+    # Guards against targets that join and are never used.
+    holdings = builders.build_holdings("a", "b")
+    capacities = builders.build_capacities("a", "b", "new")
+    moves = planning.plan(holdings, build_even(4), capacities, 8)
+    assert [move.target for move in moves] == ["new"]
+
+
+def test_ranges_of_a_lost_target_are_spread_over_the_others():
+    # Guards against a loss that overloads one neighbour, who is lost next.
+    holdings = builders.build_holdings(*TARGETS)
+    rates = build_even(60)
+    capacities = builders.build_capacities(*TARGETS[1:])
+    totals = planning.measure(holdings, rates)
+    moves = planning.spread(holdings[:1], rates, capacities, totals)
+    assert {move.target for move in moves} == set("bcde")
+    assert moves[0].first == 0 and moves[-1].last == holdings[0].last
+    for move, following in zip(moves, moves[1:], strict=False):
+        assert move.last + 1 == following.first
+
+
+def test_range_without_load_is_given_away_whole():
+    holdings = builders.build_holdings(*TARGETS)
+    moves = planning.spread(holdings[:1], {}, builders.build_capacities("b"), {})
+    assert [(move.first, move.last) for move in moves] == [(0, holdings[0].last)]
+
+
+def test_no_targets_left():
+    holdings = builders.build_holdings("a")
+    assert planning.spread(holdings, {}, {}, {}) == []
+    assert planning.plan(holdings, {}, {}, 8) == []
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/ranges_test.py
@@ -0,0 +1,110 @@
+import json
+
+from hypothesis import given, strategies
+from returns import result
+
+from dewstep_fleet import builders, model, ranges
+
+SPANS = strategies.tuples(
+    strategies.integers(0, model.KEYS - 1),
+    strategies.integers(0, model.KEYS - 1),
+    strategies.sampled_from("abcde"),
+)
+
+
+def build_ownership(*owners):
+    holdings = builders.build_holdings(*owners)
+    return ranges.Ownership("history", 5, len(owners), holdings)
+
+
+def check_whole(ownership):
+    following = 0
+    for holding in ownership.holdings:
+        assert holding.first == following
+        assert holding.last >= holding.first
+        following = holding.last + 1
+    assert following == model.KEYS
+
+
+@given(strategies.lists(SPANS, max_size=12))
+def test_every_key_has_one_owner_after_any_changes(spans):
+    # Guards against gaps, which serve nobody, and overlaps, which have two owners.
+    ownership = build_ownership("a", "b", "c")
+    for first, last, target in spans:
+        first, last = min(first, last), max(first, last)
+        before = ownership.generation
+        change = ranges.Transfer(first, last, target, 1)
+        ownership = ranges.transfer(ownership, [change])
+        check_whole(ownership)
+        found = ownership.find(first)
+        assert found.target == target and found.generation == before + 1
+
+
+@given(strategies.lists(SPANS, max_size=12))
+def test_generation_numbers_only_rise(spans):
+    # Guards against a target refusing its keys, or taking them from a newer owner.
+    ownership = build_ownership("a", "b")
+    for first, last, target in spans:
+        first, last = min(first, last), max(first, last)
+        highest = max(item.generation for item in ownership.holdings)
+        change = ranges.Transfer(first, last, target, 1)
+        ownership = ranges.transfer(ownership, [change])
+        assert ownership.find(first).generation > highest
+    renumbered = ranges.renumber(ownership)
+    check_whole(renumbered)
+    for holding in renumbered.holdings:
+        assert holding.generation > ownership.generation
+
+
+def test_renumbering_merges_neighbours_of_one_owner():
+    # Guards against ever more ranges, each of which costs a renewal.
+    ownership = build_ownership("a", "a", "b", "a")
+    owners = [item.target for item in ranges.renumber(ownership).holdings]
+    assert owners == ["a", "b", "a"]
+
+
+def test_keys_of_two_lives_are_not_merged():
+    # Guards against a new life getting keys under the old one's number.
+    first, second = builders.build_holdings("a", "a")
+    ownership = ranges.Ownership("s", 1, 2, (first, second._replace(life=2)))
+    assert len(ranges.renumber(ownership).holdings) == 2
+
+
+def test_first_owners_share_by_slots():
+    targets = [builders.build_target("a"), builders.build_target("b", slots=12)]
+    ownership = ranges.divide("history", 0, 0, targets)
+    check_whole(ownership)
+    assert ownership.holdings[0].last == model.KEYS // 4 - 1
+
+
+@given(strategies.lists(SPANS, max_size=6))
+def test_rows_are_read_as_written(spans):
+    ownership = build_ownership("a", "b")
+    for first, last, target in spans:
+        change = ranges.Transfer(min(first, last), max(first, last), target, 1)
+        ownership = ranges.transfer(ownership, [change])
+    read = ranges.decode("history", 5, ranges.encode(ownership))
+    assert read.unwrap() == ownership
+
+
+def test_rows_that_leave_out_a_key_are_refused():
+    # Guards against an unreadable row being taken for a change of owners.
+    good = json.loads(ranges.encode(build_ownership("a", "b")))
+    for change in (
+        {"schema": 2},
+        {"holdings": good["holdings"][1:]},
+        {"holdings": good["holdings"][:1]},
+        {"holdings": [*good["holdings"], good["holdings"][0]]},
+        {"holdings": [[1, 2]]},
+        {"generation": "x"},
+    ):
+        value = json.dumps({**good, **change}).encode()
+        assert isinstance(ranges.decode("history", 1, value), result.Failure)
+    assert isinstance(ranges.decode("history", 1, b"\xff"), result.Failure)
+
+
+def test_cut_leaves_what_lies_outside():
+    holdings = builders.build_holdings("a", "b")
+    left = ranges.cut(holdings, 100, 200)
+    assert [(item.first, item.last) for item in left[:2]] == [(0, 99), (201, 32767)]
+    assert left[2] == holdings[1]
