--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -4,7 +4,8 @@
 sends each a beat with what changed, and gets a report in return. An instance that has
 heard no good beat for `SUSPICION` asks the others; if most of those that live hear none
 either, it replaces the row in a transaction. A beat is good if its sender reaches the
-store, so that a coordinator that the store turns away is replaced as well.
+store, so that a coordinator that the store turns away is replaced as well. Until then,
+deputies who follow the store too send it the news that it cannot read.
 """
 
 import asyncio
@@ -44,6 +45,11 @@
 CONTACT = datetime.timedelta(milliseconds=2300)
 """Age of the store's last answer up to which an instance counts as reaching it; a
 watch of the fleet's table lasts 1 s."""
+DEPUTIES = 2
+"""Instances besides the coordinator that follow operators and targets in the store. One
+in three instances may be turned away by it at the same time; a change must be in force
+2 s after it was made, which is less than it takes to replace a coordinator."""
+DEPUTY_TABLES = frozenset({model.TABLES.configuration, model.TABLES.targets})
 RECENT = datetime.timedelta(milliseconds=1000)
 """Age of a report up to which its sender counts as following."""
 RATE_WINDOW = 1.5
@@ -57,11 +63,12 @@
 class Report:
     """What a member last told the coordinator."""
 
-    __slots__ = ("at", "contact", "loads")
+    __slots__ = ("at", "contact", "loads", "reaches")
 
-    def __init__(self, at, contact, loads):
+    def __init__(self, at, contact, reaches, loads):
         self.at = at
         self.contact = contact
+        self.reaches = reaches
         self.loads = loads
 
 
@@ -194,7 +201,11 @@
         self.tasks: set[asyncio.Task] = set()
         self.beat_at = now
         self.pushing = False
-        self.registered = 0
+        self.deputy = False
+        self.relayed = False
+        """Whether the rows that are being taken came from the coordinator."""
+        self.upward: list[model.StoredRow] = []
+        """News that a deputy has for the coordinator."""
         directory.listeners.append(self.relay)
 
     def draw_patience(self) -> datetime.timedelta:
@@ -263,10 +274,12 @@
         """Follow the tables that nobody else follows for this instance."""
         if self.coordinating or now - self.last_beat > QUIET:
             wanted = frozenset(model.TABLES)
-        elif now - self.last_good > QUIET or not self.feeds.current and not self.term:
+        elif now - self.last_good > QUIET:
             wanted = frozenset({model.TABLES.fleet})
         else:
             wanted = frozenset()
+        if self.deputy:
+            wanted |= DEPUTY_TABLES
         if not self.term and not self.coordinating:
             wanted = frozenset(model.TABLES)
         self.feeds.follow(wanted)
@@ -373,6 +386,7 @@
             return
         self.term = current.term
         self.coordinating = True
+        self.deputy = False
         self.last_beat = self.last_good = self.clock.monotonic()
         self.reports.clear()
         self.upstream = None
@@ -466,6 +480,9 @@
         """Pass rows on that are news to this instance."""
         if not self.coordinating:
             self.begin_if_named()
+            if self.deputy and not self.relayed and self.upstream is not None:
+                self.upward.extend(news)
+                self.upstream.send(self.make_report())
             return
         for rows in self.pending.values():
             rows.extend(news)
@@ -524,15 +541,33 @@
             moving=moving,
             crashes=crashes,
             stopping=self.stopping,
+            deputy=node in self.choose_deputies(),
         )
         if not link.send(frame):
             self._lose(link)
 
+    def choose_deputies(self) -> list[str]:
+        """Return the instances that follow the store besides this one.
+
+        They are in other data centres, if there are any, and reach the store.
+        """
+        known = self.directory.members
+
+        def rank(node: str) -> tuple[bool, bool, str]:
+            report = self.reports.get(node)
+            near = node in known and known[node].data_centre == self.own.data_centre
+            return report is None or not report.reaches, near, node
+
+        return sorted(self.links, key=rank)[:DEPUTIES]
+
     def make_report(self) -> frames.Frame:
         """Return what this instance counted since its last report."""
+        rows, self.upward = tuple(self.upward), []
         return self.make_frame(
             "report",
             contact=self.feeds.in_contact(CONTACT),
+            heard=self.feeds.failing_since is None,
+            rows=rows,
             loads=self.loads.report(),
             keys=self.take_keys(),
             crashes=self.take_crashes(),
@@ -566,7 +601,11 @@
 
     def receive_report(self, node: str, frame: frames.Frame) -> None:
         """Take a member's report, or this instance's own."""
-        self.reports[node] = Report(self.clock.monotonic(), frame.contact, frame.loads)
+        self.reports[node] = Report(
+            self.clock.monotonic(), frame.contact, frame.heard, frame.loads
+        )
+        if frame.rows:
+            self.directory.take(frame.rows, settled=True)
         self.demands.add(frame.keys, frame.loads)
         for crash in frame.crashes:
             known = self.crashes.get(crash.fingerprint, 0)
@@ -625,8 +664,11 @@
         elif frame.contact:
             self.last_good = now
         self.live = max(1, frame.members)
+        self.deputy = frame.deputy
         if frame.rows:
-            self.directory.take(frame.rows)
+            self.relayed = True
+            self.directory.take(frame.rows, settled=True)
+            self.relayed = False
         moving: dict[str, tuple[tuple[int, int], ...]] = {}
         for span in frame.moving:
             spans = moving.get(span.service, ())
--- a/packages/fleet/dewstep_fleet/directory.py
+++ b/packages/fleet/dewstep_fleet/directory.py
@@ -109,14 +109,23 @@
         """Note that the store answers again after it did not."""
         self.returned = self.clock.monotonic()
 
-    def take(self, rows: Iterable[model.StoredRow]) -> list[model.StoredRow]:
-        """Take rows; return those that were news."""
+    def take(
+        self, rows: Iterable[model.StoredRow], settled: bool = False
+    ) -> list[model.StoredRow]:
+        """Take rows; return those that were news.
+
+        Parameters
+        ----------
+        rows : iterable of model.StoredRow
+        settled : bool, optional
+            Whether another instance has held back what had to be held back.
+        """
         news = []
         for row in rows:
             known = self.rows.get((row.table, row.key))
             if known is not None and known.version >= row.version:
                 continue
-            if self._hold_back(row):
+            if not settled and self._hold_back(row):
                 continue
             self.rows[row.table, row.key] = row
             news.append(row)
@@ -143,7 +152,7 @@
             return
         rows, self.held_back = list(self.held_back.values()), {}
         self.returned = None
-        self.take(rows)
+        self.take(rows, settled=True)
 
     def _in_grace(self) -> bool:
         returned = self.returned
--- a/packages/fleet/dewstep_fleet/directory_test.py
+++ b/packages/fleet/dewstep_fleet/directory_test.py
@@ -56,6 +56,16 @@
     assert "t" in known.targets
 
 
+def test_removal_that_another_instance_has_settled_is_applied_at_once():
+    # Guards against requests to a leaving target by an instance that was cut off alone.
+    _, known = build()
+    known.take([builders.build_target_row(builders.build_target("t"), 5)])
+    known.note_return()
+    row = builders.build_row(model.TABLES.targets, "t", 7, None)
+    known.take([row], settled=True)
+    assert "t" not in known.targets
+
+
 def test_target_that_does_not_report_after_an_outage_is_gone():
     clock, known = build()
     known.take([builders.build_target_row(builders.build_target("t"), 5)])
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -47,4 +47,5 @@
   keys @10 :List(KeyCount);
   crashes @11 :List(Crash);
   stopping @12 :Bool;
+  deputy @13 :Bool;        # "beat": the receiver follows the store as well
 }
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -56,6 +56,8 @@
     node: str
     incarnation: str
     heard: bool = False
+    """A "tell": whether a coordinator is heard; a "report": whether the store answered
+    the sender's last call."""
     contact: bool = False
     members: int = 0
     rows: tuple[model.StoredRow, ...] = ()
@@ -64,6 +66,7 @@
     keys: tuple[KeyCount, ...] = ()
     crashes: tuple[Crash, ...] = ()
     stopping: bool = False
+    deputy: bool = False
 
 
 def encode(frame: Frame) -> bytes:
@@ -77,6 +80,7 @@
         contact=frame.contact,
         members=frame.members,
         stopping=frame.stopping,
+        deputy=frame.deputy,
     )
     if frame.rows:
         message.rows = [
@@ -141,4 +145,5 @@
         tuple(KeyCount(item.service, item.key, item.count) for item in message.keys),
         tuple(Crash(bytes(item.fingerprint), item.count) for item in message.crashes),
         message.stopping,
+        message.deputy,
     )
