--- /dev/null
+++ b/packages/fleet/dewstep_fleet/process_test.py
@@ -0,0 +1,159 @@
+"""One whole instance with a caller, a target and a store in memory."""
+
+import asyncio
+import contextlib
+import datetime
+import json
+
+from returns import result
+
+from dewstep_core import clock as clocks, settings
+from dewstep_core.http import client, exchanges, server
+from dewstep_emulator import testing
+from dewstep_entry.targets import answering
+from dewstep_fleet import builders, model, process
+
+DIALECT = model.Dialect(b"x-id", b"x-deadline", b"x-target", b"x-key", b"x-s", b"x-n")
+RULES = answering.AnswerRules(b"x-id", b"x-n", None, identified=True, held_back=True)
+ANY_PORT = settings.Address("127.0.0.1", 0)
+SECOND = datetime.timedelta(seconds=1)
+
+
+class Stage:
+    """An instance and a target that keeps what it was sent."""
+
+    def __init__(self, keyed=False):
+        self.seen = []
+        self.delay = 0.0
+        self.keyed = keyed
+        self.target = server.Server(self.answer)
+        self.store = builders.FakeStore()
+
+    async def answer(self, exchange):
+        body = await exchange.read_body()
+        self.seen.append((exchange.method, exchange.path, body))
+        await asyncio.sleep(self.delay)
+        request_id = exchange.get_header("X-Id")
+        exchange.respond(
+            exchanges.Response(201, b"done " + body, (("X-Id", request_id),))
+        )
+
+    async def start(self):
+        address = await self.target.start("127.0.0.1", 0)
+        target = builders.build_target("t", host=address.host, port=address.port)
+        store = self.store
+        store.put(model.TABLES.configuration, "config", b"")
+        store.put(model.TABLES.targets, "t", builders.encode_target(target))
+        table = builders.build_table(
+            builders.build_route(repeatable=False), keyed=self.keyed
+        )
+        clock = clocks.SystemClock()
+        adapter = process.Adapter(
+            store,
+            builders.FakeTargets(clock),
+            lambda content: result.Success(table),
+            builders.decode_target,
+            DIALECT,
+            RULES,
+        )
+        member = model.Member("n1", "n1-x", "dc-1", "127.0.0.1", 0)
+        instance = process.Instance(
+            member,
+            ANY_PORT,
+            ANY_PORT,
+            "/ready",
+            ANY_PORT,
+            "/metrics",
+            builders.build_timing(grace=4 * SECOND),
+        )
+        self.process = process.FleetProcess(instance, adapter, clock)
+        await self.process.start()
+        self.caller = client.Client(self.process.listener.address, 5.0)
+        self.questions = client.Client(self.process.servers[0].address, 5.0)
+
+    async def ask_readiness(self):
+        return (await self.questions.call("GET", "/ready")).unwrap().status
+
+    async def send(self, path="/a/x", body=b"hello", **headers):
+        given = {"Host": "h.example", "X-Id": "id-1", "X-Key": "7", **headers}
+        call = self.caller.call("POST", path, body, headers=tuple(given.items()))
+        return (await call).unwrap()
+
+
+@contextlib.asynccontextmanager
+async def running(**options):
+    stage = Stage(**options)
+    await stage.start()
+    stage.caller.headers = ()
+    try:
+        async with asyncio.timeout(5):
+            while await stage.ask_readiness() != 200:
+                await asyncio.sleep(0.02)
+        yield stage
+    finally:
+        await stage.caller.close()
+        await stage.questions.close()
+        if not stage.process.stopping:
+            stage.process.instance = stage.process.instance._replace(
+                timing=builders.build_timing(grace=SECOND / 2)
+            )
+            await stage.process.stop()
+        await stage.target.close(grace=0.1)
+
+
+@testing.in_loop
+async def test_request_reaches_its_target_and_its_answer_the_caller():
+    async with running() as stage:
+        response = await stage.send()
+        assert (response.status, response.body) == (201, b"done hello")
+        assert stage.seen == [("POST", "/a/x", b"hello")]
+
+
+@testing.in_loop
+async def test_large_body_is_streamed():
+    body = b"x" * 300_000
+    async with running() as stage:
+        response = await stage.send(body=body)
+        assert response.status == 201 and stage.seen[0][2] == body
+
+
+@testing.in_loop
+async def test_body_beyond_the_limit_is_refused():
+    async with running() as stage:
+        response = await stage.send(body=b"x" * 1_100_000)
+        assert response.status == 413 and not stage.seen
+
+
+@testing.in_loop
+async def test_keyed_service_is_ready_once_its_keys_have_owners():
+    async with running(keyed=True) as stage:
+        assert (await stage.send()).status == 201
+
+
+@testing.in_loop
+async def test_stop_finishes_what_runs_and_refuses_nothing_before():
+    # Guards against requests cut by a planned stop.
+    async with running() as stage:
+        stage.delay = 0.5
+        sending = asyncio.ensure_future(stage.send())
+        await asyncio.sleep(0.1)
+        stopping = asyncio.ensure_future(stage.process.stop())
+        await asyncio.sleep(0.05)
+        assert await stage.ask_readiness() == 503
+        late = await stage.send()
+        assert late.status == 201 and late.headers["connection"] == "close"
+        assert (await sending).status == 201
+        assert await stopping == 0
+
+
+@testing.in_loop
+async def test_metrics_and_dump_are_served():
+    async with running() as stage:
+        await stage.send()
+        metrics = client.Client(stage.process.servers[1].address, 2.0)
+        text = (await metrics.call("GET", "/metrics")).unwrap().body.decode()
+        await metrics.close()
+        assert 'dewstep_answers_total{failure="",status="201"} 1.0' in text
+        assert "dewstep_answer_seconds_bucket" in text
+        dump = (await stage.questions.call("GET", "/dump")).unwrap().body
+        assert json.loads(dump)["targets"]["t"]["slots"] == 4
