Reset calls that are given up; keep renewing at targets that answer now and then

A transaction refused with 429 was repeated for as long as the store did so, with its range released. A cut that refuses connections counted as crashes.

--- a/packages/core/dewstep_core/http/client.py
+++ b/packages/core/dewstep_core/http/client.py
@@ -148,8 +148,8 @@
         return self.usable
 
     def close(self) -> None:
-        """Close the connection at once."""
-        self.transport.abort()
+        """Close the connection at once; what is left of a call is not sent."""
+        transports.reset(self.transport)
 
 
 class Client:
--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -5,8 +5,6 @@
 """
 
 import asyncio
-import socket
-import struct
 from typing import Any
 
 import h11
@@ -20,9 +18,6 @@
 READ_AHEAD_BYTES = 65_536
 """Unparsed input above which reading pauses."""
 WRITE_BUFFER_BYTES = 65_536
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""SO_LINGER with no time: the caller sees a reset, also where an answer ends with the
-connection and a normal close would look like its end."""
 Phase = pacing.Phase
 
 
@@ -272,7 +267,7 @@
             failure = outcome.failure()
             answer = rendering.render_failure(failure, self.listener.spread)
         if not await self._write_answer(answer, method):
-            self._reset()
+            transports.reset(self.transport)
             return False
         return self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
 
@@ -357,9 +352,3 @@
         except OSError:
             # The caller reset the connection and the event loop has not seen it yet.
             self.transport.abort()
-
-    def _reset(self) -> None:
-        connection = self.transport.get_extra_info("socket")
-        if connection is not None and not self.transport.is_closing():
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self.transport.abort()
--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -376,7 +376,10 @@
         if self.usable:
             self.usable = False
             self.failed = event in (outcome.Event.CLOSED, outcome.Event.OVERDUE)
-            self.transport.abort()
+            if exchange is not None:
+                transports.reset(self.transport)
+            else:
+                self.transport.abort()
             self.lost(self)
 
 
--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -25,6 +25,7 @@
     links,
     loads as load_counts,
     model,
+    selection,
 )
 
 BEAT = datetime.timedelta(milliseconds=100)
@@ -33,6 +34,9 @@
 QUIET = datetime.timedelta(milliseconds=700)
 """Without a beat for this long, an instance reads the store for itself."""
 SUSPICION = datetime.timedelta(milliseconds=1000)
+IMPATIENCE = datetime.timedelta(milliseconds=500)
+"""A coordinator that says that it does not reach the store is replaced after this:
+nothing but a short failure of the store has to be ruled out."""
 SPREAD = datetime.timedelta(milliseconds=300)
 """Challengers are spread over this time, so that one wins before others begin."""
 LAST_RESORT = datetime.timedelta(seconds=8)
@@ -50,6 +54,8 @@
 in three instances may be turned away by it at the same time; a change must be in force
 2 s after it was made, which is less than it takes to replace a coordinator."""
 DEPUTY_TABLES = frozenset({model.TABLES.configuration, model.TABLES.targets})
+FAILING = datetime.timedelta(milliseconds=500)
+"""Failures of the store that last longer than this are no single lost call."""
 RECENT = datetime.timedelta(milliseconds=1000)
 """Age of a report up to which its sender counts as following."""
 RATE_WINDOW = 1.5
@@ -174,6 +180,7 @@
                 service,
                 [item.name for item in directory.by_service.get(service, ())],
             ),
+            self.read_queue,
             self.push,
         )
         self.crashes: dict[bytes, int] = {}
@@ -185,6 +192,8 @@
         self.stopping = False
         self.last_beat = now
         self.last_good = now
+        self.good = True
+        """Whether the last beat came from a coordinator that reaches the store."""
         self.patience = self.draw_patience()
         self.live = 1
         self.challenging = False
@@ -274,7 +283,7 @@
         """Follow the tables that nobody else follows for this instance."""
         if self.coordinating or now - self.last_beat > QUIET:
             wanted = frozenset(model.TABLES)
-        elif now - self.last_good > QUIET:
+        elif not self.good or now - self.last_good > QUIET:
             wanted = frozenset({model.TABLES.fleet})
         else:
             wanted = frozenset()
@@ -296,6 +305,8 @@
         if not leadership.version or leadership.node == self.own.node:
             # Nobody is, or an earlier run of this very process.
             return leadership.incarnation != self.own.incarnation
+        if now - self.last_beat < QUIET and not self.good:
+            return now - self.last_good > self.patience - SUSPICION + IMPATIENCE
         return now - self.last_good > self.patience
 
     async def challenge(self) -> None:
@@ -305,13 +316,18 @@
             vacant = not leadership.version or leadership.node == self.own.node
             if not vacant and not await self.win_votes():
                 return
-            if not vacant and self.clock.monotonic() - self.last_good <= SUSPICION:
+            if not vacant and self.hears_coordinator():
                 return
             await self.claim()
         finally:
             self.patience = self.draw_patience()
             self.challenging = False
 
+    def hears_coordinator(self) -> bool:
+        """Whether this instance hears a coordinator that reaches the store."""
+        silent = self.clock.monotonic() - self.last_good
+        return self.good and silent <= SUSPICION
+
     async def win_votes(self) -> bool:
         """Ask all others whether they hear a coordinator that reaches the store."""
         others = [
@@ -406,6 +422,13 @@
         self.live = max(1, len(self.directory.members))
         events.warning("coordination_ended", term=self.term, reason=reason)
 
+    def reaches_store(self) -> bool:
+        """Whether the store answered of late and has not failed since."""
+        failing = self.feeds.failing_since
+        if failing is not None and self.clock.monotonic() - failing > FAILING:
+            return False
+        return self.feeds.in_contact(CONTACT)
+
     def has_support(self) -> bool:
         """Whether most instances follow and none of them reaches the store."""
         if not self.coordinating:
@@ -534,7 +557,7 @@
         )
         frame = self.make_frame(
             "beat",
-            contact=self.feeds.in_contact(CONTACT),
+            contact=self.reaches_store(),
             members=self.live,
             rows=rows,
             loads=totals,
@@ -581,6 +604,13 @@
         crashes, self.fresh_crashes = tuple(self.fresh_crashes), []
         return crashes
 
+    def read_queue(self, target: model.Target) -> datetime.timedelta:
+        """Return how long a request would wait at a target."""
+        now = self.clock.monotonic().total_seconds()
+        estimate = self.loads.estimate(target.service, target.name, now, target.slots)
+        wait = selection.expect_wait(estimate, target.slots)
+        return datetime.timedelta(seconds=wait)
+
     def note_crash(self, fingerprint: bytes) -> None:
         """Note a request whose target ended while it was there."""
         self.crashes[fingerprint] = self.crashes.get(fingerprint, 0) + 1
@@ -626,9 +656,9 @@
         elif frame.kind == "ask":
             good = not self.stopping and self.coordinating
             if self.coordinating:
-                heard = good and self.feeds.in_contact(CONTACT)
+                heard = good and self.reaches_store()
             else:
-                heard = now - self.last_good <= SUSPICION
+                heard = self.hears_coordinator()
             link.send(self.make_frame("tell", heard=heard))
         elif frame.kind == "tell":
             answer = self.answers.get(link)
@@ -663,6 +693,7 @@
             self.patience = SUSPICION
         elif frame.contact:
             self.last_good = now
+        self.good = frame.contact and not frame.stopping
         self.live = max(1, frame.members)
         self.deputy = frame.deputy
         if frame.rows:
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -35,9 +35,9 @@
 """For a request that names none and whose route has no timeout."""
 DEADLINE_MARGIN = datetime.timedelta(milliseconds=10)
 """Taken off the time that a target gets, for the way back to the caller."""
-TRANSIT_PATIENCE = datetime.timedelta(milliseconds=400)
+TRANSIT_PATIENCE = datetime.timedelta(milliseconds=600)
 """Longest wait for a key that changes hands in a planned move: the owner finishes what
-runs, about one service time."""
+waits and runs, about two service times."""
 START_PATIENCE = datetime.timedelta(milliseconds=300)
 """Longest wait for the first configuration or owners."""
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=250)
@@ -59,6 +59,9 @@
 """Statuses by which callers understand that a request has not run."""
 CRASHES = 3
 """Targets that a request may end before it is refused."""
+CONFIRMATION = datetime.timedelta(seconds=6)
+"""Time in which a target's registration ends after its end: three of its heartbeats,
+with twice that for a store that is slow."""
 ANSWER_BYTES = 5_000
 """Typical size of an answer, for the choice of a target."""
 RETRY_AFTER = datetime.timedelta(milliseconds=300)
@@ -82,6 +85,14 @@
     fingerprint: bytes
 
 
+class Suspicion(NamedTuple):
+    """A request that may have ended a target."""
+
+    fingerprint: bytes
+    life: int
+    at: datetime.timedelta
+
+
 class Outcome(NamedTuple):
     """How one attempt ended."""
 
@@ -140,6 +151,8 @@
         self.in_progress = 0
         self.background: set[asyncio.Task] = set()
         self.outcomes: dict[str, int] = {}
+        self.suspicions: dict[str, set[Suspicion]] = {}
+        """Requests that may have ended a target, by the target."""
         directory.listeners.append(self._prune)
 
     # Entry.
@@ -432,7 +445,11 @@
         return Outcome(answer_kept, failure, target.name)
 
     def suspect(self, plan: Plan, target: model.Target) -> None:
-        """Count a crash against a request whose target turns out to have ended."""
+        """Suspect a request whose target refuses connections after it.
+
+        A cut may look the same. The crash counts once the target's registration has
+        ended as well.
+        """
         known = self.directory.targets.get(target.name)
 
         async def check() -> None:
@@ -447,7 +464,10 @@
                     fingerprint=plan.fingerprint.hex(),
                     target=target.name,
                 )
-                self.fleet.note_crash(plan.fingerprint)
+                suspicion = Suspicion(
+                    plan.fingerprint, target.life, self.clock.monotonic()
+                )
+                self.suspicions.setdefault(target.name, set()).add(suspicion)
             except OSError as error:
                 # Nothing is known of a target that does not answer.
                 events.info(
@@ -521,6 +541,26 @@
             if current != place:
                 self.pools.pop(place).retire()
         self.counts.forget(targets)
+        self._confirm_crashes()
+
+    def _confirm_crashes(self) -> None:
+        """Count the crashes of targets that turned out to have ended."""
+        now = self.clock.monotonic()
+        for name, suspicions in list(self.suspicions.items()):
+            recent = {item for item in suspicions if now - item.at <= CONFIRMATION}
+            known = self.directory.targets.get(name)
+            ended = {
+                item.fingerprint
+                for item in recent
+                if known is None or known.life != item.life
+            }
+            for fingerprint in ended:
+                events.info("crash_counted", fingerprint=fingerprint.hex(), target=name)
+                self.fleet.note_crash(fingerprint)
+            if ended or not recent:
+                del self.suspicions[name]
+            else:
+                self.suspicions[name] = recent
 
     # Refusals.
 
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -39,6 +39,12 @@
 long; its successor reckons with that."""
 FAILURES = 2
 """Renewals in a row without an answer after which a target counts as lost."""
+PERSISTENCE = datetime.timedelta(seconds=2)
+"""Time for which renewals go on at a target that answers none. A full target resets
+connections, but answers one of them now and then."""
+QUEUE_PATIENCE = datetime.timedelta(milliseconds=300)
+"""Longest time that a range's queued requests get before its release, which sends them
+away from a target's queue."""
 TICK = datetime.timedelta(milliseconds=50)
 PLAN_INTERVAL = datetime.timedelta(milliseconds=250)
 SETTLING = datetime.timedelta(milliseconds=500)
@@ -76,6 +82,7 @@
         "avoid_until",
         "busy",
         "expiry",
+        "failing_since",
         "failures",
         "lock",
         "next",
@@ -88,6 +95,8 @@
         self.unanswered = expiry
         """Until then a grant that got no answer may come into force."""
         self.failures = 0
+        self.failing_since = datetime.timedelta()
+        """When the first of the failures in a row was."""
         self.answered = False
         """Whether it took all its ranges under this term's generation numbers."""
         self.next = datetime.timedelta()
@@ -124,6 +133,8 @@
         store; orders then go on without it.
     read_demand : callable
         Returns the `Demand` of a service.
+    read_queue : callable
+        Returns how long a request would wait at a target.
     announce : callable
         Called after ranges have begun or ended to move.
     """
@@ -138,6 +149,7 @@
         timing: model.Timing,
         has_support: Callable[[], bool],
         read_demand: Callable[[str], Demand],
+        read_queue: Callable[[model.Target], datetime.timedelta],
         announce: Callable[[], None],
     ):
         self.directory = directory
@@ -148,6 +160,7 @@
         self.timing = timing
         self.has_support = has_support
         self.read_demand = read_demand
+        self.read_queue = read_queue
         self.announce = announce
         self.reset()
 
@@ -226,7 +239,7 @@
 
     def choose_duration(self) -> datetime.timedelta:
         """Return the time for which ranges are granted now."""
-        if self.feeds.in_contact(OUTAGE):
+        if self.feeds.in_contact(OUTAGE) or not self.has_support():
             return min(HOLD, self.timing.longest_hold)
         return self.timing.longest_hold
 
@@ -310,18 +323,19 @@
                 )
                 return
             state = self.get_post(Post(target, registered.life))
-            if state.failures < FAILURES:
-                if now >= state.next and not state.busy:
-                    state.busy = True
-                    state.next = now + RENEWAL
-                    self.spawn(self.renew(service, registered, state))
-                return
-            if now < state.expiry:
-                return
-            state.avoid_until = now + AVOIDANCE
-            state.failures = 0
-            events.warning("target_unresponsive", target=target, service=service)
-            self.evacuate(service, holdings, release=False)
+            lost = state.failures >= FAILURES
+            if lost and now >= state.expiry:
+                state.avoid_until = now + AVOIDANCE
+                state.failures = 0
+                events.warning("target_unresponsive", target=target, service=service)
+                self.evacuate(service, holdings, release=False)
+            elif now >= state.next and not state.busy:
+                if lost and now - state.failing_since > PERSISTENCE:
+                    # A grant that is taken without an answer would go on for ever.
+                    return
+                state.busy = True
+                state.next = now + RENEWAL
+                self.spawn(self.renew(service, registered, state))
             return
         self.evacuate(service, holdings, release=True)
 
@@ -363,6 +377,8 @@
             state.failures = 0
             return outcome
         failure = outcome.failure()
+        if not state.failures:
+            state.failing_since = self.clock.monotonic()
         state.failures += 1
         state.next = min(state.next, self.clock.monotonic() + RETRY)
         events.warning(
@@ -590,6 +606,7 @@
                     holding = fenced
                     unanswered = self.clock.monotonic()
                     expiry = state.expiry
+            await self.clock.sleep(min(self.read_queue(owner), QUEUE_PATIENCE))
             outcome = await self.channel.release(owner, holding)
             if isinstance(outcome, result.Success):
                 handover = outcome.unwrap()
@@ -766,9 +783,9 @@
                 return True
             failure = outcome.failure()
             events.warning("commit_failed", service=service, failure=failure)
-            if isinstance(failure, errors.PlatformUnavailable) and not uncertain:
-                return False
             if isinstance(failure, errors.RateExceeded | errors.PlatformUnavailable):
+                if not uncertain:
+                    return False
                 await self.clock.sleep(RETRY)
                 continue
             uncertain = uncertain or isinstance(failure, errors.AnswerLost)
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -86,6 +86,7 @@
             lambda service: granting.Demand(
                 dict(self.rates), collections.defaultdict(lambda: 0.2), 1.5
             ),
+            lambda target: 2 * STEP,
             lambda: None,
         )
         self.coordinators.append(granter)
