--- a/packages/core/dewstep_core/events.py
+++ b/packages/core/dewstep_core/events.py
@@ -1,6 +1,6 @@
 """Log events: one line each, `event=NAME field=value ...`, in the same form everywhere.
 
-Names and fields are stable, since alarms and searches rely on them; docs/operators.md
+Names and fields are stable, since alarms and searches rely on them; docs/OPERATIONS.md
 lists them. Request and answer bodies are never logged. Where an exception is logged,
 its message is left out, because parsers quote the bytes that they could not read.
 
@@ -25,6 +25,10 @@
 """Lines of one event that are written at once."""
 RATE = 10.0
 """Lines/s of one event beyond the burst."""
+JSON_BURST = 400
+JSON_RATE = 100.0
+"""The same for JSON lines, which programs read: three times the requests of an instance
+today, so that each of them can be found. A line takes 25 us."""
 KEPT_LINES = 4
 """Last lines of one event that the state dump shows."""
 
@@ -42,6 +46,8 @@
 
     def __init__(self, read_time: Callable[[], float] = time.monotonic):
         self.read_time = read_time
+        self.burst = BURST
+        self.rate = RATE
         self.buckets: dict[str, tuple[float, float]] = {}
         """Tokens and the time at which they were counted, by name."""
         self.left_out: dict[str, int] = {}
@@ -49,8 +55,8 @@
     def admit(self, name: str) -> bool:
         """Return whether a line of event `name` may be written now."""
         now = self.read_time()
-        tokens, counted = self.buckets.get(name, (BURST, now))
-        tokens = min(BURST, tokens + (now - counted) * RATE)
+        tokens, counted = self.buckets.get(name, (self.burst, now))
+        tokens = min(self.burst, tokens + (now - counted) * self.rate)
         admitted = tokens >= 1
         self.buckets[name] = (tokens - admitted, now)
         if not admitted:
@@ -169,6 +175,8 @@
     """Write events as JSON lines with `write`; None brings back the text form."""
     global write_json
     write_json = write
+    limiter = journal.limiter
+    limiter.burst, limiter.rate = (JSON_BURST, JSON_RATE) if write else (BURST, RATE)
 
 
 def info(name: str, /, **fields: Any) -> None:
--- a/packages/entry/dewstep_entry/metrics.py
+++ b/packages/entry/dewstep_entry/metrics.py
@@ -1,7 +1,7 @@
 """Metrics by statsd: counters of what happened and gauges of the state.
 
 Counters are sent once a second as sums, not once a request, so that their cost does
-not grow with the load. Names are listed in docs/operators.md.
+not grow with the load. Names are listed in docs/OPERATIONS.md.
 """
 
 import collections
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -411,13 +411,27 @@
                 good,
                 unqueued,
             )
-        return self.judge(plan, target, sent, elapsed)
+        return self.judge(plan, choice, sent, elapsed)
 
-    def judge(self, plan: Plan, target: model.Target, sent, elapsed: float) -> Outcome:
-        """Return the outcome of an attempt, and log it if it is not a success."""
+    def judge(
+        self, plan: Plan, choice: selection.Choice, sent, elapsed: float
+    ) -> Outcome:
+        """Return the outcome of an attempt, and log it with what had decided it."""
+        target, running = choice.target, choice.estimate.running
         if isinstance(sent, result.Success):
             answer = sent.unwrap()
             if answer.status < 500 and answer.status not in PROMISES:
+                events.info(
+                    "answered",
+                    request_id=plan.arrival.request_id,
+                    status=answer.status,
+                    service=plan.service.name,
+                    target=target.name,
+                    key=plan.key,
+                    elapsed_ms=round(elapsed * 1000),
+                    running=running,
+                    owners=self.get_owner_version(plan),
+                )
                 return Outcome(answer, None, target.name)
             failure = errors.AnswerInvalid(target.name, f"status {answer.status}")
             # A target that does not say that it refused may have run the request, which
@@ -434,6 +448,7 @@
             target=target.name,
             key=plan.key,
             elapsed_ms=round(elapsed * 1000),
+            running=running,
             owners=self.get_owner_version(plan),
             failure=failure,
         )
--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -138,7 +138,11 @@
         if instance.metrics is not None:
             metrics = routing.Routes()
             metrics.add("GET", instance.metrics_path, self.answer_metrics)
-            await self.serve(metrics, instance.metrics)
+            try:
+                await self.serve(metrics, instance.metrics)
+            except OSError as error:
+                # Requests are worth more than their counts.
+                events.error("metrics_refused", reason=str(error))
         await self.listener.start()
         self.spawn(self.feeds.run())
         self.spawn(self.fleet.run())
@@ -264,7 +268,7 @@
         ready = self.is_ready()
         if ready != self.was_ready:
             self.was_ready = ready
-            events.info("ready" if ready else "not_ready", stopping=self.stopping)
+            events.info("readiness", ready=ready, stopping=self.stopping)
         return exchanges.Response(200 if ready else 503)
 
     async def answer_metrics(self, call: routing.Call) -> exchanges.Response:
--- a/tests/examples_test.py
+++ b/tests/examples_test.py
@@ -12,7 +12,7 @@
 
 ROOT = pathlib.Path(__file__).parents[1]
 CONFIGURATION_PAGE = (ROOT / "docs/configuration.md").read_text()
-OPERATORS_PAGE = (ROOT / "docs/operators.md").read_text()
+OPERATORS_PAGE = (ROOT / "docs/OPERATIONS.md").read_text()
 
 
 def count_targets(name):
--- a/tests/operations_page_test.py
+++ b/tests/operations_page_test.py
@@ -1,4 +1,4 @@
-"""Compares what docs/operators.md lists with what the code sends and holds."""
+"""Compares what docs/OPERATIONS.md lists with what the code sends and holds."""
 
 import ast
 import pathlib
@@ -9,13 +9,21 @@
 from dewstep_entry import dump
 
 ROOT = pathlib.Path(__file__).parents[1]
-PAGE = (ROOT / "docs/operators.md").read_text()
-SOURCES = [
-    path
-    for package in ("core", "entry")
-    for path in (ROOT / "packages" / package).glob("dewstep_*/**/*.py")
-    if not path.name.endswith("_test.py")
-]
+PAGE = (ROOT / "docs/OPERATIONS.md").read_text()
+
+
+def find_sources(*folders):
+    """Return the modules of some folders, without tests."""
+    return [
+        path
+        for folder in folders
+        for path in (ROOT / folder).glob("dewstep_*/**/*.py")
+        if not path.name.endswith("_test.py")
+    ]
+
+
+SOURCES = find_sources("packages/core", "packages/entry")
+FLEET_SOURCES = find_sources("packages/fleet", "platform")
 LEVELS = ("info", "warning", "error", "exception")
 
 
@@ -30,10 +38,10 @@
     return set(re.findall(r"`([^`]+)`", cell))
 
 
-def find_events():
+def find_events(sources=tuple(SOURCES)):
     """Return the fields of each event that the sources log."""
     found = {"lines_left_out": {"name", "count"}}
-    for path in SOURCES:
+    for path in sources:
         for node in ast.walk(ast.parse(path.read_text())):
             if not isinstance(node, ast.Call) or not isinstance(
                 node.func, ast.Attribute
@@ -59,6 +67,19 @@
     assert listed == find_events()
 
 
+def test_the_page_lists_each_event_of_the_fleet_with_its_fields():
+    # Guards against searches for events that the fleet no longer logs.
+    text = PAGE.split("\n### Log events of the fleet\n")[1]
+    listed = {}
+    for line in text.splitlines():
+        if line.startswith("| `"):
+            names, _, fields = line.strip("|").split(" | ")
+            listed.update(dict.fromkeys(list_names(names), list_names(fields)))
+    found = find_events(tuple(FLEET_SOURCES))
+    del found["lines_left_out"]
+    assert listed == found
+
+
 def test_the_page_names_each_field_of_the_state_dump():
     # Guards against fields that an operator sees and cannot look up.
     cells = [cell for row in read_table("State dump") for cell in row]
--- a/tests/operators_test.py
+++ b/tests/operators_test.py
@@ -37,7 +37,7 @@
 METRIC = r"dewstep\.entry-[0-9]\.([^:]+):([0-9.]+)\|([cg])"
 METRICS_SECONDS = 1.5
 """Longer than the interval at which the entry processes send."""
-PAGE = pathlib.Path(__file__).parents[1] / "docs/operators.md"
+PAGE = pathlib.Path(__file__).parents[1] / "docs/OPERATIONS.md"
 
 
 def get_parts(match):
