Reckon with long grants of the last coordinator; follow a moved key only on news

Ruled out: the clock's drift (it is reckoned with). The coordinator tells its members how long unusually long grants last, so that a successor waits for them only if there were any. First owners are given once targets have stopped registering for 1.5 s, since two of 19 were there after 0.5 s.

--- a/packages/entry/dewstep_entry/targets/answering.py
+++ b/packages/entry/dewstep_entry/targets/answering.py
@@ -14,6 +14,8 @@
     """Statuses with which that header counts; None for all."""
     refusing_statuses: frozenset[int] = frozenset()
     """Statuses that say the same without the header."""
+    instance: bytes = b""
+    """Header that names the target that answers; b"" if there is none."""
     identified: bool = False
     """Whether each answer names its request. A stray answer is then skipped, and bytes
     after an answer do not devalue it; otherwise both end the exchange."""
@@ -26,7 +28,17 @@
 """The protocol of dewstep's own targets."""
 
 
-def find_refusal(rules: AnswerRules, status: int, value: bytes | None) -> str:
+REPLACED = "replaced"
+"""Why a request was refused at an address that another target has by now."""
+
+
+def find_refusal(
+    rules: AnswerRules,
+    status: int,
+    value: bytes | None,
+    target: str = "",
+    instance: bytes | None = None,
+) -> str:
     """Return why a target refused a request, or "" if it did not.
 
     Parameters
@@ -36,7 +48,14 @@
         Status of the answer.
     value : bytes or None
         Value of the refusal header, if there is one.
+    target : str, optional
+        Name of the target that was meant.
+    instance : bytes or None, optional
+        Name that the target gives of itself, if it does.
     """
+    refusing = status in rules.refusing_statuses
+    if refusing and instance and instance.decode("latin-1") != target:
+        return REPLACED
     if status in rules.refusing_statuses:
         return str(status)
     if not value:
--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -317,7 +317,11 @@
         exchange.head = head
         exchange.length = int(length) if length is not None else None
         exchange.refusal = answering.find_refusal(
-            self.rules, head.status_code, fields.get(self.rules.refusal)
+            self.rules,
+            head.status_code,
+            fields.get(self.rules.refusal),
+            self.target,
+            fields.get(self.rules.instance),
         )
         exchange.wake()
 
--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -181,6 +181,7 @@
                 [item.name for item in directory.by_service.get(service, ())],
             ),
             self.read_queue,
+            self.read_inherited,
             self.push,
         )
         self.crashes: dict[bytes, int] = {}
@@ -192,6 +193,12 @@
         self.stopping = False
         self.last_beat = now
         self.last_good = now
+        self.holds_until = now
+        """Until then, long grants of the coordinator that is heard may go on."""
+        self.heard_term = 0
+        """Term of the coordinator whose beats told that."""
+        self.remembers = False
+        """Whether this instance, now the coordinator, heard the one before it."""
         self.good = True
         """Whether the last beat came from a coordinator that reaches the store."""
         self.patience = self.draw_patience()
@@ -400,6 +407,7 @@
         named = current.incarnation == self.own.incarnation
         if not named or self.coordinating or current.term < self.term or self.stopping:
             return
+        self.remembers = self.heard_term == current.term - 1
         self.term = current.term
         self.coordinating = True
         self.deputy = False
@@ -565,6 +573,7 @@
             crashes=crashes,
             stopping=self.stopping,
             deputy=node in self.choose_deputies(),
+            holds_ms=to_milliseconds(self.granter.count_long_holds()),
         )
         if not link.send(frame):
             self._lose(link)
@@ -604,6 +613,18 @@
         crashes, self.fresh_crashes = tuple(self.fresh_crashes), []
         return crashes
 
+    def read_inherited(self) -> datetime.timedelta:
+        """Return for how long grants of the last coordinator may go on."""
+        if not self.remembers:
+            return self.granter.timing.longest_hold
+        left = self.holds_until - self.clock.monotonic()
+        return max(left, datetime.timedelta())
+
+    def note_holds(self, frame: frames.Frame) -> None:
+        """Note for how long grants may go on that the sender knows of."""
+        left = datetime.timedelta(milliseconds=frame.holds_ms)
+        self.holds_until = max(self.holds_until, self.clock.monotonic() + left)
+
     def read_queue(self, target: model.Target) -> datetime.timedelta:
         """Return how long a request would wait at a target."""
         now = self.clock.monotonic().total_seconds()
@@ -659,11 +680,15 @@
                 heard = good and self.reaches_store()
             else:
                 heard = self.hears_coordinator()
-            link.send(self.make_frame("tell", heard=heard))
+            left = self.holds_until - now
+            link.send(
+                self.make_frame("tell", heard=heard, holds_ms=to_milliseconds(left))
+            )
         elif frame.kind == "tell":
             answer = self.answers.get(link)
             if answer is not None and not answer.done():
                 answer.set_result(frame.heard)
+                self.note_holds(frame)
             if frame.term > self.term:
                 self._meet_newer(frame)
 
@@ -685,7 +710,8 @@
             self.step_down(f"beat of {frame.node}")
         if frame.term > self.term:
             events.info("coordinator_heard", node=frame.node, term=frame.term)
-        self.term = frame.term
+        self.term = self.heard_term = frame.term
+        self.note_holds(frame)
         self.upstream = link
         self.last_beat = now
         if frame.stopping:
@@ -744,3 +770,8 @@
             if row is not None and row.value == value:
                 return
             await self.directory.wait_change(self.directory.sequence, 0.05)
+
+
+def to_milliseconds(duration: datetime.timedelta) -> int:
+    """Return a duration as whole milliseconds, 0 if it is negative."""
+    return max(0, duration // datetime.timedelta(milliseconds=1))
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -45,12 +45,14 @@
 again after 200 ms."""
 BLOCK = datetime.timedelta(milliseconds=1000)
 """Time for which a target that could not be reached is avoided."""
+REPLACED_BLOCK = datetime.timedelta(seconds=5)
+"""The same if its address has another target: its own registration ends soon."""
 KEEP_IDLE = datetime.timedelta(seconds=7)
 """Targets close connections that were idle for 10 s."""
 QUEUE_DEPTH = 4
 """Requests at a target, in multiples of its slots, above which it is full: it queues
 three or four for each slot."""
-OWNER_PAUSE = datetime.timedelta(milliseconds=50)
+OWNER_PAUSE = datetime.timedelta(milliseconds=100)
 """Longest wait for news after the owner of a key failed; news takes a few ms."""
 MOST_TRIES = 5
 """Tries of one request, those included that reached no target."""
@@ -255,8 +257,8 @@
                     kept = choose_failure(kept, failure)
                     break
                 kept = choose_failure(kept, failure)
-                if plan.key is not None:
-                    await self.await_owner(plan)
+                if plan.key is not None and not await self.await_owner(plan, failure):
+                    break
                 continue
             kept = choose_failure(kept, failure)
             break
@@ -299,11 +301,28 @@
             return False
         return self.clock.monotonic() + DEADLINE_MARGIN * 5 < plan.limit
 
-    async def await_owner(self, plan: Plan) -> None:
-        """Wait shortly for a change after the owner of a key failed."""
+    async def await_owner(self, plan: Plan, failure: Any) -> bool:
+        """Wait shortly after the owner of a key failed; false if it is no use.
+
+        An owner that does not hold the key can only be replaced by news: asking it
+        again would use up the budget.
+        """
         left = (plan.limit - self.clock.monotonic()) / 4
-        patience = min(left, OWNER_PAUSE).total_seconds()
-        await self.directory.wait_change(self.directory.sequence, patience)
+        end = self.clock.monotonic() + min(left, OWNER_PAUSE)
+        known = self.find_holding(plan)
+        while self.find_holding(plan) == known:
+            patience = (end - self.clock.monotonic()).total_seconds()
+            if patience <= 0:
+                return not isinstance(failure, errors.TargetRefused)
+            await self.directory.wait_change(self.directory.sequence, patience)
+        return True
+
+    def find_holding(self, plan: Plan) -> tuple[model.Holding | None, bool]:
+        """Return who has the key of a request, and whether that is changing."""
+        service = plan.service.name
+        ownership = self.directory.ownerships.get(service)
+        holding = ownership.find(plan.key) if ownership is not None else None
+        return holding, self.directory.is_moving(service, plan.key)
 
     async def find_target(
         self, plan: Plan, had: frozenset[str]
@@ -452,8 +471,12 @@
             owners=self.get_owner_version(plan),
             failure=failure,
         )
-        if isinstance(failure, errors.TargetUnavailable):
-            until = self.clock.monotonic() + BLOCK
+        replaced = (
+            isinstance(failure, errors.TargetRefused)
+            and failure.reason == answering.REPLACED
+        )
+        if replaced or isinstance(failure, errors.TargetUnavailable):
+            until = self.clock.monotonic() + (REPLACED_BLOCK if replaced else BLOCK)
             self.counts.block(target.name, until.total_seconds())
         if isinstance(failure, errors.ConnectionLost):
             self.suspect(plan, target)
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -48,4 +48,5 @@
   crashes @11 :List(Crash);
   stopping @12 :Bool;
   deputy @13 :Bool;        # "beat": the receiver follows the store as well
+  holdsMs @14 :UInt32;     # for how long unusually long grants may go on
 }
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -67,6 +67,8 @@
     crashes: tuple[Crash, ...] = ()
     stopping: bool = False
     deputy: bool = False
+    holds_ms: int = 0
+    """Milliseconds for which grants of more than the usual length may go on."""
 
 
 def encode(frame: Frame) -> bytes:
@@ -81,6 +83,7 @@
         members=frame.members,
         stopping=frame.stopping,
         deputy=frame.deputy,
+        holdsMs=frame.holds_ms,
     )
     if frame.rows:
         message.rows = [
@@ -146,4 +149,5 @@
         tuple(Crash(bytes(item.fingerprint), item.count) for item in message.crashes),
         message.stopping,
         message.deputy,
+        message.holdsMs,
     )
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -47,8 +47,9 @@
 away from a target's queue."""
 TICK = datetime.timedelta(milliseconds=50)
 PLAN_INTERVAL = datetime.timedelta(milliseconds=250)
-SETTLING = datetime.timedelta(milliseconds=500)
-"""Time in which the targets of a service that nobody has served yet register."""
+SETTLING = datetime.timedelta(milliseconds=1500)
+"""Keys get their first owners once no target has registered for this long: targets
+start within a second of each other, and later each change of hands costs."""
 RETRY = datetime.timedelta(milliseconds=150)
 """Pause between failed calls to the store."""
 AVOIDANCE = datetime.timedelta(seconds=3)
@@ -135,6 +136,9 @@
         Returns the `Demand` of a service.
     read_queue : callable
         Returns how long a request would wait at a target.
+    read_inherited : callable
+        Returns for how long grants of the last coordinator may go on that were sent
+        for longer than `HOLD`.
     announce : callable
         Called after ranges have begun or ended to move.
     """
@@ -150,6 +154,7 @@
         has_support: Callable[[], bool],
         read_demand: Callable[[str], Demand],
         read_queue: Callable[[model.Target], datetime.timedelta],
+        read_inherited: Callable[[], datetime.timedelta],
         announce: Callable[[], None],
     ):
         self.directory = directory
@@ -161,6 +166,7 @@
         self.has_support = has_support
         self.read_demand = read_demand
         self.read_queue = read_queue
+        self.read_inherited = read_inherited
         self.announce = announce
         self.reset()
 
@@ -172,7 +178,8 @@
         self.known: dict[str, model.Target] = {}
         self.adopted: set[str] = set()
         self.moving: dict[str, list[tuple[int, int]]] = {}
-        self.first_seen: dict[str, datetime.timedelta] = {}
+        self.first_seen: dict[str, tuple[set[str], datetime.timedelta]] = {}
+        """Targets of services without owners, and since when these are all."""
         self.tasks: set[asyncio.Task] = set()
         self.planned = self.began
         self.changes: dict[str, list[tuple[Build, asyncio.Future]]] = {}
@@ -251,17 +258,24 @@
             return
         targets = self.list_usable(service, now)
         if service not in self.directory.ownerships:
-            first = self.first_seen.setdefault(service, now) if targets else now
-            if not targets or now - first < SETTLING:
+            names = {target.name for target in targets}
+            known, since = self.first_seen.get(service, (None, now))
+            if names != known:
+                self.first_seen[service] = (names, now)
+                return
+            if not targets or now - since < SETTLING:
                 return
         self.moving[service] = []
         self.spawn(self.adopt_service(service))
 
     async def adopt_service(self, service: str) -> None:
         """Write the ranges of a service under new generation numbers."""
+        inherited = False
 
         def build(current: ranges.Ownership | None) -> ranges.Ownership:
-            if current is not None and current.holdings:
+            nonlocal inherited
+            inherited = current is not None and bool(current.holdings)
+            if inherited:
                 return ranges.renumber(current)
             usable = self.list_usable(service, self.clock.monotonic())
             generation = current.generation if current is not None else 0
@@ -273,20 +287,22 @@
             self.moving.pop(service, None)
         if not done:
             return
-        self.inherit(self.directory.ownerships[service])
+        ownership = self.directory.ownerships[service]
+        if inherited:
+            self.inherit(ownership)
         self.adopted.add(service)
         events.info(
             "ranges_adopted",
             service=service,
-            ranges=len(self.directory.ownerships[service].holdings),
-            generation=self.directory.ownerships[service].generation,
+            ranges=len(ownership.holdings),
+            generation=ownership.generation,
+            inherited=inherited,
         )
 
     def inherit(self, ownership: ranges.Ownership) -> None:
         """Reckon with grants that the last coordinator may still have sent."""
-        expiry = (
-            self.clock.monotonic() + SUCCESSION + self.bound(self.timing.longest_hold)
-        )
+        longest = max(HOLD, self.read_inherited())
+        expiry = self.clock.monotonic() + SUCCESSION + self.bound(longest)
         for holding in ownership.holdings:
             state = self.get_post(Post(holding.target, holding.life))
             state.expiry = state.unanswered = expiry
@@ -295,6 +311,19 @@
         """Return for how long a grant sent now may hold at most."""
         return duration * DRIFT + TRANSIT
 
+    def count_long_holds(self) -> datetime.timedelta:
+        """Return for how long grants of more than the usual length may go on."""
+        now = self.clock.monotonic()
+        usual = now + self.bound(HOLD)
+        return max(
+            (
+                state.expiry - now
+                for state in self.posts.values()
+                if state.expiry > usual
+            ),
+            default=datetime.timedelta(),
+        )
+
     def get_post(self, post: Post) -> PostState:
         """Return the state of a target's life."""
         state = self.posts.get(post)
@@ -348,12 +377,10 @@
                 if isinstance(outcome, result.Failure):
                     return
             if not state.answered:
-                # It refuses the last coordinator's generation numbers from now on.
+                # It refuses the last coordinator's generation numbers from now on. What
+                # it took before goes on to its end.
                 state.answered = True
                 state.unanswered = before
-                state.expiry = self.clock.monotonic() + self.bound(
-                    self.choose_duration()
-                )
         finally:
             state.busy = False
 
@@ -601,6 +628,8 @@
             if unanswered > self.clock.monotonic():
                 fenced = await self.fence(service, owner, holding, state)
                 if fenced is None:
+                    # The fence itself may come into force late.
+                    unanswered = max(unanswered, state.unanswered)
                     expiry = max(expiry, state.expiry)
                 else:
                     holding = fenced
@@ -639,16 +668,15 @@
             The range under the generation number that the owner has now seen; None if
             it did not answer.
         """
-        if state.answered:
-            change = ranges.Transfer(
-                holding.first, holding.last, holding.target, holding.life
-            )
-            if not await self.commit(
-                service, lambda current: ranges.transfer(current, [change])
-            ):
-                return None
-            found = self.directory.ownerships[service].find(holding.first)
-            holding = found._replace(first=holding.first, last=holding.last)
+        change = ranges.Transfer(
+            holding.first, holding.last, holding.target, holding.life
+        )
+        if not await self.commit(
+            service, lambda current: ranges.transfer(current, [change])
+        ):
+            return None
+        found = self.directory.ownerships[service].find(holding.first)
+        holding = found._replace(first=holding.first, last=holding.last)
         outcome = await self.send_order(owner, holding, state, "")
         return holding if isinstance(outcome, result.Success) else None
 
