Stop ordering as soon as a newer coordinator is read of

Ruled out: orders held up by the cut (these are reset after 0.4 s). Before / after: the new test failed first.

--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -242,6 +242,10 @@
 
     def may_order(self) -> bool:
         """Whether no other coordinator can have changed the owners."""
+        if self.directory.leadership.version != self.leadership.version:
+            self.deposed = True
+        if self.deposed:
+            return False
         return self.feeds.in_contact(SUCCESSION) or self.has_support()
 
     def choose_duration(self) -> datetime.timedelta:
@@ -443,7 +447,7 @@
         async with state.lock:
             if renewal and not self.is_held(renewal, holding):
                 return result.Success(None)
-            if self.deposed or not self.may_order():
+            if not self.may_order():
                 return result.Failure(errors.TargetUnavailable(target.name, "no term"))
             duration = self.choose_duration()
             before = state.expiry
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -295,6 +295,23 @@
     play(scenario)
 
 
+def test_coordinator_that_reads_of_its_successor_sends_no_more_orders():
+    # Guards against renewals after a cut has healed, before any transaction tells
+    # (comedor-norte trouble-2: OWNER).
+    async def scenario(stages):
+        stage = begin(stages, "a", "b")
+        first = stage.elect("n1")
+        await stage.run(SETTLED)
+        stage.elect("n2")
+        rows = stage.store.rows
+        first.directory.take([rows[model.TABLES.fleet, directories.COORDINATOR]])
+        assert not first.may_order()
+        first.step()
+        assert first.deposed
+
+    play(scenario)
+
+
 def test_coordinator_without_the_store_grants_for_the_longest_time():
     # Guards against keys lost with the coordinator while the store is away.
     async def scenario(stages):
