--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -63,8 +63,6 @@
 """Seconds in which past requests for a key lose all but 1/e of their weight."""
 LEAST_RATE = 0.02
 """Requests/s below which a key is forgotten."""
-MOST_KEYS = 256
-"""Keys that one report names at most; more are sampled."""
 
 
 class Report:
@@ -301,7 +299,8 @@
             wanted = frozenset()
         if self.deputy:
             wanted |= DEPUTY_TABLES
-        if not self.term and not self.coordinating:
+        if not self.term:
+            # No coordinator has been heard since the start.
             wanted = frozenset(model.TABLES)
         self.feeds.follow(wanted)
 
--- a/packages/fleet/dewstep_fleet/directory.py
+++ b/packages/fleet/dewstep_fleet/directory.py
@@ -257,11 +257,6 @@
 
     # Reading.
 
-    def get_version(self, key: str) -> int:
-        """Return the known version of a row of the fleet's table, 0 for none."""
-        row = self.rows.get((model.TABLES.fleet, key))
-        return 0 if row is None or row.value is None else row.version
-
     def is_moving(self, service: str, key: int) -> bool:
         """Return whether `key` is changing hands."""
         return any(first <= key <= last for first, last in self.moving.get(service, ()))
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -152,7 +152,6 @@
         self.pools: dict[tuple[str, int, str, int], pooling.ConnectionPool] = {}
         self.in_progress = 0
         self.background: set[asyncio.Task] = set()
-        self.outcomes: dict[str, int] = {}
         self.suspicions: dict[str, set[Suspicion]] = {}
         """Requests that may have ended a target, by the target."""
         directory.listeners.append(self._prune)
@@ -618,8 +617,6 @@
             if isinstance(failure, errors.DeadlineExceeded) and plan.timed:
                 retry_after = None
         answer = answers.render(failure, retry_after)
-        name = type(failure).__name__
-        self.outcomes[name] = self.outcomes.get(name, 0) + 1
         table = self.directory.routes
         events.info(
             "refused",
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -18,7 +18,7 @@
     ranges,
 )
 
-DIALECT = model.Dialect(b"x-id", b"x-deadline", b"x-target", b"x-key", b"x-s", b"x-n")
+DIALECT = model.Dialect(b"x-id", b"x-deadline", b"x-target", b"x-key", b"x-n")
 RULES = answering.AnswerRules(b"x-id", b"x-n", None)
 MILLISECOND = builders.MILLISECOND
 
--- a/packages/fleet/dewstep_fleet/model.py
+++ b/packages/fleet/dewstep_fleet/model.py
@@ -211,7 +211,6 @@
     target: bytes
     """Name of the target that is to run the request."""
     key: bytes
-    signature: bytes
     not_run: bytes
     """Present in a target's answer if it did not run the request."""
 
--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -28,7 +28,6 @@
 LAST_MOMENT = datetime.timedelta(milliseconds=300)
 """Time before the end of the grace at which what still runs is cut."""
 FLUSH_INTERVAL = datetime.timedelta(milliseconds=500)
-BODY_RATE_BYTES = 1_024
 
 
 class Instance(NamedTuple):
--- a/packages/fleet/dewstep_fleet/process_test.py
+++ b/packages/fleet/dewstep_fleet/process_test.py
@@ -13,7 +13,7 @@
 from dewstep_entry.targets import answering
 from dewstep_fleet import builders, model, process
 
-DIALECT = model.Dialect(b"x-id", b"x-deadline", b"x-target", b"x-key", b"x-s", b"x-n")
+DIALECT = model.Dialect(b"x-id", b"x-deadline", b"x-target", b"x-key", b"x-n")
 RULES = answering.AnswerRules(b"x-id", b"x-n", None, identified=True, held_back=True)
 ANY_PORT = settings.Address("127.0.0.1", 0)
 SECOND = datetime.timedelta(seconds=1)
