--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -280,7 +280,7 @@
         self.choose_tables(now)
         if self.coordinating:
             if self.granter_task.done():
-                self.step_down("deposed")
+                self.end_granting()
                 return
             self.dial_members(now)
             if now - self.beat_at >= self.choose_interval():
@@ -426,6 +426,13 @@
         self.granter_task = asyncio.ensure_future(self.granter.run())
         events.info("coordinating", term=self.term)
 
+    def end_granting(self) -> None:
+        """Step down after the granter has ended, by itself or by a fault."""
+        error = self.granter_task.exception()
+        if error is not None:
+            events.exception("granting_failed", error)
+        self.step_down("deposed" if error is None else type(error).__name__)
+
     def step_down(self, reason: str) -> None:
         """Stop coordinating."""
         self.coordinating = False
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -100,7 +100,9 @@
 
     answer: data.Answer | None
     failure: Any
+    """None for a success."""
     target: str
+    """"" if there was no attempt."""
 
 
 class Dispatcher:
@@ -240,43 +242,40 @@
         answer = None
         runs = arrivals = tries = 0
         while tries < MOST_TRIES:
-            failure = await self.try_once(plan, frozenset(had), arrivals)
-            if isinstance(failure, Outcome):
-                outcome = failure
-                if outcome.answer is not None:
-                    answer = outcome.answer
+            outcome = await self.try_once(plan, frozenset(had), arrivals)
+            if outcome.answer is not None:
+                answer = outcome.answer
                 if outcome.failure is None:
-                    return outcome.answer
-                failure = outcome.failure
-                had.add(outcome.target)
-                tries += 1
-                if not isinstance(failure, errors.TargetUnavailable):
-                    arrivals += 1
-                    runs += not isinstance(failure, errors.TargetRefused)
-                if not self.is_worth_repeating(plan, failure, runs):
-                    kept = choose_failure(kept, failure)
-                    break
-                kept = choose_failure(kept, failure)
-                if plan.key is not None and not await self.await_owner(plan, failure):
-                    break
-                continue
+                    return answer
+            failure = outcome.failure
             kept = choose_failure(kept, failure)
-            break
+            if not outcome.target:
+                break
+            tries += 1
+            had.add(outcome.target)
+            if not isinstance(failure, errors.TargetUnavailable):
+                arrivals += 1
+                runs += not isinstance(failure, errors.TargetRefused)
+            if not self.is_worth_repeating(plan, failure, runs):
+                break
+            if plan.key is not None and not await self.await_owner(plan, failure):
+                break
         if answer is not None:
             return answer
         return self.refuse(plan.arrival, kept, plan)
 
-    async def try_once(self, plan: Plan, had: frozenset[str], arrivals: int) -> Any:
-        """Return the outcome of one attempt, or the failure that prevents it."""
+    async def try_once(self, plan: Plan, had: frozenset[str], arrivals: int) -> Outcome:
+        """Return the outcome of one attempt, or what prevents it."""
         if self.fleet.crashes.get(plan.fingerprint, 0) >= CRASHES:
-            return errors.Quarantined(plan.fingerprint.hex())
+            return Outcome(None, errors.Quarantined(plan.fingerprint.hex()), "")
         found = await self.find_target(plan, had)
         if isinstance(found, result.Failure):
-            return found.failure()
+            return Outcome(None, found.failure(), "")
         choice = found.unwrap()
         budget = self.allowance.get(plan.service.name)
         if arrivals and not budget.take(self.fleet.live):
-            return errors.TargetUnavailable(choice.target.name, "retry budget")
+            failure = errors.TargetUnavailable(choice.target.name, "retry budget")
+            return Outcome(None, failure, "")
         return await self.attempt(plan, choice)
 
     def is_worth_repeating(self, plan: Plan, failure: Any, runs: int) -> bool:
