Take own rows and read the fleet's table back in one place each

Cause: claim, register and commit each built the row that they had just written; the same three read the fleet's table back, and register dropped a failure of that without a log line. begin_move searched for a range that Ownership.find finds. Ruled out: a change of behaviour but for register's new log line. The fleet's tests and lint pass.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -396,17 +396,13 @@
             {directories.COORDINATOR: value},
         )
         if isinstance(outcome, result.Success):
-            row = model.StoredRow(
-                model.TABLES.fleet, directories.COORDINATOR, outcome.unwrap(), value
+            self.directory.take_written(
+                directories.COORDINATOR, outcome.unwrap(), value
             )
-            self.directory.take([row])
         else:
             events.info("claim_failed", failure=outcome.failure())
-            read = await self.store.read_table(model.TABLES.fleet)
-            if isinstance(read, result.Failure):
-                events.warning("read_back_failed", failure=read.failure())
+            if not await feeders.read_back(self.store, self.directory):
                 return
-            self.directory.take_table(model.TABLES.fleet, read.unwrap())
         self.begin_if_named()
 
     def begin_if_named(self) -> None:
@@ -777,19 +773,11 @@
                 version = row.version if row is not None and row.value else 0
                 outcome = await self.store.commit({key: version}, {key: value})
                 if isinstance(outcome, result.Success):
-                    self.directory.take(
-                        [
-                            model.StoredRow(
-                                model.TABLES.fleet, key, outcome.unwrap(), value
-                            )
-                        ]
-                    )
+                    self.directory.take_written(key, outcome.unwrap(), value)
                     return
                 events.warning("register_failed", failure=outcome.failure())
                 if isinstance(outcome.failure(), errors.Conflict | errors.AnswerLost):
-                    read = await self.store.read_table(model.TABLES.fleet)
-                    if isinstance(read, result.Success):
-                        self.directory.take_table(model.TABLES.fleet, read.unwrap())
+                    await feeders.read_back(self.store, self.directory)
                 await self.clock.sleep(granting.RETRY * (1 + self.random.random()))
                 continue
             if row is not None and row.value == value:
--- a/packages/fleet/dewstep_fleet/directory.py
+++ b/packages/fleet/dewstep_fleet/directory.py
@@ -146,6 +146,10 @@
         ]
         self.take([*state.rows, *gone])
 
+    def take_written(self, key: str, version: int, value: bytes) -> None:
+        """Take a row of the fleet's table that this process has just written."""
+        self.take([model.StoredRow(model.TABLES.fleet, key, version, value)])
+
     def release_held_back(self) -> None:
         """Apply the removals whose time of grace has ended."""
         if not self.held_back or self._in_grace():
--- a/packages/fleet/dewstep_fleet/feeds.py
+++ b/packages/fleet/dewstep_fleet/feeds.py
@@ -21,6 +21,16 @@
 LONGEST_PAUSE = datetime.timedelta(milliseconds=1000)
 
 
+async def read_back(store: model.Store, directory: directories.Directory) -> bool:
+    """Read the fleet's table once; return whether the store answered."""
+    outcome = await store.read_table(model.TABLES.fleet)
+    if isinstance(outcome, result.Failure):
+        events.warning("read_back_failed", failure=outcome.failure())
+        return False
+    directory.take_table(model.TABLES.fleet, outcome.unwrap())
+    return True
+
+
 class Feeds:
     """Follows the tables that are wanted, at first all.
 
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -172,7 +172,6 @@
 
     def reset(self) -> None:
         """Forget everything that belongs to an earlier term."""
-        self.began = self.clock.monotonic()
         self.leadership = self.directory.leadership
         self.posts: dict[Post, PostState] = {}
         self.known: dict[str, model.Target] = {}
@@ -181,7 +180,7 @@
         self.first_seen: dict[str, tuple[set[str], datetime.timedelta]] = {}
         """Targets of services without owners, and since when these are all."""
         self.tasks: set[asyncio.Task] = set()
-        self.planned = self.began
+        self.planned = self.clock.monotonic()
         self.changes: dict[str, list[tuple[Build, asyncio.Future]]] = {}
         self.locks: dict[str, asyncio.Lock] = {}
         self.deposed = False
@@ -559,23 +558,18 @@
 
     def begin_move(self, service: str, move: planning.Move, release: bool) -> None:
         """Begin to move one range."""
-        span = (move.first, move.last)
-        held = [
-            item
-            for item in self.directory.ownerships[service].holdings
-            if item.first <= move.first and move.last <= item.last
-        ]
-        if not held:
+        holding = self.directory.ownerships[service].find(move.first)
+        if holding is None or holding.last < move.last:
             return
-        holding = held[0]._replace(first=move.first, last=move.last)
+        holding = holding._replace(first=move.first, last=move.last)
         self.spawn_once(
             service, [holding], self.move(service, holding, move.target, release)
         )
         events.info(
             "move_begun",
             service=service,
-            first=span[0],
-            last=span[1],
+            first=move.first,
+            last=move.last,
             source=move.source,
             target=move.target,
             release=release,
@@ -811,7 +805,7 @@
                 {key: value},
             )
             if isinstance(outcome, result.Success):
-                self.take_row(key, outcome.unwrap(), value)
+                self.directory.take_written(key, outcome.unwrap(), value)
                 return True
             failure = outcome.failure()
             events.warning("commit_failed", service=service, failure=failure)
@@ -826,11 +820,6 @@
             if row is not None and row.value == value:
                 return True
 
-    def take_row(self, key: str, version: int, value: bytes) -> None:
-        """Take a row that this process has just written."""
-        row = model.StoredRow(model.TABLES.fleet, key, version, value)
-        self.directory.take([row])
-
     async def read_back(self) -> None:
         """Read the fleet's table until that succeeds.
 
@@ -839,12 +828,7 @@
         DeposedError
             If another instance has become the coordinator.
         """
-        while True:
-            outcome = await self.store.read_table(model.TABLES.fleet)
-            if isinstance(outcome, result.Success):
-                self.directory.take_table(model.TABLES.fleet, outcome.unwrap())
-                break
-            events.warning("read_back_failed", failure=outcome.failure())
+        while not await feeds.read_back(self.store, self.directory):
             await self.clock.sleep(RETRY)
         if self.directory.leadership.version != self.leadership.version:
             raise DeposedError
