Read the store less often while a fleet starts and in a burst of registrations

Each registration woke three watchers, and until a coordinator was heard each instance watched all tables while all registered. Ruled out: renewals and moves, which cost one transaction for each batch (857 grants). Before / after: two new tests, which count the calls of one instance, fail without the change and pass with it. Beats are also at most 300 ms apart, so that a fleet of 300 does not take each late beat for a lost coordinator.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -30,8 +30,10 @@
 
 BEAT = datetime.timedelta(milliseconds=100)
 BEAT_PER_MEMBER = datetime.timedelta(milliseconds=2)
-"""Beats are rarer in a larger fleet, so that 500 reports/s come at most; one
+"""Beats are rarer in a larger fleet, so that 500 reports/s come up to 150 members; one
 takes 80 us to decode."""
+LONGEST_BEAT = datetime.timedelta(milliseconds=300)
+"""Half of `QUIET`, less 50 ms on the way: a beat that is late starts no reading."""
 QUIET = datetime.timedelta(milliseconds=700)
 """Without a beat for this long, an instance reads the store for itself."""
 SUSPICION = datetime.timedelta(milliseconds=1000)
@@ -190,6 +192,8 @@
         self.fresh_crashes: list[frames.Crash] = []
         now = clock.monotonic()
         self.term = 0
+        self.oriented = False
+        """Whether all tables have been read once."""
         self.coordinating = False
         self.stopping = False
         self.started = now
@@ -299,10 +303,14 @@
             wanted = frozenset()
         if self.deputy:
             wanted |= DEPUTY_TABLES
-        if not self.term:
-            # No coordinator has been heard since the start.
+        if not self.oriented:
+            # A coordinator that lives tells the rest soon after it has read the row
+            # of this instance.
+            self.oriented = self.feeds.is_current()
             wanted = frozenset(model.TABLES)
-        self.feeds.follow(wanted)
+        elif not self.term:
+            wanted |= {model.TABLES.fleet}
+        self.feeds.follow(wanted, self.coordinating or self.deputy)
 
     # Election.
 
@@ -418,7 +426,7 @@
         self.last_beat = self.last_good = self.clock.monotonic()
         self.reports.clear()
         self.upstream = None
-        self.feeds.follow(frozenset(model.TABLES))
+        self.feeds.follow(frozenset(model.TABLES), relays=True)
         self.granter_task = asyncio.ensure_future(self.granter.run())
         events.info("coordinating", term=self.term)
 
@@ -518,7 +526,7 @@
 
     def choose_interval(self) -> datetime.timedelta:
         """Return the time between two beats."""
-        return max(BEAT, BEAT_PER_MEMBER * len(self.links))
+        return min(max(BEAT, BEAT_PER_MEMBER * len(self.links)), LONGEST_BEAT)
 
     def relay(self, news: list[model.StoredRow]) -> None:
         """Pass rows on that are news to this instance."""
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -1,6 +1,7 @@
 """Instances with real links on one machine, a store in memory and fake targets."""
 
 import asyncio
+import collections
 import contextlib
 import random
 import socket
@@ -24,17 +25,20 @@
 class Shop:
     """A store that single instances cannot reach."""
 
-    def __init__(self, store, node, cut):
+    def __init__(self, store, node, cut, calls):
         self.store = store
         self.node = node
         self.cut = cut
+        self.calls = calls
 
     async def read_table(self, table):
+        self.calls[self.node] += 1
         if self.node in self.cut:
             return builders.result.Failure(builders.errors.PlatformUnavailable("cut"))
         return await self.store.read_table(table)
 
     async def watch(self, table, after, wait):
+        self.calls[self.node] += 1
         end = asyncio.get_running_loop().time() + 0.2
         while True:
             if self.node in self.cut:
@@ -61,7 +65,7 @@
             port = probe.getsockname()[1]
         member = model.Member(node, f"{node}-x", "dc-1", "127.0.0.1", port)
         self.directory = builders.build_directory(self.clock)
-        store = Shop(stage.store, node, stage.cut)
+        store = Shop(stage.store, node, stage.cut, stage.calls)
         generator = random.Random(node)
         self.feeds = feeds.Feeds(store, self.directory, self.clock, generator)
         self.keys = keys.KeyCounter(generator)
@@ -96,6 +100,7 @@
     def __init__(self):
         self.store = builders.FakeStore()
         self.cut = set()
+        self.calls = collections.Counter()
         self.targets = builders.FakeTargets(clocks.SystemClock())
         self.running = {}
         self.store.put(model.TABLES.configuration, "config", b"")
@@ -167,6 +172,22 @@
         await until(lambda: all("new" in item.directory.targets for item in followers))
 
 
+@testing.in_loop
+async def test_start_of_a_fleet_costs_each_instance_few_calls():
+    """Guards against a start at which all read what each of them registers."""
+    nodes = [f"n{number}" for number in range(8)]
+    async with running(*nodes) as stage:
+        await await_following(stage)
+        for number in range(20):
+            content = builders.encode_target(builders.build_target(f"late-{number}"))
+            stage.store.put(model.TABLES.targets, f"late-{number}", content)
+            await asyncio.sleep(0.01)
+        leader = stage.find_coordinators()[0]
+        for node, item in stage.running.items():
+            if node != leader and not item.fleet.deputy:
+                assert stage.calls[node] <= 10, stage.calls
+
+
 @testing.in_loop
 async def test_lost_coordinator_is_replaced():
     # Guards against grants that lapse because nobody renews them.
--- a/packages/fleet/dewstep_fleet/feeds.py
+++ b/packages/fleet/dewstep_fleet/feeds.py
@@ -17,6 +17,13 @@
 """Longest wait of one watch; a silent connection is noticed after this."""
 FLEET_WATCH = datetime.timedelta(seconds=1)
 """The fleet's own table confirms the coordinator's term, so its watches are short."""
+PACE = datetime.timedelta(milliseconds=100)
+"""Shortest time between two watches of a table by an instance that passes news on, so
+that one answer brings all targets that register together. A twentieth of the 2 s in
+which a leaving target must have its last request."""
+OWN_PACE = datetime.timedelta(milliseconds=300)
+"""The same for an instance that follows a table for itself alone, as all do while a
+fleet starts: their number multiplies these calls."""
 FIRST_PAUSE = datetime.timedelta(milliseconds=250)
 LONGEST_PAUSE = datetime.timedelta(milliseconds=1000)
 
@@ -56,6 +63,7 @@
         self.clock = clock
         self.random = generator
         self.wanted: frozenset[str] = frozenset(model.TABLES)
+        self.pace = OWN_PACE
         self.changed = asyncio.Event()
         self.followers: dict[str, asyncio.Task] = {}
         self.confirmed: datetime.timedelta | None = None
@@ -73,8 +81,16 @@
         confirmed = self.confirmed
         return confirmed is not None and self.clock.monotonic() - confirmed <= limit
 
-    def follow(self, tables: frozenset[str]) -> None:
-        """Follow these tables and no others."""
+    def follow(self, tables: frozenset[str], relays: bool) -> None:
+        """Follow these tables and no others.
+
+        Parameters
+        ----------
+        tables : frozenset of str
+        relays : bool
+            Whether other instances get the news from this one.
+        """
+        self.pace = PACE if relays else OWN_PACE
         if tables != self.wanted:
             self.wanted = tables
             self.changed.set()
@@ -128,6 +144,9 @@
                 self.current.add(table)
                 version = state.version
                 failures = 0
+                rest = sent + self.pace - self.clock.monotonic()
+                if rest > datetime.timedelta():
+                    await self.clock.sleep(rest)
                 continue
             failure = outcome.failure()
             if isinstance(failure, model.HistoryGone):
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/feeds_test.py
@@ -0,0 +1,51 @@
+import asyncio
+import datetime
+import random
+
+from dewstep_core import clock as clocks
+from dewstep_fleet import builders, feeds, model
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+class RegisteringStore(builders.FakeStore):
+    """A store in which another target registers during each watch."""
+
+    def __init__(self):
+        super().__init__()
+        self.watches = 0
+
+    async def watch(self, table, after, wait):
+        if table == model.TABLES.targets:
+            self.watches += 1
+            target = builders.build_target(f"t{self.watches}")
+            self.put(table, target.name, builders.encode_target(target))
+        else:
+            await asyncio.Event().wait()
+        return await super().watch(table, after, wait)
+
+
+async def pass_time(clock, duration, step=10 * MILLISECOND):
+    for _ in range(duration // step):
+        for _ in range(20):
+            await asyncio.sleep(0)
+        clock.advance(step)
+
+
+def test_targets_that_register_one_after_the_other_do_not_cost_a_call_each():
+    """Guards against calls in proportion to the targets of a large fleet."""
+
+    async def scenario():
+        clock = clocks.ManualClock()
+        store = RegisteringStore()
+        directory = builders.build_directory(clock)
+        following = feeds.Feeds(store, directory, clock, random.Random(1))
+        following.follow(frozenset(model.TABLES), relays=True)
+        task = asyncio.ensure_future(following.run())
+        await pass_time(clock, 1000 * MILLISECOND)
+        assert store.watches <= 11
+        # The last one to register is known soon all the same.
+        assert len(directory.targets) >= store.watches - 1
+        task.cancel()
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
