Apply settings that change while a process runs

Cause: a changed settings file was only logged on SIGHUP, and not noticed without it; budgets and holds stayed those of the start. Ruled out: addresses and the member's own row, which hold until the process ends and are logged as waiting for the next start. Before / after: the new test of process_test.py fails without the change and passes.

--- a/packages/fleet/dewstep_fleet/budgets.py
+++ b/packages/fleet/dewstep_fleet/budgets.py
@@ -75,3 +75,9 @@
         if budget is None:
             budget = self.budgets[service] = Budget(self.clock, self.timing)
         return budget
+
+    def set_timing(self, timing: model.Timing) -> None:
+        """Apply a new allowance, to what was counted as well."""
+        self.timing = timing
+        for budget in self.budgets.values():
+            budget.timing = timing
--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import random
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from returns import result
@@ -28,6 +29,9 @@
 LAST_MOMENT = datetime.timedelta(milliseconds=300)
 """Time before the end of the grace at which what still runs is cut."""
 FLUSH_INTERVAL = datetime.timedelta(milliseconds=500)
+RELOAD_INTERVAL = datetime.timedelta(seconds=1)
+"""Time between two looks at the settings, which may change without a signal: half of
+the time in which operators expect a change of the configuration in force."""
 
 
 class Instance(NamedTuple):
@@ -52,6 +56,8 @@
     decode_target: Any
     dialect: model.Dialect
     rules: answering.AnswerRules
+    read_instance: Callable[[], result.Result[Instance, Any]]
+    """Reads the settings again, for the same run of the process."""
 
 
 class FleetProcess:
@@ -70,6 +76,9 @@
         self, instance: Instance, adapter: Adapter, clock: clocks.Clock, writer=None
     ):
         self.instance = instance
+        self.read_instance = adapter.read_instance
+        self.refused_settings: Any = None
+        """Why the settings could not be read the last time."""
         self.clock = clock
         self.writer = writer
         self.started = clock.monotonic()
@@ -96,12 +105,13 @@
             self.keys.take,
             self.random,
         )
+        self.budgets = budgets.Budgets(clock, instance.timing)
         self.dispatcher = dispatch.Dispatcher(
             instance.member.node,
             instance.member.data_centre,
             self.directory,
             self.loads,
-            budgets.Budgets(clock, instance.timing),
+            self.budgets,
             self.fleet,
             adapter.dialect,
             adapter.rules,
@@ -147,6 +157,7 @@
         self.spawn(self.fleet.run())
         self.spawn(self.fleet.register())
         self.spawn(self.flush())
+        self.spawn(self.follow_settings())
         events.info(
             "started",
             node=instance.member.node,
@@ -182,6 +193,38 @@
             if self.writer is not None:
                 self.writer.flush()
 
+    async def follow_settings(self) -> None:
+        """Read the settings again and again, until cancelled."""
+        while True:
+            await self.clock.sleep(RELOAD_INTERVAL)
+            self.reload()
+
+    def reload(self) -> None:
+        """Apply the settings that have changed, and log which."""
+        outcome = self.read_instance()
+        if isinstance(outcome, result.Failure):
+            if outcome.failure() != self.refused_settings:
+                self.refused_settings = outcome.failure()
+                events.error("settings_refused", failure=outcome.failure())
+            return
+        self.refused_settings = None
+        known, found = self.instance, outcome.unwrap()
+        if found == known:
+            return
+        self.instance = found
+        changed = [
+            name
+            for name, before, now in zip(known._fields, known, found, strict=True)
+            if before != now
+        ]
+        # Addresses and the member's row hold until this process ends.
+        applied = [name for name in changed if name == "timing"]
+        if applied:
+            self.budgets.set_timing(found.timing)
+            self.fleet.granter.timing = found.timing
+        waiting = [name for name in changed if name not in applied]
+        events.info("settings_changed", applied=applied, at_next_start=waiting)
+
     async def stop(self) -> int:
         """Finish what runs; return how many connections had to be cut."""
         began = self.clock.monotonic()
--- a/packages/fleet/dewstep_fleet/process_test.py
+++ b/packages/fleet/dewstep_fleet/process_test.py
@@ -7,7 +7,7 @@
 
 from returns import result
 
-from dewstep_core import clock as clocks, settings
+from dewstep_core import clock as clocks, errors, settings
 from dewstep_core.http import client, exchanges, server
 from dewstep_emulator import testing
 from dewstep_entry.targets import answering
@@ -55,6 +55,7 @@
             builders.decode_target,
             DIALECT,
             RULES,
+            lambda: self.settings,
         )
         member = model.Member("n1", "n1-x", "dc-1", "127.0.0.1", 0)
         instance = process.Instance(
@@ -66,6 +67,7 @@
             "/metrics",
             builders.build_timing(grace=4 * SECOND),
         )
+        self.settings = result.Success(instance)
         self.process = process.FleetProcess(instance, adapter, clock)
         await self.process.start()
         self.caller = client.Client(self.process.listener.address, 5.0)
@@ -157,3 +159,21 @@
         assert "dewstep_answer_seconds_bucket" in text
         dump = (await stage.questions.call("GET", "/dump")).unwrap().body
         assert json.loads(dump)["targets"]["t"]["slots"] == 4
+
+
+@testing.in_loop
+async def test_settings_that_change_without_a_signal_are_applied():
+    """Guards against budgets and holds of settings that are no longer in force."""
+    async with running() as stage:
+        running_process = stage.process
+        before = running_process.instance
+        timing = builders.build_timing(retry_slack=5.0, longest_hold=SECOND)
+        stage.settings = result.Success(before._replace(timing=timing))
+        running_process.reload()
+        budget = running_process.budgets.get("history")
+        assert budget.timing.retry_slack == 5.0
+        assert running_process.fleet.granter.timing.longest_hold == SECOND
+        # What cannot be read leaves everything as it is.
+        stage.settings = result.Failure(errors.RowInvalid("settings", "unreadable"))
+        running_process.reload()
+        assert running_process.instance.timing == timing
