Keep tasks in one owner type, and demand in a module of its own

The set of tasks with its callback and log line stood four times. No behaviour changes but one: the task of a look at a suspected target is logged if it fails.

--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -5,7 +5,6 @@
 import functools
 import random
 import secrets
-from collections.abc import Coroutine
 from typing import Any
 
 from returns import result
@@ -17,6 +16,7 @@
     events,
     placement,
     settings as setting,
+    tasks,
 )
 from dewstep_core.platform import instances, table as tables
 from dewstep_entry import metrics, operators, reporting
@@ -59,7 +59,7 @@
         self.started = clock.monotonic()
         self.stopping = False
         self.failed = asyncio.Event()
-        self.tasks: set[asyncio.Task] = set()
+        self.tasks = tasks.TaskOwner("task_failed", self.receive_failure)
         self.random = random.Random()
         self.own = data.Member(
             settings.entry,
@@ -191,9 +191,9 @@
             )
             loops.append(reader.run)
         for loop in loops:
-            self.spawn(loop())
+            self.tasks.spawn(loop())
         # A fault in reporting must not end a process that serves requests.
-        self.spawn(timing.keep_running(self.clock, self.report))
+        self.tasks.spawn(timing.keep_running(self.clock, self.report))
         events.info(
             "started",
             entry=self.own.entry,
@@ -201,23 +201,14 @@
             data_centre=self.own.data_centre,
         )
 
-    def spawn(self, work: Coroutine) -> None:
-        """Run a task until it ends or the process stops; a failure asks for a stop."""
-        task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.receive_end)
-
-    def receive_end(self, task: asyncio.Task) -> None:
+    def receive_failure(self, error: BaseException) -> bool:
         """Ask for a stop if a task has failed: the process is no longer whole.
 
         A process without heartbeats, for example, would still look alive to its
         callers, while its peers could not tell when it freezes.
         """
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self.failed.set()
-            name = task.get_coro().__qualname__
-            events.exception("task_failed", task.exception(), task=name)
+        self.failed.set()
+        return False
 
     async def report(self) -> None:
         """Send metrics until cancelled."""
@@ -280,8 +271,7 @@
 
     async def close(self) -> None:
         """End all tasks and connections."""
-        for task in list(self.tasks):
-            task.cancel()
+        self.tasks.cancel()
         await self.network.stop()
         await self.operators.close()
         await self.table.close()
@@ -342,7 +332,7 @@
         if decoded is None:
             await self.exchange.receive(sender, message)
         elif isinstance(decoded, result.Success):
-            self.spawn(self.gates.receive_handover(decoded.unwrap()))
+            self.tasks.spawn(self.gates.receive_handover(decoded.unwrap()))
         else:
             events.error("handover_unreadable", failure=decoded.failure())
 
--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -9,15 +9,15 @@
 """
 
 import asyncio
-import collections
 import datetime
 import random
 from collections.abc import Callable
 
 from returns import result
 
-from dewstep_core import clock as clocks, errors, events
+from dewstep_core import clock as clocks, errors, events, tasks
 from dewstep_fleet import (
+    demands,
     directory as directories,
     feeds as feeders,
     frames,
@@ -61,10 +61,6 @@
 """Failures of the store that last longer than this are no single lost call."""
 RECENT = datetime.timedelta(milliseconds=1000)
 """Age of a report up to which its sender counts as following."""
-RATE_WINDOW = 1.5
-"""Seconds in which past requests for a key lose all but 1/e of their weight."""
-LEAST_RATE = 0.02
-"""Requests/s below which a key is forgotten."""
 
 
 class Report:
@@ -79,61 +75,6 @@
         self.loads = loads
 
 
-class Demands:
-    """Rates of requests by key and speeds of targets, from all reports."""
-
-    def __init__(self, clock: clocks.Clock):
-        self.clock = clock
-        self.rates: dict[str, dict[int, float]] = {}
-        self.faded: dict[str, datetime.timedelta] = {}
-        self.slowness: dict[str, float] = {}
-        """Time of each target's answers in parts of what is typical."""
-
-    def add(
-        self, keys: tuple[frames.KeyCount, ...], reported: tuple[frames.Load, ...]
-    ) -> None:
-        """Add what an instance counted since its last report."""
-        for item in keys:
-            rates = self.fade(item.service)
-            rates[item.key] = rates.get(item.key, 0.0) + item.count / RATE_WINDOW
-        for load in reported:
-            if load.expected_microseconds:
-                observed = load.busy_microseconds / load.expected_microseconds
-                known = self.slowness.get(load.target, 1.0)
-                weight = 1 - (1 - load_counts.WEIGHT) ** load.ended
-                known += weight * (observed - known)
-                self.slowness[load.target] = load_counts.bound(known)
-
-    def fade(self, service: str) -> dict[int, float]:
-        """Return the rates of a service, with the time passed taken off."""
-        rates = self.rates.setdefault(service, {})
-        now = self.clock.monotonic()
-        elapsed = (now - self.faded.setdefault(service, now)).total_seconds()
-        if elapsed < 0.05:
-            return rates
-        self.faded[service] = now
-        kept = 2.718281828 ** (-elapsed / RATE_WINDOW)
-        faded = {
-            key: rate * kept for key, rate in rates.items() if rate * kept > LEAST_RATE
-        }
-        self.rates[service] = faded
-        return faded
-
-    def read(self, service: str, typical: float) -> granting.Demand:
-        """Return the demand for a service's keys.
-
-        Parameters
-        ----------
-        service : str
-        typical : float
-            Seconds of one of its requests.
-        """
-        seconds = collections.defaultdict(lambda: typical)
-        for target, slowness in self.slowness.items():
-            seconds[target] = typical * slowness
-        return granting.Demand(dict(self.fade(service)), seconds, RATE_WINDOW)
-
-
 class Fleet:
     """Part that one instance takes in the fleet.
 
@@ -173,7 +114,7 @@
         self.loads = loads
         self.take_keys = take_keys
         self.random = generator
-        self.demands = Demands(clock)
+        self.demands = demands.Demands(clock)
         self.granter = granting.Granter(
             directory,
             feed,
@@ -220,7 +161,7 @@
         self.reports: dict[str, Report] = {}
         self.answers: dict[links.Link, asyncio.Future] = {}
         self.granter_task: asyncio.Task | None = None
-        self.tasks: set[asyncio.Task] = set()
+        self.tasks = tasks.TaskOwner("coordination_failed")
         self.beat_at = now
         self.pushing = False
         self.deputy = False
@@ -258,8 +199,7 @@
                 last = now
                 self.tick(now)
         finally:
-            for task in list(self.tasks):
-                task.cancel()
+            self.tasks.cancel()
             if self.granter_task is not None:
                 self.granter_task.cancel()
             for link in [*self.links.values(), *self.accepted]:
@@ -267,17 +207,6 @@
             if self.server is not None:
                 self.server.close()
 
-    def spawn(self, work) -> None:
-        """Run a task that ends with the process."""
-        task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-        task.add_done_callback(self._end_task)
-
-    def _end_task(self, task: asyncio.Task) -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            events.exception("coordination_failed", task.exception())
-
     def tick(self, now: datetime.timedelta) -> None:
         """Do what is due."""
         self.directory.release_held_back()
@@ -291,7 +220,7 @@
                 self.beat(now)
         elif not self.challenging and not self.stopping and self.suspects(now):
             self.challenging = True
-            self.spawn(self.challenge())
+            self.tasks.spawn(self.challenge())
 
     def choose_tables(self, now: datetime.timedelta) -> None:
         """Follow the tables that nobody else follows for this instance."""
@@ -494,7 +423,7 @@
             if now < self.dialling.get(node, now):
                 continue
             self.dialling[node] = now + DIAL_PAUSE + links.CONNECT_TIMEOUT
-            self.spawn(self.dial(member))
+            self.tasks.spawn(self.dial(member))
 
     async def dial(self, member: model.Member) -> None:
         """Connect to one instance and tell it everything."""
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -17,7 +17,7 @@
 import h11
 from returns import result
 
-from dewstep_core import clock as clocks, data, errors, events, settings
+from dewstep_core import clock as clocks, data, errors, events, settings, tasks
 from dewstep_entry import failures, header_rules
 from dewstep_entry.targets import answering, pooling
 from dewstep_fleet import (
@@ -155,7 +155,7 @@
         self.splitter = routes.Splitter()
         self.pools: dict[tuple[str, int, str, int], pooling.ConnectionPool] = {}
         self.in_progress = 0
-        self.background: set[asyncio.Task] = set()
+        self.background = tasks.TaskOwner("dispatch_failed")
         self.suspicions: dict[str, set[Suspicion]] = {}
         """Requests that may have ended a target, by the target."""
         directory.listeners.append(self._prune)
@@ -178,9 +178,7 @@
 
     async def serve_to_the_end(self, plan: Plan) -> data.Answer:
         """Serve a request that must not be broken off because its caller left."""
-        task = asyncio.ensure_future(self.serve(plan))
-        self.background.add(task)
-        task.add_done_callback(self.background.discard)
+        task = self.background.spawn(self.serve(plan))
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
@@ -536,9 +534,7 @@
                 )
 
         if known is not None:
-            task = asyncio.ensure_future(check())
-            self.background.add(task)
-            task.add_done_callback(self.background.discard)
+            self.background.spawn(check())
 
     def get_owner_version(self, plan: Plan) -> int:
         """Return the version of the owners that decided, 0 without a key."""
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -333,7 +333,7 @@
         handling.cancel()
         await asyncio.sleep(0.01)
         running = sum(load.running for load in stage.counts.targets.values())
-        for task in stage.dispatcher.background:
+        for task in stage.dispatcher.background.tasks:
             task.cancel()
         return running
 
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -19,8 +19,15 @@
 
 from returns import result
 
-from dewstep_core import clock as clocks, errors, events
-from dewstep_fleet import directory as directories, feeds, model, planning, ranges
+from dewstep_core import clock as clocks, errors, events, tasks
+from dewstep_fleet import (
+    demands,
+    directory as directories,
+    feeds,
+    model,
+    planning,
+    ranges,
+)
 
 HOLD = datetime.timedelta(milliseconds=2500)
 """Time for which ranges are granted. A lost target's keys are away for at most this;
@@ -113,17 +120,6 @@
         self.lock = asyncio.Lock()
 
 
-class Demand(NamedTuple):
-    """Requests for the keys of one service and the speed of its targets."""
-
-    rates: Mapping[int, float]
-    """Requests/s by key."""
-    seconds: Mapping[str, float]
-    """Time that a request occupies a slot, by target."""
-    window: float
-    """Seconds over which the rates were counted."""
-
-
 class Granter:
     """The coordinator's task that owns the key ranges.
 
@@ -159,7 +155,7 @@
         clock: clocks.Clock,
         timing: model.Timing,
         has_support: Callable[[], bool],
-        read_demand: Callable[[str], Demand],
+        read_demand: Callable[[str], demands.Demand],
         read_queue: Callable[[model.Target], datetime.timedelta],
         read_inherited: Callable[[], datetime.timedelta],
         announce: Callable[[], None],
@@ -186,7 +182,7 @@
         self.moving: dict[str, list[tuple[int, int]]] = {}
         self.first_seen: dict[str, tuple[set[str], datetime.timedelta]] = {}
         """Targets of services without owners, and since when these are all."""
-        self.tasks: set[asyncio.Task] = set()
+        self.tasks = tasks.TaskOwner("granting_failed", self.receive_failure)
         self.planned = self.clock.monotonic()
         self.resting: dict[tuple[str, int], datetime.timedelta] = {}
         """Until when a key of a service that was moved alone stays where it is."""
@@ -207,24 +203,15 @@
                 self.step()
                 await self.directory.wait_change(sequence, TICK.total_seconds())
         finally:
-            for task in list(self.tasks):
-                task.cancel()
+            self.tasks.cancel()
             self.directory.moving = {}
 
-    def spawn(self, work: Coroutine) -> None:
-        """Run a task that ends with this term."""
-        task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-        task.add_done_callback(self._end_task)
-
-    def _end_task(self, task: asyncio.Task) -> None:
-        self.tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
-        if isinstance(task.exception(), DeposedError):
+    def receive_failure(self, error: BaseException) -> bool:
+        """End this term if a task found that it is over."""
+        if isinstance(error, DeposedError):
             self.deposed = True
-            return
-        events.exception("granting_failed", task.exception())
+            return True
+        return False
 
     def step(self) -> None:
         """Begin whatever is due."""
@@ -280,7 +267,7 @@
             if not targets or now - since < SETTLING:
                 return
         self.moving[service] = []
-        self.spawn(self.adopt_service(service))
+        self.tasks.spawn(self.adopt_service(service))
 
     async def adopt_service(self, service: str) -> None:
         """Write the ranges of a service under new generation numbers."""
@@ -378,7 +365,7 @@
                     return
                 state.busy = True
                 state.next = now + RENEWAL
-                self.spawn(self.renew(service, registered, state))
+                self.tasks.spawn(self.renew(service, registered, state))
             return
         self.evacuate(service, holdings, release=True)
 
@@ -433,7 +420,7 @@
         )
         if isinstance(failure, model.Superseded):
             state.failures = 0
-            self.spawn(self.confirm_term(service, holding))
+            self.tasks.spawn(self.confirm_term(service, holding))
         return outcome
 
     async def send_order(
@@ -500,7 +487,7 @@
         ):
             work.close()
             return
-        self.spawn(self.run_marked(service, spans, work))
+        self.tasks.spawn(self.run_marked(service, spans, work))
         self.mark(service, spans)
 
     def mark(self, service: str, spans: list[tuple[int, int]]) -> None:
@@ -730,7 +717,7 @@
         )
 
     def read_capacities(
-        self, service: str, demand: Demand
+        self, service: str, demand: demands.Demand
     ) -> dict[str, planning.Capacity]:
         """Return what each usable target can serve."""
         usable = self.list_usable(service, self.clock.monotonic())
@@ -760,7 +747,7 @@
     def plan_service(
         self,
         service: str,
-        demand: Demand,
+        demand: demands.Demand,
         capacities: Mapping[str, planning.Capacity],
         now: datetime.timedelta,
     ) -> None:
@@ -797,7 +784,7 @@
         waiting = self.changes.setdefault(service, [])
         waiting.append((build, done))
         if len(waiting) == 1:
-            self.spawn(self.commit_waiting(service))
+            self.tasks.spawn(self.commit_waiting(service))
         return await done
 
     async def commit_waiting(self, service: str) -> None:
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -11,7 +11,14 @@
 import pytest
 
 from dewstep_core import clock as clocks, errors
-from dewstep_fleet import builders, directory as directories, granting, model, ranges
+from dewstep_fleet import (
+    builders,
+    demands,
+    directory as directories,
+    granting,
+    model,
+    ranges,
+)
 
 STEP = 50 * builders.MILLISECOND
 SETTLED = granting.SETTLING + 8 * STEP
@@ -83,7 +90,7 @@
             self.clock,
             builders.build_timing(),
             lambda: self.support,
-            lambda service: granting.Demand(
+            lambda service: demands.Demand(
                 dict(self.rates), collections.defaultdict(lambda: 0.2), 1.5
             ),
             lambda target: 2 * STEP,
@@ -123,7 +130,7 @@
 
     def close(self):
         for granter in self.coordinators:
-            for task in list(granter.tasks):
+            for task in list(granter.tasks.tasks):
                 task.cancel()
 
 
--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -8,7 +8,7 @@
 
 from returns import result
 
-from dewstep_core import clock as clocks, data, errors, events, settings
+from dewstep_core import clock as clocks, data, errors, events, settings, tasks
 from dewstep_core.http import exchanges, routing, server
 from dewstep_entry.caller import listener
 from dewstep_entry.targets import answering
@@ -86,7 +86,7 @@
         self.failed = asyncio.Event()
         self.stopping = False
         self.was_ready = False
-        self.tasks: set[asyncio.Task] = set()
+        self.tasks = tasks.TaskOwner("task_failed", self.receive_failure)
         self.directory = directories.Directory(
             clock, adapter.decode_routes, adapter.decode_target
         )
@@ -153,11 +153,11 @@
                 # Requests are worth more than their counts.
                 events.error("metrics_refused", reason=str(error))
         await self.listener.start()
-        self.spawn(self.feeds.run())
-        self.spawn(self.fleet.run())
-        self.spawn(self.fleet.register())
-        self.spawn(self.flush())
-        self.spawn(self.follow_settings())
+        self.tasks.spawn(self.feeds.run())
+        self.tasks.spawn(self.fleet.run())
+        self.tasks.spawn(self.fleet.register())
+        self.tasks.spawn(self.flush())
+        self.tasks.spawn(self.follow_settings())
         events.info(
             "started",
             node=instance.member.node,
@@ -171,19 +171,10 @@
         await port.start(*address)
         self.servers.append(port)
 
-    def spawn(self, work) -> None:
-        """Run a task until the process ends; its failure asks for a stop."""
-        task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.receive_end)
-
-    def receive_end(self, task: asyncio.Task) -> None:
+    def receive_failure(self, error: BaseException) -> bool:
         """Ask for a stop if a task has failed: the process is no longer whole."""
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self.failed.set()
-            name = task.get_coro().__qualname__
-            events.exception("task_failed", task.exception(), task=name)
+        self.failed.set()
+        return False
 
     async def flush(self) -> None:
         """Write log lines that waited for their reader, until cancelled."""
@@ -241,14 +232,13 @@
             left = (end - self.clock.monotonic()).total_seconds()
             async with asyncio.timeout(max(left, 0.0)):
                 await self.listener.stop()
-                if self.dispatcher.background:
-                    await asyncio.wait(self.dispatcher.background)
+                if self.dispatcher.background.tasks:
+                    await asyncio.wait(self.dispatcher.background.tasks)
         except TimeoutError:
             cut = len(self.listener.connections)
             self.listener.abort()
         events.info("stopped", cut=cut)
-        for task in list(self.tasks):
-            task.cancel()
+        self.tasks.cancel()
         for port in self.servers:
             await port.close(grace=0.0)
         return cut
