Bound the time for which a removed target is kept by the time of its removal

A removal that is read after an outage waits 2.3 s for the target's return, but each further outage, even one lost answer, began that time anew. Before / after: the two new tests of directory_test.py fail without the change. Only an outage of a second or more, after which rows can have lapsed, makes removals wait, and none waits longer than from its first reading.

--- a/packages/fleet/dewstep_fleet/directory.py
+++ b/packages/fleet/dewstep_fleet/directory.py
@@ -22,6 +22,9 @@
 
 RETURN_GRACE = datetime.timedelta(milliseconds=2300)
 """Targets that live are back in the store within about 2 s of its return."""
+LEAST_OUTAGE = datetime.timedelta(seconds=1)
+"""An outage that an instance saw for less lets no target's row lapse: that takes three
+heartbeats of 0.9 s, and an instance sees an outage 1.6 s late at most."""
 RANGES = "ranges/"
 MEMBER = "member/"
 COORDINATOR = "coordinator"
@@ -97,17 +100,19 @@
         """Ranges that are changing hands, by service."""
         self.returned: datetime.timedelta | None = None
         """When the store came back after an outage."""
-        self.held_back: dict[str, model.StoredRow] = {}
-        """Removals of targets that wait for the end of `RETURN_GRACE`."""
+        self.held_back: dict[str, tuple[model.StoredRow, datetime.timedelta]] = {}
+        """Removals of targets, and until when they wait. A further outage must not
+        prolong that: the target may be gone since the first one."""
         self.sequence = 0
         self.waiters: set[asyncio.Future] = set()
         self.listeners: list[Callable[[list[model.StoredRow]], None]] = []
 
     # Changes.
 
-    def note_return(self) -> None:
-        """Note that the store answers again after it did not."""
-        self.returned = self.clock.monotonic()
+    def note_return(self, lasted: datetime.timedelta) -> None:
+        """Note that the store answers again after it did not for `lasted`."""
+        if lasted >= LEAST_OUTAGE:
+            self.returned = self.clock.monotonic()
 
     def take(
         self, rows: Iterable[model.StoredRow], settled: bool = False
@@ -152,15 +157,12 @@
 
     def release_held_back(self) -> None:
         """Apply the removals whose time of grace has ended."""
-        if not self.held_back or self._in_grace():
-            return
-        rows, self.held_back = list(self.held_back.values()), {}
-        self.returned = None
-        self.take(rows, settled=True)
-
-    def _in_grace(self) -> bool:
-        returned = self.returned
-        return returned is not None and self.clock.monotonic() - returned < RETURN_GRACE
+        now = self.clock.monotonic()
+        due = [row for row, until in self.held_back.values() if until <= now]
+        for row in due:
+            del self.held_back[row.key]
+        if due:
+            self.take(due, settled=True)
 
     def _hold_back(self, row: model.StoredRow) -> bool:
         if row.table != model.TABLES.targets:
@@ -169,9 +171,15 @@
             self.held_back.pop(row.key, None)
             return False
         known = self.targets.get(row.key)
-        if known is None or known.leaving or not self._in_grace():
+        if known is None or known.leaving or self.returned is None:
+            return False
+        until = self.returned + RETURN_GRACE
+        if row.key in self.held_back:
+            until = self.held_back[row.key][1]
+        if until <= self.clock.monotonic():
+            self.held_back.pop(row.key, None)
             return False
-        self.held_back[row.key] = row
+        self.held_back[row.key] = row, until
         return True
 
     def _decode(self, row: model.StoredRow) -> None:
--- a/packages/fleet/dewstep_fleet/directory_test.py
+++ b/packages/fleet/dewstep_fleet/directory_test.py
@@ -3,6 +3,8 @@
 from dewstep_core import clock as clocks
 from dewstep_fleet import builders, directory as directories, model, ranges
 
+OUTAGE = directories.LEAST_OUTAGE
+
 
 def build():
     clock = clocks.ManualClock()
@@ -45,7 +47,7 @@
     # Guards against all targets being taken for gone when the store comes back.
     clock, known = build()
     known.take([builders.build_target_row(builders.build_target("t"), 5)])
-    known.note_return()
+    known.note_return(OUTAGE)
     known.take([builders.build_row(model.TABLES.targets, "t", 7, None)])
     assert "t" in known.targets
     clock.advance(builders.SECOND)
@@ -60,7 +62,7 @@
     # Guards against requests to a leaving target by an instance that was cut off alone.
     _, known = build()
     known.take([builders.build_target_row(builders.build_target("t"), 5)])
-    known.note_return()
+    known.note_return(OUTAGE)
     row = builders.build_row(model.TABLES.targets, "t", 7, None)
     known.take([row], settled=True)
     assert "t" not in known.targets
@@ -69,7 +71,7 @@
 def test_target_that_does_not_report_after_an_outage_is_gone():
     clock, known = build()
     known.take([builders.build_target_row(builders.build_target("t"), 5)])
-    known.note_return()
+    known.note_return(OUTAGE)
     known.take_table(model.TABLES.targets, model.TableState((), 9))
     assert "t" in known.targets
     clock.advance(directories.RETURN_GRACE)
@@ -77,12 +79,37 @@
     assert "t" not in known.targets
 
 
+def test_target_that_is_gone_is_not_kept_by_further_outages():
+    """Guards against requests to a target that left while the store came and went."""
+    clock, known = build()
+    known.take([builders.build_target_row(builders.build_target("t"), 5)])
+    known.note_return(OUTAGE)
+    known.take([builders.build_row(model.TABLES.targets, "t", 7, None)])
+    clock.advance(directories.RETURN_GRACE - builders.MILLISECOND)
+    known.note_return(OUTAGE)
+    known.take_table(model.TABLES.targets, model.TableState((), 9))
+    known.release_held_back()
+    assert "t" in known.targets
+    clock.advance(builders.MILLISECOND)
+    known.release_held_back()
+    assert "t" not in known.targets
+
+
+def test_target_that_leaves_after_a_lost_call_is_gone_at_once():
+    """Guards against requests to a leaving target while single answers are lost."""
+    _, known = build()
+    known.take([builders.build_target_row(builders.build_target("t"), 5)])
+    known.note_return(directories.LEAST_OUTAGE / 2)
+    known.take([builders.build_row(model.TABLES.targets, "t", 7, None)])
+    assert "t" not in known.targets
+
+
 def test_leaving_target_is_not_kept_by_an_outage():
     # Guards against requests to a target whose leaving was already known.
     _, known = build()
     target = builders.build_target("t", leaving=True)
     known.take([builders.build_target_row(target, 5)])
-    known.note_return()
+    known.note_return(OUTAGE)
     known.take([builders.build_row(model.TABLES.targets, "t", 7, None)])
     assert "t" not in known.targets
 
--- a/packages/fleet/dewstep_fleet/feeds.py
+++ b/packages/fleet/dewstep_fleet/feeds.py
@@ -164,7 +164,7 @@
         if self.failing_since is not None:
             lasted = self.clock.monotonic() - self.failing_since
             self.failing_since = None
-            self.directory.note_return()
+            self.directory.note_return(lasted)
             events.info("store_regained", lasted=lasted)
 
     def _note_failure(self, table: str, failure) -> None:
