Choose strong coordinators, one at a time, and spare their lines

When the coordinator was lost, 72 instances challenged within 0.3 s. Each winner was deposed before its first beat (terms 5, 6 and 7 within 0.25 s), since a challenger counted the votes about the last coordinator for the next. The last one, on a line of 5 to 10 Mbit/s, sent all rows to all members; for six seconds its dials, grants and calls to the store timed out, and it was not replaced, because 16 of 72 still heard it. Look-ups met targets whose grants had ended (1,500 to 2,200 refusals a second). Ruled out: the store, which answered the others; a pause (no such line). A new coordinator gets time for its first beats, challengers are spread by the size of the fleet and by strength (line and cores), only the coordinator's own answer keeps it in office against a majority, and a member says which rows it has before it is sent the others. An outage is no longer counted from before a table was followed.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -42,6 +42,11 @@
 nothing but a short failure of the store has to be ruled out."""
 SPREAD = datetime.timedelta(milliseconds=300)
 """Challengers are spread over this time, so that one wins before others begin."""
+SPREAD_PER_MEMBER = datetime.timedelta(milliseconds=15)
+"""The same in a large fleet: a challenge takes 50 to 150 ms."""
+HANDICAP = datetime.timedelta(milliseconds=500)
+"""Additional time of the weakest instances, so that strong ones come first: a
+coordinator has a link to each member."""
 LAST_RESORT = datetime.timedelta(seconds=8)
 """Without a beat for this long, a minority may choose a coordinator."""
 VOTE_TIMEOUT = datetime.timedelta(milliseconds=500)
@@ -146,6 +151,8 @@
         """Term of the coordinator whose beats told that."""
         self.remembers = False
         """Whether this instance, now the coordinator, heard the one before it."""
+        self.chosen_at = now
+        """When this instance learned of the coordinator that the store names."""
         self.good = True
         """Whether the last beat came from a coordinator that reaches the store."""
         self.patience = self.draw_patience()
@@ -174,7 +181,8 @@
     def draw_patience(self) -> datetime.timedelta:
         """Return how long this instance waits for a good beat the next time."""
         weakness = max(0.0, 1.0 - self.own.strength)
-        return SUSPICION + SPREAD * (self.random.random() + weakness)
+        spread = max(SPREAD, SPREAD_PER_MEMBER * len(self.directory.members))
+        return SUSPICION + HANDICAP * weakness + spread * self.random.random()
 
     # Life.
 
@@ -257,9 +265,11 @@
         if leadership.node == self.own.node:
             # An earlier run of this very process was it.
             return leadership.incarnation != self.own.incarnation
+        # A coordinator that has just been chosen needs time for its first beats.
+        since = max(self.last_good, self.chosen_at)
         if now - self.last_beat < QUIET and not self.good:
-            return now - self.last_good > self.patience - SUSPICION + IMPATIENCE
-        return now - self.last_good > self.patience
+            return now - since > self.patience - SUSPICION + IMPATIENCE
+        return now - since > self.patience
 
     async def challenge(self) -> None:
         """Become the coordinator if most others miss it as well."""
@@ -270,7 +280,10 @@
                 return
             if not vacant and self.hears_coordinator():
                 return
-            await self.claim()
+            if leadership != self.directory.leadership:
+                # Another challenger was faster; the votes were not about it.
+                return
+            await self.claim(leadership)
         finally:
             self.patience = self.draw_patience()
             self.challenging = False
@@ -293,8 +306,14 @@
         heard = votes.count(True)
         # Instances that refuse connections are not running and have no vote.
         voters = 1 + silent + missing + heard
-        events.info("votes", missing=missing, heard=heard, silent=silent)
-        if heard:
+        # Its links may have gone silent while new connections reach it.
+        coordinator = self.directory.leadership.node
+        alive = any(
+            vote is True and member.node == coordinator
+            for member, vote in zip(others, votes, strict=True)
+        )
+        events.info("votes", missing=missing, heard=heard, silent=silent, alive=alive)
+        if alive:
             return False
         if 2 * (missing + 1) > voters:
             return True
@@ -321,9 +340,8 @@
                 self.answers.pop(link, None)
                 link.close()
 
-    async def claim(self) -> None:
-        """Replace the coordinator's row."""
-        leadership = self.directory.leadership
+    async def claim(self, leadership: directories.Leadership) -> None:
+        """Replace the coordinator's row, which must still say the same."""
         record = directories.Leadership(
             self.own.node, self.own.incarnation, leadership.term + 1, 0
         )
@@ -441,8 +459,8 @@
             return
         self.links[member.node] = link
         self.pending[member.node] = []
-        rows = tuple(self.directory.rows.values())
-        if not link.send(self.make_beat(rows, False)):
+        # All rows for all members would occupy a slow line for seconds.
+        if not link.send(self.make_frame("greeting")):
             self._lose(link)
 
     # Messages.
@@ -459,6 +477,8 @@
 
     def relay(self, news: list[model.StoredRow]) -> None:
         """Pass rows on that are news to this instance."""
+        if any(row.key == directories.COORDINATOR for row in news):
+            self.chosen_at = self.clock.monotonic()
         if not self.coordinating:
             self.begin_if_named()
             if self.deputy and not self.relayed and self.upstream is not None:
@@ -630,6 +650,17 @@
         now = self.clock.monotonic()
         if frame.kind == "beat":
             self._receive_beat(link, frame, now)
+        elif frame.kind == "greeting":
+            if self._is_current(link, frame):
+                versions = self.directory.list_versions()
+                link.send(self.make_frame("versions", versions=versions))
+        elif frame.kind == "versions":
+            if self.coordinating and self.links.get(frame.node) is link:
+                rows = self.directory.list_newer(frame.versions)
+                link.send(self.make_frame("rows", rows=rows))
+        elif frame.kind == "rows":
+            if self._is_current(link, frame):
+                self._take_relayed(frame.rows)
         elif frame.kind == "report":
             if frame.term > self.term:
                 self._meet_newer(frame)
@@ -658,12 +689,24 @@
         if self.coordinating:
             self.step_down(f"term {frame.term} of another coordinator")
 
+    def _is_current(self, link: links.Link, frame: frames.Frame) -> bool:
+        """Whether a message is not of a coordinator before the last known one."""
+        if frame.term >= self.term:
+            return True
+        link.send(self.make_frame("tell", heard=False))
+        link.close()
+        return False
+
+    def _take_relayed(self, rows: tuple[model.StoredRow, ...]) -> None:
+        """Take rows from the coordinator."""
+        self.relayed = True
+        self.directory.take(rows, settled=True)
+        self.relayed = False
+
     def _receive_beat(
         self, link: links.Link, frame: frames.Frame, now: datetime.timedelta
     ) -> None:
-        if frame.term < self.term:
-            link.send(self.make_frame("tell", heard=False))
-            link.close()
+        if not self._is_current(link, frame):
             return
         if self.coordinating:
             if frame.node == self.own.node or frame.term == self.term:
@@ -684,9 +727,7 @@
         self.live = max(1, frame.members)
         self.deputy = frame.deputy
         if frame.rows:
-            self.relayed = True
-            self.directory.take(frame.rows, settled=True)
-            self.relayed = False
+            self._take_relayed(frame.rows)
         moving: dict[str, tuple[tuple[int, int], ...]] = {}
         for span in frame.moving:
             spans = moving.get(span.service, ())
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -20,6 +20,7 @@
 )
 
 LIMIT = 6.0
+SECOND = builders.SECOND
 
 
 class Shop:
@@ -247,6 +248,97 @@
         assert not await other.fleet.win_votes()
 
 
+class Voters:
+    """Other instances that answer a challenger as the test says."""
+
+    def __init__(self, answers):
+        stage = Stage()
+        self.fleet = Running(stage, "own").fleet
+        rows = [
+            builders.build_row(
+                model.TABLES.fleet,
+                directories.MEMBER + node,
+                number,
+                directories.encode_record(model.Member(node, "i", "dc", "h", 1)),
+            )
+            for number, node in enumerate(answers, 2)
+        ]
+        rows.append(self.build_leadership("leader", 1))
+        self.fleet.directory.take(rows)
+
+        async def ask(member):
+            return answers[member.node]
+
+        self.fleet.ask = ask
+
+    def build_leadership(self, node, term):
+        """Return the row that names a coordinator."""
+        record = directories.Leadership(node, "i", term, 0)
+        value = directories.encode_record(record)
+        return builders.build_row(
+            model.TABLES.fleet, directories.COORDINATOR, 100 + term, value
+        )
+
+
+@testing.in_loop
+async def test_coordinator_that_few_hear_is_replaced():
+    """Guards against a coordinator on a line so full that its messages are lost."""
+    answers = {"leader": None, "n1": True, "n2": False, "n3": False, "n4": False}
+    assert await Voters(answers).fleet.win_votes()
+
+
+@testing.in_loop
+async def test_coordinator_that_answers_is_not_replaced():
+    """Guards against an election while all connections are silent but new ones work."""
+    answers = {"leader": True, "n1": False, "n2": False, "n3": False, "n4": False}
+    assert not await Voters(answers).fleet.win_votes()
+
+
+@testing.in_loop
+async def test_coordinator_that_was_just_chosen_is_not_suspected():
+    """Guards against a series of coordinators, each deposed before its first beat."""
+    voters = Voters({"n1": False})
+    fleet = voters.fleet
+    fleet.feeds.in_contact = lambda limit: True
+    fleet.feeds.current.add(model.TABLES.fleet)
+    fleet.last_good = fleet.last_beat = fleet.clock.monotonic() - LIMIT * SECOND
+    fleet.directory.take([voters.build_leadership("other", 2)])
+    now = fleet.clock.monotonic()
+    assert not fleet.suspects(now)
+    assert fleet.suspects(now + LIMIT * SECOND)
+
+
+@testing.in_loop
+async def test_votes_about_one_coordinator_do_not_depose_the_next():
+    voters = Voters({"n1": False})
+    fleet = voters.fleet
+
+    async def ask(member):
+        fleet.directory.take([voters.build_leadership("other", 2)])
+        return False
+
+    fleet.ask = ask
+    fleet.last_good = fleet.clock.monotonic() - LIMIT * SECOND
+    await fleet.challenge()
+    assert not fleet.coordinating
+    assert fleet.directory.leadership.node == "other"
+
+
+@testing.in_loop
+async def test_new_coordinator_sends_only_rows_that_a_member_lacks():
+    """Guards against a change of the coordinator that fills a slow line for seconds."""
+    async with running("n1", "n2") as stage:
+        leader = await await_following(stage)
+        running_leader = stage.running[leader]
+        other = next(item for node, item in stage.running.items() if node != leader)
+        known = other.directory.list_versions()
+        assert running_leader.directory.list_newer(known) == ()
+        newer = builders.build_target_row(builders.build_target("a"), 900)
+        added = builders.build_target_row(builders.build_target("z"), 901)
+        running_leader.directory.take([newer, added])
+        assert set(running_leader.directory.list_newer(known)) == {newer, added}
+
+
 @testing.in_loop
 async def test_stopping_coordinator_is_replaced_at_once():
     async with running("n1", "n2", "n3") as stage:
@@ -283,6 +375,7 @@
         moving=(frames.Span("s", 1, 2),),
         keys=(frames.KeyCount("s", 1, 2),),
         crashes=(frames.Crash(b"\x00\xff", 2),),
+        versions=((frames.shorten("t/k"), 2**40),),
     )
     assert frames.decode(frames.encode(frame)) == frame
 
--- a/packages/fleet/dewstep_fleet/directory.py
+++ b/packages/fleet/dewstep_fleet/directory.py
@@ -18,7 +18,7 @@
 from returns import result
 
 from dewstep_core import clock as clocks, errors, events
-from dewstep_fleet import model, ranges
+from dewstep_fleet import frames, model, ranges
 
 RETURN_GRACE = datetime.timedelta(milliseconds=2300)
 """Targets that live are back in the store within about 2 s of its return."""
@@ -70,6 +70,11 @@
         return result.Failure(errors.RowInvalid(row.key, type(error).__name__))
 
 
+def shorten_row(row: model.StoredRow) -> int:
+    """Return the short identifier of a row."""
+    return frames.shorten(f"{row.table}/{row.key}")
+
+
 class Directory:
     """The newest known version of each row, and what the rows say.
 
@@ -269,6 +274,25 @@
 
     # Reading.
 
+    def list_versions(self) -> tuple[tuple[int, int], ...]:
+        """Return short identifiers of all known rows, and the rows' versions."""
+        return tuple((shorten_row(row), row.version) for row in self.rows.values())
+
+    def list_newer(
+        self, versions: Iterable[tuple[int, int]]
+    ) -> tuple[model.StoredRow, ...]:
+        """Return the rows of which another instance has no or older versions.
+
+        Rows with the same short identifier count as missing if the older one's version
+        was told.
+        """
+        told = dict(versions)
+        return tuple(
+            row
+            for row in self.rows.values()
+            if told.get(shorten_row(row), -1) < row.version
+        )
+
     def is_moving(self, service: str, key: int) -> bool:
         """Return whether `key` is changing hands."""
         return any(first <= key <= last for first, last in self.moving.get(service, ()))
--- a/packages/fleet/dewstep_fleet/feeds.py
+++ b/packages/fleet/dewstep_fleet/feeds.py
@@ -127,6 +127,7 @@
     async def _follow(self, table: str) -> None:
         version = None
         failures = 0
+        began = self.clock.monotonic()
         while True:
             sent = self.clock.monotonic()
             if version is None:
@@ -136,7 +137,7 @@
                 outcome = await self.store.watch(table, version, wait)
             if isinstance(outcome, result.Success):
                 state = outcome.unwrap()
-                self._note_success(table, sent)
+                self._note_success(table, sent, began)
                 if version is None:
                     self.directory.take_table(table, state)
                 else:
@@ -158,11 +159,15 @@
             longest = min(FIRST_PAUSE * 2 ** min(failures - 1, 5), LONGEST_PAUSE)
             await self.clock.sleep(longest * (0.5 + self.random.random() / 2))
 
-    def _note_success(self, table: str, sent: datetime.timedelta) -> None:
+    def _note_success(
+        self, table: str, sent: datetime.timedelta, began: datetime.timedelta
+    ) -> None:
         if table == model.TABLES.fleet:
             self.confirmed = max(sent, self.confirmed or sent)
         if self.failing_since is not None:
-            lasted = self.clock.monotonic() - self.failing_since
+            # Nothing is known of the time in which the table was not followed.
+            since = max(self.failing_since, began)
+            lasted = self.clock.monotonic() - since
             self.failing_since = None
             self.directory.note_return(lasted)
             events.info("store_regained", lasted=lasted)
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -25,6 +25,12 @@
   admitted @3 :List(UInt8);    # hundredths of its requests that it can serve
 }
 
+struct Versions {
+  # Columns of equal length, one entry for each row that the sender has.
+  rows @0 :List(UInt32);       # short identifiers
+  versions @1 :List(UInt64);
+}
+
 struct Span {
   service @0 :Text;
   first @1 :UInt32;
@@ -43,7 +49,7 @@
 }
 
 struct Frame {
-  kind @0 :Text;           # "beat", "report", "ask", "tell" or "nominate"
+  kind @0 :Text;           # see frames.py
   term @1 :UInt64;
   node @2 :Text;
   incarnation @3 :Text;
@@ -59,4 +65,5 @@
   deputy @13 :Bool;        # "beat": the receiver follows the store as well
   holdsMs @14 :UInt32;     # for how long unusually long grants may go on
   totals @15 :Totals;
+  versions @16 :Versions;
 }
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -66,8 +66,10 @@
     """One message; the fields that its kind does not use are empty."""
 
     kind: str
-    """"beat" of the coordinator, "report" of a member; "ask" and "tell" whether a
-    coordinator is heard; "nominate" a member as the next coordinator."""
+    """"greeting" of a coordinator on a new link, answered by the "versions" of the rows
+    that the member has, and these by the "rows" that it lacks; then "beat" of the
+    coordinator and "report" of the member; "ask" and "tell" whether a coordinator is
+    heard."""
     term: int
     node: str
     incarnation: str
@@ -86,17 +88,19 @@
     crashes: tuple[Crash, ...] = ()
     stopping: bool = False
     deputy: bool = False
+    versions: tuple[tuple[int, int], ...] = ()
+    """Short identifiers of rows and the rows' versions."""
     holds_ms: int = 0
     """Milliseconds for which grants of more than the usual length may go on."""
 
 
-def shorten(target: str) -> int:
-    """Return the short identifier of a target.
+def shorten(name: str) -> int:
+    """Return the short identifier of a target or a row.
 
-    Two targets with the same one, once in 150,000 fleets of 240, would be
+    Two of the same one occur once in 150,000 fleets of 240 targets. Such targets are
     taken to be as busy as each other.
     """
-    return zlib.crc32(target.encode())
+    return zlib.crc32(name.encode())
 
 
 def encode(frame: Frame) -> bytes:
@@ -143,6 +147,10 @@
             min(round(total.slowness * 100), MOST_UINT16) for total in frame.totals
         ]
         totals.admitted = [round(total.admitted * 100) for total in frame.totals]
+    if frame.versions:
+        versions = message.init("versions")
+        versions.rows = [row for row, _ in frame.versions]
+        versions.versions = [version for _, version in frame.versions]
     if frame.moving:
         message.moving = [span._asdict() for span in frame.moving]
     if frame.keys:
@@ -202,5 +210,6 @@
         tuple(Crash(bytes(item.fingerprint), item.count) for item in message.crashes),
         message.stopping,
         message.deputy,
+        tuple(zip(message.versions.rows, message.versions.versions, strict=True)),
         message.holdsMs,
     )
--- a/packages/fleet/dewstep_fleet/model.py
+++ b/packages/fleet/dewstep_fleet/model.py
@@ -170,7 +170,7 @@
     host: str
     port: int
     strength: float = 1.0
-    """Cores that it may use."""
+    """Cores that it may use, or less if its line is slow."""
 
 
 class Tables(NamedTuple):
