Do not begin a term again after hearing of a newer one

Ruled out: harm to owners: each order needs a transaction or the coordinator's row. Before / after: the new test fails without the change and passes with it.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -688,6 +688,8 @@
         """Learn that there is a newer term than the one that this instance knows."""
         if self.coordinating:
             self.step_down(f"term {frame.term} of another coordinator")
+        # The row of this instance's own term may still be the newest one known here.
+        self.term = frame.term
 
     def _is_current(self, link: links.Link, frame: frames.Frame) -> bool:
         """Whether a message is not of a coordinator before the last known one."""
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -308,6 +308,27 @@
     assert fleet.suspects(now + LIMIT * SECOND)
 
 
+@testing.in_loop
+async def test_deposed_coordinator_does_not_begin_again():
+    """Guards against a term that begins anew with each row that is read."""
+    voters = Voters({"n1": False})
+    fleet = voters.fleet
+    record = directories.Leadership("own", fleet.own.incarnation, 2, 0)
+    row = builders.build_row(
+        model.TABLES.fleet,
+        directories.COORDINATOR,
+        500,
+        directories.encode_record(record),
+    )
+    fleet.directory.take([row])
+    assert fleet.coordinating and fleet.term == 2
+    await asyncio.sleep(0)
+    fleet._meet_newer(frames.Frame("tell", 3, "n1", "i"))
+    target = builders.build_target("news")
+    fleet.directory.take([builders.build_target_row(target, 900)])
+    assert not fleet.coordinating
+
+
 @testing.in_loop
 async def test_votes_about_one_coordinator_do_not_depose_the_next():
     voters = Voters({"n1": False})
