--- a/packages/core/dewstep_core/errors.py
+++ b/packages/core/dewstep_core/errors.py
@@ -207,6 +207,16 @@
     retry_after: datetime.timedelta
 
 
+@answers(503, NOT_RUN)
+class DemandExceeded(NamedTuple):
+    """The owner's keys draw more requests than it can serve, and this one is left out."""
+
+    target: str
+    admitted_percent: int
+    """Part of the requests that the owner can serve."""
+    retry_after: datetime.timedelta
+
+
 @answers(503, NOT_RUN)
 class DeadlineUnreachable(NamedTuple):
     """The request cannot be served before its deadline."""
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -379,7 +379,9 @@
         if self.is_beyond_share(plan, target, estimate):
             wait = selection.expect_wait(estimate, target.slots)
             retry = datetime.timedelta(seconds=wait / 2)
-            return result.Failure(errors.QueueFull(target.name, retry))
+            admitted_percent = round(estimate.admitted * 100)
+            failure = errors.DemandExceeded(target.name, admitted_percent, retry)
+            return result.Failure(failure)
         wait = selection.expect_wait(estimate, target.slots)
         return self.admit(plan, selection.Choice(target, estimate, wait))
 
