--- a/packages/core/dewstep_core/errors.py
+++ b/packages/core/dewstep_core/errors.py
@@ -209,7 +209,7 @@
 
 @answers(503, NOT_RUN)
 class DemandExceeded(NamedTuple):
-    """The owner's keys draw more requests than it can serve, and this one is left out."""
+    """Keys of the target draw more requests than it can serve; this one is left out."""
 
     target: str
     admitted_percent: int
