Spread challengers by the size of the fleet that they know by then

Cause: found by reading: the first wait was drawn before any member was known, and a coordinator that stops made all instances challenge it at the same moment. Before / after: the new test fails without the change and passes with it.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -716,13 +716,15 @@
             self.step_down(f"beat of {frame.node}")
         if frame.term > self.term:
             events.info("coordinator_heard", node=frame.node, term=frame.term)
+            # The size of the fleet was not known at the start.
+            self.patience = self.draw_patience()
         self.term = self.heard_term = frame.term
         self.note_holds(frame)
         self.upstream = link
         self.last_beat = now
         if frame.stopping:
+            # Its successor need not wait; the challengers are spread all the same.
             self.last_good = now - SUSPICION
-            self.patience = SUSPICION
         elif frame.contact:
             self.last_good = now
         self.good = frame.contact and not frame.stopping
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -15,6 +15,7 @@
     feeds,
     frames,
     keys,
+    links,
     loads as load_counts,
     model,
 )
@@ -329,6 +330,25 @@
     assert not fleet.coordinating
 
 
+@testing.in_loop
+async def test_challengers_of_a_large_fleet_do_not_all_come_at_once():
+    """Guards against as many votes as there are pairs of instances."""
+    voters = Voters({f"n{number}": False for number in range(80)})
+    fleet = voters.fleet
+    link = links.Link(lambda *_: None, lambda *_: None)
+    waits = []
+    for term in range(2, 102):
+        for stopping in (False, True):
+            fleet._receive_beat(
+                link,
+                frames.Frame("beat", term, "n1", "i", stopping=stopping),
+                fleet.clock.monotonic(),
+            )
+        waits.append(fleet.patience - coordination.SUSPICION)
+    soon = sum(wait < 100 * builders.MILLISECOND for wait in waits)
+    assert soon <= 20
+
+
 @testing.in_loop
 async def test_votes_about_one_coordinator_do_not_depose_the_next():
     voters = Voters({"n1": False})
