Count the time of an order from when it can have been sent at the latest

Cause: an order may wait up to 0.4 s for one of three connections to its target, while releases occupy them; its time counts from its arrival. Before / after: the new test has two owners of a key without the change and none with it.

--- a/packages/fleet/dewstep_fleet/builders.py
+++ b/packages/fleet/dewstep_fleet/builders.py
@@ -178,6 +178,8 @@
         """Targets that cannot be reached."""
         self.delayed: list = []
         self.delay_next = 0
+        self.queueing = datetime.timedelta()
+        """Time for which a delayed order waits for a connection first."""
         self.released: list[tuple[str, int, int]] = []
         self.handovers: list[tuple[str, str]] = []
 
@@ -215,6 +217,8 @@
         """Take a grant."""
         if target.name in self.down:
             return result.Failure(errors.TargetUnavailable(target.name, "down"))
+        if self.delay_next and self.queueing:
+            await self.clock.sleep(self.queueing)
         end = self.clock.monotonic() + duration * granting.DRIFT
         if self.delay_next:
             self.delay_next -= 1
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -38,6 +38,9 @@
 """A target's clock runs up to 2% slow."""
 TRANSIT = datetime.timedelta(milliseconds=150)
 """Longest time that an order is on its way over a link that is not harmed."""
+ORDER_TIMEOUT = datetime.timedelta(milliseconds=400)
+"""Longest time that an order takes, the wait for a connection included: an exchange
+takes 2 ms, and a lost packet is sent again after 200 ms."""
 OUTAGE = datetime.timedelta(milliseconds=2500)
 """Without the store for this long, ranges are granted for the longest time that targets
 accept: nothing can change hands then, and the coordinator itself may get lost."""
@@ -303,7 +306,8 @@
     def inherit(self, ownership: ranges.Ownership) -> None:
         """Reckon with grants that the last coordinator may still have sent."""
         longest = max(HOLD, self.read_inherited())
-        expiry = self.clock.monotonic() + SUCCESSION + self.bound(longest)
+        latest = self.clock.monotonic() + SUCCESSION + ORDER_TIMEOUT
+        expiry = latest + self.bound(longest)
         for holding in ownership.holdings:
             state = self.get_post(Post(holding.target, holding.life))
             state.expiry = state.unanswered = expiry
@@ -315,7 +319,7 @@
     def count_long_holds(self) -> datetime.timedelta:
         """Return for how long grants of more than the usual length may go on."""
         now = self.clock.monotonic()
-        usual = now + self.bound(HOLD)
+        usual = now + ORDER_TIMEOUT + self.bound(HOLD)
         return max(
             (
                 state.expiry - now
@@ -448,14 +452,19 @@
                 return result.Failure(errors.TargetUnavailable(target.name, "no term"))
             duration = self.choose_duration()
             before = state.expiry
-            expiry = self.clock.monotonic() + self.bound(duration)
-            state.expiry = max(before, expiry)
+            latest = self.clock.monotonic() + ORDER_TIMEOUT
+            state.expiry = max(before, latest + self.bound(duration))
             outcome = await self.channel.grant(target, holding, duration, handover)
+            # It may have waited for a connection, and its time counts from its arrival.
+            expiry = self.clock.monotonic() + self.bound(duration)
+            failure = None
             if isinstance(outcome, result.Failure):
-                if isinstance(outcome.failure(), errors.TargetUnavailable):
-                    state.expiry = before
-                else:
-                    state.unanswered = max(state.unanswered, expiry)
+                failure = outcome.failure()
+            if isinstance(failure, errors.TargetUnavailable):
+                expiry = before
+            elif failure is not None:
+                state.unanswered = max(state.unanswered, expiry)
+            state.expiry = max(before, expiry)
             return outcome
 
     def is_held(self, service: str, holding: model.Holding) -> bool:
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -253,6 +253,32 @@
     play(scenario)
 
 
+def test_order_that_waited_for_a_connection_holds_for_longer():
+    """Guards against a renewal that is applied after its end as seen from its start.
+
+    It waited for a connection first, and its time counts from its arrival.
+    """
+
+    async def scenario(stages):
+        stage = begin(stages, "a", "b")
+        stage.elect("n1")
+        await stage.run(SETTLED + granting.RENEWAL)
+        stage.targets.queueing = granting.ORDER_TIMEOUT - STEP
+        stage.targets.delay_next = 1
+        while not stage.targets.delayed:
+            await stage.run(STEP)
+        target, _, end = stage.targets.delayed[0]
+        await stage.run(end - stage.clock.monotonic() - 3 * STEP)
+        stage.register(builders.build_target(target, leaving=True))
+        for _ in range(2):
+            await stage.run(STEP)
+        stage.targets.apply_delayed()
+        await stage.run(builders.SECOND)
+        assert target not in stage.find_owners()
+
+    play(scenario)
+
+
 def test_fence_without_an_answer_is_waited_out():
     # Guards against a fence that is carried out after the range has another owner
     # (day late-orders-and-lost-workers, seed 11: OWNER).
