--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -102,6 +102,7 @@
         "expiry",
         "failing_since",
         "failures",
+        "inherited",
         "lock",
         "next",
         "unanswered",
@@ -111,7 +112,9 @@
         self.expiry = expiry
         """Until then the target may hold what was granted."""
         self.unanswered = expiry
-        """Until then a grant that got no answer may come into force."""
+        """Until then a grant of this term that got no answer may come into force."""
+        self.inherited = expiry
+        """Until then a grant of the last coordinator may come into force."""
         self.failures = 0
         self.failing_since = datetime.timedelta()
         """When the first of the failures in a row was."""
@@ -310,7 +313,7 @@
         expiry = latest + self.bound(longest)
         for holding in ownership.holdings:
             state = self.get_post(Post(holding.target, holding.life))
-            state.expiry = state.unanswered = expiry
+            state.expiry = state.inherited = expiry
 
     def bound(self, duration: datetime.timedelta) -> datetime.timedelta:
         """Return for how long a grant sent now may hold at most."""
@@ -385,7 +388,7 @@
                 # It refuses the last coordinator's generation numbers from now on. What
                 # it took before goes on to its end.
                 state.answered = True
-                state.unanswered = before
+                state.inherited = before
         finally:
             state.busy = False
 
@@ -627,7 +630,8 @@
         state = self.get_post(Post(holding.target, holding.life))
         # A grant in progress covers the range; later ones leave it out.
         async with state.lock:
-            expiry, unanswered = state.expiry, state.unanswered
+            expiry = state.expiry
+            unanswered = max(state.unanswered, state.inherited)
         handover = ""
         if release and owner is not None and owner.life == holding.life:
             if unanswered > self.clock.monotonic():
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -279,6 +279,31 @@
     play(scenario)
 
 
+def test_first_answers_of_a_term_do_not_settle_its_own_lost_orders():
+    """Guards against a renewal of this term that is applied after a move.
+
+    Only orders of the last coordinator are refused from the first answers on.
+    """
+
+    async def scenario(stages):
+        stage = begin(stages, "a", "b")
+        stage.elect("n1")
+        await stage.run(SETTLED + granting.RENEWAL)
+        stage.elect("n2")
+        stage.targets.delay_next = 1
+        while not stage.targets.delayed:
+            await stage.run(STEP)
+        target = stage.targets.delayed[0][0]
+        await stage.run(granting.RENEWAL)
+        stage.register(builders.build_target(target, leaving=True))
+        await stage.run(8 * STEP)
+        stage.targets.apply_delayed()
+        await stage.run(builders.SECOND)
+        assert target not in stage.find_owners()
+
+    play(scenario)
+
+
 def test_fence_without_an_answer_is_waited_out():
     # Guards against a fence that is carried out after the range has another owner
     # (day late-orders-and-lost-workers, seed 11: OWNER).
