--- a/packages/core/dewstep_core/tasks.py
+++ b/packages/core/dewstep_core/tasks.py
@@ -4,27 +4,17 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from dewstep_core import events
-
 
 class TaskOwner:
-    """Keeps its tasks until they end, and logs those that fail.
+    """Keeps its tasks until they end.
 
     Parameters
     ----------
-    event : str
-        Name of the log event for a failed task.
-    receive_failure : callable, optional
-        Takes the exception of a failed task; returns whether it was expected, so that
-        it is not logged.
+    receive_failure : callable
+        Takes the exception of a failed task and the task's name, and logs them.
     """
 
-    def __init__(
-        self,
-        event: str,
-        receive_failure: Callable[[BaseException], bool] = lambda error: False,
-    ):
-        self.event = event
+    def __init__(self, receive_failure: Callable[[BaseException, str], None]):
         self.receive_failure = receive_failure
         self.tasks: set[asyncio.Task] = set()
 
@@ -42,8 +32,5 @@
 
     def _receive_end(self, task: asyncio.Task) -> None:
         self.tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
-        error = task.exception()
-        if not self.receive_failure(error):
-            events.exception(self.event, error, task=task.get_coro().__qualname__)
+        if not task.cancelled() and task.exception() is not None:
+            self.receive_failure(task.exception(), task.get_coro().__qualname__)
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -59,7 +59,7 @@
         self.started = clock.monotonic()
         self.stopping = False
         self.failed = asyncio.Event()
-        self.tasks = tasks.TaskOwner("task_failed", self.receive_failure)
+        self.tasks = tasks.TaskOwner(self.receive_failure)
         self.random = random.Random()
         self.own = data.Member(
             settings.entry,
@@ -201,14 +201,14 @@
             data_centre=self.own.data_centre,
         )
 
-    def receive_failure(self, error: BaseException) -> bool:
+    def receive_failure(self, error: BaseException, task: str) -> None:
         """Ask for a stop if a task has failed: the process is no longer whole.
 
         A process without heartbeats, for example, would still look alive to its
         callers, while its peers could not tell when it freezes.
         """
         self.failed.set()
-        return False
+        events.exception("task_failed", error, task=task)
 
     async def report(self) -> None:
         """Send metrics until cancelled."""
--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -168,7 +168,7 @@
         self.reports: dict[str, Report] = {}
         self.answers: dict[links.Link, asyncio.Future] = {}
         self.granter_task: asyncio.Task | None = None
-        self.tasks = tasks.TaskOwner("coordination_failed")
+        self.tasks = tasks.TaskOwner(self.receive_failure)
         self.beat_at = now
         self.pushing = False
         self.deputy = False
@@ -215,6 +215,10 @@
             if self.server is not None:
                 self.server.close()
 
+    def receive_failure(self, error: BaseException, task: str) -> None:
+        """Log a failed task; what it did is tried again."""
+        events.exception("coordination_failed", error, task=task)
+
     def tick(self, now: datetime.timedelta) -> None:
         """Do what is due."""
         self.directory.release_held_back()
@@ -381,7 +385,8 @@
         """Step down after the granter has ended, by itself or by a fault."""
         error = self.granter_task.exception()
         if error is not None:
-            events.exception("granting_failed", error)
+            task = self.granter_task.get_coro().__qualname__
+            events.exception("granting_failed", error, task=task)
         self.step_down("deposed" if error is None else type(error).__name__)
 
     def step_down(self, reason: str) -> None:
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -155,7 +155,7 @@
         self.splitter = routes.Splitter()
         self.pools: dict[tuple[str, int, str, int], pooling.ConnectionPool] = {}
         self.in_progress = 0
-        self.background = tasks.TaskOwner("dispatch_failed")
+        self.background = tasks.TaskOwner(self.receive_failure)
         self.suspicions: dict[str, set[Suspicion]] = {}
         """Requests that may have ended a target, by the target."""
         directory.listeners.append(self._prune)
@@ -187,6 +187,10 @@
                 task.cancel()
             raise
 
+    def receive_failure(self, error: BaseException, task: str) -> None:
+        """Log a failed task; its caller has been answered by then or has left."""
+        events.exception("dispatch_failed", error, task=task)
+
     # Identification.
 
     async def identify(self, arrival: model.Arrival) -> result.Result[Plan, Any]:
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -188,7 +188,7 @@
         self.moving: dict[str, list[tuple[int, int]]] = {}
         self.first_seen: dict[str, tuple[set[str], datetime.timedelta]] = {}
         """Targets of services without owners, and since when these are all."""
-        self.tasks = tasks.TaskOwner("granting_failed", self.receive_failure)
+        self.tasks = tasks.TaskOwner(self.receive_failure)
         self.planned = self.clock.monotonic()
         self.resting: dict[tuple[str, int], datetime.timedelta] = {}
         """Until when a key of a service that was moved alone stays where it is."""
@@ -212,12 +212,12 @@
             self.tasks.cancel()
             self.directory.moving = {}
 
-    def receive_failure(self, error: BaseException) -> bool:
-        """End this term if a task found that it is over."""
+    def receive_failure(self, error: BaseException, task: str) -> None:
+        """End this term if a task found that it is over; log any other failure."""
         if isinstance(error, DeposedError):
             self.deposed = True
-            return True
-        return False
+        else:
+            events.exception("granting_failed", error, task=task)
 
     def step(self) -> None:
         """Begin whatever is due."""
--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -86,7 +86,7 @@
         self.failed = asyncio.Event()
         self.stopping = False
         self.was_ready = False
-        self.tasks = tasks.TaskOwner("task_failed", self.receive_failure)
+        self.tasks = tasks.TaskOwner(self.receive_failure)
         self.directory = directories.Directory(
             clock, adapter.decode_routes, adapter.decode_target
         )
@@ -171,10 +171,10 @@
         await port.start(*address)
         self.servers.append(port)
 
-    def receive_failure(self, error: BaseException) -> bool:
+    def receive_failure(self, error: BaseException, task: str) -> None:
         """Ask for a stop if a task has failed: the process is no longer whole."""
         self.failed.set()
-        return False
+        events.exception("task_failed", error, task=task)
 
     async def flush(self) -> None:
         """Write log lines that waited for their reader, until cancelled."""
