Log what tells the causes of a doubly owned key apart

The logs could not tell which process answered an order, so a renewal that another process at the target's address accepted looked like a sign of life of the old one. Nor did they show: - what a new coordinator assumed of its predecessor's grants, and whether a member had heard of the long ones; - whether a new incarnation left unanswered grants behind; - whether the store assigned versions or generation numbers twice; - how an ownership ended: released or expired, with or without a fencing grant, and with which grants outstanding.

New events cover each; renewals still write no line. No decision changes.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -421,6 +421,7 @@
         ):
             return
         self.followed_previous_term = self.last_heartbeat_term == current.term - 1
+        heartbeat_age = self.clock.monotonic() - self.last_heartbeat_at
         self.term = current.term
         self.coordinating = True
         self.deputy = False
@@ -429,7 +430,14 @@
         self.coordinator_link = None
         self.table_feeds.follow(frozenset(model.TABLES), relays=True)
         self.granter_task = asyncio.ensure_future(self.granter.run())
-        events.info("coordinating", term=self.term)
+        events.info(
+            "coordinating",
+            term=self.term,
+            followed_previous_term=self.followed_previous_term,
+            last_heartbeat_term=self.last_heartbeat_term,
+            heartbeat_age=heartbeat_age,
+            long_grants_left=self.get_inherited_grant_time_left(),
+        )
 
     def finish_granting(self) -> None:
         """Step down after the granter has returned or failed."""
@@ -673,10 +681,16 @@
 
     def record_long_grants(self, frame: frames.Frame) -> None:
         """Record the remaining time of long grants that the sender reports."""
+        now = self.clock.monotonic()
         time_left = datetime.timedelta(milliseconds=frame.holds_ms)
-        self.long_grants_until = max(
-            self.long_grants_until, self.clock.monotonic() + time_left
-        )
+        if time_left and self.long_grants_until <= now:
+            events.info(
+                "long_grants_reported",
+                node=frame.node,
+                term=frame.term,
+                time_left=time_left,
+            )
+        self.long_grants_until = max(self.long_grants_until, now + time_left)
 
     def estimate_queue_wait(self, target: model.Target) -> datetime.timedelta:
         """Return the expected queueing time at a target."""
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -12,6 +12,7 @@
     builders,
     coordination,
     directories,
+    event_capture,
     feeds,
     frames,
     keys,
@@ -459,3 +460,22 @@
     frame = frames.Frame("beat", 3, "n", "i", totals=totals)
     assert len(frames.encode(frame)) < 10 * len(totals)
     assert frames.decode(frames.encode(frame)).totals[5].target == totals[5].target
+
+
+@testing.run_in_event_loop
+async def test_reported_long_grants_and_the_term_that_relies_on_them_are_logged(
+    monkeypatch,
+):
+    # Whether a coordinator knows of its predecessor's long grants decides how long it
+    # waits for them.
+    log = event_capture.EventCapture(monkeypatch)
+    async with run_fleet("n1", "n2") as harness:
+        await wait_coordinator(harness)
+        (fields,) = log.find("coordinating")
+        assert fields["last_heartbeat_term"] == 0
+        participant = harness.running["n1"].participant
+        frame = frames.Frame("beat", 1, "n2", "n2-x", holds_ms=5000)
+        participant.record_long_grants(frame)
+        participant.record_long_grants(frame)
+        (fields,) = log.find("long_grants_reported")
+        assert fields["node"] == "n2" and fields["time_left"] == 5 * SECOND
--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -83,6 +83,11 @@
         return result.Failure(errors.RowInvalid(row.key, repr(error)))
 
 
+def format_address(target: model.Target) -> str:
+    """Return a target's address for log lines."""
+    return f"{target.host}:{target.port}"
+
+
 class Directory:
     """The newest known version of each row, and the decoded content.
 
@@ -106,6 +111,8 @@
         self.routes: model.RouteTable | None = None
         self.targets: dict[str, model.Target] = {}
         self.targets_by_service: dict[str, tuple[model.Target, ...]] = {}
+        self.names_by_address: dict[tuple[str, int], set[str]] = {}
+        """Names of the registered targets at each address."""
         self.ownerships: dict[str, ranges.Ownership] = {}
         self.members: dict[str, model.Member] = {}
         self.leadership = NO_LEADERSHIP
@@ -147,6 +154,7 @@
         for row in rows:
             known = self.rows.get((row.table, row.key))
             if known is not None and known.version >= row.version:
+                self._check_version_reuse(known, row)
                 continue
             if not apply_removals and self._defer_removal(row):
                 continue
@@ -242,15 +250,77 @@
                     service=target.service,
                     leaving=target.leaving,
                     life=target.life,
+                    address=format_address(target),
                     row=row.version,
                 )
+                self._record_registration(row, known, target)
         else:
             if decoded is not None:
                 events.warning(
                     "target_refused", target=row.key, failure=decoded.failure()
                 )
-            if self.targets.pop(row.key, None) is not None:
-                events.info("target_gone", target=row.key, row=row.version)
+            known = self.targets.pop(row.key, None)
+            if known is not None:
+                self._forget_address(row.key, known)
+                events.info(
+                    "target_gone",
+                    target=row.key,
+                    life=known.life,
+                    address=format_address(known),
+                    row=row.version,
+                )
+
+    def _record_registration(
+        self, row: model.StoredRow, known: model.Target | None, target: model.Target
+    ) -> None:
+        """Log a new incarnation, and an address that another target has, too."""
+        if known is not None and known.life != target.life:
+            events.info(
+                "target_incarnation_changed",
+                target=row.key,
+                previous_life=known.life,
+                life=target.life,
+                previous_address=format_address(known),
+                address=format_address(target),
+                row=row.version,
+            )
+        if known is not None:
+            self._forget_address(row.key, known)
+        names = self.names_by_address.setdefault((target.host, target.port), set())
+        address = format_address(target)
+        is_new = (
+            known is None
+            or known.life != target.life
+            or format_address(known) != address
+        )
+        if names and is_new:
+            events.warning(
+                "target_address_shared",
+                target=row.key,
+                life=target.life,
+                address=address,
+                others=[f"{name}/{self.targets[name].life}" for name in sorted(names)],
+                row=row.version,
+            )
+        names.add(row.key)
+
+    def _forget_address(self, name: str, target: model.Target) -> None:
+        address = target.host, target.port
+        names = self.names_by_address.get(address, set())
+        names.discard(name)
+        if not names:
+            self.names_by_address.pop(address, None)
+
+    def _check_version_reuse(
+        self, known: model.StoredRow, row: model.StoredRow
+    ) -> None:
+        """Log a row with other content than the known one of the same version."""
+        if known.version != row.version or None in (known.value, row.value):
+            return
+        if known.value != row.value:
+            events.error(
+                "row_version_reused", table=row.table, key=row.key, version=row.version
+            )
 
     def _group_targets(self) -> None:
         groups: dict[str, list[model.Target]] = {}
@@ -266,7 +336,18 @@
         if isinstance(decoded, result.Failure):
             events.error("owners_refused", failure=decoded.failure())
             return
-        self.ownerships[service] = decoded.unwrap()
+        ownership = decoded.unwrap()
+        known = self.ownerships.get(service)
+        if known is not None and ownership.generation < known.generation:
+            events.error(
+                "generation_decreased",
+                service=service,
+                previous_generation=known.generation,
+                generation=ownership.generation,
+                previous_row=known.version,
+                row=row.version,
+            )
+        self.ownerships[service] = ownership
 
     def _apply_member(self, row: model.StoredRow) -> None:
         node = row.key.removeprefix(MEMBER_PREFIX)
@@ -287,7 +368,12 @@
             events.error("coordinator_refused", failure=decoded.failure())
             return
         self.leadership = decoded.unwrap()
-        events.info("coordinator", node=self.leadership.node, term=self.leadership.term)
+        events.info(
+            "coordinator",
+            node=self.leadership.node,
+            term=self.leadership.term,
+            row=row.version,
+        )
 
     # Queries.
 
--- a/packages/fleet/dewstep_fleet/directories_test.py
+++ b/packages/fleet/dewstep_fleet/directories_test.py
@@ -1,7 +1,7 @@
 from returns import result
 
 from dewstep_core import clocks
-from dewstep_fleet import builders, directories, model, ranges
+from dewstep_fleet import builders, directories, event_capture, model, ranges
 
 OUTAGE = directories.MIN_OUTAGE
 
@@ -162,3 +162,76 @@
     known.moving = {"s": ((5, 9),)}
     assert known.is_moving("s", 9) and not known.is_moving("s", 10)
     assert not known.is_moving("other", 5)
+
+
+def test_targets_at_the_same_address_are_logged_once(monkeypatch):
+    # Guards against orders that reach another process without a trace in the log.
+    log = event_capture.EventCapture(monkeypatch)
+    _, known = build_empty()
+    successor = builders.build_target("b")
+    known.apply_rows([builders.build_target_row(builders.build_target("a"), 5)])
+    known.apply_rows([builders.build_target_row(successor, 6)])
+    known.apply_rows([builders.build_target_row(successor._replace(leaving=True), 7)])
+    (fields,) = log.find("target_address_shared")
+    assert fields["target"] == "b" and fields["others"] == ["a/1"]
+    assert fields["address"] == "10.0.0.1:80"
+
+
+def test_address_of_a_removed_target_is_not_shared(monkeypatch):
+    log = event_capture.EventCapture(monkeypatch)
+    _, known = build_empty()
+    known.apply_rows([builders.build_target_row(builders.build_target("a"), 5)])
+    known.apply_rows([builders.build_row(model.TABLES.targets, "a", 6, None)])
+    known.apply_rows([builders.build_target_row(builders.build_target("b"), 7)])
+    moved = builders.build_target("b", host="10.0.0.2")
+    known.apply_rows([builders.build_target_row(moved, 8)])
+    known.apply_rows([builders.build_target_row(builders.build_target("c"), 9)])
+    assert log.find("target_gone", target="a", life=1, address="10.0.0.1:80")
+    assert not log.find("target_address_shared")
+    assert set(known.names_by_address) == {("10.0.0.1", 80), ("10.0.0.2", 80)}
+
+
+def test_new_incarnation_is_logged_with_the_previous_one(monkeypatch):
+    log = event_capture.EventCapture(monkeypatch)
+    _, known = build_empty()
+    known.apply_rows([builders.build_target_row(builders.build_target("a"), 5)])
+    restarted = builders.build_target("a", life=2, port=81)
+    known.apply_rows([builders.build_target_row(restarted, 6)])
+    (fields,) = log.find("target_incarnation_changed")
+    assert (fields["previous_life"], fields["life"]) == (1, 2)
+    assert fields["previous_address"] == "10.0.0.1:80"
+    assert fields["address"] == "10.0.0.1:81"
+
+
+def test_version_assigned_twice_is_logged(monkeypatch):
+    # A store that went back to an older copy assigns versions again.
+    log = event_capture.EventCapture(monkeypatch)
+    _, known = build_empty()
+    row = builders.build_target_row(builders.build_target("a"), 5)
+    known.apply_rows([row])
+    known.apply_rows([row])
+    assert not log.find("row_version_reused")
+    known.apply_rows([builders.build_target_row(builders.build_target("a", life=2), 5)])
+    assert log.find("row_version_reused", key="a", version=5)
+    assert known.targets["a"].life == 1
+
+
+def test_lower_generation_number_in_a_newer_row_is_logged(monkeypatch):
+    log = event_capture.EventCapture(monkeypatch)
+    _, known = build_empty()
+    for version, generation in ((5, 9), (6, 10), (7, 8)):
+        ownership = ranges.Ownership(
+            "history", 0, generation, builders.build_holdings("a")
+        )
+        known.apply_rows(
+            [
+                builders.build_row(
+                    model.TABLES.fleet,
+                    directories.RANGES_PREFIX + "history",
+                    version,
+                    ranges.encode(ownership),
+                )
+            ]
+        )
+    (fields,) = log.find("generation_decreased")
+    assert (fields["previous_generation"], fields["generation"]) == (10, 8)
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -98,14 +98,17 @@
 
     __slots__ = (
         "all_accepted",
+        "answered_at",
         "avoid_until",
         "expiry",
         "failing_since",
         "failures",
         "inherited_until",
+        "last_failure",
         "lock",
         "next_renewal",
         "renewing",
+        "sent_generations",
         "unanswered_until",
     )
 
@@ -119,6 +122,11 @@
         self.failures = 0
         self.failing_since = datetime.timedelta()
         """Time of the first of the consecutive failures."""
+        self.last_failure: Any = None
+        self.answered_at: datetime.timedelta | None = None
+        """When the target last accepted a grant."""
+        self.sent_generations: set[int] = set()
+        """Generation numbers of the grants that the target may have received."""
         self.all_accepted = False
         """Whether the target accepted all its ranges under this term's generations."""
         self.next_renewal = datetime.timedelta()
@@ -126,6 +134,18 @@
         self.avoid_until = datetime.timedelta()
         self.lock = asyncio.Lock()
 
+    def describe(self, now: datetime.timedelta) -> dict[str, datetime.timedelta]:
+        """Return the remaining times of the outstanding grants for a log line."""
+        times = {
+            "grants_left": self.expiry,
+            "unanswered_left": self.unanswered_until,
+            "inherited_left": self.inherited_until,
+        }
+        return {
+            name: max(until - now, datetime.timedelta())
+            for name, until in times.items()
+        }
+
 
 class Granter:
     """Grants, renews and moves key ranges while this instance is the coordinator.
@@ -202,6 +222,8 @@
         ] = {}
         self.commit_locks: dict[str, asyncio.Lock] = {}
         self.deposed = False
+        self.last_duration: datetime.timedelta | None = None
+        """Duration of the last grant."""
 
     # Lifecycle.
 
@@ -326,6 +348,14 @@
             self.clock.monotonic() + TERM_CONFIRMATION_MAX_AGE + ORDER_TIMEOUT
         )
         expiry = latest_sent_at + self.get_max_grant_validity(max_duration)
+        events.info(
+            "grants_inherited",
+            service=ownership.service,
+            term=self.leadership.term,
+            generation=ownership.generation,
+            max_duration=max_duration,
+            grants_left=expiry - self.clock.monotonic(),
+        )
         for holding in ownership.holdings:
             state = self.get_grant_state(
                 TargetIncarnation(holding.target, holding.life)
@@ -429,22 +459,36 @@
     ) -> result.Result[None, Any]:
         """Renew one range and record whether the target answers."""
         state = self.get_grant_state(TargetIncarnation(target.name, target.life))
+        answered_before = state.answered_at
         outcome = await self.send_grant(target, holding, state, "", service)
         if isinstance(outcome, result.Success):
             if state.failures:
-                events.info("target_answers_again", target=target.name)
+                events.info(
+                    "target_answers_again",
+                    target=target.name,
+                    life=target.life,
+                    address=directories.format_address(target),
+                    generation=holding.generation,
+                    # False if the renewal was skipped because the range is moving.
+                    answered=state.answered_at != answered_before,
+                    failures=state.failures,
+                    failing_for=self.clock.monotonic() - state.failing_since,
+                    last_failure=state.last_failure,
+                )
             state.failures = 0
             return outcome
         failure = outcome.failure()
         if not state.failures:
             state.failing_since = self.clock.monotonic()
         state.failures += 1
+        state.last_failure = failure
         state.next_renewal = min(
             state.next_renewal, self.clock.monotonic() + RETRY_PAUSE
         )
         events.warning(
             "grant_failed",
             target=target.name,
+            life=target.life,
             first=holding.first,
             last=holding.last,
             generation=holding.generation,
@@ -482,8 +526,10 @@
                     errors.TargetUnavailable(target.name, "term not confirmed")
                 )
             duration = self.choose_grant_duration()
+            self.log_duration_change(duration)
             previous_expiry = state.expiry
-            latest_arrival = self.clock.monotonic() + ORDER_TIMEOUT
+            began = self.clock.monotonic()
+            latest_arrival = began + ORDER_TIMEOUT
             state.expiry = max(
                 previous_expiry, latest_arrival + self.get_max_grant_validity(duration)
             )
@@ -499,8 +545,59 @@
             elif failure is not None:
                 state.unanswered_until = max(state.unanswered_until, expiry)
             state.expiry = max(previous_expiry, expiry)
+            if failure is None:
+                state.answered_at = self.clock.monotonic()
+            self.log_grant(target, holding, state, duration, began, failure)
             return outcome
 
+    def log_duration_change(self, duration: datetime.timedelta) -> None:
+        """Log a duration of grants that differs from the previous one."""
+        previous, self.last_duration = self.last_duration, duration
+        if previous is not None and previous != duration:
+            events.warning(
+                "grant_duration_changed",
+                term=self.leadership.term,
+                previous=previous,
+                duration=duration,
+            )
+
+    def log_grant(
+        self,
+        target: model.Target,
+        holding: model.Holding,
+        state: GrantState,
+        duration: datetime.timedelta,
+        began: datetime.timedelta,
+        failure: Any,
+    ) -> None:
+        """Log the first grant under a generation number, and any overdue grant."""
+        now = self.clock.monotonic()
+        fields = {
+            "target": target.name,
+            "life": target.life,
+            "address": directories.format_address(target),
+            "first": holding.first,
+            "last": holding.last,
+            "generation": holding.generation,
+            "term": self.leadership.term,
+            "lasted": now - began,
+            "failure": failure,
+        }
+        if now - began > ORDER_TIMEOUT + MAX_TRANSIT:
+            # The order may have been sent after the term was last checked.
+            events.warning("grant_overdue", **fields)
+        not_sent = isinstance(failure, errors.TargetUnavailable)
+        if not_sent or holding.generation in state.sent_generations:
+            return
+        state.sent_generations.add(holding.generation)
+        events.info(
+            "grant_sent",
+            service=target.service,
+            **fields,
+            duration=duration,
+            grants_left=state.expiry - now,
+        )
+
     def is_held(self, service: str, holding: model.Holding) -> bool:
         """Whether a range is still owned by its target and not being moved."""
         return holding in self.list_held(service, holding.target)
@@ -569,9 +666,31 @@
         ]
         if not await self.transfer(service, changes):
             return
+        for item in holdings:
+            self.log_previous_incarnation(service, item, target)
         events.info("target_restarted", target=target.name, life=target.life)
         await self.grant_new(service, target, changes, "")
 
+    def log_previous_incarnation(
+        self, service: str, holding: model.Holding, target: model.Target
+    ) -> None:
+        """Log the outstanding grants of a target's previous incarnation."""
+        state = self.grant_states.get(TargetIncarnation(holding.target, holding.life))
+        times = {} if state is None else state.describe(self.clock.monotonic())
+        events.info(
+            "ownership_ended",
+            service=service,
+            target=holding.target,
+            life=holding.life,
+            first=holding.first,
+            last=holding.last,
+            generation=holding.generation,
+            reason="new_incarnation",
+            new_life=target.life,
+            state_known=state is not None,
+            **times,
+        )
+
     def evacuate(
         self, service: str, holdings: tuple[model.Holding, ...], release: bool
     ) -> None:
@@ -665,10 +784,13 @@
         async with state.lock:
             expiry = state.expiry
             late_grants_until = max(state.unanswered_until, state.inherited_until)
+        outstanding = state.describe(self.clock.monotonic())
+        reason, fencing = "expired", "none"
         handover = ""
         if release and owner is not None and owner.life == holding.life:
             if late_grants_until > self.clock.monotonic():
                 fenced = await self.fence(service, owner, holding, state)
+                fencing = "accepted" if fenced is not None else "failed"
                 if fenced is None:
                     # The fencing grant itself may take effect late.
                     late_grants_until = max(late_grants_until, state.unanswered_until)
@@ -682,6 +804,7 @@
             if isinstance(outcome, result.Success):
                 handover = outcome.unwrap()
                 expiry = late_grants_until
+                reason = "released"
             else:
                 events.warning(
                     "release_failed",
@@ -693,6 +816,21 @@
         time_left = expiry - self.clock.monotonic()
         if time_left > datetime.timedelta():
             await self.clock.sleep(time_left)
+        events.info(
+            "ownership_ended",
+            service=service,
+            target=holding.target,
+            life=holding.life,
+            first=holding.first,
+            last=holding.last,
+            generation=holding.generation,
+            reason=reason,
+            registered_life=owner.life if owner is not None else None,
+            fencing=fencing,
+            waited=max(time_left, datetime.timedelta()),
+            handover=bool(handover),
+            **outstanding,
+        )
         return handover
 
     async def fence(
@@ -739,6 +877,7 @@
             events.warning(
                 "grant_failed",
                 target=target.name,
+                life=target.life,
                 first=holding.first,
                 last=holding.last,
                 generation=holding.generation,
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -14,6 +14,7 @@
     builders,
     demands,
     directories,
+    event_capture,
     granting,
     model,
     ranges,
@@ -491,3 +492,137 @@
             await harness.run(generator.choice((1, 3, 10, 30)) * STEP)
 
     run_scenario(scenario)
+
+
+def test_only_the_first_grant_of_a_generation_is_logged(monkeypatch):
+    log = event_capture.EventCapture(monkeypatch)
+
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME + 5 * builders.SECOND)
+        sent = log.find("grant_sent", term=1, failure=None)
+        assert {item["target"] for item in sent} == {"a", "b"} and len(sent) == 2
+        assert all(item["duration"] == granting.GRANT_DURATION for item in sent)
+        assert all(item["grants_left"] > item["duration"] for item in sent)
+
+    run_scenario(scenario)
+
+
+def test_end_of_failures_is_logged_with_the_last_one(monkeypatch):
+    log = event_capture.EventCapture(monkeypatch)
+
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        harness.targets.down.add("a")
+        await harness.run(granting.RENEWAL_INTERVAL + 6 * STEP)
+        harness.targets.down.clear()
+        await harness.run(granting.RENEWAL_INTERVAL)
+        (fields,) = log.find("target_answers_again", target="a", life=1)
+        assert fields["answered"] and fields["failures"] > 1
+        assert fields["failing_for"] > granting.RETRY_PAUSE
+        assert isinstance(fields["last_failure"], errors.TargetUnavailable)
+
+    run_scenario(scenario)
+
+
+def test_ended_ownerships_are_logged_with_their_outstanding_grants(monkeypatch):
+    log = event_capture.EventCapture(monkeypatch)
+
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b", "c")
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        harness.register(builders.build_target("a", leaving=True))
+        await harness.run(8 * STEP)
+        (released,) = log.find("ownership_ended", target="a", reason="released")
+        assert released["handover"] and released["fencing"] == "none"
+        assert not released["waited"] and not released["unanswered_left"]
+        harness.targets.unanswering.add("b")
+        await harness.run(granting.GRANT_DURATION * 2.5)
+        assert log.find("ownership_ended", target="b", reason="expired")
+
+    run_scenario(scenario)
+
+
+def test_fencing_of_late_grants_is_logged(monkeypatch):
+    log = event_capture.EventCapture(monkeypatch)
+
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        harness.targets.delay_next = 2
+        await harness.run(granting.RENEWAL_INTERVAL)
+        harness.register(builders.build_target("a", leaving=True))
+        await harness.run(8 * STEP)
+        (fields,) = log.find("ownership_ended", target="a")
+        assert fields["fencing"] == "accepted" and fields["unanswered_left"]
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("state_known", [True, False])
+def test_grants_of_a_previous_incarnation_are_logged(monkeypatch, state_known):
+    log = event_capture.EventCapture(monkeypatch)
+
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        granter = harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        if not state_known:
+            del granter.grant_states[granting.TargetIncarnation("a", 1)]
+        harness.restart(builders.build_target("a", life=2))
+        await harness.run(4 * STEP)
+        (fields,) = log.find("ownership_ended", target="a", life=1, new_life=2)
+        assert fields["reason"] == "new_incarnation"
+        assert fields["state_known"] == state_known
+        assert ("grants_left" in fields) == state_known
+
+    run_scenario(scenario)
+
+
+def test_inherited_grants_and_changes_of_the_duration_are_logged(monkeypatch):
+    log = event_capture.EventCapture(monkeypatch)
+
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        first = harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        assert not log.find("grants_inherited")
+        first.table_feeds.lost_at = harness.clock.monotonic()
+        harness.leads_without_store = True
+        await harness.run(granting.OUTAGE_THRESHOLD + builders.SECOND)
+        long_duration = builders.build_timing().max_grant_duration
+        (changed,) = log.find("grant_duration_changed", term=1)
+        assert changed["previous"] == granting.GRANT_DURATION
+        assert changed["duration"] == long_duration
+        first.deposed = True
+        harness.elect("n2")
+        await harness.run(SETTLING_TIME)
+        (inherited,) = log.find("grants_inherited", term=2)
+        assert inherited["max_duration"] == long_duration
+        assert inherited["grants_left"] > long_duration
+
+    run_scenario(scenario)
+
+
+def test_grant_that_outlasts_its_timeout_is_logged(monkeypatch):
+    # The process may have been paused before the order was sent, and its term ended.
+    log = event_capture.EventCapture(monkeypatch)
+
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        assert not log.find("grant_overdue")
+        harness.targets.connection_wait = granting.ORDER_TIMEOUT * 2
+        harness.targets.delay_next = 1
+        await harness.run(granting.RENEWAL_INTERVAL + builders.SECOND)
+        overdue = log.find("grant_overdue", term=1)
+        assert {item["target"] for item in overdue} == {"a", "b"}
+        assert all(item["lasted"] >= granting.ORDER_TIMEOUT * 2 for item in overdue)
+
+    run_scenario(scenario)
