Know in one module when a grant can end

The new module holds them as one immutable value with pure functions for each event. No rule changes; a grant in progress now has a time of its own, which replaces saving and restoring the previous one.

--- a/packages/fleet/dewstep_fleet/builders.py
+++ b/packages/fleet/dewstep_fleet/builders.py
@@ -7,7 +7,7 @@
 from returns import result
 
 from dewstep_core import clocks, errors, settings
-from dewstep_fleet import directories, granting, model, planning, ranges
+from dewstep_fleet import directories, model, outstanding, planning, ranges
 
 SECOND = datetime.timedelta(seconds=1)
 MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -225,7 +225,7 @@
             return result.Failure(errors.TargetUnavailable(target.name, "down"))
         if self.delay_next and self.connection_wait:
             await self.clock.sleep(self.connection_wait)
-        end = self.clock.monotonic() + duration * granting.CLOCK_DRIFT_FACTOR
+        end = self.clock.monotonic() + duration * outstanding.CLOCK_DRIFT_FACTOR
         if self.delay_next:
             self.delay_next -= 1
             self.delayed.append((target.name, holding, end))
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -26,6 +26,7 @@
     directories,
     feeds,
     model,
+    outstanding,
     planning,
     ranges,
 )
@@ -35,19 +36,9 @@
 long. It must exceed the time of a coordinator change, about 1.3 s."""
 RENEWAL_INTERVAL = datetime.timedelta(milliseconds=600)
 """A quarter of `GRANT_DURATION`, so that two renewals may be lost."""
-CLOCK_DRIFT_FACTOR = 1.02
-"""Allows for a target's clock that is up to 2% slow."""
-MAX_TRANSIT = datetime.timedelta(milliseconds=150)
-"""Maximum network transit time of an order on a working link."""
-ORDER_TIMEOUT = datetime.timedelta(milliseconds=400)
-"""Time-out of an order, including the wait for a connection. An exchange takes 2 ms,
-and a lost packet is retransmitted after 200 ms."""
 OUTAGE_THRESHOLD = datetime.timedelta(milliseconds=2500)
 """After this long without the store, ranges are granted for the maximum duration that
 targets accept, because no range can be handed over and the coordinator may fail too."""
-TERM_CONFIRMATION_MAX_AGE = datetime.timedelta(seconds=3)
-"""A coordinator sends no orders if the store has not confirmed its term for this long.
-The next coordinator relies on this."""
 MAX_RENEWAL_FAILURES = 2
 """Consecutive unanswered renewals after which a target counts as lost."""
 RENEWAL_RETRY_PERIOD = datetime.timedelta(seconds=2)
@@ -100,25 +91,18 @@
         "all_accepted",
         "answered_at",
         "avoid_until",
-        "expiry",
         "failing_since",
         "failures",
-        "inherited_until",
         "last_failure",
         "lock",
         "next_renewal",
+        "outstanding",
         "renewing",
         "sent_generations",
-        "unanswered_until",
     )
 
-    def __init__(self, expiry: datetime.timedelta):
-        self.expiry = expiry
-        """When all grants sent to the target have expired."""
-        self.unanswered_until = expiry
-        """Until then, an unanswered grant of this term may take effect."""
-        self.inherited_until = expiry
-        """Until then, a grant of the previous coordinator may take effect."""
+    def __init__(self, now: datetime.timedelta):
+        self.outstanding = outstanding.build_ended(now)
         self.failures = 0
         self.failing_since = datetime.timedelta()
         """Time of the first of the consecutive failures."""
@@ -134,18 +118,6 @@
         self.avoid_until = datetime.timedelta()
         self.lock = asyncio.Lock()
 
-    def describe(self, now: datetime.timedelta) -> dict[str, datetime.timedelta]:
-        """Return the remaining times of the outstanding grants for a log line."""
-        times = {
-            "grants_left": self.expiry,
-            "unanswered_left": self.unanswered_until,
-            "inherited_left": self.inherited_until,
-        }
-        return {
-            name: max(until - now, datetime.timedelta())
-            for name, until in times.items()
-        }
-
 
 class Granter:
     """Grants, renews and moves key ranges while this instance is the coordinator.
@@ -279,7 +251,7 @@
         if self.deposed:
             return False
         return (
-            self.table_feeds.has_recent_answer(TERM_CONFIRMATION_MAX_AGE)
+            self.table_feeds.has_recent_answer(outstanding.TERM_CONFIRMATION_MAX_AGE)
             or self.can_lead_without_store()
         )
 
@@ -344,39 +316,37 @@
     def record_inherited_grants(self, ownership: ranges.Ownership) -> None:
         """Assume the latest grants that the previous coordinator may have sent."""
         max_duration = max(GRANT_DURATION, self.get_inherited_grant_time_left())
-        latest_sent_at = (
-            self.clock.monotonic() + TERM_CONFIRMATION_MAX_AGE + ORDER_TIMEOUT
+        now = self.clock.monotonic()
+        inherited = outstanding.record_inherited(
+            outstanding.build_ended(now), now, max_duration
         )
-        expiry = latest_sent_at + self.get_max_grant_validity(max_duration)
         events.info(
             "grants_inherited",
             service=ownership.service,
             term=self.leadership.term,
             generation=ownership.generation,
             max_duration=max_duration,
-            grants_left=expiry - self.clock.monotonic(),
+            grants_left=inherited.expiry - now,
         )
         for holding in ownership.holdings:
             state = self.get_grant_state(
                 TargetIncarnation(holding.target, holding.life)
             )
-            state.expiry = state.inherited_until = expiry
-
-    def get_max_grant_validity(
-        self, duration: datetime.timedelta
-    ) -> datetime.timedelta:
-        """Return the maximum time from sending a grant to its expiry at the target."""
-        return duration * CLOCK_DRIFT_FACTOR + MAX_TRANSIT
+            state.outstanding = outstanding.record_inherited(
+                state.outstanding, now, max_duration
+            )
 
     def get_long_grant_time_left(self) -> datetime.timedelta:
         """Return the longest remaining time of a grant with more than the usual one."""
         now = self.clock.monotonic()
-        usual_expiry = now + ORDER_TIMEOUT + self.get_max_grant_validity(GRANT_DURATION)
+        usual = outstanding.record_sending(
+            outstanding.build_ended(now), now, GRANT_DURATION
+        )
         return max(
             (
-                state.expiry - now
+                state.outstanding.expiry - now
                 for state in self.grant_states.values()
-                if state.expiry > usual_expiry
+                if state.outstanding.expiry > usual.expiry
             ),
             default=datetime.timedelta(),
         )
@@ -412,7 +382,7 @@
                 return
             state = self.get_grant_state(TargetIncarnation(target, registered.life))
             lost = state.failures >= MAX_RENEWAL_FAILURES
-            if lost and now >= state.expiry:
+            if lost and now >= state.outstanding.expiry:
                 state.avoid_until = now + AVOIDANCE_PERIOD
                 state.failures = 0
                 events.warning("target_unresponsive", target=target, service=service)
@@ -439,10 +409,10 @@
                 if isinstance(outcome, result.Failure):
                     return
             if not state.all_accepted:
-                # The target now rejects the previous coordinator's generations. Grants
-                # that it accepted earlier remain valid until they expire.
                 state.all_accepted = True
-                state.inherited_until = began
+                state.outstanding = outstanding.exclude_inherited(
+                    state.outstanding, began
+                )
         finally:
             state.renewing = False
 
@@ -527,24 +497,23 @@
                 )
             duration = self.choose_grant_duration()
             self.log_duration_change(duration)
-            previous_expiry = state.expiry
             began = self.clock.monotonic()
-            latest_arrival = began + ORDER_TIMEOUT
-            state.expiry = max(
-                previous_expiry, latest_arrival + self.get_max_grant_validity(duration)
+            state.outstanding = outstanding.record_sending(
+                state.outstanding, began, duration
             )
             outcome = await self.channel.grant(target, holding, duration, handover)
             # The order may have waited for a connection, and the grant's duration
             # counts from its arrival.
-            expiry = self.clock.monotonic() + self.get_max_grant_validity(duration)
+            now = self.clock.monotonic()
             failure = None
+            record = outstanding.record_answer
             if isinstance(outcome, result.Failure):
                 failure = outcome.failure()
+                record = outstanding.record_lost_answer
             if isinstance(failure, errors.TargetUnavailable):
-                expiry = previous_expiry
-            elif failure is not None:
-                state.unanswered_until = max(state.unanswered_until, expiry)
-            state.expiry = max(previous_expiry, expiry)
+                state.outstanding = outstanding.record_not_sent(state.outstanding, now)
+            else:
+                state.outstanding = record(state.outstanding, now, duration)
             if failure is None:
                 state.answered_at = self.clock.monotonic()
             self.log_grant(target, holding, state, duration, began, failure)
@@ -583,7 +552,7 @@
             "lasted": now - began,
             "failure": failure,
         }
-        if now - began > ORDER_TIMEOUT + MAX_TRANSIT:
+        if now - began > outstanding.ORDER_TIMEOUT + outstanding.MAX_TRANSIT:
             # The order may have been sent after the term was last checked.
             events.warning("grant_overdue", **fields)
         not_sent = isinstance(failure, errors.TargetUnavailable)
@@ -595,7 +564,7 @@
             service=target.service,
             **fields,
             duration=duration,
-            grants_left=state.expiry - now,
+            grants_left=state.outstanding.expiry - now,
         )
 
     def is_held(self, service: str, holding: model.Holding) -> bool:
@@ -676,7 +645,9 @@
     ) -> None:
         """Log the outstanding grants of a target's previous incarnation."""
         state = self.grant_states.get(TargetIncarnation(holding.target, holding.life))
-        times = {} if state is None else state.describe(self.clock.monotonic())
+        times = {}
+        if state is not None:
+            times = outstanding.describe(state.outstanding, self.clock.monotonic())
         events.info(
             "ownership_ended",
             service=service,
@@ -782,9 +753,9 @@
         state = self.get_grant_state(TargetIncarnation(holding.target, holding.life))
         # A grant in progress may include the range; later ones exclude it.
         async with state.lock:
-            expiry = state.expiry
-            late_grants_until = max(state.unanswered_until, state.inherited_until)
-        outstanding = state.describe(self.clock.monotonic())
+            expiry = state.outstanding.expiry
+            late_grants_until = state.outstanding.late_until
+        times = outstanding.describe(state.outstanding, self.clock.monotonic())
         reason, fencing = "expired", "none"
         handover = ""
         if release and owner is not None and owner.life == holding.life:
@@ -793,12 +764,14 @@
                 fencing = "accepted" if fenced is not None else "failed"
                 if fenced is None:
                     # The fencing grant itself may take effect late.
-                    late_grants_until = max(late_grants_until, state.unanswered_until)
-                    expiry = max(expiry, state.expiry)
+                    late_grants_until = max(
+                        late_grants_until, state.outstanding.unanswered_until
+                    )
+                    expiry = max(expiry, state.outstanding.expiry)
                 else:
                     holding = fenced
                     late_grants_until = self.clock.monotonic()
-                    expiry = state.expiry
+                    expiry = state.outstanding.expiry
             await self.clock.sleep(min(self.estimate_queue_wait(owner), MAX_QUEUE_WAIT))
             outcome = await self.channel.release(owner, holding)
             if isinstance(outcome, result.Success):
@@ -829,7 +802,7 @@
             fencing=fencing,
             waited=max(time_left, datetime.timedelta()),
             handover=bool(handover),
-            **outstanding,
+            **times,
         )
         return handover
 
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -17,6 +17,7 @@
     event_capture,
     granting,
     model,
+    outstanding,
     ranges,
 )
 
@@ -263,7 +264,7 @@
         harness = build_harness(harnesses, "a", "b")
         harness.elect("n1")
         await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
-        harness.targets.connection_wait = granting.ORDER_TIMEOUT - STEP
+        harness.targets.connection_wait = outstanding.ORDER_TIMEOUT - STEP
         harness.targets.delay_next = 1
         while not harness.targets.delayed:
             await harness.run(STEP)
@@ -618,11 +619,11 @@
         harness.elect("n1")
         await harness.run(SETTLING_TIME)
         assert not log.find("grant_overdue")
-        harness.targets.connection_wait = granting.ORDER_TIMEOUT * 2
+        harness.targets.connection_wait = outstanding.ORDER_TIMEOUT * 2
         harness.targets.delay_next = 1
         await harness.run(granting.RENEWAL_INTERVAL + builders.SECOND)
         overdue = log.find("grant_overdue", term=1)
         assert {item["target"] for item in overdue} == {"a", "b"}
-        assert all(item["lasted"] >= granting.ORDER_TIMEOUT * 2 for item in overdue)
+        assert all(item["lasted"] >= outstanding.ORDER_TIMEOUT * 2 for item in overdue)
 
     run_scenario(scenario)
