Write each field of the new log events where it is logged

The test of docs/OPERATIONS.md reads events and fields from the source, and could not see fields that were passed as a mapping: the page and the code could not be told to agree for four of the new events.

--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -93,6 +93,14 @@
     incarnation: int
 
 
+class GrantTimeLeft(NamedTuple):
+    """Remaining times of a target's outstanding grants."""
+
+    all_grants: datetime.timedelta
+    unanswered: datetime.timedelta
+    inherited: datetime.timedelta
+
+
 class GrantState:
     """Outstanding grants of a target, as far as the coordinator knows."""
 
@@ -134,17 +142,12 @@
         self.avoid_until = datetime.timedelta()
         self.lock = asyncio.Lock()
 
-    def describe(self, now: datetime.timedelta) -> dict[str, datetime.timedelta]:
-        """Return the remaining times of the outstanding grants for a log line."""
-        times = {
-            "grants_left": self.expiry,
-            "unanswered_left": self.unanswered_until,
-            "inherited_left": self.inherited_until,
-        }
-        return {
-            name: max(until - now, datetime.timedelta())
-            for name, until in times.items()
-        }
+    def compute_time_left(self, now: datetime.timedelta) -> "GrantTimeLeft":
+        """Return the remaining times of the outstanding grants."""
+        expiries = self.expiry, self.unanswered_until, self.inherited_until
+        return GrantTimeLeft(
+            *(max(until - now, datetime.timedelta()) for until in expiries)
+        )
 
 
 class Granter:
@@ -572,20 +575,17 @@
     ) -> None:
         """Log the first grant under a generation number, and any overdue grant."""
         now = self.clock.monotonic()
-        fields = {
-            "target": target.name,
-            "life": target.life,
-            "address": directories.format_address(target),
-            "first": holding.first,
-            "last": holding.last,
-            "generation": holding.generation,
-            "term": self.leadership.term,
-            "lasted": now - began,
-            "failure": failure,
-        }
         if now - began > ORDER_TIMEOUT + MAX_TRANSIT:
             # The order may have been sent after the term was last checked.
-            events.warning("grant_overdue", **fields)
+            events.warning(
+                "grant_overdue",
+                target=target.name,
+                life=target.life,
+                generation=holding.generation,
+                term=self.leadership.term,
+                lasted=now - began,
+                failure=failure,
+            )
         not_sent = isinstance(failure, errors.TargetUnavailable)
         if not_sent or holding.generation in state.sent_generations:
             return
@@ -593,8 +593,16 @@
         events.info(
             "grant_sent",
             service=target.service,
-            **fields,
+            target=target.name,
+            life=target.life,
+            address=directories.format_address(target),
+            first=holding.first,
+            last=holding.last,
+            generation=holding.generation,
+            term=self.leadership.term,
             duration=duration,
+            lasted=now - began,
+            failure=failure,
             grants_left=state.expiry - now,
         )
 
@@ -676,7 +684,9 @@
     ) -> None:
         """Log the outstanding grants of a target's previous incarnation."""
         state = self.grant_states.get(TargetIncarnation(holding.target, holding.life))
-        times = {} if state is None else state.describe(self.clock.monotonic())
+        time_left = GrantTimeLeft(*[datetime.timedelta()] * 3)
+        if state is not None:
+            time_left = state.compute_time_left(self.clock.monotonic())
         events.info(
             "ownership_ended",
             service=service,
@@ -688,7 +698,9 @@
             reason="new_incarnation",
             new_life=target.life,
             state_known=state is not None,
-            **times,
+            grants_left=time_left.all_grants,
+            unanswered_left=time_left.unanswered,
+            inherited_left=time_left.inherited,
         )
 
     def evacuate(
@@ -784,7 +796,7 @@
         async with state.lock:
             expiry = state.expiry
             late_grants_until = max(state.unanswered_until, state.inherited_until)
-        outstanding = state.describe(self.clock.monotonic())
+        outstanding = state.compute_time_left(self.clock.monotonic())
         reason, fencing = "expired", "none"
         handover = ""
         if release and owner is not None and owner.life == holding.life:
@@ -829,7 +841,9 @@
             fencing=fencing,
             waited=max(time_left, datetime.timedelta()),
             handover=bool(handover),
-            **outstanding,
+            grants_left=outstanding.all_grants,
+            unanswered_left=outstanding.unanswered,
+            inherited_left=outstanding.inherited,
         )
         return handover
 
