--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -541,20 +541,17 @@
     ) -> None:
         """Log the first grant under a generation number, and any overdue grant."""
         now = self.clock.monotonic()
-        fields = {
-            "target": target.name,
-            "life": target.life,
-            "address": directories.format_address(target),
-            "first": holding.first,
-            "last": holding.last,
-            "generation": holding.generation,
-            "term": self.leadership.term,
-            "lasted": now - began,
-            "failure": failure,
-        }
         if now - began > outstanding.ORDER_TIMEOUT + outstanding.MAX_TRANSIT:
             # The order may have been sent after the term was last checked.
-            events.warning("grant_overdue", **fields)
+            events.warning(
+                "grant_overdue",
+                target=target.name,
+                life=target.life,
+                generation=holding.generation,
+                term=self.leadership.term,
+                lasted=now - began,
+                failure=failure,
+            )
         not_sent = isinstance(failure, errors.TargetUnavailable)
         if not_sent or holding.generation in state.sent_generations:
             return
@@ -562,8 +559,16 @@
         events.info(
             "grant_sent",
             service=target.service,
-            **fields,
+            target=target.name,
+            life=target.life,
+            address=directories.format_address(target),
+            first=holding.first,
+            last=holding.last,
+            generation=holding.generation,
+            term=self.leadership.term,
             duration=duration,
+            lasted=now - began,
+            failure=failure,
             grants_left=state.outstanding.expiry - now,
         )
 
@@ -645,9 +650,11 @@
     ) -> None:
         """Log the outstanding grants of a target's previous incarnation."""
         state = self.grant_states.get(TargetIncarnation(holding.target, holding.life))
-        times = {}
+        now = self.clock.monotonic()
+        grants = outstanding.build_ended(now)
         if state is not None:
-            times = outstanding.describe(state.outstanding, self.clock.monotonic())
+            grants = state.outstanding
+        time_left = outstanding.compute_time_left(grants, now)
         events.info(
             "ownership_ended",
             service=service,
@@ -659,7 +666,9 @@
             reason="new_incarnation",
             new_life=target.life,
             state_known=state is not None,
-            **times,
+            grants_left=time_left.all_grants,
+            unanswered_left=time_left.unanswered,
+            inherited_left=time_left.inherited,
         )
 
     def evacuate(
@@ -755,7 +764,9 @@
         async with state.lock:
             expiry = state.outstanding.expiry
             late_grants_until = state.outstanding.late_until
-        times = outstanding.describe(state.outstanding, self.clock.monotonic())
+        time_left = outstanding.compute_time_left(
+            state.outstanding, self.clock.monotonic()
+        )
         reason, fencing = "expired", "none"
         handover = ""
         if release and owner is not None and owner.life == holding.life:
@@ -786,9 +797,8 @@
                     last=holding.last,
                     failure=outcome.failure(),
                 )
-        time_left = expiry - self.clock.monotonic()
-        if time_left > datetime.timedelta():
-            await self.clock.sleep(time_left)
+        wait = max(expiry - self.clock.monotonic(), datetime.timedelta())
+        await self.clock.sleep(wait)
         events.info(
             "ownership_ended",
             service=service,
@@ -800,9 +810,11 @@
             reason=reason,
             registered_life=owner.life if owner is not None else None,
             fencing=fencing,
-            waited=max(time_left, datetime.timedelta()),
+            waited=wait,
             handover=bool(handover),
-            **times,
+            grants_left=time_left.all_grants,
+            unanswered_left=time_left.unanswered,
+            inherited_left=time_left.inherited,
         )
         return handover
 
--- a/packages/fleet/dewstep_fleet/outstanding.py
+++ b/packages/fleet/dewstep_fleet/outstanding.py
@@ -125,15 +125,15 @@
     return grants._replace(inherited_until=accepted_since)
 
 
-def describe(
-    grants: OutstandingGrants, now: datetime.timedelta
-) -> dict[str, datetime.timedelta]:
-    """Return the remaining times for a log line."""
-    times = {
-        "grants_left": grants.expiry,
-        "unanswered_left": grants.unanswered_until,
-        "inherited_left": grants.inherited_until,
-    }
-    return {
-        name: max(until - now, datetime.timedelta()) for name, until in times.items()
-    }
+class TimeLeft(NamedTuple):
+    """Remaining times of the grants of one process, for log lines."""
+
+    all_grants: datetime.timedelta
+    unanswered: datetime.timedelta
+    inherited: datetime.timedelta
+
+
+def compute_time_left(grants: OutstandingGrants, now: datetime.timedelta) -> TimeLeft:
+    """Return the remaining times of the grants."""
+    bounds = grants.expiry, grants.unanswered_until, grants.inherited_until
+    return TimeLeft(*(max(until - now, datetime.timedelta()) for until in bounds))
