Bind each order to the process for which it is meant

Seen by callers: two targets held the same keys (OWNER).

Cause: an order for key ranges went to an address. After a crash, the next process at the address accepted a renewal that was meant for the previous one, under a generation number that the previous one had had. The class: a message names a place and means a process.

Change: TargetOrders is the only way to send an order, and has two rules. Each order carries the target's name, so that any other target rejects it, which also shows that the grants of the intended process have ended. And a connection reaches one process for its whole life, so a number is sent over one connection only; the numbers after each generation number are reserved for further connections, so that a range stays owned when a connection breaks while the store is away.

Found on the way: a renewal that was skipped because its range is being moved counted as an answer of the target.

`ranges_test.py` is unchanged. `orders_test.py` and `granting_test.py` follow the new interface; the logged fields `answered` and `same_address` are gone with the code that they described, and tests of the rejection itself stand in their place.

--- a/packages/fleet/dewstep_fleet/ranges.py
+++ b/packages/fleet/dewstep_fleet/ranges.py
@@ -13,7 +13,7 @@
 from returns import result
 
 from dewstep_core import errors
-from dewstep_fleet import model
+from dewstep_fleet import model, numbering
 
 SCHEMA_VERSION = 1
 """Version of the row encoding."""
@@ -26,7 +26,7 @@
     version: int
     """Version of the row in the store, or 0 if it has not been written."""
     generation: int
-    """Highest generation number assigned so far."""
+    """Highest number assigned so far, including the reserved ones."""
     holdings: tuple[model.Holding, ...]
 
     def find(self, key: int) -> model.Holding | None:
@@ -68,10 +68,10 @@
     for target in chosen:
         assigned_slots += target.slots
         last = model.KEY_SPACE_SIZE * assigned_slots // slots - 1
-        generation += 1
         holdings.append(
-            model.Holding(first, last, target.name, target.life, generation)
+            model.Holding(first, last, target.name, target.life, generation + 1)
         )
+        generation += 1 + numbering.RESERVED_NUMBERS
         first = last + 1
     return Ownership(service, version, generation, tuple(holdings))
 
@@ -81,7 +81,6 @@
     generation = ownership.generation
     holdings = list(ownership.holdings)
     for change in changes:
-        generation += 1
         kept = []
         for item in holdings:
             if item.last < change.first or item.first > change.last:
@@ -93,9 +92,14 @@
                 kept.append(item._replace(first=change.last + 1))
         kept.append(
             model.Holding(
-                change.first, change.last, change.target, change.incarnation, generation
+                change.first,
+                change.last,
+                change.target,
+                change.incarnation,
+                generation + 1,
             )
         )
+        generation += 1 + numbering.RESERVED_NUMBERS
         holdings = sorted(kept, key=get_first_key)
     return ownership._replace(generation=generation, holdings=tuple(holdings))
 
@@ -120,8 +124,8 @@
     generation = ownership.generation
     holdings = []
     for item in merged:
-        generation += 1
-        holdings.append(item._replace(generation=generation))
+        holdings.append(item._replace(generation=generation + 1))
+        generation += 1 + numbering.RESERVED_NUMBERS
     return ownership._replace(generation=generation, holdings=tuple(holdings))
 
 
