Count a coordinator once when it leads without the store

Callers would see: two targets run requests for one key. A coordinator that is cut off from the store and from the other instances, but not from its targets, went on renewing grants, for the maximum duration, while the others elected a successor. Cause: can_lead_without_store() added one for the coordinator to the recent reports, which already include its own. One instance of three, or two of four or five, counted as most of them. Ruled out: that the reports of the others were still recent; the test waits until they are older than REPORT_MAX_AGE. Measured: test_coordinator_without_store_and_majority_does_not_lead failed before (can_lead_without_store() was true with no other instance running) and passes now; coordination_test.py 21 passed, 0 failed.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -466,15 +466,16 @@
         if not self.coordinating:
             return False
         now = self.clock.monotonic()
-        recent = [
-            item
-            for item in self.reports.values()
+        recent = {
+            node: item
+            for node, item in self.reports.items()
             if now - item.received_at <= REPORT_MAX_AGE
-        ]
+        }
         members = max(1, len(self.directory.members))
-        if any(item.reaches_store for item in recent):
+        if any(item.reaches_store for item in recent.values()):
             return False
-        return 2 * (len(recent) + 1) > members
+        # This instance itself counts also while it has recorded no report of its own.
+        return 2 * len({*recent, self.own_member.node}) > members
 
     # Links.
 
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -251,6 +251,34 @@
         assert harness.running[leader].participant.can_lead_without_store()
 
 
+@testing.run_in_event_loop
+async def test_coordinator_without_store_and_majority_does_not_lead():
+    """Guards against counting the coordinator's own report as that of a member.
+
+    A coordinator that reaches neither the store nor the others would renew its grants
+    while they elect another one.
+    """
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        running_leader = harness.running[leader]
+        for node, item in harness.running.items():
+            if node != leader:
+                await item.stop()
+        harness.unreachable.add(leader)
+        participant = running_leader.participant
+        await wait_until(
+            lambda: (
+                not participant.table_feeds.has_recent_answer(
+                    coordination.STORE_ANSWER_MAX_AGE
+                )
+            )
+        )
+        await asyncio.sleep(coordination.REPORT_MAX_AGE.total_seconds())
+        assert participant.coordinating
+        assert not participant.can_lead_without_store()
+        assert not participant.granter.may_send_orders()
+
+
 @testing.run_in_event_loop
 async def test_instance_loses_the_vote_if_others_receive_heartbeats():
     # Guards against a partitioned instance that deposes a healthy coordinator.
