Let a coordinator tell of its own long grants when asked for a vote

Callers would see: two targets run requests for one key after a coordinator change during an outage of the store, if the target with the long grant cannot be reached. Cause: the answer to a vote request contained only the bound that the sender had received from earlier coordinators, not that of the grants it had sent itself; after stepping down it forgot these. The first heartbeats of a new coordinator contained no bound at all, since it had not read the owners yet. Ruled out: that heartbeats make up for it; they stop when the coordinator steps down. Measured: test_coordinator_tells_of_its_own_long_grants failed before (0 ms told with a grant of 10 s outstanding) and passes now, also after stepping down. The instances of the tests now get a new incarnation at each start, as real ones do.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -441,9 +441,11 @@
 
     def step_down(self, reason: str) -> None:
         """Stop coordinating."""
+        now = self.clock.monotonic()
+        self.long_grants_until = now + self.get_long_grant_time_left()
         self.coordinating = False
         self.granter_task.cancel()
-        self.last_heartbeat_at = self.last_healthy_heartbeat_at = self.clock.monotonic()
+        self.last_heartbeat_at = self.last_healthy_heartbeat_at = now
         for link in list(self.links.values()):
             link.close()
         self.links.clear()
@@ -625,7 +627,7 @@
             crashes=crashes,
             stopping=self.stopping,
             deputy=deputy,
-            holds_ms=to_milliseconds(self.granter.get_long_grant_time_left()),
+            holds_ms=to_milliseconds(self.get_long_grant_time_left()),
         )
 
     def choose_deputies(self) -> list[str]:
@@ -672,6 +674,13 @@
         time_left = self.long_grants_until - self.clock.monotonic()
         return max(time_left, datetime.timedelta())
 
+    def get_long_grant_time_left(self) -> datetime.timedelta:
+        """Return the longest remaining time of the long grants known here."""
+        time_left = self.long_grants_until - self.clock.monotonic()
+        if self.coordinating:
+            time_left = max(time_left, self.granter.get_long_grant_time_left())
+        return max(time_left, datetime.timedelta())
+
     def record_long_grants(self, frame: frames.Frame) -> None:
         """Record the remaining time of long grants that the sender reports."""
         time_left = datetime.timedelta(milliseconds=frame.holds_ms)
@@ -750,7 +759,7 @@
                 healthy = leading and self.is_store_healthy()
             else:
                 healthy = self.has_healthy_coordinator()
-            time_left = self.long_grants_until - now
+            time_left = self.get_long_grant_time_left()
             link.send(
                 self.build_frame(
                     "tell", heard=healthy, holds_ms=to_milliseconds(time_left)
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -14,6 +14,7 @@
     directories,
     feeds,
     frames,
+    granting,
     keys,
     links,
     load_counts,
@@ -65,7 +66,9 @@
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             port = probe.getsockname()[1]
-        member = model.Member(node, f"{node}-x", "dc-1", "127.0.0.1", port)
+        harness.starts += 1
+        incarnation = f"{node}-{harness.starts}"
+        member = model.Member(node, incarnation, "dc-1", "127.0.0.1", port)
         self.directory = builders.build_directory(self.clock)
         store = InterruptibleStore(
             harness.store, node, harness.unreachable, harness.calls
@@ -109,6 +112,8 @@
         self.store = builders.FakeStore()
         self.unreachable = set()
         self.calls = collections.Counter()
+        self.starts = 0
+        """Number of instances started so far."""
         self.targets = builders.FakeTargets(clocks.SystemClock())
         self.running = {}
         self.store.put(model.TABLES.configuration, "config", b"")
@@ -289,6 +294,9 @@
         assert not await other.participant.collect_votes()
 
 
+MAX_DURATION = builders.build_timing().max_grant_duration
+
+
 class VoteHarness:
     """An instance whose vote requests get the answers that the test sets."""
 
@@ -372,6 +380,56 @@
     assert not participant.coordinating
 
 
+class RecordingLink:
+    """A link that keeps the frames sent on it."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, frame):
+        self.sent.append(frame)
+        return True
+
+    def close(self):
+        """Do nothing; there is no connection."""
+
+
+def ask(participant):
+    """Return an instance's answer to a vote request."""
+    link = RecordingLink()
+    participant._receive(link, frames.Frame("ask", 1, "n1", "i"))
+    return link.sent[-1]
+
+
+def start_coordinating(election, term):
+    """Elect the instance of a `VoteHarness`."""
+    participant = election.participant
+    record = directories.Leadership("own", participant.own_member.incarnation, term, 0)
+    value = directories.encode_record(record)
+    row = builders.build_row(
+        model.TABLES.fleet, directories.COORDINATOR_KEY, 500 + term, value
+    )
+    participant.directory.apply_rows([row])
+    assert participant.coordinating
+
+
+@testing.run_in_event_loop
+async def test_coordinator_tells_of_its_own_long_grants():
+    """Guards against a successor that asks the coordinator whose grants it inherits."""
+    election = VoteHarness({"n1": False})
+    participant = election.participant
+    start_coordinating(election, 2)
+    await asyncio.sleep(0)
+    expiry = participant.clock.monotonic() + MAX_DURATION
+    participant.granter.get_grant_state(
+        granting.TargetIncarnation("a", 1)
+    ).expiry = expiry
+    assert ask(participant).holds_ms > 9_000
+    participant._adopt_newer_term(frames.Frame("tell", 3, "n1", "i"))
+    assert not participant.coordinating
+    assert ask(participant).holds_ms > 9_000
+
+
 @testing.run_in_event_loop
 async def test_elections_in_a_large_fleet_are_spread_over_time():
     """Guards against simultaneous elections, whose votes grow quadratically."""
