Rule out long grants only if most members told that there are none

Callers would see: two targets run requests for one key. During an outage of the store a coordinator sends grants of the maximum duration; its successor gave the keys of a target that it could not reach to another after the time of a usual grant. Cause: one heartbeat of the previous term was enough for a successor to trust the bound it had heard, also if it missed the heartbeats in which the long grants began. Votes did not make up for it: instances that are not running do not vote, so a single instance can elect itself, and a process that has just started answered 0 for grants that it could not know of. Now the bound counts only if more than half of the members told theirs in the election, at most 3 s ago. A process counts once it has run for longer than a grant, or if the store had no coordinator at its start. Otherwise the maximum duration is assumed. Ruled out: always assuming the maximum duration, which would leave the keys of a crashed target without an owner for up to 14 s after each coordinator change. Measured: test_restarted_instances_do_not_rule_out_long_grants and test_a_minority_does_not_rule_out_long_grants failed before (0 s instead of 10 s) and pass now; test_votes_of_most_members_rule_out_long_grants passes before and after. packages/fleet: 176 passed, 0 failed.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -52,6 +52,9 @@
 each member, so strong instances should start elections first."""
 MINORITY_ELECTION_TIMEOUT = datetime.timedelta(seconds=8)
 """Without a healthy heartbeat for this long, a minority may elect a coordinator."""
+VOTE_VALIDITY = granting.TERM_CONFIRMATION_MAX_AGE
+"""Time after a vote request for which its answer counts as the bound of long grants. A
+coordinator that the store does not confirm sends no orders after this long."""
 VOTE_TIMEOUT = datetime.timedelta(milliseconds=500)
 RECONNECT_PAUSE = datetime.timedelta(milliseconds=300)
 TICK_INTERVAL = datetime.timedelta(milliseconds=50)
@@ -156,10 +159,11 @@
         self.last_healthy_heartbeat_at = now
         self.long_grants_until = now
         """Until then, long grants that the coordinator reported may be valid."""
-        self.last_heartbeat_term = 0
-        """Term of the last heartbeat, which reported the long grants."""
-        self.followed_previous_term = False
-        """Whether this coordinator received heartbeats of the previous term."""
+        self.unaware_until = now + self.get_max_long_grant_time()
+        """Until then, long grants sent before the start of this process may be
+        valid."""
+        self.informants: dict[str, datetime.timedelta] = {}
+        """Members whose votes told of all long grants, and until when this counts."""
         self.leadership_changed_at = now
         """When this instance last received a new coordinator row."""
         self.coordinator_healthy = True
@@ -241,6 +245,12 @@
         """Do all work that is due."""
         self.directory.apply_deferred_removals()
         self.follow_needed_tables(now)
+        if (
+            not self.directory.leadership.version
+            and model.TABLES.fleet in self.table_feeds.current_tables
+        ):
+            # There has been no coordinator that could have sent grants.
+            self.unaware_until = min(self.unaware_until, now)
         if self.coordinating:
             if self.granter_task.done():
                 self.finish_granting()
@@ -338,6 +348,7 @@
             for member in self.directory.members.values()
             if member.node != self.own_member.node
         ]
+        self.informants.clear()
         votes = await asyncio.gather(*(self.request_vote(member) for member in others))
         unanswered = votes.count(None)
         in_favour = votes.count(False)
@@ -371,6 +382,7 @@
             Its answer; None if it did not answer, "down" if it is not running.
         """
         link = None
+        asked_at = self.clock.monotonic()
         try:
             async with asyncio.timeout(VOTE_TIMEOUT.total_seconds()):
                 link = await links.connect(
@@ -379,7 +391,7 @@
                 answer = asyncio.get_running_loop().create_future()
                 self.pending_votes[link] = answer
                 link.send(self.build_frame("ask"))
-                return await answer
+                frame = await answer
         except ConnectionRefusedError:
             return "down"
         except OSError:
@@ -388,6 +400,12 @@
             if link is not None:
                 self.pending_votes.pop(link, None)
                 link.close()
+        if frame is None:
+            return None
+        self.record_long_grants(frame)
+        if frame.holds_known:
+            self.informants[member.node] = asked_at + VOTE_VALIDITY
+        return frame.heard
 
     async def claim_leadership(self, leadership: directories.Leadership) -> None:
         """Replace the coordinator's row if it has not changed."""
@@ -420,7 +438,6 @@
             or self.stopping
         ):
             return
-        self.followed_previous_term = self.last_heartbeat_term == current.term - 1
         self.term = current.term
         self.coordinating = True
         self.deputy = False
@@ -450,6 +467,7 @@
             link.close()
         self.links.clear()
         self.pending_rows.clear()
+        self.informants.clear()
         self.live_instances = max(1, len(self.directory.members))
         events.warning("coordination_ended", term=self.term, reason=reason)
 
@@ -667,12 +685,28 @@
         crashes, self.unsent_crashes = tuple(self.unsent_crashes), []
         return crashes
 
+    def get_max_long_grant_time(self) -> datetime.timedelta:
+        """Return the maximum time for which a long grant is valid after its sending."""
+        duration = self.granter.timing.max_grant_duration
+        return granting.ORDER_TIMEOUT + self.granter.get_max_grant_validity(duration)
+
     def get_inherited_grant_time_left(self) -> datetime.timedelta:
-        """Return the remaining time of the previous coordinator's long grants."""
-        if not self.followed_previous_term:
-            return self.granter.timing.max_grant_duration
-        time_left = self.long_grants_until - self.clock.monotonic()
-        return max(time_left, datetime.timedelta())
+        """Return the longest duration of the previous coordinators' grants from now on.
+
+        Unless most members told of them in the election, this is the longest duration
+        of a grant, since only the members that received its heartbeats know of a
+        coordinator's long grants.
+        """
+        now = self.clock.monotonic()
+        informants = {node for node, until in self.informants.items() if until >= now}
+        if self.unaware_until <= now:
+            informants.add(self.own_member.node)
+        max_duration = self.granter.timing.max_grant_duration
+        members = {*self.directory.members, self.own_member.node}
+        if 2 * len(informants & members) <= len(members):
+            return max_duration
+        time_left = max(self.long_grants_until - now, datetime.timedelta())
+        return min(time_left, max_duration)
 
     def get_long_grant_time_left(self) -> datetime.timedelta:
         """Return the longest remaining time of the long grants known here."""
@@ -762,14 +796,16 @@
             time_left = self.get_long_grant_time_left()
             link.send(
                 self.build_frame(
-                    "tell", heard=healthy, holds_ms=to_milliseconds(time_left)
+                    "tell",
+                    heard=healthy,
+                    holds_ms=to_milliseconds(time_left),
+                    holds_known=self.unaware_until <= now,
                 )
             )
         elif frame.kind == "tell":
             answer = self.pending_votes.get(link)
             if answer is not None and not answer.done():
-                answer.set_result(frame.heard)
-                self.record_long_grants(frame)
+                answer.set_result(frame)
             if frame.term > self.term:
                 self._adopt_newer_term(frame)
 
@@ -808,7 +844,7 @@
             events.info("coordinator_heard", node=frame.node, term=frame.term)
             # The size of the fleet was not known when the time-out was last drawn.
             self.election_timeout = self.draw_election_timeout()
-        self.term = self.last_heartbeat_term = frame.term
+        self.term = frame.term
         self.record_long_grants(frame)
         self.coordinator_link = link
         self.last_heartbeat_at = now
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -294,9 +294,59 @@
         assert not await other.participant.collect_votes()
 
 
+async def restart(harness, node):
+    """Replace the process of an instance."""
+    await harness.running.pop(node).stop()
+    harness.running[node] = RunningInstance(harness, node)
+    await harness.running[node].start()
+
+
+def get_inherited(harness):
+    """Return the bound of the grants that the only coordinator inherits."""
+    (leader,) = harness.find_coordinators()
+    return harness.running[leader].participant.get_inherited_grant_time_left()
+
+
 MAX_DURATION = builders.build_timing().max_grant_duration
 
 
+@testing.run_in_event_loop
+async def test_restarted_instances_do_not_rule_out_long_grants():
+    """Guards against grants that were sent before the start of all voters."""
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        for node in list(harness.running):
+            if node != leader:
+                await restart(harness, node)
+        await wait_coordinator(harness)
+        await harness.running.pop(leader).stop()
+        await wait_until(harness.find_coordinators, 4.0)
+        assert get_inherited(harness) == MAX_DURATION
+
+
+@testing.run_in_event_loop
+async def test_a_minority_does_not_rule_out_long_grants():
+    """Guards against long grants of which only instances that failed were told."""
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        successor = next(node for node in harness.running if node != leader)
+        for node in list(harness.running):
+            if node != successor:
+                await harness.running.pop(node).stop()
+        await wait_until(harness.find_coordinators, 4.0)
+        assert get_inherited(harness) == MAX_DURATION
+
+
+@testing.run_in_event_loop
+async def test_votes_of_most_members_rule_out_long_grants():
+    """Guards against waiting for long grants after each loss of a coordinator."""
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        await harness.running.pop(leader).stop()
+        await wait_until(harness.find_coordinators, 4.0)
+        assert get_inherited(harness) == 0 * SECOND
+
+
 class VoteHarness:
     """An instance whose vote requests get the answers that the test sets."""
 
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -66,4 +66,5 @@
   holdsMs @14 :UInt32;     # remaining time of grants longer than the usual duration
   totals @15 :Totals;
   versions @16 :Versions;
+  holdsKnown @17 :Bool;    # holdsMs covers the grants sent before the sender's start
 }
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -98,6 +98,9 @@
     """Hashes of row keys (`hash_row_key`) and the versions of the rows."""
     holds_ms: int = 0
     """Remaining time in ms of grants that are longer than usual."""
+    holds_known: bool = False
+    """Whether the sender has run for longer than any grant that was sent before its
+    start, so that `holds_ms` is all that it could know."""
 
 
 def hash_target_name(target: str) -> int:
@@ -132,6 +135,7 @@
         stopping=frame.stopping,
         deputy=frame.deputy,
         holdsMs=frame.holds_ms,
+        holdsKnown=frame.holds_known,
     )
     if frame.rows:
         message.rows = [
@@ -228,4 +232,5 @@
         message.deputy,
         tuple(zip(message.versions.rows, message.versions.versions, strict=True)),
         message.holdsMs,
+        message.holdsKnown,
     )
