Announce long grants to most members before they are sent

Callers would see: two targets run requests for one key. A coordinator that failed shortly after its first grants of the maximum duration left a successor that knew of none. Cause: heartbeats told of long grants only after they had been sent, and nothing showed whether anyone had received them; a grant sent after a vote was in no answer to it. Heartbeats of a coordinator that leads without the store now announce the longest grants, reports name the heartbeat that they acknowledge, and may_send_long_grants() says whether most members have acknowledged one within the last second. A member that has voted acknowledges none for 3 s, so that no long grant begins unseen by the successor. The granter does not call may_send_long_grants() yet. Ruled out: counting any recent report as an acknowledgement; it may have waited on a slow link since before the announcement. The three new tests pass; they use the new method. packages/fleet: 179 passed, 0 failed.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -54,7 +54,8 @@
 """Without a healthy heartbeat for this long, a minority may elect a coordinator."""
 VOTE_VALIDITY = granting.TERM_CONFIRMATION_MAX_AGE
 """Time after a vote request for which its answer counts as the bound of long grants. A
-coordinator that the store does not confirm sends no orders after this long."""
+coordinator that the store does not confirm sends no orders after this long. Meanwhile,
+the voter acknowledges no announcement of further long grants."""
 VOTE_TIMEOUT = datetime.timedelta(milliseconds=500)
 RECONNECT_PAUSE = datetime.timedelta(milliseconds=300)
 TICK_INTERVAL = datetime.timedelta(milliseconds=50)
@@ -77,13 +78,21 @@
 class Report:
     """A member's last report to the coordinator."""
 
-    __slots__ = ("loads", "reaches_store", "received_at", "store_healthy")
+    __slots__ = (
+        "heartbeat_ms",
+        "loads",
+        "reaches_store",
+        "received_at",
+        "store_healthy",
+    )
 
-    def __init__(self, received_at, reaches_store, store_healthy, loads):
+    def __init__(self, received_at, reaches_store, store_healthy, loads, heartbeat_ms):
         self.received_at = received_at
         self.reaches_store = reaches_store
         self.store_healthy = store_healthy
         self.loads = loads
+        self.heartbeat_ms = heartbeat_ms
+        """When the heartbeat was sent that the member has acknowledged."""
 
 
 class FleetParticipant:
@@ -164,6 +173,13 @@
         valid."""
         self.informants: dict[str, datetime.timedelta] = {}
         """Members whose votes told of all long grants, and until when this counts."""
+        self.announcing_since: int | None = None
+        """`heartbeat_ms` of the first heartbeat of this coordinator that announced long
+        grants, or None if the last one did not."""
+        self.received_heartbeat_ms = 0
+        """`heartbeat_ms` of the last heartbeat received."""
+        self.voted_at: datetime.timedelta | None = None
+        """When this instance last answered a vote request."""
         self.leadership_changed_at = now
         """When this instance last received a new coordinator row."""
         self.coordinator_healthy = True
@@ -460,6 +476,7 @@
         """Stop coordinating."""
         now = self.clock.monotonic()
         self.long_grants_until = now + self.get_long_grant_time_left()
+        self.announcing_since = None
         self.coordinating = False
         self.granter_task.cancel()
         self.last_heartbeat_at = self.last_healthy_heartbeat_at = now
@@ -497,6 +514,23 @@
         # This instance itself counts also while it has recorded no report of its own.
         return 2 * len({*recent, self.own_member.node}) > members
 
+    def may_send_long_grants(self) -> bool:
+        """Whether most members know of long grants sent now.
+
+        They have acknowledged a recent heartbeat that announced such grants. The next
+        coordinator asks most members, at least one of which is among them.
+        """
+        if self.announcing_since is None or not self.can_lead_without_store():
+            return False
+        oldest = to_milliseconds(self.clock.monotonic() - REPORT_MAX_AGE)
+        oldest = max(oldest, self.announcing_since)
+        informed = {
+            node for node, item in self.reports.items() if item.heartbeat_ms >= oldest
+        }
+        informed.add(self.own_member.node)
+        members = {*self.directory.members, self.own_member.node}
+        return 2 * len(informed & members) > len(members)
+
     # Links.
 
     def _accept(self) -> links.Link:
@@ -595,6 +629,10 @@
         self.last_heartbeat_sent_at = now
         self.last_heartbeat_at = now
         self.receive_report(self.own_member.node, self.build_report())
+        if not self.can_lead_without_store():
+            self.announcing_since = None
+        elif self.announcing_since is None:
+            self.announcing_since = to_milliseconds(now)
         self.live_instances = 1 + sum(
             now - item.received_at <= REPORT_MAX_AGE for item in self.reports.values()
         )
@@ -646,6 +684,7 @@
             stopping=self.stopping,
             deputy=deputy,
             holds_ms=to_milliseconds(self.get_long_grant_time_left()),
+            heartbeat_ms=to_milliseconds(self.last_heartbeat_sent_at),
         )
 
     def choose_deputies(self) -> list[str]:
@@ -676,6 +715,14 @@
             keys=self.take_key_counts(),
             crashes=self.take_crashes(),
             stopping=self.stopping,
+            heartbeat_ms=0 if self.has_voted_recently() else self.received_heartbeat_ms,
+        )
+
+    def has_voted_recently(self) -> bool:
+        """Whether a successor may still rely on this instance's last vote."""
+        return (
+            self.voted_at is not None
+            and self.clock.monotonic() - self.voted_at <= VOTE_VALIDITY
         )
 
     def take_crashes(self) -> tuple[frames.Crash, ...]:
@@ -686,9 +733,13 @@
         return crashes
 
     def get_max_long_grant_time(self) -> datetime.timedelta:
-        """Return the maximum time for which a long grant is valid after its sending."""
+        """Return the maximum time from the announcement of a long grant to its end."""
         duration = self.granter.timing.max_grant_duration
-        return granting.ORDER_TIMEOUT + self.granter.get_max_grant_validity(duration)
+        return (
+            REPORT_MAX_AGE
+            + granting.ORDER_TIMEOUT
+            + self.granter.get_max_grant_validity(duration)
+        )
 
     def get_inherited_grant_time_left(self) -> datetime.timedelta:
         """Return the longest duration of the previous coordinators' grants from now on.
@@ -709,10 +760,12 @@
         return min(time_left, max_duration)
 
     def get_long_grant_time_left(self) -> datetime.timedelta:
-        """Return the longest remaining time of the long grants known here."""
+        """Return the longest remaining time of the long grants known or announced."""
         time_left = self.long_grants_until - self.clock.monotonic()
         if self.coordinating:
             time_left = max(time_left, self.granter.get_long_grant_time_left())
+        if self.announcing_since is not None:
+            time_left = max(time_left, self.get_max_long_grant_time())
         return max(time_left, datetime.timedelta())
 
     def record_long_grants(self, frame: frames.Frame) -> None:
@@ -755,7 +808,11 @@
     def receive_report(self, node: str, frame: frames.Frame) -> None:
         """Process a report of a member or of this instance itself."""
         self.reports[node] = Report(
-            self.clock.monotonic(), frame.contact, frame.heard, frame.loads
+            self.clock.monotonic(),
+            frame.contact,
+            frame.heard,
+            frame.loads,
+            frame.heartbeat_ms,
         )
         if frame.rows:
             self.directory.apply_rows(frame.rows, apply_removals=True)
@@ -794,6 +851,7 @@
             else:
                 healthy = self.has_healthy_coordinator()
             time_left = self.get_long_grant_time_left()
+            self.voted_at = now
             link.send(
                 self.build_frame(
                     "tell",
@@ -846,6 +904,7 @@
             self.election_timeout = self.draw_election_timeout()
         self.term = frame.term
         self.record_long_grants(frame)
+        self.received_heartbeat_ms = frame.heartbeat_ms
         self.coordinator_link = link
         self.last_heartbeat_at = now
         if frame.stopping:
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -347,6 +347,24 @@
         assert get_inherited(harness) == 0 * SECOND
 
 
+@testing.run_in_event_loop
+async def test_long_grants_are_announced_to_most_members():
+    """Guards against a coordinator that fails between a grant and its heartbeat."""
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        participant = harness.running[leader].participant
+        assert not participant.may_send_long_grants()
+        harness.unreachable.update(harness.running)
+        await wait_until(participant.may_send_long_grants)
+        until = participant.clock.monotonic() + MAX_DURATION
+        informed = [
+            node
+            for node, item in harness.running.items()
+            if node != leader and item.participant.long_grants_until > until
+        ]
+        assert informed
+
+
 class VoteHarness:
     """An instance whose vote requests get the answers that the test sets."""
 
@@ -480,6 +498,52 @@
     assert ask(participant).holds_ms > 9_000
 
 
+def build_report(heartbeat_ms):
+    return frames.Frame("report", 2, "n1", "i", heartbeat_ms=heartbeat_ms)
+
+
+@testing.run_in_event_loop
+async def test_long_grants_need_recent_acknowledgements():
+    """Guards against long grants announced only in heartbeats that were not received.
+
+    Reports that were sent before the announcement or arrive late do not count.
+    """
+    election = VoteHarness({"n1": False, "n2": False})
+    participant = election.participant
+    start_coordinating(election, 2)
+    participant.receive_report("n1", build_report(0))
+    participant.receive_report("n2", build_report(0))
+    assert participant.can_lead_without_store()
+    assert not participant.may_send_long_grants()
+    now = participant.clock.monotonic()
+    participant.send_heartbeat(now)
+    announced_ms = coordination.to_milliseconds(now)
+    participant.receive_report("n1", build_report(announced_ms - 1))
+    assert not participant.may_send_long_grants()
+    participant.receive_report("n1", build_report(announced_ms))
+    assert participant.may_send_long_grants()
+    await asyncio.sleep(coordination.REPORT_MAX_AGE.total_seconds())
+    participant.receive_report("n1", build_report(announced_ms))
+    assert participant.can_lead_without_store()
+    assert not participant.may_send_long_grants()
+
+
+@testing.run_in_event_loop
+async def test_voters_acknowledge_no_further_long_grants():
+    """Guards against long grants that begin after the votes for a successor."""
+    participant = VoteHarness({"n1": False}).participant
+    link = RecordingLink()
+
+    def answer_heartbeat(heartbeat_ms):
+        frame = frames.Frame("beat", 2, "n1", "i", heartbeat_ms=heartbeat_ms)
+        participant._receive_heartbeat(link, frame, participant.clock.monotonic())
+        return link.sent[-1].heartbeat_ms
+
+    assert answer_heartbeat(5) == 5
+    ask(participant)
+    assert answer_heartbeat(6) == 0
+
+
 @testing.run_in_event_loop
 async def test_elections_in_a_large_fleet_are_spread_over_time():
     """Guards against simultaneous elections, whose votes grow quadratically."""
@@ -569,6 +633,9 @@
         keys=(frames.KeyCount("s", 1, 2),),
         crashes=(frames.Crash(b"\x00\xff", 2),),
         versions=((2**63, 2**40),),
+        holds_ms=3,
+        holds_known=True,
+        heartbeat_ms=2**40,
     )
     assert frames.decode(frames.encode(frame)) == frame
 
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -67,4 +67,5 @@
   totals @15 :Totals;
   versions @16 :Versions;
   holdsKnown @17 :Bool;    # holdsMs covers the grants sent before the sender's start
+  heartbeatMs @18 :UInt64; # see Frame.heartbeat_ms in frames.py
 }
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -101,6 +101,10 @@
     holds_known: bool = False
     """Whether the sender has run for longer than any grant that was sent before its
     start, so that `holds_ms` is all that it could know."""
+    heartbeat_ms: int = 0
+    """In a "beat": when it was sent, in ms of the coordinator's monotonic clock. In a
+    "report": that of the last heartbeat received, or 0 if its `holds_ms` is not
+    acknowledged because of a recent vote."""
 
 
 def hash_target_name(target: str) -> int:
@@ -136,6 +140,7 @@
         deputy=frame.deputy,
         holdsMs=frame.holds_ms,
         holdsKnown=frame.holds_known,
+        heartbeatMs=frame.heartbeat_ms,
     )
     if frame.rows:
         message.rows = [
@@ -233,4 +238,5 @@
         tuple(zip(message.versions.rows, message.versions.versions, strict=True)),
         message.holdsMs,
         message.holdsKnown,
+        message.heartbeatMs,
     )
