Count the vote of an instance only under its own name

Callers would see nothing as long as addresses stay with their instances. An instance that has the address of a member that was replaced voted twice, once for each, so less than half of the instances could elect a coordinator, or seem to rule out long grants. Cause: the answer to a vote request was attributed to the member whose address was asked. Ruled out: the same fault in reports; they count only on the link of the node they name. The instances of the tests keep their ports when they restart.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -416,7 +416,8 @@
             if link is not None:
                 self.pending_votes.pop(link, None)
                 link.close()
-        if frame is None:
+        if frame is None or frame.node != member.node:
+            # Another instance now has this address.
             return None
         self.record_long_grants(frame)
         if frame.holds_known:
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -63,9 +63,11 @@
 
     def __init__(self, harness, node):
         self.clock = clocks.SystemClock()
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
+        if node not in harness.ports:
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                harness.ports[node] = probe.getsockname()[1]
+        port = harness.ports[node]
         harness.starts += 1
         incarnation = f"{node}-{harness.starts}"
         member = model.Member(node, incarnation, "dc-1", "127.0.0.1", port)
@@ -112,6 +114,8 @@
         self.store = builders.FakeStore()
         self.unreachable = set()
         self.calls = collections.Counter()
+        self.ports = {}
+        """Port of each instance, which it keeps when it restarts."""
         self.starts = 0
         """Number of instances started so far."""
         self.targets = builders.FakeTargets(clocks.SystemClock())
@@ -365,6 +369,18 @@
         assert informed
 
 
+@testing.run_in_event_loop
+async def test_votes_of_another_instance_at_an_address_do_not_count():
+    """Guards against counting an instance twice that has replaced a member."""
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        nodes = [node for node in harness.running if node != leader]
+        asking, replacing = (harness.running[node].participant for node in nodes)
+        replaced = replacing.own_member._replace(node="n4", incarnation="n4-1")
+        assert await asking.request_vote(replacing.own_member) is True
+        assert await asking.request_vote(replaced) is None
+
+
 class VoteHarness:
     """An instance whose vote requests get the answers that the test sets."""
 
@@ -522,7 +538,8 @@
     assert not participant.may_send_long_grants()
     participant.receive_report("n1", build_report(announced_ms))
     assert participant.may_send_long_grants()
-    await asyncio.sleep(coordination.REPORT_MAX_AGE.total_seconds())
+    past_max_age = coordination.REPORT_MAX_AGE + 10 * builders.MILLISECOND
+    await asyncio.sleep(past_max_age.total_seconds())
     participant.receive_report("n1", build_report(announced_ms))
     assert participant.can_lead_without_store()
     assert not participant.may_send_long_grants()
