Ask the coordinator itself, not its next process, whether it is alive

Callers would see: keys without an owner for up to a second longer when the machine of a coordinator restarts its process. Cause: a coordinator that answers a vote request is not replaced. The answer counted from any process at its address, and a process that has just started answers as if there were a healthy coordinator. Now only the incarnation that the coordinator's row names counts. Ruled out: the new process taking over by itself at once; it cannot without the store, which may reject single machines. Measured: test_restarted_coordinator_is_not_taken_for_the_lost_one failed before (the new process's answer counted as the coordinator's) and passes now; coordination_test.py 30 passed, 0 failed.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -422,6 +422,14 @@
         self.record_long_grants(frame)
         if frame.holds_known:
             self.informants[member.node] = asked_at + VOTE_VALIDITY
+        leadership = self.directory.leadership
+        if (
+            member.node == leadership.node
+            and frame.incarnation != leadership.incarnation
+        ):
+            # The coordinator has ended; a process that has just started assumes that
+            # there is one.
+            return False
         return frame.heard
 
     async def claim_leadership(self, leadership: directories.Leadership) -> None:
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -369,6 +369,20 @@
         assert informed
 
 
+@testing.run_in_event_loop
+async def test_restarted_coordinator_is_not_taken_for_the_lost_one():
+    """Guards against a coordinator that counts as live since its address answers."""
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        other = next(item for node, item in harness.running.items() if node != leader)
+        # Without the store, the new process does not follow its predecessor.
+        harness.unreachable.add(leader)
+        await restart(harness, leader)
+        member = other.directory.members[leader]
+        assert other.directory.leadership.incarnation == member.incarnation
+        assert await other.participant.request_vote(member) is False
+
+
 @testing.run_in_event_loop
 async def test_votes_of_another_instance_at_an_address_do_not_count():
     """Guards against counting an instance twice that has replaced a member."""
