Suspect an entry process only for connections to that process

Callers would see: a short interruption of the keys of a restarted entry process, whose gates another one takes although it is alive. Cause: a refused or reset connection was attributed to the entry process by its name. The connection to an earlier incarnation can end after the next one was heard, for example when a partition heals, and made the new one suspect. A takeover by the first candidate starts at once. Ruled out: that the next message refutes it in time; only two monitors get heartbeats. No key has two owners by it: terms and grants still decide. Measured: test_close_of_an_earlier_process_does_not_make_its_successor_suspect failed before (the new process was suspect after a reset of the old one's connection) and passes now.

--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -350,7 +350,7 @@
             change in (link.ConnectionChange.REFUSED, link.ConnectionChange.RESET)
             and member.entry
         ):
-            self.exchange.suspect_refused(member.entry)
+            self.exchange.suspect_refused(member)
 
     async def receive(self, sender: data.Member, message: Any) -> None:
         """Dispatch a peer's message to the gates, the balancer or the exchange."""
--- a/packages/entry/dewstep_entry/process_test.py
+++ b/packages/entry/dewstep_entry/process_test.py
@@ -5,6 +5,7 @@
 from dewstep_core import clocks, data, errors, hashing, settings
 from dewstep_entry import process
 from dewstep_entry.gate import fakes_test as fakes, lifecycle, rows
+from dewstep_entry.peers import link
 
 STOP_LIMIT = datetime.timedelta(seconds=0.6)
 
@@ -103,3 +104,21 @@
     assert unfinished == ("gate of t1", "1 connections of callers")
     assert aborted
     assert duration < (STOP_LIMIT + process.PEER_NOTICE_TIME).total_seconds() + 0.4
+
+
+def test_close_of_an_earlier_process_does_not_make_its_successor_suspect():
+    # Guards against taking gates from a restarted process when a connection to its
+    # predecessor ends late.
+    async def reset():
+        entry_process = build_process(clocks.ManualClock())
+        earlier = data.Member("e2", "i1", "dc", "127.0.0.1", 7002)
+        current = earlier._replace(incarnation="i2")
+        for member in (earlier, current):
+            entry_process.handle_connection_change(member, link.ConnectionChange.UP)
+        for change in (link.ConnectionChange.RESET, link.ConnectionChange.REFUSED):
+            entry_process.handle_connection_change(earlier, change)
+        alive_before = entry_process.holder.current.members["e2"].alive
+        entry_process.handle_connection_change(current, link.ConnectionChange.RESET)
+        return alive_before, entry_process.holder.current.members["e2"].alive
+
+    assert asyncio.run(reset()) == (True, False)
--- a/packages/entry/dewstep_entry/state/exchange.py
+++ b/packages/entry/dewstep_entry/state/exchange.py
@@ -334,10 +334,10 @@
             return
         self.holder.offer_configuration(decoded.unwrap())
 
-    def suspect_refused(self, entry: str) -> None:
+    def suspect_refused(self, member: data.Member) -> None:
         """Suspect a peer whose connection was refused or reset."""
-        if self.members.record_refusal(entry, self.clock.monotonic()):
-            events.warning("member_suspected", entry=entry, reason="refused")
+        if self.members.record_refusal(member, self.clock.monotonic()):
+            events.warning("member_suspected", entry=member.entry, reason="refused")
             self.publish_members()
             self.send_heartbeats()
 
--- a/packages/entry/dewstep_entry/state/exchange_test.py
+++ b/packages/entry/dewstep_entry/state/exchange_test.py
@@ -75,7 +75,7 @@
     # Guards against requests to a frozen process that wait for their deadlines.
     tested = build_exchange()
     receive(tested, build_exchange(PEER).build_heartbeat())
-    tested.suspect_refused("e2")
+    tested.suspect_refused(PEER)
     assert not tested.holder.current.members["e2"].alive
     assert tested.network.closed == ["e2"]
     reported = tested.build_heartbeat().suspicions
@@ -134,7 +134,7 @@
     assert tested.members.peers["e2"].has_sent
     other = data.Member("e4", "i4", "dc1", "127.0.0.1", 7004)
     receive(tested, messages.Alive(), other)
-    tested.suspect_refused("e4")
+    tested.suspect_refused(other)
     tested.network.sent.clear()
     tested.send_heartbeats(full=False)
     ((entry, message),) = tested.network.sent
--- a/packages/entry/dewstep_entry/state/membership.py
+++ b/packages/entry/dewstep_entry/state/membership.py
@@ -151,12 +151,17 @@
         self.peers[suspicion.entry] = peer._replace(suspected=now)
         return True
 
-    def record_refusal(self, entry: str, now: datetime.timedelta) -> bool:
-        """Suspect a member whose connection was refused or reset."""
-        peer = self.peers.get(entry)
+    def record_refusal(self, member: data.Member, now: datetime.timedelta) -> bool:
+        """Suspect a member whose connection was refused or reset.
+
+        The connection to an earlier incarnation may end after the next one was heard.
+        """
+        peer = self.peers.get(member.entry)
         if peer is None or peer.suspected is not None:
             return False
-        self.peers[entry] = peer._replace(suspected=now, observed_here=True)
+        if peer.member.incarnation != member.incarnation:
+            return False
+        self.peers[member.entry] = peer._replace(suspected=now, observed_here=True)
         return True
 
     def list_ring(self) -> list[str]:
--- a/packages/entry/dewstep_entry/state/membership_test.py
+++ b/packages/entry/dewstep_entry/state/membership_test.py
@@ -60,8 +60,8 @@
 
 def test_message_ends_suspicion_and_replaces_an_older_incarnation():
     members = build_membership(1)
-    assert members.record_refusal("e01", SUSPECT_AFTER)
-    assert not members.record_refusal("e01", SUSPECT_AFTER)
+    assert members.record_refusal(build_member(1), SUSPECT_AFTER)
+    assert not members.record_refusal(build_member(1), SUSPECT_AFTER)
     assert members.record_message(build_member(1, incarnation="i2"), SUSPECT_AFTER)
     assert not members.record_message(build_member(1, incarnation="i2"), SUSPECT_AFTER)
     # A late report about the old incarnation does not apply to the new one.
@@ -162,7 +162,7 @@
     assert members.add_member(build_member(9), ZERO)
     assert not members.add_member(build_member(9), ZERO)
     assert not members.add_member(build_member(0), ZERO)
-    members.record_refusal("e09", SUSPECT_AFTER)
+    members.record_refusal(build_member(9), SUSPECT_AFTER)
     assert members.remove_lost(SUSPECT_AFTER + membership.REMOVAL_DELAY / 2) == []
     assert members.remove_lost(SUSPECT_AFTER + membership.REMOVAL_DELAY) == ["e09"]
     assert members.add_member(build_member(9), ZERO)
