Learn of a restarted entry process from its hello

Callers would see: requests for the keys of a restarted entry process refused as not run until that process happens to send a message to the process that received them. Cause: a suspect is probed under its last known incarnation. The hello of its next one ended the connection and was not recorded, so the probes could never succeed. Ruled out: that gate rows or heartbeats of others teach it; a member that is known by name is not replaced by them, and only its two monitors get its heartbeats. Measured: test_process_found_at_the_address_of_an_earlier_one_is_reported failed before (only the old incarnation's refusal was reported) and passes now. packages/entry: 367 passed, 0 failed. The time until requests are served again was not measured.

--- a/packages/entry/dewstep_entry/peers/link.py
+++ b/packages/entry/dewstep_entry/peers/link.py
@@ -230,6 +230,7 @@
         found = (session.peer.entry, session.peer.incarnation)
         if any(expected) and found != expected:
             # The address now belongs to another process or incarnation.
+            self.notify_change(session.peer, ConnectionChange.UP)
             session.abort()
             return
         link.start(session)
--- a/packages/entry/dewstep_entry/peers/link_test.py
+++ b/packages/entry/dewstep_entry/peers/link_test.py
@@ -276,6 +276,26 @@
     asyncio.run(scenario())
 
 
+def test_process_found_at_the_address_of_an_earlier_one_is_reported():
+    # Guards against a restarted peer that stays a suspect although probes reach it.
+    async def scenario():
+        a, b = RecordingPeer("a"), RecordingPeer("b", incarnation="i2")
+        changes = []
+        a.network.notify_change = lambda *change: changes.append(change)
+        async with run_peers(a, b):
+            member = b.network.member
+            old = member._replace(incarnation="i1")
+            a.network.send(old, messages.Alive())
+            await asyncio.sleep(0.05)
+            assert changes == [
+                (member, link.ConnectionChange.UP),
+                (old, link.ConnectionChange.REFUSED),
+            ]
+            assert b.received == []
+
+    asyncio.run(scenario())
+
+
 def test_frozen_peer_uses_bounded_memory_and_delays_no_other_peer():
     async def script(reader, writer):
         await asyncio.sleep(5)
