Take no entry with a missing or earlier start time for a restart

Callers would see: refused requests for all keys of a target whose entry lacks its start time for one version, which were granted twice anew. The coordinator also forgot which grants of the target were unanswered, so that a later move could give a key two owners. Cause: any other start time counted as a new incarnation, which holds no keys. Such an entry now names no target, as any other entry with a missing field; after it the target is known under its incarnation again. An earlier start time counts once a second version has it, so that a target whose clock was set back is not lost for good. Ruled out: refusing every entry without a start time; two sites register without one. Measured: three of the four new tests in directories_test.py failed before and pass now; test_later_start_time_is_a_new_incarnation passes before and after. packages/fleet and platform: 256 passed, 0 failed.

--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -106,6 +106,10 @@
         self.routes: model.RouteTable | None = None
         self.targets: dict[str, model.Target] = {}
         self.targets_by_service: dict[str, tuple[model.Target, ...]] = {}
+        self.lives: dict[str, int] = {}
+        """Last accepted incarnation of each target, also of removed ones."""
+        self.refused_lives: dict[str, int] = {}
+        """Incarnation of targets whose last row was refused because of it."""
         self.ownerships: dict[str, ranges.Ownership] = {}
         self.members: dict[str, model.Member] = {}
         self.leadership = NO_LEADERSHIP
@@ -230,7 +234,7 @@
     def _apply_target(self, row: model.StoredRow) -> None:
         decoded = None
         if row.value is not None:
-            decoded = self.decode_target(row.key, row.value)
+            decoded = self.decode_target(row.key, row.value).bind(self._check_life)
         if isinstance(decoded, result.Success):
             target = decoded.unwrap()
             known = self.targets.get(row.key)
@@ -252,6 +256,24 @@
             if self.targets.pop(row.key, None) is not None:
                 events.info("target_gone", target=row.key, row=row.version)
 
+    def _check_life(
+        self, target: model.Target
+    ) -> result.Result[model.Target, errors.RowInvalid]:
+        """Refuse a target whose start time is missing or earlier than the known one.
+
+        Other clients may write such rows, and the target's grants would be forgotten.
+        An earlier start time is accepted if the next version of the row has it as well,
+        since a target's clock may be set back before it restarts.
+        """
+        known = self.lives.get(target.name, 0)
+        confirmed = self.refused_lives.pop(target.name, 0) == target.life > 0
+        if target.life < known and not confirmed:
+            self.refused_lives[target.name] = target.life
+            detail = f"start time {target.life} after {known}"
+            return result.Failure(errors.RowInvalid(target.name, detail))
+        self.lives[target.name] = target.life
+        return result.Success(target)
+
     def _group_targets(self) -> None:
         groups: dict[str, list[model.Target]] = {}
         for target in self.targets.values():
--- a/packages/fleet/dewstep_fleet/directories_test.py
+++ b/packages/fleet/dewstep_fleet/directories_test.py
@@ -43,6 +43,40 @@
     assert known.targets == {} and known.targets_by_service == {}
 
 
+def apply_start_times(known, *lives):
+    """Apply versions of a target's row; return its incarnation after each, or None."""
+    found = []
+    for life in lives:
+        version = known.rows["targets", "t"].version + 1 if known.rows else 5
+        target = builders.build_target("t", life=life)
+        known.apply_rows([builders.build_target_row(target, version)])
+        found.append(known.targets["t"].life if "t" in known.targets else None)
+    return found
+
+
+def test_entry_without_its_start_time_is_no_new_incarnation():
+    """Guards against forgetting the grants of a target that has not restarted."""
+    _, known = build_empty()
+    assert apply_start_times(known, 7, 0, 0, 7) == [7, None, None, 7]
+
+
+def test_single_entry_with_an_earlier_start_time_is_no_new_incarnation():
+    """Guards against an outdated entry that another client wrote back."""
+    _, known = build_empty()
+    assert apply_start_times(known, 7, 6, 7) == [7, None, 7]
+    assert apply_start_times(known, 6, 7, 6, 7) == [None, 7, None, 7]
+
+
+def test_target_whose_clock_was_set_back_can_restart():
+    _, known = build_empty()
+    assert apply_start_times(known, 7, 6, 6, 6) == [7, None, 6, 6]
+
+
+def test_later_start_time_is_a_new_incarnation():
+    _, known = build_empty()
+    assert apply_start_times(known, 0, 0, 7, 8) == [0, 0, 7, 8]
+
+
 def test_removal_after_an_outage_is_deferred():
     # Guards against removing all targets when the store recovers from an outage.
     clock, known = build_empty()
