--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -98,6 +98,13 @@
     """Hashes of row keys (`hash_row_key`) and the versions of the rows."""
     holds_ms: int = 0
     """Remaining time in ms of grants that are longer than usual."""
+    holds_known: bool = False
+    """Whether the sender has run for longer than any grant that was sent before its
+    start, so that `holds_ms` is all that it could know."""
+    heartbeat_ms: int = 0
+    """In a "beat": when it was sent, in ms of the coordinator's monotonic clock. In a
+    "report": that of the last heartbeat received, or 0 if its `holds_ms` is not
+    acknowledged because of a recent vote."""
 
 
 def hash_target_name(target: str) -> int:
@@ -132,6 +139,8 @@
         stopping=frame.stopping,
         deputy=frame.deputy,
         holdsMs=frame.holds_ms,
+        holdsKnown=frame.holds_known,
+        heartbeatMs=frame.heartbeat_ms,
     )
     if frame.rows:
         message.rows = [
@@ -228,4 +237,6 @@
         message.deputy,
         tuple(zip(message.versions.rows, message.versions.versions, strict=True)),
         message.holdsMs,
+        message.holdsKnown,
+        message.heartbeatMs,
     )
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -127,6 +127,8 @@
     can_lead_without_store : callable
         Whether most instances follow this coordinator and none of them reaches the
         store. Orders are then sent without the store's confirmation.
+    may_send_long_grants : callable
+        Whether most instances know of grants longer than `GRANT_DURATION`.
     get_demand : callable
         Returns the `Demand` of a service.
     estimate_queue_wait : callable
@@ -147,6 +149,7 @@
         clock: clocks.Clock,
         timing: model.Timing,
         can_lead_without_store: Callable[[], bool],
+        may_send_long_grants: Callable[[], bool],
         get_demand: Callable[[str], demands.Demand],
         estimate_queue_wait: Callable[[model.Target], datetime.timedelta],
         get_inherited_grant_time_left: Callable[[], datetime.timedelta],
@@ -159,6 +162,7 @@
         self.clock = clock
         self.timing = timing
         self.can_lead_without_store = can_lead_without_store
+        self.may_send_long_grants = may_send_long_grants
         self.get_demand = get_demand
         self.estimate_queue_wait = estimate_queue_wait
         self.get_inherited_grant_time_left = get_inherited_grant_time_left
@@ -271,7 +275,7 @@
         duration = self.timing.max_grant_duration
         if (
             self.table_feeds.has_recent_answer(OUTAGE_THRESHOLD)
-            or not self.can_lead_without_store()
+            or not self.may_send_long_grants()
         ):
             duration = min(GRANT_DURATION, duration)
         previous, self.last_duration = self.last_duration, duration
