Check the head of an answer before it is complete

Seen: a request to a target that sent bytes of no HTTP slowly waited for its deadline. A header value of 60,000 spaces and one NUL stopped the process for more than 20 seconds.

Cause: h11 looks at a head only at its blank line or limit, and its expression for header values takes quadratic time if such a value is invalid. Chunk headers, status lines and other header values were ruled out: each takes less than 20 ms for 16,000 bytes or more.

The status line and the last complete header line are now checked as they arrive, and bytes that no head may contain before h11 parses a head of more than 1 KiB. The 64 KiB limit of heads no longer depends on how they are cut into packets, and applies to the answers of orders and of the store too.

--- a/packages/core/dewstep_core/http/client.py
+++ b/packages/core/dewstep_core/http/client.py
@@ -13,11 +13,12 @@
 from returns import result
 
 from dewstep_core import errors, settings
-from dewstep_core.http import transports
+from dewstep_core.http import answer_heads, transports
 
 DEFAULT_CONNECTION_LIMIT = 8
 """Default limit on the open connections of a client."""
 MAXIMUM_ANSWER_BODY_BYTES = 64 * 1024 * 1024
+MAXIMUM_HEAD_BYTES = 64 * 1024
 
 Failure = errors.PlatformUnavailable | errors.AnswerLost
 
@@ -46,7 +47,9 @@
     """
 
     def __init__(self):
-        self.http = h11.Connection(h11.CLIENT)
+        self.http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAXIMUM_HEAD_BYTES
+        )
         self.transport: asyncio.Transport | None = None
         self.received: list[bytes] = []
         self.waiter: asyncio.Future | None = None
@@ -133,6 +136,9 @@
     async def next_event(self) -> Any:
         """Return the next h11 event, reading bytes as needed."""
         while True:
+            if self.http.their_state is h11.SEND_RESPONSE:
+                received = self.http.trailing_data[0]
+                answer_heads.check_head(received, MAXIMUM_HEAD_BYTES)
             event = self.http.next_event()
             if event is not h11.NEED_DATA:
                 return event
--- a/packages/core/dewstep_core/http/client_endless_test.py
+++ b/packages/core/dewstep_core/http/client_endless_test.py
@@ -32,6 +32,19 @@
         assert monitor.longest_seconds < MAXIMUM_TURN_SECONDS
 
 
+@pytest.mark.parametrize("name", ["no-http", "no-http-lines"])
+@testing.run_in_event_loop
+async def test_bytes_that_start_no_answer_are_recognized_by_their_first(name):
+    pattern = endless_answers.INVALID_PATTERNS[name]
+    async with (
+        endless_answers.running(pattern, interval=0.02) as server,
+        testing.calling(server.address, CALL_SECONDS) as caller,
+    ):
+        began = time.monotonic()
+        assert testing.fails(await caller.call("GET", "/"), errors.AnswerLost)
+        assert time.monotonic() - began < PROMPT_SECONDS
+
+
 @pytest.mark.parametrize("name", endless_answers.UNENDING_BODIES)
 @testing.run_in_event_loop
 async def test_body_without_end_ends_the_call_by_its_limit_or_timeout(name):
@@ -66,7 +79,7 @@
 @testing.run_in_event_loop
 async def test_large_answer_within_the_limits_is_accepted():
     head = endless_answers.build_head(
-        b"Content-Length: 3000000", b"X-A: " + b"y" * 9999
+        b"Content-Length: 3000000", b"X-A: " + b"y" * 50_000
     )
     start = endless_answers.INFORMATIONAL * 10 + head
     async with (
--- a/packages/emulator/dewstep_emulator/endless_answers.py
+++ b/packages/emulator/dewstep_emulator/endless_answers.py
@@ -44,6 +44,9 @@
     "header-name": Pattern(STATUS_LINE, b"x"),
     "header-value": Pattern(STATUS_LINE + b"X-Id: ", b"a"),
     "header-lines": Pattern(STATUS_LINE, b"X-Id: a\r\n"),
+    "header-spaces": Pattern(
+        STATUS_LINE + b"x:" + b" " * 60_000 + b"\x00\r\n\r\n", b"x"
+    ),
     "content-length": Pattern(STATUS_LINE + b"Content-Length: ", b"9"),
     "chunk-size": Pattern(CHUNKED_HEAD, b"0"),
     "chunk-extension": Pattern(CHUNKED_HEAD + b"1;", b"x"),
--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -14,7 +14,7 @@
 from returns import result
 
 from dewstep_core import data
-from dewstep_core.http import transports
+from dewstep_core.http import answer_heads, transports
 from dewstep_entry import bodies, header_rules, interfaces
 from dewstep_entry.targets import answering, outcome
 
@@ -273,6 +273,9 @@
 
     def _process_input(self, exchange: Exchange) -> None:
         while exchange is self.current_exchange:
+            if self.http.their_state is h11.SEND_RESPONSE:
+                received = self.http.trailing_data[0]
+                answer_heads.check_head(received, MAXIMUM_HEAD_BYTES)
             event = self.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 break
--- a/packages/entry/dewstep_entry/targets/endless_answers_test.py
+++ b/packages/entry/dewstep_entry/targets/endless_answers_test.py
@@ -130,6 +130,32 @@
         assert not pool.open_connections
 
 
+@pytest.mark.parametrize("name", ["no-http", "no-http-lines"])
+@testing.run_in_event_loop
+async def test_bytes_that_start_no_answer_are_recognized_by_their_first(name):
+    pattern = endless_answers.INVALID_PATTERNS[name]
+    async with (
+        endless_answers.running(pattern, interval=0.02) as server,
+        run_pool(server.address) as pool,
+    ):
+        began = time.monotonic()
+        assert testing.fails(await send_request(pool), errors.AnswerInvalid)
+        assert time.monotonic() - began < PROMPT_SECONDS
+        assert server.sent_bytes < 20
+
+
+@testing.run_in_event_loop
+async def test_invalid_header_line_is_recognized_before_the_end_of_the_head():
+    pattern = endless_answers.Pattern(endless_answers.STATUS_LINE, b"no header\r\n")
+    async with (
+        endless_answers.running(pattern, interval=0.01) as server,
+        run_pool(server.address) as pool,
+    ):
+        began = time.monotonic()
+        assert testing.fails(await send_request(pool), errors.AnswerInvalid)
+        assert time.monotonic() - began < PROMPT_SECONDS
+
+
 @pytest.mark.parametrize("name", ["status-line", "header-value"])
 @testing.run_in_event_loop
 async def test_slow_bytes_without_end_fail_at_the_deadline(name):
