Limit the informational answers before an answer

Seen: a target that sent 1xx answers without end kept its request until the deadline, so that it was answered 504 and not resent. Meanwhile the event loop stood still for 0.4 to 1.1 s at a time.

Cause: each informational answer was parsed and dropped without a limit.

A connection now fails with AnswerInvalid, and a call with AnswerLost, at the 101st one.

--- a/packages/core/dewstep_core/http/client.py
+++ b/packages/core/dewstep_core/http/client.py
@@ -19,6 +19,8 @@
 """Default limit on the open connections of a client."""
 MAXIMUM_ANSWER_BODY_BYTES = 64 * 1024 * 1024
 MAXIMUM_HEAD_BYTES = 64 * 1024
+MAXIMUM_INFORMATIONAL_ANSWERS = 100
+"""Limit of the informational (1xx) answers before an answer."""
 
 Failure = errors.PlatformUnavailable | errors.AnswerLost
 
@@ -112,7 +114,13 @@
     async def read_response(self) -> Response:
         """Read one complete answer."""
         head = await self.next_event()
+        informational_answers = 0
         while isinstance(head, h11.InformationalResponse):
+            informational_answers += 1
+            if informational_answers > MAXIMUM_INFORMATIONAL_ANSWERS:
+                raise h11.RemoteProtocolError(
+                    f"more than {MAXIMUM_INFORMATIONAL_ANSWERS} informational answers"
+                )
             head = await self.next_event()
         if not isinstance(head, h11.Response):
             raise ConnectionResetError(
--- a/packages/emulator/dewstep_emulator/endless_answers.py
+++ b/packages/emulator/dewstep_emulator/endless_answers.py
@@ -48,6 +48,7 @@
         STATUS_LINE + b"x:" + b" " * 60_000 + b"\x00\r\n\r\n", b"x"
     ),
     "content-length": Pattern(STATUS_LINE + b"Content-Length: ", b"9"),
+    "informational": Pattern(b"", INFORMATIONAL),
     "chunk-size": Pattern(CHUNKED_HEAD, b"0"),
     "chunk-extension": Pattern(CHUNKED_HEAD + b"1;", b"x"),
     "trailer-line": Pattern(CHUNKED_HEAD + b"2\r\nok\r\n0\r\nX: ", b"x"),
--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -22,6 +22,8 @@
 ANSWER_BUFFER_BYTES = 262_144
 """Unread bytes of an answer above which reading from the socket pauses."""
 WRITE_BUFFER_BYTES = 131_072
+MAXIMUM_INFORMATIONAL_ANSWERS = 100
+"""Limit of the informational (1xx) answers before an answer."""
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -33,6 +35,7 @@
         "buffered",
         "head",
         "headers",
+        "informational_answers",
         "length",
         "method",
         "refusal",
@@ -48,6 +51,7 @@
         super().__init__(ANSWER_BUFFER_BYTES, on_read, on_close)
         self.method = method
         self.buffered = buffered
+        self.informational_answers = 0
         self.skipping_answer = False
         self.request_id = request_id
         self.head: h11.Response | None = None
@@ -294,6 +298,12 @@
             self._process_head(exchange, event)
         elif kind is h11.EndOfMessage:
             self._complete_exchange(exchange)
+        elif kind is h11.InformationalResponse:
+            exchange.informational_answers += 1
+            if exchange.informational_answers > MAXIMUM_INFORMATIONAL_ANSWERS:
+                raise h11.RemoteProtocolError(
+                    f"more than {MAXIMUM_INFORMATIONAL_ANSWERS} informational answers"
+                )
         elif kind is h11.ConnectionClosed:
             self._fail(outcome.Event.CLOSED)
 
--- a/packages/entry/dewstep_entry/targets/endless_answers_test.py
+++ b/packages/entry/dewstep_entry/targets/endless_answers_test.py
@@ -156,7 +156,7 @@
         assert time.monotonic() - began < PROMPT_SECONDS
 
 
-@pytest.mark.parametrize("name", ["status-line", "header-value"])
+@pytest.mark.parametrize("name", ["status-line", "header-value", "informational"])
 @testing.run_in_event_loop
 async def test_slow_bytes_without_end_fail_at_the_deadline(name):
     pattern = endless_answers.INVALID_PATTERNS[name]
