Limit the late answers that are skipped

Seen: a late answer to another request id that never ended, or late answers without end, kept a request until its deadline, so that it was answered 504 and not resent.

Cause: skipping had no limit. Many small answers also copied all buffered input once for each.

At most 16 answers and 4 MiB are skipped in one exchange. A longer announced length fails at once. The failure is AnswerInvalid, so the outcome stays unknown.

--- a/packages/emulator/dewstep_emulator/endless_answers.py
+++ b/packages/emulator/dewstep_emulator/endless_answers.py
@@ -17,6 +17,7 @@
 BLOCK_BYTES = 65_536
 SEND_BUFFER_BYTES = 65_536
 REQUEST_ID = b"a"
+OTHER_ID = b"b"
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
 
 
@@ -35,6 +36,7 @@
 
 CHUNKED_HEAD = build_head(b"Transfer-Encoding: chunked")
 COMPLETE_ANSWER = build_head(b"Content-Length: 2") + b"ok"
+OTHER_ANSWER = build_head(b"Content-Length: 2", request_id=OTHER_ID) + b"no"
 INFORMATIONAL = b"HTTP/1.1 102 Processing\r\n\r\n"
 
 INVALID_PATTERNS = {
@@ -62,6 +64,18 @@
 }
 """Patterns that may be legal answers until the deadline."""
 
+SKIPPED_PATTERNS = {
+    "chunked": Pattern(
+        build_head(b"Transfer-Encoding: chunked", request_id=OTHER_ID),
+        b"8000\r\n" + b"x" * 0x8000 + b"\r\n",
+    ),
+    "length": Pattern(
+        build_head(b"Content-Length: 999999999999", request_id=OTHER_ID), b"x"
+    ),
+    "many": Pattern(b"", OTHER_ANSWER),
+}
+"""Late answers to another request that never end."""
+
 SURPLUS_PATTERNS = {
     "bytes": Pattern(COMPLETE_ANSWER, b"x"),
     "answers": Pattern(COMPLETE_ANSWER, COMPLETE_ANSWER),
--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -24,6 +24,9 @@
 WRITE_BUFFER_BYTES = 131_072
 MAXIMUM_INFORMATIONAL_ANSWERS = 100
 """Limit of the informational (1xx) answers before an answer."""
+MAXIMUM_SKIPPED_ANSWERS = 16
+MAXIMUM_SKIPPED_BYTES = 4_194_304
+"""Limits of the late answers to other requests that are skipped during an exchange."""
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -41,6 +44,8 @@
         "refusal",
         "request_id",
         "sent",
+        "skipped_answers",
+        "skipped_bytes",
         "skipping_answer",
         "timer",
     )
@@ -53,6 +58,8 @@
         self.buffered = buffered
         self.informational_answers = 0
         self.skipping_answer = False
+        self.skipped_answers = 0
+        self.skipped_bytes = 0
         self.request_id = request_id
         self.head: h11.Response | None = None
         self.headers: list[tuple[bytes, bytes]] = []
@@ -159,6 +166,8 @@
         if exchange is None:
             self.abort()
             return
+        if exchange.skipping_answer:
+            exchange.skipped_bytes += len(chunk)
         try:
             self.http.receive_data(chunk)
             self._process_input(exchange)
@@ -288,6 +297,10 @@
     def _process_event(self, exchange: Exchange, event) -> None:
         kind = type(event)
         if exchange.skipping_answer:
+            if exchange.skipped_bytes > MAXIMUM_SKIPPED_BYTES:
+                raise h11.RemoteProtocolError(
+                    f"answers to other requests exceed {MAXIMUM_SKIPPED_BYTES} bytes"
+                )
             if kind is h11.EndOfMessage:
                 self._resume_after_skipped_answer(exchange)
             elif kind is h11.ConnectionClosed:
@@ -334,6 +347,15 @@
             if not self.rules.has_request_id or (length is None and coding is None):
                 raise h11.RemoteProtocolError("answer has another request's id")
             exchange.skipping_answer = True
+            exchange.skipped_answers += 1
+            if exchange.skipped_answers > MAXIMUM_SKIPPED_ANSWERS:
+                raise h11.RemoteProtocolError(
+                    f"more than {MAXIMUM_SKIPPED_ANSWERS} answers to other requests"
+                )
+            if length is not None and int(length) > MAXIMUM_SKIPPED_BYTES:
+                raise h11.RemoteProtocolError(
+                    f"answer to another request exceeds {MAXIMUM_SKIPPED_BYTES} bytes"
+                )
             return
         exchange.head = head
         exchange.length = int(length) if length is not None else None
--- a/packages/entry/dewstep_entry/targets/endless_answers_test.py
+++ b/packages/entry/dewstep_entry/targets/endless_answers_test.py
@@ -238,6 +238,22 @@
         assert not pool.open_connections
 
 
+@pytest.mark.parametrize("name", endless_answers.SKIPPED_PATTERNS)
+@testing.run_in_event_loop
+async def test_skipped_answer_without_end_ends_the_exchange(name):
+    pattern = endless_answers.SKIPPED_PATTERNS[name]
+    async with (
+        endless_answers.running(pattern) as server,
+        run_pool(server.address) as pool,
+        assert_others_proceed(),
+    ):
+        began = time.monotonic()
+        assert testing.fails(await send_request(pool), errors.AnswerInvalid)
+        assert time.monotonic() - began < PROMPT_SECONDS
+        assert await server.wait_closed(PROMPT_SECONDS)
+        assert server.sent_bytes < SOCKET_BUFFER_BYTES + 4 * 1024 * 1024
+
+
 @pytest.mark.parametrize("name", endless_answers.SURPLUS_PATTERNS)
 @pytest.mark.parametrize("delay", [0.0, 0.1])
 @testing.run_in_event_loop
@@ -305,7 +321,9 @@
     # Guards against refusing what a target may send.
     lines = [b"x%d: " % i + b" " * 500 + b"\xe9" * 500 for i in range(50)]
     head = endless_answers.build_head(b"Content-Length: 3000000", *lines)
-    pattern = endless_answers.Pattern(endless_answers.INFORMATIONAL * 10 + head, b"x")
+    pattern = endless_answers.Pattern(
+        endless_answers.INFORMATIONAL * 10 + endless_answers.OTHER_ANSWER + head, b"x"
+    )
     async with (
         endless_answers.running(pattern) as server,
         run_pool(server.address) as pool,
--- a/packages/fleet/dewstep_fleet/endless_answers_test.py
+++ b/packages/fleet/dewstep_fleet/endless_answers_test.py
@@ -20,6 +20,13 @@
 HEALTHY = endless_answers.Pattern(
     b"HTTP/1.1 200 OK\r\nX-Id: id-1\r\nContent-Length: 2\r\n\r\nok", b"x"
 )
+IDEMPOTENT_PATTERNS = {
+    **endless_answers.INVALID_PATTERNS,
+    **{
+        f"skipped-{name}": pattern
+        for name, pattern in endless_answers.SKIPPED_PATTERNS.items()
+    },
+}
 
 
 def build_pattern(pattern):
@@ -65,11 +72,11 @@
     harness.dispatcher.random = random.Random(1)
 
 
-@pytest.mark.parametrize("name", endless_answers.INVALID_PATTERNS)
+@pytest.mark.parametrize("name", IDEMPOTENT_PATTERNS)
 @testing.run_in_event_loop
 async def test_idempotent_request_is_answered_by_another_target(name, monkeypatch):
     monkeypatch.setattr(events, "event_log", events.EventLog())
-    pattern = build_pattern(endless_answers.INVALID_PATTERNS[name])
+    pattern = build_pattern(IDEMPOTENT_PATTERNS[name])
     async with (
         endless_answers.running(pattern) as endless,
         endless_answers.running(HEALTHY) as healthy,
@@ -87,11 +94,11 @@
         assert await endless.wait_closed(PROMPT_SECONDS)
 
 
-@pytest.mark.parametrize("name", endless_answers.INVALID_PATTERNS)
+@pytest.mark.parametrize("name", IDEMPOTENT_PATTERNS)
 @testing.run_in_event_loop
 async def test_request_is_never_reported_as_not_run(name):
     # Guards against running a booking twice.
-    pattern = build_pattern(endless_answers.INVALID_PATTERNS[name])
+    pattern = build_pattern(IDEMPOTENT_PATTERNS[name])
     async with endless_answers.running(pattern) as endless:
         harness = build_harness(endless, idempotent=False)
         answer = await send(harness, "POST")
