Parse small chunks in turns with other connections

Seen: a body of one-byte chunks without end stopped the event loop for 1.1 to 2.0 s at a time, and an unread one took 12 MB instead of 256 KiB.

Cause: all events of one read of 256 KiB, about 43,000, were parsed without a break, and the limit of unread bytes did not count the chunks' objects.

At most 128 events are parsed in a turn of the event loop; reading pauses until the rest is parsed. Small chunks are joined. Calls of the HTTP client do the same and stop reading at 128 KiB of unparsed input. Such a body remains legal until the deadline.

--- a/packages/core/dewstep_core/http/client.py
+++ b/packages/core/dewstep_core/http/client.py
@@ -21,6 +21,10 @@
 MAXIMUM_HEAD_BYTES = 64 * 1024
 MAXIMUM_INFORMATIONAL_ANSWERS = 100
 """Limit of the informational (1xx) answers before an answer."""
+MAXIMUM_READ_AHEAD_BYTES = 128 * 1024
+"""Reading pauses while more bytes are buffered that have not been parsed."""
+MAXIMUM_EVENTS_PER_TURN = 128
+"""Parsed events after which other connections take their turn in the event loop."""
 
 Failure = errors.PlatformUnavailable | errors.AnswerLost
 
@@ -53,7 +57,9 @@
             h11.CLIENT, max_incomplete_event_size=MAXIMUM_HEAD_BYTES
         )
         self.transport: asyncio.Transport | None = None
-        self.received: list[bytes] = []
+        self.received = bytearray()
+        self.reading = True
+        self.events_until_pause = MAXIMUM_EVENTS_PER_TURN
         self.waiter: asyncio.Future | None = None
         self.ended = False
         self.idle = False
@@ -67,7 +73,10 @@
         """Buffer bytes and resume the call in progress."""
         if self.idle:
             self.usable = False
-        self.received.append(content)
+        self.received += content
+        if self.reading and len(self.received) > MAXIMUM_READ_AHEAD_BYTES:
+            self.reading = False
+            self.transport.pause_reading()
         self.resume_reader()
 
     def eof_received(self) -> None:
@@ -90,8 +99,11 @@
         if not self.received and not self.ended:
             self.waiter = asyncio.get_running_loop().create_future()
             await self.waiter
-        content = b"".join(self.received)
+        content = bytes(self.received)
         self.received.clear()
+        if not self.reading:
+            self.reading = True
+            self.transport.resume_reading()
         return content
 
     async def exchange(self, request: h11.Request, body: bytes) -> Response:
@@ -126,23 +138,25 @@
             raise ConnectionResetError(
                 "connection closed before an answer was received"
             )
-        chunks = []
-        total = 0
+        body = bytearray()
         while isinstance(event := await self.next_event(), h11.Data):
-            total += len(event.data)
-            if total > MAXIMUM_ANSWER_BODY_BYTES:
+            body += event.data
+            if len(body) > MAXIMUM_ANSWER_BODY_BYTES:
                 raise h11.RemoteProtocolError(
                     f"answer body exceeds {MAXIMUM_ANSWER_BODY_BYTES} bytes"
                 )
-            chunks.append(bytes(event.data))
         headers = {
             name.decode("ascii"): value.decode("latin-1")
             for name, value in head.headers
         }
-        return Response(head.status_code, headers, b"".join(chunks))
+        return Response(head.status_code, headers, bytes(body))
 
     async def next_event(self) -> Any:
         """Return the next h11 event, reading bytes as needed."""
+        self.events_until_pause -= 1
+        if not self.events_until_pause:
+            self.events_until_pause = MAXIMUM_EVENTS_PER_TURN
+            await asyncio.sleep(0)
         while True:
             if self.http.their_state is h11.SEND_RESPONSE:
                 received = self.http.trailing_data[0]
--- a/packages/core/dewstep_core/http/client_endless_test.py
+++ b/packages/core/dewstep_core/http/client_endless_test.py
@@ -65,7 +65,7 @@
 
 @testing.run_in_event_loop
 async def test_cancelled_call_closes_the_connection():
-    pattern = endless_answers.UNENDING_BODIES["chunks"]
+    pattern = endless_answers.UNENDING_BODIES["small-chunks"]
     async with (
         endless_answers.running(pattern) as server,
         testing.calling(server.address, CALL_SECONDS) as caller,
--- a/packages/emulator/dewstep_emulator/endless_answers.py
+++ b/packages/emulator/dewstep_emulator/endless_answers.py
@@ -60,6 +60,7 @@
 
 UNENDING_BODIES = {
     "chunks": Pattern(CHUNKED_HEAD, b"8000\r\n" + b"x" * 0x8000 + b"\r\n"),
+    "small-chunks": Pattern(CHUNKED_HEAD, b"1\r\nx\r\n"),
     "until-close": Pattern(build_head(), b"x"),
 }
 """Patterns that may be legal answers until the deadline."""
--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -22,6 +22,8 @@
 ANSWER_BUFFER_BYTES = 262_144
 """Unread bytes of an answer above which reading from the socket pauses."""
 WRITE_BUFFER_BYTES = 131_072
+MAXIMUM_EVENTS_PER_TURN = 128
+"""Parsed events after which other connections take their turn in the event loop."""
 MAXIMUM_INFORMATIONAL_ANSWERS = 100
 """Limit of the informational (1xx) answers before an answer."""
 MAXIMUM_SKIPPED_ANSWERS = 16
@@ -69,6 +71,15 @@
         self.body_task: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
 
+    def add_chunk(self, chunk: bytearray) -> None:
+        """Add a chunk; small chunks are joined, as each object takes memory."""
+        if self.chunks:
+            self.chunks[-1] += chunk
+            self.size += len(chunk)
+            self.wake_reader()
+        else:
+            super().add_chunk(chunk)
+
     def get_progress(self) -> outcome.Progress:
         """Return the progress of the exchange."""
         status = self.head.status_code if self.head is not None else 0
@@ -120,6 +131,8 @@
         self.freed_at = 0.0
         """Event loop time at which the last exchange ended; 0 before the first."""
         self.reading = True
+        self.next_turn: asyncio.Handle | None = None
+        """Parses the rest of the input; reading pauses until then."""
         self.write_waiter: asyncio.Future | None = None
         self.poller = select.poll()
 
@@ -168,18 +181,7 @@
             return
         if exchange.skipping_answer:
             exchange.skipped_bytes += len(chunk)
-        try:
-            self.http.receive_data(chunk)
-            self._process_input(exchange)
-        except h11.RemoteProtocolError as error:
-            # After the colon h11 quotes received bytes, which may belong to another
-            # caller's answer and must not be shown to this one.
-            detail = str(error).partition(":")[0]
-            self._fail(outcome.Event.INVALID, detail)
-            return
-        if exchange.full and self.reading and self.current_exchange is exchange:
-            self.reading = False
-            self.transport.pause_reading()
+        self._receive(exchange, chunk)
 
     # Exchange.
 
@@ -284,15 +286,47 @@
             if self.current_exchange is exchange:
                 self._fail(outcome.Event.ABANDONED, str(error))
 
-    def _process_input(self, exchange: Exchange) -> None:
-        while exchange is self.current_exchange:
+    def _receive(self, exchange: Exchange, chunk: bytes) -> None:
+        """Parse the input of one turn of the event loop, which ends with `chunk`."""
+        try:
+            if chunk:
+                self.http.receive_data(chunk)
+            incomplete = self._process_input(exchange)
+        except h11.RemoteProtocolError as error:
+            # After the colon h11 quotes received bytes, which may belong to another
+            # caller's answer and must not be shown to this one.
+            detail = str(error).partition(":")[0]
+            self._fail(outcome.Event.INVALID, detail)
+            return
+        if exchange is not self.current_exchange:
+            return
+        if incomplete and self.next_turn is None:
+            loop = asyncio.get_running_loop()
+            self.next_turn = loop.call_soon(self._continue_input, exchange)
+        if (incomplete or exchange.full) and self.reading:
+            self.reading = False
+            self.transport.pause_reading()
+
+    def _continue_input(self, exchange: Exchange) -> None:
+        self.next_turn = None
+        self._receive(exchange, b"")
+        if self.next_turn is None and exchange is self.current_exchange:
+            if not exchange.full:
+                self._resume_reading(0)
+
+    def _process_input(self, exchange: Exchange) -> bool:
+        """Parse received bytes; return whether some are left for the next turn."""
+        for _ in range(MAXIMUM_EVENTS_PER_TURN):
+            if exchange is not self.current_exchange:
+                return False
             if self.http.their_state is h11.SEND_RESPONSE:
                 received = self.http.trailing_data[0]
                 answer_heads.check_head(received, MAXIMUM_HEAD_BYTES)
             event = self.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                break
+                return False
             self._process_event(exchange, event)
+        return exchange is self.current_exchange
 
     def _process_event(self, exchange: Exchange, event) -> None:
         kind = type(event)
@@ -402,6 +436,9 @@
     def _detach_exchange(self, exchange: Exchange) -> None:
         self.current_exchange = None
         exchange.timer.cancel()
+        if self.next_turn is not None:
+            self.next_turn.cancel()
+            self.next_turn = None
         if exchange.body_task is not None:
             exchange.body_task.cancel()
         if not self.reading:
@@ -409,7 +446,7 @@
             self.transport.resume_reading()
 
     def _resume_reading(self, size: int) -> None:
-        if not self.reading:
+        if not self.reading and self.next_turn is None:
             self.reading = True
             self.transport.resume_reading()
 
