Close an idle connection of the HTTP client on unexpected bytes

Seen: a store or target that went on sending after its answer to a call was read until the next call, into a buffer without a limit.

Cause: bytes between calls only marked the connection as unusable.

--- a/packages/core/dewstep_core/http/client.py
+++ b/packages/core/dewstep_core/http/client.py
@@ -70,9 +70,11 @@
         self.transport = transport
 
     def data_received(self, content: bytes) -> None:
-        """Buffer bytes and resume the call in progress."""
+        """Buffer bytes and resume the call in progress; without one, close."""
         if self.idle:
             self.usable = False
+            self.close()
+            return
         self.received += content
         if self.reading and len(self.received) > MAXIMUM_READ_AHEAD_BYTES:
             self.reading = False
--- a/packages/core/dewstep_core/http/client_endless_test.py
+++ b/packages/core/dewstep_core/http/client_endless_test.py
@@ -63,6 +63,24 @@
         assert monitor.longest_seconds < MAXIMUM_TURN_SECONDS
 
 
+@pytest.mark.parametrize("name", endless_answers.SURPLUS_PATTERNS)
+@pytest.mark.parametrize("delay", [0.0, 0.1])
+@testing.run_in_event_loop
+async def test_bytes_without_end_after_an_answer_close_the_connection(name, delay):
+    # Guards against buffering them without limit while no call is in progress.
+    pattern = endless_answers.SURPLUS_PATTERNS[name]
+    async with (
+        endless_answers.running(pattern, surplus_delay=delay) as server,
+        testing.calling(server.address, CALL_SECONDS) as caller,
+        endless_answers.LoopMonitor() as monitor,
+    ):
+        assert (await caller.call("GET", "/")).unwrap().body == b"ok"
+        assert await server.wait_closed(PROMPT_SECONDS)
+        assert server.sent_bytes < SOCKET_BUFFER_BYTES
+        assert monitor.longest_seconds < MAXIMUM_TURN_SECONDS
+        assert (await caller.call("GET", "/")).unwrap().body == b"ok"
+
+
 @testing.run_in_event_loop
 async def test_cancelled_call_closes_the_connection():
     pattern = endless_answers.UNENDING_BODIES["small-chunks"]
