Refuse a call's answer by its announced length

Seen: an answer with a Content-Length above the limit of 64 MiB was read up to that limit before the call failed: 67,239,993 bytes in the test.

Before: the new test failed. After: 245 passed.

--- a/packages/core/dewstep_core/http/client.py
+++ b/packages/core/dewstep_core/http/client.py
@@ -140,13 +140,11 @@
             raise ConnectionResetError(
                 "connection closed before an answer was received"
             )
+        check_body_size(int(dict(head.headers).get(b"content-length", 0)))
         body = bytearray()
         while isinstance(event := await self.next_event(), h11.Data):
             body += event.data
-            if len(body) > MAXIMUM_ANSWER_BODY_BYTES:
-                raise h11.RemoteProtocolError(
-                    f"answer body exceeds {MAXIMUM_ANSWER_BODY_BYTES} bytes"
-                )
+            check_body_size(len(body))
         headers = {
             name.decode("ascii"): value.decode("latin-1")
             for name, value in head.headers
@@ -185,6 +183,20 @@
         transports.reset(self.transport)
 
 
+def check_body_size(size: int) -> None:
+    """Check the size of an answer's body.
+
+    Raises
+    ------
+    h11.RemoteProtocolError
+        If it exceeds the limit.
+    """
+    if size > MAXIMUM_ANSWER_BODY_BYTES:
+        raise h11.RemoteProtocolError(
+            f"answer body exceeds {MAXIMUM_ANSWER_BODY_BYTES} bytes"
+        )
+
+
 class Client:
     """Calls one server over a bounded pool of keep-alive connections.
 
--- a/packages/core/dewstep_core/http/client_endless_test.py
+++ b/packages/core/dewstep_core/http/client_endless_test.py
@@ -63,6 +63,18 @@
         assert monitor.longest_seconds < MAXIMUM_TURN_SECONDS
 
 
+@testing.run_in_event_loop
+async def test_announced_length_above_the_limit_ends_the_call_at_once():
+    head = endless_answers.build_head(b"Content-Length: 99999999999")
+    async with (
+        endless_answers.running(endless_answers.Pattern(head, b"x")) as server,
+        testing.calling(server.address, CALL_SECONDS) as caller,
+    ):
+        assert testing.fails(await caller.call("GET", "/"), errors.AnswerLost)
+        assert await server.wait_closed(PROMPT_SECONDS)
+        assert server.sent_bytes < SOCKET_BUFFER_BYTES
+
+
 @pytest.mark.parametrize("name", endless_answers.SURPLUS_PATTERNS)
 @pytest.mark.parametrize("delay", [0.0, 0.1])
 @testing.run_in_event_loop
