Cut the reason of a refusal that is logged

Seen: the header by which a target refuses a request, and the body of its refusal of a grant, became part of log lines in full, up to the 64 KiB of a head or the 256 KiB of a buffer.

They are cut to 200 characters.

Before: the new test failed with 50,000 characters. After: 246 passed.

--- a/packages/entry/dewstep_entry/targets/answering.py
+++ b/packages/entry/dewstep_entry/targets/answering.py
@@ -31,6 +31,8 @@
 """Rules for targets that implement the dewstep protocol."""
 
 
+MAXIMUM_REASON_LENGTH = 200
+"""Length to which reasons of refusals are cut, since they are logged."""
 REPLACED = "replaced"
 """Reason of a refusal by another target that has taken over the address."""
 
@@ -63,4 +65,4 @@
         return ""
     if rules.refusal_statuses is not None and status not in rules.refusal_statuses:
         return ""
-    return refusal_value.decode("latin-1")
+    return refusal_value[:MAXIMUM_REASON_LENGTH].decode("latin-1")
--- a/packages/entry/dewstep_entry/targets/control.py
+++ b/packages/entry/dewstep_entry/targets/control.py
@@ -14,7 +14,7 @@
 
 from dewstep_core import clocks, data, errors
 from dewstep_entry import bodies, interfaces
-from dewstep_entry.targets import connection
+from dewstep_entry.targets import answering, connection
 
 CONTROL_TIMEOUT = datetime.timedelta(milliseconds=300)
 """Half the lifetime of a grant, so that a second attempt fits before the expiry."""
@@ -134,7 +134,8 @@
 ) -> result.Result[data.ClockReading, interfaces.Failure]:
     """Return the clock reading in the answer to a control request, or the failure."""
     if answer.status == 409:
-        reason = answer.body.start.decode("utf-8", "replace")
+        start = answer.body.start[: answering.MAXIMUM_REASON_LENGTH]
+        reason = start.decode("utf-8", "replace")
         return result.Failure(errors.TargetRefused(target, reason))
     if answer.status != 200:
         detail = f"status {answer.status} to a control request"
--- a/packages/entry/dewstep_entry/targets/endless_answers_test.py
+++ b/packages/entry/dewstep_entry/targets/endless_answers_test.py
@@ -343,6 +343,21 @@
         assert (await send_request(pool)).unwrap().body.start == b"ok"
 
 
+@testing.run_in_event_loop
+async def test_reason_of_a_refusal_is_shortened():
+    # It becomes part of log lines.
+    line = b"X-Not-Run: " + b"r" * 50_000
+    head = endless_answers.build_head(b"Content-Length: 0", line)
+    pattern = endless_answers.Pattern(head.replace(b"200 OK", b"503 Full"), b"x")
+    async with (
+        endless_answers.running(pattern) as server,
+        run_pool(server.address) as pool,
+    ):
+        failure = (await send_request(pool)).failure()
+        assert isinstance(failure, errors.TargetRefused)
+        assert 0 < len(failure.reason) <= 200
+
+
 CONTROL_PATTERNS = {
     **endless_answers.INVALID_PATTERNS,
     **endless_answers.UNENDING_BODIES,
