Treat JSON that is nested too deeply as invalid

Seen: an answer of opening brackets raised RecursionError in the task that called the target or the platform. The platform's store client was not affected, as it decodes bodies with a function that catches the error.

Before: the two new tests failed. After: 248 passed.

--- a/packages/core/dewstep_core/http/client.py
+++ b/packages/core/dewstep_core/http/client.py
@@ -41,7 +41,7 @@
         """Return the decoded body, or None if it is not valid JSON."""
         try:
             return json.loads(self.body)
-        except ValueError:
+        except (ValueError, RecursionError):
             return None
 
 
--- a/packages/core/dewstep_core/http/client_test.py
+++ b/packages/core/dewstep_core/http/client_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from dewstep_core import errors
-from dewstep_core.http import exchanges
+from dewstep_core.http import client, exchanges
 from dewstep_emulator import testing
 
 
@@ -49,3 +49,8 @@
         for path in ("/a", "/b"):
             assert (await caller.call("GET", path)).unwrap().body == path.encode()
             await asyncio.sleep(2 * pause)
+
+
+def test_body_nested_too_deeply_is_no_json():
+    # Guards against an exception that ends the task of the caller.
+    assert client.Response(200, {}, b"[" * 100_000).read_json() is None
--- a/packages/entry/dewstep_entry/targets/control.py
+++ b/packages/entry/dewstep_entry/targets/control.py
@@ -149,7 +149,13 @@
             sent,
             received,
         )
-    except (ValueError, KeyError, TypeError, OverflowError) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         detail = f"invalid clock reading: {error!r}"
         return result.Failure(errors.AnswerInvalid(target, detail))
     return result.Success(reading)
--- a/packages/entry/dewstep_entry/targets/control_test.py
+++ b/packages/entry/dewstep_entry/targets/control_test.py
@@ -5,8 +5,9 @@
 
 import pytest
 
-from dewstep_core import data
-from dewstep_entry.targets import target_pool_test
+from dewstep_core import data, errors
+from dewstep_emulator import testing
+from dewstep_entry.targets import control, target_pool_test
 
 BODY = b'{"boot": "b", "clock": 1.5, "term": 4}'
 CLOCK_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(BODY), BODY)
@@ -78,3 +79,12 @@
         assert reports == []
 
     asyncio.run(scenario())
+
+
+def test_answer_nested_too_deeply_is_invalid():
+    # Guards against an exception that ends the renewal of grants.
+    body = data.Body(b"[" * 60_000, None)
+    answer = data.Answer(200, (), None, body, "")
+    moment = datetime.timedelta()
+    outcome = control.parse_reading("t", answer, moment, moment)
+    assert testing.fails(outcome, errors.AnswerInvalid)
