--- a/packages/core/dewstep_core/http/client.py
+++ b/packages/core/dewstep_core/http/client.py
@@ -13,11 +13,18 @@
 from returns import result
 
 from dewstep_core import errors, settings
-from dewstep_core.http import transports
+from dewstep_core.http import answer_heads, transports
 
 DEFAULT_CONNECTION_LIMIT = 8
 """Default limit on the open connections of a client."""
 MAXIMUM_ANSWER_BODY_BYTES = 64 * 1024 * 1024
+MAXIMUM_HEAD_BYTES = 64 * 1024
+MAXIMUM_INFORMATIONAL_ANSWERS = 100
+"""Limit of the informational (1xx) answers before an answer."""
+MAXIMUM_READ_AHEAD_BYTES = 128 * 1024
+"""Reading pauses while more bytes are buffered that have not been parsed."""
+MAXIMUM_EVENTS_PER_TURN = 128
+"""Parsed events after which other connections take their turn in the event loop."""
 
 Failure = errors.PlatformUnavailable | errors.AnswerLost
 
@@ -34,7 +41,7 @@
         """Return the decoded body, or None if it is not valid JSON."""
         try:
             return json.loads(self.body)
-        except ValueError:
+        except (ValueError, RecursionError):
             return None
 
 
@@ -46,9 +53,13 @@
     """
 
     def __init__(self):
-        self.http = h11.Connection(h11.CLIENT)
+        self.http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAXIMUM_HEAD_BYTES
+        )
         self.transport: asyncio.Transport | None = None
-        self.received: list[bytes] = []
+        self.received = bytearray()
+        self.reading = True
+        self.events_until_pause = MAXIMUM_EVENTS_PER_TURN
         self.waiter: asyncio.Future | None = None
         self.ended = False
         self.idle = False
@@ -59,10 +70,15 @@
         self.transport = transport
 
     def data_received(self, content: bytes) -> None:
-        """Buffer bytes and resume the call in progress."""
+        """Buffer bytes and resume the call in progress; without one, close."""
         if self.idle:
             self.usable = False
-        self.received.append(content)
+            self.close()
+            return
+        self.received += content
+        if self.reading and len(self.received) > MAXIMUM_READ_AHEAD_BYTES:
+            self.reading = False
+            self.transport.pause_reading()
         self.resume_reader()
 
     def eof_received(self) -> None:
@@ -85,8 +101,11 @@
         if not self.received and not self.ended:
             self.waiter = asyncio.get_running_loop().create_future()
             await self.waiter
-        content = b"".join(self.received)
+        content = bytes(self.received)
         self.received.clear()
+        if not self.reading:
+            self.reading = True
+            self.transport.resume_reading()
         return content
 
     async def exchange(self, request: h11.Request, body: bytes) -> Response:
@@ -109,30 +128,39 @@
     async def read_response(self) -> Response:
         """Read one complete answer."""
         head = await self.next_event()
+        informational_answers = 0
         while isinstance(head, h11.InformationalResponse):
+            informational_answers += 1
+            if informational_answers > MAXIMUM_INFORMATIONAL_ANSWERS:
+                raise h11.RemoteProtocolError(
+                    f"more than {MAXIMUM_INFORMATIONAL_ANSWERS} informational answers"
+                )
             head = await self.next_event()
         if not isinstance(head, h11.Response):
             raise ConnectionResetError(
                 "connection closed before an answer was received"
             )
-        chunks = []
-        total = 0
+        check_body_size(int(dict(head.headers).get(b"content-length", 0)))
+        body = bytearray()
         while isinstance(event := await self.next_event(), h11.Data):
-            total += len(event.data)
-            if total > MAXIMUM_ANSWER_BODY_BYTES:
-                raise h11.RemoteProtocolError(
-                    f"answer body exceeds {MAXIMUM_ANSWER_BODY_BYTES} bytes"
-                )
-            chunks.append(bytes(event.data))
+            body += event.data
+            check_body_size(len(body))
         headers = {
             name.decode("ascii"): value.decode("latin-1")
             for name, value in head.headers
         }
-        return Response(head.status_code, headers, b"".join(chunks))
+        return Response(head.status_code, headers, bytes(body))
 
     async def next_event(self) -> Any:
         """Return the next h11 event, reading bytes as needed."""
+        self.events_until_pause -= 1
+        if not self.events_until_pause:
+            self.events_until_pause = MAXIMUM_EVENTS_PER_TURN
+            await asyncio.sleep(0)
         while True:
+            if self.http.their_state is h11.SEND_RESPONSE:
+                received = self.http.trailing_data[0]
+                answer_heads.check_head(received, MAXIMUM_HEAD_BYTES)
             event = self.http.next_event()
             if event is not h11.NEED_DATA:
                 return event
@@ -155,6 +183,20 @@
         transports.reset(self.transport)
 
 
+def check_body_size(size: int) -> None:
+    """Check the size of an answer's body.
+
+    Raises
+    ------
+    h11.RemoteProtocolError
+        If it exceeds the limit.
+    """
+    if size > MAXIMUM_ANSWER_BODY_BYTES:
+        raise h11.RemoteProtocolError(
+            f"answer body exceeds {MAXIMUM_ANSWER_BODY_BYTES} bytes"
+        )
+
+
 class Client:
     """Calls one server over a bounded pool of keep-alive connections.
 
