Do not blame a restarted target for its earlier process

Callers would see: requests for the keys of a target that restarted under its name refused for up to 1 s, or 5 s if its address had been taken by another target in between, although the new process has the keys and answers. Cause: the time for which a target is avoided and its failures are kept by its name. They were not reset when the incarnation changed, and an attempt that began before the restart and failed after it counted against the new process. Ruled out: the same fault in connections and in suspicions of crashes, which are kept by incarnation. Measured: the five new tests in dispatch_test.py failed before (503 instead of 200 in four, a success rate of 0.5 instead of 1 in one) and pass now. packages/fleet and platform: 261 passed, 0 failed.

--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -160,6 +160,8 @@
         self.splitter = routes.Splitter()
         self.pools: dict[tuple[str, int, str, int], connection_pool.ConnectionPool] = {}
         """Connection pools by target name, incarnation, host and port."""
+        self.lives = {name: item.life for name, item in directory.targets.items()}
+        """Incarnation of each target that was registered at the last change."""
         self.in_progress = 0
         self.background_tasks = tasks.TaskOwner(self.handle_task_failure)
         self.suspicions: dict[str, set[CrashSuspicion]] = {}
@@ -543,7 +545,10 @@
             isinstance(failure, errors.TargetRefused)
             and failure.reason == answering.REPLACED
         )
-        if replaced or isinstance(failure, errors.TargetUnavailable):
+        registered = self.directory.targets.get(target.name)
+        restarted = registered is not None and registered.life != target.life
+        unavailable = replaced or isinstance(failure, errors.TargetUnavailable)
+        if unavailable and not restarted:
             until = self.clock.monotonic() + (
                 REPLACED_PERIOD if replaced else UNREACHABLE_PERIOD
             )
@@ -661,6 +666,10 @@
             if current != pool_key:
                 self.pools.pop(pool_key).retire()
         self.loads.set_targets(targets)
+        for name, target in targets.items():
+            if self.lives.get(name, target.life) != target.life:
+                self.loads.forget_failures(name)
+        self.lives = {name: target.life for name, target in targets.items()}
         self._confirm_crashes()
 
     def _confirm_crashes(self) -> None:
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -362,3 +362,59 @@
 def test_owner_with_a_free_slot_receives_all_requests():
     """Guards against refusals after the demand has decreased."""
     assert count_served(50, running=2) == 50
+
+
+def restart(harness, version):
+    """Register target "a" again after a restart, with its keys."""
+    target = builders.build_target("a", life=version)
+    holding = builders.build_holdings("a")[0]._replace(life=version)
+    owners = ranges.Ownership("history", 0, 9 + version, (holding,))
+    harness.directory.apply_rows(
+        [
+            builders.build_target_row(target, 3 + version),
+            builders.build_row(
+                model.TABLES.fleet,
+                "ranges/history",
+                3 + version,
+                ranges.encode(owners),
+            ),
+        ]
+    )
+
+
+def send_streamed(harness):
+    """Send a keyed request that cannot be resent, since its body is streamed."""
+    return harness.send(headers=[(b"x-key", b"1")], rest=object())
+
+
+@pytest.mark.parametrize("outcome", [unreachable, replaced])
+def test_restarted_target_is_not_avoided_for_its_earlier_process(outcome):
+    """Guards against refusing the keys of a target that has just restarted."""
+    harness = Harness(outcome, 200, keyed=True)
+    assert send_streamed(harness).status == 503
+    restart(harness, 2)
+    assert send_streamed(harness).status == 200
+
+
+@pytest.mark.parametrize("outcome", [unreachable, replaced])
+def test_late_failure_of_an_earlier_process_does_not_block_its_successor(outcome):
+    """Guards against blaming a target that restarted during an attempt."""
+
+    def fail_after_restart(target):
+        restart(harness, 2)
+        return outcome(target)
+
+    harness = Harness(fail_after_restart, 200, keyed=True)
+    assert send_streamed(harness).status == 503
+    assert send_streamed(harness).status == 200
+
+
+def test_restarted_target_is_not_charged_with_failures_of_its_earlier_process():
+    """Guards against sending fewer requests to a target that has just restarted."""
+    harness = Harness(lost, lost, lost, keyed=True, idempotent=False)
+    for _ in range(3):
+        send_streamed(harness)
+    now = harness.clock.monotonic().total_seconds()
+    assert harness.counts.estimate("history", "a", now).success < 1
+    restart(harness, 2)
+    assert harness.counts.estimate("history", "a", now).success == 1
--- a/packages/fleet/dewstep_fleet/load_counts.py
+++ b/packages/fleet/dewstep_fleet/load_counts.py
@@ -186,6 +186,12 @@
         load = self.get_load(target)
         load.blocked_until = max(load.blocked_until, until)
 
+    def forget_failures(self, target: str) -> None:
+        """Forget the failures of a target that has restarted since."""
+        load = self.get_load(target)
+        load.blocked_until = -math.inf
+        load.failures = 0.0
+
     def estimate(
         self, service: str, target: str, now: float, slots: int = 0, route: str = ""
     ) -> Estimate:
