Test that most members know of long grants before they are sent

Guards against two owners after a coordinator fails between its first long grant and the heartbeat that tells of it.

--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -6,6 +6,8 @@
 import random
 import socket
 
+from returns import result
+
 from dewstep_core import clocks
 from dewstep_emulator import testing
 from dewstep_fleet import (
@@ -397,6 +399,46 @@
         assert await asking.request_vote(replaced) is None
 
 
+def record_informed(harness, leader):
+    """Return a list that gets, for each long grant, how many others know of it."""
+    counts = []
+    connect = harness.targets.connect
+
+    async def connect_recording(target):
+        connection = (await connect(target)).unwrap()
+        send = connection.grant
+
+        async def grant(holding, duration, handover):
+            if duration > granting.GRANT_DURATION:
+                until = clocks.SystemClock().monotonic() + duration
+                counts.append(
+                    sum(
+                        item.participant.long_grants_until >= until
+                        for node, item in harness.running.items()
+                        if node != leader
+                    )
+                )
+            return await send(holding, duration, handover)
+
+        connection.grant = grant
+        return result.Success(connection)
+
+    harness.targets.connect = connect_recording
+    return counts
+
+
+@testing.run_in_event_loop
+async def test_most_members_know_of_long_grants_before_they_are_sent():
+    """Guards against a coordinator that fails between a grant and its heartbeat."""
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        counts = record_informed(harness, leader)
+        await wait_until(lambda: harness.targets.list_held("a"))
+        harness.unreachable.update(harness.running)
+        await wait_until(lambda: counts, 8.0)
+        assert counts[0] >= 1
+
+
 class VoteHarness:
     """An instance whose vote requests get the answers that the test sets."""
 
