Mend what the review of the orders found

- A restarted process may have accepted orders for its earlier incarnation.
The new incarnation takes over the times of the earlier one's grants.
- A renewal that left out a range that was being moved counted as the renewal of all ranges, which rules out late orders of the previous coordinator.
It counts only if it covers all of them.
- A read of older rows confirmed a term that had ended.
A transaction without writes confirms it, once for all orders that wait, and a failed one answers all of them.
- A term that is not confirmed counted as a failure of the target.
- An order may be skipped right before it is sent, not only before it waits for a connection; a cancelled order closes its new connection; a write that meets older rows is retried after a pause.

Targets without a start time have a new name after each start, so their name alone identifies the process, and their new connections need no confirmation.

Ruled out: carrying over only the expiry, which would let an unanswered order of the earlier incarnation follow a release.

The fake release now ignores orders that are older than the grant.

--- a/packages/core/dewstep_core/http/client.py
+++ b/packages/core/dewstep_core/http/client.py
@@ -197,6 +197,11 @@
         )
 
 
+def format_host(host: str, port: int) -> str:
+    """Return the value of the Host header for an address."""
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
 class Client:
     """Calls one server over a bounded pool of keep-alive connections.
 
@@ -221,8 +226,7 @@
     ):
         self.address = address
         self.timeout = timeout
-        host = f"[{address.host}]" if ":" in address.host else address.host
-        self.headers = (("Host", f"{host}:{address.port}"), *headers)
+        self.headers = (("Host", format_host(*address)), *headers)
         self.connection_slots = asyncio.Semaphore(connections)
         self.idle_connections: list[ClientConnection] = []
         self.closed = False
--- a/packages/fleet/dewstep_fleet/builders.py
+++ b/packages/fleet/dewstep_fleet/builders.py
@@ -361,6 +361,10 @@
         self.released.append((target.name, holding.first, holding.last))
         kept = []
         for item, end in self.grants.get(target.name, []):
+            if item.generation > holding.generation:
+                # The release is older than the grant.
+                kept.append((item, end))
+                continue
             for part in ranges.exclude_range([item], holding.first, holding.last):
                 kept.append((part, end))
         self.grants[target.name] = kept
--- a/packages/fleet/dewstep_fleet/feeds.py
+++ b/packages/fleet/dewstep_fleet/feeds.py
@@ -83,18 +83,6 @@
         confirmed = self.confirmed_at
         return confirmed is not None and self.clock.monotonic() - confirmed <= max_age
 
-    def was_confirmed_since(self, since: datetime.timedelta) -> bool:
-        """Whether the store answered a call for the fleet's table since a time."""
-        return self.confirmed_at is not None and self.confirmed_at >= since
-
-    async def read_fleet_table(self) -> bool:
-        """Read the fleet's table once; return whether the store answered."""
-        sent = self.clock.monotonic()
-        answered = await read_fleet_table(self.store, self.directory)
-        if answered:
-            self.confirmed_at = max(sent, self.confirmed_at or sent)
-        return answered
-
     def follow(self, tables: frozenset[str], relays: bool) -> None:
         """Set the tables to follow.
 
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -1,13 +1,13 @@
 """Grants key ranges to their owners and moves ranges between targets.
 
-Only the coordinator does this. Three rules prevent two targets from owning the same
-key:
+Only the coordinator does this. Four rules prevent two targets from owning the same key:
 
 - Before the first grant with a new generation number, a transaction checks the
   coordinator's row, so a deposed coordinator cannot record new owners.
+- An order reaches the process for which it is meant, or nobody (see `target_orders`).
 - A range is granted to another target only after its owner released it with no
-  unanswered grant outstanding, or after all grants sent to the owner have expired, or
-  if the owner has a new incarnation, which does not have its ranges.
+  unanswered grant outstanding, or after all grants sent to the owner have expired
+  (see `outstanding`), or after its owner was found to have ended.
 - A new coordinator gives all ranges new generation numbers, so targets reject grants of
   the previous one. For a target that it cannot reach, it waits until all grants that
   the previous one may have sent have expired.
@@ -190,7 +190,8 @@
             str, list[tuple[BuildOwnership, asyncio.Future]]
         ] = {}
         self.commit_locks: dict[str, asyncio.Lock] = {}
-        self.confirmation_lock = asyncio.Lock()
+        self.confirmation: tuple[datetime.timedelta, asyncio.Task] | None = None
+        """Confirmation of the term in progress, and when it began."""
         self.deposed = False
         self.last_duration: datetime.timedelta | None = None
         """Duration of the last grant."""
@@ -256,20 +257,40 @@
         )
 
     async def confirm_term(self, since: datetime.timedelta) -> bool:
-        """Whether this instance was still the coordinator after `since`.
+        """Whether this instance was the coordinator at some time after `since`.
 
-        Unless the store has said so since then, it is asked. Without the store, no
-        other coordinator is elected.
+        The store is asked, once for all orders that wait. While most instances follow
+        this one and none of them reaches the store, no other coordinator is elected.
         """
-        async with self.confirmation_lock:
-            if (
-                not self.table_feeds.was_confirmed_since(since)
-                and not self.can_lead_without_store()
-                and not await self.table_feeds.read_fleet_table()
-            ):
-                return False
+        while not self.deposed and not self.can_lead_without_store():
+            if self.confirmation is None:
+                began = self.clock.monotonic()
+                self.confirmation = began, self.tasks.spawn(self.check_term())
+            began, check = self.confirmation
+            confirmed = await asyncio.shield(check)
+            if began >= since:
+                return confirmed and self.may_send_orders()
         return self.may_send_orders()
 
+    async def check_term(self) -> bool:
+        """Ask the store whether this instance is still the coordinator.
+
+        A transaction without writes is used, since a read may return older rows.
+        """
+        try:
+            outcome = await self.store.commit(
+                {directories.COORDINATOR_KEY: self.leadership.version}, {}
+            )
+        finally:
+            self.confirmation = None
+        if isinstance(outcome, result.Failure):
+            failure = outcome.failure()
+            events.warning("term_unconfirmed", failure=failure)
+            if isinstance(failure, errors.Conflict):
+                self.deposed = True
+            return False
+        return True
+
     def choose_grant_duration(self) -> datetime.timedelta:
         """Return the duration of a grant that is sent now."""
         duration = self.timing.max_grant_duration
@@ -432,11 +453,14 @@
         """Renew each range that a target owns."""
         try:
             began = self.clock.monotonic()
-            for holding in self.list_held(service, target.name):
+            held = self.list_held(service, target.name)
+            # A range that is being moved is not renewed.
+            complete = held == self.list_owned(service, target.name)
+            for holding in held:
                 outcome = await self.renew_holding(service, target, holding)
                 if isinstance(outcome, result.Failure):
                     return
-            if not state.all_accepted:
+            if complete and not state.all_accepted:
                 state.all_accepted = True
                 state.orders.exclude_inherited(began)
             state.orders.numbering.keep(
@@ -485,6 +509,10 @@
             state.failures = 0
             return outcome
         failure = outcome.failure()
+        if isinstance(failure, model.TermUnconfirmed):
+            # It says nothing about the target.
+            state.next_renewal = self.clock.monotonic() + RETRY_PAUSE
+            return outcome
         if not state.failures:
             state.failing_since = self.clock.monotonic()
         state.failures += 1
@@ -581,8 +609,11 @@
         for item in holdings:
             self.log_previous_incarnation(service, item, target)
             previous = TargetIncarnation(item.target, item.life)
-            if previous in self.grant_states:
-                self.grant_states[previous].orders.record_end()
+            if previous in self.grant_states and item.life != target.life:
+                successor = TargetIncarnation(target.name, target.life)
+                self.get_grant_state(successor).orders.take_over(
+                    self.grant_states[previous].orders
+                )
         events.info("target_restarted", target=target.name, life=target.life)
         await self.grant_new(service, target, changes, "")
 
@@ -969,6 +1000,9 @@
             row = self.directory.rows.get((model.TABLES.fleet, key))
             if row is not None and row.value == value:
                 return True
+            if self.directory.ownerships.get(service) == current:
+                # The read returned older rows than the transaction met.
+                await self.clock.sleep(RETRY_PAUSE)
 
     async def reload_fleet_table(self) -> None:
         """Read the fleet's table, retrying until the store answers.
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -15,7 +15,6 @@
     demands,
     directories,
     event_capture,
-    feeds,
     granting,
     model,
     outstanding,
@@ -29,10 +28,8 @@
 class FakeFeeds:
     """Table feeds that lose contact to the store when the test sets `lost_at`."""
 
-    def __init__(self, clock, store, directory):
+    def __init__(self, clock):
         self.clock = clock
-        self.store = store
-        self.directory = directory
         self.lost_at = None
 
     def is_current(self):
@@ -43,12 +40,6 @@
             return True
         return self.clock.monotonic() - self.lost_at <= max_age
 
-    def was_confirmed_since(self, since):
-        return False
-
-    async def read_fleet_table(self):
-        return await feeds.read_fleet_table(self.store, self.directory)
-
 
 class Harness:
     """Coordinators, their store and their targets."""
@@ -90,7 +81,7 @@
         known.apply_rows(self.store.rows.values())
         granter = granting.Granter(
             known,
-            FakeFeeds(self.clock, self.store, known),
+            FakeFeeds(self.clock),
             self.store,
             self.targets,
             self.clock,
--- a/packages/fleet/dewstep_fleet/model.py
+++ b/packages/fleet/dewstep_fleet/model.py
@@ -148,8 +148,8 @@
 
         Fails with `Superseded` if the target has a higher number for it, with
         `TargetReplaced` if another target answers, and with `ConnectionLost` or
-        `AnswerInvalid` if the grant may take effect. After a failure of the last two
-        kinds, the connection has been reset.
+        `AnswerInvalid` if the grant may take effect. After `ConnectionLost`, the
+        connection has been reset.
         """
 
     def close(self) -> None:
@@ -180,6 +180,12 @@
     target: str
 
 
+class TermUnconfirmed(NamedTuple):
+    """No order was sent, since the coordinator's term may have ended."""
+
+    target: str
+
+
 class NumbersUsedUp(NamedTuple):
     """The range needs a new generation number before it can be granted again."""
 
--- a/packages/fleet/dewstep_fleet/outstanding.py
+++ b/packages/fleet/dewstep_fleet/outstanding.py
@@ -89,13 +89,6 @@
     return grants._replace(unanswered_until=max(grants.unanswered_until, expiry))
 
 
-def record_not_sent(
-    grants: OutstandingGrants, now: datetime.timedelta
-) -> OutstandingGrants:
-    """Return the bounds if the grant in progress was not sent."""
-    return grants._replace(pending_until=now)
-
-
 def record_inherited(
     grants: OutstandingGrants,
     now: datetime.timedelta,
@@ -114,6 +107,17 @@
     )
 
 
+def take_over(
+    grants: OutstandingGrants, previous: OutstandingGrants
+) -> OutstandingGrants:
+    """Return the bounds of a process that may have received those of an earlier one."""
+    return grants._replace(
+        sent_until=max(grants.sent_until, previous.expiry),
+        unanswered_until=max(grants.unanswered_until, previous.expiry),
+        inherited_until=max(grants.inherited_until, previous.inherited_until),
+    )
+
+
 def exclude_inherited(
     grants: OutstandingGrants, accepted_since: datetime.timedelta
 ) -> OutstandingGrants:
--- a/packages/fleet/dewstep_fleet/ownership_review_test.py
+++ b/packages/fleet/dewstep_fleet/ownership_review_test.py
@@ -7,7 +7,7 @@
 import pytest
 from returns import result
 
-from dewstep_core import clocks, errors
+from dewstep_core import clocks
 from dewstep_emulator import testing
 from dewstep_fleet import (
     builders,
@@ -15,6 +15,7 @@
     granting,
     granting_test,
     model,
+    numbering,
     planning,
     ranges,
     target_orders,
@@ -78,7 +79,7 @@
         harness = granting_test.build_harness(harnesses, "a", "b")
         deposed = harness.elect("n1")
         await harness.run(granting_test.SETTLING_TIME)
-        deposed.store = deposed.table_feeds.store = StaleStore(harness.store)
+        deposed.store = StaleStore(harness.store)
         harness.elect("n2")
         process = harness.targets.get_process("a")
         for _ in range(20):
@@ -155,9 +156,10 @@
         await harness.run(granting_test.SETTLING_TIME)
 
         async def refuse():
+            granter.confirmation = None
             return False
 
-        granter.table_feeds.read_fleet_table = refuse
+        granter.check_term = refuse
         began = harness.clock.monotonic()
         granter.table_feeds.lost_at = began
         await harness.run(2 * STEP)
@@ -186,9 +188,10 @@
         await harness.run(2 * granting.RENEWAL_INTERVAL)
 
         async def refuse():
+            granter.confirmation = None
             return False
 
-        granter.table_feeds.read_fleet_table = refuse
+        granter.check_term = refuse
         harness.register(builders.build_target("a", life=2))
         await harness.run(2 * granting.GRANT_DURATION)
 
@@ -203,9 +206,10 @@
         await harness.run(granting_test.SETTLING_TIME)
 
         async def refuse():
+            granter.confirmation = None
             return False
 
-        granter.table_feeds.read_fleet_table = refuse
+        granter.check_term = refuse
         for state in granter.grant_states.values():
             state.orders.close()
         await harness.run(granting.RENEWAL_INTERVAL + 5 * STEP)
@@ -232,9 +236,7 @@
     assert (await orders.grant(target, holding, "")).unwrap() is None
     may_send = False
     other = model.Holding(100, 199, "a", 1, 2_000)
-    assert testing.fails(
-        await orders.grant(target, other, ""), errors.TargetUnavailable
-    )
+    assert testing.fails(await orders.grant(target, other, ""), model.TermUnconfirmed)
     assert [item.holding for item in targets.accepted] == [holding]
 
 
@@ -269,6 +271,30 @@
     assert [connection.closed for connection in opened] == [True]
 
 
+# Guards against a range that is never granted again once its numbers are used up.
+def test_range_without_a_free_number_is_renumbered():
+    async def scenario(harnesses):
+        harness = granting_test.build_harness(harnesses, "a", "b")
+        granter = harness.elect("n1")
+        await harness.run(granting_test.SETTLING_TIME)
+        (held,) = granter.list_owned("history", "a")
+        orders = granter.grant_states[granting.TargetIncarnation("a", 1)].orders
+        last_number = held.generation + numbering.RESERVED_NUMBERS
+        orders.numbering.sent[held.generation] = (
+            orders.numbering.connection,
+            last_number,
+        )
+        orders.close()
+        await harness.run(2 * granting.RENEWAL_INTERVAL)
+        (renumbered,) = granter.list_owned("history", "a")
+        assert renumbered.generation > last_number
+        assert renumbered.generation in {
+            item.generation for item in harness.targets.list_held("a")
+        }
+
+    granting_test.run_scenario(scenario)
+
+
 class History:
     """A random sequence of faults of four targets and up to four coordinators."""
 
@@ -308,12 +334,15 @@
         for granter in self.harness.coordinators:
             granter.table_feeds.lost_at = self.harness.clock.monotonic()
         granter = self.harness.elect(f"n{len(self.harness.coordinators) + 1}")
-        read = granter.table_feeds.read_fleet_table
+        check_term = granter.check_term
 
-        async def read_unless_refused():
-            return False if self.refusing else await read()
+        async def check_unless_refused():
+            if not self.refusing:
+                return await check_term()
+            granter.confirmation = None
+            return False
 
-        granter.table_feeds.read_fleet_table = read_unless_refused
+        granter.check_term = check_unless_refused
 
     def cause_silence(self, place):
         self.harness.targets.unanswering.add(self.names[place])
@@ -435,6 +464,9 @@
         ),
         # A grant reached a restarted process before its registration was read.
         (("orders", "late_registrations"), 19),
+        # A range was moved in the first step of a term, before its first renewal.
+        (("orders", "restarts", "late_registrations", "elections", "connections"), 3),
+        (("orders", "restarts", "late_registrations", "elections", "connections"), 18),
         # A registration without its start time was taken for a restart.
         (("orders", "missing_starts"), 19),
         (("orders", "missing_starts"), 37),
--- a/packages/fleet/dewstep_fleet/target_orders.py
+++ b/packages/fleet/dewstep_fleet/target_orders.py
@@ -4,12 +4,14 @@
 have been replaced by another one. Two rules make it reach the intended process or none:
 
 - Each order carries the target's name, and any other target rejects it.
-- A number is sent over one connection only, and none before the coordinator's term has
-  been confirmed after the connection was opened. A process that has started under the
-  same name thus receives higher numbers than all processes before it, also if these
-  had them from another coordinator.
-
-A rejected order shows that the intended process has ended, and its grants with it.
+- A number is sent over one connection only. If targets restart under their name, no
+  number is sent before the term was confirmed after the connection was opened. A
+  process that has started under the same name thus receives higher numbers than all
+  processes before it, also if these had them from another coordinator.
+
+An order that another target answers shows that the intended process has ended, and its
+grants with it. A restart under the same name does not show: the next process may have
+accepted orders for the previous one.
 """
 
 import asyncio
@@ -78,14 +80,14 @@
         target, holding, handover
             As `model.GrantConnection.grant`; `holding` has its generation number.
         is_due : callable, optional
-            Asked after earlier orders have ended; the order is `SKIPPED` if it returns
-            false.
+            Asked when earlier orders have ended and before the order is sent; it is
+            `SKIPPED` if the answer is false.
 
         Returns
         -------
         Result
-            `TargetUnavailable` if nothing was sent, `NumbersUsedUp`, or the failures of
-            `model.GrantConnection.grant`.
+            `TargetUnavailable`, `TermUnconfirmed` or `NumbersUsedUp` if nothing was
+            sent, or the failures of `model.GrantConnection.grant`.
         """
         async with self.lock:
             if not is_due():
@@ -93,16 +95,17 @@
             opened = await self._ensure_connection(target)
             if isinstance(opened, result.Failure):
                 return opened
+            if not is_due():
+                return result.Success(SKIPPED)
             if not self.may_send():
-                failure = errors.TargetUnavailable(target.name, "term not confirmed")
-                return result.Failure(failure)
-            first = not self.numbering.is_sent(holding.generation)
+                return result.Failure(model.TermUnconfirmed(target.name))
+            is_first = not self.numbering.is_sent(holding.generation)
             number = self.numbering.choose_number(holding.generation)
             if number is None:
                 failure = model.NumbersUsedUp(target.name, holding.generation)
                 return result.Failure(failure)
             numbered = holding._replace(generation=number)
-            return await self._send_grant(target, numbered, handover, first)
+            return await self._send_grant(target, numbered, handover, is_first)
 
     async def release(
         self, target: model.Target, holding: model.Holding
@@ -128,7 +131,15 @@
             self.outstanding, accepted_since
         )
 
-    def record_end(self) -> None:
+    def take_over(self, previous: "TargetOrders") -> None:
+        """Take over the grants of an earlier incarnation of the target.
+
+        Its last orders may have reached this process before it was registered.
+        """
+        self.outstanding = outstanding.take_over(self.outstanding, previous.outstanding)
+        previous.record_process_end()
+
+    def record_process_end(self) -> None:
         """Record that the process has ended, and its grants with it."""
         self.outstanding = outstanding.build_ended(self.clock.monotonic())
         self.close()
@@ -141,7 +152,7 @@
 
     async def _ensure_connection(
         self, target: model.Target
-    ) -> result.Result[None, errors.TargetUnavailable]:
+    ) -> result.Result[None, errors.TargetUnavailable | model.TermUnconfirmed]:
         if self.connection is not None:
             if self.connection.is_usable():
                 return result.Success(None)
@@ -149,12 +160,10 @@
         opened = await self.channel.connect(target)
         if isinstance(opened, result.Failure):
             return opened
-        connection = opened.unwrap()
-        if not await self.confirm_term(self.clock.monotonic()):
-            connection.close()
-            failure = errors.TargetUnavailable(target.name, "term not confirmed")
-            return result.Failure(failure)
-        self.connection = connection
+        self.connection = opened.unwrap()
+        # The process is known to be the last one only as of now.
+        if target.life and not await self._is_term_confirmed():
+            return result.Failure(model.TermUnconfirmed(target.name))
         self.numbering.begin_connection()
         events.info(
             "order_connection",
@@ -165,8 +174,22 @@
         )
         return result.Success(None)
 
+    async def _is_term_confirmed(self) -> bool:
+        """Whether the term is confirmed; otherwise, closes the new connection."""
+        confirmed = False
+        try:
+            confirmed = await self.confirm_term(self.clock.monotonic())
+        finally:
+            if not confirmed:
+                self.close()
+        return confirmed
+
     async def _send_grant(
-        self, target: model.Target, holding: model.Holding, handover: str, first: bool
+        self,
+        target: model.Target,
+        holding: model.Holding,
+        handover: str,
+        is_first: bool,
     ) -> result.Result[None, Any]:
         duration = self.choose_duration()
         began = self.clock.monotonic()
@@ -180,12 +203,12 @@
             record = outstanding.record_lost_answer
         self.outstanding = record(self.outstanding, now, duration)
         self._record_failure(failure)
-        self._log_grant(target, holding, duration, now - began, first, failure)
+        self._log_grant(target, holding, duration, now - began, is_first, failure)
         return outcome
 
     def _record_failure(self, failure: Any) -> None:
         if isinstance(failure, model.TargetReplaced):
-            self.record_end()
+            self.record_process_end()
 
     def _log_grant(
         self,
@@ -193,7 +216,7 @@
         holding: model.Holding,
         duration: datetime.timedelta,
         lasted: datetime.timedelta,
-        first: bool,
+        is_first: bool,
         failure: Any,
     ) -> None:
         """Log the first grant under a number, and any overdue grant."""
@@ -208,7 +231,7 @@
                 lasted=lasted,
                 failure=failure,
             )
-        if not first:
+        if not is_first:
             return
         events.info(
             "grant_sent",
--- a/packages/fleet/dewstep_fleet/target_orders_test.py
+++ b/packages/fleet/dewstep_fleet/target_orders_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from dewstep_core import clocks, errors
+from dewstep_core import clocks
 from dewstep_emulator import testing
 from dewstep_fleet import builders, event_capture, model, target_orders
 
@@ -69,7 +69,7 @@
     await sender.grant()
     sender.targets.restart("a")
     sender.confirmed = False
-    assert testing.fails(await sender.grant(), errors.TargetUnavailable)
+    assert testing.fails(await sender.grant(), model.TermUnconfirmed)
     assert sender.list_numbers() == [1_000]
 
 
