Assign no number twice after the store was restored

Callers would see keys without a target, or two targets that own the same key: after the store had gone back to an older copy, a new coordinator granted the owners in the copy the numbers that targets already had, and a coordinator whose row survived ended its term since the row had another version. If the copy lacked the owners' row, its transactions conflicted forever.

Versions now include the store's era. Generation numbers of an era are above all earlier ones. A coordinator whose row survived goes on and writes the owners again; any other waits until all grants of earlier eras have expired, unless it was the coordinator until the restore. Targets that the copy lacks are kept for as long as after an outage.

Ruled out: waiting after the transaction instead of before it.

--- a/packages/fleet/dewstep_fleet/builders.py
+++ b/packages/fleet/dewstep_fleet/builders.py
@@ -114,6 +114,26 @@
         self.failures: list = []
         self.apply_lost = True
         """Whether a commit whose answer is lost takes effect."""
+        self.copy: tuple[int, dict[tuple[str, str], model.StoredRow]] = (10, {})
+        """Version and rows to which `restore` returns."""
+
+    def save_copy(self) -> None:
+        """Keep a copy of all rows for `restore`."""
+        self.copy = self.version, dict(self.rows)
+
+    def restore(self) -> None:
+        """Begin a new era with the rows of the copy, without all later changes."""
+        floor = model.get_era_floor(self.version) + model.VERSIONS_PER_ERA
+        version, rows = self.copy
+        self.version = floor + version % model.VERSIONS_PER_ERA
+        self.rows = {
+            name: row._replace(version=floor + row.version % model.VERSIONS_PER_ERA)
+            for name, row in rows.items()
+        }
+
+    def is_earlier_era(self, version: int) -> bool:
+        """Whether a version was answered before the store was restored."""
+        return version < model.get_era_floor(self.version)
 
     def put(self, table: str, key: str, value: bytes | None) -> model.StoredRow:
         """Write a row and return it."""
@@ -137,6 +157,8 @@
     async def watch(self, table, after, wait):
         """Return the changed rows without waiting for a change."""
         await asyncio.sleep(0)
+        if self.is_earlier_era(after):
+            return result.Failure(model.HistoryGone(table))
         rows = tuple(
             row
             for (name, _), row in self.rows.items()
--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -6,6 +6,11 @@
 During a store outage, live targets lose their rows because their heartbeats fail. A
 removal received within `REMOVAL_GRACE` of the store's recovery is therefore deferred,
 and discarded if the target registers again.
+
+A store that was restored from an older copy begins a new era (`model.get_era_floor`).
+The rows of the copy replace the known ones. Targets and operators write theirs again;
+what this package wrote is lost, so the owners of the key ranges are kept if the copy
+has older ones, and the next transaction writes them again.
 """
 
 import asyncio
@@ -118,8 +123,10 @@
         self.leadership = NO_LEADERSHIP
         self.moving: dict[str, tuple[tuple[int, int], ...]] = {}
         """Ranges that are being moved, by service."""
+        self.era_floor = 0
+        """Lowest version of the newest known era of the store."""
         self.store_recovered_at: datetime.timedelta | None = None
-        """When the store recovered from its last outage."""
+        """When the store recovered from its last outage or was restored."""
         self.deferred_removals: dict[
             str, tuple[model.StoredRow, datetime.timedelta]
         ] = {}
@@ -138,6 +145,16 @@
         if outage >= MIN_OUTAGE:
             self.store_recovered_at = self.clock.monotonic()
 
+    def record_era(self, version: int) -> None:
+        """Record the era of a version that the store has answered."""
+        floor = model.get_era_floor(version)
+        if floor <= self.era_floor:
+            return
+        self.era_floor = floor
+        if self.rows:
+            self.store_recovered_at = self.clock.monotonic()
+            events.warning("store_restored", era=floor // model.VERSIONS_PER_ERA)
+
     def apply_rows(
         self, rows: Iterable[model.StoredRow], apply_removals: bool = False
     ) -> list[model.StoredRow]:
@@ -152,6 +169,7 @@
         """
         changed = []
         for row in rows:
+            self.record_era(row.version)
             known = self.rows.get((row.table, row.key))
             if known is not None and known.version >= row.version:
                 self._check_version_reuse(known, row)
@@ -171,6 +189,7 @@
 
     def apply_table(self, table: str, state: model.TableState) -> None:
         """Apply a complete table; known rows that it lacks have been removed."""
+        self.record_era(state.version)
         present = {row.key for row in state.rows}
         gone = [
             model.StoredRow(table, key, state.version, None)
@@ -329,9 +348,12 @@
         self.targets_by_service = {name: tuple(group) for name, group in groups.items()}
 
     def _apply_ownership(self, row: model.StoredRow) -> None:
+        service = row.key.removeprefix(RANGES_PREFIX)
         if row.value is None:
+            if service in self.ownerships:
+                unwritten = self.ownerships[service]._replace(version=0)
+                self.ownerships[service] = unwritten
             return
-        service = row.key.removeprefix(RANGES_PREFIX)
         decoded = ranges.decode(service, row.version, row.value)
         if isinstance(decoded, result.Failure):
             events.error("owners_refused", failure=decoded.failure())
@@ -347,6 +369,8 @@
                 previous_row=known.version,
                 row=row.version,
             )
+            # Owners change only under higher numbers, so the store has lost changes.
+            ownership = known._replace(version=row.version)
         self.ownerships[service] = ownership
 
     def _apply_member(self, row: model.StoredRow) -> None:
@@ -362,6 +386,7 @@
 
     def _apply_leadership(self, row: model.StoredRow) -> None:
         if row.value is None:
+            self.leadership = NO_LEADERSHIP
             return
         decoded = decode_record(Leadership, row, version=row.version)
         if isinstance(decoded, result.Failure):
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -11,6 +11,10 @@
 - A new coordinator gives all ranges new generation numbers, so targets reject grants of
   the previous one. For a target that it cannot reach, it waits until all grants that
   the previous one may have sent have expired.
+
+A store that is restored from an older copy forgets changes of owners. The coordinator
+whose row survived knows them all and goes on. Any other one cannot know which target
+holds a key; it grants nothing until all earlier grants have expired.
 """
 
 import asyncio
@@ -70,7 +74,7 @@
 """Maximum age of the store's last answer for starting a move; a watch lasts 1 s."""
 
 
-BuildOwnership = Callable[[ranges.Ownership | None], ranges.Ownership]
+BuildOwnership = Callable[[ranges.Ownership], ranges.Ownership]
 """Computes the ownership after a change from the current one."""
 
 
@@ -163,6 +167,9 @@
         self.estimate_queue_wait = estimate_queue_wait
         self.get_inherited_grant_time_left = get_inherited_grant_time_left
         self.notify_moves_changed = notify_moves_changed
+        self.known_era_floors: dict[str, int] = {}
+        """Era of the store, by service, of which this instance knows that it does not
+        lack a valid grant of an earlier era."""
         self.reset()
 
     def reset(self) -> None:
@@ -242,8 +249,7 @@
 
     def may_send_orders(self) -> bool:
         """Whether this instance may still act as the coordinator."""
-        if self.directory.leadership.version != self.leadership.version:
-            self.deposed = True
+        self.follow_leadership()
         if self.deposed:
             return False
         return (
@@ -251,6 +257,29 @@
             or self.can_lead_without_store()
         )
 
+    def follow_leadership(self) -> None:
+        """End the term if the newest known row names another coordinator.
+
+        A row of the same term in a new era only has another version.
+        """
+        current = self.directory.leadership
+        if current.version == self.leadership.version:
+            return
+        restored = self.directory.era_floor > self.leadership.version
+        if restored and not self.deposed:
+            for service in self.managed_services:
+                self.known_era_floors[service] = self.directory.era_floor
+        if current._replace(version=0) != self.leadership._replace(version=0):
+            self.deposed = True
+            return
+        self.leadership = current
+        for service in self.managed_services:
+            self.tasks.spawn(self.write_again(service))
+
+    async def write_again(self, service: str) -> None:
+        """Write owners that the store has lost."""
+        await self.commit(service, lambda current: current)
+
     async def confirm_term(self, since: datetime.timedelta) -> bool:
         """Whether this instance was still the coordinator after `since`.
 
@@ -306,21 +335,21 @@
         """Write a service's ranges with new generation numbers, or divide its keys."""
         inherited = False
 
-        def build(current: ranges.Ownership | None) -> ranges.Ownership:
+        def build(current: ranges.Ownership) -> ranges.Ownership:
             nonlocal inherited
-            inherited = current is not None and bool(current.holdings)
+            inherited = bool(current.holdings)
             if inherited:
                 return ranges.renumber(current)
             available = self.list_available(service, self.clock.monotonic())
-            generation = current.generation if current is not None else 0
-            return ranges.divide_keys(service, 0, generation, available)
+            return ranges.divide_keys(service, 0, current.generation, available)
 
         try:
-            committed = await self.commit(service, build)
+            while self.may_have_lost_owners(service):
+                await self.await_unknown_grants(service)
+            if not await self.commit(service, build):
+                return
         finally:
             self.moving.pop(service, None)
-        if not committed:
-            return
         ownership = self.directory.ownerships[service]
         if inherited:
             self.record_inherited_grants(ownership)
@@ -333,6 +362,30 @@
             inherited=inherited,
         )
 
+    def may_have_lost_owners(self, service: str) -> bool:
+        """Whether owners may have changed after the copy of which the store began."""
+        ownership = self.directory.ownerships.get(service)
+        if ownership is None and self.leadership.term == 1:
+            return False
+        generation = ownership.generation if ownership is not None else 0
+        era_floor = self.directory.era_floor
+        known_floor = self.known_era_floors.get(service)
+        return generation < era_floor and known_floor != era_floor
+
+    async def await_unknown_grants(self, service: str) -> None:
+        """Wait until all grants of coordinators before the store's era have expired."""
+        now = self.clock.monotonic()
+        grants = outstanding.record_inherited(
+            outstanding.build_ended(now),
+            now,
+            max(GRANT_DURATION, self.get_inherited_grant_time_left()),
+        )
+        wait = grants.expiry - now
+        era_floor = self.directory.era_floor
+        events.warning("owners_lost", service=service, wait=wait)
+        await self.clock.sleep(wait)
+        self.known_era_floors[service] = era_floor
+
     def record_inherited_grants(self, ownership: ranges.Ownership) -> None:
         """Assume the latest grants that the previous coordinator may have sent."""
         max_duration = max(GRANT_DURATION, self.get_inherited_grant_time_left())
@@ -938,15 +991,17 @@
         uncertain = False
         key = directories.RANGES_PREFIX + service
         while True:
-            current = self.directory.ownerships.get(service)
-            changed = current
+            current = self.directory.ownerships.get(
+                service, ranges.build_unwritten(service)
+            )
+            changed = ranges.exclude_earlier_numbers(current, self.directory.era_floor)
             for build in builds:
                 changed = build(changed)
             value = ranges.encode(changed)
             outcome = await self.store.commit(
                 {
                     directories.COORDINATOR_KEY: self.leadership.version,
-                    key: current.version if current is not None else 0,
+                    key: current.version,
                 },
                 {key: value},
             )
@@ -976,5 +1031,6 @@
         """
         while not await feeds.read_fleet_table(self.store, self.directory):
             await self.clock.sleep(RETRY_PAUSE)
-        if self.directory.leadership.version != self.leadership.version:
+        self.follow_leadership()
+        if self.deposed:
             raise DeposedError
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -60,6 +60,7 @@
         self.rates = {}
         self.leads_without_store = False
         self.coordinators = []
+        self.term = 0
         for name in names:
             self.register(builders.build_target(name))
 
@@ -81,10 +82,7 @@
 
     def elect(self, node):
         """Add a coordinator with a new term that earlier ones do not know of."""
-        term = len(self.coordinators) + 1
-        record = directories.Leadership(node, f"{node}-{term}", term, 0)
-        value = directories.encode_record(record)
-        self.store.put(model.TABLES.fleet, directories.COORDINATOR_KEY, value)
+        self.write_coordinator(node)
         known = builders.build_directory(self.clock)
         known.apply_rows([builders.build_row(model.TABLES.configuration, "c", 1, b"")])
         known.apply_rows(self.store.rows.values())
@@ -106,6 +104,13 @@
         self.coordinators.append(granter)
         return granter
 
+    def write_coordinator(self, node):
+        """Write the row of a coordinator with a new term and return it."""
+        self.term += 1
+        record = directories.Leadership(node, f"{node}-{self.term}", self.term, 0)
+        value = directories.encode_record(record)
+        return self.store.put(model.TABLES.fleet, directories.COORDINATOR_KEY, value)
+
     async def run(self, duration):
         """Advance time, step all coordinators and check for conflicting owners."""
         end = self.clock.monotonic() + duration
--- a/packages/fleet/dewstep_fleet/model.py
+++ b/packages/fleet/dewstep_fleet/model.py
@@ -14,6 +14,12 @@
 
 KEY_SPACE_SIZE = 65_536
 """Keys of a keyed service are integers from 0 to `KEY_SPACE_SIZE` - 1."""
+VERSIONS_PER_ERA = 2**40
+"""Number of row versions in each era of the store.
+
+A store that was restored from an older copy begins a new era, in which it assigns
+versions again. A version is therefore the store's own plus this number for each earlier
+era, so that all versions of an era are above those of the eras before it."""
 
 
 class WeightedService(NamedTuple):
@@ -79,12 +85,18 @@
     same name."""
 
 
+def get_era_floor(version: int) -> int:
+    """Return the lowest version of the era to which `version` belongs."""
+    return version - version % VERSIONS_PER_ERA
+
+
 class StoredRow(NamedTuple):
     """A row of the platform's store; `value` is None if the row was removed."""
 
     table: str
     key: str
     version: int
+    """Includes the era in which the row was read; see `VERSIONS_PER_ERA`."""
     value: bytes | None
 
 
@@ -93,6 +105,7 @@
 
     rows: tuple[StoredRow, ...]
     version: int
+    """Includes the era of the store; see `VERSIONS_PER_ERA`."""
 
 
 class HistoryGone(NamedTuple):
@@ -117,7 +130,8 @@
     ) -> result.Result[TableState, Any]:
         """Wait for changes after version `after` and return the changed rows.
 
-        Fails with `HistoryGone` if the store no longer keeps these changes.
+        Fails with `HistoryGone` if the store no longer keeps these changes, or if
+        `after` belongs to an earlier era.
         """
 
     async def commit(
--- a/packages/fleet/dewstep_fleet/ranges.py
+++ b/packages/fleet/dewstep_fleet/ranges.py
@@ -51,6 +51,20 @@
     return Transfer(holding.first, holding.last, holding.target, holding.life)
 
 
+def build_unwritten(service: str) -> Ownership:
+    """Return the ownership of a service whose keys have never been divided."""
+    return Ownership(service, 0, 0, ())
+
+
+def exclude_earlier_numbers(ownership: Ownership, era_floor: int) -> Ownership:
+    """Return the same ownership, whose next numbers are of the store's present era.
+
+    Numbers that were assigned in an earlier era may be missing in the restored copy,
+    and targets may have received them.
+    """
+    return ownership._replace(generation=max(ownership.generation, era_floor))
+
+
 def get_first_key(holding: model.Holding) -> int:
     """Return the first key of a range, the sort key of ranges."""
     return holding.first
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/store_restore_test.py
@@ -0,0 +1,310 @@
+"""Tests of granting while the store goes back to an older copy.
+
+Targets write their registrations again; what coordinators wrote since the copy is lost.
+"""
+
+import random
+
+import pytest
+
+from dewstep_fleet import (
+    builders,
+    event_capture,
+    granting_test,
+    model,
+    outstanding,
+)
+
+STEP = granting_test.STEP
+SETTLING_TIME = granting_test.SETTLING_TIME
+INHERITED_TIME = (
+    outstanding.TERM_CONFIRMATION_MAX_AGE
+    + outstanding.ORDER_TIMEOUT
+    + outstanding.get_max_validity(builders.build_timing().max_grant_duration)
+)
+"""Time after which all grants of an unknown coordinator have expired."""
+
+
+class Harness(granting_test.Harness):
+    """Coordinators whose store can be restored from a copy."""
+
+    def __init__(self, *names):
+        self.registered = {}
+        """Targets by name, as they write themselves."""
+        super().__init__(*names)
+
+    def register(self, target):
+        self.registered[target.name] = target
+        super().register(target)
+
+    def remove(self, name):
+        self.registered.pop(name, None)
+        super().remove(name)
+
+    async def restore(self):
+        """Go back to the copy; all connected coordinators read it."""
+        self.store.restore()
+        for granter in self.coordinators:
+            if granter.table_feeds.lost_at is None:
+                await self.read(granter)
+
+    async def read(self, granter):
+        for table in (model.TABLES.targets, model.TABLES.fleet):
+            outcome = await self.store.read_table(table)
+            granter.directory.apply_table(table, outcome.unwrap())
+
+    def write_again(self):
+        """Write all registrations of the targets to the store again."""
+        for target in list(self.registered.values()):
+            super().register(target)
+        for table, name in list(self.store.rows):
+            if table == model.TABLES.targets and name not in self.registered:
+                super().remove(name)
+
+    def claim(self, granter, node):
+        """Let a coordinator that was deposed begin another term."""
+        granter.directory.apply_rows([self.write_coordinator(node)])
+        granter.reset()
+
+    def count_held(self):
+        """Return the number of keys that are held, also under two numbers."""
+        keys = set()
+        for target in self.targets.grants:
+            for item in self.targets.list_held(target):
+                keys.update(range(item.first, item.last + 1))
+        return len(keys)
+
+    def cut(self):
+        """Cut the present coordinators off from the store."""
+        for granter in self.coordinators:
+            if granter.table_feeds.lost_at is None:
+                granter.table_feeds.lost_at = self.clock.monotonic()
+
+
+def build_harness(harnesses, *names):
+    harness = Harness(*names)
+    harnesses.append(harness)
+    return harness
+
+
+async def move_keys(harness, *names):
+    """Let targets leave until they have no keys, then register them again."""
+    for name in names:
+        harness.register(builders.build_target(name, leaving=True))
+    await harness.run(12 * STEP)
+    assert not harness.find_owners() & set(names)
+    for name in names:
+        harness.register(builders.build_target(name))
+
+
+def test_coordinator_keeps_the_owners_of_lost_moves(monkeypatch):
+    # Guards against a coordinator that ends its term because its row was read again,
+    # and against renewals for owners before the lost moves.
+    log = event_capture.EventCapture(monkeypatch)
+
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        granter = harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        harness.store.save_copy()
+        await move_keys(harness, "a")
+        await harness.restore()
+        await harness.run(2 * builders.SECOND)
+        harness.write_again()
+        harness.register(builders.build_target("c"))
+        harness.register(builders.build_target("b", leaving=True))
+        await harness.run(builders.SECOND)
+        assert not granter.deposed
+        assert "b" not in harness.find_owners()
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+        assert len(log.find("commit_failed")) <= 2
+
+    granting_test.run_scenario(scenario)
+
+
+def test_new_coordinator_waits_for_grants_of_the_lost_seconds():
+    # Guards against grants to the owners in the copy while the owners after a lost move
+    # still hold the keys.
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        harness.store.save_copy()
+        await move_keys(harness, "a")
+        harness.cut()
+        await harness.restore()
+        harness.elect("n2")
+        await harness.run(INHERITED_TIME + builders.SECOND)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+def test_new_coordinator_divides_keys_whose_owners_are_lost():
+    # Guards against numbers that targets received before the copy had any owners.
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        harness.store.save_copy()
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        await move_keys(harness, "a")
+        harness.cut()
+        await harness.restore()
+        harness.write_again()
+        harness.elect("n2")
+        await harness.run(INHERITED_TIME + SETTLING_TIME + builders.SECOND)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+def test_first_coordinator_does_not_wait_in_a_later_era():
+    # Guards against a slow start of a fleet whose store was restored long before.
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        harness.store.save_copy()
+        harness.store.restore()
+        harness.write_again()
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+def test_coordinator_writes_owners_again_that_the_copy_lacks():
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        harness.elect("n1")
+        harness.store.save_copy()
+        await harness.run(SETTLING_TIME)
+        await harness.restore()
+        harness.register(builders.build_target("a", leaving=True))
+        await harness.run(builders.SECOND)
+        assert harness.find_owners() == {"b"}
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+def test_coordinator_of_the_lost_seconds_is_deposed():
+    # Guards against two coordinators after the row of the second was lost.
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        harness.store.save_copy()
+        harness.cut()
+        second = harness.elect("n2")
+        await harness.run(builders.SECOND)
+        await move_keys(harness, "a")
+        await harness.restore()
+        assert not second.may_send_orders()
+        harness.elect("n3")
+        await harness.run(INHERITED_TIME + builders.SECOND)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+def test_coordinator_that_lost_its_row_knows_the_owners():
+    # Guards against a fleet without owners for as long as unknown grants may last.
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        harness.store.save_copy()
+        granter = harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        await move_keys(harness, "a")
+        await harness.restore()
+        harness.write_again()
+        assert not granter.may_send_orders()
+        harness.claim(granter, "n1")
+        await harness.run(builders.SECOND)
+        assert not granter.deposed
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+def test_target_that_the_copy_lacks_keeps_its_keys():
+    # Guards against moves of all keys of targets that write their rows again.
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        harness.store.save_copy()
+        harness.register(builders.build_target("c"))
+        await move_keys(harness, "a", "b")
+        await harness.restore()
+        await harness.run(builders.SECOND)
+        harness.write_again()
+        await harness.run(3 * builders.SECOND)
+        assert "c" in harness.find_owners()
+        assert "c" not in {name for name, *_ in harness.targets.released}
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_no_key_has_two_owners_after_random_restores(seed):
+    # Guards against conflicting owners after random sequences of faults and restores.
+    generator = random.Random(seed)
+
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b", "c", "d")
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        incarnations = dict.fromkeys("abcd", 1)
+        for _ in range(25):
+            name = generator.choice("abcd")
+            target = builders.build_target(name, life=incarnations[name])
+            event = generator.randrange(14)
+            if event == 0:
+                harness.targets.unanswering.add(name)
+            elif event == 1:
+                harness.targets.unanswering.discard(name)
+                harness.targets.down.discard(name)
+            elif event == 2:
+                harness.targets.down.add(name)
+            elif event == 3:
+                incarnations[name] += 1
+                harness.targets.down.discard(name)
+                harness.restart(target._replace(life=incarnations[name]))
+            elif event == 4:
+                harness.targets.delay_next = generator.randrange(1, 6)
+            elif event == 5:
+                harness.targets.apply_delayed()
+            elif event == 6:
+                harness.register(target._replace(leaving=True))
+            elif event == 7:
+                harness.register(target)
+            elif event in (8, 9):
+                harness.store.save_copy()
+            elif event in (10, 11):
+                if generator.random() < 0.5:
+                    harness.cut()
+                await harness.restore()
+                await harness.run(generator.choice((0, 1, 20, 40)) * STEP)
+                harness.write_again()
+            elif event == 12 and len(harness.coordinators) < 6:
+                harness.cut()
+                harness.elect(f"n{len(harness.coordinators) + 1}")
+            else:
+                key = generator.randrange(model.KEY_SPACE_SIZE)
+                harness.rates = {
+                    item % model.KEY_SPACE_SIZE: 0.3 for item in range(key, key + 200)
+                }
+            await harness.run(generator.choice((1, 3, 10, 30)) * STEP)
+        harness.targets.unanswering.clear()
+        harness.targets.down.clear()
+        harness.targets.delay_next = 0
+        for name, life in incarnations.items():
+            harness.register(builders.build_target(name, life=life))
+        harness.rates = {}
+        harness.cut()
+        harness.elect("last")
+        await harness.run(2 * INHERITED_TIME)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
