Elect and register again after the store was restored

Callers would see keys without a target for up to 14 s: if the copy lacked the coordinator's row, a claim without known row conflicted or gave a term a second time; an instance named by the copy that had ended this term never stood for election again; and instances that the copy lacked were not reached by any coordinator.

A claim is now above the highest known term. The coordinator whose row was lost claims a new term at once, because it alone knows the owners. An instance whose row is removed writes it again.

InterruptibleStore returns failures of a watch instead of raising on them.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -150,6 +150,8 @@
         """Whether all tables have been read at least once."""
         self.coordinating = False
         self.stopping = False
+        self.registered = False
+        """Whether this instance has written its member row."""
         self.started_at = now
         self.last_heartbeat_at = now
         """When a heartbeat was last received, or sent by this instance."""
@@ -241,6 +243,7 @@
         """Do all work that is due."""
         self.directory.apply_deferred_removals()
         self.follow_needed_tables(now)
+        self.keep_registered()
         if self.coordinating:
             if self.granter_task.done():
                 self.finish_granting()
@@ -285,6 +288,8 @@
         if model.TABLES.fleet not in self.table_feeds.current_tables:
             return False
         leadership = self.directory.leadership
+        if self.lost_own_row():
+            return True
         if not leadership.version:
             # All instances may be starting now; the strongest start elections first.
             weakness = max(0.0, 2.0 - self.own_member.strength)
@@ -296,7 +301,11 @@
             )
         if leadership.node == self.own_member.node:
             # An earlier incarnation of this instance was the coordinator.
-            return leadership.incarnation != self.own_member.incarnation
+            if leadership.incarnation != self.own_member.incarnation:
+                return True
+            # The row of a later coordinator may be lost.
+            since = self.last_healthy_heartbeat_at
+            return leadership.term < self.term and now - since > self.election_timeout
         # A newly elected coordinator needs time for its first heartbeats.
         since = max(self.last_healthy_heartbeat_at, self.leadership_changed_at)
         if (
@@ -309,11 +318,25 @@
             )
         return now - since > self.election_timeout
 
+    def lost_own_row(self) -> bool:
+        """Whether the row of this instance's term was lost in a restore.
+
+        Any other instance would have to wait for the grants of this term.
+        """
+        return (
+            self.directory.leadership.term < self.term == self.granter.leadership.term
+            and self.granter.knows_owners()
+        )
+
     async def run_election(self) -> None:
         """Become the coordinator if most instances receive no healthy heartbeat."""
         try:
             leadership = self.directory.leadership
-            vacant = not leadership.version or leadership.node == self.own_member.node
+            vacant = (
+                not leadership.version
+                or leadership.node == self.own_member.node
+                or self.lost_own_row()
+            )
             if not vacant and not await self.collect_votes():
                 return
             if not vacant and self.has_healthy_coordinator():
@@ -391,8 +414,10 @@
 
     async def claim_leadership(self, leadership: directories.Leadership) -> None:
         """Replace the coordinator's row if it has not changed."""
+        # A restored store may have lost the row of a later term.
+        term = max(leadership.term, self.term) + 1
         record = directories.Leadership(
-            self.own_member.node, self.own_member.incarnation, leadership.term + 1, 0
+            self.own_member.node, self.own_member.incarnation, term, 0
         )
         value = directories.encode_record(record)
         outcome = await self.store.commit(
@@ -841,8 +866,20 @@
 
     # Registration.
 
+    def keep_registered(self) -> None:
+        """Register again if a restored store has lost this instance's row."""
+        key = directories.MEMBER_PREFIX + self.own_member.node
+        row = self.directory.rows.get((model.TABLES.fleet, key))
+        if self.registered and row is not None and row.value is None:
+            self.registered = False
+            self.tasks.spawn(self.register())
+
     async def register(self) -> None:
         """Write this instance's member row, retrying until it is stored."""
+        await self._write_member_row()
+        self.registered = True
+
+    async def _write_member_row(self) -> None:
         key = directories.MEMBER_PREFIX + self.own_member.node
         value = directories.encode_record(self.own_member)
         while True:
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -48,6 +48,8 @@
                 failure = builders.errors.PlatformUnavailable("cut")
                 return builders.result.Failure(failure)
             outcome = await self.store.watch(table, after, wait)
+            if isinstance(outcome, builders.result.Failure):
+                return outcome
             if outcome.unwrap().rows or asyncio.get_running_loop().time() > end:
                 return outcome
             await asyncio.sleep(0.01)
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -362,6 +362,10 @@
             inherited=inherited,
         )
 
+    def knows_owners(self) -> bool:
+        """Whether this instance knows the valid grants of all earlier eras."""
+        return self.directory.era_floor in self.known_era_floors.values()
+
     def may_have_lost_owners(self, service: str) -> bool:
         """Whether owners may have changed after the copy of which the store began."""
         ownership = self.directory.ownerships.get(service)
