End a term that may have had a lost successor

Callers would see two targets that own the same key: a coordinator was cut off, its successor moved keys, and the store went back to the first one's row, which then renewed the owners it knew under new numbers.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -132,6 +132,7 @@
             clock,
             timing,
             self.can_lead_without_store,
+            self.is_followed,
             lambda service: self.demands.get_demand(
                 service, loads.get_typical_seconds(service, "")
             ),
@@ -303,9 +304,8 @@
             # An earlier incarnation of this instance was the coordinator.
             if leadership.incarnation != self.own_member.incarnation:
                 return True
-            # The row of a later coordinator may be lost.
-            since = self.last_healthy_heartbeat_at
-            return leadership.term < self.term and now - since > self.election_timeout
+            # This instance ended its term, and the row of its successor may be lost.
+            return now - self.last_healthy_heartbeat_at > self.election_timeout
         # A newly elected coordinator needs time for its first heartbeats.
         since = max(self.last_healthy_heartbeat_at, self.leadership_changed_at)
         if (
@@ -509,6 +509,18 @@
             return False
         return 2 * (len(recent) + 1) > members
 
+    def is_followed(self) -> bool:
+        """Whether this instance is the coordinator and most instances report to it."""
+        now = self.clock.monotonic()
+        followers = [
+            node
+            for node, report in self.reports.items()
+            if node != self.own_member.node
+            and now - report.received_at <= REPORT_MAX_AGE
+        ]
+        members = max(1, len(self.directory.members))
+        return self.coordinating and 2 * (len(followers) + 1) > members
+
     # Links.
 
     def _accept(self) -> links.Link:
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -131,6 +131,9 @@
     can_lead_without_store : callable
         Whether most instances follow this coordinator and none of them reaches the
         store. Orders are then sent without the store's confirmation.
+    is_followed : callable
+        Whether most instances recently reported to this coordinator, so that no other
+        one has been elected unnoticed.
     get_demand : callable
         Returns the `Demand` of a service.
     estimate_queue_wait : callable
@@ -151,6 +154,7 @@
         clock: clocks.Clock,
         timing: model.Timing,
         can_lead_without_store: Callable[[], bool],
+        is_followed: Callable[[], bool],
         get_demand: Callable[[str], demands.Demand],
         estimate_queue_wait: Callable[[model.Target], datetime.timedelta],
         get_inherited_grant_time_left: Callable[[], datetime.timedelta],
@@ -163,6 +167,7 @@
         self.clock = clock
         self.timing = timing
         self.can_lead_without_store = can_lead_without_store
+        self.is_followed = is_followed
         self.get_demand = get_demand
         self.estimate_queue_wait = estimate_queue_wait
         self.get_inherited_grant_time_left = get_inherited_grant_time_left
@@ -266,11 +271,15 @@
         if current.version == self.leadership.version:
             return
         restored = self.directory.era_floor > self.leadership.version
+        if restored and not self.is_followed():
+            # The rows of a successor may be lost.
+            self.deposed = True
         if restored and not self.deposed:
             for service in self.managed_services:
                 self.known_era_floors[service] = self.directory.era_floor
         if current._replace(version=0) != self.leadership._replace(version=0):
             self.deposed = True
+        if self.deposed:
             return
         self.leadership = current
         for service in self.managed_services:
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -94,6 +94,7 @@
             self.clock,
             builders.build_timing(),
             lambda: self.leads_without_store,
+            lambda: granter is self.coordinators[-1],
             lambda service: demands.Demand(
                 dict(self.rates), collections.defaultdict(lambda: 0.2), 1.5
             ),
--- a/packages/fleet/dewstep_fleet/store_restore_test.py
+++ b/packages/fleet/dewstep_fleet/store_restore_test.py
@@ -6,7 +6,9 @@
 import random
 
 import pytest
+from returns import result
 
+from dewstep_core import errors
 from dewstep_fleet import (
     builders,
     event_capture,
@@ -25,6 +27,27 @@
 """Time after which all grants of an unknown coordinator have expired."""
 
 
+class ReachableStore:
+    """One coordinator's access to the store while its feeds are not cut off."""
+
+    def __init__(self, store, table_feeds):
+        self.store = store
+        self.table_feeds = table_feeds
+
+    def is_cut(self):
+        return self.table_feeds.lost_at is not None
+
+    async def read_table(self, table):
+        if self.is_cut():
+            return result.Failure(errors.PlatformUnavailable("cut"))
+        return await self.store.read_table(table)
+
+    async def commit(self, expected, writes):
+        if self.is_cut():
+            return result.Failure(errors.PlatformUnavailable("cut"))
+        return await self.store.commit(expected, writes)
+
+
 class Harness(granting_test.Harness):
     """Coordinators whose store can be restored from a copy."""
 
@@ -33,6 +56,12 @@
         """Targets by name, as they write themselves."""
         super().__init__(*names)
 
+    def elect(self, node):
+        granter = super().elect(node)
+        granter.store = ReachableStore(self.store, granter.table_feeds)
+        granter.table_feeds.store = granter.store
+        return granter
+
     def register(self, target):
         self.registered[target.name] = target
         super().register(target)
@@ -74,6 +103,13 @@
                 keys.update(range(item.first, item.last + 1))
         return len(keys)
 
+    async def reconnect(self):
+        """Reconnect all coordinators that were cut off from the store."""
+        for granter in self.coordinators:
+            if granter.table_feeds.lost_at is not None:
+                granter.table_feeds.lost_at = None
+                await self.read(granter)
+
     def cut(self):
         """Cut the present coordinators off from the store."""
         for granter in self.coordinators:
@@ -207,6 +243,29 @@
     granting_test.run_scenario(scenario)
 
 
+def test_coordinator_that_missed_its_successor_ends_its_term():
+    # Guards against a coordinator that was cut off while another one moved keys, and
+    # whose row is the newest again.
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        first = harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        harness.store.save_copy()
+        harness.cut()
+        harness.elect("n2")
+        await harness.run(builders.SECOND)
+        await move_keys(harness, "a")
+        await harness.restore()
+        await harness.reconnect()
+        await harness.run(builders.SECOND)
+        assert first.deposed
+        harness.elect("n3")
+        await harness.run(INHERITED_TIME + builders.SECOND)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
 def test_coordinator_that_lost_its_row_knows_the_owners():
     # Guards against a fleet without owners for as long as unknown grants may last.
     async def scenario(harnesses):
@@ -259,7 +318,7 @@
         for _ in range(25):
             name = generator.choice("abcd")
             target = builders.build_target(name, life=incarnations[name])
-            event = generator.randrange(14)
+            event = generator.randrange(15)
             if event == 0:
                 harness.targets.unanswering.add(name)
             elif event == 1:
@@ -287,6 +346,8 @@
                 await harness.restore()
                 await harness.run(generator.choice((0, 1, 20, 40)) * STEP)
                 harness.write_again()
+            elif event == 13:
+                await harness.reconnect()
             elif event == 12 and len(harness.coordinators) < 6:
                 harness.cut()
                 harness.elect(f"n{len(harness.coordinators) + 1}")
