--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -14,7 +14,7 @@
 from returns import result
 
 from dewstep_core import data
-from dewstep_core.http import transports
+from dewstep_core.http import answer_heads, transports
 from dewstep_entry import bodies, header_rules, interfaces
 from dewstep_entry.targets import answering, outcome
 
@@ -22,6 +22,13 @@
 ANSWER_BUFFER_BYTES = 262_144
 """Unread bytes of an answer above which reading from the socket pauses."""
 WRITE_BUFFER_BYTES = 131_072
+MAXIMUM_EVENTS_PER_TURN = 128
+"""Parsed events after which other connections take their turn in the event loop."""
+MAXIMUM_INFORMATIONAL_ANSWERS = 100
+"""Limit of the informational (1xx) answers before an answer."""
+MAXIMUM_SKIPPED_ANSWERS = 16
+MAXIMUM_SKIPPED_BYTES = 4_194_304
+"""Limits of the late answers to other requests that are skipped during an exchange."""
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -33,11 +40,14 @@
         "buffered",
         "head",
         "headers",
+        "informational_answers",
         "length",
         "method",
         "refusal",
         "request_id",
         "sent",
+        "skipped_answers",
+        "skipped_bytes",
         "skipping_answer",
         "timer",
     )
@@ -48,7 +58,10 @@
         super().__init__(ANSWER_BUFFER_BYTES, on_read, on_close)
         self.method = method
         self.buffered = buffered
+        self.informational_answers = 0
         self.skipping_answer = False
+        self.skipped_answers = 0
+        self.skipped_bytes = 0
         self.request_id = request_id
         self.head: h11.Response | None = None
         self.headers: list[tuple[bytes, bytes]] = []
@@ -58,6 +71,15 @@
         self.body_task: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
 
+    def add_chunk(self, chunk: bytearray) -> None:
+        """Add a chunk; small chunks are joined, as each object takes memory."""
+        if self.chunks:
+            self.chunks[-1] += chunk
+            self.size += len(chunk)
+            self.wake_reader()
+        else:
+            super().add_chunk(chunk)
+
     def get_progress(self) -> outcome.Progress:
         """Return the progress of the exchange."""
         status = self.head.status_code if self.head is not None else 0
@@ -109,6 +131,8 @@
         self.freed_at = 0.0
         """Event loop time at which the last exchange ended; 0 before the first."""
         self.reading = True
+        self.next_turn: asyncio.Handle | None = None
+        """Parses the rest of the input; reading pauses until then."""
         self.write_waiter: asyncio.Future | None = None
         self.poller = select.poll()
 
@@ -155,18 +179,9 @@
         if exchange is None:
             self.abort()
             return
-        try:
-            self.http.receive_data(chunk)
-            self._process_input(exchange)
-        except h11.RemoteProtocolError as error:
-            # After the colon h11 quotes received bytes, which may belong to another
-            # caller's answer and must not be shown to this one.
-            detail = str(error).partition(":")[0]
-            self._fail(outcome.Event.INVALID, detail)
-            return
-        if exchange.full and self.reading and self.current_exchange is exchange:
-            self.reading = False
-            self.transport.pause_reading()
+        if exchange.skipping_answer:
+            exchange.skipped_bytes += len(chunk)
+        self._receive(exchange, chunk)
 
     # Exchange.
 
@@ -271,16 +286,55 @@
             if self.current_exchange is exchange:
                 self._fail(outcome.Event.ABANDONED, str(error))
 
-    def _process_input(self, exchange: Exchange) -> None:
-        while exchange is self.current_exchange:
+    def _receive(self, exchange: Exchange, chunk: bytes) -> None:
+        """Parse the input of one turn of the event loop, which ends with `chunk`."""
+        try:
+            if chunk:
+                self.http.receive_data(chunk)
+            incomplete = self._process_input(exchange)
+        except h11.RemoteProtocolError as error:
+            # After the colon h11 quotes received bytes, which may belong to another
+            # caller's answer and must not be shown to this one.
+            detail = str(error).partition(":")[0]
+            self._fail(outcome.Event.INVALID, detail)
+            return
+        if exchange is not self.current_exchange:
+            return
+        if incomplete and self.next_turn is None:
+            loop = asyncio.get_running_loop()
+            self.next_turn = loop.call_soon(self._continue_input, exchange)
+        if (incomplete or exchange.full) and self.reading:
+            self.reading = False
+            self.transport.pause_reading()
+
+    def _continue_input(self, exchange: Exchange) -> None:
+        self.next_turn = None
+        self._receive(exchange, b"")
+        if self.next_turn is None and exchange is self.current_exchange:
+            if not exchange.full:
+                self._resume_reading(0)
+
+    def _process_input(self, exchange: Exchange) -> bool:
+        """Parse received bytes; return whether some are left for the next turn."""
+        for _ in range(MAXIMUM_EVENTS_PER_TURN):
+            if exchange is not self.current_exchange:
+                return False
+            if self.http.their_state is h11.SEND_RESPONSE:
+                received = self.http.trailing_data[0]
+                answer_heads.check_head(received, MAXIMUM_HEAD_BYTES)
             event = self.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                break
+                return False
             self._process_event(exchange, event)
+        return exchange is self.current_exchange
 
     def _process_event(self, exchange: Exchange, event) -> None:
         kind = type(event)
         if exchange.skipping_answer:
+            if exchange.skipped_bytes > MAXIMUM_SKIPPED_BYTES:
+                raise h11.RemoteProtocolError(
+                    f"answers to other requests exceed {MAXIMUM_SKIPPED_BYTES} bytes"
+                )
             if kind is h11.EndOfMessage:
                 self._resume_after_skipped_answer(exchange)
             elif kind is h11.ConnectionClosed:
@@ -291,6 +345,12 @@
             self._process_head(exchange, event)
         elif kind is h11.EndOfMessage:
             self._complete_exchange(exchange)
+        elif kind is h11.InformationalResponse:
+            exchange.informational_answers += 1
+            if exchange.informational_answers > MAXIMUM_INFORMATIONAL_ANSWERS:
+                raise h11.RemoteProtocolError(
+                    f"more than {MAXIMUM_INFORMATIONAL_ANSWERS} informational answers"
+                )
         elif kind is h11.ConnectionClosed:
             self._fail(outcome.Event.CLOSED)
 
@@ -321,6 +381,15 @@
             if not self.rules.has_request_id or (length is None and coding is None):
                 raise h11.RemoteProtocolError("answer has another request's id")
             exchange.skipping_answer = True
+            exchange.skipped_answers += 1
+            if exchange.skipped_answers > MAXIMUM_SKIPPED_ANSWERS:
+                raise h11.RemoteProtocolError(
+                    f"more than {MAXIMUM_SKIPPED_ANSWERS} answers to other requests"
+                )
+            if length is not None and int(length) > MAXIMUM_SKIPPED_BYTES:
+                raise h11.RemoteProtocolError(
+                    f"answer to another request exceeds {MAXIMUM_SKIPPED_BYTES} bytes"
+                )
             return
         exchange.head = head
         exchange.length = int(length) if length is not None else None
@@ -367,6 +436,9 @@
     def _detach_exchange(self, exchange: Exchange) -> None:
         self.current_exchange = None
         exchange.timer.cancel()
+        if self.next_turn is not None:
+            self.next_turn.cancel()
+            self.next_turn = None
         if exchange.body_task is not None:
             exchange.body_task.cancel()
         if not self.reading:
@@ -374,7 +446,7 @@
             self.transport.resume_reading()
 
     def _resume_reading(self, size: int) -> None:
-        if not self.reading:
+        if not self.reading and self.next_turn is None:
             self.reading = True
             self.transport.resume_reading()
 
--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -26,6 +26,7 @@
     links,
     load_counts,
     model,
+    outstanding,
     selection,
 )
 
@@ -52,6 +53,10 @@
 each member, so strong instances should start elections first."""
 MINORITY_ELECTION_TIMEOUT = datetime.timedelta(seconds=8)
 """Without a healthy heartbeat for this long, a minority may elect a coordinator."""
+VOTE_VALIDITY = outstanding.TERM_CONFIRMATION_MAX_AGE
+"""Time after a vote request for which its answer counts as the bound of long grants. A
+coordinator that the store does not confirm sends no orders after this long. Meanwhile,
+the voter acknowledges no announcement of further long grants."""
 VOTE_TIMEOUT = datetime.timedelta(milliseconds=500)
 RECONNECT_PAUSE = datetime.timedelta(milliseconds=300)
 TICK_INTERVAL = datetime.timedelta(milliseconds=50)
@@ -74,13 +79,21 @@
 class Report:
     """A member's last report to the coordinator."""
 
-    __slots__ = ("loads", "reaches_store", "received_at", "store_healthy")
+    __slots__ = (
+        "heartbeat_ms",
+        "loads",
+        "reaches_store",
+        "received_at",
+        "store_healthy",
+    )
 
-    def __init__(self, received_at, reaches_store, store_healthy, loads):
+    def __init__(self, received_at, reaches_store, store_healthy, loads, heartbeat_ms):
         self.received_at = received_at
         self.reaches_store = reaches_store
         self.store_healthy = store_healthy
         self.loads = loads
+        self.heartbeat_ms = heartbeat_ms
+        """When the heartbeat was sent that the member has acknowledged."""
 
 
 class FleetParticipant:
@@ -133,6 +146,7 @@
             timing,
             self.can_lead_without_store,
             self.is_followed,
+            self.may_send_long_grants,
             lambda service: self.demands.get_demand(
                 service, loads.get_typical_seconds(service, "")
             ),
@@ -159,10 +173,18 @@
         self.last_healthy_heartbeat_at = now
         self.long_grants_until = now
         """Until then, long grants that the coordinator reported may be valid."""
-        self.last_heartbeat_term = 0
-        """Term of the last heartbeat, which reported the long grants."""
-        self.followed_previous_term = False
-        """Whether this coordinator received heartbeats of the previous term."""
+        self.unaware_until = now + self.get_max_long_grant_time()
+        """Until then, long grants sent before the start of this process may be
+        valid."""
+        self.informants: dict[str, datetime.timedelta] = {}
+        """Members whose votes told of all long grants, and until when this counts."""
+        self.announcing_since: int | None = None
+        """`heartbeat_ms` of the first heartbeat of this coordinator that announced long
+        grants, or None if the last one did not."""
+        self.received_heartbeat_ms = 0
+        """`heartbeat_ms` of the last heartbeat received."""
+        self.voted_at: datetime.timedelta | None = None
+        """When this instance last answered a vote request."""
         self.leadership_changed_at = now
         """When this instance last received a new coordinator row."""
         self.coordinator_healthy = True
@@ -245,6 +267,12 @@
         self.directory.apply_deferred_removals()
         self.follow_needed_tables(now)
         self.keep_registered()
+        if (
+            not self.directory.leadership.version
+            and model.TABLES.fleet in self.table_feeds.current_tables
+        ):
+            # There has been no coordinator that could have sent grants.
+            self.unaware_until = min(self.unaware_until, now)
         if self.coordinating:
             if self.granter_task.done():
                 self.finish_granting()
@@ -361,6 +389,7 @@
             for member in self.directory.members.values()
             if member.node != self.own_member.node
         ]
+        self.informants.clear()
         votes = await asyncio.gather(*(self.request_vote(member) for member in others))
         unanswered = votes.count(None)
         in_favour = votes.count(False)
@@ -394,6 +423,7 @@
             Its answer; None if it did not answer, "down" if it is not running.
         """
         link = None
+        asked_at = self.clock.monotonic()
         try:
             async with asyncio.timeout(VOTE_TIMEOUT.total_seconds()):
                 link = await links.connect(
@@ -402,7 +432,7 @@
                 answer = asyncio.get_running_loop().create_future()
                 self.pending_votes[link] = answer
                 link.send(self.build_frame("ask"))
-                return await answer
+                frame = await answer
         except ConnectionRefusedError:
             return "down"
         except OSError:
@@ -411,6 +441,21 @@
             if link is not None:
                 self.pending_votes.pop(link, None)
                 link.close()
+        if frame is None or frame.node != member.node:
+            # Another instance now has this address.
+            return None
+        self.record_long_grants(frame)
+        if frame.holds_known:
+            self.informants[member.node] = asked_at + VOTE_VALIDITY
+        leadership = self.directory.leadership
+        if (
+            member.node == leadership.node
+            and frame.incarnation != leadership.incarnation
+        ):
+            # The coordinator has ended; a process that has just started assumes that
+            # there is one.
+            return False
+        return frame.heard
 
     async def claim_leadership(self, leadership: directories.Leadership) -> None:
         """Replace the coordinator's row if it has not changed."""
@@ -445,7 +490,6 @@
             or self.stopping
         ):
             return
-        self.followed_previous_term = self.last_heartbeat_term == current.term - 1
         heartbeat_age = self.clock.monotonic() - self.last_heartbeat_at
         self.term = current.term
         self.coordinating = True
@@ -458,8 +502,7 @@
         events.info(
             "coordinating",
             term=self.term,
-            followed_previous_term=self.followed_previous_term,
-            last_heartbeat_term=self.last_heartbeat_term,
+            informants=len(self.informants),
             heartbeat_age=heartbeat_age,
             long_grants_left=self.get_inherited_grant_time_left(),
         )
@@ -474,13 +517,17 @@
 
     def step_down(self, reason: str) -> None:
         """Stop coordinating."""
+        now = self.clock.monotonic()
+        self.long_grants_until = now + self.get_long_grant_time_left()
+        self.announcing_since = None
         self.coordinating = False
         self.granter_task.cancel()
-        self.last_heartbeat_at = self.last_healthy_heartbeat_at = self.clock.monotonic()
+        self.last_heartbeat_at = self.last_healthy_heartbeat_at = now
         for link in list(self.links.values()):
             link.close()
         self.links.clear()
         self.pending_rows.clear()
+        self.informants.clear()
         self.live_instances = max(1, len(self.directory.members))
         events.warning("coordination_ended", term=self.term, reason=reason)
 
@@ -499,15 +546,33 @@
         if not self.coordinating:
             return False
         now = self.clock.monotonic()
-        recent = [
-            item
-            for item in self.reports.values()
+        recent = {
+            node: item
+            for node, item in self.reports.items()
             if now - item.received_at <= REPORT_MAX_AGE
-        ]
+        }
         members = max(1, len(self.directory.members))
-        if any(item.reaches_store for item in recent):
+        if any(item.reaches_store for item in recent.values()):
+            return False
+        # This instance itself counts also while it has recorded no report of its own.
+        return 2 * len({*recent, self.own_member.node}) > members
+
+    def may_send_long_grants(self) -> bool:
+        """Whether most members know of long grants sent now.
+
+        They have acknowledged a recent heartbeat that announced such grants. The next
+        coordinator asks most members, at least one of which is among them.
+        """
+        if self.announcing_since is None or not self.can_lead_without_store():
             return False
-        return 2 * (len(recent) + 1) > members
+        oldest = to_milliseconds(self.clock.monotonic() - REPORT_MAX_AGE)
+        oldest = max(oldest, self.announcing_since)
+        informed = {
+            node for node, item in self.reports.items() if item.heartbeat_ms >= oldest
+        }
+        informed.add(self.own_member.node)
+        members = {*self.directory.members, self.own_member.node}
+        return 2 * len(informed & members) > len(members)
 
     def is_followed(self) -> bool:
         """Whether this instance is the coordinator and most instances report to it."""
@@ -619,6 +684,10 @@
         self.last_heartbeat_sent_at = now
         self.last_heartbeat_at = now
         self.receive_report(self.own_member.node, self.build_report())
+        if not self.can_lead_without_store():
+            self.announcing_since = None
+        elif self.announcing_since is None:
+            self.announcing_since = to_milliseconds(now)
         self.live_instances = 1 + sum(
             now - item.received_at <= REPORT_MAX_AGE for item in self.reports.values()
         )
@@ -669,7 +738,8 @@
             crashes=crashes,
             stopping=self.stopping,
             deputy=deputy,
-            holds_ms=to_milliseconds(self.granter.get_long_grant_time_left()),
+            holds_ms=to_milliseconds(self.get_long_grant_time_left()),
+            heartbeat_ms=to_milliseconds(self.last_heartbeat_sent_at),
         )
 
     def choose_deputies(self) -> list[str]:
@@ -700,6 +770,14 @@
             keys=self.take_key_counts(),
             crashes=self.take_crashes(),
             stopping=self.stopping,
+            heartbeat_ms=0 if self.has_voted_recently() else self.received_heartbeat_ms,
+        )
+
+    def has_voted_recently(self) -> bool:
+        """Whether a successor may still rely on this instance's last vote."""
+        return (
+            self.voted_at is not None
+            and self.clock.monotonic() - self.voted_at <= VOTE_VALIDITY
         )
 
     def take_crashes(self) -> tuple[frames.Crash, ...]:
@@ -709,11 +787,40 @@
         crashes, self.unsent_crashes = tuple(self.unsent_crashes), []
         return crashes
 
+    def get_max_long_grant_time(self) -> datetime.timedelta:
+        """Return the maximum time from the announcement of a long grant to its end."""
+        duration = self.granter.timing.max_grant_duration
+        return (
+            REPORT_MAX_AGE
+            + outstanding.ORDER_TIMEOUT
+            + outstanding.get_max_validity(duration)
+        )
+
     def get_inherited_grant_time_left(self) -> datetime.timedelta:
-        """Return the remaining time of the previous coordinator's long grants."""
-        if not self.followed_previous_term:
-            return self.granter.timing.max_grant_duration
+        """Return the longest duration of the previous coordinators' grants from now on.
+
+        Unless most members told of them in the election, this is the longest duration
+        of a grant, since only the members that received its heartbeats know of a
+        coordinator's long grants.
+        """
+        now = self.clock.monotonic()
+        informants = {node for node, until in self.informants.items() if until >= now}
+        if self.unaware_until <= now:
+            informants.add(self.own_member.node)
+        max_duration = self.granter.timing.max_grant_duration
+        members = {*self.directory.members, self.own_member.node}
+        if 2 * len(informants & members) <= len(members):
+            return max_duration
+        time_left = max(self.long_grants_until - now, datetime.timedelta())
+        return min(time_left, max_duration)
+
+    def get_long_grant_time_left(self) -> datetime.timedelta:
+        """Return the longest remaining time of the long grants known or announced."""
         time_left = self.long_grants_until - self.clock.monotonic()
+        if self.coordinating:
+            time_left = max(time_left, self.granter.get_long_grant_time_left())
+        if self.announcing_since is not None:
+            time_left = max(time_left, self.get_max_long_grant_time())
         return max(time_left, datetime.timedelta())
 
     def record_long_grants(self, frame: frames.Frame) -> None:
@@ -762,7 +869,11 @@
     def receive_report(self, node: str, frame: frames.Frame) -> None:
         """Process a report of a member or of this instance itself."""
         self.reports[node] = Report(
-            self.clock.monotonic(), frame.contact, frame.heard, frame.loads
+            self.clock.monotonic(),
+            frame.contact,
+            frame.heard,
+            frame.loads,
+            frame.heartbeat_ms,
         )
         if frame.rows:
             self.directory.apply_rows(frame.rows, apply_removals=True)
@@ -800,17 +911,20 @@
                 healthy = leading and self.is_store_healthy()
             else:
                 healthy = self.has_healthy_coordinator()
-            time_left = self.long_grants_until - now
+            time_left = self.get_long_grant_time_left()
+            self.voted_at = now
             link.send(
                 self.build_frame(
-                    "tell", heard=healthy, holds_ms=to_milliseconds(time_left)
+                    "tell",
+                    heard=healthy,
+                    holds_ms=to_milliseconds(time_left),
+                    holds_known=self.unaware_until <= now,
                 )
             )
         elif frame.kind == "tell":
             answer = self.pending_votes.get(link)
             if answer is not None and not answer.done():
-                answer.set_result(frame.heard)
-                self.record_long_grants(frame)
+                answer.set_result(frame)
             if frame.term > self.term:
                 self._adopt_newer_term(frame)
 
@@ -849,8 +963,9 @@
             events.info("coordinator_heard", node=frame.node, term=frame.term)
             # The size of the fleet was not known when the time-out was last drawn.
             self.election_timeout = self.draw_election_timeout()
-        self.term = self.last_heartbeat_term = frame.term
+        self.term = frame.term
         self.record_long_grants(frame)
+        self.received_heartbeat_ms = frame.heartbeat_ms
         self.coordinator_link = link
         self.last_heartbeat_at = now
         if frame.stopping:
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -6,6 +6,8 @@
 import random
 import socket
 
+from returns import result
+
 from dewstep_core import clocks
 from dewstep_emulator import testing
 from dewstep_fleet import (
@@ -15,10 +17,12 @@
     event_capture,
     feeds,
     frames,
+    granting,
     keys,
     links,
     load_counts,
     model,
+    outstanding,
 )
 
 TIMEOUT_S = 6.0
@@ -65,10 +69,14 @@
 
     def __init__(self, harness, node):
         self.clock = clocks.SystemClock()
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-        member = model.Member(node, f"{node}-x", "dc-1", "127.0.0.1", port)
+        if node not in harness.ports:
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                harness.ports[node] = probe.getsockname()[1]
+        port = harness.ports[node]
+        harness.starts += 1
+        incarnation = f"{node}-{harness.starts}"
+        member = model.Member(node, incarnation, "dc-1", "127.0.0.1", port)
         self.directory = builders.build_directory(self.clock)
         store = InterruptibleStore(
             harness.store, node, harness.unreachable, harness.calls
@@ -112,6 +120,10 @@
         self.store = builders.FakeStore()
         self.unreachable = set()
         self.calls = collections.Counter()
+        self.ports = {}
+        """Port of each instance, which it keeps when it restarts."""
+        self.starts = 0
+        """Number of instances started so far."""
         self.targets = builders.FakeTargets(clocks.SystemClock())
         self.running = {}
         self.store.put(model.TABLES.configuration, "config", b"")
@@ -254,6 +266,34 @@
         assert harness.running[leader].participant.can_lead_without_store()
 
 
+@testing.run_in_event_loop
+async def test_coordinator_without_store_and_majority_does_not_lead():
+    """Guards against counting the coordinator's own report as that of a member.
+
+    A coordinator that reaches neither the store nor the others would renew its grants
+    while they elect another one.
+    """
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        running_leader = harness.running[leader]
+        for node, item in harness.running.items():
+            if node != leader:
+                await item.stop()
+        harness.unreachable.add(leader)
+        participant = running_leader.participant
+        await wait_until(
+            lambda: (
+                not participant.table_feeds.has_recent_answer(
+                    coordination.STORE_ANSWER_MAX_AGE
+                )
+            )
+        )
+        await asyncio.sleep(coordination.REPORT_MAX_AGE.total_seconds())
+        assert participant.coordinating
+        assert not participant.can_lead_without_store()
+        assert not participant.granter.may_send_orders()
+
+
 @testing.run_in_event_loop
 async def test_instance_loses_the_vote_if_others_receive_heartbeats():
     # Guards against a partitioned instance that deposes a healthy coordinator.
@@ -264,6 +304,143 @@
         assert not await other.participant.collect_votes()
 
 
+async def restart(harness, node):
+    """Replace the process of an instance."""
+    await harness.running.pop(node).stop()
+    harness.running[node] = RunningInstance(harness, node)
+    await harness.running[node].start()
+
+
+def get_inherited(harness):
+    """Return the bound of the grants that the only coordinator inherits."""
+    (leader,) = harness.find_coordinators()
+    return harness.running[leader].participant.get_inherited_grant_time_left()
+
+
+MAX_DURATION = builders.build_timing().max_grant_duration
+
+
+@testing.run_in_event_loop
+async def test_restarted_instances_do_not_rule_out_long_grants():
+    """Guards against grants that were sent before the start of all voters."""
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        for node in list(harness.running):
+            if node != leader:
+                await restart(harness, node)
+        await wait_coordinator(harness)
+        await harness.running.pop(leader).stop()
+        await wait_until(harness.find_coordinators, 4.0)
+        assert get_inherited(harness) == MAX_DURATION
+
+
+@testing.run_in_event_loop
+async def test_a_minority_does_not_rule_out_long_grants():
+    """Guards against long grants of which only instances that failed were told."""
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        successor = next(node for node in harness.running if node != leader)
+        for node in list(harness.running):
+            if node != successor:
+                await harness.running.pop(node).stop()
+        await wait_until(harness.find_coordinators, 4.0)
+        assert get_inherited(harness) == MAX_DURATION
+
+
+@testing.run_in_event_loop
+async def test_votes_of_most_members_rule_out_long_grants():
+    """Guards against waiting for long grants after each loss of a coordinator."""
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        await harness.running.pop(leader).stop()
+        await wait_until(harness.find_coordinators, 4.0)
+        assert get_inherited(harness) == 0 * SECOND
+
+
+@testing.run_in_event_loop
+async def test_long_grants_are_announced_to_most_members():
+    """Guards against a coordinator that fails between a grant and its heartbeat."""
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        participant = harness.running[leader].participant
+        assert not participant.may_send_long_grants()
+        harness.unreachable.update(harness.running)
+        await wait_until(participant.may_send_long_grants)
+        until = participant.clock.monotonic() + MAX_DURATION
+        informed = [
+            node
+            for node, item in harness.running.items()
+            if node != leader and item.participant.long_grants_until > until
+        ]
+        assert informed
+
+
+@testing.run_in_event_loop
+async def test_restarted_coordinator_is_not_taken_for_the_lost_one():
+    """Guards against a coordinator that counts as live since its address answers."""
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        other = next(item for node, item in harness.running.items() if node != leader)
+        # Without the store, the new process does not follow its predecessor.
+        harness.unreachable.add(leader)
+        await restart(harness, leader)
+        member = other.directory.members[leader]
+        assert other.directory.leadership.incarnation == member.incarnation
+        assert await other.participant.request_vote(member) is False
+
+
+@testing.run_in_event_loop
+async def test_votes_of_another_instance_at_an_address_do_not_count():
+    """Guards against counting an instance twice that has replaced a member."""
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        nodes = [node for node in harness.running if node != leader]
+        asking, replacing = (harness.running[node].participant for node in nodes)
+        replaced = replacing.own_member._replace(node="n4", incarnation="n4-1")
+        assert await asking.request_vote(replacing.own_member) is True
+        assert await asking.request_vote(replaced) is None
+
+
+def record_informed(harness, leader):
+    """Return a list that gets, for each long grant, how many others know of it."""
+    counts = []
+    connect = harness.targets.connect
+
+    async def connect_recording(target):
+        connection = (await connect(target)).unwrap()
+        send = connection.grant
+
+        async def grant(holding, duration, handover):
+            if duration > granting.GRANT_DURATION:
+                until = clocks.SystemClock().monotonic() + duration
+                counts.append(
+                    sum(
+                        item.participant.long_grants_until >= until
+                        for node, item in harness.running.items()
+                        if node != leader
+                    )
+                )
+            return await send(holding, duration, handover)
+
+        connection.grant = grant
+        return result.Success(connection)
+
+    harness.targets.connect = connect_recording
+    return counts
+
+
+@testing.run_in_event_loop
+async def test_most_members_know_of_long_grants_before_they_are_sent():
+    """Guards against a coordinator that fails between a grant and its heartbeat."""
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        counts = record_informed(harness, leader)
+        await wait_until(lambda: harness.targets.list_held("a"))
+        harness.unreachable.update(harness.running)
+        await wait_until(lambda: counts, 8.0)
+        assert counts[0] >= 1
+
+
 class VoteHarness:
     """An instance whose vote requests get the answers that the test sets."""
 
@@ -347,6 +524,104 @@
     assert not participant.coordinating
 
 
+class RecordingLink:
+    """A link that keeps the frames sent on it."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, frame):
+        self.sent.append(frame)
+        return True
+
+    def close(self):
+        """Do nothing; there is no connection."""
+
+
+def ask(participant):
+    """Return an instance's answer to a vote request."""
+    link = RecordingLink()
+    participant._receive(link, frames.Frame("ask", 1, "n1", "i"))
+    return link.sent[-1]
+
+
+def start_coordinating(election, term):
+    """Elect the instance of a `VoteHarness`."""
+    participant = election.participant
+    record = directories.Leadership("own", participant.own_member.incarnation, term, 0)
+    value = directories.encode_record(record)
+    row = builders.build_row(
+        model.TABLES.fleet, directories.COORDINATOR_KEY, 500 + term, value
+    )
+    participant.directory.apply_rows([row])
+    assert participant.coordinating
+
+
+@testing.run_in_event_loop
+async def test_coordinator_tells_of_its_own_long_grants():
+    """Guards against a successor that asks the coordinator whose grants it inherits."""
+    election = VoteHarness({"n1": False})
+    participant = election.participant
+    start_coordinating(election, 2)
+    await asyncio.sleep(0)
+    incarnation = granting.TargetIncarnation("a", 1)
+    orders = participant.granter.get_grant_state(incarnation).orders
+    orders.outstanding = outstanding.record_answer(
+        orders.outstanding, participant.clock.monotonic(), MAX_DURATION
+    )
+    assert ask(participant).holds_ms > 9_000
+    participant._adopt_newer_term(frames.Frame("tell", 3, "n1", "i"))
+    assert not participant.coordinating
+    assert ask(participant).holds_ms > 9_000
+
+
+def build_report(heartbeat_ms):
+    return frames.Frame("report", 2, "n1", "i", heartbeat_ms=heartbeat_ms)
+
+
+@testing.run_in_event_loop
+async def test_long_grants_need_recent_acknowledgements():
+    """Guards against long grants announced only in heartbeats that were not received.
+
+    Reports that were sent before the announcement or arrive late do not count.
+    """
+    election = VoteHarness({"n1": False, "n2": False})
+    participant = election.participant
+    start_coordinating(election, 2)
+    participant.receive_report("n1", build_report(0))
+    participant.receive_report("n2", build_report(0))
+    assert participant.can_lead_without_store()
+    assert not participant.may_send_long_grants()
+    now = participant.clock.monotonic()
+    participant.send_heartbeat(now)
+    announced_ms = coordination.to_milliseconds(now)
+    participant.receive_report("n1", build_report(announced_ms - 1))
+    assert not participant.may_send_long_grants()
+    participant.receive_report("n1", build_report(announced_ms))
+    assert participant.may_send_long_grants()
+    past_max_age = coordination.REPORT_MAX_AGE + 10 * builders.MILLISECOND
+    await asyncio.sleep(past_max_age.total_seconds())
+    participant.receive_report("n1", build_report(announced_ms))
+    assert participant.can_lead_without_store()
+    assert not participant.may_send_long_grants()
+
+
+@testing.run_in_event_loop
+async def test_voters_acknowledge_no_further_long_grants():
+    """Guards against long grants that begin after the votes for a successor."""
+    participant = VoteHarness({"n1": False}).participant
+    link = RecordingLink()
+
+    def answer_heartbeat(heartbeat_ms):
+        frame = frames.Frame("beat", 2, "n1", "i", heartbeat_ms=heartbeat_ms)
+        participant._receive_heartbeat(link, frame, participant.clock.monotonic())
+        return link.sent[-1].heartbeat_ms
+
+    assert answer_heartbeat(5) == 5
+    ask(participant)
+    assert answer_heartbeat(6) == 0
+
+
 @testing.run_in_event_loop
 async def test_elections_in_a_large_fleet_are_spread_over_time():
     """Guards against simultaneous elections, whose votes grow quadratically."""
@@ -436,6 +711,9 @@
         keys=(frames.KeyCount("s", 1, 2),),
         crashes=(frames.Crash(b"\x00\xff", 2),),
         versions=((2**63, 2**40),),
+        holds_ms=3,
+        holds_known=True,
+        heartbeat_ms=2**40,
     )
     assert frames.decode(frames.encode(frame)) == frame
 
@@ -474,7 +752,7 @@
     async with run_fleet("n1", "n2") as harness:
         await wait_coordinator(harness)
         (fields,) = log.find("coordinating")
-        assert fields["last_heartbeat_term"] == 0
+        assert fields["informants"] == 0
         participant = harness.running["n1"].participant
         frame = frames.Frame("beat", 1, "n2", "n2-x", holds_ms=5000)
         participant.record_long_grants(frame)
