--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -131,6 +131,9 @@
     can_lead_without_store : callable
         Whether most instances follow this coordinator and none of them reaches the
         store. Orders are then sent without the store's confirmation.
+    is_followed : callable
+        Whether most instances recently reported to this coordinator, so that no other
+        one has been elected unnoticed.
     may_send_long_grants : callable
         Whether most instances know of grants longer than `GRANT_DURATION`.
     get_demand : callable
@@ -153,6 +156,7 @@
         clock: clocks.Clock,
         timing: model.Timing,
         can_lead_without_store: Callable[[], bool],
+        is_followed: Callable[[], bool],
         may_send_long_grants: Callable[[], bool],
         get_demand: Callable[[str], demands.Demand],
         estimate_queue_wait: Callable[[model.Target], datetime.timedelta],
@@ -166,6 +170,7 @@
         self.clock = clock
         self.timing = timing
         self.can_lead_without_store = can_lead_without_store
+        self.is_followed = is_followed
         self.may_send_long_grants = may_send_long_grants
         self.get_demand = get_demand
         self.estimate_queue_wait = estimate_queue_wait
@@ -271,11 +276,15 @@
         if current.version == self.leadership.version:
             return
         restored = self.directory.era_floor > self.leadership.version
+        if restored and not self.is_followed():
+            # The rows of a successor may be lost.
+            self.deposed = True
         if restored and not self.deposed:
             for service in self.managed_services:
                 self.known_era_floors[service] = self.directory.era_floor
         if current._replace(version=0) != self.leadership._replace(version=0):
             self.deposed = True
+        if self.deposed:
             return
         self.leadership = current
         for service in self.managed_services:
@@ -306,19 +315,22 @@
 
         A transaction without writes is used, since a read may return older rows.
         """
+        version = self.leadership.version
         try:
             outcome = await self.store.commit(
-                {directories.COORDINATOR_KEY: self.leadership.version}, {}
+                {directories.COORDINATOR_KEY: version}, {}
             )
         finally:
             self.confirmation = None
         if isinstance(outcome, result.Failure):
             failure = outcome.failure()
             events.warning("term_unconfirmed", failure=failure)
-            if isinstance(failure, errors.Conflict):
-                # Another coordinator, or a row that a restored store numbers anew.
-                await feeds.read_fleet_table(self.store, self.directory)
+            if isinstance(failure, errors.Conflict) and await feeds.read_fleet_table(
+                self.store, self.directory
+            ):
+                # In a new era, the row of this term may have another version.
                 self.follow_leadership()
+                self.deposed = self.deposed or self.leadership.version == version
             return False
         return True
 
