Keep a new connection local until the term is confirmed

Seen by nobody: a release that showed the target's end while the term was being confirmed closed the connection under the grant that waited for it, whose task then failed with an AttributeError. Only targets with a start time have their term confirmed.

--- a/packages/fleet/dewstep_fleet/target_orders.py
+++ b/packages/fleet/dewstep_fleet/target_orders.py
@@ -80,8 +80,8 @@
         target, holding, handover
             As `model.GrantConnection.grant`; `holding` has its generation number.
         is_due : callable, optional
-            Asked when earlier orders have ended and before the order is sent; it is
-            `SKIPPED` if the answer is false.
+            Asked when earlier orders have ended, and again before the order is sent;
+            the result is `SKIPPED` if the answer is false.
 
         Returns
         -------
@@ -160,10 +160,10 @@
         opened = await self.channel.connect(target)
         if isinstance(opened, result.Failure):
             return opened
-        self.connection = opened.unwrap()
-        # The process is known to be the last one only as of now.
-        if target.life and not await self._is_term_confirmed():
+        connection = opened.unwrap()
+        if target.life and not await self._is_term_confirmed(connection):
             return result.Failure(model.TermUnconfirmed(target.name))
+        self.connection = connection
         self.numbering.begin_connection()
         events.info(
             "order_connection",
@@ -174,14 +174,18 @@
         )
         return result.Success(None)
 
-    async def _is_term_confirmed(self) -> bool:
-        """Whether the term is confirmed; otherwise, closes the new connection."""
+    async def _is_term_confirmed(self, connection: model.GrantConnection) -> bool:
+        """Whether the term is confirmed; otherwise, close the new connection.
+
+        Only a confirmation from after the connection was opened counts: until then,
+        another coordinator could have sent higher numbers to an earlier process.
+        """
         confirmed = False
         try:
             confirmed = await self.confirm_term(self.clock.monotonic())
         finally:
             if not confirmed:
-                self.close()
+                connection.close()
         return confirmed
 
     async def _send_grant(
--- a/packages/fleet/dewstep_fleet/target_orders_test.py
+++ b/packages/fleet/dewstep_fleet/target_orders_test.py
@@ -73,6 +73,20 @@
     assert sender.list_numbers() == [1_000]
 
 
+@testing.run_in_event_loop
+async def test_process_may_end_while_the_term_is_confirmed():
+    # Guards against a task that fails because the connection was closed meanwhile.
+    sender = Sender()
+
+    async def record_end(since):
+        sender.orders.record_process_end()
+        return True
+
+    sender.orders.confirm_term = record_end
+    assert (await sender.grant()).unwrap() is None
+    assert sender.list_numbers() == [1_000]
+
+
 @pytest.mark.parametrize("order", ["grant", "release"])
 @testing.run_in_event_loop
 async def test_grants_end_with_their_process(order):
