Log the grants of each range of a previous incarnation

Seen by engineers: after a restart under the same name, `ownership_ended` said for all ranges but the first that no grants were left, which is the line that tells a forgotten incarnation from other causes.

Cause: the times were handed over to the new incarnation inside the loop over its ranges, after the first line. All lines are written first now, and the times are handed over once for each earlier incarnation instead of once a range.

Ruled out: that the times themselves were lost; the second hand-over had nothing left to hand over.

Before: the new test failed.

--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -677,14 +677,13 @@
         ]
         if not await self.transfer(service, changes):
             return
+        successor = self.get_grant_state(TargetIncarnation(target.name, target.life))
         for item in holdings:
             self.log_previous_incarnation(service, item, target)
-            previous = TargetIncarnation(item.target, item.life)
-            if previous in self.grant_states and item.life != target.life:
-                successor = TargetIncarnation(target.name, target.life)
-                self.get_grant_state(successor).orders.take_over(
-                    self.grant_states[previous].orders
-                )
+        for life in {item.life for item in holdings} - {target.life}:
+            previous = self.grant_states.get(TargetIncarnation(target.name, life))
+            if previous is not None:
+                successor.orders.take_over(previous.orders)
         events.info("target_restarted", target=target.name, life=target.life)
         await self.grant_new(service, target, changes, "")
 
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -650,6 +650,26 @@
     run_scenario(scenario)
 
 
+def test_each_range_of_a_previous_incarnation_is_logged_with_its_grants(monkeypatch):
+    # Guards against a log in which only the first range has outstanding grants.
+    log = event_capture.EventCapture(monkeypatch)
+
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        granter = harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        (held,) = granter.list_owned("history", "a")
+        part = ranges.Transfer(held.first, held.first + 99, "a", 1)
+        assert await granter.transfer("history", [part])
+        harness.restart(builders.build_target("a", life=2))
+        await harness.run(4 * STEP)
+        ended = log.find("ownership_ended", target="a", life=1, new_life=2)
+        assert len(ended) == 2
+        assert all(fields["grants_left"] for fields in ended)
+
+    run_scenario(scenario)
+
+
 def test_inherited_grants_and_changes_of_the_duration_are_logged(monkeypatch):
     log = event_capture.EventCapture(monkeypatch)
 
