Look up one range when an order asks whether it is still due

Cause: whether a range is held was found by listing all ranges of its target, which scans all ranges of the service.

Change: the range is looked up by its first key, and the loop that leaves out ranges being moved, which stood three times, is one method. `list_held` has no caller left.

--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -524,9 +524,10 @@
         """Renew each range that a target owns."""
         try:
             began = self.clock.monotonic()
-            held = self.list_held(service, target.name)
+            owned = self.list_owned(service, target.name)
+            held = self.exclude_moving(service, owned)
             # A range that is being moved is not renewed.
-            complete = held == self.list_owned(service, target.name)
+            complete = held == owned
             for holding in held:
                 outcome = await self.renew_holding(service, target, holding)
                 if isinstance(outcome, result.Failure):
@@ -548,12 +549,13 @@
         holdings = self.directory.ownerships[service].holdings
         return tuple(item for item in holdings if item.target == target)
 
-    def list_held(self, service: str, target: str) -> tuple[model.Holding, ...]:
-        """Return the ranges of a target that are not being moved."""
-        held = self.list_owned(service, target)
+    def exclude_moving(
+        self, service: str, holdings: tuple[model.Holding, ...]
+    ) -> tuple[model.Holding, ...]:
+        """Return the parts of `holdings` that are not being moved."""
         for first, last in self.moving.get(service, ()):
-            held = ranges.exclude_range(held, first, last)
-        return held
+            holdings = ranges.exclude_range(holdings, first, last)
+        return holdings
 
     async def renew_holding(
         self, service: str, target: model.Target, holding: model.Holding
@@ -611,7 +613,8 @@
 
     def is_held(self, service: str, holding: model.Holding) -> bool:
         """Whether a range is still owned by its target and not being moved."""
-        return holding in self.list_held(service, holding.target)
+        found = self.directory.ownerships[service].find(holding.first)
+        return found is not None and holding in self.exclude_moving(service, (found,))
 
     async def renumber(self, service: str, holding: model.Holding) -> None:
         """Read the store after a renewal that needs a higher number.
@@ -721,10 +724,7 @@
         With `release`, the owner is first asked to release them; without it, its grants
         must have expired.
         """
-        moving = self.moving.get(service, [])
-        remaining = holdings
-        for first, last in moving:
-            remaining = ranges.exclude_range(remaining, first, last)
+        remaining = self.exclude_moving(service, holdings)
         if not remaining or not self.can_move():
             return
         demand = self.get_demand(service)
@@ -976,9 +976,7 @@
         max_new_moves = max_concurrent - len(moving)
         if max_new_moves <= 0:
             return
-        held = self.directory.ownerships[service].holdings
-        for first, last in moving:
-            held = ranges.exclude_range(held, first, last)
+        held = self.exclude_moving(service, self.directory.ownerships[service].holdings)
         recently_moved = frozenset(
             key for name, key in self.movable_after if name == service
         )
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -582,7 +582,7 @@
         harness.targets.down.add("a")
         await harness.run(granting.RENEWAL_INTERVAL + 2 * STEP)
         target = harness.coordinators[0].directory.targets["a"]
-        (holding,) = granter.list_held("history", "a")
+        (holding,) = granter.list_owned("history", "a")
         granter.mark_moving("history", [(holding.first, holding.last)])
         state = granter.get_grant_state(granting.TargetIncarnation("a", 1))
         failures = state.failures
