State each majority rule of the coordinator once

Cause: who reports recently was worked out in can_lead_without_store, in is_followed and for the number of live instances, and the majority of the members in may_send_long_grants and get_inherited_grant_time_left; the parts of the change that added them were written side by side.

Change: list_recent_reports, list_followers and is_majority, each used by the others. The conditions are the same: an instance always counts itself once, and its own report is recent whenever live instances are counted.

Measured: 43 passed in coordination_test.py, coordination_restore_test.py and process_test.py, tests unchanged.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -12,7 +12,7 @@
 import asyncio
 import datetime
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 from returns import result
 
@@ -543,21 +543,29 @@
             return False
         return self.table_feeds.has_recent_answer(STORE_ANSWER_MAX_AGE)
 
-    def can_lead_without_store(self) -> bool:
-        """Whether most instances send reports and none of them reaches the store."""
-        if not self.coordinating:
-            return False
-        now = self.clock.monotonic()
-        recent = {
-            node: item
-            for node, item in self.reports.items()
-            if now - item.received_at <= REPORT_MAX_AGE
+    def list_recent_reports(self) -> dict[str, Report]:
+        """Return the reports that have just been received, by node."""
+        oldest = self.clock.monotonic() - REPORT_MAX_AGE
+        return {
+            node: report
+            for node, report in self.reports.items()
+            if report.received_at >= oldest
         }
+
+    def list_followers(self) -> set[str]:
+        """Return the nodes that report to this coordinator, including its own."""
+        return {*self.list_recent_reports(), self.own_member.node}
+
+    def is_followed(self) -> bool:
+        """Whether this instance is the coordinator and most instances report to it."""
         members = max(1, len(self.directory.members))
-        if any(item.reaches_store for item in recent.values()):
-            return False
-        # This instance itself counts also while it has recorded no report of its own.
-        return 2 * len({*recent, self.own_member.node}) > members
+        return self.coordinating and 2 * len(self.list_followers()) > members
+
+    def can_lead_without_store(self) -> bool:
+        """Whether most instances send reports and none of them reaches the store."""
+        return self.is_followed() and not any(
+            report.reaches_store for report in self.list_recent_reports().values()
+        )
 
     def may_send_long_grants(self) -> bool:
         """Whether most members know of long grants sent now.
@@ -572,21 +580,12 @@
         informed = {
             node for node, item in self.reports.items() if item.heartbeat_ms >= oldest
         }
-        informed.add(self.own_member.node)
-        members = {*self.directory.members, self.own_member.node}
-        return 2 * len(informed & members) > len(members)
+        return self.is_majority({*informed, self.own_member.node})
 
-    def is_followed(self) -> bool:
-        """Whether this instance is the coordinator and most instances report to it."""
-        now = self.clock.monotonic()
-        followers = [
-            node
-            for node, report in self.reports.items()
-            if node != self.own_member.node
-            and now - report.received_at <= REPORT_MAX_AGE
-        ]
-        members = max(1, len(self.directory.members))
-        return self.coordinating and 2 * (len(followers) + 1) > members
+    def is_majority(self, nodes: Set[str]) -> bool:
+        """Whether nodes are more than half of the members, of which this one is one."""
+        members = {*self.directory.members, self.own_member.node}
+        return 2 * len(nodes & members) > len(members)
 
     # Links.
 
@@ -690,10 +689,7 @@
             self.announcing_since = None
         elif self.announcing_since is None:
             self.announcing_since = to_milliseconds(now)
-        self.live_instances = 1 + sum(
-            now - item.received_at <= REPORT_MAX_AGE for item in self.reports.values()
-        )
-        self.live_instances -= self.own_member.node in self.reports
+        self.live_instances = len(self.list_followers())
         totals = self.sum_loads()
         self.loads.apply_totals(totals, now.total_seconds())
         crashes, self.unsent_crashes = tuple(self.unsent_crashes), []
@@ -810,8 +806,7 @@
         if self.unaware_until <= now:
             informants.add(self.own_member.node)
         max_duration = self.granter.timing.max_grant_duration
-        members = {*self.directory.members, self.own_member.node}
-        if 2 * len(informants & members) <= len(members):
+        if not self.is_majority(informants):
             return max_duration
         time_left = max(self.long_grants_until - now, datetime.timedelta())
         return min(time_left, max_duration)
