--- a/packages/core/dewstep_core/http/answer_heads.py
+++ b/packages/core/dewstep_core/http/answer_heads.py
@@ -8,6 +8,9 @@
 
 import h11
 
+MAXIMUM_HEAD_BYTES = 65_536
+MAXIMUM_INFORMATIONAL_ANSWERS = 100
+"""Limit of the informational (1xx) answers before an answer."""
 UNCHECKED_HEAD_BYTES = 1_024
 """Size up to which a complete head is left to h11."""
 STATUS_LINE_PATTERN = b"HTTP/0.0 000"
@@ -19,6 +22,32 @@
 _INVALID_BYTES = re.compile(rb"[\x00\v\f]|\r(?!\n|\Z)")
 
 
+def check_next_head(http: h11.Connection) -> None:
+    """Check what a client's connection has received of the next head, if one is due.
+
+    Raises
+    ------
+    h11.RemoteProtocolError
+        As `check_head`, with the limit `MAXIMUM_HEAD_BYTES`.
+    """
+    if http.their_state is h11.SEND_RESPONSE:
+        check_head(http.trailing_data[0], MAXIMUM_HEAD_BYTES)
+
+
+def check_informational_answers(count: int) -> None:
+    """Check the number of informational answers before an answer.
+
+    Raises
+    ------
+    h11.RemoteProtocolError
+        If it exceeds the limit.
+    """
+    if count > MAXIMUM_INFORMATIONAL_ANSWERS:
+        raise h11.RemoteProtocolError(
+            f"more than {MAXIMUM_INFORMATIONAL_ANSWERS} informational answers"
+        )
+
+
 def check_head(received: bytes, maximum_bytes: int) -> None:
     """Check the received part of a head, which further bytes may follow.
 
--- a/packages/core/dewstep_core/http/client.py
+++ b/packages/core/dewstep_core/http/client.py
@@ -18,9 +18,6 @@
 DEFAULT_CONNECTION_LIMIT = 8
 """Default limit on the open connections of a client."""
 MAXIMUM_ANSWER_BODY_BYTES = 64 * 1024 * 1024
-MAXIMUM_HEAD_BYTES = 64 * 1024
-MAXIMUM_INFORMATIONAL_ANSWERS = 100
-"""Limit of the informational (1xx) answers before an answer."""
 MAXIMUM_READ_AHEAD_BYTES = 128 * 1024
 """Reading pauses while more bytes are buffered that have not been parsed."""
 MAXIMUM_EVENTS_PER_TURN = 128
@@ -54,7 +51,7 @@
 
     def __init__(self):
         self.http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAXIMUM_HEAD_BYTES
+            h11.CLIENT, max_incomplete_event_size=answer_heads.MAXIMUM_HEAD_BYTES
         )
         self.transport: asyncio.Transport | None = None
         self.received = bytearray()
@@ -131,10 +128,7 @@
         informational_answers = 0
         while isinstance(head, h11.InformationalResponse):
             informational_answers += 1
-            if informational_answers > MAXIMUM_INFORMATIONAL_ANSWERS:
-                raise h11.RemoteProtocolError(
-                    f"more than {MAXIMUM_INFORMATIONAL_ANSWERS} informational answers"
-                )
+            answer_heads.check_informational_answers(informational_answers)
             head = await self.next_event()
         if not isinstance(head, h11.Response):
             raise ConnectionResetError(
@@ -158,9 +152,7 @@
             self.events_until_pause = MAXIMUM_EVENTS_PER_TURN
             await asyncio.sleep(0)
         while True:
-            if self.http.their_state is h11.SEND_RESPONSE:
-                received = self.http.trailing_data[0]
-                answer_heads.check_head(received, MAXIMUM_HEAD_BYTES)
+            answer_heads.check_next_head(self.http)
             event = self.http.next_event()
             if event is not h11.NEED_DATA:
                 return event
@@ -197,9 +189,37 @@
         )
 
 
-def format_host(host: str, port: int) -> str:
-    """Return the value of the Host header for an address."""
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+def encode_json(value: Any) -> bytes:
+    """Return `value` as a JSON body."""
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def build_request(
+    address: settings.Address,
+    method: str,
+    path: str,
+    body: bytes,
+    headers: Iterable[tuple[str, str]],
+) -> h11.Request:
+    """Return the head of a request to the server at an address."""
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    all_headers = [("Host", f"{host}:{address.port}"), *headers]
+    if body or method in ("POST", "PUT"):
+        all_headers.append(("Content-Length", str(len(body))))
+    return h11.Request(method=method, target=path, headers=all_headers)
+
+
+async def open_connection(address: settings.Address) -> ClientConnection:
+    """Open a connection to a server.
+
+    Raises
+    ------
+    OSError
+        If it cannot be opened.
+    """
+    loop = asyncio.get_running_loop()
+    _, connection = await loop.create_connection(ClientConnection, *address)
+    return connection
 
 
 class Client:
@@ -226,7 +246,7 @@
     ):
         self.address = address
         self.timeout = timeout
-        self.headers = (("Host", format_host(*address)), *headers)
+        self.headers = tuple(headers)
         self.connection_slots = asyncio.Semaphore(connections)
         self.idle_connections: list[ClientConnection] = []
         self.closed = False
@@ -265,7 +285,9 @@
                 asyncio.timeout(self.timeout if timeout is None else timeout),
                 self.connection_slots,
             ):
-                request = self.build_request(method, path, body, headers)
+                request = build_request(
+                    self.address, method, path, body, (*self.headers, *headers)
+                )
                 connection = await self.get_connection()
                 sent = True
                 response = await connection.exchange(request, body)
@@ -283,24 +305,15 @@
                 connection.close()
 
     async def call_json(
-        self, method: str, path: str, value: Any, timeout: float | None = None
-    ) -> result.Result[Response, Failure]:
-        """Call with `value` as JSON body; see `call`."""
-        body = json.dumps(value, separators=(",", ":")).encode()
-        return await self.call(method, path, body, timeout)
-
-    def build_request(
         self,
         method: str,
         path: str,
-        body: bytes,
-        extra_headers: Iterable[tuple[str, str]],
-    ) -> h11.Request:
-        """Return the head of a request."""
-        headers = [*self.headers, *extra_headers]
-        if body or method in ("POST", "PUT"):
-            headers.append(("Content-Length", str(len(body))))
-        return h11.Request(method=method, target=path, headers=headers)
+        value: Any,
+        timeout: float | None = None,
+        headers: Iterable[tuple[str, str]] = (),
+    ) -> result.Result[Response, Failure]:
+        """Call with `value` as JSON body; see `call`."""
+        return await self.call(method, path, encode_json(value), timeout, headers)
 
     async def get_connection(self) -> ClientConnection:
         """Return an idle connection, or a new one.
@@ -315,9 +328,7 @@
             if connection.usable:
                 return connection
             connection.close()
-        loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(ClientConnection, *self.address)
-        return connection
+        return await open_connection(self.address)
 
     async def close(self) -> None:
         """Close idle connections; calls in progress close theirs when they end."""
--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -18,14 +18,11 @@
 from dewstep_entry import bodies, header_rules, interfaces
 from dewstep_entry.targets import answering, outcome
 
-MAXIMUM_HEAD_BYTES = 65_536
 ANSWER_BUFFER_BYTES = 262_144
 """Unread bytes of an answer above which reading from the socket pauses."""
 WRITE_BUFFER_BYTES = 131_072
 MAXIMUM_EVENTS_PER_TURN = 128
 """Parsed events after which other connections take their turn in the event loop."""
-MAXIMUM_INFORMATIONAL_ANSWERS = 100
-"""Limit of the informational (1xx) answers before an answer."""
 MAXIMUM_SKIPPED_ANSWERS = 16
 MAXIMUM_SKIPPED_BYTES = 4_194_304
 """Limits of the late answers to other requests that are skipped during an exchange."""
@@ -121,7 +118,7 @@
         self.freed = freed
         self.lost = lost
         self.http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAXIMUM_HEAD_BYTES
+            h11.CLIENT, max_incomplete_event_size=answer_heads.MAXIMUM_HEAD_BYTES
         )
         self.transport: asyncio.Transport | None = None
         self.current_exchange: Exchange | None = None
@@ -319,9 +316,7 @@
         for _ in range(MAXIMUM_EVENTS_PER_TURN):
             if exchange is not self.current_exchange:
                 return False
-            if self.http.their_state is h11.SEND_RESPONSE:
-                received = self.http.trailing_data[0]
-                answer_heads.check_head(received, MAXIMUM_HEAD_BYTES)
+            answer_heads.check_next_head(self.http)
             event = self.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return False
@@ -347,10 +342,7 @@
             self._complete_exchange(exchange)
         elif kind is h11.InformationalResponse:
             exchange.informational_answers += 1
-            if exchange.informational_answers > MAXIMUM_INFORMATIONAL_ANSWERS:
-                raise h11.RemoteProtocolError(
-                    f"more than {MAXIMUM_INFORMATIONAL_ANSWERS} informational answers"
-                )
+            answer_heads.check_informational_answers(exchange.informational_answers)
         elif kind is h11.ConnectionClosed:
             self._fail(outcome.Event.CLOSED)
 
@@ -424,7 +416,7 @@
         trailing = self.http.trailing_data[0]
         exchange.skipping_answer = False
         self.http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAXIMUM_HEAD_BYTES
+            h11.CLIENT, max_incomplete_event_size=answer_heads.MAXIMUM_HEAD_BYTES
         )
         # Brings the new parser to the state after sending; nothing is written.
         self.http.send(
