--- a/packages/fleet/dewstep_fleet/builders.py
+++ b/packages/fleet/dewstep_fleet/builders.py
@@ -185,6 +185,24 @@
         return result.Failure(failure) if lost else result.Success(self.version)
 
 
+class FakeFeeds:
+    """Table feeds that lose contact to the store when the test sets `lost_at`."""
+
+    def __init__(self, clock: clocks.Clock):
+        self.clock = clock
+        self.lost_at: datetime.timedelta | None = None
+
+    def is_current(self) -> bool:
+        """Whether the store answers."""
+        return self.lost_at is None
+
+    def has_recent_answer(self, max_age: datetime.timedelta) -> bool:
+        """Whether the store answered at most `max_age` ago."""
+        if self.lost_at is None:
+            return True
+        return self.clock.monotonic() - self.lost_at <= max_age
+
+
 class Process(NamedTuple):
     """One run of a target."""
 
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -22,25 +22,11 @@
 )
 
 STEP = 50 * builders.MILLISECOND
+TARGET_FAULTS = range(8)
+"""Events of a random history that `Harness.cause_target_fault` knows."""
 SETTLING_TIME = granting.REGISTRATION_QUIET_PERIOD + 8 * STEP
 
 
-class FakeFeeds:
-    """Table feeds that lose contact to the store when the test sets `lost_at`."""
-
-    def __init__(self, clock):
-        self.clock = clock
-        self.lost_at = None
-
-    def is_current(self):
-        return self.lost_at is None
-
-    def has_recent_answer(self, max_age):
-        if self.lost_at is None:
-            return True
-        return self.clock.monotonic() - self.lost_at <= max_age
-
-
 class Harness:
     """Coordinators, their store and their targets."""
 
@@ -79,7 +65,7 @@
         known.apply_rows(self.store.rows.values())
         granter = granting.Granter(
             known,
-            FakeFeeds(self.clock),
+            builders.FakeFeeds(self.clock),
             self.store,
             self.targets,
             self.clock,
@@ -104,6 +90,35 @@
         value = directories.encode_record(record)
         return self.store.put(model.TABLES.fleet, directories.COORDINATOR_KEY, value)
 
+    def cause_target_fault(self, event, target, incarnations, generator):
+        """Cause a random event at a target, or end one."""
+        if event == 0:
+            self.targets.unanswering.add(target.name)
+        elif event == 1:
+            self.targets.unanswering.discard(target.name)
+            self.targets.down.discard(target.name)
+        elif event == 2:
+            self.targets.down.add(target.name)
+        elif event == 3:
+            incarnations[target.name] += 1
+            self.targets.down.discard(target.name)
+            self.restart(target._replace(life=incarnations[target.name]))
+        elif event == 4:
+            self.targets.delay_next = generator.randrange(1, 6)
+        elif event == 5:
+            self.targets.apply_delayed()
+        elif event == 6:
+            self.register(target._replace(leaving=True))
+        elif event == 7:
+            self.register(target)
+
+    def heat_keys(self, generator):
+        """Give 200 random adjacent keys most of the requests."""
+        key = generator.randrange(model.KEY_SPACE_SIZE)
+        self.rates = {
+            item % model.KEY_SPACE_SIZE: 0.3 for item in range(key, key + 200)
+        }
+
     async def run(self, duration):
         """Advance time, step all coordinators and check for conflicting owners."""
         end = self.clock.monotonic() + duration
@@ -498,25 +513,8 @@
             name = generator.choice("abcd")
             target = builders.build_target(name, life=incarnations[name])
             event = generator.randrange(12)
-            if event == 0:
-                harness.targets.unanswering.add(name)
-            elif event == 1:
-                harness.targets.unanswering.discard(name)
-                harness.targets.down.discard(name)
-            elif event == 2:
-                harness.targets.down.add(name)
-            elif event == 3:
-                incarnations[name] += 1
-                harness.targets.down.discard(name)
-                harness.restart(target._replace(life=incarnations[name]))
-            elif event == 4:
-                harness.targets.delay_next = generator.randrange(1, 6)
-            elif event == 5:
-                harness.targets.apply_delayed()
-            elif event == 6:
-                harness.register(target._replace(leaving=True))
-            elif event == 7:
-                harness.register(target)
+            if event in TARGET_FAULTS:
+                harness.cause_target_fault(event, target, incarnations, generator)
             elif event == 8:
                 harness.remove(name)
             elif event == 11:
@@ -528,10 +526,7 @@
                     granter.table_feeds.lost_at = harness.clock.monotonic()
                 harness.elect(f"n{len(harness.coordinators) + 1}")
             else:
-                key = generator.randrange(model.KEY_SPACE_SIZE)
-                harness.rates = {
-                    item % model.KEY_SPACE_SIZE: 0.3 for item in range(key, key + 200)
-                }
+                harness.heat_keys(generator)
             await harness.run(generator.choice((1, 3, 10, 30)) * STEP)
 
     run_scenario(scenario)
--- a/packages/fleet/dewstep_fleet/ownership_faults_test.py
+++ b/packages/fleet/dewstep_fleet/ownership_faults_test.py
@@ -54,6 +54,16 @@
     granting_test.run_scenario(scenario)
 
 
+def refuse_confirmations(granter):
+    """Let the store confirm a coordinator's term no more."""
+
+    async def refuse():
+        granter.confirmation = None
+        return False
+
+    granter.check_term = refuse
+
+
 class StaleStore:
     """Store whose reads return the rows of an earlier time."""
 
@@ -155,11 +165,7 @@
         granter = harness.elect("n1")
         await harness.run(granting_test.SETTLING_TIME)
 
-        async def refuse():
-            granter.confirmation = None
-            return False
-
-        granter.check_term = refuse
+        refuse_confirmations(granter)
         began = harness.clock.monotonic()
         granter.table_feeds.lost_at = began
         await harness.run(2 * STEP)
@@ -187,11 +193,7 @@
         harness.targets.restart("a")
         await harness.run(2 * granting.RENEWAL_INTERVAL)
 
-        async def refuse():
-            granter.confirmation = None
-            return False
-
-        granter.check_term = refuse
+        refuse_confirmations(granter)
         harness.register(builders.build_target("a", life=2))
         await harness.run(2 * granting.GRANT_DURATION)
 
@@ -205,11 +207,7 @@
         granter = harness.elect("n1")
         await harness.run(granting_test.SETTLING_TIME)
 
-        async def refuse():
-            granter.confirmation = None
-            return False
-
-        granter.check_term = refuse
+        refuse_confirmations(granter)
         for state in granter.grant_states.values():
             state.orders.close()
         await harness.run(granting.RENEWAL_INTERVAL + 5 * STEP)
@@ -370,10 +368,7 @@
         self.harness.remove(self.names[place])
 
     def cause_hot_keys(self, place):
-        key = self.generator.randrange(model.KEY_SPACE_SIZE)
-        self.harness.rates = {
-            item % model.KEY_SPACE_SIZE: 0.3 for item in range(key, key + 200)
-        }
+        self.harness.heat_keys(self.generator)
 
     def cause_read_restart(self, place):
         self.lives[place] += 1
--- a/packages/fleet/dewstep_fleet/store_restore_test.py
+++ b/packages/fleet/dewstep_fleet/store_restore_test.py
@@ -59,7 +59,6 @@
     def elect(self, node):
         granter = super().elect(node)
         granter.store = ReachableStore(self.store, granter.table_feeds)
-        granter.table_feeds.store = granter.store
         return granter
 
     def register(self, target):
@@ -319,25 +318,8 @@
             name = generator.choice("abcd")
             target = builders.build_target(name, life=incarnations[name])
             event = generator.randrange(15)
-            if event == 0:
-                harness.targets.unanswering.add(name)
-            elif event == 1:
-                harness.targets.unanswering.discard(name)
-                harness.targets.down.discard(name)
-            elif event == 2:
-                harness.targets.down.add(name)
-            elif event == 3:
-                incarnations[name] += 1
-                harness.targets.down.discard(name)
-                harness.restart(target._replace(life=incarnations[name]))
-            elif event == 4:
-                harness.targets.delay_next = generator.randrange(1, 6)
-            elif event == 5:
-                harness.targets.apply_delayed()
-            elif event == 6:
-                harness.register(target._replace(leaving=True))
-            elif event == 7:
-                harness.register(target)
+            if event in granting_test.TARGET_FAULTS:
+                harness.cause_target_fault(event, target, incarnations, generator)
             elif event in (8, 9):
                 harness.store.save_copy()
             elif event in (10, 11):
@@ -352,10 +334,7 @@
                 harness.cut()
                 harness.elect(f"n{len(harness.coordinators) + 1}")
             else:
-                key = generator.randrange(model.KEY_SPACE_SIZE)
-                harness.rates = {
-                    item % model.KEY_SPACE_SIZE: 0.3 for item in range(key, key + 200)
-                }
+                harness.heat_keys(generator)
             await harness.run(generator.choice((1, 3, 10, 30)) * STEP)
         harness.targets.unanswering.clear()
         harness.targets.down.clear()
