--- a/packages/core/dewstep_core/http/client.py
+++ b/packages/core/dewstep_core/http/client.py
@@ -194,16 +194,17 @@
     return json.dumps(value, separators=(",", ":")).encode()
 
 
+def build_host_header(address: settings.Address) -> tuple[str, str]:
+    """Return the Host header of requests to the server at an address."""
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    return ("Host", f"{host}:{address.port}")
+
+
 def build_request(
-    address: settings.Address,
-    method: str,
-    path: str,
-    body: bytes,
-    headers: Iterable[tuple[str, str]],
+    method: str, path: str, body: bytes, headers: Iterable[tuple[str, str]]
 ) -> h11.Request:
-    """Return the head of a request to the server at an address."""
-    host = f"[{address.host}]" if ":" in address.host else address.host
-    all_headers = [("Host", f"{host}:{address.port}"), *headers]
+    """Return the head of a request; `headers` include Host."""
+    all_headers = [*headers]
     if body or method in ("POST", "PUT"):
         all_headers.append(("Content-Length", str(len(body))))
     return h11.Request(method=method, target=path, headers=all_headers)
@@ -246,7 +247,7 @@
     ):
         self.address = address
         self.timeout = timeout
-        self.headers = tuple(headers)
+        self.headers = (build_host_header(address), *headers)
         self.connection_slots = asyncio.Semaphore(connections)
         self.idle_connections: list[ClientConnection] = []
         self.closed = False
@@ -285,9 +286,7 @@
                 asyncio.timeout(self.timeout if timeout is None else timeout),
                 self.connection_slots,
             ):
-                request = build_request(
-                    self.address, method, path, body, (*self.headers, *headers)
-                )
+                request = build_request(method, path, body, (*self.headers, *headers))
                 connection = await self.get_connection()
                 sent = True
                 response = await connection.exchange(request, body)
