Show two owners after a lost restart at another address

Suspected by reading: a target that restarted under its name at another address in the seconds that a restore lost.

Cause: the coordinator that knows of the restart writes the owners again, with the new incarnation, and fails. Its successor reads these and the older registration. It takes the older incarnation for a restart, grants the keys at the old address and, as another target answers there, regards all grants of the owner as ended.

It cannot happen if the coordinator that knows of the restart goes on, or if the owners were not written again: the successor waits for unknown grants. These two cases stay as guards.

--- a/packages/fleet/dewstep_fleet/suspected_faults_test.py
+++ b/packages/fleet/dewstep_fleet/suspected_faults_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import pytest
 from returns import result
 
 from dewstep_core import errors
@@ -12,10 +13,17 @@
     coordination,
     coordination_test,
     granting,
+    granting_test,
     links,
+    model,
     outstanding,
+    store_restore_test,
 )
 
+STEP = granting_test.STEP
+SETTLING_TIME = granting_test.SETTLING_TIME
+INHERITED_TIME = store_restore_test.INHERITED_TIME
+
 
 class PartialChannel:
     """Access to the targets from a place that reaches only some of them."""
@@ -82,3 +90,94 @@
         while time.monotonic() < end:
             assert harness.targets.find_conflict() is None
             await asyncio.sleep(0.02)
+
+
+class AddressedTargets(builders.FakeTargets):
+    """Targets that are reached at the address of their process only."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.ports = {}
+        """Port of each target that does not listen at the usual one."""
+        self.occupants = {}
+        """Target that listens at each port that another one has left."""
+
+    def move(self, target, port, occupant):
+        """Restart a target at another port; `occupant` now has the previous one."""
+        self.restart(target.name)
+        self.occupants[target.port] = occupant
+        self.ports[target.name] = port
+
+    def is_reached(self, target):
+        """Whether a target listens at its registered address."""
+        return target.port == self.ports.get(target.name, target.port)
+
+    async def connect(self, target):
+        if self.is_reached(target):
+            return await super().connect(target)
+        process = self.get_process(self.occupants[target.port])
+        return result.Success(builders.FakeConnection(self, target, process))
+
+    async def release(self, target, holding):
+        if self.is_reached(target):
+            return await super().release(target, holding)
+        return result.Failure(model.TargetReplaced(target.name))
+
+
+async def move_target(harness):
+    """Restart target "a" at another address, of which the copy does not know."""
+    harness.store.save_copy()
+    earlier = builders.build_target("a")
+    harness.targets.move(earlier, 81, "c")
+    harness.register(earlier._replace(life=2, port=81))
+    await harness.run(builders.SECOND)
+    assert harness.count_held() == model.KEY_SPACE_SIZE
+
+
+def build_addressed(harnesses):
+    harness = store_restore_test.build_harness(harnesses, "a", "b")
+    harness.targets = AddressedTargets(harness.clock)
+    return harness
+
+
+# Guards against two owners after the store has lost a target's restart at another
+# address, which the coordinator knows.
+def test_coordinator_keeps_a_restart_that_the_store_has_lost():
+    async def scenario(harnesses):
+        harness = build_addressed(harnesses)
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        await move_target(harness)
+        await harness.restore()
+        await harness.run(2 * builders.SECOND)
+        harness.write_again()
+        await harness.run(4 * builders.SECOND)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+# Guards against two owners after the store has lost a target's restart at another
+# address, of which its next coordinator does not know, before or after its predecessor
+# has written the owners again.
+@pytest.mark.parametrize("written_again", [False, True])
+def test_target_at_a_lost_address_keeps_its_grants(written_again):
+    async def scenario(harnesses):
+        harness = build_addressed(harnesses)
+        first = harness.elect("n1")
+        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        await move_target(harness)
+        if not written_again:
+            harness.cut()
+        await harness.restore()
+        await harness.run(STEP)
+        first.tasks.cancel()
+        first.deposed = True
+        harness.elect("n2")
+        await harness.run(INHERITED_TIME + 2 * granting.GRANT_DURATION)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+        harness.write_again()
+        await harness.run(2 * granting.GRANT_DURATION)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
