Grant nothing at a registration that is older than its owner

Cause: any other start time than that of the owner counted as a restart, also an earlier one, which the store returns after a restore or in an older read. The answer of another target at the old address then ended the grants of the process at the present one.

Change: until a registration is read that is at least as new as the owner, the keys wait; once all grants of the owner have expired, they are moved.

--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -495,6 +495,14 @@
         if registered is not None and registered.service != service:
             registered = None
         if registered is not None and not registered.leaving:
+            newest = max(incarnations)
+            if registered.life < newest:
+                # The address of the owner is unknown: the store has lost its newer
+                # registration or returns older rows.
+                owner = self.get_grant_state(TargetIncarnation(target, newest))
+                if now >= owner.orders.outstanding.expiry:
+                    self.evacuate(service, holdings, release=False)
+                return
             if incarnations != {registered.life}:
                 self.spawn_unless_moving(
                     service, holdings, self.regrant(service, registered, holdings)
