Show two owners after outdated answers have confirmed a term

Suspected by reading: watches of the store that are some seconds old let a coordinator believe for so long that its term goes on.

Cause: a watch confirms the term at the time at which it was sent, whatever copy answers it. A coordinator that reads 3 s late and then loses the store renews for 6 s after it was replaced; its successor waits for 3 s, the time of an order and 2.7 s. If it knows of no long grants, nothing covers the difference.

It needs a target that only the deposed coordinator reaches, and no link between the deposed coordinator and most instances, whose newer term would end its own.

Not mended: only a transaction confirms a term, so that each second without one would need an empty transaction (check_term), one write call per second.

--- a/packages/fleet/dewstep_fleet/suspected_faults_test.py
+++ b/packages/fleet/dewstep_fleet/suspected_faults_test.py
@@ -17,6 +17,7 @@
     links,
     model,
     outstanding,
+    ownership_faults_test,
     store_restore_test,
 )
 
@@ -92,6 +93,34 @@
             await asyncio.sleep(0.02)
 
 
+def elect_without_contact(harness, *unreachable):
+    """Elect a coordinator that does not reach some targets nor its predecessor.
+
+    Most members voted for it, and none of them knows of long grants.
+    """
+    successor = harness.elect("n2")
+    successor.channel = PartialChannel(harness.targets, *unreachable)
+    successor.get_inherited_grant_time_left = lambda: 0 * builders.SECOND
+    return successor
+
+
+# Guards against two owners after outdated answers of the store have confirmed the term
+# of a coordinator that was replaced.
+def test_outdated_answers_do_not_prolong_a_term():
+    async def scenario(harnesses):
+        harness = granting_test.build_harness(harnesses, "a", "b")
+        deposed = harness.elect("n1")
+        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        deposed.store = ownership_faults_test.StaleStore(harness.store)
+        elect_without_contact(harness, "a")
+        await harness.run(3 * builders.SECOND)
+        deposed.table_feeds.lost_at = harness.clock.monotonic()
+        await harness.run(INHERITED_TIME)
+        assert harness.find_owners() == {"b"}
+
+    granting_test.run_scenario(scenario)
+
+
 class AddressedTargets(builders.FakeTargets):
     """Targets that are reached at the address of their process only."""
 
