Show a number given twice after a write under versions of an earlier era

Suspected by reading: a coordinator that has not noticed a restore writes rows under an expected version that the new era happens to assign to the same row again.

Cause: the store checks versions without their era. The write of such a coordinator takes effect if the rows of the coordinator and of the ranges have the same versions again; only its own answer counts as lost.

Shown: it replaces the owners of its successor with those of the earlier era. If the successor goes on, it knows the higher numbers and writes its owners again; this case stays as a guard.

Not mended: a transaction would have to expect a row that no other era can have, such as one named by the term and the incarnation, which the next claim removes.

--- a/packages/fleet/dewstep_fleet/suspected_faults_test.py
+++ b/packages/fleet/dewstep_fleet/suspected_faults_test.py
@@ -12,12 +12,14 @@
     builders,
     coordination,
     coordination_test,
+    directories,
     granting,
     granting_test,
     links,
     model,
     outstanding,
     ownership_faults_test,
+    ranges,
     store_restore_test,
 )
 
@@ -210,3 +212,77 @@
         assert harness.count_held() == model.KEY_SPACE_SIZE
 
     granting_test.run_scenario(scenario)
+
+
+class PlatformStore:
+    """One coordinator's access to the platform's store, which does not check eras.
+
+    Versions are sent without their era, which the coordinator learns from answers.
+    """
+
+    def __init__(self, store):
+        self.store = store
+        self.era_floor = model.get_era_floor(store.version)
+
+    async def read_table(self, table):
+        self.era_floor = model.get_era_floor(self.store.version)
+        return await self.store.read_table(table)
+
+    async def commit(self, expected, writes):
+        sent_floor = self.era_floor
+        self.era_floor = model.get_era_floor(self.store.version)
+        outcome = await self.store.commit(
+            {
+                key: version and self.era_floor + version - sent_floor
+                for key, version in expected.items()
+            },
+            writes,
+        )
+        if isinstance(outcome, result.Success) and self.era_floor != sent_floor:
+            failure = errors.AnswerLost("store restored")
+            return result.Failure(failure)
+        return outcome
+
+
+def get_version(harness, key):
+    """Return the version of a row of the fleet's table without its era."""
+    row = harness.store.rows[model.TABLES.fleet, key]
+    return row.version % model.VERSIONS_PER_ERA
+
+
+# Guards against two owners after a coordinator that was paused while the store was
+# restored has overwritten its successor's owners, whose row has the same version.
+@pytest.mark.parametrize("successor_fails", [False, True])
+def test_owners_written_under_versions_of_an_earlier_era_are_not_used(successor_fails):
+    async def scenario(harnesses):
+        harness = granting_test.build_harness(harnesses, "a", "b")
+        harness.store.save_copy()
+        paused = harness.elect("n1")
+        paused.store = PlatformStore(harness.store)
+        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        harness.coordinators.clear()
+        coordinator_version = get_version(harness, directories.COORDINATOR_KEY)
+        ranges_version = get_version(harness, "ranges/history")
+        harness.store.restore()
+        floor = model.get_era_floor(harness.store.version)
+        harness.store.version = floor + coordinator_version - 1
+        second = harness.elect("n2")
+        harness.store.version = floor + ranges_version - 1
+        await harness.run(INHERITED_TIME + SETTLING_TIME)
+        assert get_version(harness, "ranges/history") == ranges_version
+        change = ranges.Transfer(0, 99, "b", 1)
+        overwriting = asyncio.ensure_future(paused.transfer("history", [change]))
+        await harness.run(STEP)
+        assert isinstance(overwriting.exception(), granting.DeposedError)
+        assert get_version(harness, "ranges/history") > ranges_version
+        if successor_fails:
+            second.tasks.cancel()
+            second.deposed = True
+            harness.elect("n3")
+            await harness.run(INHERITED_TIME)
+        harness.register(builders.build_target("a", leaving=True))
+        await harness.run(2 * granting.GRANT_DURATION)
+        assert harness.find_owners() == {"b"}
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
