Show a crash that is not counted after a restart within milliseconds

Suspected by reading: a target that restarts within 250 ms of a lost connection accepts the connection of the crash check, so that the crash is not counted.

Cause: only a refused connection makes a request suspect. A target that is up again accepts it, and the new start time alone counts nothing.

The check begins at once, so the next process must listen before the first packet arrives: 250 ms is only the time-out.

Not mended: a target that is full resets connections and accepts others. To suspect each of their requests until the next restart would count requests that crashed nothing. The suspicion could be limited to a registration that changes within 2 s.

--- a/packages/fleet/dewstep_fleet/suspected_faults_test.py
+++ b/packages/fleet/dewstep_fleet/suspected_faults_test.py
@@ -13,6 +13,7 @@
     coordination,
     coordination_test,
     directories,
+    dispatch_test,
     granting,
     granting_test,
     links,
@@ -286,3 +287,34 @@
         assert harness.count_held() == model.KEY_SPACE_SIZE
 
     granting_test.run_scenario(scenario)
+
+
+class AcceptedConnection:
+    """Writer of a connection that carries nothing."""
+
+    def close(self):
+        """Do nothing; there is no connection."""
+
+
+# Guards against sending a request on that crashes each target, since the crashes of
+# targets that restart at once are not counted.
+@pytest.mark.parametrize("accepts", [False, True])
+def test_crash_of_a_target_that_restarts_at_once_is_counted(accepts, monkeypatch):
+    async def connect(host, port):
+        if not accepts:
+            raise ConnectionRefusedError
+        return None, AcceptedConnection()
+
+    monkeypatch.setattr(asyncio, "open_connection", connect)
+    harness = dispatch_test.Harness(dispatch_test.lost, keyed=True)
+    handle = harness.dispatcher.handle
+
+    async def handle_and_check(request):
+        answer = await handle(request)
+        await asyncio.sleep(0.05)
+        return answer
+
+    harness.dispatcher.handle = handle_and_check
+    dispatch_test.send_streamed(harness)
+    dispatch_test.restart(harness, 2)
+    assert list(harness.participant.crashes.values()) == [1]
