--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -67,8 +67,8 @@
 class RunningInstance:
     """One instance and its tasks."""
 
-    def __init__(self, harness, node):
-        self.clock = clocks.SystemClock()
+    def __init__(self, harness, node, clock=None):
+        self.clock = clock or clocks.SystemClock()
         if node not in harness.ports:
             with socket.socket() as probe:
                 probe.bind(("127.0.0.1", 0))
