Let only transactions confirm the coordinator's term

Callers saw: two targets hold the same keys for up to 3 s, in a test only.

Cause: any answer to a watch of the fleet's table counted as a confirmation at the time at which the watch was sent, although the answer may be some seconds old. The successor waits for orders that are sent up to 3 s after the last confirmation.

Change: a transaction without writes each second confirms the term, as do answered writes of owners and the answered claim. Transactions without writes may take 1.5 s, since a slow store still confirms what was expected when it was asked.

Tests: test_stale_read_does_not_confirm_the_term delays the regular confirmation, and test_owners_written_under_versions_of_an_earlier_era_are_not_used keeps the store's version in transactions without writes; each would otherwise not reach its condition. The tests' coordinators begin with a confirmed claim, as real ones do.

Cost: one write call per second, of the coordinator alone.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -205,6 +205,8 @@
         self.reports: dict[str, Report] = {}
         self.pending_votes: dict[links.Link, asyncio.Future] = {}
         self.granter_task: asyncio.Task | None = None
+        self.claimed_at: datetime.timedelta | None = None
+        """When the last answered claim of a term was sent, until the term begins."""
         self.tasks = tasks.TaskOwner(self.handle_task_failure)
         self.last_heartbeat_sent_at = now
         self.heartbeat_scheduled = False
@@ -467,11 +469,13 @@
             self.own_member.node, self.own_member.incarnation, term, 0
         )
         value = directories.encode_record(record)
+        began = self.clock.monotonic()
         outcome = await self.store.commit(
             {directories.COORDINATOR_KEY: leadership.version},
             {directories.COORDINATOR_KEY: value},
         )
         if isinstance(outcome, result.Success):
+            self.claimed_at = began
             self.directory.apply_written_row(
                 directories.COORDINATOR_KEY, outcome.unwrap(), value
             )
@@ -500,7 +504,8 @@
         self.reports.clear()
         self.coordinator_link = None
         self.table_feeds.follow(frozenset(model.TABLES), relays=True)
-        self.granter_task = asyncio.ensure_future(self.granter.run())
+        claimed_at, self.claimed_at = self.claimed_at, None
+        self.granter_task = asyncio.ensure_future(self.granter.run(claimed_at))
         events.info(
             "coordinating",
             term=self.term,
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -52,6 +52,9 @@
 MAX_QUEUE_WAIT = datetime.timedelta(milliseconds=300)
 """Maximum wait before a release for queued requests to start, because the release
 removes them from the target's queue."""
+TERM_CONFIRMATION_INTERVAL = datetime.timedelta(seconds=1)
+"""Interval of the transactions that confirm the term, of which two in a row may be lost
+without an effect."""
 STEP_INTERVAL = datetime.timedelta(milliseconds=50)
 PLAN_INTERVAL = datetime.timedelta(milliseconds=250)
 REGISTRATION_QUIET_PERIOD = datetime.timedelta(milliseconds=1500)
@@ -203,16 +206,27 @@
         ] = {}
         self.commit_locks: dict[str, asyncio.Lock] = {}
         self.confirmation: tuple[datetime.timedelta, asyncio.Task] | None = None
-        """Confirmation of the term in progress, and when it began."""
+        """Last confirmation of the term that orders waited for, and when it began."""
+        self.term_confirmed_at: datetime.timedelta | None = None
+        """When the last transaction that confirmed the term was sent."""
+        self.next_confirmation = self.clock.monotonic()
         self.deposed = False
         self.last_duration: datetime.timedelta | None = None
         """Duration of the last grant."""
 
     # Lifecycle.
 
-    async def run(self) -> None:
-        """Grant and move ranges until deposed or cancelled."""
+    async def run(self, claimed_at: datetime.timedelta | None) -> None:
+        """Grant and move ranges until deposed or cancelled.
+
+        Parameters
+        ----------
+        claimed_at : datetime.timedelta or None
+            When the transaction was sent that wrote this instance's row, or None if its
+            answer was lost.
+        """
         self.reset()
+        self.term_confirmed_at = claimed_at
         try:
             while not self.deposed:
                 change_count = self.directory.change_count
@@ -236,6 +250,7 @@
     def step(self) -> None:
         """Start all work that is due."""
         now = self.clock.monotonic()
+        self.confirm_regularly(now)
         self.known_targets.update(self.directory.targets)
         if self.directory.routes is None or not self.may_send_orders():
             return
@@ -262,10 +277,38 @@
         self.follow_leadership()
         if self.deposed:
             return False
-        return (
-            self.table_feeds.has_recent_answer(outstanding.TERM_CONFIRMATION_MAX_AGE)
-            or self.can_lead_without_store()
-        )
+        return self.is_term_confirmed() or self.can_lead_without_store()
+
+    def is_term_confirmed(self) -> bool:
+        """Whether the store has recently confirmed the term in a transaction.
+
+        A read or watch does not confirm it, since its answer may be outdated.
+        """
+        if self.term_confirmed_at is None:
+            return False
+        age = self.clock.monotonic() - self.term_confirmed_at
+        return age <= outstanding.TERM_CONFIRMATION_MAX_AGE
+
+    def confirm_regularly(self, now: datetime.timedelta) -> None:
+        """Let the store confirm the term at regular intervals.
+
+        A transaction does not wait for the answer to the previous one.
+        """
+        if now >= self.next_confirmation and self.table_feeds.is_current():
+            self.next_confirmation = now + TERM_CONFIRMATION_INTERVAL
+            self.tasks.spawn(self.run_confirmation())
+
+    async def run_confirmation(self) -> bool:
+        """Ask the store for a confirmation of the term and record it."""
+        began = self.clock.monotonic()
+        confirmed = await self.check_term()
+        if confirmed:
+            self.record_confirmation(began)
+        return confirmed
+
+    def record_confirmation(self, sent_at: datetime.timedelta) -> None:
+        """Record that a transaction sent at this time has confirmed the term."""
+        self.term_confirmed_at = max(sent_at, self.term_confirmed_at or sent_at)
 
     def follow_leadership(self) -> None:
         """End the term if the newest known row names another coordinator.
@@ -301,9 +344,9 @@
         this one and none of them reaches the store, no other coordinator is elected.
         """
         while not self.deposed and not self.can_lead_without_store():
-            if self.confirmation is None:
+            if self.confirmation is None or self.confirmation[1].done():
                 began = self.clock.monotonic()
-                self.confirmation = began, self.tasks.spawn(self.check_term())
+                self.confirmation = began, self.tasks.spawn(self.run_confirmation())
             began, check = self.confirmation
             confirmed = await asyncio.shield(check)
             if began >= since:
@@ -316,12 +359,7 @@
         A transaction without writes is used, since a read may return older rows.
         """
         version = self.leadership.version
-        try:
-            outcome = await self.store.commit(
-                {directories.COORDINATOR_KEY: version}, {}
-            )
-        finally:
-            self.confirmation = None
+        outcome = await self.store.commit({directories.COORDINATOR_KEY: version}, {})
         if isinstance(outcome, result.Failure):
             failure = outcome.failure()
             events.warning("term_unconfirmed", failure=failure)
@@ -1056,6 +1094,7 @@
             for build in builds:
                 changed = build(changed)
             value = ranges.encode(changed)
+            began = self.clock.monotonic()
             outcome = await self.store.commit(
                 {
                     directories.COORDINATOR_KEY: self.leadership.version,
@@ -1064,6 +1103,7 @@
                 {key: value},
             )
             if isinstance(outcome, result.Success):
+                self.record_confirmation(began)
                 self.directory.apply_written_row(key, outcome.unwrap(), value)
                 return True
             failure = outcome.failure()
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -80,6 +80,7 @@
             lambda: builders.build_timing().max_grant_duration,
             lambda: None,
         )
+        granter.record_confirmation(self.clock.monotonic())
         self.coordinators.append(granter)
         return granter
 
--- a/packages/fleet/dewstep_fleet/ownership_faults_test.py
+++ b/packages/fleet/dewstep_fleet/ownership_faults_test.py
@@ -90,6 +90,8 @@
         deposed = harness.elect("n1")
         await harness.run(granting_test.SETTLING_TIME)
         deposed.store = StaleStore(harness.store)
+        # Its next transaction would depose it.
+        deposed.next_confirmation = harness.clock.monotonic() + 60 * builders.SECOND
         harness.elect("n2")
         process = harness.targets.get_process("a")
         for _ in range(20):
--- a/packages/fleet/dewstep_fleet/suspected_faults_test.py
+++ b/packages/fleet/dewstep_fleet/suspected_faults_test.py
@@ -246,6 +246,20 @@
         return outcome
 
 
+def count_writes_only(store):
+    """Let transactions without writes keep the store's version."""
+    commit = store.commit
+
+    async def commit_writes(expected, writes):
+        version = store.version
+        outcome = await commit(expected, writes)
+        if not writes:
+            store.version = version
+        return outcome
+
+    store.commit = commit_writes
+
+
 def get_version(harness, key):
     """Return the version of a row of the fleet's table without its era."""
     row = harness.store.rows[model.TABLES.fleet, key]
@@ -258,6 +272,7 @@
 def test_owners_written_under_versions_of_an_earlier_era_are_not_used(successor_fails):
     async def scenario(harnesses):
         harness = granting_test.build_harness(harnesses, "a", "b")
+        count_writes_only(harness.store)
         harness.store.save_copy()
         paused = harness.elect("n1")
         paused.store = PlatformStore(harness.store)
