Wait for the previous coordinator until most instances follow the new one

Callers saw: two targets hold the same keys, in a test only.

Cause: a coordinator leads without the store for as long as most instances report to it and none of them reaches the store. Its successor, elected by a minority or cut off from its voters after the election, waited for its grants from the election on.

Change: the times of inherited grants are extended until most instances report to the new coordinator, which shows that they have adopted its term; the old one then ends within the second for which reports count. A store that may have lost owners is waited for from then on, too.

Left: with most machines gone for good, keys of targets that the new coordinator cannot reach stay without an owner.

--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -210,6 +210,8 @@
         self.term_confirmed_at: datetime.timedelta | None = None
         """When the last transaction that confirmed the term was sent."""
         self.next_confirmation = self.clock.monotonic()
+        self.adopted = False
+        """Whether most instances have adopted this term."""
         self.deposed = False
         self.last_duration: datetime.timedelta | None = None
         """Duration of the last grant."""
@@ -251,6 +253,7 @@
         """Start all work that is due."""
         now = self.clock.monotonic()
         self.confirm_regularly(now)
+        self.extend_inherited_grants(now)
         self.known_targets.update(self.directory.targets)
         if self.directory.routes is None or not self.may_send_orders():
             return
@@ -454,7 +457,12 @@
         return generation < era_floor and known_floor != era_floor
 
     async def await_unknown_grants(self, service: str) -> None:
-        """Wait until all grants of coordinators before the store's era have expired."""
+        """Wait until all grants of coordinators before the store's era have expired.
+
+        Until most instances have adopted this term, an earlier coordinator may lead.
+        """
+        while not self.adopted:
+            await self.clock.sleep(STEP_INTERVAL)
         now = self.clock.monotonic()
         grants = outstanding.record_inherited(
             outstanding.build_ended(now),
@@ -488,6 +496,23 @@
             )
             state.orders.record_inherited(max_duration)
 
+    def extend_inherited_grants(self, now: datetime.timedelta) -> None:
+        """Assume further grants of the previous coordinator while it may be followed.
+
+        It leads without the store while most instances report to it. It ends within the
+        time that is assumed for a coordinator without the store once most of them
+        report to this one.
+        """
+        if self.adopted:
+            return
+        self.adopted = self.is_followed()
+        if self.adopted:
+            events.info("term_adopted", term=self.leadership.term)
+        max_duration = max(GRANT_DURATION, self.get_inherited_grant_time_left())
+        for state in self.grant_states.values():
+            if state.orders.outstanding.inherited_until > now:
+                state.orders.record_inherited(max_duration)
+
     def get_long_grant_time_left(self) -> datetime.timedelta:
         """Return the longest remaining time of a grant with more than the usual one."""
         now = self.clock.monotonic()
