--- /dev/null
+++ b/packages/fleet/dewstep_fleet/suspected_faults_test.py
@@ -0,0 +1,371 @@
+"""Tests of ways to two owners that were found by reading the code."""
+
+import asyncio
+import time
+
+import pytest
+from returns import result
+
+from dewstep_core import clocks, errors
+from dewstep_emulator import testing
+from dewstep_fleet import (
+    builders,
+    coordination,
+    coordination_test,
+    directories,
+    dispatch_test,
+    feeds_test,
+    granting,
+    granting_test,
+    links,
+    model,
+    outstanding,
+    ownership_faults_test,
+    ranges,
+    store_restore_test,
+)
+
+STEP = granting_test.STEP
+SETTLING_TIME = granting_test.SETTLING_TIME
+INHERITED_TIME = store_restore_test.INHERITED_TIME
+
+
+class PartialChannel:
+    """Access to the targets from a place that reaches only some of them."""
+
+    def __init__(self, targets, *unreachable):
+        self.targets = targets
+        self.unreachable = unreachable
+
+    async def connect(self, target):
+        if target.name in self.unreachable:
+            failure = errors.TargetUnavailable(target.name, "cut")
+            return result.Failure(failure)
+        return await self.targets.connect(target)
+
+    async def release(self, target, holding):
+        if target.name in self.unreachable:
+            failure = errors.TargetUnavailable(target.name, "cut")
+            return result.Failure(failure)
+        return await self.targets.release(target, holding)
+
+
+def cut_off(harness, monkeypatch, nodes):
+    """Leave the store only to `nodes`, and cut them off from the other instances."""
+    ports = {port: node for node, port in harness.ports.items()}
+    connect = links.connect
+
+    async def connect_within_side(host, port, receive, lose):
+        own_node = receive.__self__.own_member.node
+        if (own_node in nodes) != (ports[port] in nodes):
+            raise TimeoutError
+        return await connect(host, port, receive, lose)
+
+    monkeypatch.setattr(links, "connect", connect_within_side)
+    harness.unreachable.update(set(harness.running) - nodes)
+    for item in harness.running.values():
+        for node, link in list(item.participant.links.items()):
+            if node in nodes:
+                link.close()
+                item.participant._drop_link(link)
+
+
+# Guards against two owners after a minority, which alone reaches the store, has elected
+# a coordinator while most instances follow the previous one.
+@testing.run_in_event_loop
+async def test_minority_takes_no_keys_from_a_followed_coordinator(monkeypatch):
+    monkeypatch.setattr(coordination, "MINORITY_ELECTION_TIMEOUT", 2 * builders.SECOND)
+    timing = builders.build_timing(max_grant_duration=granting.GRANT_DURATION)
+    monkeypatch.setattr(builders, "build_timing", lambda: timing)
+    async with coordination_test.run_fleet("n1", "n2", "n3", "n4", "n5") as harness:
+        first = await coordination_test.wait_coordinator(harness)
+        await coordination_test.wait_until(
+            lambda: harness.targets.list_held("a") and harness.targets.list_held("b")
+        )
+        minority = set(sorted(set(harness.running) - {first})[:2])
+        for node in minority:
+            granter = harness.running[node].participant.granter
+            granter.channel = PartialChannel(harness.targets, "a")
+        cut_off(harness, monkeypatch, minority)
+        await coordination_test.wait_until(
+            lambda: minority & set(harness.find_coordinators())
+        )
+        inherited = outstanding.TERM_CONFIRMATION_MAX_AGE + 2 * granting.GRANT_DURATION
+        end = time.monotonic() + inherited.total_seconds() + 2.0
+        while time.monotonic() < end:
+            assert harness.targets.find_conflict() is None
+            await asyncio.sleep(0.02)
+
+
+def elect_without_contact(harness, *unreachable):
+    """Elect a coordinator that does not reach some targets nor its predecessor.
+
+    Most members voted for it, and none of them knows of long grants.
+    """
+    successor = harness.elect("n2")
+    successor.channel = PartialChannel(harness.targets, *unreachable)
+    successor.get_inherited_grant_time_left = lambda: 0 * builders.SECOND
+    return successor
+
+
+# Guards against two owners after outdated answers of the store have confirmed the term
+# of a coordinator that was replaced.
+def test_outdated_answers_do_not_prolong_a_term():
+    async def scenario(harnesses):
+        harness = granting_test.build_harness(harnesses, "a", "b")
+        deposed = harness.elect("n1")
+        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        deposed.store = ownership_faults_test.StaleStore(harness.store)
+        elect_without_contact(harness, "a")
+        await harness.run(3 * builders.SECOND)
+        deposed.table_feeds.lost_at = harness.clock.monotonic()
+        await harness.run(INHERITED_TIME)
+        assert harness.find_owners() == {"b"}
+
+    granting_test.run_scenario(scenario)
+
+
+class AddressedTargets(builders.FakeTargets):
+    """Targets that are reached at the address of their process only."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.ports = {}
+        """Port of each target that does not listen at the usual one."""
+        self.occupants = {}
+        """Target that listens at each port that another one has left."""
+
+    def move(self, target, port, occupant):
+        """Restart a target at another port; `occupant` now has the previous one."""
+        self.restart(target.name)
+        self.occupants[target.port] = occupant
+        self.ports[target.name] = port
+
+    def is_reached(self, target):
+        """Whether a target listens at its registered address."""
+        return target.port == self.ports.get(target.name, target.port)
+
+    async def connect(self, target):
+        if self.is_reached(target):
+            return await super().connect(target)
+        process = self.get_process(self.occupants[target.port])
+        return result.Success(builders.FakeConnection(self, target, process))
+
+    async def release(self, target, holding):
+        if self.is_reached(target):
+            return await super().release(target, holding)
+        return result.Failure(model.TargetReplaced(target.name))
+
+
+async def move_target(harness):
+    """Restart target "a" at another address, of which the copy does not know."""
+    harness.store.save_copy()
+    earlier = builders.build_target("a")
+    harness.targets.move(earlier, 81, "c")
+    harness.register(earlier._replace(life=2, port=81))
+    await harness.run(builders.SECOND)
+    assert harness.count_held() == model.KEY_SPACE_SIZE
+
+
+def build_addressed(harnesses):
+    harness = store_restore_test.build_harness(harnesses, "a", "b")
+    harness.targets = AddressedTargets(harness.clock)
+    return harness
+
+
+# Guards against two owners after the store has lost a target's restart at another
+# address, which the coordinator knows.
+def test_coordinator_keeps_a_restart_that_the_store_has_lost():
+    async def scenario(harnesses):
+        harness = build_addressed(harnesses)
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        await move_target(harness)
+        await harness.restore()
+        await harness.run(2 * builders.SECOND)
+        harness.write_again()
+        await harness.run(4 * builders.SECOND)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+# Guards against two owners after the store has lost a target's restart at another
+# address, of which its next coordinator does not know, before or after its predecessor
+# has written the owners again.
+@pytest.mark.parametrize("written_again", [False, True])
+def test_target_at_a_lost_address_keeps_its_grants(written_again):
+    async def scenario(harnesses):
+        harness = build_addressed(harnesses)
+        first = harness.elect("n1")
+        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        await move_target(harness)
+        if not written_again:
+            harness.cut()
+        await harness.restore()
+        await harness.run(STEP)
+        first.tasks.cancel()
+        first.deposed = True
+        harness.elect("n2")
+        await harness.run(INHERITED_TIME + 2 * granting.GRANT_DURATION)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+        harness.write_again()
+        await harness.run(2 * granting.GRANT_DURATION)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+class PlatformStore:
+    """One coordinator's access to the platform's store, which does not check eras.
+
+    Versions are sent without their era, which the coordinator learns from answers.
+    """
+
+    def __init__(self, store):
+        self.store = store
+        self.era_floor = model.get_era_floor(store.version)
+
+    async def read_table(self, table):
+        self.era_floor = model.get_era_floor(self.store.version)
+        return await self.store.read_table(table)
+
+    async def commit(self, expected, writes):
+        sent_floor = self.era_floor
+        self.era_floor = model.get_era_floor(self.store.version)
+        outcome = await self.store.commit(
+            {
+                key: version and self.era_floor + version - sent_floor
+                for key, version in expected.items()
+            },
+            writes,
+        )
+        if isinstance(outcome, result.Success) and self.era_floor != sent_floor:
+            failure = errors.AnswerLost("store restored")
+            return result.Failure(failure)
+        return outcome
+
+
+def count_writes_only(store):
+    """Let transactions without writes keep the store's version."""
+    commit = store.commit
+
+    async def commit_writes(expected, writes):
+        version = store.version
+        outcome = await commit(expected, writes)
+        if not writes:
+            store.version = version
+        return outcome
+
+    store.commit = commit_writes
+
+
+def get_version(harness, key):
+    """Return the version of a row of the fleet's table without its era."""
+    row = harness.store.rows[model.TABLES.fleet, key]
+    return row.version % model.VERSIONS_PER_ERA
+
+
+# Guards against two owners after a coordinator that was paused while the store was
+# restored has overwritten its successor's owners, whose row has the same version.
+@pytest.mark.parametrize("successor_fails", [False, True])
+def test_owners_written_under_versions_of_an_earlier_era_are_not_used(successor_fails):
+    async def scenario(harnesses):
+        harness = granting_test.build_harness(harnesses, "a", "b")
+        count_writes_only(harness.store)
+        harness.store.save_copy()
+        paused = harness.elect("n1")
+        paused.store = PlatformStore(harness.store)
+        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        harness.coordinators.clear()
+        coordinator_version = get_version(harness, directories.COORDINATOR_KEY)
+        ranges_version = get_version(harness, "ranges/history")
+        harness.store.restore()
+        floor = model.get_era_floor(harness.store.version)
+        harness.store.version = floor + coordinator_version - 1
+        second = harness.elect("n2")
+        harness.store.version = floor + ranges_version - 1
+        await harness.run(INHERITED_TIME + SETTLING_TIME)
+        assert get_version(harness, "ranges/history") == ranges_version
+        change = ranges.Transfer(0, 99, "b", 1)
+        overwriting = asyncio.ensure_future(paused.transfer("history", [change]))
+        await harness.run(STEP)
+        assert isinstance(overwriting.exception(), granting.DeposedError)
+        assert get_version(harness, "ranges/history") > ranges_version
+        if successor_fails:
+            second.tasks.cancel()
+            second.deposed = True
+            harness.elect("n3")
+            await harness.run(INHERITED_TIME)
+        harness.register(builders.build_target("a", leaving=True))
+        await harness.run(2 * granting.GRANT_DURATION)
+        assert harness.find_owners() == {"b"}
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+class AcceptedConnection:
+    """Writer of a connection that carries nothing."""
+
+    def close(self):
+        """Do nothing; there is no connection."""
+
+
+# Guards against sending a request on that crashes each target, since the crashes of
+# targets that restart at once are not counted.
+@pytest.mark.parametrize("accepts", [False, True])
+def test_crash_of_a_target_that_restarts_at_once_is_counted(accepts, monkeypatch):
+    async def connect(host, port):
+        if not accepts:
+            raise ConnectionRefusedError
+        return None, AcceptedConnection()
+
+    monkeypatch.setattr(asyncio, "open_connection", connect)
+    harness = dispatch_test.Harness(dispatch_test.lost, keyed=True)
+    handle = harness.dispatcher.handle
+
+    async def handle_and_check(request):
+        answer = await handle(request)
+        await asyncio.sleep(0.05)
+        return answer
+
+    harness.dispatcher.handle = handle_and_check
+    dispatch_test.send_streamed(harness)
+    dispatch_test.restart(harness, 2)
+    assert list(harness.participant.crashes.values()) == [1]
+
+
+async def run_beside_gone(live, gone):
+    """Return the rows of the gone instances after others ran for two minutes."""
+    clock = clocks.ManualClock()
+    harness = coordination_test.Harness()
+    rows = []
+    for node in gone:
+        member = model.Member(node, f"{node}-1", "dc-1", "127.0.0.1", 1)
+        key = directories.MEMBER_PREFIX + node
+        harness.store.put(model.TABLES.fleet, key, directories.encode_record(member))
+        rows.append((model.TABLES.fleet, key))
+    running = [coordination_test.RunningInstance(harness, node, clock) for node in live]
+    for item in running:
+        await item.start()
+    await feeds_test.pass_time(clock, 120 * builders.SECOND, 2 * STEP)
+    assert sum(item.participant.coordinating for item in running) == 1
+    for item in running:
+        await item.stop()
+    return [harness.store.rows[name] for name in rows]
+
+
+# Guards against elections of 8 s, and against keys that lose their owners while the
+# store is away, once most registered instances are gone.
+@testing.run_in_event_loop
+async def test_registrations_of_instances_that_are_gone_are_removed():
+    rows = await run_beside_gone(["n1", "n2"], ["n3"])
+    assert [row.value for row in rows] == [None]
+
+
+# Guards against a minority that counts as most instances since the others were removed.
+@testing.run_in_event_loop
+async def test_minority_removes_no_registrations():
+    rows = await run_beside_gone(["n1", "n2"], ["n3", "n4"])
+    assert all(row.value is not None for row in rows)
