Send nothing to a target during a pause that it has asked for

Cause: the Retry-After of a target's 503 was not read, nor a header by which it says that it is leaving.

Change: a connection reports what a target says about itself in an answer, also in a late one to another request; its pool sends nothing during a pause of at most 1 min and answers the requests that wait for a connection. Only a platform whose rules name the headers has them.

--- a/packages/core/dewstep_core/errors.py
+++ b/packages/core/dewstep_core/errors.py
@@ -201,6 +201,14 @@
     reason: str
 
 
+@register_answer(503, NOT_RUN)
+class TargetPaused(NamedTuple):
+    """The target asked for a pause, during which nothing is sent to it."""
+
+    target: str
+    retry_after: datetime.timedelta
+
+
 @register_answer(503, NOT_RUN)
 class QueueFull(NamedTuple):
     """The target's queue holds more requests than can be served in time."""
--- a/packages/entry/dewstep_entry/targets/answering.py
+++ b/packages/entry/dewstep_entry/targets/answering.py
@@ -1,7 +1,19 @@
-"""Headers and statuses by which a target's answer identifies or refuses a request."""
+"""Headers and statuses by which a target's answer identifies or refuses a request.
 
+A target may also say in an answer that it is leaving, or that it wants no requests for
+some time.
+"""
+
+import datetime
+import re
+from collections.abc import Mapping
 from typing import NamedTuple
 
+PAUSE_STATUS = 503
+"""Status of an answer whose Retry-After asks for a pause."""
+MAXIMUM_PAUSE = datetime.timedelta(minutes=1)
+_SECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+
 
 class AnswerRules(NamedTuple):
     """Meaning of headers and statuses in a target's answers; names in lower case."""
@@ -23,6 +35,12 @@
     buffered: bool = False
     """Whether a small answer without an announced length is buffered until it is
     complete, so that a truncated one can still be replaced by a failure."""
+    leaving: bytes = b""
+    """Header with the value "1" in the answers of a leaving target; b"" if there is
+    none."""
+    pause: bytes = b""
+    """Header of an answer with `PAUSE_STATUS` with the seconds for which the target
+    wants no requests; b"" if there is none."""
 
 
 DEWSTEP_RULES = AnswerRules(
@@ -37,6 +55,46 @@
 """Reason of a refusal by another target that has taken over the address."""
 
 
+class Notice(NamedTuple):
+    """What a target has said about itself in an answer."""
+
+    leaving: bool
+    pause: datetime.timedelta
+    """Time for which it wants no requests; zero if it accepts them."""
+
+
+def find_notice(
+    rules: AnswerRules, status: int, fields: Mapping[bytes, bytes], target: str
+) -> Notice | None:
+    """Return what a target says about itself in an answer, or None.
+
+    Parameters
+    ----------
+    rules : AnswerRules
+    status : int
+        Status of the answer.
+    fields : mapping
+        Headers of the answer.
+    target : str
+        Name of the target that the request was sent to.
+    """
+    instance = fields.get(rules.instance)
+    if instance and instance.decode("latin-1") != target:
+        return None
+    leaving = fields.get(rules.leaving) == b"1"
+    pause = datetime.timedelta()
+    if status == PAUSE_STATUS:
+        pause = read_pause(fields.get(rules.pause))
+    return Notice(leaving, pause) if leaving or pause else None
+
+
+def read_pause(value: bytes | None) -> datetime.timedelta:
+    """Return the duration of a pause, at most `MAXIMUM_PAUSE`; zero if invalid."""
+    if value is None or not _SECONDS.fullmatch(value):
+        return datetime.timedelta()
+    return min(datetime.timedelta(seconds=float(value)), MAXIMUM_PAUSE)
+
+
 def find_refusal(
     rules: AnswerRules,
     status: int,
--- /dev/null
+++ b/packages/entry/dewstep_entry/targets/answering_test.py
@@ -0,0 +1,65 @@
+"""Tests of what a target says about itself in its answers."""
+
+import datetime
+
+import pytest
+
+from dewstep_entry.targets import answering
+
+NOTHING = datetime.timedelta()
+SECOND = datetime.timedelta(seconds=1)
+RULES = answering.AnswerRules(
+    b"x-id",
+    b"x-not-run",
+    None,
+    instance=b"x-instance",
+    leaving=b"x-leaving",
+    pause=b"retry-after",
+)
+
+
+# Guards against further requests to a leaving target.
+@pytest.mark.parametrize("status", [200, 421, 500, 503])
+def test_leaving_is_noticed_with_any_status(status):
+    notice = answering.find_notice(RULES, status, {b"x-leaving": b"1"}, "t")
+    assert notice == answering.Notice(True, NOTHING)
+
+
+# Guards against a pause that another status or no status asks for.
+@pytest.mark.parametrize(
+    ("status", "expected"), [(503, 2 * SECOND), (200, None), (429, None)]
+)
+def test_pause_is_noticed_with_its_status_alone(status, expected):
+    notice = answering.find_notice(RULES, status, {b"retry-after": b"2"}, "t")
+    assert (notice and notice.pause) == expected
+
+
+# Guards against a notice of another target, which has taken over the address.
+def test_notice_of_another_target_is_ignored():
+    fields = {b"x-leaving": b"1", b"retry-after": b"2", b"x-instance": b"other"}
+    assert answering.find_notice(RULES, 503, fields, "t") is None
+
+
+# Guards against invalid or excessive durations.
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (b"0.25", SECOND / 4),
+        (b"0", NOTHING),
+        (b"-1", NOTHING),
+        (b"nan", NOTHING),
+        (b"1e9", NOTHING),
+        (b"Fri, 04 Dec 2026 11:00:00 GMT", NOTHING),
+        (b"999999999", answering.MAXIMUM_PAUSE),
+        (b"9" * 1_000, NOTHING),
+        (None, NOTHING),
+    ],
+)
+def test_pause_is_bounded(value, expected):
+    assert answering.read_pause(value) == expected
+
+
+# Guards against notices where a platform has no headers for them.
+def test_rules_without_headers_find_no_notice():
+    fields = {b"": b"1", b"retry-after": b"2"}
+    assert answering.find_notice(answering.DEWSTEP_RULES, 503, fields, "t") is None
--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -104,6 +104,8 @@
         Called with the connection once, when it will never be used again.
     rules : answering.AnswerRules, optional
         How the target's answers identify and refuse requests.
+    on_notice : callable, optional
+        Called with what the target says about itself in the head of an answer.
     """
 
     def __init__(
@@ -112,9 +114,11 @@
         freed: Callable[["Connection"], None],
         lost: Callable[["Connection"], None],
         rules: answering.AnswerRules = answering.DEWSTEP_RULES,
+        on_notice: Callable[[answering.Notice], None] | None = None,
     ):
         self.target = target
         self.rules = rules
+        self.on_notice = on_notice
         self.freed = freed
         self.lost = lost
         self.http = h11.Connection(
@@ -350,6 +354,11 @@
         # Iterating h11 headers is slow, so they are converted once.
         exchange.headers = list(head.headers)
         fields = dict(exchange.headers)
+        if self.on_notice is not None:
+            status = head.status_code
+            notice = answering.find_notice(self.rules, status, fields, self.target)
+            if notice is not None:
+                self.on_notice(notice)
         length = fields.get(b"content-length")
         coding = fields.get(b"transfer-encoding")
         if length is not None and coding is not None:
--- a/packages/entry/dewstep_entry/targets/connection_pool.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool.py
@@ -10,6 +10,7 @@
 import collections
 import contextlib
 import datetime
+from collections.abc import Callable
 
 import h11
 from returns import result
@@ -48,6 +49,9 @@
         How the target's answers identify and refuse requests.
     max_idle_time : datetime.timedelta, optional
         Idle time after which a connection is closed instead of reused.
+    on_notice : callable, optional
+        Called with what the target says about itself in an answer. The pool observes
+        pauses itself.
     """
 
     def __init__(
@@ -60,6 +64,7 @@
         reuse_delay: datetime.timedelta = REUSE_DELAY,
         rules: answering.AnswerRules = answering.DEWSTEP_RULES,
         max_idle_time: datetime.timedelta = MAXIMUM_IDLE_TIME,
+        on_notice: Callable[[answering.Notice], None] | None = None,
     ):
         self.name = name
         self.address = address
@@ -69,6 +74,9 @@
         self.reuse_delay_seconds = reuse_delay.total_seconds()
         self.rules = rules
         self.maximum_idle_seconds = max_idle_time.total_seconds()
+        self.on_notice = on_notice
+        self.paused_until: datetime.timedelta | None = None
+        """End of the last pause that the target has asked for."""
         self.reuse_timer: asyncio.TimerHandle | None = None
         self.idle: collections.deque[connection.Connection] = collections.deque()
         self.open_connections: set[connection.Connection] = set()
@@ -88,9 +96,13 @@
         Returns
         -------
         Result
-            The answer, or `TargetUnavailable` (not sent), `TargetRefused` (not run),
-            `ConnectionLost`, `DeadlineExceeded` or `AnswerInvalid` (unknown).
+            The answer, or `TargetUnavailable` or `TargetPaused` (not sent),
+            `TargetRefused` (not run), `ConnectionLost`, `DeadlineExceeded` or
+            `AnswerInvalid` (unknown).
         """
+        paused = self.find_pause()
+        if paused is not None:
+            return result.Failure(paused)
         target_connection = self._acquire_idle()
         while target_connection is None:
             remaining = (deadline - self.clock.monotonic()).total_seconds()
@@ -101,12 +113,26 @@
             target_connection = None if outcome.is_stale() else outcome
             if target_connection is None:
                 outcome.abort()
+        # The pause may have begun after the connection was assigned.
+        paused = self.find_pause()
+        if paused is not None:
+            self._release_connection(target_connection)
+            return result.Failure(paused)
         remaining = (deadline - self.clock.monotonic()).total_seconds()
         if remaining <= 0:
             self._release_connection(target_connection)
             return result.Failure(self._build_unavailable("the deadline has passed"))
         return await target_connection.exchange(head, body, remaining, request_id)
 
+    def find_pause(self) -> errors.TargetPaused | None:
+        """Return the failure of requests during a pause of the target, or None."""
+        if self.paused_until is None:
+            return None
+        time_left = self.paused_until - self.clock.monotonic()
+        if time_left <= datetime.timedelta():
+            return None
+        return errors.TargetPaused(self.name, time_left)
+
     async def close(self) -> None:
         """Close all connections; requests in progress end as `ConnectionLost`."""
         self.closed = True
@@ -213,6 +239,7 @@
                         self._release_connection,
                         self._remove_connection,
                         self.rules,
+                        self._receive_notice,
                     ),
                     *self.address,
                 )
@@ -277,9 +304,21 @@
         if self.waiters and not self.closed:
             self._start_opening_tasks()
 
+    def _receive_notice(self, notice: answering.Notice) -> None:
+        if notice.pause:
+            until = self.clock.monotonic() + notice.pause
+            self.paused_until = max(until, self.paused_until or until)
+            # Waiting requests are answered now, so that callers can use the time.
+            self._resolve_waiters(self.find_pause())
+        if self.on_notice is not None:
+            self.on_notice(notice)
+
     def _fail_waiters(self, detail: str) -> None:
+        self._resolve_waiters(self._build_unavailable(detail))
+
+    def _resolve_waiters(self, failure) -> None:
         while self.waiters:
-            _resolve_waiter(self.waiters.popleft(), self._build_unavailable(detail))
+            _resolve_waiter(self.waiters.popleft(), failure)
 
     def _build_unavailable(self, reason: str) -> errors.TargetUnavailable:
         return errors.TargetUnavailable(self.name, reason)
