Leave targets alone that are leaving or have asked for a pause

Callers saw: with a target that answers 503 and Retry-After, or Server-Leaving, further requests reached it (6 of 6 in target_notices_test.py of the platform).

Cause: only registrations made a target leaving, and a refusal only lowered its estimate.

Change: unkeyed requests go elsewhere at once; a report tells the coordinator, which moves the keys and tells the others. Requests for keys go to the owner until then, and end 300 ms before the drain time. During a pause, requests that only this target can serve are refused at once with the rest of the pause as Retry-After.

Ruled out: a trial request during a pause; it would cost a caller an attempt and show nothing that the end of the pause does not.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -159,6 +159,8 @@
         there."""
         self.unsent_crashes: list[frames.Crash] = []
         """Crashes for the next heartbeat or report."""
+        self.unsent_departures: list[frames.Departure] = []
+        """Departures of targets for the next heartbeat or report."""
         now = clock.monotonic()
         self.term = 0
         self.initial_read_done = False
@@ -693,6 +695,7 @@
         totals = self.sum_loads()
         self.loads.apply_totals(totals, now.total_seconds())
         crashes, self.unsent_crashes = tuple(self.unsent_crashes), []
+        departures, self.unsent_departures = tuple(self.unsent_departures), []
         deputies = set(self.choose_deputies())
         encoded: dict[tuple, bytes] = {}
         for node, link in list(self.links.items()):
@@ -708,7 +711,9 @@
             kind = (rows, node in deputies)
             if kind not in encoded:
                 # Most members get the same message.
-                frame = self.build_heartbeat(rows, node in deputies, totals, crashes)
+                frame = self.build_heartbeat(
+                    rows, node in deputies, totals, crashes, departures
+                )
                 encoded[kind] = frames.encode(frame)
             if not link.send_encoded(encoded[kind]):
                 self._drop_link(link)
@@ -719,6 +724,7 @@
         deputy: bool,
         totals: tuple[frames.Total, ...] = (),
         crashes: tuple[frames.Crash, ...] = (),
+        departures: tuple[frames.Departure, ...] = (),
     ) -> frames.Frame:
         """Return a heartbeat message."""
         moving = tuple(
@@ -734,6 +740,7 @@
             totals=totals,
             moving=moving,
             crashes=crashes,
+            departures=departures,
             stopping=self.stopping,
             deputy=deputy,
             holds_ms=to_milliseconds(self.get_long_grant_time_left()),
@@ -767,6 +774,7 @@
             loads=self.loads.collect_report(),
             keys=self.take_key_counts(),
             crashes=self.take_crashes(),
+            departures=self.take_departures(),
             stopping=self.stopping,
             heartbeat_ms=0 if self.has_voted_recently() else self.received_heartbeat_ms,
         )
@@ -785,6 +793,13 @@
         crashes, self.unsent_crashes = tuple(self.unsent_crashes), []
         return crashes
 
+    def take_departures(self) -> tuple[frames.Departure, ...]:
+        """Return the departures seen since the last call; none if coordinating."""
+        if self.coordinating:
+            return ()
+        departures, self.unsent_departures = tuple(self.unsent_departures), []
+        return departures
+
     def get_max_long_grant_time(self) -> datetime.timedelta:
         """Return the maximum time from the announcement of a long grant to its end."""
         duration = self.granter.timing.max_grant_duration
@@ -845,6 +860,11 @@
         self.crashes[fingerprint] = self.crashes.get(fingerprint, 0) + 1
         self.unsent_crashes.append(frames.Crash(fingerprint, 1))
 
+    def record_departure(self, target: str, life: int) -> None:
+        """Record that a target is leaving, and tell the other instances."""
+        if self.directory.record_departure(target, life):
+            self.unsent_departures.append(frames.Departure(target, life))
+
     def sum_loads(self) -> tuple[frames.Total, ...]:
         """Return the requests in progress at each target, and its slowness."""
         running: dict[str, int] = {}
@@ -881,6 +901,8 @@
             self.unsent_crashes.append(
                 frames.Crash(crash.fingerprint, known + crash.count)
             )
+        for departure in frame.departures:
+            self.record_departure(*departure)
 
     def _receive(self, link: links.Link, frame: frames.Frame) -> None:
         now = self.clock.monotonic()
@@ -986,6 +1008,8 @@
         for crash in frame.crashes:
             known = self.crashes.get(crash.fingerprint, 0)
             self.crashes[crash.fingerprint] = max(known, crash.count)
+        for departure in frame.departures:
+            self.directory.record_departure(*departure)
         link.send(self.build_report())
 
     # Registration.
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -201,6 +201,29 @@
         )
 
 
+# Guards against a leaving target that receives requests from other instances, or keeps
+# its keys, until its registration says that it is leaving.
+@testing.run_in_event_loop
+async def test_departure_that_one_instance_sees_reaches_all():
+    async with run_fleet("n1", "n2", "n3") as harness:
+        leader = await wait_coordinator(harness)
+        running = [item for item in harness.running.values()]
+        await wait_until(
+            lambda: all("history" in item.directory.ownerships for item in running)
+        )
+        observer = next(
+            item for node, item in harness.running.items() if node != leader
+        )
+        observer.participant.record_departure("a", 1)
+
+        def has_moved(item):
+            holdings = item.directory.ownerships["history"].holdings
+            owners = {holding.target for holding in holdings}
+            return item.directory.targets["a"].leaving and owners == {"b"}
+
+        await wait_until(lambda: all(has_moved(item) for item in running))
+
+
 @testing.run_in_event_loop
 async def test_instances_make_few_store_calls_at_start():
     """Guards against a start where each instance reads every registration."""
--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -45,6 +45,8 @@
     """Version of the row in the store, or 0 if there is none."""
 
 
+MAX_DEPARTURES = 4_096
+"""Number of announced departures that are kept, many times those of a day."""
 NO_LEADERSHIP = Leadership("", "", 0, 0)
 
 
@@ -88,6 +90,14 @@
         return result.Failure(errors.RowInvalid(row.key, repr(error)))
 
 
+class Departure(NamedTuple):
+    """A target's announcement in an answer that it is leaving."""
+
+    life: int
+    """Incarnation of the target."""
+    noted_at: datetime.timedelta
+
+
 def format_address(target: model.Target) -> str:
     """Return a target's address for log lines."""
     return f"{target.host}:{target.port}"
@@ -122,6 +132,8 @@
         """Last accepted incarnation of each target, also of removed ones."""
         self.refused_lives: dict[str, int] = {}
         """Incarnation of targets whose last row was refused because of it."""
+        self.departures: dict[str, Departure] = {}
+        """Targets that have announced in an answer that they are leaving."""
         self.ownerships: dict[str, ranges.Ownership] = {}
         self.members: dict[str, model.Member] = {}
         self.leadership = NO_LEADERSHIP
@@ -159,6 +171,35 @@
             self.store_recovered_at = self.clock.monotonic()
             events.warning("store_restored", era=floor // model.VERSIONS_PER_ERA)
 
+    def record_departure(self, name: str, life: int) -> bool:
+        """Record that a target has announced that it is leaving.
+
+        Its registration may not say so for a long time, or not at all. Returns false if
+        the departure of this incarnation is known.
+        """
+        known = self.departures.get(name)
+        if known is not None and known.life >= life:
+            return False
+        while len(self.departures) >= MAX_DEPARTURES:
+            del self.departures[next(iter(self.departures))]
+        self.departures[name] = Departure(life, self.clock.monotonic())
+        target = self.targets.get(name)
+        if target is not None and target.life == life:
+            self.targets[name] = target._replace(leaving=True)
+            self._group_targets()
+            self.notify_waiters()
+        events.info("target_departing", target=name, life=life)
+        return True
+
+    def get_time_since_departure(
+        self, target: model.Target
+    ) -> datetime.timedelta | None:
+        """Return the time since a target announced that it is leaving, or None."""
+        departure = self.departures.get(target.name)
+        if departure is None or departure.life != target.life:
+            return None
+        return self.clock.monotonic() - departure.noted_at
+
     def apply_rows(
         self, rows: Iterable[model.StoredRow], apply_removals: bool = False
     ) -> list[model.StoredRow]:
@@ -264,6 +305,8 @@
             decoded = self.decode_target(row.key, row.value).bind(self._check_life)
         if isinstance(decoded, result.Success):
             target = decoded.unwrap()
+            if self.get_time_since_departure(target) is not None:
+                target = target._replace(leaving=True)
             known = self.targets.get(row.key)
             self.targets[row.key] = target
             if known != target:
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import datetime
+import functools
 import hashlib
 import random
 from collections.abc import Callable
@@ -49,11 +50,16 @@
 REPLACED_PERIOD = datetime.timedelta(seconds=5)
 """Time for which a target is avoided whose address now belongs to another target; its
 registration expires soon."""
+DRAIN_MARGIN = datetime.timedelta(milliseconds=300)
+"""Requests to a leaving target end this long before the end of the drain time, since a
+request may wait for a connection."""
 MAX_IDLE_TIME = datetime.timedelta(seconds=7)
 """Below the 10 s after which targets close idle connections."""
 MAX_REQUESTS_PER_SLOT = 4
 """Requests per slot from which on a target counts as full; targets queue three or four
 for each slot."""
+UNSENT_FAILURES = errors.TargetUnavailable | errors.TargetPaused
+"""Failures of requests that were not sent."""
 MAX_OWNER_CHANGE_WAIT = datetime.timedelta(milliseconds=100)
 """Maximum wait for a new owner after a key's owner failed; changes arrive in a few
 ms."""
@@ -282,7 +288,7 @@
                 break
             tries += 1
             tried.add(outcome.target)
-            if not isinstance(failure, errors.TargetUnavailable):
+            if not isinstance(failure, UNSENT_FAILURES):
                 sends += 1
                 runs += not isinstance(failure, errors.TargetRefused)
             if not self.should_resend(plan, failure, runs):
@@ -317,7 +323,9 @@
         if refused and plan.key is not None and failure.reason != MISDIRECTED:
             # The owner is full, and no other target may run the request.
             return False
-        not_run = refused or isinstance(failure, errors.TargetUnavailable)
+        if isinstance(failure, errors.TargetPaused) and plan.key is not None:
+            return False
+        not_run = refused or isinstance(failure, UNSENT_FAILURES)
         if not (not_run or plan.route.idempotent):
             return False
         return self.can_resend(plan, runs)
@@ -374,6 +382,9 @@
             plan.route.name,
         )
         if choice is None:
+            pause = selection.find_shortest_pause(targets, self.loads, now, tried)
+            if pause is not None:
+                return result.Failure(build_pause_failure(*pause))
             return result.Failure(errors.NotReady(plan.service.name))
         return self.check_admission(plan, choice)
 
@@ -390,7 +401,8 @@
             moving = self.directory.is_moving(service, key)
             target = self.directory.targets.get(holding.target) if holding else None
             if holding is not None and not moving and target is not None:
-                if target.life == holding.life and target.service == service:
+                registered = target.life == holding.life and target.service == service
+                if registered and not self.has_departed(target):
                     break
                 moving = True
             waited = self.clock.monotonic() - began
@@ -410,6 +422,9 @@
         if estimate.blocked:
             failure = errors.TargetUnavailable(target.name, "unreachable a moment ago")
             return result.Failure(failure)
+        if estimate.pause_left:
+            failure = build_pause_failure(target.name, estimate.pause_left)
+            return result.Failure(failure)
         wait = selection.estimate_wait(estimate, target.slots)
         if self.exceeds_admitted_fraction(plan, target, estimate):
             retry_after = datetime.timedelta(seconds=wait / 2)
@@ -418,6 +433,12 @@
             return result.Failure(failure)
         return self.check_admission(plan, selection.Choice(target, estimate, wait))
 
+    def has_departed(self, target: model.Target) -> bool:
+        """Whether a target has been leaving for too long to receive requests."""
+        elapsed = self.directory.get_time_since_departure(target)
+        limit = self.retry_budgets.timing.drain_time - DRAIN_MARGIN
+        return elapsed is not None and elapsed >= limit
+
     def exceeds_admitted_fraction(
         self, plan: PlannedRequest, target: model.Target, estimate: load_counts.Estimate
     ) -> bool:
@@ -647,9 +668,22 @@
                 rules=self.answer_rules,
                 reuse_delay=datetime.timedelta(),
                 max_idle_time=MAX_IDLE_TIME,
+                on_notice=functools.partial(self.receive_notice, target),
             )
         return pool
 
+    def receive_notice(self, target: model.Target, notice: answering.Notice) -> None:
+        """Record what a target has said about itself in an answer."""
+        registered = self.directory.targets.get(target.name)
+        if registered is None or registered.life != target.life:
+            return
+        if notice.pause:
+            until = self.clock.monotonic() + notice.pause
+            self.loads.pause_until(target.name, until.total_seconds())
+            events.info("target_paused", target=target.name, lasts=notice.pause)
+        if notice.leaving and not registered.leaving:
+            self.participant.record_departure(target.name, target.life)
+
     def _apply_target_changes(self, changed_rows: list[model.StoredRow]) -> None:
         """Close connections to targets that were removed or have restarted."""
         if not any(row.table == model.TABLES.targets for row in changed_rows):
@@ -697,6 +731,16 @@
 
     # Refusals.
 
+    def find_pause_failure(self, plan: PlannedRequest, failure: Any) -> Any:
+        """Return the failure to report: the owner's pause if it has asked for one."""
+        if plan.key is None or not isinstance(failure, errors.TargetRefused):
+            return failure
+        now = self.clock.monotonic().total_seconds()
+        pause_left = self.loads.get_pause_left(failure.target, now)
+        return (
+            build_pause_failure(failure.target, pause_left) if pause_left else failure
+        )
+
     def build_refusal(
         self, request: model.IncomingRequest, failure: Any, plan: PlannedRequest | None
     ) -> data.Answer:
@@ -704,6 +748,7 @@
         retry_after = None
         if plan is not None:
             time_left = plan.due_at - self.clock.monotonic()
+            failure = self.find_pause_failure(plan, failure)
             retry_after = choose_retry_after(failure, time_left, self.random.random())
             if isinstance(failure, errors.DeadlineExceeded) and plan.due_by_timeout:
                 retry_after = None
@@ -728,6 +773,11 @@
         return answer
 
 
+def build_pause_failure(target: str, seconds: float) -> errors.TargetPaused:
+    """Return the failure of a request that a target's pause prevents."""
+    return errors.TargetPaused(target, datetime.timedelta(seconds=seconds))
+
+
 def choose_failure(earlier: Any, failure: Any) -> Any:
     """Return the failure to report.
 
@@ -741,7 +791,9 @@
 def choose_retry_after(
     failure: Any, time_left: datetime.timedelta, jitter: float
 ) -> datetime.timedelta:
-    """Return the time after which a caller should retry, within its remaining time.
+    """Return the time after which a caller should retry.
+
+    It is within the caller's remaining time, except after a target's pause.
 
     Parameters
     ----------
@@ -751,6 +803,9 @@
     jitter : float
         Random number from 0 to 1, which spreads the retries over time.
     """
+    if isinstance(failure, errors.TargetPaused):
+        # An earlier retry would be refused again.
+        return failure.retry_after * (1 + jitter / 2)
     base = max(getattr(failure, "retry_after", BASE_RETRY_AFTER), BASE_RETRY_AFTER / 2)
     return min(base * (1 + jitter / 2), max(time_left / 3, datetime.timedelta()))
 
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -34,6 +34,9 @@
     def record_crash(self, fingerprint):
         self.crashes[fingerprint] = self.crashes.get(fingerprint, 0) + 1
 
+    def record_departure(self, target, life):
+        self.directory.record_departure(target, life)
+
 
 class FakePool:
     """Connection pool whose sends end with the outcomes that the test sets."""
@@ -80,6 +83,7 @@
             self.directory.apply_rows([row])
         self.counts = load_counts.Loads()
         self.participant = FakeParticipant()
+        self.participant.directory = self.directory
         timing = builders.build_timing()
         self.dispatcher = dispatch.Dispatcher(
             "n1",
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -48,6 +48,11 @@
   count @1 :UInt32;
 }
 
+struct Departure {
+  target @0 :Text;
+  life @1 :UInt64;         # incarnation of the target
+}
+
 struct Frame {
   kind @0 :Text;           # message type, see Frame.kind in frames.py
   term @1 :UInt64;
@@ -68,4 +73,5 @@
   versions @16 :Versions;
   holdsKnown @17 :Bool;    # holdsMs covers the grants sent before the sender's start
   heartbeatMs @18 :UInt64; # see Frame.heartbeat_ms in frames.py
+  departures @19 :List(Departure);
 }
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -63,6 +63,13 @@
     count: int
 
 
+class Departure(NamedTuple):
+    """A target that has announced in an answer that it is leaving."""
+
+    target: str
+    life: int
+
+
 class Frame(NamedTuple):
     """One message; fields that its kind does not use are empty."""
 
@@ -105,6 +112,8 @@
     """In a "beat": when it was sent, in ms of the coordinator's monotonic clock. In a
     "report": that of the last heartbeat received, or 0 if its `holds_ms` is not
     acknowledged because of a recent vote."""
+    departures: tuple[Departure, ...] = ()
+    """Targets whose announcement was first seen since the last message."""
 
 
 def hash_target_name(target: str) -> int:
@@ -182,6 +191,8 @@
         message.keys = [item._asdict() for item in frame.keys]
     if frame.crashes:
         message.crashes = [item._asdict() for item in frame.crashes]
+    if frame.departures:
+        message.departures = [item._asdict() for item in frame.departures]
     return message.to_bytes_packed()
 
 
@@ -239,4 +250,5 @@
         message.holdsMs,
         message.holdsKnown,
         message.heartbeatMs,
+        tuple(Departure(item.target, item.life) for item in message.departures),
     )
--- a/packages/fleet/dewstep_fleet/load_counts.py
+++ b/packages/fleet/dewstep_fleet/load_counts.py
@@ -47,6 +47,7 @@
         "last_reported",
         "name_hash",
         "others_running",
+        "paused_until",
         "running",
         "slot_free_at",
         "slowness",
@@ -76,6 +77,8 @@
         self.failures = 0.0
         self.decayed_at = 0.0
         self.blocked_until = -math.inf
+        self.paused_until = -math.inf
+        """End of the last pause that the target asked for."""
         self.slot_free_at: float | None = None
         """When a slot was last free, or when the target was first estimated."""
 
@@ -97,6 +100,8 @@
     """Whether it has a standing queue."""
     admitted: float = 1.0
     """Fraction of the requests for its keys that it can serve."""
+    pause_left: float = 0.0
+    """Seconds for which it has asked for no requests."""
 
 
 class Loads:
@@ -186,9 +191,20 @@
         load = self.get_load(target)
         load.blocked_until = max(load.blocked_until, until)
 
+    def pause_until(self, target: str, until: float) -> None:
+        """Send nothing to a target until the time `until`."""
+        load = self.get_load(target)
+        load.paused_until = max(load.paused_until, until)
+
+    def get_pause_left(self, target: str, now: float) -> float:
+        """Return the seconds until the end of a target's pause, or 0."""
+        load = self.by_target.get(target)
+        return max(0.0, load.paused_until - now) if load is not None else 0.0
+
     def forget_failures(self, target: str) -> None:
-        """Forget the failures of a target that has restarted since."""
+        """Forget the failures and pauses of a target that has restarted since."""
         load = self.get_load(target)
+        load.paused_until = -math.inf
         load.blocked_until = -math.inf
         load.failures = 0.0
 
@@ -227,6 +243,7 @@
             blocked,
             overloaded,
             load.admitted if totals_are_recent else 1.0,
+            max(0.0, load.paused_until - now),
         )
 
     def collect_report(self) -> tuple[frames.Load, ...]:
--- a/packages/fleet/dewstep_fleet/selection.py
+++ b/packages/fleet/dewstep_fleet/selection.py
@@ -57,7 +57,7 @@
     Parameters
     ----------
     targets : iterable of model.Target
-        Leaving targets are skipped.
+        Targets that are leaving or have asked for a pause are skipped.
     loads : load_counts.Loads
     now : float
         Monotonic seconds.
@@ -77,6 +77,8 @@
         if target.leaving or target.name in excluded:
             continue
         estimate = loads.estimate(target.service, target.name, now, target.slots, route)
+        if estimate.pause_left:
+            continue
         wait = estimate_wait(estimate, target.slots)
         cost = (wait + estimate.service) / max(estimate.success, MIN_SUCCESS)
         if target.data_centre != data_centre:
@@ -88,3 +90,32 @@
         if best is None or cost < best[0]:
             best = cost, Choice(target, estimate, wait)
     return None if best is None else best[1]
+
+
+def find_shortest_pause(
+    targets: Iterable[model.Target],
+    loads: load_counts.Loads,
+    now: float,
+    excluded: frozenset[str] = frozenset(),
+) -> tuple[str, float] | None:
+    """Return the target whose pause ends first, and the seconds until then, or None.
+
+    Parameters
+    ----------
+    targets : iterable of model.Target
+    loads : load_counts.Loads
+    now : float
+        Monotonic seconds.
+    excluded : frozenset of str
+        Targets that have already received the request.
+    """
+    pauses = [
+        (loads.get_pause_left(target.name, now), target.name)
+        for target in targets
+        if not target.leaving and target.name not in excluded
+    ]
+    paused = [item for item in pauses if item[0] > 0]
+    if not paused:
+        return None
+    time_left, name = min(paused)
+    return name, time_left
