Let the store answer by the clock of the test of removed registrations

Cause: the fake for single instances waits 0.2 s of real time for a change, several seconds of the test's clock, so that the coordinator did not reach the store.

Change: the feeds of this test use the store in memory itself.

--- a/packages/fleet/dewstep_fleet/suspected_faults_test.py
+++ b/packages/fleet/dewstep_fleet/suspected_faults_test.py
@@ -333,6 +333,8 @@
         rows.append((model.TABLES.fleet, key))
     running = [coordination_test.RunningInstance(harness, node, clock) for node in live]
     for item in running:
+        # The fake for single instances waits in real time.
+        item.feeds.store = harness.store
         await item.start()
     await feeds_test.pass_time(clock, 120 * builders.SECOND, 2 * STEP)
     assert sum(item.participant.coordinating for item in running) == 1
