Show two owners after instances were added beside a cut-off coordinator

Found while the case of a minority was tested: a coordinator without the store leads while most of the members that it knew report to it. Instances that were added since then are members for the others, who elect a successor at once, without a minority.

Shown: three instances, of which the coordinator and another one lose the store and are cut off from the third; two are added there. Both targets hold the same keys.

Not mended: the same remedy as for the minority, but with most members of the predecessor, which the coordinator row would have to name.

--- a/packages/fleet/dewstep_fleet/suspected_faults_test.py
+++ b/packages/fleet/dewstep_fleet/suspected_faults_test.py
@@ -52,12 +52,16 @@
 
 def cut_off(harness, monkeypatch, nodes):
     """Leave the store only to `nodes`, and cut them off from the other instances."""
-    ports = {port: node for node, port in harness.ports.items()}
     connect = links.connect
 
     async def connect_within_side(host, port, receive, lose):
         own_node = receive.__self__.own_member.node
-        if (own_node in nodes) != (ports[port] in nodes):
+        reachable = {
+            harness.ports[node]
+            for node in harness.ports
+            if (node in nodes) == (own_node in nodes)
+        }
+        if port not in reachable:
             raise TimeoutError
         return await connect(host, port, receive, lose)
 
@@ -70,6 +74,28 @@
                 item.participant._drop_link(link)
 
 
+async def check_successor(harness, nodes):
+    """Fail if two targets hold a key after one of `nodes` was elected."""
+    for node in nodes:
+        granter = harness.running[node].participant.granter
+        granter.channel = PartialChannel(harness.targets, "a")
+    await coordination_test.wait_until(lambda: nodes & set(harness.find_coordinators()))
+    inherited = outstanding.TERM_CONFIRMATION_MAX_AGE + 2 * granting.GRANT_DURATION
+    end = time.monotonic() + inherited.total_seconds() + 2.0
+    while time.monotonic() < end:
+        assert harness.targets.find_conflict() is None
+        await asyncio.sleep(0.02)
+
+
+async def wait_owners(harness):
+    """Wait until a coordinator has granted keys to both targets; return its node."""
+    node = await coordination_test.wait_coordinator(harness)
+    await coordination_test.wait_until(
+        lambda: harness.targets.list_held("a") and harness.targets.list_held("b")
+    )
+    return node
+
+
 # Guards against two owners after a minority, which alone reaches the store, has elected
 # a coordinator while most instances follow the previous one.
 @testing.run_in_event_loop
@@ -78,23 +104,26 @@
     timing = builders.build_timing(max_grant_duration=granting.GRANT_DURATION)
     monkeypatch.setattr(builders, "build_timing", lambda: timing)
     async with coordination_test.run_fleet("n1", "n2", "n3", "n4", "n5") as harness:
-        first = await coordination_test.wait_coordinator(harness)
-        await coordination_test.wait_until(
-            lambda: harness.targets.list_held("a") and harness.targets.list_held("b")
-        )
+        first = await wait_owners(harness)
         minority = set(sorted(set(harness.running) - {first})[:2])
-        for node in minority:
-            granter = harness.running[node].participant.granter
-            granter.channel = PartialChannel(harness.targets, "a")
         cut_off(harness, monkeypatch, minority)
-        await coordination_test.wait_until(
-            lambda: minority & set(harness.find_coordinators())
-        )
-        inherited = outstanding.TERM_CONFIRMATION_MAX_AGE + 2 * granting.GRANT_DURATION
-        end = time.monotonic() + inherited.total_seconds() + 2.0
-        while time.monotonic() < end:
-            assert harness.targets.find_conflict() is None
-            await asyncio.sleep(0.02)
+        await check_successor(harness, minority)
+
+
+# Guards against two owners after a coordinator without the store has missed that other
+# instances were added, which make its followers a minority.
+@testing.run_in_event_loop
+async def test_added_instances_take_no_keys_from_a_followed_coordinator(monkeypatch):
+    timing = builders.build_timing(max_grant_duration=granting.GRANT_DURATION)
+    monkeypatch.setattr(builders, "build_timing", lambda: timing)
+    async with coordination_test.run_fleet("n1", "n2", "n3") as harness:
+        first = await wait_owners(harness)
+        separate = set(sorted(set(harness.running) - {first})[:1]) | {"n4", "n5"}
+        cut_off(harness, monkeypatch, separate)
+        for node in ("n4", "n5"):
+            harness.running[node] = coordination_test.RunningInstance(harness, node)
+            await harness.running[node].start()
+        await check_successor(harness, separate)
 
 
 def elect_without_contact(harness, *unreachable):
