Show that a newer gate row stops the checks of all targets

The loop restarts after 0.1 s and fails again until the gate learns of its successor in another way. Until then, later targets are not checked: neither losses nor vacancies nor new configurations are acted upon.

--- a/packages/entry/dewstep_entry/gate/manager_test.py
+++ b/packages/entry/dewstep_entry/gate/manager_test.py
@@ -77,6 +77,22 @@
     fleet_test.run_scenario(scenario)
 
 
+def test_a_newer_gate_row_ends_the_gate_and_not_the_checks_of_targets():
+    """Guards against a loop that fails on each check while a newer row is known."""
+
+    async def scenario():
+        fleet = fleet_test.Fleet()
+        process = fleet.add("e1")
+        await fleet.pass_time(500 * MS)
+        gate = process.gates["t1"]
+        process.view_holder.offer_gate(gate.record.row._replace(entry="e2", term=2))
+        process.check_targets()
+        assert gate.superseded
+        assert not process.gates["t2"].superseded
+
+    fleet_test.run_scenario(scenario)
+
+
 def test_a_planned_move_commits_only_after_the_requests_in_progress():
     async def scenario():
         fleet = fleet_test.Fleet()
