Call the renamed method of a gate that a newer row concerns

Cause: the manager called Gate.watch, which renamed.

Before: the new test failed. After: the tests of packages/entry/dewstep_entry/gate pass (93 tests, 27 s at a load average of 13).

--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -134,7 +134,7 @@
                 gate.receive_configuration(target, service)
             row = self.view_holder.current.gates.get(name)
             if row is not None and row.term > gate.term:
-                gate.watch()
+                gate.check_target_state()
             self.evacuation.start(gate)
         if not self.stopping:
             for target in configuration.targets.values():
