--- a/packages/entry/dewstep_entry/balancing/balancer_test.py
+++ b/packages/entry/dewstep_entry/balancing/balancer_test.py
@@ -156,3 +156,31 @@
         assert bool(moves) is not ordered
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("evacuated", (False, True))
+def test_plan_moves_no_shards_back_to_a_target_evacuated_meanwhile(evacuated):
+    # Guards against assigning shards to a target that was lost after its gate had
+    # reported its load.
+    async def scenario():
+        tested = build_balancer()
+        tested.loop_monitor = types.SimpleNamespace(is_late=lambda now: False)
+        owners = ("a", "a", "b", "b") if evacuated else ("a",) * 4
+        assignment = data.Assignment("history", 1, owners, {}, ())
+        initial = tested.holder.current
+        tested.holder.current = initial._replace(assignments={"history": assignment})
+        task = asyncio.ensure_future(tested.plan_service("history"))
+        await run_pending_tasks()
+        for name in ("a", "b"):
+            report = planner.Report(name, workload.TargetLoad({}, {}), 1.0, None)
+            tested.collect_reports(
+                balancing_messages.encode_reports("history", [report])
+            )
+        changed = assignment._replace(version=2, owners=("a",) * 4)
+        tested.holder.current = initial._replace(assignments={"history": changed})
+        tested.clock.advance(balancer.REPORT_TIMEOUT)
+        await task
+        moves, _ = balancing_messages.decode_moves(tested.network.sent[-1]).unwrap()
+        assert bool(moves) is not evacuated
+
+    asyncio.run(scenario())
