Move no shards to a target that was evacuated during the planning

Cause: a plan combined reports that are 0.5 s old with the present assignment. A target that was lost in between owned nothing and was taken for one that joins.

Change: the reports of targets that owned shards when they were asked and own none now are left out. The next plan, 10 s later, may give them shards.

--- a/packages/entry/dewstep_entry/balancing/balancer.py
+++ b/packages/entry/dewstep_entry/balancing/balancer.py
@@ -113,6 +113,7 @@
         if self.is_late("plan", service):
             return
         self.reports[service] = {}
+        previous = self.holder.current.assignments.get(service)
         members = list_gate_members(self.holder.current, service)
         for member in members:
             self.send(member, messages.Fetch(balancing_messages.LOADS, service))
@@ -120,6 +121,10 @@
         reports = self.reports.pop(service, {})
         current = self.holder.current
         assignment = current.assignments.get(service)
+        if previous is not None and assignment is not None:
+            # A target that was evacuated since may be lost; it is not a new one.
+            for target in set(previous.owners) - set(assignment.owners):
+                reports.pop(target, None)
         if assignment is None or not reports or self.is_late("plan", service):
             return
         now = self.clock.monotonic()
