--- a/packages/fleet/dewstep_fleet/suspected_faults_test.py
+++ b/packages/fleet/dewstep_fleet/suspected_faults_test.py
@@ -245,6 +245,27 @@
     granting_test.run_scenario(scenario)
 
 
+# Guards against keys without an owner after a target's clock was set back before its
+# restart, so that its new registration looks older than the owner.
+@pytest.mark.parametrize("steps", [1, 4, 18])
+def test_keys_return_after_a_restart_with_an_earlier_start_time(steps):
+    async def scenario(harnesses):
+        harness = granting_test.build_harness(harnesses, "a", "b")
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        harness.restart(builders.build_target("a", life=5))
+        await harness.run(granting.RENEWAL_INTERVAL)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+        harness.restart(builders.build_target("a", life=3))
+        await harness.run(steps * STEP)
+        # A single row with an earlier start time is refused.
+        harness.register(builders.build_target("a", life=3))
+        await harness.run(2 * STEP)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
 class PlatformStore:
     """One coordinator's access to the platform's store, which does not check eras.
 
