Wait for a followed coordinator in moves, too, and for half of the instances only

Callers saw: in tests, two targets hold the same keys, and keys have no owner.

A move that had begun waited for the times that were known then, which are extended while the previous coordinator may lead; after a pause of the process they were not extended any more. More than half of the instances were waited for, though half of them rule out a majority of the others. A coordinator whose writes alone are rejected kept its term without sending orders, since only reads decided whether it is healthy.

Change: the bounds of a process say whether it may accept inherited orders, and a move waits for that. Half of the members are enough. The heartbeats of a coordinator whose term the store does not confirm are unhealthy, so that another one is elected; the term is confirmed each 600 ms, so that this takes five lost answers. test_outdated_answers_do_not_prolong_a_term delays the regular confirmation, without which it passed for answers of watches that confirm the term.

Left: while the store rejects all writes and answers reads, orders end after 3 s.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -146,6 +146,7 @@
             timing,
             self.can_lead_without_store,
             self.is_followed,
+            self.is_adopted,
             self.may_send_long_grants,
             lambda service: self.demands.get_demand(
                 service, loads.get_typical_seconds(service, "")
@@ -541,7 +542,9 @@
         events.warning("coordination_ended", term=self.term, reason=reason)
 
     def is_store_healthy(self) -> bool:
-        """Whether the store answered recently and is not failing."""
+        """Whether the store answers, and confirms the term of a coordinator."""
+        if self.coordinating and not self.granter.is_term_confirmed():
+            return False
         failing = self.table_feeds.failing_since
         if (
             failing is not None
@@ -568,6 +571,13 @@
         members = max(1, len(self.directory.members))
         return self.coordinating and 2 * len(self.list_followers()) > members
 
+    def is_adopted(self) -> bool:
+        """Whether at least half of the members have adopted this coordinator's term.
+
+        They reject an earlier coordinator, which the others alone do not let lead.
+        """
+        return 2 * len(self.list_followers()) >= len(self.directory.members)
+
     def can_lead_without_store(self) -> bool:
         """Whether most instances send reports and none of them reaches the store."""
         return self.is_followed() and not any(
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -52,9 +52,9 @@
 MAX_QUEUE_WAIT = datetime.timedelta(milliseconds=300)
 """Maximum wait before a release for queued requests to start, because the release
 removes them from the target's queue."""
-TERM_CONFIRMATION_INTERVAL = datetime.timedelta(seconds=1)
-"""Interval of the transactions that confirm the term, of which two in a row may be lost
-without an effect."""
+TERM_CONFIRMATION_INTERVAL = datetime.timedelta(milliseconds=600)
+"""Interval of the transactions that confirm the term, of which three in a row may be
+lost without an effect."""
 STEP_INTERVAL = datetime.timedelta(milliseconds=50)
 PLAN_INTERVAL = datetime.timedelta(milliseconds=250)
 REGISTRATION_QUIET_PERIOD = datetime.timedelta(milliseconds=1500)
@@ -137,6 +137,9 @@
     is_followed : callable
         Whether most instances recently reported to this coordinator, so that no other
         one has been elected unnoticed.
+    is_adopted : callable
+        Whether at least half of the instances report to this coordinator, so that they
+        reject the previous one.
     may_send_long_grants : callable
         Whether most instances know of grants longer than `GRANT_DURATION`.
     get_demand : callable
@@ -160,6 +163,7 @@
         timing: model.Timing,
         can_lead_without_store: Callable[[], bool],
         is_followed: Callable[[], bool],
+        is_adopted: Callable[[], bool],
         may_send_long_grants: Callable[[], bool],
         get_demand: Callable[[str], demands.Demand],
         estimate_queue_wait: Callable[[model.Target], datetime.timedelta],
@@ -174,6 +178,7 @@
         self.timing = timing
         self.can_lead_without_store = can_lead_without_store
         self.is_followed = is_followed
+        self.is_adopted = is_adopted
         self.may_send_long_grants = may_send_long_grants
         self.get_demand = get_demand
         self.estimate_queue_wait = estimate_queue_wait
@@ -211,7 +216,7 @@
         """When the last transaction that confirmed the term was sent."""
         self.next_confirmation = self.clock.monotonic()
         self.adopted = False
-        """Whether most instances have adopted this term."""
+        """Whether the previous coordinator cannot lead without the store any more."""
         self.deposed = False
         self.last_duration: datetime.timedelta | None = None
         """Duration of the last grant."""
@@ -253,7 +258,7 @@
         """Start all work that is due."""
         now = self.clock.monotonic()
         self.confirm_regularly(now)
-        self.extend_inherited_grants(now)
+        self.extend_inherited_grants()
         self.known_targets.update(self.directory.targets)
         if self.directory.routes is None or not self.may_send_orders():
             return
@@ -459,7 +464,7 @@
     async def await_unknown_grants(self, service: str) -> None:
         """Wait until all grants of coordinators before the store's era have expired.
 
-        Until most instances have adopted this term, an earlier coordinator may lead.
+        Until this term has been adopted, an earlier coordinator may lead.
         """
         while not self.adopted:
             await self.clock.sleep(STEP_INTERVAL)
@@ -496,21 +501,21 @@
             )
             state.orders.record_inherited(max_duration)
 
-    def extend_inherited_grants(self, now: datetime.timedelta) -> None:
+    def extend_inherited_grants(self) -> None:
         """Assume further grants of the previous coordinator while it may be followed.
 
         It leads without the store while most instances report to it. It ends within the
-        time that is assumed for a coordinator without the store once most of them
-        report to this one.
+        time that is assumed for a coordinator without the store once half of them have
+        adopted this term.
         """
         if self.adopted:
             return
-        self.adopted = self.is_followed()
+        self.adopted = self.is_adopted()
         if self.adopted:
             events.info("term_adopted", term=self.leadership.term)
         max_duration = max(GRANT_DURATION, self.get_inherited_grant_time_left())
         for state in self.grant_states.values():
-            if state.orders.outstanding.inherited_until > now:
+            if state.orders.outstanding.inherits:
                 state.orders.record_inherited(max_duration)
 
     def get_long_grant_time_left(self) -> datetime.timedelta:
@@ -916,6 +921,8 @@
                 )
         wait = max(expiry - self.clock.monotonic(), datetime.timedelta())
         await self.clock.sleep(wait)
+        if fencing != "accepted":
+            wait += await self.await_inherited_grants(orders)
         events.info(
             "ownership_ended",
             service=service,
@@ -935,6 +942,20 @@
         )
         return handover
 
+    async def await_inherited_grants(
+        self, orders: target_orders.TargetOrders
+    ) -> datetime.timedelta:
+        """Wait until grants of the previous coordinator have expired; return how long.
+
+        They may have been extended since a move began.
+        """
+        began = self.clock.monotonic()
+        while orders.outstanding.inherits and not self.adopted:
+            await self.clock.sleep(STEP_INTERVAL)
+        time_left = orders.outstanding.inherited_until - self.clock.monotonic()
+        await self.clock.sleep(max(time_left, datetime.timedelta()))
+        return self.clock.monotonic() - began
+
     async def fence(
         self,
         service: str,
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -72,6 +72,7 @@
             builders.build_timing(),
             lambda: self.leads_without_store,
             lambda: granter is self.coordinators[-1],
+            lambda: granter is self.coordinators[-1],
             lambda: self.leads_without_store,
             lambda service: demands.Demand(
                 dict(self.rates), collections.defaultdict(lambda: 0.2), 1.5
--- a/packages/fleet/dewstep_fleet/outstanding.py
+++ b/packages/fleet/dewstep_fleet/outstanding.py
@@ -32,6 +32,8 @@
     """Until then, an unanswered grant of this term may take effect."""
     inherited_until: datetime.timedelta
     """Until then, a grant of the previous coordinator may take effect."""
+    inherits: bool = False
+    """Whether the process may still accept orders of the previous coordinator."""
 
     @property
     def expiry(self) -> datetime.timedelta:
@@ -104,6 +106,7 @@
     return grants._replace(
         sent_until=max(grants.sent_until, expiry),
         inherited_until=max(grants.inherited_until, expiry),
+        inherits=True,
     )
 
 
@@ -115,6 +118,7 @@
         sent_until=max(grants.sent_until, previous.expiry),
         unanswered_until=max(grants.unanswered_until, previous.expiry),
         inherited_until=max(grants.inherited_until, previous.inherited_until),
+        inherits=grants.inherits or previous.inherits,
     )
 
 
@@ -126,7 +130,7 @@
     The process now rejects the previous coordinator's orders. Grants that it accepted
     earlier remain valid until they expire.
     """
-    return grants._replace(inherited_until=accepted_since)
+    return grants._replace(inherited_until=accepted_since, inherits=False)
 
 
 class TimeLeft(NamedTuple):
--- a/packages/fleet/dewstep_fleet/suspected_faults_test.py
+++ b/packages/fleet/dewstep_fleet/suspected_faults_test.py
@@ -126,6 +126,125 @@
         await check_successor(harness, separate)
 
 
+class LostStore:
+    """A store that rejects everything."""
+
+    async def read_table(self, table):
+        return result.Failure(errors.PlatformUnavailable("cut"))
+
+    async def commit(self, expected, writes):
+        return result.Failure(errors.PlatformUnavailable("cut"))
+
+
+def elect_beside_a_followed_coordinator(harness):
+    """Elect a coordinator that no other instance has heard of, and return it.
+
+    Its predecessor leads without the store, and only the latter reaches target "a".
+    """
+    (predecessor,) = harness.coordinators
+    successor = harness.elect("n2")
+    successor.channel = PartialChannel(harness.targets, "a")
+    successor.is_adopted = lambda: False
+    successor.get_inherited_grant_time_left = lambda: 0 * builders.SECOND
+    predecessor.can_lead_without_store = lambda: True
+    predecessor.is_followed = lambda: True
+    predecessor.store = LostStore()
+    predecessor.table_feeds.lost_at = harness.clock.monotonic()
+    return successor
+
+
+# Guards against two owners after a move that began while the previous coordinator was
+# followed, since the owner is leaving or its registration has ended.
+@pytest.mark.parametrize("change", ["removed", "leaving", "departed"])
+def test_move_waits_for_a_followed_coordinator(change):
+    async def scenario(harnesses):
+        harness = granting_test.build_harness(harnesses, "a", "b")
+        predecessor = harness.elect("n1")
+        await harness.run(SETTLING_TIME + builders.SECOND)
+        successor = elect_beside_a_followed_coordinator(harness)
+        await harness.run(builders.SECOND)
+        value = None
+        if change == "leaving":
+            value = builders.encode_target(builders.build_target("a", leaving=True))
+        if change == "departed":
+            successor.directory.record_departure("a", 1)
+        else:
+            row = harness.store.put(model.TABLES.targets, "a", value)
+            successor.directory.apply_rows([row])
+        await harness.run(20 * builders.SECOND)
+        assert harness.find_owners() == {"a", "b"}
+        predecessor.can_lead_without_store = lambda: False
+        successor.is_adopted = lambda: True
+        await harness.run(INHERITED_TIME)
+        assert harness.find_owners() == {"b"}
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+# Guards against two owners after a pause of a new coordinator, in which it could not
+# observe that the previous one is still followed.
+def test_paused_coordinator_waits_for_a_followed_one():
+    async def scenario(harnesses):
+        harness = granting_test.build_harness(harnesses, "a", "b")
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME + builders.SECOND)
+        successor = elect_beside_a_followed_coordinator(harness)
+        await harness.run(2 * builders.SECOND)
+        harness.coordinators.remove(successor)
+        await harness.run(8 * builders.SECOND)
+        harness.coordinators.append(successor)
+        await harness.run(8 * builders.SECOND)
+        assert not successor.deposed
+        assert harness.find_owners() == {"a", "b"}
+
+    granting_test.run_scenario(scenario)
+
+
+def is_all_held(harness):
+    """Whether all keys have an owner."""
+    end = 0
+    held = [item for name in "ab" for item in harness.targets.list_held(name)]
+    for first, last in sorted((item.first, item.last) for item in held):
+        if first > end:
+            return False
+        end = max(end, last + 1)
+    return end == model.KEY_SPACE_SIZE
+
+
+# Guards against keys of a lost target that have no owner while half of the instances
+# are gone.
+@testing.run_in_event_loop
+async def test_keys_move_while_half_of_the_instances_are_gone():
+    async with coordination_test.run_fleet("n1", "n2") as harness:
+        first = await wait_owners(harness)
+        await harness.running.pop(first).stop()
+        harness.targets.down.add("a")
+        harness.targets.grants["a"] = []
+        await coordination_test.wait_until(lambda: is_all_held(harness), 24.0)
+
+
+# Guards against keys without an owner while the store rejects the coordinator's writes
+# and answers its reads.
+@testing.run_in_event_loop
+async def test_coordinator_that_cannot_write_is_replaced():
+    async with coordination_test.run_fleet("n1", "n2", "n3") as harness:
+        first = await wait_owners(harness)
+        await coordination_test.wait_until(lambda: is_all_held(harness))
+        participant = harness.running[first].participant
+        participant.store.commit = LostStore().commit
+
+        def is_replaced():
+            assert is_all_held(harness)
+            return harness.find_coordinators() not in ([], [first])
+
+        await coordination_test.wait_until(is_replaced, 10.0)
+        await coordination_test.wait_until(
+            lambda: harness.find_coordinators() != [first]
+        )
+        assert is_all_held(harness)
+
+
 def elect_without_contact(harness, *unreachable):
     """Elect a coordinator that does not reach some targets nor its predecessor.
 
@@ -145,6 +264,8 @@
         deposed = harness.elect("n1")
         await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
         deposed.store = ownership_faults_test.StaleStore(harness.store)
+        # Its next transaction would depose it.
+        deposed.next_confirmation = harness.clock.monotonic() + 60 * builders.SECOND
         elect_without_contact(harness, "a")
         await harness.run(3 * builders.SECOND)
         deposed.table_feeds.lost_at = harness.clock.monotonic()
