--- a/packages/emulator/dewstep_emulator/ownership/targets.py
+++ b/packages/emulator/dewstep_emulator/ownership/targets.py
@@ -181,7 +181,7 @@
         clock_slowness: float | None = None,
         states_life: bool = True,
     ) -> RunningProcess:
-        """Start a process at an address at which no other process runs.
+        """Start a process whose name and address no other running process has.
 
         Parameters
         ----------
@@ -197,10 +197,10 @@
         if (host, port) in self.by_address:
             raise ValueError(f"a process runs at {host}:{port} already")
         if any(
-            item.process.name == name and item.process.life >= life
+            item.process.name == name and (item.running or item.process.life >= life)
             for item in self.processes
         ):
-            raise ValueError(f"process {name!r} needs a start time above {life}")
+            raise ValueError(f"process {name!r} runs, or started after {life}")
         if clock_slowness is None:
             clock_slowness = self.generator.uniform(0, MAX_CLOCK_SLOWNESS)
         process = target_processes.Process(name, service, host, port, life)
