--- a/packages/emulator/dewstep_emulator/ownership/checks_test.py
+++ b/packages/emulator/dewstep_emulator/ownership/checks_test.py
@@ -64,6 +64,19 @@
     assert check.violations[0].other_generation == 7
 
 
+# Guards against a check that remembers the highest number of each key only.
+def test_number_is_compared_with_those_of_other_processes():
+    check = checks.OwnershipCheck()
+    record(check, (0, A, 0, 99, 5, 1), (2, B, 0, 99, 6, 3), (4, B, 0, 9, 5, 5))
+    record(check, (6, C, 0, 99, 3, 7), (8, A, 10, 99, 6, 9))
+    assert list_problems(check) == [
+        (checks.STALE_GENERATION, 0, 9),
+        (checks.STALE_GENERATION, 0, 99),
+        (checks.STALE_GENERATION, 10, 99),
+    ]
+    assert [item.other for item in check.violations] == [A, B, B]
+
+
 def test_renewals_and_other_services_do_not_conflict():
     check = checks.OwnershipCheck()
     record(check, (0, A, 0, 99, 5, 3), (1, A, 0, 99, 5, 4), (1, A, 0, 99, 4, 4))
