--- a/packages/emulator/dewstep_emulator/ownership/stores.py
+++ b/packages/emulator/dewstep_emulator/ownership/stores.py
@@ -90,7 +90,7 @@
     return change.version
 
 
-class Refused(Exception):  # noqa: N818
+class Refused(Exception):
     """The store answers with the failure `args[0]`."""
 
 
--- a/packages/emulator/dewstep_emulator/ownership/target_processes.py
+++ b/packages/emulator/dewstep_emulator/ownership/target_processes.py
@@ -50,9 +50,6 @@
     generation: int
 
 
-Order = Grant | Release
-
-
 class Request(NamedTuple):
     """A request that a process runs."""
 
@@ -68,7 +65,9 @@
     end: datetime.timedelta
 
 
-NEVER = datetime.timedelta.min
+SLOTS = 4
+UNOWNED = datetime.timedelta.min
+"""End of the ownership of a key that is not owned."""
 
 
 class ProcessState:
@@ -86,7 +85,7 @@
         self.clock_slowness = clock_slowness
         self.generations: key_maps.KeyMap[int] = key_maps.KeyMap(0)
         """Highest generation number in an accepted grant, by key."""
-        self.ends: key_maps.KeyMap[datetime.timedelta] = key_maps.KeyMap(NEVER)
+        self.ends: key_maps.KeyMap[datetime.timedelta] = key_maps.KeyMap(UNOWNED)
         """When the ownership ends, by key. Requests of released keys end at the time at
         which they would have ended without the release."""
         self.request_ends: dict[Request, datetime.timedelta] = {}
@@ -134,7 +133,7 @@
         """
         if release.target != self.process.name:
             return REPLACED
-        self.ends.change(release.first, release.last, lambda value: NEVER)
+        self.ends.change(release.first, release.last, lambda value: UNOWNED)
         return ACCEPTED
 
     def begin_request(self, key: int, now: datetime.timedelta) -> Request | None:
@@ -169,11 +168,6 @@
     return f"{process.name}-{release.first}-{release.generation}"
 
 
-def count_keys(owned: list[OwnedRange]) -> int:
-    """Return the number of keys in ranges that do not overlap."""
-    return sum(item.last - item.first + 1 for item in owned)
-
-
 def build_target(process: Process, data_centre: str, leaving: bool) -> model.Target:
     """Return the registration of a process."""
     return model.Target(
@@ -182,7 +176,7 @@
         data_centre,
         process.host,
         process.port,
-        4,
+        SLOTS,
         leaving,
         process.life,
     )
--- a/packages/emulator/dewstep_emulator/ownership/targets.py
+++ b/packages/emulator/dewstep_emulator/ownership/targets.py
@@ -21,7 +21,6 @@
 """As `dewstep_platform.orders`."""
 MAX_CLOCK_SLOWNESS = 0.02
 DATA_CENTRE = "dc-1"
-ZERO = datetime.timedelta()
 
 LinkForTarget = Callable[[model.Target], deadlines.Link]
 Address = tuple[str, int]
@@ -60,6 +59,9 @@
     max_extra_drain_time: datetime.timedelta = datetime.timedelta(seconds=5)
 
 
+DEFAULT_REGISTRATION_TIMES = RegistrationTimes()
+
+
 class Observer(Protocol):
     """Told of all changes of the ownership of keys as they happen."""
 
@@ -144,7 +146,7 @@
         generator: random.Random,
         store: stores.SimulatedStore | None = None,
         observers: Iterable[Observer] = (),
-        registration_times: RegistrationTimes = RegistrationTimes(),  # noqa: B008
+        registration_times: RegistrationTimes = DEFAULT_REGISTRATION_TIMES,
         encode: Callable[[model.Target], bytes] = builders.encode_target,
     ):
         self.clock = clock
