Run callbacks of the virtual event loop with less overhead

Change: the loop's callbacks are small objects of its own, futures get their number when they are first hashed, and a process's clock is read once at each time. Messages to the store and the targets pass in tasks outside of the process, while their sender measures its time-outs itself. Busy keys are fewer and farther apart.

--- a/packages/emulator/dewstep_emulator/ownership/event_loop.py
+++ b/packages/emulator/dewstep_emulator/ownership/event_loop.py
@@ -58,8 +58,11 @@
         self.callbacks_until_freeze: int | None = None
         """Number of callbacks to run before the process freezes, or None."""
         self.ended = False
-        self.held: list[asyncio.Handle] = []
+        self.held: list[Callback] = []
         """Callbacks that wait until the process resumes."""
+        self.read_at = -1.0
+        """Virtual time of the last reading of `LoopClock.monotonic`."""
+        self.reading = datetime.timedelta()
         self.context = contextvars.copy_context()
         self.context.run(current_process.set, self)
 
@@ -80,27 +83,54 @@
 class NumberedFuture(asyncio.Future):
     """Future whose hash does not depend on its address."""
 
-    def __init__(self, number: int, loop: asyncio.AbstractEventLoop):
-        self.number = number
-        super().__init__(loop=loop)
-
     def __hash__(self):
-        return self.number
+        try:
+            return self.number
+        except AttributeError:
+            self.number = next(self.get_loop().numbers)
+            return self.number
 
 
 class NumberedTask(asyncio.Task):
     """Task whose hash does not depend on its address."""
 
+    # Tasks of killed processes are never resumed.
+    _log_destroy_pending = False
+
     def __init__(self, number: int, work: Coroutine, **options):
         self.number = number
         super().__init__(work, **options)
-        # Tasks of killed processes are never resumed.
-        self._log_destroy_pending = False
 
     def __hash__(self):
         return self.number
 
 
+class Callback:
+    """A callback that waits to be run, with the interface of `asyncio.Handle`."""
+
+    __slots__ = ("arguments", "context", "function", "is_cancelled", "is_timer", "time")
+
+    def __init__(self, function, arguments, context, is_timer=False, time=0.0):
+        self.function = function
+        self.arguments = arguments
+        self.context = contextvars.copy_context() if context is None else context
+        self.is_timer = is_timer
+        self.time = time
+        self.is_cancelled = False
+
+    def cancel(self) -> None:
+        """Do not run the callback."""
+        self.is_cancelled = True
+
+    def cancelled(self) -> bool:
+        """Whether the callback has been cancelled."""
+        return self.is_cancelled
+
+    def when(self) -> float:
+        """Return when the timer is due, on the clock of its process."""
+        return self.time
+
+
 class EventLoop(asyncio.AbstractEventLoop):
     """Runs the callbacks of all processes on a virtual clock.
 
@@ -115,8 +145,8 @@
         self.now = 0.0
         """Virtual time in seconds."""
         self.numbers = itertools.count()
-        self.ready: collections.deque[asyncio.Handle] = collections.deque()
-        self.timers: list[tuple[float, float, int, asyncio.TimerHandle]] = []
+        self.ready: collections.deque[Callback] = collections.deque()
+        self.timers: list[tuple[float, float, int, Callback]] = []
         self.tasks: list[NumberedTask] = []
         """All tasks, so that none is collected as garbage during the run."""
         self.closed = False
@@ -152,7 +182,7 @@
     def _advance(self) -> bool:
         """Advance to the next timers; return false if there are none."""
         timers = self.timers
-        while timers and timers[0][3]._cancelled:
+        while timers and timers[0][3].is_cancelled:
             heapq.heappop(timers)
         if not timers:
             return False
@@ -165,9 +195,9 @@
         ready = self.ready
         while ready:
             handle = ready.popleft()
-            if handle._cancelled:
+            if handle.is_cancelled:
                 continue
-            process = handle._context.get(current_process)
+            process = handle.context.get(current_process)
             if process is not None:
                 if process.ended:
                     continue
@@ -176,7 +206,11 @@
                 if process.frozen:
                     process.held.append(handle)
                     continue
-            handle._run()
+            try:
+                handle.context.run(handle.function, *handle.arguments)
+            except Exception as error:
+                message = f"error in {handle.function!r}"
+                self.call_exception_handler({"message": message, "exception": error})
 
     def _count_down(self, process: Process) -> None:
         if process.callbacks_until_freeze == 0:
@@ -214,13 +248,9 @@
         process.callbacks_until_freeze = None
         process.frozen = False
         held, process.held = process.held, []
-        is_timer = [isinstance(handle, asyncio.TimerHandle) for handle in held]
+
         for timers in (False, True):
-            self.ready.extend(
-                handle
-                for handle, timer in zip(held, is_timer, strict=True)
-                if timer is timers
-            )
+            self.ready.extend(item for item in held if item.is_timer is timers)
 
     def end(self, process: Process) -> None:
         """Drop all callbacks of a process, now and later."""
@@ -234,20 +264,20 @@
         process = current_process.get()
         return self.now if process is None else process.to_local(self.now)
 
-    def call_soon(self, callback, *args, context=None) -> asyncio.Handle:
+    def call_soon(self, callback, *args, context=None) -> Callback:
         """Run a callback after all that are ready."""
-        handle = asyncio.Handle(callback, args, self, context)
+        handle = Callback(callback, args, context)
         if not self.closed:
             self.ready.append(handle)
         return handle
 
-    def call_later(self, delay, callback, *args, context=None) -> asyncio.TimerHandle:
+    def call_later(self, delay, callback, *args, context=None) -> Callback:
         """Run a callback after a number of seconds."""
         return self.call_at(self.time() + delay, callback, *args, context=context)
 
-    def call_at(self, when, callback, *args, context=None) -> asyncio.TimerHandle:
+    def call_at(self, when, callback, *args, context=None) -> Callback:
         """Run a callback at a reading of the current process's clock."""
-        handle = asyncio.TimerHandle(when, callback, args, self, context)
+        handle = Callback(callback, args, context, True, when)
         process = current_process.get()
         due = when if process is None else process.to_virtual(when)
         if not self.closed:
@@ -255,22 +285,19 @@
             heapq.heappush(self.timers, entry)
         return handle
 
-    def call_outside(self, delay, callback, *args) -> asyncio.TimerHandle:
+    def call_outside(self, delay, callback, *args) -> Callback:
         """Run a callback outside of all processes after a virtual time in seconds."""
         due = self.now + delay
         context = self.outside_context
-        handle = asyncio.TimerHandle(due, callback, args, self, context)
+        handle = Callback(callback, args, context, True, due)
         if not self.closed:
             entry = due, self.random.random(), next(self.numbers), handle
             heapq.heappush(self.timers, entry)
         return handle
 
-    def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
-        """Leave the timer where it is; it is skipped when it is due."""
-
     def create_future(self) -> asyncio.Future:
         """Return a future of this loop."""
-        return NumberedFuture(next(self.numbers), self)
+        return NumberedFuture(loop=self)
 
     def create_task(self, coro, *, name=None, context=None) -> asyncio.Task:
         """Start a task."""
@@ -320,7 +347,14 @@
 
     def monotonic(self) -> datetime.timedelta:
         """Return the reading of the current process's clock."""
-        return datetime.timedelta(seconds=self.loop.time())
+        now = self.loop.now
+        process = current_process.get()
+        if process is None:
+            return datetime.timedelta(seconds=now)
+        if process.read_at != now:
+            process.read_at = now
+            process.reading = datetime.timedelta(seconds=process.to_local(now))
+        return process.reading
 
     def now(self) -> datetime.datetime:
         """Return the wall time, which is the same for all processes."""
--- a/packages/emulator/dewstep_emulator/ownership/instances.py
+++ b/packages/emulator/dewstep_emulator/ownership/instances.py
@@ -1,9 +1,9 @@
 """Instances of the fleet as simulated processes.
 
 An instance consists of the same objects as `dewstep_fleet.process.FleetProcess`, wired
-in the same way, without its HTTP listeners. Its calls to the store and the targets run
-outside of its process, since what the kernel has sent arrives also if the process is
-frozen or killed meanwhile.
+in the same way, without its HTTP listeners. Its messages to the store and the targets
+pass outside of its process, since what the kernel has sent arrives also if the process
+is frozen or killed meanwhile.
 """
 
 import asyncio
@@ -13,7 +13,7 @@
 from typing import Any, NamedTuple
 
 from dewstep_core import events, tasks
-from dewstep_emulator.ownership import event_loop, network
+from dewstep_emulator.ownership import deadlines, event_loop, network
 from dewstep_fleet import (
     coordination,
     directories,
@@ -96,56 +96,33 @@
 # Calls to the platform.
 
 
-async def call_outside(
-    loop: event_loop.EventLoop, work: Coroutine[Any, Any, Any], has_effect: bool
-) -> Any:
-    """Await a coroutine that runs outside of the current process.
-
-    If the caller is cancelled, a call that has an effect goes on.
-    """
-    call = loop.create_task(work, context=loop.outside_context.copy())
-    try:
-        return await asyncio.shield(call)
-    except asyncio.CancelledError:
-        if not has_effect:
-            call.cancel()
-        raise
-
-
-class RemoteStore:
-    """Store whose calls do not depend on the calling process.
+class OutsideTasks(deadlines.Tasks):
+    """Tasks that run outside of the process that starts them.
 
     Parameters
     ----------
     loop : event_loop.EventLoop
-    store : model.Store
     """
 
-    def __init__(self, loop: event_loop.EventLoop, store: model.Store):
+    def __init__(self, loop: event_loop.EventLoop):
+        super().__init__()
         self.loop = loop
-        self.store = store
 
-    async def read_table(self, table):
-        """Return all rows of a table; see `model.Store`."""
-        return await call_outside(self.loop, self.store.read_table(table), False)
+    def start(self, work: Coroutine) -> asyncio.Task:
+        """Start a task."""
+        context = self.loop.outside_context.copy()
+        task = self.loop.create_task(work, context=context)
+        self.tasks[task] = None
+        task.add_done_callback(self._remove, context=context)
+        return task
 
-    async def watch(self, table, after, wait):
-        """Wait for changes; see `model.Store`."""
-        work = self.store.watch(table, after, wait)
-        return await call_outside(self.loop, work, False)
 
-    async def commit(self, expected, writes):
-        """Write rows; see `model.Store`."""
-        work = self.store.commit(dict(expected), dict(writes))
-        return await call_outside(self.loop, work, True)
-
-
-class RemoteConnection:
-    """Connection whose orders do not depend on the calling process."""
+class RecordingConnection:
+    """Connection whose grants are recorded when they are sent."""
 
     def __init__(
         self,
-        channel: "RemoteChannel",
+        channel: "RecordingChannel",
         target: model.Target,
         connection: model.GrantConnection,
     ):
@@ -160,47 +137,41 @@
     async def grant(self, holding, duration, handover):
         """Grant or renew a range; see `model.GrantConnection`."""
         self.channel.record_order(self.target, holding)
-        work = self.connection.grant(holding, duration, handover)
-        return await call_outside(self.channel.loop, work, True)
+        return await self.connection.grant(holding, duration, handover)
 
     def close(self) -> None:
         """Reset the connection."""
         self.connection.close()
 
 
-class RemoteChannel:
-    """Channel whose orders do not depend on the calling process.
+class RecordingChannel:
+    """Channel whose grants are recorded when they are sent.
 
     Parameters
     ----------
-    loop : event_loop.EventLoop
     channel : model.GrantChannel
     record_order : callable
-        Called with the target and the range of each grant that is sent.
+        Called with the target and the range of each grant.
     """
 
     def __init__(
         self,
-        loop: event_loop.EventLoop,
         channel: model.GrantChannel,
         record_order: Callable[[model.Target, model.Holding], None],
     ):
-        self.loop = loop
         self.channel = channel
         self.record_order = record_order
 
     async def connect(self, target):
         """Open a connection for grants; see `model.GrantChannel`."""
-        work = self.channel.connect(target)
-        outcome = await call_outside(self.loop, work, False)
+        outcome = await self.channel.connect(target)
         return outcome.map(
-            lambda connection: RemoteConnection(self, target, connection)
+            lambda connection: RecordingConnection(self, target, connection)
         )
 
     async def release(self, target, holding):
         """Release a range; see `model.GrantChannel`."""
-        work = self.channel.release(target, holding)
-        return await call_outside(self.loop, work, True)
+        return await self.channel.release(target, holding)
 
 
 # Instances.
@@ -257,9 +228,8 @@
             instance.port,
             instance.strength,
         )
-        store = RemoteStore(self.loop, platform.build_store(instance))
-        channel = RemoteChannel(
-            self.loop,
+        store = platform.build_store(instance)
+        channel = RecordingChannel(
             platform.build_channel(instance),
             functools.partial(platform.record_order, self),
         )
--- a/packages/emulator/dewstep_emulator/ownership/simulation.py
+++ b/packages/emulator/dewstep_emulator/ownership/simulation.py
@@ -47,6 +47,9 @@
 KEY_REQUESTS = 4
 """Requests that each instance counts at a time."""
 TRAFFIC_INTERVAL = 0.25
+KEY_SPACING = 97
+KEY_SPREAD = 4.0
+"""Busy keys are `KEY_SPACING` apart, most within twice this number of the busiest."""
 MAX_EVENTS = 30_000
 """Number of events after which a run ends; one of 60 s has 5,000 to 10,000."""
 TRACE_EVENTS = 60
@@ -121,6 +124,8 @@
         self.targets = targets.SimulatedTargets(
             self.clock, random.Random(f"{seed}/targets"), self.store, (self,)
         )
+        self.store.tasks = instances.OutsideTasks(loop)
+        self.targets.tasks = instances.OutsideTasks(loop)
         self.check = checks.OwnershipCheck()
         self.violations: list[Violation] = []
         self.events: list[Event] = []
@@ -380,10 +385,9 @@
                     continue
                 for service in self.services:
                     for _ in range(KEY_REQUESTS):
-                        key = int(generator.gauss(self.busiest_key, 500))
-                        instance.current.keys.count_request(
-                            service, key % model.KEY_SPACE_SIZE
-                        )
+                        distance = KEY_SPACING * int(generator.gauss(0, KEY_SPREAD))
+                        key = (self.busiest_key + distance) % model.KEY_SPACE_SIZE
+                        instance.current.keys.count_request(service, key)
 
     async def supervise(self) -> None:
         """Start an instance again if its process has failed."""
