--- a/packages/emulator/dewstep_emulator/ownership/faults.py
+++ b/packages/emulator/dewstep_emulator/ownership/faults.py
@@ -173,18 +173,26 @@
 
 @register("split", "instance", 2.0, 20.0)
 def split(simulation, subject):
-    """Cut a minority of the instances off from the others, which lose the store."""
+    """Cut a minority of the instances off from the others, which lose the store.
+
+    The minority may also be cut off from some targets.
+    """
     first = simulation.find_instance(subject)
     others = [item for item in simulation.instances.values() if item is not first]
     count = simulation.random.randrange(1, len(simulation.instances) // 2)
     minority = simulation.random.sample(others, count)
     majority = [item for item in (first, *others) if item not in minority]
     hosts = [item.host for item in minority]
+    target_hosts = simulation.list_target_hosts()
+    count = simulation.random.choice((0, 1, len(target_hosts) // 3))
+    target_hosts = simulation.random.sample(target_hosts, count)
     with contextlib.ExitStack() as stack:
         for instance in majority:
             stack.enter_context(
                 simulation.cut_off(instance, [*hosts, simulation.STORE_HOST])
             )
+        for instance in minority:
+            stack.enter_context(simulation.cut_off(instance, target_hosts))
         yield
 
 
@@ -259,8 +267,8 @@
 
 @register("outdated_reads", "none", 0.5, 10.0)
 def outdated_reads(simulation, subject):
-    """Let reads and watches return old rows."""
-    seconds = simulation.random.uniform(0.1, 4.0)
+    """Let reads and watches return old rows; the subject may be their age."""
+    seconds = float(subject) if subject else simulation.random.uniform(0.1, 6.0)
     simulation.store.read_age = datetime.timedelta(seconds=seconds)
     yield
     simulation.store.read_age = datetime.timedelta()
--- a/packages/emulator/dewstep_emulator/ownership/simulation.py
+++ b/packages/emulator/dewstep_emulator/ownership/simulation.py
@@ -50,7 +50,7 @@
 KEY_SPACING = 97
 KEY_SPREAD = 4.0
 """Busy keys are `KEY_SPACING` apart, most within twice this number of the busiest."""
-MAX_EVENTS = 30_000
+MAX_EVENTS = 20_000
 """Number of events after which a run ends; one of 60 s has 5,000 to 10,000."""
 TRACE_EVENTS = 60
 """Number of events before the first violation that a trace contains."""
