--- a/packages/emulator/dewstep_emulator/ownership/simulation_test.py
+++ b/packages/emulator/dewstep_emulator/ownership/simulation_test.py
@@ -152,6 +152,17 @@
             assert fault.duration <= kind.max_duration + 0.001
 
 
+# Guards against a command that cannot be run, or that fails without a reason.
+def test_command_runs_seeds():
+    outcome = subprocess.run(
+        [sys.executable, "-m", simulation.__name__, "--seeds=1:3", "--duration=5"],
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
+    assert (outcome.returncode, outcome.stdout) == (0, "2 seeds, 0 failing\n")
+
+
 # Guards against two owners of a key, repeated numbers and keys without an owner.
 @pytest.mark.parametrize("seed", range(16))
 def test_random_faults_break_no_rule(seed):
