Draw faults in groups that begin together

Change: faults come in groups of up to five within 3 s, and one kind cuts a third of the targets off from all instances but the coordinator.

--- a/packages/emulator/dewstep_emulator/ownership/faults.py
+++ b/packages/emulator/dewstep_emulator/ownership/faults.py
@@ -16,6 +16,10 @@
 from dewstep_fleet import model
 
 COORDINATOR = "coordinator"
+MAX_GROUPS = 5
+MAX_GROUP_SIZE = 5
+GROUP_SECONDS = 3.0
+"""Time within which the faults of a group begin."""
 COORDINATOR_SHARE = 0.5
 """Probability that a fault of an instance befalls the coordinator."""
 
@@ -58,36 +62,45 @@
 def draw_schedule(
     generator: random.Random,
     duration: float,
-    count: int,
     subjects: dict[str, tuple[str, ...]],
 ) -> tuple[Fault, ...]:
     """Return random faults in the order of their beginning.
 
+    Faults come in groups that begin together, since the rules are broken by faults that
+    overlap.
+
     Parameters
     ----------
     generator : random.Random
     duration : float
         Seconds within which they begin.
-    count : int
     subjects : dict of str to tuple of str
         Names by the kind of subject.
     """
     names = sorted(kinds)
     faults = []
-    for _ in range(count):
-        name = generator.choice(names)
-        kind = kinds.get(name)
-        subject = generator.choice(subjects[kind.subjects])
-        if kind.subjects == "instance" and generator.random() < COORDINATOR_SHARE:
-            subject = COORDINATOR
-        # Short faults are as frequent as long ones.
-        spread = kind.max_duration / kind.min_duration
-        lasted = kind.min_duration * spread ** generator.random()
-        at = generator.random() * duration
-        faults.append(Fault(round(at, 3), name, subject, round(lasted, 3)))
+    for _ in range(generator.randrange(1, MAX_GROUPS + 1)):
+        began = generator.random() * duration
+        for _ in range(generator.randrange(1, MAX_GROUP_SIZE + 1)):
+            at = min(began + GROUP_SECONDS * generator.random(), duration)
+            faults.append(draw_fault(generator, generator.choice(names), at, subjects))
     return tuple(sorted(faults))
 
 
+def draw_fault(
+    generator: random.Random, name: str, at: float, subjects: dict[str, tuple[str, ...]]
+) -> Fault:
+    """Return a fault of one kind with a random subject and duration."""
+    kind = kinds.get(name)
+    subject = generator.choice(subjects[kind.subjects])
+    if kind.subjects == "instance" and generator.random() < COORDINATOR_SHARE:
+        subject = COORDINATOR
+    # Short faults are as frequent as long ones.
+    spread = kind.max_duration / kind.min_duration
+    lasted = kind.min_duration * spread ** generator.random()
+    return Fault(round(at, 3), name, subject, round(lasted, 3))
+
+
 # Faults of instances.
 
 
@@ -354,6 +367,19 @@
         yield
 
 
+@register("cut_off_some_targets", "none", 2.0, 15.0)
+def cut_off_some_targets(simulation, subject):
+    """Cut a third of the targets off from all instances but one."""
+    target_hosts = simulation.list_target_hosts()
+    chosen = simulation.random.sample(target_hosts, len(target_hosts) // 3)
+    spared = simulation.find_instance(COORDINATOR)
+    with contextlib.ExitStack() as stack:
+        for instance in simulation.instances.values():
+            if instance is not spared:
+                stack.enter_context(simulation.cut_off(instance, chosen))
+        yield
+
+
 @register("reset_target", "target", 0.1, 0.2)
 def reset_target(simulation, subject):
     """Reset all connections of a target."""
--- a/packages/emulator/dewstep_emulator/ownership/simulation.py
+++ b/packages/emulator/dewstep_emulator/ownership/simulation.py
@@ -440,8 +440,7 @@
         "target": list_targets(),
         "none": ("",),
     }
-    count = generator.randrange(1, 13)
-    return fault_kinds.draw_schedule(generator, duration, count, subjects)
+    return fault_kinds.draw_schedule(generator, duration, subjects)
 
 
 @contextlib.contextmanager
