--- a/packages/emulator/dewstep_emulator/ownership/__init__.py
+++ b/packages/emulator/dewstep_emulator/ownership/__init__.py
@@ -1,1 +1,1 @@
-"""Simulation of the ownership of keys under faults, ordered by a seed."""
+"""Deterministic simulation of the code that decides who owns a key."""
