Retire the pool of the test once its request is in progress

Cause: under load the request had no connection yet after 10 ms, and ended as not sent. Shown by a trial without the wait, which fails the same way.

Seen: once, in a run of fleet, platform and targets at a load average of 26.

--- a/packages/entry/dewstep_entry/targets/connection_pool_test.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool_test.py
@@ -153,7 +153,8 @@
 async def test_retired_pool_finishes_requests_in_progress():
     async with run_target(render_answer(b"a")) as (pool, _):
         sending = asyncio.ensure_future(send_request(pool, b"a"))
-        await asyncio.sleep(0.01)
+        while not any(item.current_exchange for item in pool.open_connections):
+            await asyncio.sleep(0)
         pool.retire()
         outcome = await sending
         assert get_body(outcome) == b"ok"
