Show two owners after a restart beside a coordinator without the store

A coordinator that most instances follow leads without the store; a minority, which reaches it, has elected another one. The first opens a connection to the next process of a target under the same name, for which nothing but its own belief confirms the term, and that process knows none of the higher numbers.

Not mended: without the store, no new connection to a target with a start time would be safe, which costs keys in outages.

--- a/packages/emulator/dewstep_emulator/ownership/simulation_test.py
+++ b/packages/emulator/dewstep_emulator/ownership/simulation_test.py
@@ -195,3 +195,16 @@
     monkeypatch.setattr(simulation, "MAX_EVENTS", 8_000)
     schedule = (faults.Fault(5.0, "store_refuses_some_calls", "", 7.0),)
     assert simulation.run(3, 14.0, schedule).violations == ()
+
+
+# Guards against two owners when a coordinator that leads without the store opens a
+# connection to a target that has restarted under its name, whose keys its successor,
+# elected by a minority, has given to another target.
+def test_restarted_target_accepts_no_order_of_a_coordinator_without_the_store():
+    schedule = (
+        faults.Fault(3.174, "cut_off", faults.COORDINATOR, 0.71),
+        faults.Fault(37.834, "freeze", faults.COORDINATOR, 4.227),
+        faults.Fault(40.419, "split", "n4", 10.53),
+        faults.Fault(46.554, "leave", "t03", 2.544),
+    )
+    assert simulation.run(315, 60.0, schedule).violations == ()
