Let the second call of the time-out test give up before the first

Cause: both calls had the same time-out. If the second began some milliseconds later, it got the connection of the first and was sent.

Change: the first call takes 0.2 s, so that the second never gets the connection. The assertions are the same.

--- a/packages/core/dewstep_core/http/client_test.py
+++ b/packages/core/dewstep_core/http/client_test.py
@@ -28,7 +28,8 @@
         await asyncio.sleep(60)
 
     async with testing.serving(hang, connections=1) as (_, caller):
-        calls = [caller.call("GET", "/", timeout=0.1) for _ in range(2)]
+        # The first call outlasts the second one, which never gets the connection.
+        calls = [caller.call("GET", "/", timeout=limit) for limit in (0.2, 0.1)]
         first, second = await asyncio.gather(*calls)
         assert isinstance(first.failure(), errors.AnswerLost)
         # The only connection was in use, so the second call sent nothing.
