Compare the name of a target only where its answer has a notice

Cause: each answer's head decoded the name of the target that sent it, though few heads say that a target leaves or pauses.

Change: the name is compared last.

--- a/packages/entry/dewstep_entry/targets/answering.py
+++ b/packages/entry/dewstep_entry/targets/answering.py
@@ -78,14 +78,16 @@
     target : str
         Name of the target that the request was sent to.
     """
-    instance = fields.get(rules.instance)
-    if instance and instance.decode("latin-1") != target:
-        return None
     leaving = fields.get(rules.leaving) == b"1"
     pause = datetime.timedelta()
     if status == PAUSE_STATUS:
         pause = read_pause(fields.get(rules.pause))
-    return Notice(leaving, pause) if leaving or pause else None
+    if not leaving and not pause:
+        return None
+    instance = fields.get(rules.instance)
+    if instance and instance.decode("latin-1") != target:
+        return None
+    return Notice(leaving, pause)
 
 
 def read_pause(value: bytes | None) -> datetime.timedelta:
