Take crashes and departures for a message in one place

Cause: two functions and the heartbeat emptied the lists of unsent crashes and departures in four copies, two of which asked whether this instance coordinates.

Change: take_unsent empties both; a report of the coordinator leaves them for its heartbeat, as before.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -709,8 +709,7 @@
         self.live_instances = len(self.list_followers())
         totals = self.sum_loads()
         self.loads.apply_totals(totals, now.total_seconds())
-        crashes, self.unsent_crashes = tuple(self.unsent_crashes), []
-        departures, self.unsent_departures = tuple(self.unsent_departures), []
+        crashes, departures = self.take_unsent()
         deputies = set(self.choose_deputies())
         encoded: dict[tuple, bytes] = {}
         for node, link in list(self.links.items()):
@@ -781,6 +780,8 @@
     def build_report(self) -> frames.Frame:
         """Return a report of what this instance counted since the last one."""
         rows, self.rows_for_coordinator = tuple(self.rows_for_coordinator), []
+        # A coordinator sends these with its next heartbeat.
+        crashes, departures = ((), ()) if self.coordinating else self.take_unsent()
         return self.build_frame(
             "report",
             contact=self.table_feeds.has_recent_answer(STORE_ANSWER_MAX_AGE),
@@ -788,8 +789,8 @@
             rows=rows,
             loads=self.loads.collect_report(),
             keys=self.take_key_counts(),
-            crashes=self.take_crashes(),
-            departures=self.take_departures(),
+            crashes=crashes,
+            departures=departures,
             stopping=self.stopping,
             heartbeat_ms=0 if self.has_voted_recently() else self.received_heartbeat_ms,
         )
@@ -801,19 +802,13 @@
             and self.clock.monotonic() - self.voted_at <= VOTE_VALIDITY
         )
 
-    def take_crashes(self) -> tuple[frames.Crash, ...]:
-        """Return the crashes counted since the last call; none if coordinating."""
-        if self.coordinating:
-            return ()
+    def take_unsent(
+        self,
+    ) -> tuple[tuple[frames.Crash, ...], tuple[frames.Departure, ...]]:
+        """Return the crashes and departures that have not been sent, as sent."""
         crashes, self.unsent_crashes = tuple(self.unsent_crashes), []
-        return crashes
-
-    def take_departures(self) -> tuple[frames.Departure, ...]:
-        """Return the departures seen since the last call; none if coordinating."""
-        if self.coordinating:
-            return ()
         departures, self.unsent_departures = tuple(self.unsent_departures), []
-        return departures
+        return crashes, departures
 
     def get_max_long_grant_time(self) -> datetime.timedelta:
         """Return the maximum time from the announcement of a long grant to its end."""
