State the longest inherited grant and the end of ownership once

Cause: three places took the longer of the usual grant and the inherited ones; two wrote the same log line of ten fields.

Change: get_max_inherited_duration and log_ownership_end serve them.

--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -472,7 +472,7 @@
         grants = outstanding.record_inherited(
             outstanding.build_ended(now),
             now,
-            max(GRANT_DURATION, self.get_inherited_grant_time_left()),
+            self.get_max_inherited_duration(),
         )
         wait = grants.expiry - now
         era_floor = self.directory.era_floor
@@ -480,9 +480,13 @@
         await self.clock.sleep(wait)
         self.known_era_floors[service] = era_floor
 
+    def get_max_inherited_duration(self) -> datetime.timedelta:
+        """Return the longest duration of a grant that a predecessor may send now."""
+        return max(GRANT_DURATION, self.get_inherited_grant_time_left())
+
     def record_inherited_grants(self, ownership: ranges.Ownership) -> None:
         """Assume the latest grants that the previous coordinator may have sent."""
-        max_duration = max(GRANT_DURATION, self.get_inherited_grant_time_left())
+        max_duration = self.get_max_inherited_duration()
         now = self.clock.monotonic()
         inherited = outstanding.record_inherited(
             outstanding.build_ended(now), now, max_duration
@@ -513,7 +517,7 @@
         self.adopted = self.is_adopted()
         if self.adopted:
             events.info("term_adopted", term=self.leadership.term)
-        max_duration = max(GRANT_DURATION, self.get_inherited_grant_time_left())
+        max_duration = self.get_max_inherited_duration()
         for state in self.grant_states.values():
             if state.orders.outstanding.inherits:
                 state.orders.record_inherited(max_duration)
@@ -775,21 +779,13 @@
         grants = outstanding.build_ended(now)
         if state is not None:
             grants = state.orders.outstanding
-        time_left = outstanding.compute_time_left(grants, now)
-        events.info(
-            "ownership_ended",
-            service=service,
-            target=holding.target,
-            life=holding.life,
-            first=holding.first,
-            last=holding.last,
-            generation=holding.generation,
+        log_ownership_end(
+            service,
+            holding,
+            outstanding.compute_time_left(grants, now),
             reason="new_incarnation",
             new_life=target.life,
             state_known=state is not None,
-            grants_left=time_left.all_grants,
-            unanswered_left=time_left.unanswered,
-            inherited_left=time_left.inherited,
         )
 
     def evacuate(
@@ -923,22 +919,15 @@
         await self.clock.sleep(wait)
         if fencing != "accepted":
             wait += await self.await_inherited_grants(orders)
-        events.info(
-            "ownership_ended",
-            service=service,
-            target=holding.target,
-            life=holding.life,
-            first=holding.first,
-            last=holding.last,
-            generation=holding.generation,
+        log_ownership_end(
+            service,
+            holding,
+            time_left,
             reason=reason,
             registered_life=owner.life if owner is not None else None,
             fencing=fencing,
             waited=wait,
             handover=bool(handover),
-            grants_left=time_left.all_grants,
-            unanswered_left=time_left.unanswered,
-            inherited_left=time_left.inherited,
         )
         return handover
 
@@ -1181,3 +1170,35 @@
         self.follow_leadership()
         if self.deposed:
             raise DeposedError
+
+
+def log_ownership_end(
+    service: str,
+    holding: model.Holding,
+    time_left: outstanding.TimeLeft,
+    **details: Any,
+) -> None:
+    """Log that a target owns a range no more.
+
+    Parameters
+    ----------
+    service : str
+    holding : model.Holding
+    time_left : outstanding.TimeLeft
+        Remaining times of its process's grants when the end began.
+    details
+        Further fields of the log line.
+    """
+    events.info(
+        "ownership_ended",
+        service=service,
+        target=holding.target,
+        life=holding.life,
+        first=holding.first,
+        last=holding.last,
+        generation=holding.generation,
+        **details,
+        grants_left=time_left.all_grants,
+        unanswered_left=time_left.unanswered,
+        inherited_left=time_left.inherited,
+    )
