Give the simulated store the client's time-out of a term's confirmation

Cause: the client waits 1.5 s for transactions without writes since; its simulated twin still waited 0.6 s.

Measured: in the simulation's tests and simulated_store_test.py 179 passed and the two known reds failed, as before.

--- a/packages/emulator/dewstep_emulator/ownership/stores.py
+++ b/packages/emulator/dewstep_emulator/ownership/stores.py
@@ -22,7 +22,8 @@
 from dewstep_fleet import model
 
 CALL_TIMEOUT = datetime.timedelta(milliseconds=600)
-"""As `dewstep_platform.store`."""
+CHECK_TIMEOUT = datetime.timedelta(milliseconds=1500)
+"""Both as `dewstep_platform.store`."""
 WATCH_MARGIN = datetime.timedelta(milliseconds=600)
 READ_TIME = datetime.timedelta(milliseconds=4)
 COMMIT_TIME = datetime.timedelta(milliseconds=8)
@@ -383,7 +384,7 @@
         def call() -> Awaitable[Answer]:
             return self.store.commit(self.node, sent, copied)
 
-        outcome = await self._call(call, CALL_TIMEOUT)
+        outcome = await self._call(call, CALL_TIMEOUT if writes else CHECK_TIMEOUT)
         if isinstance(outcome, result.Failure):
             return outcome
         answer = outcome.unwrap()
