Write the fields of ownership_ended at both of its calls again

Cause: moved the call into a function that passes further fields on as keywords. The test compares the page with the literal fields of each call, so fields that are passed on are invisible to it.

--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -779,13 +779,21 @@
         grants = outstanding.build_ended(now)
         if state is not None:
             grants = state.orders.outstanding
-        log_ownership_end(
-            service,
-            holding,
-            outstanding.compute_time_left(grants, now),
+        time_left = outstanding.compute_time_left(grants, now)
+        events.info(
+            "ownership_ended",
+            service=service,
+            target=holding.target,
+            life=holding.life,
+            first=holding.first,
+            last=holding.last,
+            generation=holding.generation,
             reason="new_incarnation",
             new_life=target.life,
             state_known=state is not None,
+            grants_left=time_left.all_grants,
+            unanswered_left=time_left.unanswered,
+            inherited_left=time_left.inherited,
         )
 
     def evacuate(
@@ -919,15 +927,22 @@
         await self.clock.sleep(wait)
         if fencing != "accepted":
             wait += await self.await_inherited_grants(orders)
-        log_ownership_end(
-            service,
-            holding,
-            time_left,
+        events.info(
+            "ownership_ended",
+            service=service,
+            target=holding.target,
+            life=holding.life,
+            first=holding.first,
+            last=holding.last,
+            generation=holding.generation,
             reason=reason,
             registered_life=owner.life if owner is not None else None,
             fencing=fencing,
             waited=wait,
             handover=bool(handover),
+            grants_left=time_left.all_grants,
+            unanswered_left=time_left.unanswered,
+            inherited_left=time_left.inherited,
         )
         return handover
 
@@ -1170,35 +1185,3 @@
         self.follow_leadership()
         if self.deposed:
             raise DeposedError
-
-
-def log_ownership_end(
-    service: str,
-    holding: model.Holding,
-    time_left: outstanding.TimeLeft,
-    **details: Any,
-) -> None:
-    """Log that a target owns a range no more.
-
-    Parameters
-    ----------
-    service : str
-    holding : model.Holding
-    time_left : outstanding.TimeLeft
-        Remaining times of its process's grants when the end began.
-    details
-        Further fields of the log line.
-    """
-    events.info(
-        "ownership_ended",
-        service=service,
-        target=holding.target,
-        life=holding.life,
-        first=holding.first,
-        last=holding.last,
-        generation=holding.generation,
-        **details,
-        grants_left=time_left.all_grants,
-        unanswered_left=time_left.unanswered,
-        inherited_left=time_left.inherited,
-    )
