Let coordinator and successor count the same members

What callers could see: two targets that hold the same keys, after instances were added while the coordinator does not reach the store.

Cause: a coordinator without the store leads while most of the members that it knows follow it, and its successor takes over once half of the members that it knows have adopted the new term. With two of five members added meanwhile, both counts held at a time. A restore from a copy without the members made every follower a majority, too.

Change: a row of the store, `quorum`, names the members that count. While the outcome of a change is unknown, majorities of both are needed. A restored store's older row does not replace the one that is known.

Ruled out: the version of the coordinator's row as a sign of which members it knew, since members that restart get newer rows.

While two builds run in one fleet, the older one does not write the row.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -27,6 +27,7 @@
     load_counts,
     model,
     outstanding,
+    quorums,
     selection,
 )
 
@@ -210,6 +211,10 @@
         self.granter_task: asyncio.Task | None = None
         self.claimed_at: datetime.timedelta | None = None
         """When the last answered claim of a term was sent, until the term begins."""
+        self.proposed_quorum: frozenset[str] | None = None
+        """Members of a quorum that this coordinator has perhaps written."""
+        self.writing_quorum = False
+        self.next_quorum_write = now
         self.tasks = tasks.TaskOwner(self.handle_task_failure)
         self.last_heartbeat_sent_at = now
         self.heartbeat_scheduled = False
@@ -285,6 +290,7 @@
                 self.finish_granting()
                 return
             self.dial_members(now)
+            self.keep_quorum(now)
             if now - self.last_heartbeat_sent_at >= self.choose_heartbeat_interval():
                 self.send_heartbeat(now)
         elif (
@@ -472,16 +478,25 @@
             self.own_member.node, self.own_member.incarnation, term, 0
         )
         value = directories.encode_record(record)
+        quorum = self.directory.quorum
+        writes = {directories.COORDINATOR_KEY: value}
+        if not quorum.stored:
+            writes[directories.QUORUM_KEY] = quorums.encode(
+                quorum.nodes or self.list_members(), quorum.number + 1
+            )
         began = self.clock.monotonic()
         outcome = await self.store.commit(
-            {directories.COORDINATOR_KEY: leadership.version},
-            {directories.COORDINATOR_KEY: value},
+            {
+                directories.COORDINATOR_KEY: leadership.version,
+                directories.QUORUM_KEY: quorum.version,
+            },
+            writes,
         )
         if isinstance(outcome, result.Success):
             self.claimed_at = began
-            self.directory.apply_written_row(
-                directories.COORDINATOR_KEY, outcome.unwrap(), value
-            )
+            # The term begins when the coordinator's row is applied.
+            for key, written in reversed(writes.items()):
+                self.directory.apply_written_row(key, outcome.unwrap(), written)
         else:
             events.info("claim_failed", failure=outcome.failure())
             if not await feeds.read_fleet_table(self.store, self.directory):
@@ -505,6 +520,7 @@
         self.deputy = False
         self.last_heartbeat_at = self.last_healthy_heartbeat_at = self.clock.monotonic()
         self.reports.clear()
+        self.proposed_quorum = None
         self.coordinator_link = None
         self.table_feeds.follow(frozenset(model.TABLES), relays=True)
         claimed_at, self.claimed_at = self.claimed_at, None
@@ -568,15 +584,17 @@
 
     def is_followed(self) -> bool:
         """Whether this instance is the coordinator and most instances report to it."""
-        members = max(1, len(self.directory.members))
-        return self.coordinating and 2 * len(self.list_followers()) > members
+        return self.coordinating and self.is_majority(self.list_followers())
 
     def is_adopted(self) -> bool:
         """Whether at least half of the members have adopted this coordinator's term.
 
         They reject an earlier coordinator, which the others alone do not let lead.
         """
-        return 2 * len(self.list_followers()) >= len(self.directory.members)
+        followers = self.list_followers()
+        return all(
+            quorums.is_half(followers, members) for members in self.list_quorums()
+        )
 
     def can_lead_without_store(self) -> bool:
         """Whether most instances send reports and none of them reaches the store."""
@@ -600,9 +618,75 @@
         return self.is_majority({*informed, self.own_member.node})
 
     def is_majority(self, nodes: Set[str]) -> bool:
-        """Whether nodes are more than half of the members, of which this one is one."""
-        members = {*self.directory.members, self.own_member.node}
-        return 2 * len(nodes & members) > len(members)
+        """Whether nodes include more than half of the members that count."""
+        return all(
+            quorums.is_majority(nodes, members) for members in self.list_quorums()
+        )
+
+    # Quorum.
+
+    def list_members(self) -> frozenset[str]:
+        """Return the nodes of all known members, including this one."""
+        return frozenset({*self.directory.members, self.own_member.node})
+
+    def list_quorums(self) -> list[frozenset[str]]:
+        """Return each set of members of which a majority is needed.
+
+        There are two while the outcome of the last change is unknown.
+        """
+        known = self.directory.quorum.nodes or self.list_members()
+        if self.proposed_quorum is None:
+            return [known]
+        return [known, self.proposed_quorum]
+
+    def keep_quorum(self, now: datetime.timedelta) -> None:
+        """Write the quorum if it is not the known members.
+
+        Until half of the previous one has adopted this term, an earlier coordinator may
+        lead by a majority of it.
+        """
+        quorum = self.directory.quorum
+        if quorum.stored and self.proposed_quorum == quorum.nodes:
+            self.proposed_quorum = None
+        if (
+            self.writing_quorum
+            or now < self.next_quorum_write
+            or not self.granter.adopted
+            or not self.table_feeds.is_current()
+            or (quorum.stored and self.list_members() == quorum.nodes)
+        ):
+            return
+        self.writing_quorum = True
+        self.next_quorum_write = now + granting.TERM_CONFIRMATION_INTERVAL
+        self.tasks.spawn(self.write_quorum())
+
+    async def write_quorum(self) -> None:
+        """Let all known members count in majorities.
+
+        After an unknown outcome, the same members are written again, since majorities
+        of more than two sets would be needed otherwise.
+        """
+        try:
+            quorum = self.directory.quorum
+            nodes = self.proposed_quorum or self.list_members()
+            self.proposed_quorum = nodes
+            value = quorums.encode(nodes, quorum.number + 1)
+            outcome = await self.store.commit(
+                {
+                    directories.COORDINATOR_KEY: self.granter.leadership.version,
+                    directories.QUORUM_KEY: quorum.version,
+                },
+                {directories.QUORUM_KEY: value},
+            )
+            if isinstance(outcome, result.Failure):
+                events.warning("quorum_unwritten", failure=outcome.failure())
+                return
+            self.directory.apply_written_row(
+                directories.QUORUM_KEY, outcome.unwrap(), value
+            )
+            events.info("quorum_changed", term=self.term, members=len(nodes))
+        finally:
+            self.writing_quorum = False
 
     # Links.
 
--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -22,7 +22,7 @@
 from returns import result
 
 from dewstep_core import clocks, errors, events
-from dewstep_fleet import frames, model, ranges
+from dewstep_fleet import frames, model, quorums, ranges
 
 REMOVAL_GRACE = datetime.timedelta(milliseconds=2300)
 """Live targets are registered again within about 2 s of the store's recovery."""
@@ -33,6 +33,7 @@
 RANGES_PREFIX = "ranges/"
 MEMBER_PREFIX = "member/"
 COORDINATOR_KEY = "coordinator"
+QUORUM_KEY = "quorum"
 
 
 class Leadership(NamedTuple):
@@ -137,6 +138,7 @@
         self.ownerships: dict[str, ranges.Ownership] = {}
         self.members: dict[str, model.Member] = {}
         self.leadership = NO_LEADERSHIP
+        self.quorum = quorums.NO_QUORUM
         self.moving: dict[str, tuple[tuple[int, int], ...]] = {}
         """Ranges that are being moved, by service."""
         self.era_floor = 0
@@ -285,6 +287,8 @@
             self._apply_member(row)
         elif row.key == COORDINATOR_KEY:
             self._apply_leadership(row)
+        elif row.key == QUORUM_KEY:
+            self._apply_quorum(row)
 
     def _apply_routes(self, row: model.StoredRow) -> None:
         if row.value is None:
@@ -465,6 +469,16 @@
             row=row.version,
         )
 
+    def _apply_quorum(self, row: model.StoredRow) -> None:
+        if row.value is None:
+            self.quorum = quorums.merge(self.quorum, quorums.NO_QUORUM)
+            return
+        decoded = quorums.decode(row)
+        if isinstance(decoded, result.Failure):
+            events.error("quorum_refused", failure=decoded.failure())
+            return
+        self.quorum = quorums.merge(self.quorum, decoded.unwrap())
+
     # Queries.
 
     def list_versions(self) -> tuple[tuple[int, int], ...]:
