Let a restarted voter acknowledge no long grants for 3 s

What callers could see: keys with two owners for up to 10 s after a change of the coordinator.

Cause: a successor relies for 3 s on a member's vote, in which the member told that it knows of no long grants; meanwhile the member acknowledges no announcement of them. Its next process did not know of the vote and acknowledged at once, so that the previous coordinator could send grants of 10 s of which the successor knew nothing.

Change: a process counts its start as a vote.

Test: test_restarted_voter_acknowledges_no_further_long_grants failed before. The existing test of votes now starts with a process older than 3 s; its assertions are the same.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -187,8 +187,9 @@
         grants, or None if the last one did not."""
         self.received_heartbeat_ms = 0
         """`heartbeat_ms` of the last heartbeat received."""
-        self.voted_at: datetime.timedelta | None = None
-        """When this instance last answered a vote request."""
+        self.voted_at = now
+        """When this instance, or perhaps its previous process, last answered a vote
+        request."""
         self.leadership_changed_at = now
         """When this instance last received a new coordinator row."""
         self.coordinator_healthy = True
@@ -880,11 +881,8 @@
         )
 
     def has_voted_recently(self) -> bool:
-        """Whether a successor may still rely on this instance's last vote."""
-        return (
-            self.voted_at is not None
-            and self.clock.monotonic() - self.voted_at <= VOTE_VALIDITY
-        )
+        """Whether a successor may still rely on a vote of this instance."""
+        return self.clock.monotonic() - self.voted_at <= VOTE_VALIDITY
 
     def take_unsent(
         self,
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -629,20 +629,32 @@
     assert not participant.may_send_long_grants()
 
 
+def answer_heartbeat(participant, heartbeat_ms):
+    """Return which heartbeat an instance acknowledges after it received this one."""
+    link = RecordingLink()
+    frame = frames.Frame("beat", 2, "n1", "i", heartbeat_ms=heartbeat_ms)
+    participant._receive_heartbeat(link, frame, participant.clock.monotonic())
+    return link.sent[-1].heartbeat_ms
+
+
 @testing.run_in_event_loop
 async def test_voters_acknowledge_no_further_long_grants():
     """Guards against long grants that begin after the votes for a successor."""
     participant = VoteHarness({"n1": False}).participant
-    link = RecordingLink()
+    participant.voted_at -= coordination.VOTE_VALIDITY + SECOND
+    assert answer_heartbeat(participant, 5) == 5
+    ask(participant)
+    assert answer_heartbeat(participant, 6) == 0
 
-    def answer_heartbeat(heartbeat_ms):
-        frame = frames.Frame("beat", 2, "n1", "i", heartbeat_ms=heartbeat_ms)
-        participant._receive_heartbeat(link, frame, participant.clock.monotonic())
-        return link.sent[-1].heartbeat_ms
 
-    assert answer_heartbeat(5) == 5
-    ask(participant)
-    assert answer_heartbeat(6) == 0
+@testing.run_in_event_loop
+async def test_restarted_voter_acknowledges_no_further_long_grants():
+    """Guards against long grants that a voter's next process acknowledges, while the
+    successor still relies on the vote."""
+    participant = VoteHarness({"n1": False}).participant
+    assert answer_heartbeat(participant, 5) == 0
+    participant.voted_at -= coordination.VOTE_VALIDITY + SECOND
+    assert answer_heartbeat(participant, 6) == 6
 
 
 @testing.run_in_event_loop
