Do not count a skipped range as accepted

What callers could see: two owners of a range that is moved while the renewal of its owner waits and its fence gets no answer.

Cause: grants of a previous coordinator are excluded once the owner has accepted all its ranges under new numbers in this term. A range whose move began while the renewal waited is skipped, which counted as accepted. If the fence of the move was lost too, the range moved while the previous coordinator, which still led without the store, renewed it.

Change: a skipped range leaves the renewal incomplete.

Test: test_skipped_range_does_not_count_as_accepted failed before.

--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -612,6 +612,7 @@
                 outcome = await self.renew_holding(service, target, holding)
                 if isinstance(outcome, result.Failure):
                     return
+                complete &= outcome.unwrap() is not target_orders.SKIPPED
             if complete and not state.all_accepted:
                 state.all_accepted = True
                 state.orders.exclude_inherited(began)
--- a/packages/fleet/dewstep_fleet/suspected_faults_test.py
+++ b/packages/fleet/dewstep_fleet/suspected_faults_test.py
@@ -23,6 +23,7 @@
     ownership_faults_test,
     ranges,
     store_restore_test,
+    target_orders,
 )
 
 STEP = granting_test.STEP
@@ -182,6 +183,37 @@
     granting_test.run_scenario(scenario)
 
 
+# Guards against two owners after a range was moved while the renewal of its owner
+# waited: the owner had not rejected the previous coordinator's grants for that range.
+def test_skipped_range_does_not_count_as_accepted():
+    async def scenario(harnesses):
+        harness = granting_test.build_harness(harnesses, "a", "b")
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME + builders.SECOND)
+        successor = elect_beside_a_followed_coordinator(harness)
+        successor.channel = harness.targets
+        async with asyncio.timeout(1.0):
+            while "history" not in successor.managed_services:
+                successor.step()
+                await asyncio.sleep(0)
+        target = successor.directory.targets["a"]
+        state = successor.get_grant_state(
+            granting.TargetIncarnation(target.name, target.life)
+        )
+
+        async def skip(*_):
+            return result.Success(target_orders.SKIPPED)
+
+        grant, state.orders.grant = state.orders.grant, skip
+        await successor.renew("history", target, state)
+        assert state.orders.outstanding.inherits
+        state.orders.grant = grant
+        await successor.renew("history", target, state)
+        assert not state.orders.outstanding.inherits
+
+    granting_test.run_scenario(scenario)
+
+
 # Guards against two owners after a pause of a new coordinator, in which it could not
 # observe that the previous one is still followed.
 def test_paused_coordinator_waits_for_a_followed_one():
