List two owners after a restore from before the first election as known red

What callers could see: two owners, if the store comes back from a copy that is older than the first election of the fleet.

Cause: term 1 in a store without owners grants at once, as the first start of a fleet must. A restored copy of before the first election looks the same.

Not mended: a later era alone does not tell a restore during the first start from one long before, after which the first start has to be quick (test_first_coordinator_does_not_wait_in_a_later_era).

Test: test_first_term_of_a_restored_store_waits_for_earlier_grants fails.

--- a/packages/fleet/dewstep_fleet/store_restore_test.py
+++ b/packages/fleet/dewstep_fleet/store_restore_test.py
@@ -12,6 +12,7 @@
 from dewstep_fleet import (
     builders,
     event_capture,
+    granting,
     granting_test,
     model,
     outstanding,
@@ -207,6 +208,27 @@
     granting_test.run_scenario(scenario)
 
 
+# Guards against two owners after a restore from a copy of before the first election,
+# which hides that there have been coordinators.
+def test_first_term_of_a_restored_store_waits_for_earlier_grants():
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        harness.store.save_copy()
+        first = harness.elect("n1")
+        await harness.run(SETTLING_TIME + 2 * granting.RENEWAL_INTERVAL)
+        harness.cut()
+        await harness.restore()
+        first.tasks.cancel()
+        first.deposed = True
+        harness.term = 0
+        harness.elect("n2")
+        harness.register(builders.build_target("c"))
+        await harness.run(8 * builders.SECOND)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
 def test_coordinator_writes_owners_again_that_the_copy_lacks():
     async def scenario(harnesses):
         harness = build_harness(harnesses, "a", "b")
