Limit the size of a decompressed ownership row

What callers saw: a row of 194 kB that expands to 200 MB held up the event loop for about a second and took more than 400 MB.

Cause: `decode` decompressed the whole value before it looked at it.

Change: at most 1 MiB is decompressed; a larger or truncated row is refused as RowInvalid, which readers already handle. A range for each of the 1,600 targets of docs/CAPACITY.md, with long names and large numbers, takes 0.12 MB (0.05 MB compressed).

Ruled out: limiting the compressed size only, since 64 kB may expand to 67 MB.

Measured: `pytest packages/fleet/dewstep_fleet/ranges_test.py`; test_row_that_expands_without_end_is_rejected failed before (peak of 449 MB), 11 passed after. `decode` of that row, single runs at a load average of about 29: 983 ms before, 3 ms after. The slowest row of nearly 1 MiB that was tried (74,000 ranges) took 100 ms.

--- a/packages/fleet/dewstep_fleet/ranges.py
+++ b/packages/fleet/dewstep_fleet/ranges.py
@@ -17,6 +17,8 @@
 
 SCHEMA_VERSION = 1
 """Version of the row encoding."""
+MAX_ROW_BYTES = 1024 * 1024
+"""Maximum size of a decompressed row. A range for each of 1,600 targets is 0.1 MB."""
 
 
 class Ownership(NamedTuple):
@@ -172,6 +174,23 @@
     return zlib.compress(json.dumps(value, separators=(",", ":")).encode())
 
 
+def decompress(value: bytes) -> bytes:
+    """Return the decompressed content of a row value.
+
+    Raises
+    ------
+    zlib.error, ValueError
+        If the value is invalid or truncated, or its content exceeds `MAX_ROW_BYTES`.
+    """
+    decompressor = zlib.decompressobj()
+    content = decompressor.decompress(value, MAX_ROW_BYTES + 1)
+    if len(content) > MAX_ROW_BYTES:
+        raise ValueError(f"row exceeds {MAX_ROW_BYTES} bytes")
+    if not decompressor.eof:
+        raise ValueError("row is truncated")
+    return content
+
+
 def decode(
     service: str, version: int, value: bytes
 ) -> result.Result[Ownership, errors.RowInvalid]:
@@ -182,7 +201,7 @@
     """
     key = f"ranges/{service}"
     try:
-        content = json.loads(zlib.decompress(value))
+        content = json.loads(decompress(value))
         if content["schema"] != SCHEMA_VERSION:
             detail = f"unknown schema {content['schema']!r}"
             return result.Failure(errors.RowInvalid(key, detail))
--- a/packages/fleet/dewstep_fleet/ranges_test.py
+++ b/packages/fleet/dewstep_fleet/ranges_test.py
@@ -1,9 +1,12 @@
 import json
+import random
+import tracemalloc
 import zlib
 
 from hypothesis import given, strategies
 from returns import result
 
+from dewstep_core import errors
 from dewstep_fleet import builders, model, ranges
 
 SPANS = strategies.tuples(
@@ -110,3 +113,45 @@
     left = ranges.exclude_range(holdings, 100, 200)
     assert [(item.first, item.last) for item in left[:2]] == [(0, 99), (201, 32767)]
     assert left[2] == holdings[1]
+
+
+def test_largest_ownership_round_trip():
+    # Guards against a limit that refuses a row of the store's maximum size.
+    step = model.KEY_SPACE_SIZE / 1600
+    generator = random.Random(1)
+    holdings = tuple(
+        model.Holding(
+            int(number * step),
+            int((number + 1) * step) - 1,
+            f"data-centre-13-instance-{number}",
+            generator.randrange(10**18),
+            2**52 + generator.randrange(2**52),
+        )
+        for number in range(1600)
+    )
+    ownership = ranges.Ownership("history", 5, 2**53, holdings)
+    value = ranges.encode(ownership)
+    assert ranges.decode("history", 5, value).unwrap() == ownership
+    assert len(zlib.decompress(value)) * 4 < ranges.MAX_ROW_BYTES
+
+
+def test_row_that_expands_without_end_is_rejected():
+    # Guards against a row that holds up the event loop and exhausts the memory.
+    compressor = zlib.compressobj()
+    block = b" " * 1_000_000
+    value = b"".join(compressor.compress(block) for _ in range(200))
+    value += compressor.flush()
+    tracemalloc.start()
+    try:
+        outcome = ranges.decode("history", 1, value)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert isinstance(outcome.failure(), errors.RowInvalid)
+    assert peak_bytes < 4 * ranges.MAX_ROW_BYTES
+
+
+def test_truncated_row_is_rejected():
+    value = ranges.encode(build_ownership("a", "b"))
+    for end in range(len(value)):
+        assert isinstance(ranges.decode("history", 1, value[:end]), result.Failure)
