Refuse infinite numbers in ownership rows

Cause: decode did not catch it. quorums.decode did not catch RecursionError, which nested lists raise.

Change: both are refused as RowInvalid.

Test: test_row_with_an_infinite_number_is_rejected failed before for both numbers.

--- a/packages/fleet/dewstep_fleet/quorums.py
+++ b/packages/fleet/dewstep_fleet/quorums.py
@@ -49,7 +49,7 @@
         schema, number, nodes = (
             content[name] for name in ("schema", "number", "nodes")
         )
-    except (ValueError, TypeError, KeyError) as error:
+    except (ValueError, TypeError, KeyError, RecursionError) as error:
         return result.Failure(errors.RowInvalid(row.key, repr(error)))
     if schema != ranges.SCHEMA_VERSION:
         detail = f"unknown schema {schema!r}"
--- a/packages/fleet/dewstep_fleet/ranges.py
+++ b/packages/fleet/dewstep_fleet/ranges.py
@@ -210,7 +210,14 @@
             for first, last, target, life, number in content["holdings"]
         )
         generation = int(content["generation"])
-    except (zlib.error, ValueError, TypeError, KeyError, RecursionError) as error:
+    except (
+        zlib.error,
+        ValueError,
+        TypeError,
+        KeyError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         return result.Failure(errors.RowInvalid(key, repr(error)))
     next_key = 0
     for item in holdings:
--- a/packages/fleet/dewstep_fleet/ranges_test.py
+++ b/packages/fleet/dewstep_fleet/ranges_test.py
@@ -3,6 +3,7 @@
 import tracemalloc
 import zlib
 
+import pytest
 from hypothesis import given, strategies
 from returns import result
 
@@ -155,3 +156,11 @@
     value = ranges.encode(build_ownership("a", "b"))
     for end in range(len(value)):
         assert isinstance(ranges.decode("history", 1, value[:end]), result.Failure)
+
+
+@pytest.mark.parametrize("number", ["Infinity", "1e999"])
+def test_row_with_an_infinite_number_is_rejected(number):
+    # Guards against an exception that ends the follower of the fleet's table.
+    content = zlib.decompress(ranges.encode(build_ownership("a", "b"))).decode()
+    value = zlib.compress(content.replace("32767", number).encode())
+    assert isinstance(ranges.decode("history", 1, value).failure(), errors.RowInvalid)
