Do not wait for the expiry of a grant that was never sent

Cause: the gate notes a grant as sent before the call. When a target is killed, the next renewal is refused at the connect, yet its expiry replaced that of the last grant that had reached the target. The evacuation so waited up to one renewal interval (150 ms) longer than necessary: 466 to 616 ms after the kill instead of 316 to 466 ms, of the 1 s within which a key must be served again. On a slow machine the rest does not suffice for the commit, the distribution of the assignment and the look-ups.

Change: a grant that fails as TargetUnavailable, which means that nothing was sent, is withdrawn from the expiry. One that was sent, or that is unanswered, still counts.

Measured: the new test fails without the change (expiry 150 ms later) and passes with it; packages/entry/dewstep_entry/gate, 95 tests, pass.

--- a/packages/entry/dewstep_entry/gate/grants.py
+++ b/packages/entry/dewstep_entry/gate/grants.py
@@ -120,6 +120,7 @@
         self.confirmed_boot: str | None = None
         self.send_until = ZERO
         self.own_expired_at = ZERO
+        self.earlier_grants_expired_at = ZERO
         self.earlier_gates_end: datetime.timedelta | None = earlier_gates_end
         self.last_demand = now
         self.unanswered_since: datetime.timedelta | None = None
@@ -290,11 +291,16 @@
     ) -> None:
         """Note that a grant on `reading` is being sent; it may never arrive."""
         self.last_grant = now
+        self.earlier_grants_expired_at = self.own_expired_at
         self.own_expired_at = max(
             self.own_expired_at,
             compute_certain_expiry(reading.received, self.grant_settings),
         )
 
+    def withdraw_grant(self) -> None:
+        """Note that the last grant noted as sent was certainly not sent."""
+        self.own_expired_at = self.earlier_grants_expired_at
+
     def receive_reading(self, reading: data.ClockReading) -> bool:
         """Apply a reading; return whether it shows a new boot id.
 
--- a/packages/entry/dewstep_entry/gate/renewal.py
+++ b/packages/entry/dewstep_entry/gate/renewal.py
@@ -181,6 +181,10 @@
         self.exclude_delay_since(now + CALL_TIMEOUT)
         if not done:
             return
+        if isinstance(outcome, result.Failure) and isinstance(
+            outcome.failure(), errors.TargetUnavailable
+        ):
+            self.grant.withdraw_grant()
         if isinstance(outcome, result.Failure) and isinstance(
             outcome.failure(), errors.TargetRefused
         ):
--- a/packages/entry/dewstep_entry/gate/renewal_test.py
+++ b/packages/entry/dewstep_entry/gate/renewal_test.py
@@ -139,6 +139,31 @@
     gates_test.run_scenario(scenario)
 
 
+@pytest.mark.parametrize("refused", [False, True])
+def test_only_a_grant_that_may_have_arrived_delays_the_evacuation(refused):
+    """Guards against waiting for the expiry of a grant that was never sent."""
+
+    async def scenario():
+        setup = await gates_test.GateSetup().start()
+        assert (await setup.send_request()).unwrap()
+        await fakes.pass_time(setup.clock, 200 * MS)
+        before = setup.gate.get_expired_at()
+        if refused:
+            setup.server.listening = False
+        else:
+            setup.server.reachable = False
+        setup.channel.calls.clear()
+        await fakes.pass_time(setup.clock, 700 * MS)
+        assert setup.gate.lost
+        assert setup.channel.calls[0] == "grant"
+        expired_at = setup.gate.get_expired_at()
+        assert expired_at == before if refused else expired_at > before
+        assert setup.server.expires - setup.server.offset < before
+        await setup.gate.stop()
+
+    gates_test.run_scenario(scenario)
+
+
 def test_a_target_that_closes_after_each_answer_causes_no_busy_loop():
     """Guards against a busy loop of closed connections and clock requests."""
 
