Do not suspect a peer because it closed its connection

Cause: a process that suspects a peer closes its connection to it. The peer took the end of that connection for the end of the process and suspected it in return, closed its own connection, and so ended its requests at a process that runs. If the first suspicion had been refuted meanwhile, the end of the second connection caused the next one, and so on. On a slow machine one heartbeat that is late by 0.3 s starts this.

Change: a peer that closes its own connection is asked for a heartbeat. If it has ended, it refuses the connection and is suspected at once, as before. If it runs, the request refutes its suspicion. The end of this process's own connection still counts.

One process suspected the same peer six times in 120 ms, and two raised the term of one target from 7 to 11 in 130 ms. Requests failed as ConnectionLost, PeerUnreachable and NotTheOwner. The test of mutual suspicions fails without the change and passes with it; packages/entry, 461 tests, pass.

--- a/packages/entry/dewstep_entry/peers/link.py
+++ b/packages/entry/dewstep_entry/peers/link.py
@@ -23,7 +23,10 @@
     UP = "up"
     REFUSED = "refused"
     RESET = "reset"
-    """An established connection was closed."""
+    """An established connection of this process was closed."""
+    CLOSED_BY_PEER = "closed-by-peer"
+    """An established connection of the peer was closed. A peer closes its connection
+    when it ends, and also when it suspects this process."""
     TIMED_OUT = "timed-out"
     """No connection, or no hello on it, within `connect_timeout`."""
 
@@ -249,11 +252,13 @@
             hello_timer.cancel()
         link = self.links_by_session.pop(session, None)
         established = session.peer is not None
+        change = ConnectionChange.CLOSED_BY_PEER
         if link is not None:
             established = link.ready
+            change = ConnectionChange.RESET
             self._end_link(link)
         incoming_link = self.incoming_links.pop(session, None)
         if incoming_link is not None:
             incoming_link.cancel_streams()
         if established and not self.stopped:
-            self.notify_change(session.peer, ConnectionChange.RESET)
+            self.notify_change(session.peer, change)
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -346,7 +346,9 @@
             if self.members.record_message(member, self.clock.monotonic()):
                 self.exchange.publish_members()
             return
-        if (
+        if change is link.ConnectionChange.CLOSED_BY_PEER:
+            self.exchange.check_running(member)
+        elif (
             change in (link.ConnectionChange.REFUSED, link.ConnectionChange.RESET)
             and member.entry
         ):
--- a/packages/entry/dewstep_entry/process_test.py
+++ b/packages/entry/dewstep_entry/process_test.py
@@ -21,10 +21,10 @@
         self.aborted = True
 
 
-def build_process(timer, **fields):
-    address = settings.Address("127.0.0.1", 1)
+def build_process(timer, entry="e1", port=1, **fields):
+    address = settings.Address("127.0.0.1", port)
     return process.EntryProcess(
-        settings.Settings("e1", "dc", address, address, address, (address,), **fields),
+        settings.Settings(entry, "dc", address, address, address, (address,), **fields),
         timer,
     )
 
@@ -122,3 +122,58 @@
         return alive_before, entry_process.holder.current.members["e2"].alive
 
     assert asyncio.run(reset()) == (True, False)
+
+
+async def start_networks():
+    """Return two processes whose networks are started."""
+    started = [build_process(clocks.SystemClock(), entry, 0) for entry in ("e1", "e2")]
+    for entry_process in started:
+        await entry_process.network.start()
+    return started
+
+
+async def wait_until_alive(entry_process, peer, alive=True):
+    """Wait until a process regards a peer as alive, or as suspect; return whether."""
+    for _ in range(200):
+        state = entry_process.holder.current.members.get(peer)
+        if state is not None and state.alive is alive:
+            return True
+        await asyncio.sleep(0.01)
+    return False
+
+
+def test_process_that_is_suspected_does_not_suspect_in_return():
+    # Guards against mutual suspicions, which end the requests at processes that run.
+    async def suspect():
+        first, second = await start_networks()
+        for sender, receiver in ((first, second), (second, first)):
+            heartbeat = sender.exchange.build_heartbeat()
+            sender.network.send(receiver.network.member, heartbeat)
+        assert await wait_until_alive(first, "e2")
+        assert await wait_until_alive(second, "e1")
+        first.exchange.suspect_refused(second.network.member)
+        assert not first.holder.current.members["e2"].alive
+        # The suspect answers, which refutes the suspicion.
+        refuted = await wait_until_alive(first, "e2")
+        suspected = second.exchange.members.peers["e1"].suspected
+        for entry_process in (first, second):
+            await entry_process.network.stop()
+        return refuted, suspected
+
+    assert asyncio.run(suspect()) == (True, None)
+
+
+def test_process_that_ended_is_suspected_though_only_it_had_connected():
+    # Guards against waiting for the silence of a process that refuses connections.
+    async def end():
+        first, second = await start_networks()
+        heartbeat = second.exchange.build_heartbeat()
+        second.network.send(first.network.member, heartbeat)
+        assert await wait_until_alive(first, "e2")
+        assert not first.network.links
+        await second.network.stop()
+        suspected = await wait_until_alive(first, "e2", False)
+        await first.network.stop()
+        return suspected
+
+    assert asyncio.run(end())
--- a/packages/entry/dewstep_entry/state/exchange.py
+++ b/packages/entry/dewstep_entry/state/exchange.py
@@ -334,6 +334,14 @@
             return
         self.holder.offer_configuration(decoded.unwrap())
 
+    def check_running(self, member: data.Member) -> None:
+        """Request a heartbeat from a peer that closed its connection to this process.
+
+        If the peer has ended, it refuses the connection. If it suspects this process,
+        the request refutes that.
+        """
+        self.network.send(member, messages.Fetch(HEARTBEAT, ""))
+
     def suspect_refused(self, member: data.Member) -> None:
         """Suspect a peer whose connection was refused or reset."""
         if self.members.record_refusal(member, self.clock.monotonic()):
