Do not take a pause of the gate for slow services of its target

Cause: the gate measures a service from the sending of the request to the processing of its answer. If the process is paused meanwhile, the pause counts as service time of all requests in progress. The estimate of a new gate, with few answers, then rises from 8 to several hundred ms, and the admission queue refuses as QueueFull what the target can serve: the burst that arrived during the pause.

Change: a time that contains the start of a late period of the event loop is not passed to the admission queue and to the detection of outliers. Further late wake-ups within the same 5 s count as before: the requests of a process that is short of processor time do take that long, and an estimate without them would admit more than it can answer.

Ruled out: subtracting the delay of each wake-up, for the same reason; a shorter memory of the estimate, which would make a full queue refuse requests needlessly.

The new test (20 answers, 1 s) fails without the change and passes with it.

--- a/packages/entry/dewstep_entry/balancing/balancer.py
+++ b/packages/entry/dewstep_entry/balancing/balancer.py
@@ -69,16 +69,18 @@
     network : dewstep_entry.peers.link.PeerNetwork
     observer : workload.Observer
         Loads of the targets whose gates are here.
+    loop_monitor : lateness.LoopMonitor, optional
+        Detects pauses of this process.
     """
 
-    def __init__(self, own, holder, clock, gates, network, observer):
+    def __init__(self, own, holder, clock, gates, network, observer, loop_monitor=None):
         self.own: data.Member = own
         self.holder: view.ViewHolder = holder
         self.clock: clocks.Clock = clock
         self.gates: manager.GateManager = gates
         self.network = network
         self.observer: workload.Observer = observer
-        self.loop_monitor = lateness.LoopMonitor(clock.monotonic())
+        self.loop_monitor = loop_monitor or lateness.LoopMonitor(clock.monotonic())
         self.reports: dict[str, dict[str, planner.Report]] = {}
         """Reports for the plans being prepared, by service and target."""
         self.move_times: dict[str, dict[int | str, datetime.timedelta]] = {}
--- a/packages/entry/dewstep_entry/balancing/lateness.py
+++ b/packages/entry/dewstep_entry/balancing/lateness.py
@@ -1,7 +1,8 @@
 """Detects that the event loop of this process runs late.
 
 A process with too little processor time counts requests and reports loads late, which
-looks like uneven load and must not cause moves of shards. The monitor sleeps for short
+looks like uneven load and must not cause moves of shards. A pause also looks like a
+slow service of each request that was in progress. The monitor sleeps for short
 intervals and compares the planned times of its wake-ups with the actual ones.
 """
 
@@ -30,11 +31,15 @@
     def __init__(self, now: datetime.timedelta):
         self.next_wakeup = now + WAKEUP_INTERVAL
         self.late_until = now
+        self.last_pause_end = now
+        """Time of the last wake-up that started a late period."""
 
     def record_wakeup(self, now: datetime.timedelta) -> datetime.timedelta | None:
         """Record a wake-up; return its delay if a late period starts, else None."""
         delay = now - self.next_wakeup
         starts_late_period = delay > MAX_WAKEUP_DELAY and now >= self.late_until
+        if starts_late_period:
+            self.last_pause_end = now
         if delay > MAX_WAKEUP_DELAY:
             self.late_until = now + LATE_PERIOD
         self.next_wakeup = now + WAKEUP_INTERVAL
@@ -48,6 +53,19 @@
         """
         return now < self.late_until or now - self.next_wakeup > MAX_WAKEUP_DELAY
 
+    def was_paused_since(
+        self, started: datetime.timedelta, now: datetime.timedelta
+    ) -> bool:
+        """Return whether a late period started between `started` and `now`.
+
+        Further late wake-ups within the period do not count: they show a process that
+        is short of processor time, not one that was paused once.
+        """
+        if started < self.last_pause_end:
+            return True
+        is_overdue = now - self.next_wakeup > MAX_WAKEUP_DELAY
+        return is_overdue and now >= self.late_until and started < self.next_wakeup
+
     async def run(self, clock: clocks.Clock) -> None:
         """Wake up at intervals until cancelled."""
         self.next_wakeup = clock.monotonic() + WAKEUP_INTERVAL
--- a/packages/entry/dewstep_entry/balancing/workload.py
+++ b/packages/entry/dewstep_entry/balancing/workload.py
@@ -14,6 +14,7 @@
 
 from dewstep_core import clocks, data, errors
 from dewstep_entry import interfaces
+from dewstep_entry.balancing import lateness
 from dewstep_entry.policy import admission, decay, hotkeys, limit, outliers
 
 HALF_LIFE = datetime.timedelta(seconds=15)
@@ -121,10 +122,17 @@
     Parameters
     ----------
     clock : clocks.Clock
+    loop_monitor : lateness.LoopMonitor, optional
+        Detects pauses of this process.
     """
 
-    def __init__(self, clock: clocks.Clock):
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        loop_monitor: lateness.LoopMonitor | None = None,
+    ):
         self.clock = clock
+        self.loop_monitor = loop_monitor
         self.loads: dict[str, Workload] = {}
         self.outliers: dict[str, outliers.OutlierDetector] = {}
         self.admissions: dict[str, admission.Admission] = {}
@@ -165,6 +173,8 @@
         policy_outcome = classify_outcome(outcome)
         if policy_outcome is None:
             return
+        timed = policy_outcome in (limit.ANSWERED, limit.LATE)
+        paused = timed and self.was_paused_within(slot_time)
         if policy_outcome == limit.LATE and self.is_overdue(target, slot_time):
             policy_outcome = limit.FAILED
         now = self.clock.monotonic()
@@ -173,7 +183,18 @@
             self.add_unserved(target, shard, key, overridden)
         elif load is not None:
             load.add_run(shard, key, overridden, slot_time, now)
-        self.update_policies(target, policy_outcome, slot_time)
+        if not paused:
+            self.update_policies(target, policy_outcome, slot_time)
+
+    def was_paused_within(self, slot_time: datetime.timedelta) -> bool:
+        """Return whether a pause of this process is part of a slot time that ends now.
+
+        The time that the target needed is then not known.
+        """
+        now = self.clock.monotonic()
+        return self.loop_monitor is not None and self.loop_monitor.was_paused_since(
+            now - slot_time, now
+        )
 
     def update_policies(
         self, target: data.Target, policy_outcome: str, slot_time: datetime.timedelta
@@ -206,6 +227,8 @@
         queue = self.admissions.get(target.name)
         if queue is None or slot_time <= queue.estimate.mean:
             return
+        if self.was_paused_within(slot_time):
+            return
         if not self.is_overdue(target, slot_time):
             self.update_policies(target, limit.LATE, slot_time)
 
--- a/packages/entry/dewstep_entry/balancing/workload_test.py
+++ b/packages/entry/dewstep_entry/balancing/workload_test.py
@@ -6,7 +6,7 @@
 
 from dewstep_core import clocks, errors
 from dewstep_emulator import builders, queueing
-from dewstep_entry.balancing import workload
+from dewstep_entry.balancing import lateness, workload
 from dewstep_entry.policy import admission, limit
 
 SLOT_TIME = datetime.timedelta(milliseconds=100)
@@ -181,3 +181,61 @@
         observer.record(target, 3, "k", False, overdue, 20 * SLOT_TIME)
         observer.record_cancelled(target, 3, "k", False, 20 * SLOT_TIME)
     assert queue.estimate.mean == SLOT_TIME
+
+
+@pytest.mark.parametrize("wakes_first", [False, True])
+@pytest.mark.parametrize("late_before", [False, True])
+def test_time_of_an_isolated_pause_is_not_taken_for_service_time(
+    wakes_first, late_before
+):
+    # Guards against refusing requests that the target can serve, because this process
+    # was paused for a second. A process that is late again and again plans with the
+    # longer times, since its requests do take that long.
+    clock = clocks.ManualClock()
+    monitor = lateness.LoopMonitor(clock.monotonic())
+    target = builders.build_target(name="t1")
+    observer = workload.Observer(clock, monitor)
+    observer.start(target)
+    queue = observer.admissions["t1"] = admission.Admission("t1", 4, random.Random(1))
+    success = result.Success(builders.build_answer())
+
+    def pause(duration):
+        clock.advance(duration)
+        monitor.record_wakeup(clock.monotonic())
+
+    if late_before:
+        pause(10 * lateness.WAKEUP_INTERVAL)
+    for _ in range(20):
+        pause(lateness.WAKEUP_INTERVAL)
+        observer.record(target, 3, "k", False, success, SLOT_TIME / 10)
+    clock.advance(10 * SLOT_TIME)
+    if wakes_first:
+        monitor.record_wakeup(clock.monotonic())
+    for _ in range(4):
+        observer.record(target, 3, "k", False, success, 10 * SLOT_TIME)
+    observer.record_cancelled(target, 3, "k", False, 10 * SLOT_TIME)
+    overdue = result.Failure(errors.DeadlineExceeded("t1"))
+    observer.record(target, 3, "k", False, overdue, 10 * SLOT_TIME)
+    now = clock.monotonic()
+    offers = [queue.offer(str(n), 1.0, now + 20 * SLOT_TIME, now) for n in range(33)]
+    refused = any(isinstance(offer, admission.Refused) for offer in offers)
+    assert refused is late_before
+    assert (queue.estimate.mean == SLOT_TIME / 10) is not late_before
+
+
+def test_service_time_after_a_pause_counts():
+    # Guards against an estimate that ignores a slow target after one pause.
+    clock = clocks.ManualClock()
+    monitor = lateness.LoopMonitor(clock.monotonic())
+    target = builders.build_target(name="t1")
+    observer = workload.Observer(clock, monitor)
+    observer.start(target)
+    queue = observer.admissions["t1"] = admission.Admission("t1", 4, random.Random(1))
+    clock.advance(10 * SLOT_TIME)
+    monitor.record_wakeup(clock.monotonic())
+    for _ in range(10):
+        clock.advance(lateness.WAKEUP_INTERVAL)
+        monitor.record_wakeup(clock.monotonic())
+    success = result.Success(builders.build_answer())
+    observer.record(target, 3, "k", False, success, 4 * SLOT_TIME)
+    assert queue.estimate.mean == 4 * SLOT_TIME
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -20,7 +20,7 @@
 )
 from dewstep_core.platform import instances, table as tables
 from dewstep_entry import metrics, operators, reporting
-from dewstep_entry.balancing import balancer, workload
+from dewstep_entry.balancing import balancer, lateness, workload
 from dewstep_entry.caller import listener
 from dewstep_entry.gate import dependencies, handover, manager, timing, transfer
 from dewstep_entry.peers import link
@@ -107,7 +107,8 @@
 
     def build_gates(self) -> None:
         """Create the gate manager, the links to peers and the balancer."""
-        self.observer = workload.Observer(self.clock)
+        loop_monitor = lateness.LoopMonitor(self.clock.monotonic())
+        self.observer = workload.Observer(self.clock, loop_monitor)
         self.gates = manager.GateManager(
             self.own_member,
             self.holder,
@@ -146,6 +147,7 @@
             self.gates,
             self.network,
             self.observer,
+            loop_monitor,
         )
 
     def build_servers(self) -> None:
