Decode a message once for all of its simulated receivers

Change: while a simulation runs, the last 64 decoded messages are kept by their bytes.

Ruled out: a receiver that changes a message; frames are tuples of tuples.

--- a/packages/emulator/dewstep_emulator/ownership/simulation.py
+++ b/packages/emulator/dewstep_emulator/ownership/simulation.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import contextlib
+import functools
 import gc
 import itertools
 import multiprocessing
@@ -31,7 +32,7 @@
     stores,
     targets,
 )
-from dewstep_fleet import builders, model
+from dewstep_fleet import builders, frames, model
 
 INSTANCE_COUNT = 6
 TARGET_COUNT = 12
@@ -52,6 +53,8 @@
 """Busy keys are `KEY_SPACING` apart, most within twice this number of the busiest."""
 MAX_EVENTS = 20_000
 """Number of events after which a run ends; one of 60 s has 5,000 to 10,000."""
+DECODED_FRAMES = 64
+"""Number of decoded messages between instances that are kept."""
 TRACE_EVENTS = 60
 """Number of events before the first violation that a trace contains."""
 
@@ -453,6 +456,20 @@
         events.log = previous
 
 
+@contextlib.contextmanager
+def sharing_frames() -> Iterator[None]:
+    """Decode a message between instances once for all of its receivers.
+
+    Most members receive the same heartbeat, and a decoded message is never changed.
+    """
+    decode = frames.decode
+    frames.decode = functools.lru_cache(DECODED_FRAMES)(decode)
+    try:
+        yield
+    finally:
+        frames.decode = decode
+
+
 def run(
     seed: int,
     duration: float = 60.0,
@@ -483,7 +500,8 @@
     # Collecting garbage would take a third of the time of a run.
     gc.disable()
     try:
-        loop.run(main())
+        with sharing_frames():
+            loop.run(main())
     finally:
         with recording_events(lambda *arguments, **fields: None):
             loop.close()
