Change a whole run of keys in place

Cause: KeyMap.change split and merged the runs at both ends of the range and rebuilt their lists at each change.

Change: the value of such a run is replaced in place unless it becomes equal to that of a neighbour. The check of ownership builds a new value only if an end or a number grows.

--- a/packages/emulator/dewstep_emulator/ownership/checks.py
+++ b/packages/emulator/dewstep_emulator/ownership/checks.py
@@ -88,9 +88,8 @@
                 for owner in run.value
                 if owner.process != process and owner.end > at
             ]
-        owners.change(
-            first, last, lambda value: add_owner(value, Owner(process, end), at)
-        )
+        added = Owner(process, end)
+        owners.change(first, last, lambda value: add_owner(value, added, at))
         numbers = self.numbers.setdefault(process.service, key_maps.KeyMap(Numbers()))
         for run in numbers.list_runs(first, last):
             other, highest = get_highest_other(run.value, process)
@@ -132,6 +131,11 @@
             owners.change(0, last_key, lambda value: end_owner(value, process, at, at))
 
 
+def get_end(owner: Owner) -> datetime.timedelta:
+    """Return the sort key for the end of an ownership."""
+    return owner.end
+
+
 def add_owner(
     owners: tuple[Owner, ...], added: Owner, now: datetime.timedelta
 ) -> tuple[Owner, ...]:
@@ -139,7 +143,7 @@
     kept = []
     for owner in owners:
         if owner.process == added.process:
-            added = added._replace(end=max(added.end, owner.end))
+            added = max(added, owner, key=get_end)
         elif owner.end > now:
             kept.append(owner)
     return (*kept, added)
@@ -175,7 +179,9 @@
     if numbers.process is None:
         return Numbers(process, generation)
     if process == numbers.process:
-        return numbers._replace(highest=max(numbers.highest, generation))
+        if generation <= numbers.highest:
+            return numbers
+        return numbers._replace(highest=generation)
     if generation > numbers.highest:
         return Numbers(process, generation, numbers.process, numbers.highest)
     if numbers.second_process is None or generation > numbers.second:
--- a/packages/emulator/dewstep_emulator/ownership/key_maps.py
+++ b/packages/emulator/dewstep_emulator/ownership/key_maps.py
@@ -38,21 +38,23 @@
         """Return the runs in a range, cut at its ends."""
         position = bisect.bisect_right(self.starts, first) - 1
         while position < len(self.starts) and self.starts[position] <= last:
-            next_position = position + 1
-            end = (
-                self.starts[next_position] - 1
-                if next_position < len(self.starts)
-                else model.KEY_SPACE_SIZE - 1
-            )
             yield Run(
                 max(first, self.starts[position]),
-                min(last, end),
+                min(last, self._get_last(position)),
                 self.values[position],
             )
-            position = next_position
+            position += 1
 
     def change(self, first: int, last: int, change: Callable[[Value], Value]) -> None:
         """Replace each value in a range by that which `change` returns for it."""
+        position = bisect.bisect_right(self.starts, first) - 1
+        if self.starts[position] == first and self._get_last(position) == last:
+            value = change(self.values[position])
+            before = self.values[max(position - 1, 0) : position]
+            after = self.values[position + 1 : position + 2]
+            if value not in before and value not in after:
+                self.values[position] = value
+                return
         low = self._split(first)
         high = self._split(last + 1)
         starts: list[int] = []
@@ -69,6 +71,12 @@
         self.starts[changed] = starts
         self.values[changed] = values
 
+    def _get_last(self, position: int) -> int:
+        """Return the last key of a run."""
+        if position + 1 < len(self.starts):
+            return self.starts[position + 1] - 1
+        return model.KEY_SPACE_SIZE - 1
+
     def _split(self, key: int) -> int:
         """Let a run begin at a key; return its position."""
         position = bisect.bisect_left(self.starts, key)
