Wait for an exchange without building sets

Cause: deadlines.wait_for gave its two futures to asyncio.wait, which builds sets of them and checks each for being a coroutine. The hashes of simulated futures and tasks are computed in Python.

Change: wait_for adds its callbacks itself, in the same order of callbacks. The store keeps the futures of its watches in a dictionary, so that each still takes its number.

--- a/packages/emulator/dewstep_emulator/ownership/deadlines.py
+++ b/packages/emulator/dewstep_emulator/ownership/deadlines.py
@@ -61,9 +61,20 @@
         If the future is not done after `duration`.
     """
     alarm = asyncio.ensure_future(clock.sleep(duration))
+    first_done = asyncio.get_running_loop().create_future()
+
+    # `asyncio.wait` takes longer, because it first builds sets of its futures.
+    def finish(_) -> None:
+        if not first_done.done():
+            first_done.set_result(None)
+
+    future.add_done_callback(finish)
+    alarm.add_done_callback(finish)
     try:
-        await asyncio.wait((future, alarm), return_when=asyncio.FIRST_COMPLETED)
+        await first_done
     finally:
+        future.remove_done_callback(finish)
+        alarm.remove_done_callback(finish)
         alarm.cancel()
     if not future.done():
         raise TimeoutError
--- a/packages/emulator/dewstep_emulator/ownership/stores.py
+++ b/packages/emulator/dewstep_emulator/ownership/stores.py
@@ -125,7 +125,8 @@
         """Factor by which all calls take longer."""
         self.read_age = datetime.timedelta()
         """How old the rows are that reads and watches return."""
-        self.watchers: list[asyncio.Future] = []
+        self.watchers: dict[asyncio.Future, None] = {}
+        """Futures of the waiting watches, in the order of their start."""
 
     def view(self, node: str, link: deadlines.Link) -> "StoreView":
         """Return one instance's access to the store."""
@@ -205,7 +206,7 @@
         self._wake_watchers()
 
     def _wake_watchers(self) -> None:
-        watchers, self.watchers = self.watchers, []
+        watchers, self.watchers = self.watchers, {}
         for future in watchers:
             if not future.done():
                 future.set_result(None)
@@ -253,11 +254,11 @@
                 await self._refuse(WATCH, node)
                 return Answer(self.era, version, tuple(rows.values()))
             future = asyncio.get_running_loop().create_future()
-            self.watchers.append(future)
+            self.watchers[future] = None
             try:
                 await deadlines.wait_for(self.clock, future, left)
             except TimeoutError:
-                self.watchers = [item for item in self.watchers if item is not future]
+                self.watchers.pop(future, None)
 
     async def commit(
         self,
