Shorten the way to a timer in the simulated event loop

Cause: each message of a simulated link passed through asyncio.sleep and call_later, which ask for the running loop, its time and the current process again. Each future and each task asks the loop whether it is in debug mode.

Change: links wait with a timer outside of all processes, like the clock of the targets; call_later computes its time itself; get_debug is a function in C.

Ruled out: another order of callbacks; each timer still draws one random number, and the number of callbacks is the same.

--- a/packages/emulator/dewstep_emulator/ownership/event_loop.py
+++ b/packages/emulator/dewstep_emulator/ownership/event_loop.py
@@ -186,8 +186,8 @@
             heapq.heappop(timers)
         if not timers:
             return False
-        self.now = max(self.now, timers[0][0])
-        while timers and timers[0][0] <= self.now:
+        now = self.now = max(self.now, timers[0][0])
+        while timers and timers[0][0] <= now:
             self.ready.append(heapq.heappop(timers)[3])
         return True
 
@@ -273,12 +273,17 @@
 
     def call_later(self, delay, callback, *args, context=None) -> Callback:
         """Run a callback after a number of seconds."""
-        return self.call_at(self.time() + delay, callback, *args, context=context)
+        process = current_process.get()
+        now = self.now if process is None else process.to_local(self.now)
+        return self._add_timer(process, now + delay, callback, args, context)
 
     def call_at(self, when, callback, *args, context=None) -> Callback:
         """Run a callback at a reading of the current process's clock."""
-        handle = Callback(callback, args, context, True, when)
         process = current_process.get()
+        return self._add_timer(process, when, callback, args, context)
+
+    def _add_timer(self, process, when, callback, arguments, context) -> Callback:
+        handle = Callback(callback, arguments, context, True, when)
         due = when if process is None else process.to_virtual(when)
         if not self.closed:
             entry = due, self.random.random(), next(self.numbers), handle
@@ -288,12 +293,13 @@
     def call_outside(self, delay, callback, *args) -> Callback:
         """Run a callback outside of all processes after a virtual time in seconds."""
         due = self.now + delay
-        context = self.outside_context
-        handle = Callback(callback, args, context, True, due)
-        if not self.closed:
-            entry = due, self.random.random(), next(self.numbers), handle
-            heapq.heappush(self.timers, entry)
-        return handle
+        return self._add_timer(None, due, callback, args, self.outside_context)
+
+    async def sleep_outside(self, delay: float) -> None:
+        """Suspend the calling task for a virtual time in seconds."""
+        waiter = self.create_future()
+        self.call_outside(delay, set_unless_done, waiter)
+        await waiter
 
     def create_future(self) -> asyncio.Future:
         """Return a future of this loop."""
@@ -321,9 +327,8 @@
         if not self.closed:
             self.failures.append(context)
 
-    def get_debug(self) -> bool:
-        """Return false."""
-        return False
+    # Returns false, as a function in C because each future and each task calls it.
+    get_debug = staticmethod(bool)
 
     def is_running(self) -> bool:
         """Whether callbacks are still run."""
@@ -374,9 +379,7 @@
 
     async def sleep(self, duration: datetime.timedelta) -> None:
         """Suspend the calling task for `duration` of virtual time."""
-        waiter = self.loop.create_future()
-        self.loop.call_outside(duration.total_seconds(), set_unless_done, waiter)
-        await waiter
+        await self.loop.sleep_outside(duration.total_seconds())
 
 
 def set_unless_done(waiter: asyncio.Future) -> None:
--- a/packages/emulator/dewstep_emulator/ownership/network.py
+++ b/packages/emulator/dewstep_emulator/ownership/network.py
@@ -471,10 +471,10 @@
             If the path is cut for longer than the time-out.
         """
         delay = draw_delay(self.network.random, self.there.conditions)
-        await asyncio.sleep(delay)
+        await self.network.loop.sleep_outside(delay)
         waited = 0.0
         while self.there.cuts or self.back.cuts:
             if waited >= self.timeout:
                 raise ConnectionResetError
-            await asyncio.sleep(RETRANSMISSION_SECONDS)
+            await self.network.loop.sleep_outside(RETRANSMISSION_SECONDS)
             waited += RETRANSMISSION_SECONDS
