Pause before a move that the store refused is begun again

While the store answered reads and refused transactions at once, a leaving target was asked several hundred times a second to release its keys, and the log and the store received as many entries and transactions. Keys of a restarted target were written again without a pause, too.

Cause: a move whose transfer is refused ends at once, which wakes the coordinator; it finds the range with its earlier owner and begins the next move.

Change: such a move ends after RETRY_PAUSE.

Ruled out: a pause in `commit`, which delays callers whose failure begins nothing: a renumbering and a fencing grant.

--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -758,7 +758,7 @@
             ranges.Transfer(item.first, item.last, target.name, target.life)
             for item in holdings
         ]
-        if not await self.transfer(service, changes):
+        if not await self.transfer_or_pause(service, changes):
             return
         successor = self.get_grant_state(TargetIncarnation(target.name, target.life))
         for item in holdings:
@@ -855,7 +855,7 @@
         change = ranges.Transfer(
             holding.first, holding.last, destination.name, destination.life
         )
-        if not await self.transfer(service, [change]):
+        if not await self.transfer_or_pause(service, [change]):
             return
         await self.grant_new(service, destination, [change], handover)
         events.info(
@@ -1096,6 +1096,15 @@
             service, lambda current: ranges.apply_transfers(current, changes)
         )
 
+    async def transfer_or_pause(
+        self, service: str, changes: Iterable[ranges.Transfer]
+    ) -> bool:
+        """Transfer ranges; pause after a failure, or the next move begins at once."""
+        transferred = await self.transfer(service, changes)
+        if not transferred:
+            await self.clock.sleep(RETRY_PAUSE)
+        return transferred
+
     async def commit(self, service: str, build: BuildOwnership) -> bool:
         """Write new owners to the store; return false if the write had no effect.
 
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -8,6 +8,7 @@
 import random
 
 import pytest
+from returns import result
 
 from dewstep_core import clocks, errors
 from dewstep_fleet import (
@@ -501,6 +502,38 @@
     run_scenario(scenario)
 
 
+# Guards against releases and transactions without a pause while the store refuses all
+# transactions.
+@pytest.mark.parametrize("change", ["leaving", "restarted"])
+def test_refused_moves_are_retried_after_a_pause(change):
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        granter = harness.elect("n1")
+        await harness.run(SETTLING_TIME)
+        granter.estimate_queue_wait = lambda target: 0 * STEP
+        commit = harness.store.commit
+        refused = []
+
+        async def refuse(expected, writes):
+            refused.extend(writes)
+            return result.Failure(errors.RateExceeded("fleet"))
+
+        harness.store.commit = refuse
+        if change == "leaving":
+            harness.register(builders.build_target("a", leaving=True))
+        else:
+            harness.restart(builders.build_target("a", life=2))
+        await harness.run(builders.SECOND)
+        assert 1 < len(refused) <= 1 + builders.SECOND / granting.RETRY_PAUSE
+        assert len(harness.targets.released) <= len(refused)
+        harness.store.commit = commit
+        await harness.run(builders.SECOND)
+        assert ("a" in harness.find_owners()) == (change == "restarted")
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_no_key_has_two_owners_after_random_faults(seed):
     # Guards against conflicting owners after random sequences of faults.
