Let the coordinator say when connections need the store's confirmation

Two targets could hold the same keys, and a number reached two processes, after a target restarted under its name while a coordinator led without the store and a minority had elected another one.

Change: Granter takes `can_connect_without_store`, whether all instances follow this coordinator. Otherwise a new connection to a target that restarts under its name waits for the store. Targets without a start time are not concerned.

Ruled out: that the successor takes the keys away without waiting once the new registration shows the end of the old process. It had moved them 0.36 s before that end, after the old process had accepted its numbers.

--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -151,6 +151,10 @@
         were longer than `GRANT_DURATION`.
     notify_moves_changed : callable
         Called without arguments after a move has started or ended.
+    can_connect_without_store : callable, optional
+        Whether all instances follow this coordinator, so that none of them has elected
+        another one. Connections to targets that restart under their name are then
+        opened without the store's confirmation. `can_lead_without_store` by default.
     """
 
     def __init__(
@@ -169,6 +173,7 @@
         estimate_queue_wait: Callable[[model.Target], datetime.timedelta],
         get_inherited_grant_time_left: Callable[[], datetime.timedelta],
         notify_moves_changed: Callable[[], None],
+        can_connect_without_store: Callable[[], bool] | None = None,
     ):
         self.directory = directory
         self.table_feeds = store_feeds
@@ -184,6 +189,9 @@
         self.estimate_queue_wait = estimate_queue_wait
         self.get_inherited_grant_time_left = get_inherited_grant_time_left
         self.notify_moves_changed = notify_moves_changed
+        self.can_connect_without_store = (
+            can_connect_without_store or self._can_lead_without_store
+        )
         self.known_era_floors: dict[str, int] = {}
         """Era of the store, by service, of which this instance knows that it does not
         lack a valid grant of an earlier era."""
@@ -221,6 +229,9 @@
         self.last_duration: datetime.timedelta | None = None
         """Duration of the last grant."""
 
+    def _can_lead_without_store(self) -> bool:
+        return self.can_lead_without_store()
+
     # Lifecycle.
 
     async def run(self, claimed_at: datetime.timedelta | None) -> None:
@@ -348,10 +359,12 @@
     async def confirm_term(self, since: datetime.timedelta) -> bool:
         """Whether this instance was the coordinator at some time after `since`.
 
-        The store is asked, once for all orders that wait. While most instances follow
+        The store is asked, once for all orders that wait. While all instances follow
         this one and none of them reaches the store, no other coordinator is elected.
+        Otherwise a minority may have elected one, which has given keys of a target to
+        another one, and the target's next process does not know of it.
         """
-        while not self.deposed and not self.can_lead_without_store():
+        while not self.deposed and not self.can_connect_without_store():
             if self.confirmation is None or self.confirmation[1].done():
                 began = self.clock.monotonic()
                 self.confirmation = began, self.tasks.spawn(self.run_confirmation())
--- a/packages/fleet/dewstep_fleet/suspected_faults_test.py
+++ b/packages/fleet/dewstep_fleet/suspected_faults_test.py
@@ -201,6 +201,62 @@
     granting_test.run_scenario(scenario)
 
 
+# Guards against two owners, and numbers given out twice, after a target has restarted
+# under its name: its next process does not know the orders of a coordinator elected by
+# a minority, and the previous one leads without the store.
+@pytest.mark.parametrize("moved", [False, True])
+def test_coordinator_without_the_store_opens_no_connection_beside_another(moved):
+    async def scenario(harnesses):
+        harness = granting_test.build_harness(harnesses, "a", "b")
+        predecessor = harness.elect("n1")
+        await harness.run(SETTLING_TIME + builders.SECOND)
+        successor = elect_beside_a_followed_coordinator(harness)
+        successor.channel = harness.targets
+        predecessor.can_connect_without_store = lambda: False
+        await harness.run(builders.SECOND)
+        if moved:
+            target = builders.build_target("a", leaving=True)
+            content = builders.encode_target(target)
+            row = harness.store.put(model.TABLES.targets, "a", content)
+            successor.directory.apply_rows([row])
+            await harness.run(builders.SECOND)
+            assert harness.find_owners() == {"b"}
+        harness.targets.restart("a")
+        await harness.run(2 * builders.SECOND)
+        row = builders.build_target_row(
+            builders.build_target("a", life=2), harness.store.version + 1
+        )
+        successor.directory.apply_rows([row])
+        await harness.run(2 * builders.SECOND)
+        assert not predecessor.deposed
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+# Guards against keys without an owner after connections broke in an outage of the store
+# in which all instances follow the coordinator, or of targets that restart under new
+# names.
+@pytest.mark.parametrize(("life", "all_follow"), [(1, True), (0, False)])
+def test_coordinator_without_the_store_opens_connections_again(life, all_follow):
+    async def scenario(harnesses):
+        harness = granting_test.build_harness(harnesses)
+        for name in "ab":
+            harness.register(builders.build_target(name, life=life))
+        granter = harness.elect("n1")
+        await harness.run(SETTLING_TIME + builders.SECOND)
+        granter.can_lead_without_store = lambda: True
+        granter.can_connect_without_store = lambda: all_follow
+        granter.store = LostStore()
+        granter.table_feeds.lost_at = harness.clock.monotonic()
+        for state in granter.grant_states.values():
+            state.orders.close()
+        await harness.run(2 * granting.GRANT_DURATION)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
 def is_all_held(harness):
     """Whether all keys have an owner."""
     end = 0
--- a/packages/fleet/dewstep_fleet/target_orders.py
+++ b/packages/fleet/dewstep_fleet/target_orders.py
@@ -7,7 +7,8 @@
 - A number is sent over one connection only. If targets restart under their name, no
   number is sent before the term was confirmed after the connection was opened. A
   process that has started under the same name thus receives higher numbers than all
-  processes before it, also if these had them from another coordinator.
+  processes before it, also if these had them from another coordinator. Without the
+  store, the term counts as confirmed only while all instances follow the coordinator.
 
 An order that another target answers shows that the intended process has ended, and its
 grants with it. A restart under the same name does not show: the next process may have
