Open connections without the store only while all instances follow

Two targets could hold the same keys, and a number reached two processes, after a target restarted under its name while a coordinator led without the store and a minority had elected another one.

Change: the participant passes `can_connect_without_store`: all registered instances send reports, and none of them reaches the store.

Cost: while the store is away and a registered instance sends no reports, keys of a target with a start time whose connection breaks have no owner once its grants have expired, until the store answers or the instance reports again. Targets without a start time are not concerned.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -155,6 +155,7 @@
             self.estimate_queue_wait,
             self.get_inherited_grant_time_left,
             self.schedule_heartbeat,
+            self.can_connect_without_store,
         )
         self.crashes: dict[bytes, int] = {}
         """Number of target crashes by the fingerprint of a request in progress
@@ -603,6 +604,14 @@
             report.reaches_store for report in self.list_recent_reports().values()
         )
 
+    def can_connect_without_store(self) -> bool:
+        """Whether all members send reports and none of them reaches the store.
+
+        Members that send none may have elected another coordinator, also as a minority.
+        """
+        members = self.list_members().union(*self.list_quorums())
+        return self.can_lead_without_store() and self.list_followers() >= members
+
     def may_send_long_grants(self) -> bool:
         """Whether most members know of long grants sent now.
 
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -602,6 +602,20 @@
     return frames.Frame("report", 2, "n1", "i", heartbeat_ms=heartbeat_ms)
 
 
+# Guards against orders to the next process of a target beside a coordinator that was
+# elected by a minority, which does not report to its predecessor.
+@testing.run_in_event_loop
+async def test_connections_without_the_store_need_reports_of_all_members():
+    election = VoteHarness({"n1": False, "n2": False})
+    participant = election.participant
+    start_coordinating(election, 2)
+    participant.receive_report("n1", build_report(0))
+    assert participant.can_lead_without_store()
+    assert not participant.can_connect_without_store()
+    participant.receive_report("n2", build_report(0))
+    assert participant.can_connect_without_store()
+
+
 @testing.run_in_event_loop
 async def test_long_grants_need_recent_acknowledgements():
     """Guards against long grants announced only in heartbeats that were not received.
