--- a/packages/emulator/dewstep_emulator/ownership/simulation_test.py
+++ b/packages/emulator/dewstep_emulator/ownership/simulation_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from dewstep_emulator.ownership import event_loop, faults, simulation
-from dewstep_fleet import model
+from dewstep_fleet import frames, model
 
 SHORT = 6.0
 
@@ -51,6 +51,20 @@
     assert simulation.draw_faults(1, 60.0) != simulation.draw_faults(2, 60.0)
 
 
+# Guards against receivers that get the message of another sender, and against a change
+# that outlasts the run.
+def test_receivers_of_equal_bytes_share_a_decoded_message():
+    decode = frames.decode
+    first = frames.encode(frames.Frame("beat", 1, "n1", "n1-1"))
+    second = frames.encode(frames.Frame("beat", 1, "n2", "n2-1"))
+    with simulation.sharing_frames():
+        shared = frames.decode(first)
+        assert frames.decode(bytes(bytearray(first))) is shared
+        assert shared == decode(first)
+        assert frames.decode(second) == decode(second)
+    assert frames.decode is decode
+
+
 # Guards against two owners of a key in a fleet without faults, and against keys
 # without one.
 def test_fleet_without_faults_serves_all_keys():
