Start the alarm of a time limit with the loop's own create_task

Cause: asyncio.ensure_future tests its argument for being a future, a coroutine and an awaitable, twice by abstract base classes.

Measured: one wait_for, 5,000 times, best of 7, six alternate runs at a load average of 11 to 15: 22.1 to 26.1 us before, 21.7 to 25.1 us after.

--- a/packages/emulator/dewstep_emulator/ownership/deadlines.py
+++ b/packages/emulator/dewstep_emulator/ownership/deadlines.py
@@ -60,8 +60,9 @@
     TimeoutError
         If the future is not done after `duration`.
     """
-    alarm = asyncio.ensure_future(clock.sleep(duration))
-    first_done = asyncio.get_running_loop().create_future()
+    loop = asyncio.get_running_loop()
+    alarm = loop.create_task(clock.sleep(duration))
+    first_done = loop.create_future()
 
     # `asyncio.wait` takes longer, because it first builds sets of its futures.
     def finish(_) -> None:
