Let requests wait for the first grant of a new gate

Cause: a gate that has just started refused requests as TargetUnavailable until its target had accepted the first grant, some 20 ms later. The receiving process repeats a refused request, but not one whose body is being streamed, so that an upload was refused that arrived within that time. Requests for a target whose grant has lapsed did wait.

Change: within 500 ms of the start of a gate, its requests wait for the first grant, at most 500 ms and until the target is lost, as for a lapsed grant.

Ruled out: waiting for longer, since the requests hold the slots of the target meanwhile and another gate may get them; sending a streamed body again.

The new test fails without the change and passes with it; packages/entry, 468 tests, pass.

--- a/packages/entry/dewstep_entry/gate/grants.py
+++ b/packages/entry/dewstep_entry/gate/grants.py
@@ -41,6 +41,10 @@
 # loss, as do the end of the control connection and the first request.
 IDLE_CLOCK_READ_INTERVAL = datetime.timedelta(seconds=1)
 
+# Time after the start of a gate in which requests wait for its first grant. Later ones
+# are refused, so that another gate may get them.
+FIRST_GRANT_TIMEOUT = datetime.timedelta(milliseconds=500)
+
 # A grant with less time left is renewed before a request is sent, since the target
 # would abort a request that starts just before the expiry.
 MINIMUM_REMAINING_VALIDITY = datetime.timedelta(milliseconds=100)
@@ -122,6 +126,7 @@
         self.own_expired_at = ZERO
         self.earlier_grants_expired_at = ZERO
         self.earlier_gates_end: datetime.timedelta | None = earlier_gates_end
+        self.started = now
         self.last_demand = now
         self.unanswered_since: datetime.timedelta | None = None
         self.last_call: datetime.timedelta | None = None
@@ -218,6 +223,15 @@
         """Return whether a clock reading and a grant suffice to send requests."""
         return self.earlier_gates_end is None and self.may_renew(now)
 
+    def awaits_first_grant(self, now: datetime.timedelta) -> bool:
+        """Return whether the gate has just started and has no accepted grant yet."""
+        return (
+            self.earlier_gates_end is not None
+            and now < self.started + FIRST_GRANT_TIMEOUT
+            and self.renewing
+            and self.gate_authority.is_valid(now)
+        )
+
     def compute_send_limit(self) -> datetime.timedelta:
         """Return the certain expiry of the last grant sent, to check `may_send`."""
         return self.own_expired_at
--- a/packages/entry/dewstep_entry/gate/renewal.py
+++ b/packages/entry/dewstep_entry/gate/renewal.py
@@ -23,8 +23,8 @@
 # Interval at which the gate of an unfenced target checks whether it is lost.
 LOSS_CHECK_INTERVAL = datetime.timedelta(milliseconds=100)
 
-# Longest wait of a request for the grant of an idle target. A target that does not
-# answer is treated as lost earlier.
+# Longest wait of a request for the grant of an idle target or a new gate. A target that
+# does not answer is treated as lost earlier.
 GRANT_WAIT_LIMIT = datetime.timedelta(milliseconds=500)
 
 # Part of a channel's failure reason when nothing listens at the target's address.
@@ -106,14 +106,14 @@
         self.grant.note_demand(now)
 
     async def obtain_grant(self, deadline: datetime.timedelta) -> None:
-        """Wait for the grant of a target whose grant lapsed without requests."""
+        """Wait for the grant of a new gate or of a target without recent requests."""
         self.note_demand()
         now = self.clock.monotonic()
         end = min(deadline, now + GRANT_WAIT_LIMIT)
         while (
             now < end
             and not self.grant.has_sufficient_validity(now)
-            and self.grant.can_obtain_grant(now)
+            and (self.grant.can_obtain_grant(now) or self.grant.awaits_first_grant(now))
         ):
             await timing.wait_event(self.clock, self.grant_checked, end - now)
             now = self.clock.monotonic()
--- a/packages/entry/dewstep_entry/gate/renewal_test.py
+++ b/packages/entry/dewstep_entry/gate/renewal_test.py
@@ -70,6 +70,34 @@
     gates_test.run_scenario(scenario)
 
 
+@pytest.mark.parametrize("confirmed", [False, True])
+def test_a_request_for_a_new_gate_waits_for_its_first_grant(confirmed):
+    """Guards against refusing an upload, which is sent only once, after a takeover."""
+
+    async def scenario():
+        setup = gates_test.GateSetup(earlier_gates_end=100 * SECOND)
+        setup.table.down = True
+        await setup.start()
+        answer = setup.send_request()
+        await fakes.pass_time(setup.clock, 100 * MS)
+        assert not answer.done()
+        setup.table.down = not confirmed
+        await fakes.pass_time(setup.clock, 450 * MS)
+        assert answer.done()
+        if confirmed:
+            assert (await answer).unwrap().status == 200
+        else:
+            assert isinstance((await answer).failure(), errors.TargetUnavailable)
+            # Later requests do not wait any more.
+            late = setup.send_request("r2")
+            await fakes.run_ready_tasks()
+            assert isinstance(late.result().failure(), errors.TargetUnavailable)
+        assert setup.server.runs == ([("r1", 1)] if confirmed else [])
+        await setup.gate.stop()
+
+    gates_test.run_scenario(scenario)
+
+
 def test_the_grant_is_renewed_while_a_long_request_runs():
     """Guards against aborted runs, as the target checks the grant before the effect."""
 
--- a/packages/entry/dewstep_entry/gate/unfenced.py
+++ b/packages/entry/dewstep_entry/gate/unfenced.py
@@ -56,6 +56,10 @@
         """Return False, since no call to the target gives permission."""
         return False
 
+    def awaits_first_grant(self, now: datetime.timedelta) -> bool:
+        """Return False, since an unfenced target gets no grants."""
+        return False
+
     def compute_send_limit(self) -> datetime.timedelta:
         """Return the end of the horizon, to check `may_send`."""
         return self.gate_authority.horizon_end
