Check that the simulation of ownership detects lost mechanisms

Cause: the simulation finds no rule broken, but nothing showed that it would notice the loss of a mechanism.

The simulation finds the sender of a grant by the address, so that a grant that another target accepts is checked and is no KeyError.

--- a/packages/emulator/dewstep_emulator/ownership/faults.py
+++ b/packages/emulator/dewstep_emulator/ownership/faults.py
@@ -43,17 +43,27 @@
     """`"instance"`, `"target"` or `"none"`."""
     min_duration: float
     max_duration: float
+    drawn: bool = True
+    """Whether random schedules contain it; the others are for named schedules."""
 
 
 kinds: registry.Registry[FaultKind] = registry.Registry("fault kind")
 
 
-def register(name: str, subjects: str, min_duration: float, max_duration: float):
+def register(
+    name: str,
+    subjects: str,
+    min_duration: float,
+    max_duration: float,
+    drawn: bool = True,
+):
     """Return a decorator that registers a generator function as a kind of fault."""
 
     def add(function):
         cause = contextlib.contextmanager(function)
-        kinds.register(name)(FaultKind(cause, subjects, min_duration, max_duration))
+        kinds.register(name)(
+            FaultKind(cause, subjects, min_duration, max_duration, drawn)
+        )
         return cause
 
     return add
@@ -77,7 +87,7 @@
     subjects : dict of str to tuple of str
         Names by the kind of subject.
     """
-    names = sorted(kinds)
+    names = sorted(name for name in kinds if kinds.get(name).drawn)
     faults = []
     for _ in range(generator.randrange(1, MAX_GROUPS + 1)):
         began = generator.random() * duration
@@ -345,6 +355,19 @@
         simulation.start_target(name)
 
 
+@register("exchange_hosts", "target", 0.05, 4.0, drawn=False)
+def exchange_hosts(simulation, subject):
+    """Crash a target and another one; each starts again on the host of the other."""
+    hosts = simulation.target_hosts
+    other = simulation.random.choice([name for name in hosts if name != subject])
+    for name in (subject, other):
+        simulation.targets.crash(simulation.running_targets[name])
+    hosts[subject], hosts[other] = hosts[other], hosts[subject]
+    yield
+    for name in (subject, other):
+        simulation.start_target(name)
+
+
 @register("leave", "target", 0.5, 8.0)
 def leave(simulation, subject):
     """Let a target leave; it starts again once it has ended."""
@@ -405,6 +428,18 @@
     simulation.targets.order_faults = targets.OrderFaults()
 
 
+@register("slow_clocks", "none", 1.0, 30.0, drawn=False)
+def slow_clocks(simulation, subject):
+    """Let the clocks of all running targets be as slow as the platform allows."""
+    states = [running.state for running in simulation.targets.list_running()]
+    usual = [state.clock_slowness for state in states]
+    for state in states:
+        state.clock_slowness = targets.MAX_CLOCK_SLOWNESS
+    yield
+    for state, slowness in zip(states, usual, strict=True):
+        state.clock_slowness = slowness
+
+
 @register("hot_keys", "none", 1.0, 10.0)
 def hot_keys(simulation, subject):
     """Move the busy keys."""
--- a/packages/emulator/dewstep_emulator/ownership/simulation.py
+++ b/packages/emulator/dewstep_emulator/ownership/simulation.py
@@ -133,8 +133,8 @@
         self.violations: list[Violation] = []
         self.events: list[Event] = []
         self.too_many_events = loop.create_future()
-        self.senders: dict[tuple[str, int, int], Sender] = {}
-        """Sender of each grant, by target, first key and generation number."""
+        self.senders: dict[tuple[str, int, int, int], Sender] = {}
+        """Sender of each grant, by address, first key and generation number."""
         self.busiest_key = self.random.randrange(model.KEY_SPACE_SIZE)
         self.services = ("history", "search")[: self.random.randrange(1, 3)]
         self.restarts_under_name = self.random.random() < 0.5
@@ -143,6 +143,8 @@
         self.running_targets: dict[str, targets.RunningProcess] = {}
         """Last process of each target, by the name in the schedule."""
         self.target_starts = itertools.count(1)
+        self.target_hosts = {name: f"host-{name}" for name in list_targets()}
+        """Host of each target, by the name in the schedule."""
         platform = instances.Platform(
             loop,
             self.network,
@@ -204,7 +206,7 @@
 
     def list_target_hosts(self) -> list[str]:
         """Return the hosts of all targets."""
-        return [f"host-{name}" for name in list_targets()]
+        return sorted(self.target_hosts.values())
 
     def list_hosts(self) -> list[str]:
         """Return all hosts."""
@@ -248,7 +250,7 @@
         number = list_targets().index(subject)
         self.running_targets[subject] = self.targets.start(
             name,
-            f"host-{subject}",
+            self.target_hosts[subject],
             service=self.services[number % len(self.services)],
             life=life,
             data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
@@ -264,7 +266,7 @@
         holding: model.Holding,
     ) -> None:
         """Record the sender of a grant."""
-        grant = target.name, holding.first, holding.generation
+        grant = target.host, target.port, holding.first, holding.generation
         self.senders[grant] = Sender(incarnation, target.host)
 
     def is_excused(self, sender: Sender) -> bool:
@@ -279,7 +281,7 @@
 
     def record_grant(self, at, process, first, last, generation, end) -> None:
         """Check a grant that a target carries out."""
-        sender = self.senders[process.name, first, generation]
+        sender = self.senders[process.host, process.port, first, generation]
         excused = self.is_excused(sender)
         known = len(self.check.violations)
         if not excused:
