List two owners with clocks that drift on both sides as known red

Cause: a grant of 10 s lasts 10.2 s by a target's clock that is 2% slow; the coordinator waits 10.35 s of its own clock, which are 10.15 s if that one is 2% fast.

A factor for both clocks is the likely remedy.

--- a/packages/emulator/dewstep_emulator/ownership/schedules_test.py
+++ b/packages/emulator/dewstep_emulator/ownership/schedules_test.py
@@ -42,3 +42,10 @@
     for seed in range(200):
         for fault in simulation.draw_faults(seed, 60.0):
             assert faults.kinds.get(fault.kind).drawn
+
+
+# Guards against two owners while a target's clock is slow and the coordinator's fast.
+# The time assumed for a grant allows for the first only.
+def test_fast_clock_of_the_coordinator_gives_no_second_owner():
+    report = schedules.run("targets-lost-after-their-last-long-grant", 3)
+    assert report.violations == ()
