--- a/packages/entry/dewstep_entry/targets/answering.py
+++ b/packages/entry/dewstep_entry/targets/answering.py
@@ -1,7 +1,7 @@
 """Headers and statuses by which a target's answer identifies or refuses a request.
 
-A target may also say in an answer that it is leaving, or that it wants no requests for
-some time.
+A target may also say in an answer that it is leaving, that it wants no requests for
+some time, or how many requests per second it accepts from all instances together.
 """
 
 import datetime
@@ -12,7 +12,7 @@
 PAUSE_STATUS = 503
 """Status of an answer whose Retry-After asks for a pause."""
 MAXIMUM_PAUSE = datetime.timedelta(minutes=5)
-_SECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 class AnswerRules(NamedTuple):
@@ -41,6 +41,9 @@
     pause: bytes = b""
     """Header of an answer with `PAUSE_STATUS` with the seconds for which the target
     wants no requests; b"" if there is none."""
+    limit: bytes = b""
+    """Header with the number of requests per second that the target accepts from all
+    instances together; b"" if there is none."""
 
 
 DEWSTEP_RULES = AnswerRules(
@@ -61,6 +64,9 @@
     leaving: bool
     pause: datetime.timedelta
     """Time for which it wants no requests; zero if it accepts them."""
+    limit: float | None = None
+    """Requests per second that it accepts from all instances together; None if it
+    names no limit."""
 
 
 def find_notice(
@@ -82,21 +88,32 @@
     pause = datetime.timedelta()
     if status == PAUSE_STATUS:
         pause = read_pause(fields.get(rules.pause))
-    if not leaving and not pause:
+    limit = None
+    if status not in rules.refusing_statuses:
+        # A process that refuses requests for others may not be the target.
+        limit = read_limit(fields.get(rules.limit))
+    if not leaving and not pause and limit is None:
         return None
     instance = fields.get(rules.instance)
     if instance and instance.decode("latin-1") != target:
         return None
-    return Notice(leaving, pause)
+    return Notice(leaving, pause, limit)
 
 
 def read_pause(value: bytes | None) -> datetime.timedelta:
     """Return the duration of a pause, at most `MAXIMUM_PAUSE`; zero if invalid."""
-    if value is None or not _SECONDS.fullmatch(value):
+    if value is None or not _DECIMAL.fullmatch(value):
         return datetime.timedelta()
     return min(datetime.timedelta(seconds=float(value)), MAXIMUM_PAUSE)
 
 
+def read_limit(value: bytes | None) -> float | None:
+    """Return a number of requests per second, or None if missing or invalid."""
+    if value is None or not _DECIMAL.fullmatch(value):
+        return None
+    return float(value)
+
+
 def find_refusal(
     rules: AnswerRules,
     status: int,
--- a/packages/entry/dewstep_entry/targets/answering_test.py
+++ b/packages/entry/dewstep_entry/targets/answering_test.py
@@ -15,6 +15,8 @@
     instance=b"x-instance",
     leaving=b"x-leaving",
     pause=b"retry-after",
+    limit=b"x-limit",
+    refusing_statuses=frozenset({421}),
 )
 
 
@@ -63,3 +65,34 @@
 def test_rules_without_headers_find_no_notice():
     fields = {b"": b"1", b"retry-after": b"2"}
     assert answering.find_notice(answering.DEWSTEP_RULES, 503, fields, "t") is None
+
+
+# Guards against a limit that is overlooked, or taken from a process that may not be the
+# target.
+@pytest.mark.parametrize(
+    ("status", "expected"), [(200, 2.5), (500, 2.5), (503, 2.5), (421, None)]
+)
+def test_limit_is_noticed_with_any_status_of_the_target(status, expected):
+    notice = answering.find_notice(RULES, status, {b"x-limit": b"2.5"}, "t")
+    assert (notice and notice.limit) == expected
+
+
+# Guards against limits that are no number of requests per second.
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (b"0", 0.0),
+        (b"12", 12.0),
+        (b"0.125", 0.125),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"1e9", None),
+        (b"3/s", None),
+        (b"", None),
+        (b"9" * 1_000, None),
+        (None, None),
+    ],
+)
+def test_limit_is_a_decimal_number(value, expected):
+    assert answering.read_limit(value) == expected
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -172,6 +172,8 @@
         self.background_tasks = tasks.TaskOwner(self.handle_task_failure)
         self.suspicions: dict[str, set[CrashSuspicion]] = {}
         """Requests that may have crashed a target, by target."""
+        self.named_limits: dict[tuple[str, int], float] = {}
+        """Requests per second that a target has named, by name and incarnation."""
         directory.listeners.append(self._apply_target_changes)
 
     # Handling.
@@ -531,6 +533,8 @@
         if isinstance(send_result, result.Success):
             answer = send_result.unwrap()
             if answer.status < 500 and answer.status not in NOT_RUN_STATUSES:
+                limit = dict(answer.headers).get(self.answer_rules.limit)
+                self.log_limit(target, answering.read_limit(limit))
                 events.info(
                     "answered",
                     request_id=plan.request.request_id,
@@ -681,10 +685,24 @@
             until = self.clock.monotonic() + notice.pause
             self.loads.pause_until(target.name, until.total_seconds())
             events.info("target_paused", target=target.name, lasts=notice.pause)
+        if notice.limit is not None:
+            self.log_limit(target, notice.limit)
         if notice.leaving:
             # The registration may be missing, or say later that the target is ready.
             self.participant.record_departure(target.name, target.life)
 
+    def log_limit(self, target: model.Target, limit: float | None) -> None:
+        """Log a limit of requests per second that differs from the one known."""
+        known = self.named_limits.get((target.name, target.life))
+        if limit == known:
+            return
+        if limit is None:
+            del self.named_limits[target.name, target.life]
+            events.info("limit_ended", target=target.name, limit=known)
+        else:
+            self.named_limits[target.name, target.life] = limit
+            events.info("limit_named", target=target.name, limit=limit, known=known)
+
     def _apply_target_changes(self, changed_rows: list[model.StoredRow]) -> None:
         """Close connections to targets that were removed or have restarted."""
         if not any(row.table == model.TABLES.targets for row in changed_rows):
