Issue permits for requests to targets that name a limit

Cause: no instance read the limit. The class of fault is wider: a bound on a sum over all instances that each instance decides alone, as it does for pauses and retry budgets. Reading the header in each instance would have exceeded the limit by the number of instances, or left most of it unused.

Change: each request to a target with a limit needs a permit. The coordinator issues permits on demand from one token bucket a target; an instance must use them within 1 s of its question. A bucket starts empty, so a new coordinator adds nothing to what its predecessor allowed. An instance whose questions stay unanswered for 1 s uses an equal part, whose permits expire, too. Instances report what answers say about limits, and the latest observation counts. The planner takes a limit as the target's capacity, so that keys move to owners that accept requests. Requests without a permit go to other targets, else they are refused at once.

--- a/packages/core/dewstep_core/errors.py
+++ b/packages/core/dewstep_core/errors.py
@@ -209,6 +209,16 @@
     retry_after: datetime.timedelta
 
 
+@register_answer(503, NOT_RUN)
+class TargetLimited(NamedTuple):
+    """The limit that the target has named leaves no room for the request."""
+
+    target: str
+    limit: float
+    """Requests/s that the target accepts from all instances together."""
+    retry_after: datetime.timedelta
+
+
 @register_answer(503, NOT_RUN)
 class QueueFull(NamedTuple):
     """The target's queue holds more requests than can be served in time."""
--- a/packages/entry/dewstep_entry/targets/connection_pool.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool.py
@@ -90,9 +90,17 @@
         body: data.Body,
         deadline: datetime.timedelta,
         request_id: bytes,
+        find_refusal: Callable[[], interfaces.Failure | None] = lambda: None,
     ) -> result.Result[data.Answer, interfaces.Failure]:
         """Send a request on a connection that no other request uses; return the answer.
 
+        Parameters
+        ----------
+        head, body, deadline, request_id
+        find_refusal : callable, optional
+            Called once a connection is free; returns the failure of a request that must
+            not be sent any more.
+
         Returns
         -------
         Result
@@ -114,10 +122,10 @@
             if target_connection is None:
                 outcome.abort()
         # The pause may have begun after the connection was assigned.
-        paused = self.find_pause()
-        if paused is not None:
+        refusal = self.find_pause() or find_refusal()
+        if refusal is not None:
             self._release_connection(target_connection)
-            return result.Failure(paused)
+            return result.Failure(refusal)
         remaining = (deadline - self.clock.monotonic()).total_seconds()
         if remaining <= 0:
             self._release_connection(target_connection)
--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -11,8 +11,9 @@
 
 import asyncio
 import datetime
+import math
 import random
-from collections.abc import Callable, Set
+from collections.abc import Callable, Iterable, Set
 
 from returns import result
 
@@ -27,7 +28,9 @@
     load_counts,
     model,
     outstanding,
+    permits,
     quorums,
+    request_limits,
     selection,
 )
 
@@ -138,6 +141,11 @@
         self.take_key_counts = take_key_counts
         self.random = generator
         self.demands = demands.Demands(clock)
+        self.limits = request_limits.RequestLimits(
+            clock, generator, self.schedule_question, lambda: len(self.list_members())
+        )
+        self.permit_issuer = permits.PermitIssuer()
+        self.question_scheduled = False
         self.granter = granting.Granter(
             directory,
             store_feeds,
@@ -150,7 +158,9 @@
             self.is_adopted,
             self.may_send_long_grants,
             lambda service: self.demands.get_demand(
-                service, loads.get_typical_seconds(service, "")
+                service,
+                loads.get_typical_seconds(service, ""),
+                self.limits.list_rates(),
             ),
             self.estimate_queue_wait,
             self.get_inherited_grant_time_left,
@@ -219,6 +229,7 @@
         self.next_quorum_write = now
         self.tasks = tasks.TaskOwner(self.handle_task_failure)
         self.last_heartbeat_sent_at = now
+        self.last_question_at = -request_limits.MAX_QUESTION_INTERVAL
         self.heartbeat_scheduled = False
         self.deputy = False
         self.applying_relayed_rows = False
@@ -287,6 +298,7 @@
             # store may only have lost its row.
             self.unaware_until = min(self.unaware_until, now)
         self.keep_registered()
+        self.limits.forget_ended(self.directory.targets)
         if self.coordinating:
             if self.granter_task.done():
                 self.finish_granting()
@@ -522,6 +534,7 @@
         self.deputy = False
         self.last_heartbeat_at = self.last_healthy_heartbeat_at = self.clock.monotonic()
         self.reports.clear()
+        self.permit_issuer = permits.PermitIssuer()
         self.proposed_quorum = None
         self.coordinator_link = None
         self.table_feeds.follow(frozenset(model.TABLES), relays=True)
@@ -849,6 +862,7 @@
             moving=moving,
             crashes=crashes,
             departures=departures,
+            limits=self.limits.list_all(),
             stopping=self.stopping,
             deputy=deputy,
             holds_ms=to_milliseconds(self.get_long_grant_time_left()),
@@ -885,6 +899,7 @@
             keys=self.take_key_counts(),
             crashes=crashes,
             departures=departures,
+            limits=self.limits.list_own(),
             stopping=self.stopping,
             heartbeat_ms=0 if self.has_voted_recently() else self.received_heartbeat_ms,
         )
@@ -996,6 +1011,7 @@
         if frame.rows:
             self.directory.apply_rows(frame.rows, apply_removals=True)
         self.demands.add_report(frame.keys, frame.loads)
+        self.limits.apply_observations(frame.limits, first_hand=True)
         for crash in frame.crashes:
             known = self.crashes.get(crash.fingerprint, 0)
             self.crashes[crash.fingerprint] = known + crash.count
@@ -1025,6 +1041,16 @@
                 self._adopt_newer_term(frame)
             elif self.coordinating and self.links.get(frame.node) is link:
                 self.receive_report(frame.node, frame)
+        elif frame.kind == "need":
+            if self.coordinating and self.links.get(frame.node) is link:
+                self.limits.apply_observations(frame.limits, first_hand=False)
+                issued = self.issue_permits(frame.wanted)
+                link.send(
+                    self.build_frame("permits", permits=issued, asked_ms=frame.asked_ms)
+                )
+        elif frame.kind == "permits":
+            if link is self.coordinator_link and self._is_current(link, frame):
+                self.limits.apply_answer(frame.asked_ms, frame.permits)
         elif frame.kind == "ask":
             leading = not self.stopping and self.coordinating
             if self.coordinating:
@@ -1106,6 +1132,7 @@
             self.directory.moving = moving
             self.directory.notify_waiters()
         self.loads.apply_totals(frame.totals, now.total_seconds())
+        self.limits.apply_observations(frame.limits, first_hand=False)
         for crash in frame.crashes:
             known = self.crashes.get(crash.fingerprint, 0)
             self.crashes[crash.fingerprint] = max(known, crash.count)
@@ -1113,6 +1140,63 @@
             self.directory.record_departure(*departure)
         link.send(self.build_report())
 
+    # Permits of requests to targets with a limit.
+
+    def schedule_question(self) -> None:
+        """Schedule a question for permits, unless one is scheduled."""
+        if self.question_scheduled:
+            return
+        self.question_scheduled = True
+        next_at = self.last_question_at + self.limits.get_question_interval()
+        wait_s = (next_at - self.clock.monotonic()).total_seconds()
+        asyncio.get_running_loop().call_later(max(wait_s, 0.0), self._send_question)
+
+    def _send_question(self) -> None:
+        self.question_scheduled = False
+        question = self.limits.build_question()
+        if question is None:
+            return
+        self.last_question_at = self.clock.monotonic()
+        if self.coordinating:
+            issued = self.issue_permits(question.wanted)
+            self.limits.apply_answer(question.asked_ms, issued)
+        elif self.coordinator_link is not None:
+            self.coordinator_link.send(
+                self.build_frame(
+                    "need",
+                    limits=self.limits.list_all(),
+                    wanted=question.wanted,
+                    asked_ms=question.asked_ms,
+                )
+            )
+
+    def issue_permits(
+        self, wanted: Iterable[frames.PermitRequest]
+    ) -> tuple[frames.Permits, ...]:
+        """Return the permits that an instance gets."""
+        now = self.clock.monotonic()
+        rates = self.limits.list_rates()
+        part = self.get_permit_part()
+        issued = []
+        for item in wanted:
+            rate = rates.get(item.target, math.inf) * part
+            issue = self.permit_issuer.issue(
+                item.target, item.life, rate, item.count, now
+            )
+            issued.append(
+                frames.Permits(item.target, issue.count, round_up(issue.wait))
+            )
+        return tuple(issued)
+
+    def get_permit_part(self) -> float:
+        """Return the part of each limit that this coordinator may use.
+
+        It is the whole, unless the other instances may follow another coordinator.
+        """
+        if self.is_followed():
+            return 1.0
+        return len(self.list_followers()) / len(self.list_members())
+
     # Registration.
 
     def keep_registered(self) -> None:
@@ -1157,3 +1241,8 @@
 def to_milliseconds(duration: datetime.timedelta) -> int:
     """Return a duration in whole milliseconds, at least 0."""
     return max(0, duration // datetime.timedelta(milliseconds=1))
+
+
+def round_up(duration: datetime.timedelta) -> int:
+    """Return a duration in whole milliseconds, rounded up."""
+    return -(-duration // datetime.timedelta(milliseconds=1))
--- a/packages/fleet/dewstep_fleet/demands.py
+++ b/packages/fleet/dewstep_fleet/demands.py
@@ -8,6 +8,7 @@
 import datetime
 import math
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from dewstep_core import clocks
@@ -28,6 +29,8 @@
     """Service time of a request by target."""
     window_s: float
     """Time constant of the rates in seconds."""
+    limits: Mapping[str, float] = MappingProxyType({})
+    """Requests/s of the targets that have named a limit."""
 
 
 class Demands:
@@ -70,7 +73,12 @@
         self.rates[service] = decayed
         return decayed
 
-    def get_demand(self, service: str, typical_seconds: float) -> Demand:
+    def get_demand(
+        self,
+        service: str,
+        typical_seconds: float,
+        limits: Mapping[str, float] = MappingProxyType({}),
+    ) -> Demand:
         """Return the demand of a service.
 
         Parameters
@@ -78,8 +86,11 @@
         service : str
         typical_seconds : float
             Typical service time of its requests in seconds.
+        limits : mapping of str to float, optional
+            Requests/s of the targets that have named a limit.
         """
         service_seconds = collections.defaultdict(lambda: typical_seconds)
         for target, slowness in self.slowness.items():
             service_seconds[target] = typical_seconds * slowness
-        return Demand(dict(self.decay_rates(service)), service_seconds, RATE_WINDOW_S)
+        rates = dict(self.decay_rates(service))
+        return Demand(rates, service_seconds, RATE_WINDOW_S, limits)
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -13,7 +13,7 @@
 import functools
 import hashlib
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 import h11
@@ -29,6 +29,7 @@
     directories,
     load_counts,
     model,
+    request_limits,
     routes,
     selection,
 )
@@ -58,7 +59,7 @@
 MAX_REQUESTS_PER_SLOT = 4
 """Requests per slot from which on a target counts as full; targets queue three or four
 for each slot."""
-UNSENT_FAILURES = errors.TargetUnavailable | errors.TargetPaused
+UNSENT_FAILURES = errors.TargetUnavailable | errors.TargetPaused | errors.TargetLimited
 """Failures of requests that were not sent."""
 MAX_OWNER_CHANGE_WAIT = datetime.timedelta(milliseconds=100)
 """Maximum wait for a new owner after a key's owner failed; changes arrive in a few
@@ -172,8 +173,6 @@
         self.background_tasks = tasks.TaskOwner(self.handle_task_failure)
         self.suspicions: dict[str, set[CrashSuspicion]] = {}
         """Requests that may have crashed a target, by target."""
-        self.named_limits: dict[tuple[str, int], float] = {}
-        """Requests per second that a target has named, by name and incarnation."""
         directory.listeners.append(self._apply_target_changes)
 
     # Handling.
@@ -288,7 +287,8 @@
             best_failure = choose_failure(best_failure, failure)
             if not outcome.target:
                 break
-            tries += 1
+            # A request without a permit costs no connection, and at most one question.
+            tries += not isinstance(failure, errors.TargetLimited)
             tried.add(outcome.target)
             if not isinstance(failure, UNSENT_FAILURES):
                 sends += 1
@@ -311,11 +311,18 @@
         if isinstance(found, result.Failure):
             return Outcome(None, found.failure(), "")
         choice = found.unwrap()
+        limits = self.participant.limits
+        time_left = plan.due_at - self.clock.monotonic()
+        acquired = await limits.acquire(choice.target, time_left)
+        if isinstance(acquired, result.Failure):
+            return Outcome(None, acquired.failure(), choice.target.name)
+        permit = acquired.unwrap()
         budget = self.retry_budgets.get(plan.service.name)
         if sends and not budget.reserve_resend(self.participant.live_instances):
+            limits.give_back(permit)
             failure = errors.TargetUnavailable(choice.target.name, "retry budget")
             return Outcome(None, failure, "")
-        return await self.attempt(plan, choice)
+        return await self.attempt(plan, choice, permit)
 
     def should_resend(self, plan: PlannedRequest, failure: Any, runs: int) -> bool:
         """Whether a failed request may be resent and could then succeed."""
@@ -325,7 +332,8 @@
         if refused and plan.key is not None and failure.reason != MISDIRECTED:
             # The owner is full, and no other target may run the request.
             return False
-        if isinstance(failure, errors.TargetPaused) and plan.key is not None:
+        closed = errors.TargetPaused | errors.TargetLimited
+        if isinstance(failure, closed) and plan.key is not None:
             return False
         not_run = refused or isinstance(failure, UNSENT_FAILURES)
         if not (not_run or plan.route.idempotent):
@@ -380,16 +388,32 @@
             self.data_centre,
             body + TYPICAL_ANSWER_BYTES,
             self.random,
-            tried,
+            tried | self.participant.limits.find_exhausted(),
             plan.route.name,
         )
         if choice is None:
-            pause = selection.find_shortest_pause(targets, self.loads, now, tried)
-            if pause is not None:
-                return result.Failure(build_pause_failure(*pause))
-            return result.Failure(errors.NotReady(plan.service.name))
+            return result.Failure(self.find_shortest_refusal(plan, targets, tried))
         return self.check_admission(plan, choice)
 
+    def find_shortest_refusal(
+        self,
+        plan: PlannedRequest,
+        targets: Iterable[model.Target],
+        tried: frozenset[str],
+    ) -> Any:
+        """Return the failure of a request for which no target is available.
+
+        This is the pause or the limit of the target that accepts requests first.
+        """
+        now = self.clock.monotonic().total_seconds()
+        refusals = self.participant.limits.find_refusals(targets)
+        pause = selection.find_shortest_pause(targets, self.loads, now, tried)
+        if pause is not None:
+            refusals.append(build_pause_failure(*pause))
+        if not refusals:
+            return errors.NotReady(plan.service.name)
+        return min(refusals, key=lambda refusal: refusal.retry_after)
+
     async def find_owner(
         self, plan: PlannedRequest
     ) -> result.Result[selection.Choice, Any]:
@@ -481,7 +505,12 @@
 
     # One attempt.
 
-    async def attempt(self, plan: PlannedRequest, choice: selection.Choice) -> Outcome:
+    async def attempt(
+        self,
+        plan: PlannedRequest,
+        choice: selection.Choice,
+        permit: request_limits.Permit | None = None,
+    ) -> Outcome:
         """Send the request to one target and return the outcome."""
         target = choice.target
         pool = self.get_pool(plan, target)
@@ -493,7 +522,11 @@
             head = self.build_head(plan, target, began)
             request_id = header_rules.encode_value(plan.request.request_id)
             send_result = await pool.send(
-                head, plan.request.body, plan.due_at, request_id
+                head,
+                plan.request.body,
+                plan.due_at,
+                request_id,
+                functools.partial(self.find_limit_refusal, target, permit),
             )
             success = (
                 isinstance(send_result, result.Success)
@@ -519,13 +552,23 @@
                 found_free_slot,
                 plan.route.name,
             )
-        return self.evaluate_attempt(plan, choice, send_result, elapsed)
+        return self.evaluate_attempt(plan, choice, send_result, began, elapsed)
+
+    def find_limit_refusal(
+        self, target: model.Target, permit: request_limits.Permit | None
+    ) -> errors.TargetLimited | None:
+        """Return the failure of a request that waited for a connection, or None.
+
+        The limit may have become known since the request was admitted.
+        """
+        return self.participant.limits.take_now(target) if permit is None else None
 
     def evaluate_attempt(
         self,
         plan: PlannedRequest,
         choice: selection.Choice,
         send_result,
+        sent_at: datetime.timedelta,
         elapsed: float,
     ) -> Outcome:
         """Return the outcome of an attempt, and log it with the state used for it."""
@@ -533,8 +576,8 @@
         if isinstance(send_result, result.Success):
             answer = send_result.unwrap()
             if answer.status < 500 and answer.status not in NOT_RUN_STATUSES:
-                limit = dict(answer.headers).get(self.answer_rules.limit)
-                self.log_limit(target, answering.read_limit(limit))
+                if self.answer_rules.limit not in dict(answer.headers):
+                    self.participant.limits.record_unnamed(target, sent_at)
                 events.info(
                     "answered",
                     request_id=plan.request.request_id,
@@ -686,23 +729,11 @@
             self.loads.pause_until(target.name, until.total_seconds())
             events.info("target_paused", target=target.name, lasts=notice.pause)
         if notice.limit is not None:
-            self.log_limit(target, notice.limit)
+            self.participant.limits.record_named(target, notice.limit)
         if notice.leaving:
             # The registration may be missing, or say later that the target is ready.
             self.participant.record_departure(target.name, target.life)
 
-    def log_limit(self, target: model.Target, limit: float | None) -> None:
-        """Log a limit of requests per second that differs from the one known."""
-        known = self.named_limits.get((target.name, target.life))
-        if limit == known:
-            return
-        if limit is None:
-            del self.named_limits[target.name, target.life]
-            events.info("limit_ended", target=target.name, limit=known)
-        else:
-            self.named_limits[target.name, target.life] = limit
-            events.info("limit_named", target=target.name, limit=limit, known=known)
-
     def _apply_target_changes(self, changed_rows: list[model.StoredRow]) -> None:
         """Close connections to targets that were removed or have restarted."""
         if not any(row.table == model.TABLES.targets for row in changed_rows):
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -17,6 +17,7 @@
     load_counts,
     model,
     ranges,
+    request_limits,
 )
 
 HEADER_NAMES = model.HeaderNames(b"x-id", b"x-deadline", b"x-target", b"x-key", b"x-n")
@@ -27,9 +28,26 @@
 class FakeParticipant:
     """Participation in a fleet of two instances."""
 
-    def __init__(self):
+    def __init__(self, clock):
         self.live_instances = 2
         self.crashes = {}
+        self.limits = request_limits.RequestLimits(
+            clock, random.Random(1), self.answer_question, lambda: 2
+        )
+        self.permits = 0
+        """Number of permits that the coordinator still issues."""
+
+    def answer_question(self):
+        question = self.limits.build_question()
+        if question is None:
+            return
+        issued = []
+        for item in question.wanted:
+            count = min(item.count, self.permits)
+            self.permits -= count
+            wait_ms = 300 if count < item.count else 0
+            issued.append(frames.Permits(item.target, count, wait_ms))
+        self.limits.apply_answer(question.asked_ms, issued)
 
     def record_crash(self, fingerprint):
         self.crashes[fingerprint] = self.crashes.get(fingerprint, 0) + 1
@@ -46,7 +64,10 @@
         self.target = target
         self.open_connections = set()
 
-    async def send(self, head, body, deadline, request_id):
+    async def send(self, head, body, deadline, request_id, find_refusal=None):
+        refusal = find_refusal() if find_refusal is not None else None
+        if refusal is not None:
+            return result.Failure(refusal)
         self.harness.sent.append((self.target, dict(head.headers), request_id))
         outcome = self.harness.outcomes.pop(0)
         if outcome == "hang":
@@ -82,7 +103,7 @@
             row = builders.build_row(model.TABLES.fleet, "ranges/history", 3, value)
             self.directory.apply_rows([row])
         self.counts = load_counts.Loads()
-        self.participant = FakeParticipant()
+        self.participant = FakeParticipant(self.clock)
         self.participant.directory = self.directory
         timing = builders.build_timing()
         self.dispatcher = dispatch.Dispatcher(
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -53,6 +53,25 @@
   life @1 :UInt64;         # incarnation of the target
 }
 
+struct Limit {
+  target @0 :Text;
+  life @1 :UInt64;
+  rate @2 :Float64;        # requests/s, infinite if the target names no limit any more
+  ageMs @3 :UInt32;        # time since the answer that named it
+}
+
+struct PermitRequest {
+  target @0 :Text;
+  life @1 :UInt64;
+  count @2 :UInt32;
+}
+
+struct Permits {
+  target @0 :Text;
+  count @1 :UInt32;
+  waitMs @2 :UInt32;       # time until the next permit; 0 if all were issued
+}
+
 struct Frame {
   kind @0 :Text;           # message type, see Frame.kind in frames.py
   term @1 :UInt64;
@@ -74,4 +93,8 @@
   holdsKnown @17 :Bool;    # holdsMs covers the grants sent before the sender's start
   heartbeatMs @18 :UInt64; # see Frame.heartbeat_ms in frames.py
   departures @19 :List(Departure);
+  limits @20 :List(Limit);
+  wanted @21 :List(PermitRequest);
+  permits @22 :List(Permits);
+  askedMs @23 :UInt64;     # see Frame.asked_ms in frames.py
 }
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -11,6 +11,7 @@
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 MAX_UINT16 = 2**16 - 1
+MAX_UINT32 = 2**32 - 1
 
 schema = capnp.load(str(pathlib.Path(__file__).with_name("fleet.capnp")))
 
@@ -70,6 +71,34 @@
     life: int
 
 
+class Limit(NamedTuple):
+    """What a target has said about the requests per second that it accepts."""
+
+    target: str
+    life: int
+    rate: float
+    """Requests/s from all instances together; infinite if it names no limit."""
+    age_ms: int
+    """Time in ms since the answer that said so."""
+
+
+class PermitRequest(NamedTuple):
+    """Number of requests to a target with a limit that need a permit."""
+
+    target: str
+    life: int
+    count: int
+
+
+class Permits(NamedTuple):
+    """Permits for a target that the coordinator issues to one instance."""
+
+    target: str
+    count: int
+    wait_ms: int
+    """Time in ms until the next permit; 0 if all were issued."""
+
+
 class Frame(NamedTuple):
     """One message; fields that its kind does not use are empty."""
 
@@ -77,7 +106,9 @@
     """Type of the message. On a new link, a coordinator sends "greeting", the member
     answers with the "versions" of its rows, and the coordinator sends the "rows" that
     it lacks. After that, each heartbeat ("beat") of the coordinator is answered by a
-    "report". "ask" requests a vote in an election, "tell" answers it."""
+    "report". "ask" requests a vote in an election, "tell" answers it. "need" asks the
+    coordinator for permits of requests to targets with a limit, "permits" answers
+    it."""
     term: int
     node: str
     incarnation: str
@@ -114,6 +145,14 @@
     acknowledged because of a recent vote."""
     departures: tuple[Departure, ...] = ()
     """Targets whose announcement was first seen since the last message."""
+    limits: tuple[Limit, ...] = ()
+    """In a "beat" and a "need": the limits that the sender knows. In a "report": those
+    that it has observed itself."""
+    wanted: tuple[PermitRequest, ...] = ()
+    permits: tuple[Permits, ...] = ()
+    asked_ms: int = 0
+    """In a "need" and its answer: when it was sent, in ms of the asking instance's
+    monotonic clock."""
 
 
 def hash_target_name(target: str) -> int:
@@ -150,6 +189,7 @@
         holdsMs=frame.holds_ms,
         holdsKnown=frame.holds_known,
         heartbeatMs=frame.heartbeat_ms,
+        askedMs=frame.asked_ms,
     )
     if frame.rows:
         message.rows = [
@@ -193,6 +233,23 @@
         message.crashes = [item._asdict() for item in frame.crashes]
     if frame.departures:
         message.departures = [item._asdict() for item in frame.departures]
+    if frame.limits:
+        message.limits = [
+            {
+                "target": item.target,
+                "life": item.life,
+                "rate": item.rate,
+                "ageMs": min(item.age_ms, MAX_UINT32),
+            }
+            for item in frame.limits
+        ]
+    if frame.wanted:
+        message.wanted = [item._asdict() for item in frame.wanted]
+    if frame.permits:
+        message.permits = [
+            {"target": item.target, "count": item.count, "waitMs": item.wait_ms}
+            for item in frame.permits
+        ]
     return message.to_bytes_packed()
 
 
@@ -251,4 +308,15 @@
         message.holdsKnown,
         message.heartbeatMs,
         tuple(Departure(item.target, item.life) for item in message.departures),
+        tuple(
+            Limit(item.target, item.life, item.rate, item.ageMs)
+            for item in message.limits
+        ),
+        tuple(
+            PermitRequest(item.target, item.life, item.count) for item in message.wanted
+        ),
+        tuple(
+            Permits(item.target, item.count, item.waitMs) for item in message.permits
+        ),
+        message.askedMs,
     )
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -19,6 +19,7 @@
 
 import asyncio
 import datetime
+import math
 from collections.abc import Callable, Coroutine, Iterable, Mapping
 from typing import Any, NamedTuple
 
@@ -31,6 +32,7 @@
     feeds,
     model,
     outstanding,
+    permits,
     planning,
     ranges,
     target_orders,
@@ -1048,7 +1050,11 @@
         available = self.list_available(service, self.clock.monotonic())
         return {
             target.name: planning.Capacity(
-                target.name, target.slots / demand.service_seconds[target.name]
+                target.name,
+                min(
+                    target.slots / demand.service_seconds[target.name],
+                    max(demand.limits.get(target.name, math.inf), permits.MIN_RATE),
+                ),
             )
             for target in available
         }
--- a/packages/fleet/dewstep_fleet/telemetry.py
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -94,6 +94,9 @@
         "ranges": sum(
             len(item.holdings) for item in process.directory.ownerships.values()
         ),
+        "targets_with_limit": len(participant.limits.list_rates()),
+        "permits_used": participant.limits.counts["permits_used"],
+        "permits_refused": participant.limits.counts["permits_refused"],
     }
 
 
@@ -119,4 +122,5 @@
             for service, ownership in directory.ownerships.items()
         },
         "moving": directory.moving,
+        "limits": process.participant.limits.list_rates(),
     }
