--- a/packages/emulator/dewstep_emulator/ownership/simulation.py
+++ b/packages/emulator/dewstep_emulator/ownership/simulation.py
@@ -476,6 +476,7 @@
     seed: int,
     duration: float = 60.0,
     faults: tuple[fault_kinds.Fault, ...] | None = None,
+    build: Callable[[event_loop.EventLoop, int], Simulation] = Simulation,
 ) -> Report:
     """Run a fleet and report what happened.
 
@@ -486,6 +487,8 @@
         Seconds within which faults begin.
     faults : tuple of Fault, optional
         Schedule to run in place of the one of the seed.
+    build : callable, optional
+        Returns the simulation for an event loop and a seed.
     """
     if faults is None:
         faults = draw_faults(seed, duration)
@@ -494,7 +497,7 @@
 
     async def main() -> None:
         nonlocal simulation
-        simulation = Simulation(loop, seed)
+        simulation = build(loop, seed)
         with recording_events(simulation.log):
             await simulation.run(duration, faults)
 
