--- a/packages/fleet/dewstep_fleet/budgets_test.py
+++ b/packages/fleet/dewstep_fleet/budgets_test.py
@@ -43,3 +43,36 @@
     all_budgets = budgets.Budgets(clock, builders.build_timing())
     assert all_budgets.get("a") is all_budgets.get("a")
     assert all_budgets.get("a") is not all_budgets.get("b")
+
+
+# Guards against instances that restart together and use up the budget a second time.
+def test_budget_holds_when_all_instances_restart():
+    clock = clocks.ManualClock()
+    timing = builders.build_timing(retry_slack=58.0)
+    resends = 0
+    for _ in range(2):
+        fleet = [budgets.Budgets(clock, timing).get("a") for _ in range(9)]
+        for _ in range(10):
+            for budget in fleet:
+                resends += budget.reserve_resend(9)
+            clock.advance(builders.SECOND / 10)
+    assert resends <= timing.retry_slack
+
+
+# Guards against an instance that never uses its share after a restart.
+def test_share_of_the_budget_is_used_after_the_first_window():
+    clock = clocks.ManualClock()
+    timing = builders.build_timing()
+    budget = budgets.Budgets(clock, timing).get("a")
+    assert not budget.reserve_resend(9)
+    clock.advance(timing.retry_window)
+    assert budget.reserve_resend(9)
+
+
+# Guards against a restarted instance that resends nothing at all.
+def test_requests_after_a_restart_allow_resends():
+    clock = clocks.ManualClock()
+    budget = budgets.Budgets(clock, builders.build_timing(retry_ratio=0.2)).get("a")
+    for _ in range(10):
+        budget.add_request()
+    assert budget.reserve_resend(9)
