Pass requests on to instances that reach the targets

Cause: an instance sends to targets itself and had no other way to one, so that it refused what it could not send, and let requests on connections that hung wait until their deadline. The class: one path without an alternative, and no judgement of it as a whole.

Change: each instance serves requests of other instances at a port of its own. A request that reaches no target is passed on once: at once if several targets fail and none answers for 500 ms, else after the owner of its key proved unreachable. The receiving instance counts attempts and permits; keys, retry ratio and attempts are counted once. An instance that is cut off itself refuses, and the next one is tried. A request in 500 ms tries the targets, which shows the end of the cut.

--- a/packages/core/dewstep_core/errors.py
+++ b/packages/core/dewstep_core/errors.py
@@ -253,6 +253,14 @@
     reason: str
 
 
+@register_answer(503, NOT_RUN)
+class RelayRefused(NamedTuple):
+    """An instance cannot serve a request for one that does not reach the targets."""
+
+    node: str
+    reason: str
+
+
 @register_answer(503, NOT_RUN)
 class PeerUnreachable(NamedTuple):
     """The gate's process is unreachable; nothing was sent to it."""
--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -79,7 +79,8 @@
         if schema != ranges.SCHEMA_VERSION:
             detail = f"unknown schema {schema!r}"
             return result.Failure(errors.RowInvalid(row.key, detail))
-        fields = {**content, **extra}
+        # A row of an earlier version lacks the fields that were added since.
+        fields = {**record_type._field_defaults, **content, **extra}
         for name, expected_type in record_type.__annotations__.items():
             if not isinstance(fields[name], expected_type):
                 detail = f"field {name!r} has the wrong type"
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -29,6 +29,8 @@
     directories,
     load_counts,
     model,
+    reachability,
+    relaying,
     request_limits,
     routes,
     selection,
@@ -75,6 +77,8 @@
 CRASH_CONFIRMATION_PERIOD = datetime.timedelta(seconds=6)
 """Time within which the registration of a crashed target expires: three of its
 heartbeats, doubled for a slow store."""
+RETRY_BUDGET_REASON = "retry budget"
+"""Reason of a request that was not resent."""
 TYPICAL_ANSWER_BYTES = 5_000
 """Typical size of an answer, used to choose a target."""
 BASE_RETRY_AFTER = datetime.timedelta(milliseconds=300)
@@ -96,6 +100,12 @@
     due_by_timeout: bool
     """Whether `due_at` is the route's time-out."""
     fingerprint: bytes
+    max_attempts: int
+    """Maximum number of attempts in which a target may have run the request."""
+
+    def is_relayed(self) -> bool:
+        """Whether another instance has passed the request on."""
+        return self.request.relayed_attempts is not None
 
 
 class CrashSuspicion(NamedTuple):
@@ -106,6 +116,23 @@
     noted_at: datetime.timedelta
 
 
+class Progress:
+    """What has happened to a request so far."""
+
+    __slots__ = ("answer", "failure", "runs", "sends")
+
+    def __init__(self):
+        self.answer: data.Answer | None = None
+        """Failure answer of a target."""
+        self.failure: Any = None
+        """Failure to report if no try succeeds. A failure answer of a target takes
+        precedence."""
+        self.runs = 0
+        """Tries that may have run."""
+        self.sends = 0
+        """Tries that reached a target."""
+
+
 class Outcome(NamedTuple):
     """Result of one attempt."""
 
@@ -169,6 +196,13 @@
         """Connection pools by target name, incarnation, host and port."""
         self.lives = {name: item.life for name, item in directory.targets.items()}
         """Last incarnation of each target, also of removed ones."""
+        self.reachability = reachability.Reachability(clock.monotonic())
+        self.relay = relaying.RelaySender(
+            node, data_centre, directory, header_names.request_id, clock, generator
+        )
+        self.unreachable_until: dict[str, datetime.timedelta] = {}
+        """Targets that another instance did not reach either, and until when this is
+        assumed."""
         self.in_progress = 0
         self.background_tasks = tasks.TaskOwner(self.handle_task_failure)
         self.suspicions: dict[str, set[CrashSuspicion]] = {}
@@ -242,14 +276,19 @@
             if key is None:
                 part = self.header_names.key.decode()
                 return result.Failure(errors.KeyMissing(name, part))
-            self.count_key(name, key)
+            if request.relayed_attempts is None:
+                self.count_key(name, key)
         now = request.arrived_at
         given = read_milliseconds(headers.get(self.header_names.deadline))
         timeout = route.timeout
         deadline = now + (given or timeout or DEFAULT_DEADLINE)
         due_by_timeout = timeout is not None and now + timeout < deadline
         due_at = now + timeout if due_by_timeout else deadline
-        self.retry_budgets.get(name).add_request()
+        max_attempts = route.max_attempts
+        if request.relayed_attempts is None:
+            self.retry_budgets.get(name).add_request()
+        else:
+            max_attempts = min(max_attempts, request.relayed_attempts)
         fingerprint = compute_fingerprint(
             request.method, request.path, request.body.start
         )
@@ -263,43 +302,132 @@
                 due_at,
                 due_by_timeout,
                 fingerprint,
+                max_attempts,
             )
         )
 
     # Serving.
 
     async def serve(self, plan: PlannedRequest) -> data.Answer:
+        """Return the answer of a target, or the refusal of the request."""
+        if plan.is_relayed() and self.is_cut_off():
+            failure = errors.RelayRefused(self.node, "cut off from the targets")
+            return self.build_refusal(plan.request, failure, plan)
+        progress = Progress()
+        if not plan.is_relayed() and self.is_cut_off() and not self.begin_trial(plan):
+            relayed = await self.pass_on(plan, progress)
+            if not isinstance(relayed.failure, errors.RelayRefused):
+                return self.conclude(plan, progress, relayed)
+        await self.try_targets(plan, progress)
+        if self.should_pass_on(plan, progress):
+            relayed = await self.pass_on(plan, progress)
+            if not isinstance(relayed.failure, errors.RelayRefused):
+                return self.conclude(plan, progress, relayed)
+        return self.conclude(plan, progress, None)
+
+    def conclude(
+        self,
+        plan: PlannedRequest,
+        progress: Progress,
+        relayed: relaying.RelayOutcome | None,
+    ) -> data.Answer:
+        """Return the final answer to a request."""
+        failure = progress.failure
+        if relayed is not None:
+            if relayed.answer is not None:
+                return relayed.answer
+            failure = choose_failure(failure, relayed.failure)
+        if progress.answer is not None:
+            return progress.answer
+        return self.build_refusal(plan.request, failure, plan)
+
+    async def try_targets(self, plan: PlannedRequest, progress: Progress) -> None:
         """Try until there is an answer or no further try is allowed."""
         tried: set[str] = set()
-        # The failure to report if no try succeeds. A failure answer of a target takes
-        # precedence over a failure of this instance.
-        best_failure = None
-        answer = None
-        # Tries that may have run, tries that reached a target, and all tries.
-        runs = sends = tries = 0
+        tries = 0
         while tries < MAX_TRIES:
-            outcome = await self.try_once(plan, frozenset(tried), sends)
+            outcome = await self.try_once(plan, frozenset(tried), progress.sends)
             if outcome.answer is not None:
-                answer = outcome.answer
+                progress.answer = outcome.answer
                 if outcome.failure is None:
-                    return answer
+                    return
             failure = outcome.failure
-            best_failure = choose_failure(best_failure, failure)
+            progress.failure = choose_failure(progress.failure, failure)
             if not outcome.target:
-                break
+                return
             # A request without a permit costs no connection, and at most one question.
             tries += not isinstance(failure, errors.TargetLimited)
             tried.add(outcome.target)
             if not isinstance(failure, UNSENT_FAILURES):
-                sends += 1
-                runs += not isinstance(failure, errors.TargetRefused)
-            if not self.should_resend(plan, failure, runs):
-                break
+                progress.sends += 1
+                progress.runs += not isinstance(failure, errors.TargetRefused)
+            if not self.should_resend(plan, failure, progress.runs):
+                return
             if plan.key is not None and not await self.wait_owner_change(plan, failure):
-                break
-        if answer is not None:
-            return answer
-        return self.build_refusal(plan.request, best_failure, plan)
+                return
+
+    # Other instances.
+
+    def is_cut_off(self) -> bool:
+        """Whether this instance is probably cut off from all targets."""
+        return self.reachability.is_cut_off(self.clock.monotonic())
+
+    def begin_trial(self, plan: PlannedRequest) -> bool:
+        """Whether to find out with a request whether the cut has ended."""
+        return plan.route.idempotent and self.reachability.begin_trial(
+            self.clock.monotonic()
+        )
+
+    def should_pass_on(self, plan: PlannedRequest, progress: Progress) -> bool:
+        """Whether another instance may serve a request that reached no target."""
+        failure = progress.failure
+        now = self.clock.monotonic()
+        return (
+            not plan.is_relayed()
+            and progress.answer is None
+            and isinstance(failure, errors.TargetUnavailable)
+            and failure.reason != RETRY_BUDGET_REASON
+            and self.unreachable_until.get(failure.target, now) <= now
+            and now + DEADLINE_MARGIN * 5 < plan.due_at
+        )
+
+    async def pass_on(
+        self, plan: PlannedRequest, progress: Progress
+    ) -> relaying.RelayOutcome:
+        """Let another instance serve a request."""
+        budget = self.retry_budgets.get(plan.service.name)
+        if progress.sends and not budget.reserve_resend(
+            self.participant.live_instances
+        ):
+            return relaying.RelayOutcome(
+                None, errors.RelayRefused(self.node, RETRY_BUDGET_REASON)
+            )
+        request_id = header_rules.encode_value(plan.request.request_id)
+        attempts = max(1, plan.max_attempts - progress.runs)
+        try:
+            outcome = await self.relay.send(
+                lambda: self.build_relayed_head(plan, attempts),
+                plan.request.body,
+                plan.due_at,
+                request_id,
+            )
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            return relaying.RelayOutcome(None, errors.MalformedRequest(str(error)))
+        if isinstance(outcome.failure, errors.TargetUnavailable):
+            until = self.clock.monotonic() + UNREACHABLE_PERIOD
+            self.unreachable_until[outcome.failure.target] = until
+        return outcome
+
+    def build_relayed_head(self, plan: PlannedRequest, attempts: int) -> h11.Request:
+        """Return the head of a request that is passed on."""
+        head = self.build_head(plan, None, self.clock.monotonic())
+        return h11.Request(
+            method=head.method,
+            target=head.target,
+            headers=relaying.add_attempts(tuple(head.headers), attempts),
+        )
+
+    # One try.
 
     async def try_once(
         self, plan: PlannedRequest, tried: frozenset[str], sends: int
@@ -320,7 +448,7 @@
         budget = self.retry_budgets.get(plan.service.name)
         if sends and not budget.reserve_resend(self.participant.live_instances):
             limits.give_back(permit)
-            failure = errors.TargetUnavailable(choice.target.name, "retry budget")
+            failure = errors.TargetUnavailable(choice.target.name, RETRY_BUDGET_REASON)
             return Outcome(None, failure, "")
         return await self.attempt(plan, choice, permit)
 
@@ -345,7 +473,7 @@
         if plan.request.body.rest is not None:
             # The part of a streamed body that was sent is not kept.
             return False
-        if runs >= plan.route.max_attempts:
+        if runs >= plan.max_attempts:
             return False
         return self.clock.monotonic() + DEADLINE_MARGIN * 5 < plan.due_at
 
@@ -517,7 +645,9 @@
         began = self.clock.monotonic()
         found_free_slot = choice.estimate.running < target.slots
         success = False
+        answered: bool | None = None
         self.loads.begin_request(target.name)
+        self.reachability.begin_request(target.name, began)
         try:
             head = self.build_head(plan, target, began)
             request_id = header_rules.encode_value(plan.request.request_id)
@@ -532,6 +662,7 @@
                 isinstance(send_result, result.Success)
                 and send_result.unwrap().status < 500
             )
+            answered = has_answered(send_result)
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             send_result = result.Failure(errors.MalformedRequest(str(error)))
             success = True
@@ -542,6 +673,7 @@
             raise
         finally:
             now = self.clock.monotonic()
+            self.reachability.end_request(target.name, now, answered)
             elapsed = (now - began).total_seconds()
             self.loads.end_request(
                 plan.service.name,
@@ -666,13 +798,14 @@
         )
 
     def build_head(
-        self, plan: PlannedRequest, target: model.Target, now: datetime.timedelta
+        self, plan: PlannedRequest, target: model.Target | None, now: datetime.timedelta
     ) -> h11.Request:
-        """Return the request head to send to the target."""
+        """Return the request head to send to the target, or to another instance."""
         request, header_names = plan.request, self.header_names
         dropped = header_rules.HOP_BY_HOP_HEADERS | {
             header_names.deadline,
             header_names.target,
+            relaying.ATTEMPTS_HEADER,
         }
         headers = list(header_rules.drop_headers(request.headers, dropped))
         if request.body_length is None:
@@ -687,7 +820,9 @@
             milliseconds=1
         )
         headers.append((header_names.deadline, b"%d" % max(1, time_left)))
-        headers.append((header_names.target, header_rules.encode_value(target.name)))
+        if target is not None:
+            name = header_rules.encode_value(target.name)
+            headers.append((header_names.target, name))
         return h11.Request(
             method=request.method.encode("latin-1"),
             target=request.path.encode("latin-1"),
@@ -719,6 +854,12 @@
             )
         return pool
 
+    def retire_pools(self) -> None:
+        """Use no open connection for further requests, since they may hang."""
+        for pool in self.pools.values():
+            pool.retire()
+        self.pools.clear()
+
     def receive_notice(self, target: model.Target, notice: answering.Notice) -> None:
         """Record what a target has said about itself in an answer."""
         registered = self.directory.targets.get(target.name)
@@ -750,6 +891,9 @@
             if current != pool_key:
                 self.pools.pop(pool_key).retire()
         self.loads.set_targets(targets, self.clock.monotonic().total_seconds())
+        self.reachability.keep_targets(targets)
+        for name in [item for item in self.unreachable_until if item not in targets]:
+            del self.unreachable_until[name]
         for name, target in targets.items():
             if self.lives.get(name, target.life) != target.life:
                 self.loads.forget_failures(name)
@@ -823,6 +967,18 @@
         return answer
 
 
+def has_answered(send_result: result.Result[data.Answer, Any]) -> bool | None:
+    """Whether the target answered a request; None if it was not asked to."""
+    if isinstance(send_result, result.Success):
+        return True
+    failure = send_result.failure()
+    if isinstance(failure, errors.TargetRefused | errors.AnswerInvalid):
+        return True
+    if isinstance(failure, errors.TargetPaused | errors.TargetLimited):
+        return None
+    return False
+
+
 def build_pause_failure(target: str, seconds: float) -> errors.TargetPaused:
     """Return the failure of a request that a target's pause prevents."""
     return errors.TargetPaused(target, datetime.timedelta(seconds=seconds))
--- a/packages/fleet/dewstep_fleet/model.py
+++ b/packages/fleet/dewstep_fleet/model.py
@@ -237,6 +237,8 @@
     port: int
     strength: float = 1.0
     """Number of cores available to it, or less if its network link is slow."""
+    relay_port: int = 0
+    """Port at which it serves requests for other instances; 0 if it does not."""
 
 
 class Tables(NamedTuple):
@@ -291,3 +293,6 @@
     body_length: int | None
     body: data.Body
     arrived_at: datetime.timedelta
+    relayed_attempts: int | None = None
+    """Number of attempts left to a request that another instance has passed on; None if
+    it comes from a caller."""
--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -21,6 +21,7 @@
     keys,
     load_counts,
     model,
+    relaying,
     telemetry,
 )
 
@@ -29,6 +30,7 @@
 instance after two failed checks."""
 ABORT_MARGIN = datetime.timedelta(milliseconds=300)
 """Time before the end of the grace period at which remaining requests are aborted."""
+OBSERVATION_INTERVAL = datetime.timedelta(milliseconds=50)
 FLUSH_INTERVAL = datetime.timedelta(milliseconds=500)
 RELOAD_INTERVAL = datetime.timedelta(seconds=1)
 """Interval between reads of the settings, which may change without a signal: half of
@@ -137,6 +139,18 @@
             instance.member.node,
             on_refusal=self.log_refusal,
         )
+        self.relay_receiver = relaying.RelayReceiver(
+            instance.member.node, self.dispatcher
+        )
+        self.relay_listener = listener.Listener(
+            settings.Address(instance.member.host, instance.member.relay_port),
+            settings.CallerLimits(),
+            self.build_relayed_request,
+            self.find_body_limit,
+            self.relay_receiver,
+            instance.member.node,
+            on_refusal=self.log_refusal,
+        )
         self.directory.listeners.append(self.apply_caller_limits)
         self.servers: list[server.Server] = []
 
@@ -159,10 +173,13 @@
                 # Metrics are optional; requests are served without them.
                 events.error("metrics_refused", reason=str(error))
         await self.listener.start()
+        if instance.member.relay_port:
+            await self.relay_listener.start()
         self.tasks.spawn(self.feeds.run())
         self.tasks.spawn(self.participant.run())
         self.tasks.spawn(self.participant.register())
         self.tasks.spawn(self.flush_periodically())
+        self.tasks.spawn(self.observe_periodically())
         self.tasks.spawn(self.reload_periodically())
         events.info(
             "started",
@@ -192,6 +209,19 @@
             if self.writer is not None:
                 self.writer.flush()
 
+    async def observe_periodically(self) -> None:
+        """Note at regular intervals that the process runs, until cancelled."""
+        cut_off = False
+        while True:
+            await self.clock.sleep(OBSERVATION_INTERVAL)
+            now = self.clock.monotonic()
+            self.dispatcher.reachability.observe(now)
+            if cut_off != self.dispatcher.is_cut_off():
+                cut_off = not cut_off
+                events.warning("cut_off", cut_off=cut_off)
+                if cut_off:
+                    self.dispatcher.retire_pools()
+
     async def reload_periodically(self) -> None:
         """Reload the settings at regular intervals, until cancelled."""
         while True:
@@ -230,6 +260,7 @@
         self.stopping = True
         self.participant.stopping = True
         self.listener.close_after_answer = True
+        self.relay_listener.close_after_answer = True
         events.info("stopping", in_progress=self.dispatcher.in_progress)
         self.participant.schedule_heartbeat()
         # The balancer sends new connections until it has removed this instance.
@@ -240,11 +271,15 @@
             time_left = (end - self.clock.monotonic()).total_seconds()
             async with asyncio.timeout(max(time_left, 0.0)):
                 await self.listener.stop()
+                if self.instance.member.relay_port:
+                    await self.relay_listener.stop()
                 if self.dispatcher.background_tasks.tasks:
                     await asyncio.wait(self.dispatcher.background_tasks.tasks)
         except TimeoutError:
             aborted = len(self.listener.connections)
             self.listener.abort()
+            if self.instance.member.relay_port:
+                self.relay_listener.abort()
         events.info("stopped", cut=aborted)
         self.tasks.cancel()
         for internal_server in self.servers:
@@ -276,6 +311,20 @@
             )
         )
 
+    def build_relayed_request(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: data.Headers,
+        body_length: int | None,
+    ) -> result.Result[model.IncomingRequest, Any]:
+        """Return the request that another instance has passed on."""
+        return self.build_request(method, target, headers, body_length).map(
+            lambda request: request._replace(
+                relayed_attempts=relaying.read_attempts(headers)
+            )
+        )
+
     def find_body_limit(self, request: Any) -> int:
         """Return the maximum size of a request body in bytes."""
         routes = self.directory.routes
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/reachability.py
@@ -0,0 +1,109 @@
+"""Decides whether this instance is cut off from all targets.
+
+One target that does not answer may be slow, frozen or gone. If several fail at once and
+none answers, the network between this instance and the targets is the likely cause:
+connections hang or are reset, and new ones hang or are refused. Observations made while
+the process itself was late do not count, since answers may wait to be read.
+"""
+
+import datetime
+
+SILENCE_PERIOD = datetime.timedelta(milliseconds=500)
+"""Time without an answer from any target, two or three service times."""
+MIN_SILENT_TARGETS = 3
+MAX_OBSERVATION_GAP = datetime.timedelta(milliseconds=200)
+"""Time between two observations above which the process counts as late. They are made
+each 50 ms."""
+TRIAL_INTERVAL = datetime.timedelta(milliseconds=500)
+"""Interval at which an instance that is cut off sends a request to a target itself."""
+
+
+class Contact:
+    """What is known of one target."""
+
+    __slots__ = ("failed", "in_progress", "unanswered_since")
+
+    def __init__(self):
+        self.in_progress = 0
+        self.unanswered_since: datetime.timedelta | None = None
+        """When the first request was sent since the last answer."""
+        self.failed = False
+        """Whether a connection or a request has failed since then."""
+
+
+class Reachability:
+    """Contact to all targets.
+
+    Parameters
+    ----------
+    now : datetime.timedelta
+    """
+
+    def __init__(self, now: datetime.timedelta):
+        self.contacts: dict[str, Contact] = {}
+        self.silent_since = now
+        """When a target last answered, or the process was last late."""
+        self.observed_at = now
+        self.next_trial_at = now
+
+    def observe(self, now: datetime.timedelta) -> None:
+        """Note that the process is running; called regularly."""
+        if now - self.observed_at > MAX_OBSERVATION_GAP:
+            self.silent_since = now
+        self.observed_at = now
+
+    def begin_request(self, target: str, now: datetime.timedelta) -> None:
+        """Record that a request is sent to a target."""
+        contact = self.contacts.setdefault(target, Contact())
+        contact.in_progress += 1
+        if contact.unanswered_since is None:
+            contact.unanswered_since = now
+
+    def end_request(
+        self, target: str, now: datetime.timedelta, answered: bool | None
+    ) -> None:
+        """Record the end of a request.
+
+        Parameters
+        ----------
+        target : str
+        now : datetime.timedelta
+        answered : bool or None
+            Whether the target answered; None if the request was abandoned.
+        """
+        contact = self.contacts[target]
+        contact.in_progress -= 1
+        if answered:
+            contact.unanswered_since = None
+            contact.failed = False
+            self.silent_since = now
+        elif answered is False:
+            contact.failed = True
+        elif not contact.in_progress and not contact.failed:
+            contact.unanswered_since = None
+
+    def keep_targets(self, names) -> None:
+        """Forget all other targets without requests."""
+        for name, contact in list(self.contacts.items()):
+            if name not in names and not contact.in_progress:
+                del self.contacts[name]
+
+    def is_cut_off(self, now: datetime.timedelta) -> bool:
+        """Whether this instance is probably cut off from all targets."""
+        if now - self.silent_since < SILENCE_PERIOD:
+            return False
+        if now - self.observed_at > MAX_OBSERVATION_GAP:
+            return False
+        silent = sum(
+            contact.unanswered_since is not None
+            and (contact.failed or now - contact.unanswered_since >= SILENCE_PERIOD)
+            for contact in self.contacts.values()
+        )
+        return silent >= MIN_SILENT_TARGETS
+
+    def begin_trial(self, now: datetime.timedelta) -> bool:
+        """Whether to send the next request to a target all the same."""
+        if now < self.next_trial_at:
+            return False
+        self.next_trial_at = now + TRIAL_INTERVAL
+        return True
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/reachability_test.py
@@ -0,0 +1,105 @@
+"""Tests of the decision whether an instance is cut off from all targets."""
+
+import pytest
+
+from dewstep_fleet import builders, reachability
+
+MILLISECOND = builders.MILLISECOND
+SECOND = builders.SECOND
+START = 100 * SECOND
+
+
+class Setting:
+    """An instance that observes itself each 50 ms."""
+
+    def __init__(self):
+        self.now = START
+        self.reachability = reachability.Reachability(START)
+
+    def run(self, duration):
+        end = self.now + duration
+        while self.now < end:
+            self.now += 50 * MILLISECOND
+            self.reachability.observe(self.now)
+
+    def begin(self, targets="abc"):
+        for target in targets:
+            self.reachability.begin_request(target, self.now)
+
+    def end(self, answered, targets="abc"):
+        for target in targets:
+            self.reachability.end_request(target, self.now, answered)
+
+    def is_cut_off(self):
+        return self.reachability.is_cut_off(self.now)
+
+
+# Guards against requests that wait until their deadline at targets that hang.
+def test_hanging_requests_show_a_cut():
+    setting = Setting()
+    setting.begin()
+    setting.run(0.4 * SECOND)
+    assert not setting.is_cut_off()
+    setting.run(0.2 * SECOND)
+    assert setting.is_cut_off()
+
+
+@pytest.mark.parametrize("answered", [False, None])
+def test_failed_connections_show_a_cut_unlike_abandoned_requests(answered):
+    setting = Setting()
+    setting.run(SECOND)
+    setting.begin()
+    setting.end(answered)
+    assert setting.is_cut_off() == (answered is False)
+
+
+# Guards against an instance that stops using targets because some of them fail.
+def test_one_answer_shows_that_there_is_no_cut():
+    setting = Setting()
+    setting.begin("abcd")
+    setting.run(SECOND)
+    assert setting.is_cut_off()
+    setting.end(True, "d")
+    assert not setting.is_cut_off()
+    setting.run(0.4 * SECOND)
+    assert not setting.is_cut_off()
+
+
+# Guards against a cut that is inferred from one or two slow targets.
+def test_two_silent_targets_do_not_show_a_cut():
+    setting = Setting()
+    setting.begin("ab")
+    setting.run(5 * SECOND)
+    assert not setting.is_cut_off()
+
+
+# Guards against a process that was frozen and has not read the answers yet.
+def test_late_process_waits_for_answers():
+    setting = Setting()
+    setting.begin()
+    setting.now += 3 * SECOND
+    assert not setting.is_cut_off()
+    setting.reachability.observe(setting.now)
+    assert not setting.is_cut_off()
+    setting.run(0.6 * SECOND)
+    assert setting.is_cut_off()
+
+
+# Guards against targets that are gone and count as silent for ever.
+def test_removed_targets_are_forgotten():
+    setting = Setting()
+    setting.run(SECOND)
+    setting.begin()
+    setting.end(False)
+    setting.reachability.keep_targets({"c"})
+    assert not setting.is_cut_off()
+
+
+# Guards against trials that delay many requests, or against none.
+def test_trials_are_apart():
+    setting = Setting()
+    trials = 0
+    for _ in range(200):
+        setting.run(50 * MILLISECOND)
+        trials += setting.reachability.begin_trial(setting.now)
+    assert 18 <= trials <= 21
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/relaying.py
@@ -0,0 +1,249 @@
+"""Passes requests on to other instances, and serves requests of other instances.
+
+An instance that does not reach the targets passes its callers' requests on to instances
+that do. Each instance serves such requests at a port of its own, with the HTTP server
+for callers, so that bodies are streamed both ways, a caller's disconnection cancels the
+request and a stopping instance finishes it. A request is passed on once: an instance
+that reaches no target either refuses it at once, and the next one is tried.
+"""
+
+import collections
+import datetime
+import json
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import h11
+from returns import result
+
+from dewstep_core import clocks, data, errors, events, settings
+from dewstep_entry import failures, header_rules
+from dewstep_entry.targets import answering, connection_pool
+from dewstep_fleet import answers, directories, model
+
+ATTEMPTS_HEADER = b"dewstep-relay-attempts"
+"""Number of attempts left, in requests between instances."""
+FAILURE_HEADER = b"dewstep-relay-failure"
+"""Name of the failure, in answers between instances that no target has sent."""
+CONNECT_TIMEOUT = datetime.timedelta(milliseconds=250)
+MAX_IDLE_TIME = datetime.timedelta(seconds=7)
+MAX_CONNECTIONS = 64
+"""Maximum number of connections to another instance."""
+REFUSED_PERIOD = datetime.timedelta(seconds=1)
+"""Time for which an instance is avoided that refused a request or was unreachable."""
+MAX_RELAYED_REQUESTS = 128
+"""Maximum number of requests of other instances in progress."""
+MAX_PEERS = 8
+"""Maximum number of instances that one request is offered to."""
+
+
+class RelayOutcome(NamedTuple):
+    """Result of passing a request on."""
+
+    answer: data.Answer | None
+    failure: Any
+    """None if there is an answer."""
+
+
+class RelaySender:
+    """Passes requests on to other instances.
+
+    Parameters
+    ----------
+    node, data_centre : str
+        Name and data centre of this instance.
+    directory : directories.Directory
+    request_id : bytes
+        Header with the id of a request.
+    clock : clocks.Clock
+    generator : random.Random
+    """
+
+    def __init__(
+        self,
+        node: str,
+        data_centre: str,
+        directory: directories.Directory,
+        request_id: bytes,
+        clock: clocks.Clock,
+        generator: random.Random,
+    ):
+        self.node = node
+        self.data_centre = data_centre
+        self.directory = directory
+        self.rules = answering.AnswerRules(request_id, b"", None, buffered=True)
+        self.clock = clock
+        self.random = generator
+        self.pools: dict[model.Member, connection_pool.ConnectionPool] = {}
+        self.in_progress = collections.Counter()
+        """Requests passed on to each instance."""
+        self.refused_until: dict[str, datetime.timedelta] = {}
+        directory.listeners.append(self._apply_member_changes)
+
+    def list_peers(self) -> list[model.Member]:
+        """Return the instances that accept requests, the preferred one first."""
+        now = self.clock.monotonic()
+        peers = [
+            member
+            for member in self.directory.members.values()
+            if member.node != self.node
+            and member.relay_port
+            and self.refused_until.get(member.node, now) <= now
+        ]
+        return sorted(peers, key=self._rank)[:MAX_PEERS]
+
+    def _rank(self, member: model.Member) -> tuple:
+        in_progress = self.in_progress[member.node] / max(member.strength, 0.1)
+        return member.data_centre != self.data_centre, in_progress, self.random.random()
+
+    async def send(
+        self,
+        build_head: Callable[[], h11.Request],
+        body: data.Body,
+        due_at: datetime.timedelta,
+        request_id: bytes,
+    ) -> RelayOutcome:
+        """Pass a request on to the first instance that accepts it.
+
+        Fails with `errors.RelayRefused` if none does; the request was not run then.
+
+        Parameters
+        ----------
+        build_head : callable
+            Returns the head of the request, with the time that is left.
+        body : data.Body
+        due_at : datetime.timedelta
+        request_id : bytes
+        """
+        failure: Any = errors.RelayRefused(self.node, "no other instance")
+        for member in self.list_peers():
+            if self.clock.monotonic() >= due_at:
+                break
+            sent = await self._send_to(member, build_head(), body, due_at, request_id)
+            if isinstance(sent, result.Success):
+                answer = sent.unwrap()
+                failure = restore_failure(answer)
+                if failure is None:
+                    return RelayOutcome(answer, None)
+            else:
+                failure = sent.failure()
+            events.info("relay_failed", node=member.node, failure=failure)
+            if not isinstance(failure, errors.RelayRefused | errors.TargetUnavailable):
+                return RelayOutcome(None, failure)
+            if is_refusal(failure, member.node):
+                until = self.clock.monotonic() + REFUSED_PERIOD
+                self.refused_until[member.node] = until
+            else:
+                # That instance does not reach the owner of the key.
+                return RelayOutcome(None, failure)
+        if not isinstance(failure, errors.RelayRefused):
+            failure = errors.RelayRefused(self.node, "no other instance is reachable")
+        return RelayOutcome(None, failure)
+
+    async def _send_to(
+        self,
+        member: model.Member,
+        head: h11.Request,
+        body: data.Body,
+        due_at: datetime.timedelta,
+        request_id: bytes,
+    ):
+        pool = self.pools.get(member)
+        if pool is None:
+            pool = self.pools[member] = connection_pool.ConnectionPool(
+                member.node,
+                settings.Address(member.host, member.relay_port),
+                self.clock,
+                MAX_CONNECTIONS,
+                connect_timeout=CONNECT_TIMEOUT,
+                rules=self.rules,
+                reuse_delay=datetime.timedelta(),
+                max_idle_time=MAX_IDLE_TIME,
+            )
+        self.in_progress[member.node] += 1
+        try:
+            return await pool.send(head, body, due_at, request_id)
+        finally:
+            self.in_progress[member.node] -= 1
+
+    def _apply_member_changes(self, changed_rows: list[model.StoredRow]) -> None:
+        """Close connections to instances that are gone or have restarted."""
+        if not any(row.table == model.TABLES.fleet for row in changed_rows):
+            return
+        members = set(self.directory.members.values())
+        for member in [item for item in self.pools if item not in members]:
+            self.pools.pop(member).retire()
+            self.refused_until.pop(member.node, None)
+
+
+def is_refusal(failure: Any, node: str) -> bool:
+    """Whether a failure says that an instance itself was unreachable or refused."""
+    return getattr(failure, "target", node) == node
+
+
+def restore_failure(answer: data.Answer) -> Any | None:
+    """Return the failure that an instance reports, or None for a target's answer."""
+    name = dict(answer.headers).get(FAILURE_HEADER)
+    if name is None:
+        return None
+    try:
+        detail = json.loads(answer.body.start)["detail"]
+    except (ValueError, KeyError, TypeError):
+        detail = None
+    failure = failures.decode_fields(name.decode("latin-1"), detail)
+    if failure is None:
+        # The outcome is unknown, unlike that of other failures.
+        return errors.AnswerInvalid("", "unreadable failure of another instance")
+    return failure
+
+
+class RelayReceiver:
+    """Request handler for requests that other instances have passed on.
+
+    Parameters
+    ----------
+    node : str
+        Name of this instance.
+    handler : object
+        Handles the requests of callers.
+    """
+
+    def __init__(self, node: str, handler):
+        self.node = node
+        self.handler = handler
+        self.in_progress = 0
+
+    async def handle(
+        self, request: model.IncomingRequest
+    ) -> result.Result[data.Answer, Any]:
+        """Return the answer to a request, marked if no target has sent it."""
+        if self.in_progress >= MAX_RELAYED_REQUESTS:
+            failure = errors.RelayRefused(self.node, "too many requests")
+            return result.Success(mark_answer(answers.build_answer(failure, None)))
+        self.in_progress += 1
+        try:
+            outcome = await self.handler.handle(request)
+        finally:
+            self.in_progress -= 1
+        return outcome.map(mark_answer)
+
+
+def mark_answer(answer: data.Answer) -> data.Answer:
+    """Return an answer with the name of its failure, if no target has sent it."""
+    headers = tuple(item for item in answer.headers if item[0] != FAILURE_HEADER)
+    if answer.failure:
+        headers = (*headers, (FAILURE_HEADER, answer.failure.encode()))
+    return answer._replace(headers=headers)
+
+
+def read_attempts(headers: data.Headers) -> int:
+    """Return the attempts left to a request of another instance, at least 1."""
+    value = dict(headers).get(ATTEMPTS_HEADER, b"")
+    return max(1, int(value)) if value.isdigit() and len(value) < 4 else 1
+
+
+def add_attempts(headers: data.Headers, attempts: int) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a request that is passed on."""
+    kept = header_rules.drop_headers(headers, frozenset({ATTEMPTS_HEADER}))
+    return [*kept, (ATTEMPTS_HEADER, b"%d" % attempts)]
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/relaying_test.py
@@ -0,0 +1,392 @@
+"""Tests of requests that one instance passes on to another."""
+
+import asyncio
+import contextlib
+import datetime
+import random
+
+import h11
+import pytest
+from returns import result
+
+from dewstep_core import clocks, data, errors, settings
+from dewstep_emulator import testing
+from dewstep_entry.caller import listener
+from dewstep_fleet import (
+    answers,
+    builders,
+    directories,
+    dispatch_test,
+    model,
+    relaying,
+)
+
+SECOND = builders.SECOND
+HOST = "127.0.0.1"
+REQUEST_ID = b"id-1"
+
+
+class Receiver:
+    """An instance that serves requests of others with what the test sets."""
+
+    def __init__(self, outcome=None):
+        self.outcome = outcome
+        self.requests = []
+        self.cancelled = 0
+
+    async def start(self):
+        handler = relaying.RelayReceiver("n2", self)
+        self.listener = listener.Listener(
+            settings.Address(HOST, 0),
+            settings.CallerLimits(),
+            self.identify,
+            lambda request: 1_000_000,
+            handler,
+            "n2",
+        )
+        await self.listener.start()
+        return self.listener.address.port
+
+    def identify(self, method, target, headers, body_length):
+        request = model.IncomingRequest(
+            "id-1",
+            method.decode(),
+            target.decode(),
+            headers,
+            body_length,
+            data.Body(b"", None),
+            datetime.timedelta(),
+            relaying.read_attempts(headers),
+        )
+        return result.Success(request)
+
+    async def handle(self, request):
+        body = bytearray(request.body.start)
+        if request.body.rest is not None:
+            async for chunk in request.body.rest:
+                body += chunk
+        self.requests.append((request, bytes(body)))
+        if self.outcome == "hang":
+            try:
+                await asyncio.sleep(30)
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+        if isinstance(self.outcome, data.Answer):
+            return result.Success(self.outcome)
+        return result.Success(answers.build_answer(self.outcome, None))
+
+
+def build_answer(body=b"done", **changes):
+    """Return a target's answer."""
+    headers = ((b"x-id", REQUEST_ID), (b"x-signature", b"s"))
+    answer = data.Answer(200, headers, len(body), data.Body(body, None), "")
+    return answer._replace(**changes)
+
+
+class Setting:
+    """A sender and the members that it knows."""
+
+    def __init__(self):
+        self.clock = clocks.SystemClock()
+        self.directory = builders.build_directory(self.clock)
+        self.version = 10
+        self.sender = relaying.RelaySender(
+            "n1", "dc-1", self.directory, b"x-id", self.clock, random.Random(1)
+        )
+        self.receivers = []
+
+    async def add(self, node, outcome, **changes):
+        receiver = Receiver(outcome)
+        self.receivers.append(receiver)
+        port = await receiver.start()
+        member = model.Member(node, f"{node}-1", "dc-1", HOST, 1, 1.0, port)
+        self.register(member._replace(**changes))
+        return receiver
+
+    def register(self, member):
+        self.version += 1
+        key = directories.MEMBER_PREFIX + member.node
+        value = directories.encode_record(member)
+        row = builders.build_row(model.TABLES.fleet, key, self.version, value)
+        self.directory.apply_rows([row])
+
+    def build_head(self, length=0):
+        headers = [(b"host", b"h"), (b"x-id", REQUEST_ID)]
+        headers.append((b"content-length", b"%d" % length))
+        return h11.Request(
+            method=b"POST",
+            target=b"/a/x",
+            headers=relaying.add_attempts(tuple(headers), 2),
+        )
+
+    async def send(self, body=b"", seconds=2.0):
+        return await self.sender.send(
+            lambda: self.build_head(len(body)),
+            data.Body(body, None),
+            self.clock.monotonic() + seconds * SECOND,
+            REQUEST_ID,
+        )
+
+    async def close(self):
+        for pool in self.sender.pools.values():
+            await pool.close()
+        for receiver in self.receivers:
+            receiver.listener.abort()
+
+
+@contextlib.asynccontextmanager
+async def running_setting():
+    setting = Setting()
+    try:
+        yield setting
+    finally:
+        await setting.close()
+
+
+# Guards against answers of targets that change on their way through two instances.
+@testing.run_in_event_loop
+async def test_request_and_answer_of_a_target_pass_unchanged():
+    async with running_setting() as setting:
+        receiver = await setting.add("n2", build_answer())
+        outcome = await setting.send(b"hello")
+        assert outcome.answer.status == 200
+        assert outcome.answer.body.start == b"done"
+        assert (b"x-signature", b"s") in outcome.answer.headers
+        ((request, body),) = receiver.requests
+        assert body == b"hello" and request.relayed_attempts == 2
+
+
+# Guards against bodies that are held in memory, or cut, between two instances.
+@testing.run_in_event_loop
+async def test_large_bodies_are_streamed_both_ways():
+    large = b"x" * 400_000
+    async with running_setting() as setting:
+        receiver = await setting.add("n2", build_answer(large))
+        outcome = await setting.send(large)
+        received = bytearray(outcome.answer.body.start)
+        async for chunk in outcome.answer.body.rest:
+            received += chunk
+        assert received == large
+        assert receiver.requests[0][1] == large
+
+
+# Guards against a refusal that loses its meaning on the way, or gains one.
+@pytest.mark.parametrize(
+    "failure",
+    [
+        errors.DeadlineUnreachable("t", SECOND),
+        errors.TargetLimited("t", 3.0, SECOND),
+        errors.TargetUnavailable("t", "refused"),
+        errors.ConnectionLost("t"),
+        errors.DeadlineExceeded("t"),
+    ],
+)
+@testing.run_in_event_loop
+async def test_failure_is_reported_as_the_other_instance_reports_it(failure):
+    async with running_setting() as setting:
+        await setting.add("n2", failure)
+        outcome = await setting.send()
+        assert outcome.answer is None and outcome.failure == failure
+
+
+# Guards against a target that forges a failure of an instance.
+@testing.run_in_event_loop
+async def test_failure_header_of_a_target_is_dropped():
+    forged = build_answer(headers=((relaying.FAILURE_HEADER, b"RelayRefused"),))
+    async with running_setting() as setting:
+        await setting.add("n2", forged)
+        assert (await setting.send()).answer.status == 200
+
+
+# Guards against requests that are lost at instances that are cut off or gone.
+@testing.run_in_event_loop
+async def test_next_instance_is_tried_after_a_refusal():
+    async with running_setting() as setting:
+        for node in ("n2", "n3", "n4"):
+            await setting.add(node, errors.RelayRefused(node, "cut off"))
+        setting.register(model.Member("n5", "n5-1", "dc-1", HOST, 1, 1.0, 1))
+        await setting.add("n6", build_answer(), data_centre="dc-2")
+        assert (await setting.send()).answer.status == 200
+        # Those that refused are not asked again for a while.
+        assert [member.node for member in setting.sender.list_peers()] == ["n6"]
+
+
+@testing.run_in_event_loop
+async def test_request_is_refused_as_not_run_if_no_instance_accepts_it():
+    async with running_setting() as setting:
+        await setting.add("n2", errors.RelayRefused("n2", "cut off"))
+        outcome = await setting.send()
+        assert isinstance(outcome.failure, errors.RelayRefused)
+
+
+# Guards against a request that runs twice after the hop between two instances broke.
+@testing.run_in_event_loop
+async def test_request_is_not_passed_on_again_after_a_broken_connection():
+    async with running_setting() as setting:
+        first = await setting.add("n2", "hang")
+        second = await setting.add("n3", "hang")
+        sending = asyncio.ensure_future(setting.send())
+        while not first.requests and not second.requests:
+            await asyncio.sleep(0.01)
+        for receiver in (first, second):
+            receiver.listener.abort()
+        outcome = await sending
+        assert isinstance(outcome.failure, errors.ConnectionLost)
+        assert len(first.requests) + len(second.requests) == 1
+
+
+# Guards against targets that work for callers who have left.
+@testing.run_in_event_loop
+async def test_disconnection_is_passed_on():
+    async with running_setting() as setting:
+        receiver = await setting.add("n2", "hang")
+        sending = asyncio.ensure_future(setting.send())
+        while not receiver.requests:
+            await asyncio.sleep(0.01)
+        sending.cancel()
+        async with asyncio.timeout(1):
+            while not receiver.cancelled:
+                await asyncio.sleep(0.01)
+
+
+# Guards against an instance that others overload.
+@testing.run_in_event_loop
+async def test_requests_beyond_the_maximum_are_refused(monkeypatch):
+    monkeypatch.setattr(relaying, "MAX_RELAYED_REQUESTS", 1)
+    async with running_setting() as setting:
+        receiver = await setting.add("n2", "hang")
+        sending = asyncio.ensure_future(setting.send())
+        while not receiver.requests:
+            await asyncio.sleep(0.01)
+        outcome = await setting.send()
+        assert isinstance(outcome.failure, errors.RelayRefused)
+        sending.cancel()
+
+
+# Guards against an instance of an earlier version, whose row has no port for others.
+def test_member_row_without_a_relay_port_is_read():
+    member = model.Member("n2", "n2-1", "dc-1", HOST, 1)
+    value = directories.encode_record(member).replace(b',"relay_port":0', b"")
+    assert b"relay_port" not in value
+    row = builders.build_row(model.TABLES.fleet, "member/n2", 1, value)
+    assert directories.decode_record(model.Member, row).unwrap() == member
+
+
+def build_relayed(harness, **changes):
+    """Return a request that another instance has passed on."""
+    headers = ((b"host", b"h.example"), (b"x-id", b"id-1"))
+    request = model.IncomingRequest(
+        "id-1",
+        "GET",
+        "/a/x",
+        headers,
+        0,
+        data.Body(b"", None),
+        harness.clock.monotonic(),
+        relayed_attempts=1,
+    )
+    return request._replace(**changes)
+
+
+def cut_off(harness):
+    """Let an instance observe that no target answers."""
+    state = harness.dispatcher.reachability
+    now = harness.clock.monotonic()
+    for target in "xyz":
+        state.begin_request(target, now)
+        state.end_request(target, now, False)
+    state.silent_since = now - SECOND
+    state.observed_at = now
+    state.next_trial_at = now + SECOND
+
+
+# Guards against requests that go in circles between instances that are cut off.
+def test_relayed_request_is_refused_by_an_instance_without_targets():
+    harness = dispatch_test.Harness(200)
+    cut_off(harness)
+    request = build_relayed(harness)
+    answer = asyncio.run(harness.dispatcher.handle(request)).unwrap()
+    assert answer.failure == "RelayRefused" and not harness.sent
+
+
+# Guards against attempts, key counts and retry budgets that two instances count.
+def test_relayed_request_is_counted_by_the_instance_of_its_caller():
+    harness = dispatch_test.Harness(dispatch_test.lost, 200, keyed=False)
+    request = build_relayed(harness)
+    answer = asyncio.run(harness.dispatcher.handle(request)).unwrap()
+    assert answer.status == 502 and len(harness.sent) == 1
+    budget = harness.dispatcher.retry_budgets.get("history")
+    assert not budget.requests and not harness.keys
+
+
+# Guards against requests that are refused although another instance may serve them.
+def test_request_is_passed_on_by_an_instance_without_targets():
+    harness = dispatch_test.Harness()
+    cut_off(harness)
+    passed_on = []
+
+    async def send(build_head, body, due_at, request_id):
+        passed_on.append(dict(build_head().headers))
+        return relaying.RelayOutcome(build_answer(), None)
+
+    harness.dispatcher.relay.send = send
+    assert harness.send().status == 200 and not harness.sent
+    assert passed_on[0][relaying.ATTEMPTS_HEADER] == b"2"
+    assert b"x-target" not in passed_on[0]
+
+
+# Guards against a request that is run twice: it may have run, and must not be repeated.
+def test_request_that_may_have_run_is_not_passed_on():
+    harness = dispatch_test.Harness(dispatch_test.lost, idempotent=False)
+
+    async def send(*arguments):
+        raise AssertionError
+
+    harness.dispatcher.relay.send = send
+    assert harness.send(method="POST").status == 502
+
+
+# Guards against an instance that refuses requests although it could try its targets.
+def test_targets_are_tried_if_no_instance_accepts_a_request():
+    harness = dispatch_test.Harness(200)
+    cut_off(harness)
+    assert harness.send().status == 200
+
+
+# Guards against an owner that only this instance does not reach.
+def test_request_for_an_unreachable_owner_is_passed_on():
+    harness = dispatch_test.Harness(dispatch_test.unreachable, keyed=True)
+
+    async def send(build_head, body, due_at, request_id):
+        return relaying.RelayOutcome(build_answer(), None)
+
+    harness.dispatcher.relay.send = send
+
+    async def wait_in_vain(change_count, seconds):
+        harness.clock.advance(seconds * SECOND)
+
+    harness.directory.wait_change = wait_in_vain
+    assert harness.send(headers=((b"x-key", b"7"),)).status == 200
+    assert len(harness.sent) == 1
+
+
+# Guards against all requests for a crashed owner that are passed on in vain.
+def test_requests_for_an_owner_that_no_instance_reaches_are_not_passed_on():
+    harness = dispatch_test.Harness(dispatch_test.unreachable, keyed=True)
+    passed_on = []
+
+    async def send(build_head, body, due_at, request_id):
+        passed_on.append(due_at)
+        return relaying.RelayOutcome(None, errors.TargetUnavailable("a", "refused"))
+
+    harness.dispatcher.relay.send = send
+
+    async def wait_in_vain(change_count, seconds):
+        harness.clock.advance(seconds * SECOND)
+
+    harness.directory.wait_change = wait_in_vain
+    for _ in range(5):
+        answer = harness.send(headers=((b"x-key", b"7"),))
+        assert answer.status == 503 and answer.failure == "TargetUnavailable"
+    assert len(passed_on) == 1
