Let a coordinator yield that reaches no target

Cause: a coordinator counted as healthy by its contact to the store and the members. Without targets it renewed no grant and kept its term.

Change: reports say whether a target has just answered their sender. A coordinator that reaches no target, by its orders or by its requests, while another instance does, sends unhealthy heartbeats, and is replaced as one that the store rejects. An instance that is cut off starts no election.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -30,6 +30,7 @@
     outstanding,
     permits,
     quorums,
+    reachability,
     request_limits,
     selection,
 )
@@ -87,17 +88,27 @@
         "heartbeat_ms",
         "loads",
         "reaches_store",
+        "reaches_targets",
         "received_at",
         "store_healthy",
     )
 
-    def __init__(self, received_at, reaches_store, store_healthy, loads, heartbeat_ms):
+    def __init__(
+        self,
+        received_at,
+        reaches_store,
+        store_healthy,
+        loads,
+        heartbeat_ms,
+        reaches_targets,
+    ):
         self.received_at = received_at
         self.reaches_store = reaches_store
         self.store_healthy = store_healthy
         self.loads = loads
         self.heartbeat_ms = heartbeat_ms
         """When the heartbeat was sent that the member has acknowledged."""
+        self.reaches_targets = reaches_targets
 
 
 class FleetParticipant:
@@ -175,6 +186,9 @@
         self.unsent_departures: list[frames.Departure] = []
         """Departures of targets for the next heartbeat or report."""
         now = clock.monotonic()
+        self.reachability = reachability.Reachability(now)
+        """Contact of this instance to the targets; replaced by that of its
+        dispatcher."""
         self.term = 0
         self.initial_read_done = False
         """Whether all tables have been read at least once."""
@@ -343,6 +357,9 @@
             return False
         if model.TABLES.fleet not in self.table_feeds.current_tables:
             return False
+        if self.reachability.is_cut_off(now):
+            # As a coordinator, it could grant no keys.
+            return False
         leadership = self.directory.leadership
         if self.lost_own_row():
             return True
@@ -584,6 +601,21 @@
             return False
         return self.table_feeds.has_recent_answer(STORE_ANSWER_MAX_AGE)
 
+    def is_healthy(self) -> bool:
+        """Whether this coordinator should keep its term."""
+        return self.is_store_healthy() and not self.should_yield()
+
+    def should_yield(self) -> bool:
+        """Whether targets answer other instances, but not this coordinator."""
+        cut_off = self.reachability.is_cut_off(self.clock.monotonic())
+        if not cut_off and self.granter.reaches_targets():
+            return False
+        return any(
+            report.reaches_targets
+            for node, report in self.list_recent_reports().items()
+            if node != self.own_member.node
+        )
+
     def list_recent_reports(self) -> dict[str, Report]:
         """Return the reports that have just been received, by node."""
         oldest = self.clock.monotonic() - REPORT_MAX_AGE
@@ -855,7 +887,7 @@
         )
         return self.build_frame(
             "beat",
-            contact=self.is_store_healthy(),
+            contact=self.is_healthy(),
             members=self.live_instances,
             rows=rows,
             totals=totals,
@@ -900,6 +932,7 @@
             crashes=crashes,
             departures=departures,
             limits=self.limits.list_own(),
+            reaches_targets=self.reachability.has_recent_answer(self.clock.monotonic()),
             stopping=self.stopping,
             heartbeat_ms=0 if self.has_voted_recently() else self.received_heartbeat_ms,
         )
@@ -1007,6 +1040,7 @@
             frame.heard,
             frame.loads,
             frame.heartbeat_ms,
+            frame.reaches_targets,
         )
         if frame.rows:
             self.directory.apply_rows(frame.rows, apply_removals=True)
@@ -1054,7 +1088,7 @@
         elif frame.kind == "ask":
             leading = not self.stopping and self.coordinating
             if self.coordinating:
-                healthy = leading and self.is_store_healthy()
+                healthy = leading and self.is_healthy()
             else:
                 healthy = self.has_healthy_coordinator()
             time_left = self.get_long_grant_time_left()
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -97,4 +97,5 @@
   wanted @21 :List(PermitRequest);
   permits @22 :List(Permits);
   askedMs @23 :UInt64;     # see Frame.asked_ms in frames.py
+  reachesTargets @24 :Bool; # "report": a target has just answered the sender
 }
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -150,6 +150,8 @@
     that it has observed itself."""
     wanted: tuple[PermitRequest, ...] = ()
     permits: tuple[Permits, ...] = ()
+    reaches_targets: bool = False
+    """In a "report": whether a target has answered the sender a short time ago."""
     asked_ms: int = 0
     """In a "need" and its answer: when it was sent, in ms of the asking instance's
     monotonic clock."""
@@ -190,6 +192,7 @@
         holdsKnown=frame.holds_known,
         heartbeatMs=frame.heartbeat_ms,
         askedMs=frame.asked_ms,
+        reachesTargets=frame.reaches_targets,
     )
     if frame.rows:
         message.rows = [
@@ -318,5 +321,6 @@
         tuple(
             Permits(item.target, item.count, item.waitMs) for item in message.permits
         ),
+        message.reachesTargets,
         message.askedMs,
     )
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -35,6 +35,7 @@
     permits,
     planning,
     ranges,
+    reachability,
     target_orders,
 )
 
@@ -569,6 +570,20 @@
 
     # Renewal.
 
+    def reaches_targets(self) -> bool:
+        """Whether some target answers orders, or too few have been sent to know."""
+        failures = [
+            state.failures
+            for target in self.directory.targets.values()
+            if (
+                state := self.grant_states.get(
+                    TargetIncarnation(target.name, target.life)
+                )
+            )
+            is not None
+        ]
+        return len(failures) < reachability.MIN_SILENT_TARGETS or 0 in failures
+
     def renew_or_evacuate(
         self,
         service: str,
--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -127,6 +127,7 @@
             self.random,
             self.keys.count_request,
         )
+        self.participant.reachability = self.dispatcher.reachability
         self.request_id = adapter.header_names.request_id
         self.telemetry = telemetry.Telemetry()
         self.meter = telemetry.AnswerMeter(self.dispatcher, clock, self.telemetry)
--- a/packages/fleet/dewstep_fleet/reachability.py
+++ b/packages/fleet/dewstep_fleet/reachability.py
@@ -14,6 +14,8 @@
 MAX_OBSERVATION_GAP = datetime.timedelta(milliseconds=200)
 """Time between two observations above which the process counts as late. They are made
 each 50 ms."""
+ANSWER_MAX_AGE = datetime.timedelta(seconds=1)
+"""Maximum age of an answer that shows that targets are reachable."""
 TRIAL_INTERVAL = datetime.timedelta(milliseconds=500)
 """Interval at which an instance that is cut off sends a request to a target itself."""
 
@@ -43,6 +45,8 @@
         self.contacts: dict[str, Contact] = {}
         self.silent_since = now
         """When a target last answered, or the process was last late."""
+        self.answered_at: datetime.timedelta | None = None
+        """When a target last answered."""
         self.observed_at = now
         self.next_trial_at = now
 
@@ -76,7 +80,7 @@
         if answered:
             contact.unanswered_since = None
             contact.failed = False
-            self.silent_since = now
+            self.silent_since = self.answered_at = now
         elif answered is False:
             contact.failed = True
         elif not contact.in_progress and not contact.failed:
@@ -101,6 +105,10 @@
         )
         return silent >= MIN_SILENT_TARGETS
 
+    def has_recent_answer(self, now: datetime.timedelta) -> bool:
+        """Whether a target has answered this instance a short time ago."""
+        return self.answered_at is not None and now - self.answered_at < ANSWER_MAX_AGE
+
     def begin_trial(self, now: datetime.timedelta) -> bool:
         """Whether to send the next request to a target all the same."""
         if now < self.next_trial_at:
