Simulate instances that are cut off from all targets

Change: the simulation cuts an instance off from its targets in each way that the users list: orders hang (as before), connections are reset and new ones refused, or open ones live on. Instances that reach a target say so, so that coordinators yield in all schedules.

--- a/packages/emulator/dewstep_emulator/ownership/faults.py
+++ b/packages/emulator/dewstep_emulator/ownership/faults.py
@@ -185,6 +185,30 @@
         yield
 
 
+@register("refuse_at_targets", "instance", 0.3, 15.0, drawn=False)
+def refuse_at_targets(simulation, subject):
+    """Let all targets refuse an instance's new connections; open ones live on."""
+    host = simulation.find_instance(subject).host
+    simulation.refused_hosts.add(host)
+    yield
+    simulation.refused_hosts.discard(host)
+
+
+@register("reset_at_targets", "instance", 0.3, 15.0, drawn=False)
+def reset_at_targets(simulation, subject):
+    """Reset an instance's connections to all targets, and refuse new ones."""
+    host = simulation.find_instance(subject).host
+    for running in simulation.targets.list_running():
+        for connection in running.connections:
+            if connection.link.there is simulation.network.get_path(
+                host, running.process.host
+            ):
+                connection.reset()
+    simulation.refused_hosts.add(host)
+    yield
+    simulation.refused_hosts.discard(host)
+
+
 @register("deafen", "instance", 0.3, 8.0)
 def deafen(simulation, subject):
     """Cut the paths from the other instances to one, in this direction only."""
--- a/packages/emulator/dewstep_emulator/ownership/simulation.py
+++ b/packages/emulator/dewstep_emulator/ownership/simulation.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import contextlib
+import datetime
 import functools
 import gc
 import itertools
@@ -22,7 +23,7 @@
 import typer
 from returns import result
 
-from dewstep_core import events, settings
+from dewstep_core import errors, events, settings
 from dewstep_emulator.ownership import (
     checks,
     event_loop,
@@ -106,6 +107,32 @@
     target_host: str
 
 
+class RefusableChannel:
+    """Channel whose new connections are refused while its instance is cut off.
+
+    Parameters
+    ----------
+    channel : model.GrantChannel
+    is_refused : callable
+    """
+
+    def __init__(self, channel: model.GrantChannel, is_refused: Callable[[], bool]):
+        self.channel = channel
+        self.is_refused = is_refused
+
+    async def connect(self, target):
+        """Open a connection for grants; see `model.GrantChannel`."""
+        if self.is_refused():
+            return result.Failure(errors.TargetUnavailable(target.name, "refused"))
+        return await self.channel.connect(target)
+
+    async def release(self, target, holding):
+        """Release a range over a new connection; see `model.GrantChannel`."""
+        if self.is_refused():
+            return result.Failure(errors.TargetUnavailable(target.name, "refused"))
+        return await self.channel.release(target, holding)
+
+
 class Simulation:
     """A fleet with its store, targets and faults; implements `targets.Observer`.
 
@@ -145,6 +172,8 @@
         self.target_starts = itertools.count(1)
         self.target_hosts = {name: f"host-{name}" for name in list_targets()}
         """Host of each target, by the name in the schedule."""
+        self.refused_hosts: set[str] = set()
+        """Hosts of instances whose new connections all targets refuse."""
         platform = instances.Platform(
             loop,
             self.network,
@@ -191,7 +220,8 @@
                 self.network, instance.host, target.host, LINK_TIMEOUT_SECONDS
             )
 
-        return self.targets.view(instance.node, build_link)
+        channel = self.targets.view(instance.node, build_link)
+        return RefusableChannel(channel, lambda: instance.host in self.refused_hosts)
 
     # Hosts.
 
@@ -388,12 +418,28 @@
             for instance in self.instances.values():
                 if instance.current is None:
                     continue
+                if self.reaches_targets(instance):
+                    incarnation = instance.current
+                    seconds = incarnation.process.to_local(self.loop.now)
+                    incarnation.participant.reachability.answered_at = (
+                        datetime.timedelta(seconds=seconds)
+                    )
                 for service in self.services:
                     for _ in range(KEY_REQUESTS):
                         distance = KEY_SPACING * int(generator.gauss(0, KEY_SPREAD))
                         key = (self.busiest_key + distance) % model.KEY_SPACE_SIZE
                         instance.current.keys.count_request(service, key)
 
+    def reaches_targets(self, instance: instances.Instance) -> bool:
+        """Whether some target can answer the requests of an instance."""
+        return any(
+            process.running
+            and instance.host not in self.refused_hosts
+            and not self.network.get_path(instance.host, process.process.host).cuts
+            and not self.network.get_path(process.process.host, instance.host).cuts
+            for process in self.running_targets.values()
+        )
+
     async def supervise(self) -> None:
         """Start an instance again if its process has failed."""
         while True:
--- a/packages/emulator/dewstep_emulator/ownership/targets.py
+++ b/packages/emulator/dewstep_emulator/ownership/targets.py
@@ -232,8 +232,7 @@
     def reset_connections(self, running: RunningProcess) -> None:
         """Reset the connections of a process, which continues to run."""
         for connection in running.connections:
-            connection.usable = False
-            connection.reset_by_target = True
+            connection.reset()
         running.connections.clear()
 
     def leave(self, running: RunningProcess, announced: bool = True) -> None:
@@ -531,6 +530,11 @@
         await self.link.pass_through()
         self.usable = False
 
+    def reset(self) -> None:
+        """Let the target or the network reset the connection."""
+        self.usable = False
+        self.reset_by_target = True
+
     def close(self) -> None:
         """Reset the connection."""
         self.usable = False
