Send a streamed body to one instance only

What callers saw: nothing yet; found in review of the relay.

Cause: an instance that is cut off refused a request after a part of its streamed body had been sent. The next instance, or a target, then got the rest, which is not what the caller sent.

Change: a refusal after a part of the body was used is final. It is true that the request was not run.

Evidence: two of three new tests failed before (the second instance got a body that broke off).

--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -316,12 +316,12 @@
         progress = Progress()
         if not plan.is_relayed() and self.is_cut_off() and not self.begin_trial(plan):
             relayed = await self.pass_on(plan, progress)
-            if not isinstance(relayed.failure, errors.RelayRefused):
+            if is_final(relayed):
                 return self.conclude(plan, progress, relayed)
         await self.try_targets(plan, progress)
         if self.should_pass_on(plan, progress):
             relayed = await self.pass_on(plan, progress)
-            if not isinstance(relayed.failure, errors.RelayRefused):
+            if is_final(relayed):
                 return self.conclude(plan, progress, relayed)
         return self.conclude(plan, progress, None)
 
@@ -967,6 +967,11 @@
         return answer
 
 
+def is_final(relayed: relaying.RelayOutcome) -> bool:
+    """Whether a request that was passed on cannot be sent any more."""
+    return relayed.body_used or not isinstance(relayed.failure, errors.RelayRefused)
+
+
 def has_answered(send_result: result.Result[data.Answer, Any]) -> bool | None:
     """Whether the target answered a request; None if it was not asked to."""
     if isinstance(send_result, result.Success):
--- a/packages/fleet/dewstep_fleet/relaying.py
+++ b/packages/fleet/dewstep_fleet/relaying.py
@@ -44,6 +44,8 @@
     answer: data.Answer | None
     failure: Any
     """None if there is an answer."""
+    body_used: bool = False
+    """Whether a part of a streamed body has been sent, which is not kept."""
 
 
 class RelaySender:
@@ -131,12 +133,13 @@
             events.info("relay_failed", node=member.node, failure=failure)
             if not isinstance(failure, errors.RelayRefused | errors.TargetUnavailable):
                 return RelayOutcome(None, failure)
-            if is_refusal(failure, member.node):
-                until = self.clock.monotonic() + REFUSED_PERIOD
-                self.refused_until[member.node] = until
-            else:
+            sent_body = body.rest is not None and isinstance(sent, result.Success)
+            if not is_refusal(failure, member.node):
                 # That instance does not reach the owner of the key.
-                return RelayOutcome(None, failure)
+                return RelayOutcome(None, failure, sent_body)
+            self.refused_until[member.node] = self.clock.monotonic() + REFUSED_PERIOD
+            if sent_body:
+                return RelayOutcome(None, failure, sent_body)
         if not isinstance(failure, errors.RelayRefused):
             failure = errors.RelayRefused(self.node, "no other instance is reachable")
         return RelayOutcome(None, failure)
--- a/packages/fleet/dewstep_fleet/relaying_test.py
+++ b/packages/fleet/dewstep_fleet/relaying_test.py
@@ -24,6 +24,13 @@
 SECOND = builders.SECOND
 HOST = "127.0.0.1"
 REQUEST_ID = b"id-1"
+STREAMED_BYTES = 200_000
+
+
+async def stream_body():
+    """Yield a body in chunks, once."""
+    for _ in range(STREAMED_BYTES // 1_000):
+        yield b"x" * 1_000
 
 
 class Receiver:
@@ -120,10 +127,11 @@
             headers=relaying.add_attempts(tuple(headers), 2),
         )
 
-    async def send(self, body=b"", seconds=2.0):
+    async def send(self, body=b"", seconds=2.0, rest=None):
+        length = len(body) if rest is None else STREAMED_BYTES
         return await self.sender.send(
-            lambda: self.build_head(len(body)),
-            data.Body(body, None),
+            lambda: self.build_head(length),
+            data.Body(body, rest),
             self.clock.monotonic() + seconds * SECOND,
             REQUEST_ID,
         )
@@ -220,6 +228,43 @@
         assert isinstance(outcome.failure, errors.RelayRefused)
 
 
+# Guards against a body that lacks what a refusing instance has already read.
+@testing.run_in_event_loop
+async def test_streamed_body_is_not_sent_to_a_second_instance():
+    async with running_setting() as setting:
+        for node in ("n2", "n3"):
+            await setting.add(node, errors.RelayRefused(node, "cut off"))
+        outcome = await setting.send(rest=stream_body())
+        assert isinstance(outcome.failure, errors.RelayRefused)
+        assert outcome.body_used
+        assert sum(len(receiver.requests) for receiver in setting.receivers) == 1
+
+
+# Guards against streamed bodies that are refused because an instance is unreachable.
+@testing.run_in_event_loop
+async def test_streamed_body_is_sent_to_the_next_instance_after_an_unreachable_one():
+    async with running_setting() as setting:
+        setting.register(model.Member("n2", "n2-1", "dc-1", HOST, 1, 9.0, 1))
+        await setting.add("n3", build_answer(), data_centre="dc-2")
+        outcome = await setting.send(rest=stream_body())
+        assert outcome.answer.status == 200
+        assert len(setting.receivers[0].requests[0][1]) == STREAMED_BYTES
+
+
+# Guards against a request to a target whose body was partly sent elsewhere.
+def test_streamed_request_is_not_tried_at_targets_after_a_refusal():
+    harness = dispatch_test.Harness(200)
+    cut_off(harness)
+
+    async def send(build_head, body, due_at, request_id):
+        failure = errors.RelayRefused("n2", "cut off")
+        return relaying.RelayOutcome(None, failure, body_used=True)
+
+    harness.dispatcher.relay.send = send
+    answer = harness.send(rest=stream_body(), method="POST")
+    assert answer.failure == "RelayRefused" and not harness.sent
+
+
 # Guards against a request that runs twice after the hop between two instances broke.
 @testing.run_in_event_loop
 async def test_request_is_not_passed_on_again_after_a_broken_connection():
