Spread relayed requests, and let them have larger heads

Cause, found in review: the rank of instances put the own data centre first whatever its load, so that its last instance with targets would get the requests of all others; the relay's port had the default limit of heads, below what the configuration may allow; and a planned stop closed the relay's port only once the callers' port was done.

Change: another data centre counts like two requests in progress; the limit follows the configuration, with room for our headers; both ports stop at the same time. Metrics cut_off, requests_passed_on, requests_of_others.

--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -173,9 +173,8 @@
             except OSError as error:
                 # Metrics are optional; requests are served without them.
                 events.error("metrics_refused", reason=str(error))
-        await self.listener.start()
-        if instance.member.relay_port:
-            await self.relay_listener.start()
+        for item in self.list_listeners():
+            await item.start()
         self.tasks.spawn(self.feeds.run())
         self.tasks.spawn(self.participant.run())
         self.tasks.spawn(self.participant.register())
@@ -271,22 +270,25 @@
         try:
             time_left = (end - self.clock.monotonic()).total_seconds()
             async with asyncio.timeout(max(time_left, 0.0)):
-                await self.listener.stop()
-                if self.instance.member.relay_port:
-                    await self.relay_listener.stop()
+                await asyncio.gather(*(item.stop() for item in self.list_listeners()))
                 if self.dispatcher.background_tasks.tasks:
                     await asyncio.wait(self.dispatcher.background_tasks.tasks)
         except TimeoutError:
-            aborted = len(self.listener.connections)
-            self.listener.abort()
-            if self.instance.member.relay_port:
-                self.relay_listener.abort()
+            for item in self.list_listeners():
+                aborted += len(item.connections)
+                item.abort()
         events.info("stopped", cut=aborted)
         self.tasks.cancel()
         for internal_server in self.servers:
             await internal_server.close(grace=0.0)
         return aborted
 
+    def list_listeners(self) -> list[listener.Listener]:
+        """Return the listener for callers, and the one for other instances if any."""
+        if not self.instance.member.relay_port:
+            return [self.listener]
+        return [self.listener, self.relay_listener]
+
     # Callers.
 
     def build_request(
@@ -336,6 +338,8 @@
         routes = self.directory.routes
         if routes is not None:
             self.listener.limits = routes.limits
+            head_bytes = routes.limits.head_bytes + relaying.HEAD_MARGIN_BYTES
+            self.relay_listener.limits = settings.CallerLimits(head_bytes=head_bytes)
 
     def log_refusal(self, failure: Any) -> None:
         """Log a request that was refused before routing."""
--- a/packages/fleet/dewstep_fleet/process_test.py
+++ b/packages/fleet/dewstep_fleet/process_test.py
@@ -177,3 +177,18 @@
         harness.settings = result.Failure(errors.RowInvalid("settings", "unreadable"))
         running_process.reload_settings()
         assert running_process.instance.timing == timing
+
+
+# Guards against requests with large headers that only the instance of their caller
+# accepts.
+@testing.run_in_event_loop
+async def test_relayed_requests_may_have_larger_heads():
+    async with run_instance() as harness:
+        process_limits = harness.process.listener.limits
+        relay_limits = harness.process.relay_listener.limits
+        assert relay_limits.head_bytes > process_limits.head_bytes
+        table = harness.process.directory.routes
+        larger = process_limits._replace(head_bytes=90_000)
+        harness.process.directory.routes = table._replace(limits=larger)
+        harness.process.apply_caller_limits([])
+        assert harness.process.relay_listener.limits.head_bytes > 90_000
--- a/packages/fleet/dewstep_fleet/relaying.py
+++ b/packages/fleet/dewstep_fleet/relaying.py
@@ -34,6 +34,11 @@
 """Time for which an instance is avoided that refused a request or was unreachable."""
 MAX_RELAYED_REQUESTS = 128
 """Maximum number of requests of other instances in progress."""
+REMOTE_PENALTY = 2.0
+"""Requests in progress by which an instance of the own data centre is preferred, since
+bytes between data centres have a price."""
+HEAD_MARGIN_BYTES = 1_024
+"""Size of the headers that instances add."""
 MAX_PEERS = 8
 """Maximum number of instances that one request is offered to."""
 
@@ -95,9 +100,11 @@
         ]
         return sorted(peers, key=self._rank)[:MAX_PEERS]
 
-    def _rank(self, member: model.Member) -> tuple:
-        in_progress = self.in_progress[member.node] / max(member.strength, 0.1)
-        return member.data_centre != self.data_centre, in_progress, self.random.random()
+    def _rank(self, member: model.Member) -> tuple[float, float]:
+        load = self.in_progress[member.node] / max(member.strength, 0.1)
+        if member.data_centre != self.data_centre:
+            load += REMOTE_PENALTY
+        return load, self.random.random()
 
     async def send(
         self,
--- a/packages/fleet/dewstep_fleet/relaying_test.py
+++ b/packages/fleet/dewstep_fleet/relaying_test.py
@@ -295,6 +295,18 @@
                 await asyncio.sleep(0.01)
 
 
+# Guards against one instance that gets all requests of its data centre.
+@testing.run_in_event_loop
+async def test_requests_are_spread_over_data_centres():
+    async with running_setting() as setting:
+        await setting.add("n2", build_answer())
+        await setting.add("n3", build_answer(), data_centre="dc-2")
+        peers = setting.sender.list_peers
+        assert [member.node for member in peers()] == ["n2", "n3"]
+        setting.sender.in_progress["n2"] = 5
+        assert [member.node for member in peers()] == ["n3", "n2"]
+
+
 # Guards against an instance that others overload.
 @testing.run_in_event_loop
 async def test_requests_beyond_the_maximum_are_refused(monkeypatch):
--- a/packages/fleet/dewstep_fleet/telemetry.py
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -94,6 +94,9 @@
         "ranges": sum(
             len(item.holdings) for item in process.directory.ownerships.values()
         ),
+        "cut_off": float(process.dispatcher.is_cut_off()),
+        "requests_passed_on": sum(process.dispatcher.relay.in_progress.values()),
+        "requests_of_others": process.relay_receiver.in_progress,
         "targets_with_limit": len(participant.limits.list_rates()),
         "permits_used": participant.limits.counts["permits_used"],
         "permits_refused": participant.limits.counts["permits_refused"],
