Believe in a cut only by failures since the last answer

Cause, found in review: targets that had failed before others answered still counted.

Evidence: test_failures_before_the_last_answer_do_not_show_a_cut failed before.

--- a/packages/fleet/dewstep_fleet/reachability.py
+++ b/packages/fleet/dewstep_fleet/reachability.py
@@ -23,14 +23,14 @@
 class Contact:
     """What is known of one target."""
 
-    __slots__ = ("failed", "in_progress", "unanswered_since")
+    __slots__ = ("failed_at", "in_progress", "unanswered_since")
 
     def __init__(self):
         self.in_progress = 0
         self.unanswered_since: datetime.timedelta | None = None
         """When the first request was sent since the last answer."""
-        self.failed = False
-        """Whether a connection or a request has failed since then."""
+        self.failed_at: datetime.timedelta | None = None
+        """When a connection or a request last failed since then."""
 
 
 class Reachability:
@@ -79,11 +79,11 @@
         contact.in_progress -= 1
         if answered:
             contact.unanswered_since = None
-            contact.failed = False
+            contact.failed_at = None
             self.silent_since = self.answered_at = now
         elif answered is False:
-            contact.failed = True
-        elif not contact.in_progress and not contact.failed:
+            contact.failed_at = now
+        elif not contact.in_progress and contact.failed_at is None:
             contact.unanswered_since = None
 
     def keep_targets(self, names) -> None:
@@ -98,13 +98,19 @@
             return False
         if now - self.observed_at > MAX_OBSERVATION_GAP:
             return False
-        silent = sum(
-            contact.unanswered_since is not None
-            and (contact.failed or now - contact.unanswered_since >= SILENCE_PERIOD)
-            for contact in self.contacts.values()
-        )
+        silent = sum(self._is_silent(item, now) for item in self.contacts.values())
         return silent >= MIN_SILENT_TARGETS
 
+    def _is_silent(self, contact: Contact, now: datetime.timedelta) -> bool:
+        """Whether a target has failed since any target answered, or lets wait."""
+        if contact.failed_at is not None and contact.failed_at >= self.silent_since:
+            return True
+        return (
+            contact.in_progress > 0
+            and contact.unanswered_since is not None
+            and now - contact.unanswered_since >= SILENCE_PERIOD
+        )
+
     def has_recent_answer(self, now: datetime.timedelta) -> bool:
         """Whether a target has answered this instance a short time ago."""
         return self.answered_at is not None and now - self.answered_at < ANSWER_MAX_AGE
--- a/packages/fleet/dewstep_fleet/reachability_test.py
+++ b/packages/fleet/dewstep_fleet/reachability_test.py
@@ -85,6 +85,18 @@
     assert setting.is_cut_off()
 
 
+# Guards against an idle instance that believes in a cut because some targets had failed
+# before others answered.
+def test_failures_before_the_last_answer_do_not_show_a_cut():
+    setting = Setting()
+    setting.begin("abcd")
+    setting.end(False, "abc")
+    setting.run(50 * MILLISECOND)
+    setting.end(True, "d")
+    setting.run(SECOND)
+    assert not setting.is_cut_off()
+
+
 # Guards against targets that are gone and count as silent for ever.
 def test_removed_targets_are_forgotten():
     setting = Setting()
