Let only its orders show that a coordinator reaches no target

Cause, found in review: a few failed requests of a coordinator with little traffic ended its term although targets answered its orders.

Evidence: test_coordinator_keeps_its_term_while_targets_answer_orders failed before.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -606,11 +606,8 @@
         return self.is_store_healthy() and not self.should_yield()
 
     def should_yield(self) -> bool:
-        """Whether targets answer other instances, but not this coordinator."""
-        cut_off = self.reachability.is_cut_off(self.clock.monotonic())
-        if not cut_off and self.granter.reaches_targets():
-            return False
-        return any(
+        """Whether targets answer other instances, but no order of this coordinator."""
+        return not self.granter.reaches_targets() and any(
             report.reaches_targets
             for node, report in self.list_recent_reports().items()
             if node != self.own_member.node
--- a/packages/fleet/dewstep_fleet/coordination_targets_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_targets_test.py
@@ -46,6 +46,18 @@
     await asyncio.sleep(0)
 
 
+# Guards against a coordinator that yields while targets answer its orders, because its
+# few requests have failed.
+@testing.run_in_event_loop
+async def test_coordinator_keeps_its_term_while_targets_answer_orders():
+    participant = build_participant()
+    participant.reachability.is_cut_off = lambda now: True
+    participant.granter.reaches_targets = lambda: True
+    report(participant, "n2", True)
+    assert not participant.should_yield()
+    await asyncio.sleep(0)
+
+
 # Guards against a judgement from the orders to one or two targets.
 @pytest.mark.parametrize(
     ("targets", "failing", "expected"),
