--- a/packages/fleet/dewstep_fleet/relaying.py
+++ b/packages/fleet/dewstep_fleet/relaying.py
@@ -134,6 +134,12 @@
                 answer = sent.unwrap()
                 failure = restore_failure(answer)
                 if failure is None:
+                    events.info(
+                        "passed_on",
+                        request_id=request_id.decode("latin-1"),
+                        node=member.node,
+                        status=answer.status,
+                    )
                     return RelayOutcome(answer, None)
             else:
                 failure = sent.failure()
