--- a/packages/entry/dewstep_entry/failures_test.py
+++ b/packages/entry/dewstep_entry/failures_test.py
@@ -10,7 +10,7 @@
 
 
 def build_failure(failure_type):
-    values = {int: 3, str: "x", datetime.timedelta: SECOND * 1.5}
+    values = {int: 3, float: 2.5, str: "x", datetime.timedelta: SECOND * 1.5}
     return failure_type(
         *[values[field_type] for field_type in failure_type.__annotations__.values()]
     )
