Pass a request on that has shown that the cut lasts

Cause: the request that finds out whether the cut has ended tried all targets. Then no untried target was left, and that reason replaced the one for which requests are passed on. A request without a key also was not passed on if another instance had failed to reach the target that it tried last. Change: such a request tries one target. The last failure of a target is kept. Only requests for a key depend on what other instances reach. Evidence: four new tests in relaying_test.py fail before and pass after.

--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -352,6 +352,9 @@
                 if outcome.failure is None:
                     return
             failure = outcome.failure
+            if tried and isinstance(failure, errors.NotReady):
+                # All targets have been tried; the last failure says more.
+                return
             progress.failure = choose_failure(progress.failure, failure)
             if not outcome.target:
                 return
@@ -363,6 +366,8 @@
                 progress.runs += not isinstance(failure, errors.TargetRefused)
             if not self.should_resend(plan, failure, progress.runs):
                 return
+            if self.should_stop_trial(plan, failure):
+                return
             if plan.key is not None and not await self.wait_owner_change(plan, failure):
                 return
 
@@ -378,18 +383,30 @@
             self.clock.monotonic()
         )
 
+    def should_stop_trial(self, plan: PlannedRequest, failure: Any) -> bool:
+        """Whether a request has shown that the cut lasts, and can be passed on."""
+        unreachable = isinstance(failure, errors.TargetUnavailable)
+        return unreachable and not plan.is_relayed() and self.is_cut_off()
+
     def should_pass_on(self, plan: PlannedRequest, progress: Progress) -> bool:
         """Whether another instance may serve a request that reached no target."""
         failure = progress.failure
         now = self.clock.monotonic()
-        return (
-            not plan.is_relayed()
-            and progress.answer is None
-            and isinstance(failure, errors.TargetUnavailable)
-            and failure.reason != RETRY_BUDGET_REASON
-            and self.unreachable_until.get(failure.target, now) <= now
-            and now + DEADLINE_MARGIN * 5 < plan.due_at
-        )
+        if plan.is_relayed() or progress.answer is not None:
+            return False
+        if not isinstance(failure, errors.TargetUnavailable):
+            return False
+        if failure.reason == RETRY_BUDGET_REASON:
+            return False
+        # Other instances may choose another target for a request without a key.
+        if plan.key is not None and self.is_unreachable_elsewhere(failure.target):
+            return False
+        return now + DEADLINE_MARGIN * 5 < plan.due_at
+
+    def is_unreachable_elsewhere(self, target: str) -> bool:
+        """Whether another instance has failed to reach a target a short time ago."""
+        now = self.clock.monotonic()
+        return self.unreachable_until.get(target, now) > now
 
     async def pass_on(
         self, plan: PlannedRequest, progress: Progress
--- a/packages/fleet/dewstep_fleet/relaying_test.py
+++ b/packages/fleet/dewstep_fleet/relaying_test.py
@@ -446,3 +446,44 @@
         answer = harness.send(headers=((b"x-key", b"7"),))
         assert answer.status == 503 and answer.failure == "TargetUnavailable"
     assert len(passed_on) == 1
+
+
+# Guards against a request that shows whether a cut has ended, and is refused if not.
+@pytest.mark.parametrize("targets", ["a", "abcd"])
+def test_trial_that_reaches_no_target_is_passed_on_after_one_try(targets):
+    unreachable = [dispatch_test.unreachable] * len(targets)
+    harness = dispatch_test.Harness(*unreachable, targets=targets)
+    cut_off(harness)
+    harness.dispatcher.reachability.next_trial_at = harness.clock.monotonic()
+
+    async def send(build_head, body, due_at, request_id):
+        return relaying.RelayOutcome(build_answer(), None)
+
+    harness.dispatcher.relay.send = send
+    assert harness.send().status == 200
+    assert len(harness.sent) == 1
+
+
+# Guards against a refusal because no target is left that has not been tried.
+def test_request_that_has_tried_all_targets_is_passed_on():
+    harness = dispatch_test.Harness(*[dispatch_test.unreachable] * 2)
+
+    async def send(build_head, body, due_at, request_id):
+        return relaying.RelayOutcome(build_answer(), None)
+
+    harness.dispatcher.relay.send = send
+    assert harness.send().status == 200
+
+
+# Guards against a request without a key that is refused since another instance did not
+# reach the target that was tried last.
+def test_request_without_a_key_is_passed_on_whatever_target_failed():
+    harness = dispatch_test.Harness(*[dispatch_test.unreachable] * 4)
+    now = harness.clock.monotonic()
+    harness.dispatcher.unreachable_until = dict.fromkeys("ab", now + SECOND)
+
+    async def send(build_head, body, due_at, request_id):
+        return relaying.RelayOutcome(build_answer(), None)
+
+    harness.dispatcher.relay.send = send
+    assert harness.send().status == 200
