Handle requests that callers send ahead side by side

Change: a connection reads up to eight requests behind the first one and starts those without a body that may be repeated, as long as this holds for all in front of them. Answers are written in order. sequencing.py decides what may start and whether an answer may close the connection; a planned stop closes it behind the last request that has started. At most 256 requests of a process run behind others.

--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -1,10 +1,13 @@
-"""A caller's connection, whose requests are read, handled and answered in order.
+"""A caller's connection, whose requests are read and answered in order.
 
-One task per connection handles the requests. It is cancelled, and the handler with it,
+One task per connection handles the first request and writes all answers. Requests that
+the caller has sent ahead are read while it is busy, and those that `sequencing` allows
+are handled in tasks of their own. All tasks are cancelled, and the handlers with them,
 when the caller disconnects. Closing only the sending side counts as disconnecting.
 """
 
 import asyncio
+import collections
 from typing import Any
 
 import h11
@@ -13,7 +16,7 @@
 from dewstep_core import data, errors, events
 from dewstep_core.http import transports
 from dewstep_entry import bodies
-from dewstep_entry.caller import pacing, rendering, request_body
+from dewstep_entry.caller import pacing, rendering, request_body, sequencing
 
 READ_AHEAD_BYTES = 65_536
 """Unparsed input above which reading pauses."""
@@ -21,6 +24,40 @@
 Phase = pacing.Phase
 
 
+class QueuedRequest:
+    """A request that was read behind another one.
+
+    Parameters
+    ----------
+    http : h11.Connection
+        Has parsed the request and sends its answer.
+    method : bytes
+    identified : result.Result
+        The request, or the failure with which to refuse it.
+    parallel : bool
+        Whether it may run beside others.
+    length : int or None
+        Announced length of its body; None if it is chunked.
+    """
+
+    __slots__ = ("http", "identified", "length", "method", "parallel", "task")
+
+    def __init__(
+        self,
+        http: h11.Connection,
+        method: bytes,
+        identified,
+        length: int | None = 0,
+        parallel: bool = True,
+    ):
+        self.http = http
+        self.method = method
+        self.identified = identified
+        self.length = length
+        self.parallel = parallel
+        self.task: asyncio.Task | None = None
+
+
 class CallerConnection(asyncio.Protocol):
     """A connection from a caller.
 
@@ -33,9 +70,13 @@
     def __init__(self, listener):
         self.listener = listener
         self.limits = listener.limits
-        self.http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.head_bytes
-        )
+        self.http = self._build_parser()
+        """State of the first request and its answer."""
+        self.reader = self.http
+        """Parses the input; another one than `http` once more requests were read."""
+        self.sequence = sequencing.Sequence()
+        self.queued: collections.deque[QueuedRequest] = collections.deque()
+        """The requests behind the first one."""
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task | None = None
@@ -66,27 +107,39 @@
             transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Cancel the request in progress."""
+        """Cancel the requests in progress."""
         self.listener.remove_connection(self)
-        if self.task is not None:
-            self.task.cancel()
+        self._cancel()
 
     def eof_received(self) -> bool:
-        """Cancel the request in progress."""
+        """Cancel the requests in progress."""
+        self._cancel()
+        return False
+
+    def _cancel(self) -> None:
+        """Cancel the requests in progress, and start no others."""
+        self._cancel_queued()
         if self.task is not None:
             self.task.cancel()
-        return False
+
+    def _cancel_queued(self) -> None:
+        for request in self.queued:
+            if request.task is not None:
+                request.task.cancel()
+        self.queued.clear()
 
     def data_received(self, chunk: bytes) -> None:
         """Buffer the input for the task that parses it."""
         if self.phase is Phase.LINGERING:
             return
-        self.http.receive_data(chunk)
+        self.reader.receive_data(chunk)
         self.unparsed_bytes += len(chunk)
         if self.input_waiter is not None:
             if not self.input_waiter.done():
                 self.input_waiter.set_result(None)
-        elif self.unparsed_bytes > READ_AHEAD_BYTES and self.reading:
+            return
+        self._read_ahead()
+        if self.unparsed_bytes > READ_AHEAD_BYTES and self.reading:
             self.reading = False
             self.transport.pause_reading()
 
@@ -146,6 +199,95 @@
         # The request body may be received while the answer is written.
         return self.phase is Phase.BODY
 
+    # Requests behind the first one.
+
+    def _build_parser(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.limits.head_bytes
+        )
+
+    def _read_ahead(self) -> None:
+        """Read the requests that have arrived behind others, and start what may run."""
+        if not self.sequence.parallel:
+            # The task reads the first request.
+            return
+        while sequencing.can_read(self.sequence) and self._read_queued():
+            pass
+        self._start_queued()
+        if not self.reading and self.unparsed_bytes <= READ_AHEAD_BYTES:
+            self.reading = True
+            self.transport.resume_reading()
+
+    def _read_queued(self) -> bool:
+        """Read one request behind the others; return false if none is complete."""
+        if self.reader.their_state is h11.DONE:
+            unread, _ = self.reader.trailing_data
+            if not unread:
+                return False
+            self.reader = self._build_parser()
+            self.reader.receive_data(unread)
+            self.unparsed_bytes = len(unread)
+        if self.reader.their_state is not h11.IDLE:
+            # Nothing can be read behind a body that has not arrived, or an error.
+            return False
+        http = self.reader
+        try:
+            head = http.next_event()
+            if type(head) is not h11.Request:
+                return False
+            self._check_head_size(head)
+            request = self._queue(http, head)
+        except h11.RemoteProtocolError as error:
+            failure = self._build_parse_failure(error)
+            request = self._queue_refusal(http, failure)
+        except request_body.RequestRefused as refusal:
+            request = self._queue_refusal(http, refusal.failure)
+        self.queued.append(request)
+        self.sequence = sequencing.add(self.sequence, request.parallel)
+        self.unparsed_bytes = len(http.trailing_data[0])
+        return True
+
+    def _queue(self, http: h11.Connection, head: h11.Request) -> QueuedRequest:
+        """Return the queued request that a head begins."""
+        identified, length = self._identify(head)
+        if length or length is None or http.they_are_waiting_for_100_continue:
+            return QueuedRequest(http, head.method, identified, length, False)
+        # The end of a message without a body needs no more input.
+        http.next_event()
+        identified, parallel = self._prepare_parallel(identified)
+        return QueuedRequest(http, head.method, identified, length, parallel)
+
+    def _queue_refusal(self, http: h11.Connection, failure: Any) -> QueuedRequest:
+        """Return what stands for input behind which nothing can be read."""
+        self.listener.on_refusal(failure)
+        return QueuedRequest(http, b"GET", result.Failure(failure))
+
+    def _prepare_parallel(self, identified) -> tuple[Any, bool]:
+        """Return a request without a body as it runs, and whether beside others."""
+        if not isinstance(identified, result.Success):
+            # The answer is known already.
+            return identified, True
+        request = self.listener.prepare_parallel(identified.unwrap())
+        if request is None:
+            return identified, False
+        return result.Success(request), True
+
+    def _start_queued(self) -> None:
+        """Start the requests that may run beside those in front of them."""
+        listener = self.listener
+        count = sequencing.count_startable(
+            self.sequence, listener.get_parallel_room(), listener.is_closing()
+        )
+        first = self.sequence.started
+        for position in range(max(first, 1), first + count):
+            request = self.queued[position - 1]
+            if isinstance(request.identified, result.Success):
+                request.task = self.loop.create_task(
+                    self._handle(request.identified.unwrap())
+                )
+                listener.add_parallel(request.task)
+        self.sequence = sequencing.start(self.sequence, count)
+
     # Reading.
 
     async def _read_event(self, phase: Phase):
@@ -191,17 +333,27 @@
         if type(event) is not h11.Request:
             # The caller closed the connection; ends the task as a cancellation does.
             raise asyncio.CancelledError
-        if self.unparsed_bytes > self.limits.head_bytes:
-            # h11 limits the size of incomplete heads only.
-            size = len(event.target) + sum(
-                len(name) + len(value) + 4 for name, value in event.headers
-            )
-            if size > self.limits.head_bytes:
-                raise request_body.RequestRefused(
-                    errors.HeadersTooLarge(self.limits.head_bytes)
-                )
+        self._check_head_size(event)
         return event
 
+    def _check_head_size(self, head: h11.Request) -> None:
+        """Check the size of a complete head; h11 limits incomplete heads only.
+
+        Raises
+        ------
+        RequestRefused
+            If it is too large.
+        """
+        if self.unparsed_bytes <= self.limits.head_bytes:
+            return
+        size = len(head.target) + sum(
+            len(name) + len(value) + 4 for name, value in head.headers
+        )
+        if size > self.limits.head_bytes:
+            raise request_body.RequestRefused(
+                errors.HeadersTooLarge(self.limits.head_bytes)
+            )
+
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the request's body, or None at its end."""
         if self.http.they_are_waiting_for_100_continue:
@@ -248,8 +400,7 @@
     async def _serve_requests(self) -> None:
         try:
             while await self._serve_request():
-                self.http.start_next_cycle()
-                self.unparsed_bytes = len(self.http.trailing_data[0])
+                self._advance()
             self._start_lingering_close()
         except asyncio.CancelledError:
             self.transport.abort()
@@ -257,14 +408,33 @@
         except Exception as error:
             events.exception("caller_connection_failed", error)
             self.transport.abort()
+        finally:
+            self._cancel_queued()
+
+    def _advance(self) -> None:
+        """Prepare for the next request after an answer."""
+        self.sequence = sequencing.remove_first(self.sequence)
+        if self.queued:
+            self.http = self.queued[0].http
+        elif self.reader is not self.http:
+            # A part of the next request has been read.
+            self.http = self.reader
+        else:
+            self.http.start_next_cycle()
+            self.unparsed_bytes = len(self.http.trailing_data[0])
 
     async def _serve_request(self) -> bool:
         """Serve one request; return whether the connection can serve another."""
         method = b"GET"
         try:
-            head = await self._read_head()
-            method = head.method
-            outcome = await self._handle_request(head)
+            if self.queued:
+                request = self.queued.popleft()
+                method = request.method
+                outcome = await self._serve_queued(request)
+            else:
+                head = await self._read_head()
+                method = head.method
+                outcome = await self._handle_head(head)
         except request_body.RequestRefused as refusal:
             self.listener.on_refusal(refusal.failure)
             outcome = result.Failure(refusal.failure)
@@ -278,27 +448,63 @@
             return False
         return self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
 
-    async def _handle_request(self, head: h11.Request):
+    async def _serve_queued(self, request: QueuedRequest):
+        """Return the outcome of a request that was read behind others."""
+        self.phase = Phase.HANDLING
+        if request.task is None and not self.sequence.started:
+            self.sequence = sequencing.start(self.sequence, 1)
+            self._read_ahead()
+            return await self._handle_identified(request.identified, request.length)
+        self._read_ahead()
+        if request.task is not None:
+            try:
+                return await request.task
+            finally:
+                request.task.cancel()
+        return request.identified
+
+    def _identify(self, head: h11.Request):
+        """Return the identified request, or its failure, and the length of its body."""
         headers = tuple(head.headers)
         length = request_body.get_body_length(headers)
         if head.method == b"CONNECT":
             raise request_body.RequestRefused(
                 errors.MalformedRequest("CONNECT is not supported")
             )
-        outcome = self.listener.identify_request(
+        identified = self.listener.identify_request(
             head.method, head.target, headers, length
         )
-        if not isinstance(outcome, result.Success):
-            self.listener.on_refusal(outcome.failure())
-            await self._discard_body(length)
-            return outcome
-        request = outcome.unwrap()
+        if not isinstance(identified, result.Success):
+            self.listener.on_refusal(identified.failure())
+        return identified, length
+
+    async def _handle_head(self, head: h11.Request):
+        """Handle the first request."""
+        identified, length = self._identify(head)
+        parallel = length == 0 and self._prepare_parallel(identified)[1]
+        self.sequence = sequencing.start(sequencing.add(self.sequence, parallel), 1)
+        return await self._handle_identified(identified, length)
+
+    async def _handle_identified(self, identified, length: int | None):
+        """Read the body of the first request and handle it."""
+        if not isinstance(identified, result.Success):
+            if self.http.their_state is h11.SEND_BODY:
+                await self._discard_body(length)
+            return identified
+        request = identified.unwrap()
         limit = self.listener.get_body_limit(request)
         if length is not None and length > limit:
             raise request_body.RequestRefused(errors.BodyTooLarge(limit))
-        body = await self._read_body(length, limit)
+        if self.http.their_state is h11.SEND_BODY:
+            body = await self._read_body(length, limit)
+            request = request._replace(body=body)
+        if self.http is self.reader and self.http.their_state is h11.DONE:
+            self._read_ahead()
+        return await self._handle(request)
+
+    async def _handle(self, request):
         try:
-            return await self.listener.handler.handle(request._replace(body=body))
+            return await self.listener.handler.handle(request)
         except Exception as error:
             events.exception("handler_failed", error, request_id=request.request_id)
             return result.Failure(errors.ConnectionLost(self.listener.entry))
@@ -307,7 +513,7 @@
         """Write an answer; return false if it could not be completed."""
         http = self.http
         listener = self.listener
-        close = listener.stopping or listener.close_after_answer
+        close = listener.is_closing() and sequencing.may_close(self.sequence)
         close = close or http.their_state is not h11.DONE
         body = answer.body
         with_body = rendering.has_body(answer, method)
--- a/packages/entry/dewstep_entry/caller/listener.py
+++ b/packages/entry/dewstep_entry/caller/listener.py
@@ -11,11 +11,15 @@
 from dewstep_entry.caller import connection
 
 MAXIMUM_PACE_CHECK_INTERVAL_SECONDS = 0.25
+MAX_PARALLEL_REQUESTS = 256
+"""Maximum number of requests in progress behind others on their connections. Each may
+keep an answer of `bodies.SMALL_BODY_BYTES` until its turn."""
 
 IdentifyCallback = Callable[
     [bytes, bytes, data.Headers, int | None],
     result.Result[data.Request, interfaces.Failure],
 ]
+PrepareCallback = Callable[[data.Request], data.Request | None]
 
 
 class Listener:
@@ -40,6 +44,9 @@
         Returns the jitter of retry times, from 0 to 1.
     on_refusal : callable
         Called with the failure of each request that did not reach the handler.
+    prepare_parallel : callable
+        Returns an identified request without a body as it runs beside the others on its
+        connection, or None if it must wait for its turn since it may not be repeated.
     """
 
     def __init__(
@@ -52,6 +59,7 @@
         entry: str,
         jitter: Callable[[], float] = random.random,
         on_refusal: Callable[[interfaces.Failure], None] = lambda failure: None,
+        prepare_parallel: PrepareCallback = lambda request: None,
     ):
         self.address = address
         self.limits = limits
@@ -61,6 +69,9 @@
         self.entry = entry
         self.jitter = jitter
         self.on_refusal = on_refusal
+        self.prepare_parallel = prepare_parallel
+        self.parallel_requests = 0
+        """Number of requests in progress that run behind others on a connection."""
         self.connections: set[connection.CallerConnection] = set()
         self.stopping = False
         self.close_after_answer = False
@@ -100,6 +111,22 @@
         for caller_connection in list(self.connections):
             caller_connection.transport.abort()
 
+    def is_closing(self) -> bool:
+        """Whether each answer closes its connection."""
+        return self.stopping or self.close_after_answer
+
+    def get_parallel_room(self) -> int:
+        """Return how many more requests may be started behind others."""
+        return MAX_PARALLEL_REQUESTS - self.parallel_requests
+
+    def add_parallel(self, task: asyncio.Task) -> None:
+        """Count a request that runs behind another one until it ends."""
+        self.parallel_requests += 1
+        task.add_done_callback(self._remove_parallel)
+
+    def _remove_parallel(self, task: asyncio.Task) -> None:
+        self.parallel_requests -= 1
+
     def add_connection(self, caller_connection: connection.CallerConnection) -> bool:
         """Add a new connection; return false if it must be closed."""
         if self.stopping or len(self.connections) >= self.limits.connections:
--- a/packages/entry/dewstep_entry/caller/listener_test.py
+++ b/packages/entry/dewstep_entry/caller/listener_test.py
@@ -55,7 +55,7 @@
 
 
 @contextlib.asynccontextmanager
-async def serve(handle=echo_path, limits=LIMITS):
+async def serve(handle=echo_path, limits=LIMITS, prepare_parallel=None):
     address = settings.Address("127.0.0.1", 0)
     server = listener.Listener(
         address,
@@ -64,6 +64,7 @@
         lambda request: BODY_LIMIT,
         FunctionHandler(handle),
         "e1",
+        prepare_parallel=prepare_parallel or (lambda request: None),
     )
     await server.start()
     try:
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -170,6 +170,7 @@
             self.meter,
             self.process_settings.entry,
             on_refusal=self.meter.record_refusal,
+            prepare_parallel=self.prepare_parallel,
         )
         simulate_partition = (
             self.network.set_partition
@@ -391,6 +392,11 @@
         kind = routing.find_kind(self.holder.current, request.service, request.kind)
         return kind.maximum_body_bytes if kind is not None else 0
 
+    def prepare_parallel(self, request: data.Request) -> data.Request | None:
+        """Return a request that may run beside others of its connection, or None."""
+        kind = routing.find_kind(self.holder.current, request.service, request.kind)
+        return request if kind is not None and kind.idempotent else None
+
     # Operators.
 
     async def execute_move(self, order: operators.MoveOrder) -> result.Result[Any, Any]:
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -223,6 +223,10 @@
                     self.build_refusal(request, planned.failure(), None)
                 )
             plan = planned.unwrap()
+            if request.parallel and not plan.route.idempotent:
+                # The configuration has changed since the request was started.
+                failure = errors.NotReady("its turn")
+                return result.Success(self.build_refusal(request, failure, plan))
             if plan.route.idempotent:
                 return result.Success(await self.serve(plan))
             return result.Success(await self.serve_uninterrupted(plan))
@@ -244,6 +248,19 @@
         """Log a failed task; its caller has its answer or has disconnected."""
         events.exception("dispatch_failed", error, task=task)
 
+    def prepare_parallel(
+        self, request: model.IncomingRequest
+    ) -> model.IncomingRequest | None:
+        """Return a request that may run beside others of its connection, or None."""
+        table = self.directory.routes
+        if table is None or table.version != self.route_index.version:
+            return None
+        host = dict(request.headers).get(b"host", b"").decode("latin-1")
+        route = routes.find_route(self.route_index, host, request.path)
+        if route is None or not route.idempotent:
+            return None
+        return request._replace(parallel=True)
+
     # Planning.
 
     async def plan_request(
--- a/packages/fleet/dewstep_fleet/model.py
+++ b/packages/fleet/dewstep_fleet/model.py
@@ -296,3 +296,5 @@
     relayed_attempts: int | None = None
     """Number of attempts left to a request that another instance has passed on; None if
     it comes from a caller."""
+    parallel: bool = False
+    """Whether it runs before the requests in front of it have been answered."""
--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -139,6 +139,7 @@
             self.meter,
             instance.member.node,
             on_refusal=self.log_refusal,
+            prepare_parallel=self.dispatcher.prepare_parallel,
         )
         self.relay_receiver = relaying.RelayReceiver(
             instance.member.node, self.dispatcher
