--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -2,9 +2,10 @@
 
 A row of the store names the coordinator. The coordinator connects to all instances and
 sends each a periodic heartbeat ("beat"), which each answers with a report, and news of
-changed rows ("rows") in between. A heartbeat is healthy if its sender reaches the store. An instance that has
-received no healthy heartbeat for its election time-out asks the others for a vote. If
-most running instances receive none either, it replaces the row in a transaction. A
+changed rows ("rows") in between. A heartbeat is healthy if its sender reaches the
+store. An instance that has received no healthy heartbeat for its election time-out asks
+the others for a vote. If most running instances receive none either, it replaces the
+row in a transaction. A
 coordinator that the store rejects is thus replaced too; until then, deputies, which
 also follow the store, send it the rows that it cannot read.
 """
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -105,10 +105,10 @@
     kind: str
     """Type of the message. On a new link, a coordinator sends "greeting", the member
     answers with the "versions" of its rows, and the coordinator sends the "rows" that
-    it lacks. After that, further "rows" are news of changes, and each heartbeat ("beat")
-    of the coordinator is answered by a "report". "ask" requests a vote in an election, "tell" answers it. "need" asks the
-    coordinator for permits of requests to targets with a limit, "permits" answers
-    it."""
+    it lacks. After that, further "rows" are news of changes, and each heartbeat
+    ("beat") of the coordinator is answered by a "report". "ask" requests a vote in an
+    election, "tell" answers it. "need" asks the coordinator for permits of requests to
+    targets with a limit, "permits" answers it."""
     term: int
     node: str
     incarnation: str
--- a/packages/fleet/dewstep_fleet/links_test.py
+++ b/packages/fleet/dewstep_fleet/links_test.py
@@ -118,7 +118,7 @@
     async def send_start(_, writer):
         writer.write(ENCODED[:-1])
 
-    server = await asyncio.start_server(send_start, "127.0.0.1", 0)
+    server = await testing.start_scripted_server(send_start)
     closed = asyncio.get_running_loop().create_future()
     async with server:
         port = server.sockets[0].getsockname()[1]
