--- a/packages/emulator/dewstep_emulator/bench/load_client_test.py
+++ b/packages/emulator/dewstep_emulator/bench/load_client_test.py
@@ -1,6 +1,7 @@
 import asyncio
 
 from dewstep_core import settings
+from dewstep_emulator import testing
 from dewstep_emulator.bench import load_client
 
 
@@ -38,7 +39,7 @@
                 await asyncio.sleep(0.01)
 
     async def run():
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        server = await testing.start_scripted_server(serve)
         address = settings.Address(*server.sockets[0].getsockname()[:2])
         pool = load_client.ConnectionPool(address)
         first = await pool.exchange(b"GET / HTTP/1.1\r\n\r\n", 2.0)
@@ -63,8 +64,8 @@
 def test_exchange_returns_broken_reply_after_timeout():
     # Guards against a load tool that waits forever and never records the loss.
     async def run():
-        server = await asyncio.start_server(
-            lambda reader, writer: asyncio.sleep(5), "127.0.0.1", 0
+        server = await testing.start_scripted_server(
+            lambda reader, writer: asyncio.sleep(5)
         )
         pool = load_client.ConnectionPool(
             settings.Address(*server.sockets[0].getsockname()[:2])
--- a/packages/emulator/dewstep_emulator/testing.py
+++ b/packages/emulator/dewstep_emulator/testing.py
@@ -36,6 +36,25 @@
     )
 
 
+async def start_scripted_server(
+    script: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
+) -> asyncio.Server:
+    """Start a loopback server that runs a script on each connection.
+
+    A connection whose script returns stays open until the event loop ends. It is closed
+    then, since a stream that is collected as garbage later raises an error.
+    """
+
+    async def serve(reader, writer):
+        try:
+            await script(reader, writer)
+            await asyncio.get_running_loop().create_future()
+        finally:
+            writer.transport.abort()
+
+    return await asyncio.start_server(serve, "127.0.0.1", 0)
+
+
 @contextlib.asynccontextmanager
 async def calling(
     address: settings.Address, timeout: float = CALL_SECONDS, **options
--- a/packages/entry/dewstep_entry/peers/link_test.py
+++ b/packages/entry/dewstep_entry/peers/link_test.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from dewstep_core import clocks, data, errors
+from dewstep_emulator import testing
 from dewstep_entry import bodies, failures
 from dewstep_entry.peers import link, messages, wire
 
@@ -70,7 +71,7 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             await script(reader, writer)
 
-    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    server = await testing.start_scripted_server(accept)
     yield member._replace(port=server.sockets[0].getsockname()[1])
     server.close()
 
@@ -187,7 +188,7 @@
 
     async def scenario():
         a = RecordingPeer("a")
-        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        server = await testing.start_scripted_server(accept)
         port = server.sockets[0].getsockname()[1]
         request = build_request(seconds=HELLO_DEADLINE_SECONDS)
         outcome = await a.network.exchange(build_member("b", port=port), request)
--- a/packages/entry/dewstep_entry/targets/connection_pool_test.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool_test.py
@@ -53,7 +53,7 @@
                     return
             await reader.read()
 
-    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    server = await testing.start_scripted_server(accept)
     address = settings.Address(*server.sockets[0].getsockname()[:2])
     pool = connection_pool.ConnectionPool(
         "t",
--- a/packages/entry/dewstep_entry/targets/pauses_test.py
+++ b/packages/entry/dewstep_entry/targets/pauses_test.py
@@ -47,7 +47,7 @@
             writer.close()
 
     async def run(self, limit):
-        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.server = await testing.start_scripted_server(self.accept)
         address = settings.Address(*self.server.sockets[0].getsockname()[:2])
         return connection_pool.ConnectionPool(
             "t",
--- a/packages/entry/dewstep_entry/targets/target_pool_test.py
+++ b/packages/entry/dewstep_entry/targets/target_pool_test.py
@@ -6,6 +6,7 @@
 import pytest
 
 from dewstep_core import clocks, data, errors
+from dewstep_emulator import testing
 from dewstep_entry import bodies
 from dewstep_entry.targets import target_pool
 
@@ -40,7 +41,7 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             await scripts[min(number, len(scripts) - 1)](reader, writer)
 
-    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    server = await testing.start_scripted_server(accept)
     port = server.sockets[0].getsockname()[1]
     target = data.Target("t", "booker", "dc", "127.0.0.1", port, 4, 50, True, False)
     channel = target_pool.TargetPool(target, clocks.SystemClock(), "e1", "dc", limit)
