Send rows to other instances as differences

Cause: the row of all owners of a service is sent whole to each instance for each change of one range. With 400 ranges it has 6.4 KB, so a change takes 1.3 MB of the coordinator's link, which has 10 to 100 Mbit/s: 0.1 to 1 s for each of up to 30 changes a second, and most of it crosses data centres. Change: rows of 512 bytes or more are sent as the difference from the version before, with a checksum; an instance that cannot apply one asks for all newer rows. Instances of earlier versions get whole rows. News only go to members that have received all rows of before, so that heartbeats carry none.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -33,6 +33,7 @@
     quorums,
     reachability,
     request_limits,
+    row_changes,
     selection,
 )
 
@@ -233,8 +234,13 @@
         """Link on which the last heartbeat was received."""
         self.links: dict[str, links.Link] = {}
         """Links of this coordinator to the members."""
-        self.pending_rows: dict[str, list[model.StoredRow]] = {}
-        """Changed rows for the next message to each member."""
+        self.synchronised: dict[str, bool] = {}
+        """Members that have received all rows of before, and whether they accept
+        changes of rows."""
+        self.news: dict[tuple[str, str], model.StoredRow] = {}
+        """Changed rows for the next news, by table and key."""
+        self.announced: dict[tuple[str, str], model.StoredRow] = {}
+        """Rows as of the last news."""
         self.next_dial_at: dict[str, datetime.timedelta] = {}
         self.reports: dict[str, Report] = {}
         self.pending_votes: dict[links.Link, asyncio.Future] = {}
@@ -560,6 +566,7 @@
         self.permit_issuer = permits.PermitIssuer()
         self.proposed_quorum = None
         self.coordinator_link = None
+        self.announced = dict(self.directory.rows)
         self.table_feeds.follow(frozenset(model.TABLES), relays=True)
         claimed_at, self.claimed_at = self.claimed_at, None
         self.granter_task = asyncio.ensure_future(self.granter.run(claimed_at))
@@ -590,7 +597,9 @@
         for link in list(self.links.values()):
             link.close()
         self.links.clear()
-        self.pending_rows.clear()
+        self.synchronised.clear()
+        self.news.clear()
+        self.announced.clear()
         self.informants.clear()
         self.live_instances = max(1, len(self.directory.members))
         events.warning("coordination_ended", term=self.term, reason=reason)
@@ -761,7 +770,7 @@
         for node, known in list(self.links.items()):
             if known is link:
                 del self.links[node]
-                self.pending_rows.pop(node, None)
+                self.synchronised.pop(node, None)
                 self.reports.pop(node, None)
                 events.info("member_lost", node=node)
 
@@ -790,7 +799,6 @@
             link.close()
             return
         self.links[member.node] = link
-        self.pending_rows[member.node] = []
         # Sending all rows to all members would saturate a slow link for seconds.
         if not link.send(self.build_frame("greeting")):
             self._drop_link(link)
@@ -824,8 +832,7 @@
                 self.rows_for_coordinator.extend(changed_rows)
                 self.coordinator_link.send(self.build_report())
             return
-        for rows in self.pending_rows.values():
-            rows.extend(changed_rows)
+        self.news.update({(row.table, row.key): row for row in changed_rows})
         self.schedule_news()
 
     def schedule_news(self) -> None:
@@ -843,18 +850,44 @@
         if not self.coordinating:
             return
         self.last_news_at = self.clock.monotonic()
-        encoded: dict[tuple, bytes] = {}
+        rows, changes = self.take_news()
+        with_changes = frames.encode(self.build_news(rows, changes))
+        whole = with_changes
+        if changes and not all(self.synchronised.values()):
+            changed = tuple(self.announced[item.table, item.key] for item in changes)
+            whole = frames.encode(self.build_news((*rows, *changed)))
         for node, link in list(self.links.items()):
-            rows, self.pending_rows[node] = tuple(self.pending_rows[node]), []
-            if rows not in encoded:
-                # Most members get the same message.
-                encoded[rows] = frames.encode(self.build_news(rows))
-            if not link.send_encoded(encoded[rows]):
+            # Other members still ask for all rows, and get the newest ones.
+            if node in self.synchronised and not link.send_encoded(
+                with_changes if self.synchronised[node] else whole
+            ):
                 self._drop_link(link)
 
-    def build_news(self, rows: tuple[model.StoredRow, ...]) -> frames.Frame:
+    def take_news(
+        self,
+    ) -> tuple[tuple[model.StoredRow, ...], tuple[row_changes.RowChange, ...]]:
+        """Return the rows of the next news, some of them as changes."""
+        rows, changes = [], []
+        for row_key, row in self.news.items():
+            base = self.announced.get(row_key)
+            change = row_changes.build_change(base, row) if base is not None else None
+            if change is None:
+                rows.append(row)
+            else:
+                changes.append(change)
+            self.announced[row_key] = row
+        self.news.clear()
+        return tuple(rows), tuple(changes)
+
+    def build_news(
+        self,
+        rows: tuple[model.StoredRow, ...],
+        changes: tuple[row_changes.RowChange, ...] = (),
+    ) -> frames.Frame:
         """Return a message with changed rows and the ranges that are being moved."""
-        return self.build_frame("rows", rows=rows, moving=self.list_moving())
+        return self.build_frame(
+            "rows", rows=rows, changes=changes, moving=self.list_moving()
+        )
 
     def list_moving(self) -> tuple[frames.Span, ...]:
         """Return all ranges that are being moved."""
@@ -889,7 +922,7 @@
         self.loads.apply_totals(totals, now.total_seconds())
         crashes, departures = self.take_unsent()
         deputies = set(self.choose_deputies())
-        encoded: dict[tuple, bytes] = {}
+        encoded: dict[bool, bytes] = {}
         for node, link in list(self.links.items()):
             report_age = (
                 now - self.reports[node].received_at if node in self.reports else None
@@ -899,20 +932,16 @@
                 link.close()
                 self._drop_link(link)
                 continue
-            rows, self.pending_rows[node] = tuple(self.pending_rows[node]), []
-            kind = (rows, node in deputies)
-            if kind not in encoded:
+            deputy = node in deputies
+            if deputy not in encoded:
                 # Most members get the same message.
-                frame = self.build_heartbeat(
-                    rows, node in deputies, totals, crashes, departures
-                )
-                encoded[kind] = frames.encode(frame)
-            if not link.send_encoded(encoded[kind]):
+                frame = self.build_heartbeat(deputy, totals, crashes, departures)
+                encoded[deputy] = frames.encode(frame)
+            if not link.send_encoded(encoded[deputy]):
                 self._drop_link(link)
 
     def build_heartbeat(
         self,
-        rows: tuple[model.StoredRow, ...],
         deputy: bool,
         totals: tuple[frames.Total, ...] = (),
         crashes: tuple[frames.Crash, ...] = (),
@@ -923,7 +952,6 @@
             "beat",
             contact=self.is_healthy(),
             members=self.live_instances,
-            rows=rows,
             totals=totals,
             moving=self.list_moving(),
             crashes=crashes,
@@ -1095,15 +1123,15 @@
             self._receive_heartbeat(link, frame, now)
         elif frame.kind == "greeting":
             if self._is_current(link, frame):
-                versions = self.directory.list_versions()
-                link.send(self.build_frame("versions", versions=versions))
+                self.request_rows(link)
         elif frame.kind == "versions":
             if self.coordinating and self.links.get(frame.node) is link:
+                self.synchronised[frame.node] = frame.accepts_changes
                 rows = self.directory.list_newer(frame.versions)
                 link.send(self.build_news(rows))
         elif frame.kind == "rows":
             if self._is_current(link, frame):
-                self._apply_relayed_rows(frame.rows)
+                self._apply_news(link, frame)
                 if not self.coordinating:
                     self._apply_moving(frame.moving)
         elif frame.kind == "report":
@@ -1160,6 +1188,29 @@
         link.close()
         return False
 
+    def request_rows(self, link: links.Link) -> None:
+        """Ask the coordinator for all rows that are newer than the known ones."""
+        versions = self.directory.list_versions()
+        link.send(self.build_frame("versions", versions=versions, accepts_changes=True))
+
+    def _apply_news(self, link: links.Link, frame: frames.Frame) -> None:
+        """Apply changed rows; ask for the rows that a change does not fit."""
+        rows = list(frame.rows)
+        misfits = []
+        for change in frame.changes:
+            known = self.directory.rows.get((change.table, change.key))
+            if known is not None and known.version >= change.version:
+                continue
+            row = row_changes.apply_change(known, change)
+            if row is None:
+                misfits.append(change.key)
+            else:
+                rows.append(row)
+        self._apply_relayed_rows(tuple(rows))
+        if misfits:
+            events.info("rows_requested", node=frame.node, rows=misfits)
+            self.request_rows(link)
+
     def _apply_relayed_rows(self, rows: tuple[model.StoredRow, ...]) -> None:
         """Apply rows received from the coordinator."""
         self.applying_relayed_rows = True
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -232,6 +232,40 @@
         )
 
 
+# Guards against owners that stay wrong at an instance whose row a change does not fit,
+# and at one of an earlier version, which knows no changes.
+@testing.run_in_event_loop
+async def test_owners_reach_instances_that_cannot_apply_a_change():
+    async with run_fleet("n1", "n2", "n3") as harness:
+        for number in range(60):
+            content = builders.encode_target(builders.build_target(f"t-{number}"))
+            harness.store.put(model.TABLES.targets, f"t-{number}", content)
+        leader = await wait_coordinator(harness)
+        participant = harness.running[leader].participant
+        misfit, earlier = (
+            item for node, item in harness.running.items() if node != leader
+        )
+        row_key = (model.TABLES.fleet, "ranges/history")
+
+        def have_same_owners():
+            rows = [item.directory.rows.get(row_key) for item in (misfit, earlier)]
+            owners = participant.directory.rows.get(row_key)
+            return owners is not None and rows == [owners] * 2
+
+        await wait_until(have_same_owners)
+        row = misfit.directory.rows[row_key]
+        misfit.directory.rows[row_key] = row._replace(value=b"x" * 700)
+        participant.synchronised[earlier.participant.own_member.node] = False
+        participant.record_departure("t-7", 1)
+        ownerships = participant.directory.ownerships
+        await wait_until(
+            lambda: (
+                "t-7" not in {item.target for item in ownerships["history"].holdings}
+            )
+        )
+        await wait_until(have_same_owners)
+
+
 # Guards against a leaving target that receives requests from other instances, or keeps
 # its keys, until its registration says that it is leaving.
 @testing.run_in_event_loop
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -9,6 +9,16 @@
   removed @4 :Bool;
 }
 
+struct RowChange {
+  table @0 :Text;
+  key @1 :Text;
+  base @2 :UInt64;         # version that the change applies to
+  version @3 :UInt64;
+  pieces @4 :List(Data);
+  compressed @5 :Bool;
+  checksum @6 :UInt32;     # of the new value
+}
+
 struct Load {
   target @0 :Text;
   running @1 :UInt32;      # requests in progress at the target
@@ -98,4 +108,6 @@
   permits @22 :List(Permits);
   askedMs @23 :UInt64;     # see Frame.asked_ms in frames.py
   reachesTargets @24 :Bool; # "report": a target has just answered the sender
+  changes @25 :List(RowChange);
+  acceptsChanges @26 :Bool; # "versions": the sender can apply changes of rows
 }
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -7,7 +7,7 @@
 
 import capnp
 
-from dewstep_fleet import model
+from dewstep_fleet import model, row_changes
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 MAX_UINT16 = 2**16 - 1
@@ -155,6 +155,11 @@
     asked_ms: int = 0
     """In a "need" and its answer: when it was sent, in ms of the asking instance's
     monotonic clock."""
+    changes: tuple[row_changes.RowChange, ...] = ()
+    """In "rows": the rows that are sent as differences."""
+    accepts_changes: bool = False
+    """In "versions": whether the sender can apply differences, which earlier versions
+    of this package cannot."""
 
 
 def hash_target_name(target: str) -> int:
@@ -193,6 +198,7 @@
         heartbeatMs=frame.heartbeat_ms,
         askedMs=frame.asked_ms,
         reachesTargets=frame.reaches_targets,
+        acceptsChanges=frame.accepts_changes,
     )
     if frame.rows:
         message.rows = [
@@ -205,6 +211,8 @@
             }
             for row in frame.rows
         ]
+    if frame.changes:
+        message.changes = [item._asdict() for item in frame.changes]
     if frame.loads:
         message.loads = [
             {
@@ -323,4 +331,17 @@
         ),
         message.reachesTargets,
         message.askedMs,
+        tuple(
+            row_changes.RowChange(
+                item.table,
+                item.key,
+                item.base,
+                item.version,
+                tuple(bytes(piece) for piece in item.pieces),
+                item.compressed,
+                item.checksum,
+            )
+            for item in message.changes
+        ),
+        message.acceptsChanges,
     )
