Keep connections of all instances within a target's maximum

Cause: an instance opened at least two connections a slot, whatever its part of the target's maximum: 195 instances times 8 are 1,560 of 1,200. The limit was also fixed when the pool was made, before an instance that has just started knows of the others. Change: the limit is at most the maximum divided by the instances, and follows them.

--- a/packages/entry/dewstep_entry/targets/connection_pool.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool.py
@@ -132,6 +132,11 @@
             return result.Failure(self._build_unavailable("the deadline has passed"))
         return await target_connection.exchange(head, body, remaining, request_id)
 
+    def set_limit(self, limit: int) -> None:
+        """Set the maximum number of connections; open ones are kept."""
+        if limit != self.opening_state.limit:
+            self.opening_state = self.opening_state._replace(limit=limit)
+
     def find_pause(self) -> errors.TargetPaused | None:
         """Return the failure of requests during a pause of the target, or None."""
         if self.paused_until is None:
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -675,7 +675,7 @@
     ) -> Outcome:
         """Send the request to one target and return the outcome."""
         target = choice.target
-        pool = self.get_pool(plan, target)
+        pool = self.get_pool(plan.service, target)
         began = self.clock.monotonic()
         found_free_slot = choice.estimate.running < target.slots
         success = False
@@ -866,28 +866,40 @@
     # Connections.
 
     def get_pool(
-        self, plan: PlannedRequest, target: model.Target
+        self, service: model.Service, target: model.Target
     ) -> connection_pool.ConnectionPool:
         """Return the connection pool for one incarnation of a target."""
         pool_key = (target.name, target.life, target.host, target.port)
+        limit = self.find_connection_limit(service, target)
         pool = self.pools.get(pool_key)
         if pool is None:
-            share = plan.service.max_connections // (
-                2 * max(1, self.participant.live_instances)
-            )
             pool = self.pools[pool_key] = connection_pool.ConnectionPool(
                 target.name,
                 settings.Address(target.host, target.port),
                 self.clock,
-                max(target.slots * 2, share),
+                limit,
                 connect_timeout=CONNECT_TIMEOUT,
                 rules=self.answer_rules,
                 reuse_delay=datetime.timedelta(),
                 max_idle_time=MAX_IDLE_TIME,
                 on_notice=functools.partial(self.receive_notice, target),
             )
+        pool.set_limit(limit)
         return pool
 
+    def find_connection_limit(
+        self, service: model.Service, target: model.Target
+    ) -> int:
+        """Return the maximum number of connections of this instance to a target.
+
+        A target resets those beyond what it accepts from all instances together. Half
+        of that is left for instances that start or stop, if it suffices for two
+        requests a slot.
+        """
+        instances = max(self.participant.live_instances, len(self.directory.members), 1)
+        limit = max(target.slots * 2, service.max_connections // (2 * instances))
+        return max(1, min(limit, service.max_connections // instances))
+
     def retire_pools(self) -> None:
         """Use no open connection for further requests, since they may hang."""
         for pool in self.pools.values():
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -122,7 +122,7 @@
             random.Random(1),
             lambda service, key: self.keys.append((service, key)),
         )
-        self.dispatcher.get_pool = lambda plan, target: FakePool(self, target.name)
+        self.dispatcher.get_pool = lambda service, target: FakePool(self, target.name)
 
     def send(self, path="/a/x", headers=(), body=b"", rest=None, method="GET"):
         """Send a request and return the answer."""
@@ -446,3 +446,27 @@
     assert harness.counts.estimate("history", "a", now).success < 1
     restart(harness, 2)
     assert harness.counts.estimate("history", "a", now).success == 1
+
+
+# Guards against connections beyond what a target accepts from all instances together,
+# which it resets.
+@pytest.mark.parametrize(
+    ("instances", "max_connections", "limit"),
+    [(1, 110, 55), (9, 110, 8), (10, 49, 4), (195, 1_200, 6), (400, 300, 1)],
+)
+def test_connections_of_all_instances_stay_within_the_maximum(
+    instances, max_connections, limit
+):
+    harness = Harness()
+    dispatcher = harness.dispatcher
+    del dispatcher.get_pool
+    service = model.Service("history", max_connections, False)
+    target = builders.build_target("a")
+
+    async def find_limit():
+        return dispatcher.get_pool(service, target).opening_state.limit
+
+    # The number of instances becomes known after the first connections.
+    asyncio.run(find_limit())
+    harness.participant.live_instances = instances
+    assert asyncio.run(find_limit()) == limit
--- a/packages/fleet/dewstep_fleet/target_limits_test.py
+++ b/packages/fleet/dewstep_fleet/target_limits_test.py
@@ -86,9 +86,9 @@
     harness = dispatch_test.Harness(200, targets="a")
     get_pool = harness.dispatcher.get_pool
 
-    def name_limit_first(plan, target):
+    def name_limit_first(service, target):
         name_limit(harness)
-        return get_pool(plan, target)
+        return get_pool(service, target)
 
     harness.dispatcher.get_pool = name_limit_first
     assert harness.send().status == 503
