--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -213,7 +213,8 @@
             return
         while sequencing.can_read(self.sequence) and self._read_queued():
             pass
-        self._start_queued()
+        if self.queued:
+            self._start_queued()
         if not self.reading and self.unparsed_bytes <= READ_AHEAD_BYTES:
             self.reading = True
             self.transport.resume_reading()
