Measure the silence of targets in service times

Cause: half a second without an answer counted as silence, whatever the service time. In a large fleet an instance has few requests in progress; under load none of them is answered within half a second. Change: the silence lasts three typical service times, 500 ms at least and 2 s at most, so that a cut is still noticed within the 3 s after which callers must be served.

--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -21,6 +21,7 @@
     keys,
     load_counts,
     model,
+    reachability,
     relaying,
     telemetry,
 )
@@ -217,6 +218,9 @@
             await self.clock.sleep(OBSERVATION_INTERVAL)
             now = self.clock.monotonic()
             self.dispatcher.reachability.observe(now)
+            self.dispatcher.reachability.silence_period = (
+                reachability.choose_silence_period(self.loads.typical_seconds.values())
+            )
             if cut_off != self.dispatcher.is_cut_off():
                 cut_off = not cut_off
                 events.warning("cut_off", cut_off=cut_off)
--- a/packages/fleet/dewstep_fleet/reachability.py
+++ b/packages/fleet/dewstep_fleet/reachability.py
@@ -11,9 +11,15 @@
 """
 
 import datetime
-
-SILENCE_PERIOD = datetime.timedelta(milliseconds=500)
-"""Time without an answer from any target, two or three service times."""
+from collections.abc import Iterable
+
+MIN_SILENCE_PERIOD = datetime.timedelta(milliseconds=500)
+"""Time without an answer from any target after which an instance may be cut off."""
+MAX_SILENCE_PERIOD = datetime.timedelta(seconds=2)
+"""Callers of an instance that is cut off must be served after 3 s."""
+SILENT_SERVICE_TIMES = 3
+"""Minimum length of the silence in typical service times. An instance of a large fleet
+has few requests in progress, none of which is answered within one service time."""
 MIN_SILENT_TARGETS = 3
 MAX_COUNTED_GAP = datetime.timedelta(milliseconds=100)
 """Longest time that an observation counts for. They are made each 50 ms."""
@@ -23,6 +29,19 @@
 """Interval at which an instance that is cut off sends a request to a target itself."""
 
 
+def choose_silence_period(service_seconds: Iterable[float]) -> datetime.timedelta:
+    """Return the time without any answer that shows a cut.
+
+    Parameters
+    ----------
+    service_seconds : iterable of float
+        Typical service time of each service in seconds.
+    """
+    longest = datetime.timedelta(seconds=max(service_seconds, default=0.0))
+    period = max(MIN_SILENCE_PERIOD, SILENT_SERVICE_TIMES * longest)
+    return min(period, MAX_SILENCE_PERIOD)
+
+
 class Contact:
     """What is known of one target."""
 
@@ -46,6 +65,8 @@
 
     def __init__(self, now: datetime.timedelta):
         self.contacts: dict[str, Contact] = {}
+        self.silence_period = MIN_SILENCE_PERIOD
+        """Time without an answer from any target that shows a cut."""
         self.running_time = datetime.timedelta()
         """Time for which the process has run, up to the last observation."""
         self.silent_since = self.running_time
@@ -99,7 +120,7 @@
 
     def is_cut_off(self) -> bool:
         """Whether this instance is probably cut off from all targets."""
-        if self.running_time - self.silent_since < SILENCE_PERIOD:
+        if self.running_time - self.silent_since < self.silence_period:
             return False
         return sum(map(self._is_silent, self.contacts.values())) >= MIN_SILENT_TARGETS
 
@@ -110,7 +131,7 @@
         return (
             contact.in_progress > 0
             and contact.unanswered_since is not None
-            and self.running_time - contact.unanswered_since >= SILENCE_PERIOD
+            and self.running_time - contact.unanswered_since >= self.silence_period
         )
 
     def has_recent_answer(self, now: datetime.timedelta) -> bool:
--- a/packages/fleet/dewstep_fleet/reachability_test.py
+++ b/packages/fleet/dewstep_fleet/reachability_test.py
@@ -65,6 +65,31 @@
     assert not setting.is_cut_off()
 
 
+# Guards against an instance of a large fleet, with few requests in progress, that
+# believes in a cut while they take their usual time of 0.6 s.
+def test_requests_that_take_their_usual_time_do_not_show_a_cut():
+    setting = Setting()
+    period = reachability.choose_silence_period([0.1, 0.6])
+    setting.reachability.silence_period = period
+    for _ in range(5):
+        setting.begin("abcd")
+        setting.run(0.65 * SECOND)
+        assert not setting.is_cut_off()
+        setting.end(True, "abcd")
+    setting.begin("abcd")
+    setting.run(period + 100 * MILLISECOND)
+    assert setting.is_cut_off()
+
+
+@pytest.mark.parametrize(
+    ("service_seconds", "milliseconds"),
+    [([], 500), ([0.1], 500), ([0.1, 0.6], 1_800), ([30.0], 2_000)],
+)
+def test_silence_lasts_for_some_service_times(service_seconds, milliseconds):
+    period = reachability.choose_silence_period(service_seconds)
+    assert period == milliseconds * MILLISECOND
+
+
 # Guards against a cut that is inferred from one or two slow targets.
 def test_two_silent_targets_do_not_show_a_cut():
     setting = Setting()
