Send a refused request again over another connection

What callers could see: a faulty target wrote an earlier refusal once more on a kept connection. A request that was sent to it again, as for a key whose owner refused it with 421 at first, was then answered 'not run, try again' while the target ran it (REFUSED), and could run at a second target (TWICE). Cause: answers are matched by the id of the request, which is the same for both tries. Change: a connection on which a request was refused is not used again for that request. It stays in use for others. Evidence: the new test fails before.

--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import datetime
 import select
 from collections.abc import Callable
 
@@ -136,6 +137,8 @@
         """Parses the rest of the input; reading pauses until then."""
         self.write_waiter: asyncio.Future | None = None
         self.poller = select.poll()
+        self.refusals: dict[bytes, datetime.timedelta] = {}
+        """Deadlines of the requests that the target has refused here, by id."""
 
     # Callbacks of the transport.
 
@@ -186,6 +189,26 @@
 
     # Exchange.
 
+    def record_refusal(
+        self,
+        request_id: bytes,
+        deadline: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Record that the target has refused a request on this connection.
+
+        The request may be sent to it again until its deadline. A faulty target may then
+        write the earlier answer once more, while it runs the request.
+        """
+        self.refusals = {
+            refused: until for refused, until in self.refusals.items() if until > now
+        }
+        self.refusals[request_id] = deadline
+
+    def has_refused(self, request_id: bytes) -> bool:
+        """Whether the target has refused a request on this connection before."""
+        return request_id in self.refusals
+
     def is_stale(self) -> bool:
         """Whether the idle connection was closed or has unsolicited input.
 
--- a/packages/entry/dewstep_entry/targets/connection_pool.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool.py
@@ -112,15 +112,19 @@
         if paused is not None:
             return result.Failure(paused)
         target_connection = self._acquire_idle()
+        if target_connection is not None and target_connection.has_refused(request_id):
+            target_connection.abort()
+            target_connection = None
         while target_connection is None:
             remaining = (deadline - self.clock.monotonic()).total_seconds()
             outcome = await self._wait_for_connection(remaining)
             if not isinstance(outcome, connection.Connection):
                 return result.Failure(outcome)
             # The target may have closed it since it was assigned to this request.
-            target_connection = None if outcome.is_stale() else outcome
-            if target_connection is None:
+            if outcome.is_stale() or outcome.has_refused(request_id):
                 outcome.abort()
+            else:
+                target_connection = outcome
         # The pause may have begun after the connection was assigned.
         refusal = self.find_pause() or find_refusal()
         if refusal is not None:
@@ -130,7 +134,13 @@
         if remaining <= 0:
             self._release_connection(target_connection)
             return result.Failure(self._build_unavailable("the deadline has passed"))
-        return await target_connection.exchange(head, body, remaining, request_id)
+        outcome = await target_connection.exchange(head, body, remaining, request_id)
+        if isinstance(outcome, result.Failure) and isinstance(
+            outcome.failure(), errors.TargetRefused
+        ):
+            now = self.clock.monotonic()
+            target_connection.record_refusal(request_id, deadline, now)
+        return outcome
 
     def set_limit(self, limit: int) -> None:
         """Set the maximum number of connections; open ones are kept."""
--- a/packages/entry/dewstep_entry/targets/connection_pool_test.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool_test.py
@@ -159,3 +159,63 @@
         outcome = await sending
         assert get_body(outcome) == b"ok"
         assert not pool.idle
+
+
+# Guards against a refusal that a faulty target writes once more, when the request has
+# been sent to it again and is being run.
+@testing.run_in_event_loop
+async def test_earlier_refusal_is_not_taken_for_that_of_a_request_that_is_sent_again():
+    refusal = render_answer(b"a", b"no", b"Content-Length: 2\r\n", b"421 Other")
+    connections = []
+
+    async def serve(reader, writer):
+        connections.append(writer)
+        if len(connections) > 1:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(render_answer(b"a"))
+            return
+        for _ in range(2):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(refusal)
+
+    server = await testing.start_scripted_server(serve)
+    address = settings.Address(*server.sockets[0].getsockname()[:2])
+    pool = connection_pool.ConnectionPool(
+        "t",
+        address,
+        clocks.SystemClock(),
+        4,
+        rules=RULES,
+        reuse_delay=datetime.timedelta(),
+    )
+    assert testing.fails(await send_request(pool, b"a"), errors.TargetRefused)
+    assert get_body(await send_request(pool, b"a")) == b"ok"
+    await pool.close()
+    server.close()
+
+
+@testing.run_in_event_loop
+async def test_connection_that_refused_a_request_is_reused_for_others():
+    # Guards against new connections, which have a price, after each refusal.
+    refusal = render_answer(b"a", b"no", b"Content-Length: 2\r\n", b"421 Other")
+    async with run_target(refusal, render_answer(b"b")) as (pool, opened):
+        assert testing.fails(await send_request(pool, b"a"), errors.TargetRefused)
+        assert get_body(await send_request(pool, b"b")) == b"ok"
+        assert len(opened) == 1
+
+
+# Guards against a success whose body is empty or short, from a target that stopped in
+# the middle of its answer's head and closed the connection.
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize(
+    "head", [b"Content-Length: 2\r\n", b"", b"Transfer-Encoding: chunked\r\n"]
+)
+@testing.run_in_event_loop
+async def test_answer_that_ends_within_its_head_is_lost(head, reset):
+    answer = render_answer(b"a", b"", head)
+    for size in range(len(answer)):
+        async with run_target(answer[:size], close=True, reset=reset) as (pool, _):
+            outcome = await send_request(pool, b"a")
+        assert testing.fails(outcome, errors.ConnectionLost) or testing.fails(
+            outcome, errors.AnswerInvalid
+        ), size
