Let news show that the coordinator lives

Cause: changes no longer come as heartbeats. With 195 instances these are 300 ms apart; when those of a busy coordinator were late, all instances read the store themselves after 700 ms, although its news arrived. Change: news carry the coordinator's state and count like a heartbeat for this. Evidence: test_news_show_that_the_coordinator_lives fails before (727 ms, bound 700).

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -887,7 +887,12 @@
     ) -> frames.Frame:
         """Return a message with changed rows and the ranges that are being moved."""
         return self.build_frame(
-            "rows", rows=rows, changes=changes, moving=self.list_moving()
+            "rows",
+            contact=self.is_healthy(),
+            stopping=self.stopping,
+            rows=rows,
+            changes=changes,
+            moving=self.list_moving(),
         )
 
     def list_moving(self) -> tuple[frames.Span, ...]:
@@ -1137,6 +1142,8 @@
                 self._apply_news(link, frame)
                 if not self.coordinating:
                     self._apply_moving(frame.moving)
+                    if frame.term == self.term and link is self.coordinator_link:
+                        self._record_contact(frame, now)
         elif frame.kind == "report":
             if frame.term > self.term:
                 self._adopt_newer_term(frame)
@@ -1230,6 +1237,19 @@
             self.directory.moving = moving
             self.directory.notify_waiters()
 
+    def _record_contact(self, frame: frames.Frame, now: datetime.timedelta) -> None:
+        """Record what a message of the coordinator says about its state.
+
+        News count as well, since the heartbeats of a busy coordinator may be late.
+        """
+        self.last_heartbeat_at = now
+        if frame.stopping:
+            # Elections may start at once; their jitter still applies.
+            self.last_healthy_heartbeat_at = now - HEARTBEAT_TIMEOUT
+        elif frame.contact:
+            self.last_healthy_heartbeat_at = now
+        self.coordinator_healthy = frame.contact and not frame.stopping
+
     def _receive_heartbeat(
         self, link: links.Link, frame: frames.Frame, now: datetime.timedelta
     ) -> None:
@@ -1247,13 +1267,7 @@
         self.record_long_grants(frame)
         self.received_heartbeat_ms = frame.heartbeat_ms
         self.coordinator_link = link
-        self.last_heartbeat_at = now
-        if frame.stopping:
-            # Elections may start at once; their jitter still applies.
-            self.last_healthy_heartbeat_at = now - HEARTBEAT_TIMEOUT
-        elif frame.contact:
-            self.last_healthy_heartbeat_at = now
-        self.coordinator_healthy = frame.contact and not frame.stopping
+        self._record_contact(frame, now)
         self.live_instances = max(1, frame.members)
         self.deputy = frame.deputy
         if frame.rows:
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -232,6 +232,30 @@
         )
 
 
+# Guards against instances that all read the store, and elect another coordinator, while
+# the heartbeats of a busy coordinator are late and its news arrive.
+@testing.run_in_event_loop
+async def test_news_show_that_the_coordinator_lives():
+    async with run_fleet("n1", "n2", "n3", "n4", "n5") as harness:
+        leader = await wait_coordinator(harness)
+        participant = harness.running[leader].participant
+        term = participant.term
+        await wait_until(lambda: len(participant.synchronised) == 4)
+        participant.last_heartbeat_sent_at += 2 * SECOND
+        followers = [
+            item.participant for node, item in harness.running.items() if node != leader
+        ]
+        for _ in range(30):
+            participant.schedule_news()
+            await asyncio.sleep(0.05)
+            now = participant.clock.monotonic()
+            for follower in followers:
+                heard = now - follower.last_heartbeat_at
+                assert heard < coordination.DIRECT_READ_TIMEOUT
+        assert harness.find_coordinators() == [leader]
+        assert participant.term == term
+
+
 # Guards against owners that stay wrong at an instance whose row a change does not fit,
 # and at one of an earlier version, which knows no changes.
 @testing.run_in_event_loop
