Count the loss of a target once for each request in progress there

Callers saw: equal requests of any caller got 422 at all instances and for ever, after the loss of a single target, although other targets complete them (DENIED). Cause: each instance with an equal request in progress at a lost target reported a crash, and the coordinator added the reports up; three sufficed for quarantine. A caller's next attempt at another instance reported the same loss again. No success and no time ended the suspicion, the host was not compared, and all large bodies of one path counted as equal. Change: crash_counts.py counts separate losses (target and incarnation), losses within 1 s as one, clears a request that a target has completed, and forgets it 10 min after its last loss. Reports name the target; reports of earlier versions, which do not, count once a second, and earlier versions read the new ones as before.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -20,6 +20,7 @@
 
 from dewstep_core import clocks, errors, events, tasks
 from dewstep_fleet import (
+    crash_counts,
     demands,
     directories,
     feeds,
@@ -184,11 +185,9 @@
             self.schedule_news,
             self.can_connect_without_store,
         )
-        self.crashes: dict[bytes, int] = {}
-        """Number of target crashes by the fingerprint of a request in progress
-        there."""
-        self.unsent_crashes: list[frames.Crash] = []
-        """Crashes for the next heartbeat or report."""
+        self.crash_counts = crash_counts.CrashCounts()
+        self.unsent_crashes: dict[tuple, frames.Crash] = {}
+        """Crashes for the next heartbeat or report, by request and target."""
         self.unsent_departures: list[frames.Departure] = []
         """Departures of targets for the next heartbeat or report."""
         now = clock.monotonic()
@@ -1013,7 +1012,8 @@
         self,
     ) -> tuple[tuple[frames.Crash, ...], tuple[frames.Departure, ...]]:
         """Return the crashes and departures that have not been sent, as sent."""
-        crashes, self.unsent_crashes = tuple(self.unsent_crashes), []
+        crashes = tuple(self.unsent_crashes.values())
+        self.unsent_crashes = {}
         departures, self.unsent_departures = tuple(self.unsent_departures), []
         return crashes, departures
 
@@ -1072,10 +1072,43 @@
         wait = selection.estimate_wait(estimate, target.slots)
         return datetime.timedelta(seconds=wait)
 
-    def record_crash(self, fingerprint: bytes) -> None:
-        """Count a target crash for a request that was in progress there."""
-        self.crashes[fingerprint] = self.crashes.get(fingerprint, 0) + 1
-        self.unsent_crashes.append(frames.Crash(fingerprint, 1))
+    def record_crash(self, fingerprint: bytes, target: str, life: int) -> None:
+        """Record the loss of a target while a request was in progress there."""
+        self._count_crash(frames.Crash(fingerprint, 1, target, life))
+
+    def record_completion(self, fingerprint: bytes) -> None:
+        """Clear a request that a target has completed of all suspicions."""
+        if self.crash_counts.clear(fingerprint):
+            events.info("crash_cleared", fingerprint=fingerprint.hex())
+            self._add_unsent_crash(frames.Crash(fingerprint, 0))
+
+    def _count_crash(self, crash: frames.Crash) -> None:
+        """Count a crash that this instance or a member has observed."""
+        if not crash.count:
+            self.record_completion(crash.fingerprint)
+            return
+        now = self.clock.monotonic()
+        counted = self.crash_counts.add(
+            crash.fingerprint, crash.target, crash.life, now
+        )
+        count = self.crash_counts.get(crash.fingerprint)
+        if counted:
+            events.info(
+                "crash_counted",
+                fingerprint=crash.fingerprint.hex(),
+                target=crash.target,
+                life=crash.life,
+                count=count,
+            )
+        if not self.coordinating:
+            self._add_unsent_crash(crash)
+        elif counted:
+            self._add_unsent_crash(frames.Crash(crash.fingerprint, count))
+
+    def _add_unsent_crash(self, crash: frames.Crash) -> None:
+        """Send a crash with the next heartbeat or report."""
+        row = crash.fingerprint, crash.target, crash.life
+        self.unsent_crashes[row] = crash
 
     def record_departure(self, target: str, life: int) -> None:
         """Record that a target is leaving, and tell the other instances."""
@@ -1115,11 +1148,7 @@
         self.demands.add_report(frame.keys, frame.loads)
         self.limits.apply_observations(frame.limits, first_hand=True)
         for crash in frame.crashes:
-            known = self.crashes.get(crash.fingerprint, 0)
-            self.crashes[crash.fingerprint] = known + crash.count
-            self.unsent_crashes.append(
-                frames.Crash(crash.fingerprint, known + crash.count)
-            )
+            self._count_crash(crash)
         for departure in frame.departures:
             self.record_departure(*departure)
 
@@ -1276,8 +1305,7 @@
         self.loads.apply_totals(frame.totals, now.total_seconds())
         self.limits.apply_observations(frame.limits, first_hand=False)
         for crash in frame.crashes:
-            known = self.crashes.get(crash.fingerprint, 0)
-            self.crashes[crash.fingerprint] = max(known, crash.count)
+            self.crash_counts.apply(crash.fingerprint, crash.count, now)
         for departure in frame.departures:
             self.directory.record_departure(*departure)
         link.send(self.build_report())
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -13,6 +13,7 @@
 from dewstep_fleet import (
     builders,
     coordination,
+    crash_counts,
     directories,
     event_capture,
     feeds,
@@ -849,7 +850,7 @@
         totals=(frames.Total(frames.hash_target_name("t"), 1, 2.25),),
         moving=(frames.Span("s", 1, 2),),
         keys=(frames.KeyCount("s", 1, 2),),
-        crashes=(frames.Crash(b"\x00\xff", 2),),
+        crashes=(frames.Crash(b"\x00\xff", 2), frames.Crash(b"f", 1, "t", 2**40)),
         versions=((2**63, 2**40),),
         holds_ms=3,
         holds_known=True,
@@ -858,6 +859,33 @@
     assert frames.decode(frames.encode(frame)) == frame
 
 
+# Guards against DENIED: one loss counted as many crashes as instances reported it.
+@testing.run_in_event_loop
+async def test_loss_that_several_instances_report_counts_once():
+    async with run_fleet("n1", "n2", "n3", "n4") as harness:
+        await wait_coordinator(harness)
+        running = [item.participant for item in harness.running.values()]
+        for participant in running:
+            participant.record_crash(b"f", "a", 1)
+        await asyncio.sleep(0.5)
+        assert [item.crash_counts.get(b"f") for item in running] == [1] * 4
+        running[0].record_completion(b"f")
+        await wait_until(lambda: not any(x.crash_counts.get(b"f") for x in running))
+
+
+@testing.run_in_event_loop
+async def test_separate_losses_quarantine_a_request_at_all_instances():
+    # Guards against a request that crashes a target through another instance each time.
+    async with run_fleet("n1", "n2", "n3", "n4") as harness:
+        await wait_coordinator(harness)
+        running = [item.participant for item in harness.running.values()]
+        for life, participant in enumerate(running[:3]):
+            participant.record_crash(b"f", "a", life)
+            await asyncio.sleep(crash_counts.MIN_SEPARATION.total_seconds() + 0.3)
+        now = running[0].clock.monotonic()
+        assert all(item.crash_counts.is_quarantined(b"f", now) for item in running)
+
+
 def test_key_counts_are_bounded_and_keep_their_total():
     # Guards against reports whose size grows with the load.
     counter = keys.KeyCounter(random.Random(1))
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -72,8 +72,6 @@
 """Reason with which a target refuses a request for a key that it does not own."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses from which callers conclude that a request has not run."""
-QUARANTINE_CRASHES = 3
-"""Number of target crashes after which a request is refused."""
 CRASH_CONFIRMATION_PERIOD = datetime.timedelta(seconds=6)
 """Time within which the registration of a crashed target expires: three of its
 heartbeats, doubled for a slow store."""
@@ -306,9 +304,7 @@
             self.retry_budgets.get(name).add_request()
         else:
             max_attempts = min(max_attempts, request.relayed_attempts)
-        fingerprint = compute_fingerprint(
-            request.method, request.path, request.body.start
-        )
+        fingerprint = compute_fingerprint(request, host)
         return result.Success(
             PlannedRequest(
                 request,
@@ -467,7 +463,9 @@
         self, plan: PlannedRequest, tried: frozenset[str], sends: int
     ) -> Outcome:
         """Return the outcome of one attempt, or the reason why there was none."""
-        if self.participant.crashes.get(plan.fingerprint, 0) >= QUARANTINE_CRASHES:
+        if self.participant.crash_counts.is_quarantined(
+            plan.fingerprint, self.clock.monotonic()
+        ):
             return Outcome(None, errors.Quarantined(plan.fingerprint.hex()), "")
         found = await self.find_target(plan, tried)
         if isinstance(found, result.Failure):
@@ -744,6 +742,8 @@
             if answer.status < 500 and answer.status not in NOT_RUN_STATUSES:
                 if self.answer_rules.limit not in dict(answer.headers):
                     self.participant.limits.record_unnamed(target, sent_at)
+                if answer.body.rest is None:
+                    self.participant.record_completion(plan.fingerprint)
                 events.info(
                     "answered",
                     request_id=plan.request.request_id,
@@ -957,13 +957,12 @@
             }
             registered = self.directory.targets.get(name)
             ended = {
-                item.fingerprint
+                (item.fingerprint, item.incarnation)
                 for item in recent
                 if registered is None or registered.life != item.incarnation
             }
-            for fingerprint in ended:
-                events.info("crash_counted", fingerprint=fingerprint.hex(), target=name)
-                self.participant.record_crash(fingerprint)
+            for fingerprint, life in ended:
+                self.participant.record_crash(fingerprint, name, life)
             if ended or not recent:
                 del self.suspicions[name]
             else:
@@ -1067,11 +1066,15 @@
     return min(base * (1 + jitter / 2), max(time_left / 3, datetime.timedelta()))
 
 
-def compute_fingerprint(method: str, path: str, body: bytes) -> bytes:
-    """Return a hash that is equal for equal requests of any caller."""
+def compute_fingerprint(request: model.IncomingRequest, host: str) -> bytes:
+    """Return a hash that is equal for equal requests of any caller.
+
+    The part of a large body that has not been read is represented by the body's length.
+    """
     digest = hashlib.blake2b(digest_size=16)
-    digest.update(f"{method}\n{path}\n".encode("latin-1"))
-    digest.update(body)
+    head = f"{request.method}\n{host}\n{request.path}\n{request.body_length}\n"
+    digest.update(head.encode("latin-1"))
+    digest.update(request.body.start)
     return digest.digest()
 
 
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -12,6 +12,7 @@
 from dewstep_fleet import (
     budgets,
     builders,
+    crash_counts,
     dispatch,
     frames,
     load_counts,
@@ -30,7 +31,8 @@
 
     def __init__(self, clock):
         self.live_instances = 2
-        self.crashes = {}
+        self.crash_counts = crash_counts.CrashCounts()
+        self.clock = clock
         self.limits = request_limits.RequestLimits(
             clock, random.Random(1), self.answer_question, lambda: 2
         )
@@ -49,8 +51,11 @@
             issued.append(frames.Permits(item.target, count, wait_ms))
         self.limits.apply_answer(question.asked_ms, issued)
 
-    def record_crash(self, fingerprint):
-        self.crashes[fingerprint] = self.crashes.get(fingerprint, 0) + 1
+    def record_crash(self, fingerprint, target, life):
+        self.crash_counts.add(fingerprint, target, life, self.clock.monotonic())
+
+    def record_completion(self, fingerprint):
+        self.crash_counts.clear(fingerprint)
 
     def record_departure(self, target, life):
         self.directory.record_departure(target, life)
@@ -126,8 +131,12 @@
 
     def send(self, path="/a/x", headers=(), body=b"", rest=None, method="GET"):
         """Send a request and return the answer."""
+        request = self.build_request(path, headers, body, rest, method)
+        return asyncio.run(self.dispatcher.handle(request)).unwrap()
+
+    def build_request(self, path="/a/x", headers=(), body=b"", rest=None, method="GET"):
         given = ((b"host", b"h.example"), (b"x-id", b"id-1"), *headers)
-        request = model.IncomingRequest(
+        return model.IncomingRequest(
             "id-1",
             method,
             path,
@@ -136,7 +145,6 @@
             data.Body(body, rest),
             self.clock.monotonic(),
         )
-        return asyncio.run(self.dispatcher.handle(request)).unwrap()
 
 
 def lost(target):
@@ -317,13 +325,39 @@
     # Guards against a request that crashes every target that runs it.
     harness = Harness(lost, 200, targets="a")
     harness.send()
-    fingerprint = dispatch.compute_fingerprint("GET", "/a/x", b"")
-    harness.participant.crashes[fingerprint] = dispatch.QUARANTINE_CRASHES
+    fingerprint = dispatch.compute_fingerprint(harness.build_request(), "h.example")
+    for life in range(crash_counts.MAX_LOSSES_BEFORE_QUARANTINE):
+        harness.participant.record_crash(fingerprint, "a", life)
+        harness.clock.advance(crash_counts.MIN_SEPARATION)
     before = len(harness.sent)
     assert harness.send().status == 422
     assert len(harness.sent) == before
 
 
+# Guards against DENIED: requests that a target completes were refused for ever.
+def test_completed_request_is_not_suspected():
+    harness = Harness(200, targets="a")
+    fingerprint = dispatch.compute_fingerprint(harness.build_request(), "h.example")
+    harness.participant.record_crash(fingerprint, "a", 1)
+    harness.send()
+    assert not harness.participant.crash_counts.get(fingerprint)
+
+
+# Guards against DENIED: all large uploads to one path counted as one request, since a
+# fingerprint contained only the part of the body that had been read.
+def test_fingerprints_of_other_requests_differ():
+    harness = Harness()
+    request = harness.build_request(method="POST")
+    others = [
+        (request._replace(body_length=70_000), "h.example"),
+        (request._replace(body_length=70_001), "h.example"),
+        (request._replace(path="/a/y"), "h.example"),
+        (request, "other.example"),
+        (request, "h.example"),
+    ]
+    assert len({dispatch.compute_fingerprint(*other) for other in others}) == 5
+
+
 def test_deadline_of_the_target_is_the_remaining_time():
     harness = Harness(200, timeout=5 * builders.SECOND)
     harness.send(headers=((b"x-deadline", b"700"),))
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -55,6 +55,8 @@
 struct Crash {
   fingerprint @0 :Data;
   count @1 :UInt32;
+  target @2 :Text;         # "report": the lost target; empty from earlier versions
+  life @3 :UInt64;         # its incarnation
 }
 
 struct Departure {
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -58,10 +58,16 @@
 
 
 class Crash(NamedTuple):
-    """How many targets crashed while a request was in progress there."""
+    """How many targets were lost while a request was in progress there."""
 
     fingerprint: bytes
     count: int
+    """In a "beat": number of separate losses. In a "report": 1 for the loss of
+    `target`. 0 in both if a target has completed the request since."""
+    target: str = ""
+    """The lost target; "" in reports of earlier versions of this package."""
+    life: int = 0
+    """Incarnation of the target."""
 
 
 class Departure(NamedTuple):
@@ -311,7 +317,10 @@
         ),
         tuple(Span(item.service, item.first, item.last) for item in message.moving),
         tuple(KeyCount(item.service, item.key, item.count) for item in message.keys),
-        tuple(Crash(bytes(item.fingerprint), item.count) for item in message.crashes),
+        tuple(
+            Crash(bytes(item.fingerprint), item.count, item.target, item.life)
+            for item in message.crashes
+        ),
         message.stopping,
         message.deputy,
         tuple(zip(message.versions.rows, message.versions.versions, strict=True)),
--- a/packages/fleet/dewstep_fleet/telemetry.py
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from dewstep_core import clocks, data, events
-from dewstep_fleet import dispatch, model
+from dewstep_fleet import crash_counts, dispatch, model
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0)
@@ -98,6 +98,10 @@
         "requests_passed_on": sum(process.dispatcher.relay.in_progress.values()),
         "requests_of_others": process.relay_receiver.in_progress,
         "targets_with_limit": len(participant.limits.list_rates()),
+        "suspected_requests": participant.crash_counts.count_suspects(1),
+        "quarantined_requests": participant.crash_counts.count_suspects(
+            crash_counts.MAX_LOSSES_BEFORE_QUARANTINE
+        ),
         "permits_used": participant.limits.counts["permits_used"],
         "permits_refused": participant.limits.counts["permits_refused"],
     }
