Confirm the configuration before refusing a request for good

Callers saw: 404 for a route that had been added and acknowledged, which they do not repeat, from instances that news reach late (DENIED, CONFIG). Cause: an instance took the configuration that it had for the newest one. It cannot tell that its news are late. Change: 404, and 400 for a missing key, need a configuration that was the newest within three quarters of the apply time. The coordinator and the deputies know it from watches of 1 s; others ask the coordinator when such a request arrives, at most each 100 ms, and get what is newer with the answer. Without an answer within 300 ms the request gets 503 with Retry-After. Refusals before the route is known have a Retry-After as well.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -20,6 +20,7 @@
 
 from dewstep_core import clocks, errors, events, tasks
 from dewstep_fleet import (
+    configuration_checks,
     crash_counts,
     demands,
     directories,
@@ -185,6 +186,12 @@
             self.schedule_news,
             self.can_connect_without_store,
         )
+        self.configuration_checks = configuration_checks.ConfigurationChecks(
+            clock,
+            directory,
+            lambda: store_feeds.complete_at.get(model.TABLES.configuration),
+            self._ask_for_confirmation,
+        )
         self.crash_counts = crash_counts.CrashCounts()
         self.unsent_crashes: dict[tuple, frames.Crash] = {}
         """Crashes for the next heartbeat or report, by request and target."""
@@ -1188,6 +1195,14 @@
         elif frame.kind == "permits":
             if link is self.coordinator_link and self._is_current(link, frame):
                 self.limits.apply_answer(frame.asked_ms, frame.permits)
+        elif frame.kind == "confirm":
+            self._answer_confirmation(link, frame)
+        elif frame.kind == "confirmed":
+            self._apply_relayed_rows(frame.rows)
+            self.configuration_checks.apply_answer(
+                datetime.timedelta(milliseconds=frame.asked_ms),
+                datetime.timedelta(milliseconds=frame.age_ms),
+            )
         elif frame.kind == "ask":
             leading = not self.stopping and self.coordinating
             if self.coordinating:
@@ -1367,6 +1382,39 @@
             return 1.0
         return len(self.list_followers()) / len(self.list_members())
 
+    # Confirmation of the configuration.
+
+    def _ask_for_confirmation(self) -> None:
+        """Ask the coordinator whether the known configuration is the newest."""
+        if self.coordinating or self.coordinator_link is None:
+            return
+        versions = tuple(
+            (frames.hash_row_key(row), row.version)
+            for row in self.directory.list_table(model.TABLES.configuration)
+        )
+        now = self.clock.monotonic()
+        self.coordinator_link.send(
+            self.build_frame(
+                "confirm", versions=versions, asked_ms=to_milliseconds(now)
+            )
+        )
+
+    def _answer_confirmation(self, link: links.Link, frame: frames.Frame) -> None:
+        """Answer with newer rows, unless it is not known what the newest are."""
+        age = self.configuration_checks.get_age()
+        if age is None:
+            return
+        rows = tuple(
+            row
+            for row in self.directory.list_newer(frame.versions)
+            if row.table == model.TABLES.configuration
+        )
+        link.send(
+            self.build_frame(
+                "confirmed", rows=rows, asked_ms=frame.asked_ms, age_ms=round_up(age)
+            )
+        )
+
     # Registration.
 
     def keep_registered(self) -> None:
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -886,6 +886,33 @@
         assert all(item.crash_counts.is_quarantined(b"f", now) for item in running)
 
 
+@testing.run_in_event_loop
+async def test_coordinator_confirms_the_configuration_of_a_member():
+    # Guards against DENIED: a member cannot tell whether its configuration is current.
+    async with run_fleet("n1", "n2", "n3", "n4", "n5") as harness:
+        leader = await wait_coordinator(harness)
+        member = next(
+            item
+            for node, item in harness.running.items()
+            if node != leader and not item.participant.deputy
+        )
+        participant = member.participant
+        checks = participant.configuration_checks
+        # News do not arrive, but answers do.
+        participant._apply_news = lambda link, frame: None
+        version = member.directory.rows[model.TABLES.configuration, "config"].version
+        harness.store.put(model.TABLES.configuration, "config", b"x")
+        now = participant.clock.monotonic()
+
+        async def wait_confirmation():
+            while not checks.is_confirmed(now):
+                await checks.wait(SECOND)
+
+        await asyncio.wait_for(wait_confirmation(), TIMEOUT_S)
+        row = member.directory.rows[model.TABLES.configuration, "config"]
+        assert row.version > version
+
+
 def test_key_counts_are_bounded_and_keep_their_total():
     # Guards against reports whose size grows with the load.
     counter = keys.KeyCounter(random.Random(1))
--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -482,6 +482,10 @@
 
     # Queries.
 
+    def list_table(self, table: str) -> list[model.StoredRow]:
+        """Return the known rows of a table."""
+        return [row for (name, _), row in self.rows.items() if name == table]
+
     def list_versions(self) -> tuple[tuple[int, int], ...]:
         """Return the key hash and the version of each known row."""
         rows = self.rows.values()
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -44,7 +44,10 @@
 """Maximum wait for a key in a planned move. The owner first finishes its queued and
 running requests, which takes about two service times."""
 MAX_START_WAIT = datetime.timedelta(milliseconds=300)
-"""Maximum wait for the first configuration."""
+"""Maximum wait for the first or the newest configuration."""
+MAX_CONFIGURATION_AGE = 0.75
+"""Part of the time within which a configuration must be in force, for which a refusal
+may rest on one that was the newest. The rest is for the caller's way to us."""
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=250)
 """A connection takes 1 ms at the target and 2 ms of network time; a lost packet is
 retransmitted after 200 ms."""
@@ -264,14 +267,38 @@
     async def plan_request(
         self, request: model.IncomingRequest
     ) -> result.Result[PlannedRequest, Any]:
-        """Find the route, service, key and time limits of a request."""
+        """Find the route, service, key and time limits of a request.
+
+        A configuration that may have been replaced does not justify a refusal that
+        callers do not repeat, so the newest one is awaited before such a refusal.
+        """
         end = request.arrived_at + MAX_START_WAIT
-        while self.directory.routes is None:
-            time_left = (end - self.clock.monotonic()).total_seconds()
-            if time_left <= 0:
-                return result.Failure(errors.NotReady("configuration"))
-            await self.directory.wait_change(self.directory.change_count, time_left)
+        max_age = self.retry_budgets.timing.apply_time * MAX_CONFIGURATION_AGE
+        checks = self.participant.configuration_checks
+        while True:
+            located = self.locate_request(request)
+            if isinstance(located, result.Success):
+                return result.Success(self.build_plan(request, *located.unwrap()))
+            missing = "configuration"
+            if self.directory.routes is not None:
+                rule = failures.find_rule(located.failure())
+                if rule.outcome != errors.BAD_REQUEST:
+                    return located
+                if checks.is_confirmed(request.arrived_at - max_age):
+                    return located
+                missing = "newest configuration"
+            time_left = end - self.clock.monotonic()
+            if time_left <= datetime.timedelta():
+                return result.Failure(errors.NotReady(missing))
+            await checks.wait(time_left)
+
+    def locate_request(
+        self, request: model.IncomingRequest
+    ) -> result.Result[tuple[model.Route, model.Service, int | None], Any]:
+        """Return the route, service and key of a request by the known configuration."""
         table = self.directory.routes
+        if table is None:
+            return result.Failure(errors.NotReady("configuration"))
         if table.version != self.route_index.version:
             self.route_index = routes.build_index(table)
             self.lowest_priorities = routes.find_lowest_priorities(table)
@@ -285,14 +312,26 @@
         service = table.services.get(name)
         if service is None:
             return result.Failure(errors.NotReady(name))
-        key = None
-        if service.keyed:
-            key = read_key(headers.get(self.header_names.key))
-            if key is None:
-                part = self.header_names.key.decode()
-                return result.Failure(errors.KeyMissing(name, part))
-            if request.relayed_attempts is None:
-                self.count_key(name, key)
+        if not service.keyed:
+            return result.Success((route, service, None))
+        key = read_key(headers.get(self.header_names.key))
+        if key is None:
+            part = self.header_names.key.decode()
+            return result.Failure(errors.KeyMissing(name, part))
+        return result.Success((route, service, key))
+
+    def build_plan(
+        self,
+        request: model.IncomingRequest,
+        route: model.Route,
+        service: model.Service,
+        key: int | None,
+    ) -> PlannedRequest:
+        """Return a request with its time limits, and count it."""
+        headers = dict(request.headers)
+        host = headers.get(b"host", b"").decode("latin-1")
+        if key is not None and request.relayed_attempts is None:
+            self.count_key(service.name, key)
         now = request.arrived_at
         given = read_milliseconds(headers.get(self.header_names.deadline))
         timeout = route.timeout
@@ -301,22 +340,20 @@
         due_at = now + timeout if due_by_timeout else deadline
         max_attempts = route.max_attempts
         if request.relayed_attempts is None:
-            self.retry_budgets.get(name).add_request()
+            self.retry_budgets.get(service.name).add_request()
         else:
             max_attempts = min(max_attempts, request.relayed_attempts)
         fingerprint = compute_fingerprint(request, host)
-        return result.Success(
-            PlannedRequest(
-                request,
-                route,
-                service,
-                key,
-                deadline,
-                due_at,
-                due_by_timeout,
-                fingerprint,
-                max_attempts,
-            )
+        return PlannedRequest(
+            request,
+            route,
+            service,
+            key,
+            deadline,
+            due_at,
+            due_by_timeout,
+            fingerprint,
+            max_attempts,
         )
 
     # Serving.
@@ -984,7 +1021,7 @@
         self, request: model.IncomingRequest, failure: Any, plan: PlannedRequest | None
     ) -> data.Answer:
         """Return the answer for a request that failed, and log the reason."""
-        retry_after = None
+        retry_after = BASE_RETRY_AFTER * (1 + self.random.random() / 2)
         if plan is not None:
             time_left = plan.due_at - self.clock.monotonic()
             failure = self.find_pause_failure(plan, failure)
@@ -1008,6 +1045,7 @@
             if retry_after
             else None,
             configuration=table.version if table is not None else None,
+            configuration_age=self.participant.configuration_checks.get_age(),
         )
         return answer
 
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -12,6 +12,7 @@
 from dewstep_fleet import (
     budgets,
     builders,
+    configuration_checks,
     crash_counts,
     dispatch,
     frames,
@@ -38,6 +39,8 @@
         )
         self.permits = 0
         """Number of permits that the coordinator still issues."""
+        self.configuration_checks = None
+        """Set with the directory."""
 
     def answer_question(self):
         question = self.limits.build_question()
@@ -110,10 +113,22 @@
         self.counts = load_counts.Loads()
         self.participant = FakeParticipant(self.clock)
         self.participant.directory = self.directory
+        self.questions = 0
+        """Number of questions to the coordinator."""
+        self.participant.configuration_checks = (
+            configuration_checks.ConfigurationChecks(
+                self.clock, self.directory, lambda: self.read_at, self.ask
+            )
+        )
+        self.newer_table = None
+        """Route table in the coordinator's answers, if newer."""
+        self.answers = True
+        """Whether the coordinator answers."""
         timing = builders.build_timing()
         retry_budgets = budgets.Budgets(self.clock, timing)
         # An instance that has just started resends little.
         self.clock.advance(timing.retry_window)
+        self.read_at = self.clock.monotonic()
         self.dispatcher = dispatch.Dispatcher(
             "n1",
             "dc-1",
@@ -129,6 +144,21 @@
         )
         self.dispatcher.get_pool = lambda service, target: FakePool(self, target.name)
 
+    def ask(self):
+        """Answer a question to the coordinator after a while."""
+        self.questions += 1
+        asked_at = self.clock.monotonic()
+        self.clock.advance(configuration_checks.QUESTION_INTERVAL)
+        if self.newer_table is not None:
+            self.directory.decode_routes = lambda value: result.Success(
+                self.newer_table
+            )
+            row = builders.build_row(model.TABLES.configuration, "c", 9, b"")
+            self.directory.apply_rows([row])
+        if self.answers:
+            checks = self.participant.configuration_checks
+            checks.apply_answer(asked_at, datetime.timedelta())
+
     def send(self, path="/a/x", headers=(), body=b"", rest=None, method="GET"):
         """Send a request and return the answer."""
         request = self.build_request(path, headers, body, rest, method)
@@ -187,6 +217,54 @@
     harness = Harness()
     assert harness.send("/other").status == 404
     assert harness.send("/a").status == 404
+    assert not harness.questions
+
+
+# Guards against DENIED: an instance that news reach late answered 404 for a route that
+# has been added, which callers do not repeat.
+def test_unknown_path_is_looked_up_in_the_newest_configuration():
+    harness = Harness(200)
+    harness.read_at = None
+    route = builders.build_route(prefix="/new/")
+    harness.newer_table = builders.build_table(route, version=2, keyed=False)
+    assert harness.send("/new/x").status == 200
+    assert harness.send("/other").status == 404
+    assert harness.questions == 1
+
+
+# Guards against DENIED: a key that is missing by an earlier configuration only.
+def test_missing_key_is_judged_by_the_newest_configuration():
+    harness = Harness(200, keyed=True)
+    harness.read_at = None
+    route = builders.build_route()
+    harness.newer_table = builders.build_table(route, version=2, keyed=False)
+    assert harness.send().status == 200
+    assert harness.questions == 1
+
+
+# Guards against DENIED: 404 of an instance that cannot know the newest configuration.
+def test_unknown_path_is_not_refused_for_good_without_the_newest_configuration():
+    harness = Harness()
+    harness.read_at = None
+    harness.answers = False
+    answer = harness.send("/other")
+    assert answer.status == 503 and get_outcome(answer) == b"not-run"
+    assert dict(answer.headers)[b"retry-after"]
+    assert harness.questions <= 4
+
+
+def test_confirmation_of_the_configuration_lasts_for_a_part_of_the_apply_time():
+    # Guards against a question for each request to an unknown path.
+    harness = Harness()
+    harness.read_at = None
+    apply_time = builders.build_timing().apply_time
+    assert harness.send("/other").status == 404
+    harness.clock.advance(apply_time * 0.6)
+    assert harness.send("/other").status == 404
+    assert harness.questions == 1
+    harness.clock.advance(apply_time * 0.4)
+    assert harness.send("/other").status == 404
+    assert harness.questions == 2
 
 
 def test_at_most_once_request_is_not_sent_again_after_it_may_have_run():
--- a/packages/fleet/dewstep_fleet/feeds.py
+++ b/packages/fleet/dewstep_fleet/feeds.py
@@ -15,8 +15,11 @@
 
 WATCH_TIMEOUT = datetime.timedelta(seconds=5)
 """Maximum duration of a watch; a broken connection is noticed after this."""
-FLEET_WATCH_TIMEOUT = datetime.timedelta(seconds=1)
-"""Shorter, because watches of the fleet's table confirm the coordinator's term."""
+SHORT_WATCH_TIMEOUT = datetime.timedelta(seconds=1)
+"""Maximum duration of watches that also show that what is known is the newest: the
+fleet's table confirms the coordinator's term, and the configuration justifies refusals
+that callers do not repeat."""
+SHORT_WATCHES = frozenset({model.TABLES.fleet, model.TABLES.configuration})
 RELAY_WATCH_INTERVAL = datetime.timedelta(milliseconds=100)
 """Minimum interval between watches of a table by an instance that relays changes, so
 that one answer contains all targets that register together. A leaving target must get
@@ -26,6 +29,7 @@
 while a fleet starts, which multiplies the calls."""
 INITIAL_RETRY_PAUSE = datetime.timedelta(milliseconds=250)
 MAX_RETRY_PAUSE = datetime.timedelta(milliseconds=1000)
+NO_TIME = datetime.timedelta()
 
 
 async def read_fleet_table(
@@ -73,6 +77,8 @@
         self.failing_since: datetime.timedelta | None = None
         self.current_tables: set[str] = set()
         """Followed tables that have been read at least once."""
+        self.complete_at: dict[str, datetime.timedelta] = {}
+        """Time up to which all changes of a table are known."""
 
     def is_current(self) -> bool:
         """Whether all tables are followed and have been read."""
@@ -137,11 +143,7 @@
             if version is None:
                 outcome = await self.store.read_table(table)
             else:
-                wait = (
-                    FLEET_WATCH_TIMEOUT
-                    if table == model.TABLES.fleet
-                    else WATCH_TIMEOUT
-                )
+                wait = SHORT_WATCH_TIMEOUT if table in SHORT_WATCHES else WATCH_TIMEOUT
                 outcome = await self.store.watch(table, version, wait)
             if isinstance(outcome, result.Success):
                 state = outcome.unwrap()
@@ -151,6 +153,12 @@
                 else:
                     self.directory.apply_rows(state.rows)
                 self.current_tables.add(table)
+                complete_at = sent
+                if version is not None and not state.rows:
+                    # The store has answered at the end of the wait.
+                    lasted = self.clock.monotonic() - sent
+                    complete_at = sent + (wait if lasted >= wait else NO_TIME)
+                self.complete_at[table] = complete_at
                 version = state.version
                 failures = 0
                 pause = sent + self.watch_interval - self.clock.monotonic()
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -111,4 +111,5 @@
   reachesTargets @24 :Bool; # "report": a target has just answered the sender
   changes @25 :List(RowChange);
   acceptsChanges @26 :Bool; # "versions": the sender can apply changes of rows
+  ageMs @27 :UInt32;       # "confirmed": time since the sender's configuration was the newest
 }
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -114,7 +114,9 @@
     it lacks. After that, further "rows" are news of changes, and each heartbeat
     ("beat") of the coordinator is answered by a "report". "ask" requests a vote in an
     election, "tell" answers it. "need" asks the coordinator for permits of requests to
-    targets with a limit, "permits" answers it."""
+    targets with a limit, "permits" answers it. "confirm" asks the coordinator whether
+    the "versions" of the configuration are the newest, "confirmed" answers it, with the
+    newer "rows"."""
     term: int
     node: str
     incarnation: str
@@ -159,13 +161,15 @@
     reaches_targets: bool = False
     """In a "report": whether a target has answered the sender a short time ago."""
     asked_ms: int = 0
-    """In a "need" and its answer: when it was sent, in ms of the asking instance's
-    monotonic clock."""
+    """In a "need" or a "confirm" and its answer: when it was sent, in ms of the asking
+    instance's monotonic clock."""
     changes: tuple[row_changes.RowChange, ...] = ()
     """In "rows": the rows that are sent as differences."""
     accepts_changes: bool = False
     """In "versions": whether the sender can apply differences, which earlier versions
     of this package cannot."""
+    age_ms: int = 0
+    """In a "confirmed": time in ms since the sender's configuration was the newest."""
 
 
 def hash_target_name(target: str) -> int:
@@ -205,6 +209,7 @@
         askedMs=frame.asked_ms,
         reachesTargets=frame.reaches_targets,
         acceptsChanges=frame.accepts_changes,
+        ageMs=min(frame.age_ms, MAX_UINT32),
     )
     if frame.rows:
         message.rows = [
@@ -352,4 +357,5 @@
             for item in message.changes
         ),
         message.acceptsChanges,
+        message.ageMs,
     )
