Split granting.py into the parts of granting

Behaviour is unchanged. The new modules, in the order in which data flows:

- terms: whether this instance is still the coordinator; all its writes of owners check its row here
- ownership_writes: batched transactions that record owners
- grant_durations, renewal, ownership_ends: pure rules over immutable tuples
- held_ranges: what a target may hold, and which ranges are being moved
- grant_states, eligibility: grants of each incarnation; which targets can own keys
- adoption: taking over the ranges of the previous coordinator
- renewal_orders, moves, rebalancing: send renewals, move ranges, start moves
- granting: puts the parts together

The name of a failed task in the event granting_failed has the name of the new class, for example Renewer.renew for Granter.renew.

--- a/packages/emulator/dewstep_emulator/ownership/instances.py
+++ b/packages/emulator/dewstep_emulator/ownership/instances.py
@@ -72,7 +72,7 @@
 
     def reset_repeatably() -> None:
         reset()
-        granter.managed_services = SortedNameSet()
+        granter.adoption.managed_services = SortedNameSet()
 
     granter.reset = reset_repeatably
     granter.reset()
--- a/packages/emulator/dewstep_emulator/ownership/instances_test.py
+++ b/packages/emulator/dewstep_emulator/ownership/instances_test.py
@@ -96,7 +96,7 @@
         (first,) = find_coordinators(fleet)
         granted = []
         incarnation = first.current
-        channel = incarnation.participant.granter.channel
+        channel = incarnation.participant.granter.grant_states.channel
         record_order = channel.record_order
 
         def freeze_after_sending(target, holding):
--- a/packages/emulator/dewstep_emulator/ownership/mutation_list.py
+++ b/packages/emulator/dewstep_emulator/ownership/mutation_list.py
@@ -45,7 +45,7 @@
     "targets-leave-while-orders-are-late",
     "TwoOwners",
     mutation_types.Edit(
-        FLEET + "granting.py",
+        FLEET + "moves.py",
         "fenced = await self.fence(service, owner, holding, orders)",
         "fenced = holding",
     ),
@@ -56,7 +56,7 @@
     "coordinator-killed-with-targets-cut-off-from-others",
     "TwoOwners",
     mutation_types.Edit(
-        FLEET + "granting.py",
+        FLEET + "adoption.py",
         "        if inherited:\n            self.record_inherited_grants(ownership)\n",
         "",
     ),
@@ -67,9 +67,11 @@
     "coordinator-killed-after-an-outage-with-targets-cut-off",
     "TwoOwners",
     mutation_types.Edit(
-        FLEET + "granting.py",
-        "return max(GRANT_DURATION, self.get_inherited_grant_time_left())",
-        "return GRANT_DURATION",
+        FLEET + "adoption.py",
+        "return max("
+        "grant_durations.GRANT_DURATION, self.get_inherited_grant_time_left()"
+        ")",
+        "return grant_durations.GRANT_DURATION",
     ),
     seed=0,
 )
@@ -78,7 +80,7 @@
     "coordinator-and-its-targets-cut-off-from-others",
     "TwoOwners",
     mutation_types.Edit(
-        FLEET + "granting.py",
+        FLEET + "terms.py",
         "return self.is_term_confirmed() or self.can_lead_without_store()",
         "return True",
     ),
@@ -100,12 +102,12 @@
     "targets-leave-while-orders-are-late",
     "TwoOwners",
     mutation_types.Edit(
-        FLEET + "granting.py",
+        FLEET + "moves.py",
         "                if fenced is None:\n",
         "                if False:\n",
     ),
     mutation_types.Edit(
-        FLEET + "granting.py",
+        FLEET + "moves.py",
         "                    holding = fenced\n",
         "                    holding = fenced or holding\n",
     ),
@@ -127,7 +129,7 @@
     "targets-leave-after-a-change-of-the-coordinator",
     "TwoOwners",
     mutation_types.Edit(
-        FLEET + "granting.py",
+        FLEET + "adoption.py",
         "return ranges.renumber(current)",
         "return current",
     ),
@@ -139,7 +141,7 @@
     "targets-exchange-hosts-before-a-restore",
     "TwoOwners",
     mutation_types.Edit(
-        FLEET + "granting.py",
+        FLEET + "renewal.py",
         "if registered.life < newest:",
         "if False:",
     ),
@@ -155,7 +157,7 @@
     "minority-reaches-the-store",
     "TwoOwners",
     mutation_types.Edit(
-        FLEET + "granting.py",
+        FLEET + "adoption.py",
         "self.adopted = self.is_adopted()",
         "self.adopted = True",
     ),
@@ -166,7 +168,7 @@
     "outdated-reads-with-coordinator-cut-off-from-peers",
     "TwoOwners",
     mutation_types.Edit(
-        FLEET + "granting.py",
+        FLEET + "terms.py",
         "        if self.term_confirmed_at is None:\n"
         "            return False\n"
         "        age = self.clock.monotonic() - self.term_confirmed_at\n"
@@ -177,7 +179,7 @@
     ),
     mutation_types.Edit(
         FLEET + "granting.py",
-        "        self.confirm_regularly(now)\n",
+        "        self.term.confirm_regularly(now)\n",
         "",
     ),
     seed=3,
--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -36,6 +36,7 @@
     request_limits,
     row_changes,
     selection,
+    terms,
 )
 
 HEARTBEAT_INTERVAL = datetime.timedelta(milliseconds=100)
@@ -725,7 +726,7 @@
         ):
             return
         self.writing_quorum = True
-        self.next_quorum_write = now + granting.TERM_CONFIRMATION_INTERVAL
+        self.next_quorum_write = now + terms.TERM_CONFIRMATION_INTERVAL
         self.tasks.spawn(self.write_quorum())
 
     async def write_quorum(self) -> None:
@@ -1371,9 +1372,7 @@
                 events.warning("register_failed", failure=outcome.failure())
                 if isinstance(outcome.failure(), errors.Conflict | errors.AnswerLost):
                     await feeds.read_fleet_table(self.store, self.directory)
-                await self.clock.sleep(
-                    granting.RETRY_PAUSE * (1 + self.random.random())
-                )
+                await self.clock.sleep(terms.RETRY_PAUSE * (1 + self.random.random()))
                 continue
             if row is not None and row.value == value:
                 return
--- a/packages/fleet/dewstep_fleet/coordination_quorum_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_quorum_test.py
@@ -21,7 +21,7 @@
     participant.directory.apply_rows([row])
     coordination_test.start_coordinating(election, 2)
     participant.table_feeds.is_current = lambda: True
-    participant.granter.confirm_regularly = lambda now: None
+    participant.granter.term.confirm_regularly = lambda now: None
     return participant
 
 
@@ -73,7 +73,7 @@
     participant.store = store = RecordingStore(result.Success(600))
     await keep_quorum(participant)
     assert store.writes == []
-    participant.granter.adopted = True
+    participant.granter.adoption.adopted = True
     await keep_quorum(participant)
     ((expected, writes),) = store.writes
     assert expected == {directories.QUORUM_KEY: 400, directories.COORDINATOR_KEY: 502}
@@ -86,7 +86,7 @@
     # Guards against two leaders that count different members after a lost answer.
     participant = build_coordinator(["n1", "n2", "n3", "n4"], {"own", "n1", "n2"})
     participant.store = RecordingStore(result.Failure(errors.AnswerLost("cut")))
-    participant.granter.adopted = True
+    participant.granter.adoption.adopted = True
     assert participant.is_majority({"own", "n1"})
     await keep_quorum(participant)
     assert not participant.is_majority({"own", "n1"})
@@ -99,7 +99,7 @@
     # Guards against a third set of members, of which no majority would be needed.
     participant = build_coordinator(["n1"], {"own"})
     participant.store = store = RecordingStore(result.Failure(errors.AnswerLost("cut")))
-    participant.granter.adopted = True
+    participant.granter.adoption.adopted = True
     await keep_quorum(participant)
     member = model.Member("n2", "i", "dc", "h", 1)
     row = builders.build_row(
@@ -126,7 +126,7 @@
     # Guards against followers that are a majority of the few members in an old copy.
     participant = build_coordinator(["n1", "n2"], {"own", "n1", "n2"})
     participant.store = store = RecordingStore(result.Success(2 * ERA))
-    participant.granter.adopted = True
+    participant.granter.adoption.adopted = True
     row = builders.build_row(model.TABLES.fleet, directories.QUORUM_KEY, ERA, None)
     participant.directory.apply_rows([row])
     assert not participant.is_majority({"own"})
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -17,7 +17,8 @@
     event_capture,
     feeds,
     frames,
-    granting,
+    grant_durations,
+    grant_states,
     keys,
     links,
     load_counts,
@@ -405,7 +406,7 @@
         await asyncio.sleep(coordination.REPORT_MAX_AGE.total_seconds())
         assert participant.coordinating
         assert not participant.can_lead_without_store()
-        assert not participant.granter.may_send_orders()
+        assert not participant.granter.term.may_send_orders()
 
 
 @testing.run_in_event_loop
@@ -525,7 +526,7 @@
         send = connection.grant
 
         async def grant(holding, duration, handover):
-            if duration > granting.GRANT_DURATION:
+            if duration > grant_durations.GRANT_DURATION:
                 until = clocks.SystemClock().monotonic() + duration
                 counts.append(
                     sum(
@@ -678,8 +679,8 @@
     participant = election.participant
     start_coordinating(election, 2)
     await asyncio.sleep(0)
-    incarnation = granting.TargetIncarnation("a", 1)
-    orders = participant.granter.get_grant_state(incarnation).orders
+    incarnation = grant_states.TargetIncarnation("a", 1)
+    orders = participant.granter.grant_states.get_grant_state(incarnation).orders
     orders.outstanding = outstanding.record_answer(
         orders.outstanding, participant.clock.monotonic(), MAX_DURATION
     )
--- a/packages/fleet/dewstep_fleet/granting_test.py
+++ b/packages/fleet/dewstep_fleet/granting_test.py
@@ -12,20 +12,25 @@
 
 from dewstep_core import clocks, errors
 from dewstep_fleet import (
+    adoption,
     builders,
     demands,
     directories,
     event_capture,
+    grant_durations,
+    grant_states,
     granting,
     model,
     outstanding,
     ranges,
+    renewal,
+    terms,
 )
 
 STEP = 50 * builders.MILLISECOND
 TARGET_FAULTS = range(8)
 """Events of a random history that `Harness.cause_target_fault` knows."""
-SETTLING_TIME = granting.REGISTRATION_QUIET_PERIOD + 8 * STEP
+SETTLING_TIME = adoption.REGISTRATION_QUIET_PERIOD + 8 * STEP
 
 
 class Harness:
@@ -82,7 +87,7 @@
             lambda: builders.build_timing().max_grant_duration,
             lambda: None,
         )
-        granter.record_confirmation(self.clock.monotonic())
+        granter.term.record_confirmation(self.clock.monotonic())
         self.coordinators.append(granter)
         return granter
 
@@ -127,7 +132,7 @@
         end = self.clock.monotonic() + duration
         while self.clock.monotonic() < end:
             for granter in self.coordinators:
-                if not granter.deposed:
+                if not granter.term.deposed:
                     granter.step()
             for _ in range(12):
                 await asyncio.sleep(0)
@@ -201,7 +206,7 @@
         harness.elect("n1")
         await harness.run(SETTLING_TIME)
         harness.targets.unanswering.add("a")
-        await harness.run(granting.GRANT_DURATION * 2.5)
+        await harness.run(grant_durations.GRANT_DURATION * 2.5)
         assert harness.find_owners() == {"b"}
         assert harness.count_held() == model.KEY_SPACE_SIZE
 
@@ -215,7 +220,7 @@
         await harness.run(SETTLING_TIME)
         harness.targets.down.add("a")
         harness.targets.grants["a"] = []
-        await harness.run(granting.GRANT_DURATION + 10 * STEP)
+        await harness.run(grant_durations.GRANT_DURATION + 10 * STEP)
         assert harness.count_held() == model.KEY_SPACE_SIZE
 
     run_scenario(scenario)
@@ -228,7 +233,7 @@
         harness.elect("n1")
         await harness.run(SETTLING_TIME)
         harness.targets.replace("a", "c")
-        await harness.run(granting.RENEWAL_INTERVAL + 6 * STEP)
+        await harness.run(renewal.RENEWAL_INTERVAL + 6 * STEP)
         assert not harness.targets.list_held("c")
         assert harness.find_owners() == {"b"}
         assert harness.count_held() == model.KEY_SPACE_SIZE
@@ -242,11 +247,11 @@
     async def scenario(harnesses):
         harness = build_harness(harnesses, "a", "b")
         harness.elect("n1")
-        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        await harness.run(SETTLING_TIME + renewal.RENEWAL_INTERVAL)
         harness.targets.restart("a")
-        await harness.run(granting.RENEWAL_INTERVAL + 6 * STEP)
+        await harness.run(renewal.RENEWAL_INTERVAL + 6 * STEP)
         harness.register(builders.build_target("a", life=2))
-        await harness.run(granting.GRANT_DURATION)
+        await harness.run(grant_durations.GRANT_DURATION)
         assert harness.count_held() == model.KEY_SPACE_SIZE
 
     run_scenario(scenario)
@@ -301,7 +306,7 @@
         harness.elect("n1")
         await harness.run(SETTLING_TIME)
         harness.targets.delay_next = 2
-        await harness.run(granting.RENEWAL_INTERVAL)
+        await harness.run(renewal.RENEWAL_INTERVAL)
         harness.register(builders.build_target("a", leaving=True))
         await harness.run(8 * STEP)
         harness.targets.apply_delayed()
@@ -320,7 +325,7 @@
     async def scenario(harnesses):
         harness = build_harness(harnesses, "a", "b")
         harness.elect("n1")
-        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        await harness.run(SETTLING_TIME + renewal.RENEWAL_INTERVAL)
         harness.targets.connection_wait = outstanding.ORDER_TIMEOUT - STEP
         harness.targets.delay_next = 1
         while not harness.targets.delayed:
@@ -346,13 +351,13 @@
     async def scenario(harnesses):
         harness = build_harness(harnesses, "a", "b")
         harness.elect("n1")
-        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        await harness.run(SETTLING_TIME + renewal.RENEWAL_INTERVAL)
         harness.elect("n2")
         harness.targets.delay_next = 1
         while not harness.targets.delayed:
             await harness.run(STEP)
         target = harness.targets.delayed[0][0].target
-        await harness.run(granting.RENEWAL_INTERVAL)
+        await harness.run(renewal.RENEWAL_INTERVAL)
         harness.register(builders.build_target(target, leaving=True))
         await harness.run(8 * STEP)
         harness.targets.apply_delayed()
@@ -367,9 +372,9 @@
     async def scenario(harnesses):
         harness = build_harness(harnesses, "a", "b")
         harness.elect("n1")
-        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        await harness.run(SETTLING_TIME + renewal.RENEWAL_INTERVAL)
         harness.targets.delay_next = 1
-        await harness.run(granting.RENEWAL_INTERVAL)
+        await harness.run(renewal.RENEWAL_INTERVAL)
         assert harness.targets.delayed
         await harness.run(6 * STEP)
         harness.targets.delay_next = 1
@@ -404,7 +409,7 @@
             ]
         )
         await harness.run(3 * builders.SECOND)
-        assert first.deposed
+        assert first.term.deposed
         assert harness.find_owners() == {"b"}
 
     run_scenario(scenario)
@@ -422,9 +427,9 @@
         first.directory.apply_rows(
             [rows[model.TABLES.fleet, directories.COORDINATOR_KEY]]
         )
-        assert not first.may_send_orders()
+        assert not first.term.may_send_orders()
         first.step()
-        assert first.deposed
+        assert first.term.deposed
 
     run_scenario(scenario)
 
@@ -437,14 +442,14 @@
         await harness.run(SETTLING_TIME)
         granter.table_feeds.lost_at = harness.clock.monotonic()
         harness.leads_without_store = True
-        await harness.run(granting.OUTAGE_THRESHOLD + builders.SECOND)
+        await harness.run(grant_durations.OUTAGE_THRESHOLD + builders.SECOND)
         assert (
-            granter.choose_grant_duration()
+            granter.durations.choose_next()
             == builders.build_timing().max_grant_duration
         )
         harness.leads_without_store = False
         await harness.run(builders.SECOND)
-        assert not granter.may_send_orders()
+        assert not granter.term.may_send_orders()
         await harness.run(builders.SECOND * 6)
         assert harness.count_held() == model.KEY_SPACE_SIZE
 
@@ -460,9 +465,9 @@
         await harness.run(SETTLING_TIME)
         first.table_feeds.lost_at = harness.clock.monotonic()
         harness.leads_without_store = True
-        await harness.run(granting.OUTAGE_THRESHOLD + builders.SECOND)
+        await harness.run(grant_durations.OUTAGE_THRESHOLD + builders.SECOND)
         harness.leads_without_store = False
-        first.deposed = True
+        first.term.deposed = True
         harness.elect("n2")
         await harness.run(SETTLING_TIME)
         harness.targets.down.add("a")
@@ -510,7 +515,7 @@
         harness = build_harness(harnesses, "a", "b")
         granter = harness.elect("n1")
         await harness.run(SETTLING_TIME)
-        granter.estimate_queue_wait = lambda target: 0 * STEP
+        granter.mover.estimate_queue_wait = lambda target: 0 * STEP
         commit = harness.store.commit
         refused = []
 
@@ -524,7 +529,7 @@
         else:
             harness.restart(builders.build_target("a", life=2))
         await harness.run(builders.SECOND)
-        assert 1 < len(refused) <= 1 + builders.SECOND / granting.RETRY_PAUSE
+        assert 1 < len(refused) <= 1 + builders.SECOND / terms.RETRY_PAUSE
         assert len(harness.targets.released) <= len(refused)
         harness.store.commit = commit
         await harness.run(builders.SECOND)
@@ -576,7 +581,7 @@
         await harness.run(SETTLING_TIME + 5 * builders.SECOND)
         sent = log.find("grant_sent", term=1, failure=None)
         assert {item["target"] for item in sent} == {"a", "b"} and len(sent) == 2
-        assert all(item["duration"] == granting.GRANT_DURATION for item in sent)
+        assert all(item["duration"] == grant_durations.GRANT_DURATION for item in sent)
         assert all(item["grants_left"] > item["duration"] for item in sent)
 
     run_scenario(scenario)
@@ -590,12 +595,12 @@
         harness.elect("n1")
         await harness.run(SETTLING_TIME)
         harness.targets.down.add("a")
-        await harness.run(granting.RENEWAL_INTERVAL + 6 * STEP)
+        await harness.run(renewal.RENEWAL_INTERVAL + 6 * STEP)
         harness.targets.down.clear()
-        await harness.run(granting.RENEWAL_INTERVAL)
+        await harness.run(renewal.RENEWAL_INTERVAL)
         (fields,) = log.find("target_answers_again", target="a", life=1)
         assert fields["failures"] > 1
-        assert fields["failing_for"] > granting.RETRY_PAUSE
+        assert fields["failing_for"] > terms.RETRY_PAUSE
         assert isinstance(fields["last_failure"], errors.TargetUnavailable)
 
     run_scenario(scenario)
@@ -610,15 +615,17 @@
         granter = harness.elect("n1")
         await harness.run(SETTLING_TIME)
         harness.targets.down.add("a")
-        await harness.run(granting.RENEWAL_INTERVAL + 2 * STEP)
+        await harness.run(renewal.RENEWAL_INTERVAL + 2 * STEP)
         target = harness.coordinators[0].directory.targets["a"]
-        (holding,) = granter.list_owned("history", "a")
-        granter.mark_moving("history", [(holding.first, holding.last)])
-        state = granter.get_grant_state(granting.TargetIncarnation("a", 1))
-        failures = state.failures
+        (holding,) = granter.held.list_owned("history", "a")
+        granter.held.mark_moving("history", [(holding.first, holding.last)])
+        state = granter.grant_states.get_grant_state(
+            grant_states.TargetIncarnation("a", 1)
+        )
+        failures = state.renewal.failures
         assert failures
-        await granter.renew_holding("history", target, holding)
-        assert state.failures == failures
+        await granter.renewer.renew_holding("history", target, holding)
+        assert state.renewal.failures == failures
         assert not log.find("target_answers_again")
 
     run_scenario(scenario)
@@ -630,14 +637,14 @@
     async def scenario(harnesses):
         harness = build_harness(harnesses, "a", "b", "c")
         harness.elect("n1")
-        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        await harness.run(SETTLING_TIME + renewal.RENEWAL_INTERVAL)
         harness.register(builders.build_target("a", leaving=True))
         await harness.run(8 * STEP)
         (released,) = log.find("ownership_ended", target="a", reason="released")
         assert released["handover"] and released["fencing"] == "none"
         assert not released["waited"] and not released["unanswered_left"]
         harness.targets.unanswering.add("b")
-        await harness.run(granting.GRANT_DURATION * 2.5)
+        await harness.run(grant_durations.GRANT_DURATION * 2.5)
         assert log.find("ownership_ended", target="b", reason="expired")
 
     run_scenario(scenario)
@@ -649,9 +656,9 @@
     async def scenario(harnesses):
         harness = build_harness(harnesses, "a", "b")
         harness.elect("n1")
-        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        await harness.run(SETTLING_TIME + renewal.RENEWAL_INTERVAL)
         harness.targets.delay_next = 2
-        await harness.run(granting.RENEWAL_INTERVAL)
+        await harness.run(renewal.RENEWAL_INTERVAL)
         harness.register(builders.build_target("a", leaving=True))
         await harness.run(8 * STEP)
         (fields,) = log.find("ownership_ended", target="a")
@@ -669,7 +676,7 @@
         granter = harness.elect("n1")
         await harness.run(SETTLING_TIME)
         if not state_known:
-            del granter.grant_states[granting.TargetIncarnation("a", 1)]
+            del granter.grant_states.states[grant_states.TargetIncarnation("a", 1)]
         harness.restart(builders.build_target("a", life=2))
         await harness.run(4 * STEP)
         (fields,) = log.find("ownership_ended", target="a", life=1, new_life=2)
@@ -688,9 +695,9 @@
         harness = build_harness(harnesses, "a", "b")
         granter = harness.elect("n1")
         await harness.run(SETTLING_TIME)
-        (held,) = granter.list_owned("history", "a")
+        (held,) = granter.held.list_owned("history", "a")
         part = ranges.Transfer(held.first, held.first + 99, "a", 1)
-        assert await granter.transfer("history", [part])
+        assert await granter.writer.transfer("history", [part])
         harness.restart(builders.build_target("a", life=2))
         await harness.run(4 * STEP)
         ended = log.find("ownership_ended", target="a", life=1, new_life=2)
@@ -710,12 +717,12 @@
         assert not log.find("grants_inherited")
         first.table_feeds.lost_at = harness.clock.monotonic()
         harness.leads_without_store = True
-        await harness.run(granting.OUTAGE_THRESHOLD + builders.SECOND)
+        await harness.run(grant_durations.OUTAGE_THRESHOLD + builders.SECOND)
         long_duration = builders.build_timing().max_grant_duration
         (changed,) = log.find("grant_duration_changed", term=1)
-        assert changed["previous"] == granting.GRANT_DURATION
+        assert changed["previous"] == grant_durations.GRANT_DURATION
         assert changed["duration"] == long_duration
-        first.deposed = True
+        first.term.deposed = True
         harness.elect("n2")
         await harness.run(SETTLING_TIME)
         (inherited,) = log.find("grants_inherited", term=2)
@@ -736,7 +743,7 @@
         assert not log.find("grant_overdue")
         harness.targets.connection_wait = outstanding.ORDER_TIMEOUT * 2
         harness.targets.delay_next = 1
-        await harness.run(granting.RENEWAL_INTERVAL + builders.SECOND)
+        await harness.run(renewal.RENEWAL_INTERVAL + builders.SECOND)
         overdue = log.find("grant_overdue", term=1)
         assert {item["target"] for item in overdue} == {"a", "b"}
         assert all(item["lasted"] >= outstanding.ORDER_TIMEOUT * 2 for item in overdue)
--- a/packages/fleet/dewstep_fleet/ownership_faults_test.py
+++ b/packages/fleet/dewstep_fleet/ownership_faults_test.py
@@ -12,12 +12,14 @@
 from dewstep_fleet import (
     builders,
     coordination,
-    granting,
+    grant_durations,
+    grant_states,
     granting_test,
     model,
     numbering,
     planning,
     ranges,
+    renewal,
     target_orders,
 )
 
@@ -32,11 +34,11 @@
         harness.elect("n1")
         await harness.run(granting_test.SETTLING_TIME)
         harness.targets.restart("a")
-        await harness.run(2 * granting.RENEWAL_INTERVAL)
+        await harness.run(2 * renewal.RENEWAL_INTERVAL)
         assert harness.targets.list_held("a")
         harness.targets.down.add("a")
         harness.register(builders.build_target("a", life=2))
-        await harness.run(2 * granting.GRANT_DURATION)
+        await harness.run(2 * grant_durations.GRANT_DURATION)
 
     granting_test.run_scenario(scenario)
 
@@ -49,7 +51,7 @@
         await harness.run(granting_test.SETTLING_TIME)
         harness.targets.down.add("a")
         harness.register(builders.build_target("a", life=0))
-        await harness.run(2 * granting.GRANT_DURATION)
+        await harness.run(2 * grant_durations.GRANT_DURATION)
 
     granting_test.run_scenario(scenario)
 
@@ -58,10 +60,10 @@
     """Let the store confirm a coordinator's term no more."""
 
     async def refuse():
-        granter.confirmation = None
+        granter.term.confirmation = None
         return False
 
-    granter.check_term = refuse
+    granter.term.check_term = refuse
 
 
 class StaleStore:
@@ -89,9 +91,11 @@
         harness = granting_test.build_harness(harnesses, "a", "b")
         deposed = harness.elect("n1")
         await harness.run(granting_test.SETTLING_TIME)
-        deposed.store = StaleStore(harness.store)
+        deposed.term.store = StaleStore(harness.store)
         # Its next transaction would depose it.
-        deposed.next_confirmation = harness.clock.monotonic() + 60 * builders.SECOND
+        deposed.term.next_confirmation = (
+            harness.clock.monotonic() + 60 * builders.SECOND
+        )
         harness.elect("n2")
         process = harness.targets.get_process("a")
         for _ in range(20):
@@ -104,10 +108,10 @@
             if len(numbers) > 1:
                 break
         assert len(numbers) == 2
-        assert not deposed.deposed
+        assert not deposed.term.deposed
         # The process ends before it rejects an order of the deposed coordinator.
         harness.targets.restart("a")
-        await harness.run(2 * granting.RENEWAL_INTERVAL)
+        await harness.run(2 * renewal.RENEWAL_INTERVAL)
 
     granting_test.run_scenario(scenario)
 
@@ -120,20 +124,20 @@
         first = harness.elect("n1")
         await harness.run(granting_test.SETTLING_TIME)
         # Give "a" a second range with a number of its own.
-        (held,) = first.list_owned("history", "a")
+        (held,) = first.held.list_owned("history", "a")
         middle = (held.first + held.last + 1) // 2
         change = ranges.Transfer(middle, held.last, "a", 1)
-        assert await first.transfer("history", [change])
-        await harness.run(2 * granting.RENEWAL_INTERVAL)
-        (_, moved) = first.list_owned("history", "a")
+        assert await first.writer.transfer("history", [change])
+        await harness.run(2 * renewal.RENEWAL_INTERVAL)
+        (_, moved) = first.held.list_owned("history", "a")
         # The last renewal of the second range is unanswered, and applied late.
         process = harness.targets.get_process("a")
-        end = harness.clock.monotonic() + granting.GRANT_DURATION
+        end = harness.clock.monotonic() + grant_durations.GRANT_DURATION
         harness.targets.delayed = [(process, moved, end)]
-        first.deposed = True
+        first.term.deposed = True
         second = harness.elect("n2")
         for _ in range(50):
-            if "history" in second.managed_services:
+            if "history" in second.adoption.managed_services:
                 break
             second.step()
             await asyncio.sleep(0)
@@ -145,7 +149,7 @@
             if holding.target != "a"
         )
         begun = planning.Move(moved.first, moved.last, "a", target)
-        second.begin_move("history", begun, release=True)
+        second.mover.begin_move("history", begun, release=True)
         for _ in range(20):
             await harness.run(STEP)
             if any(
@@ -171,7 +175,7 @@
         began = harness.clock.monotonic()
         granter.table_feeds.lost_at = began
         await harness.run(2 * STEP)
-        for state in granter.grant_states.values():
+        for state in granter.grant_states.states.values():
             state.orders.connection.closed = True
         unowned = 0
         for _ in range(200):
@@ -193,11 +197,11 @@
         granter = harness.elect("n1")
         await harness.run(granting_test.SETTLING_TIME)
         harness.targets.restart("a")
-        await harness.run(2 * granting.RENEWAL_INTERVAL)
+        await harness.run(2 * renewal.RENEWAL_INTERVAL)
 
         refuse_confirmations(granter)
         harness.register(builders.build_target("a", life=2))
-        await harness.run(2 * granting.GRANT_DURATION)
+        await harness.run(2 * grant_durations.GRANT_DURATION)
 
     granting_test.run_scenario(scenario)
 
@@ -210,10 +214,12 @@
         await harness.run(granting_test.SETTLING_TIME)
 
         refuse_confirmations(granter)
-        for state in granter.grant_states.values():
+        for state in granter.grant_states.states.values():
             state.orders.close()
-        await harness.run(granting.RENEWAL_INTERVAL + 5 * STEP)
-        assert [state.failures for state in granter.grant_states.values()] == [0, 0]
+        await harness.run(renewal.RENEWAL_INTERVAL + 5 * STEP)
+        assert [
+            state.renewal.failures for state in granter.grant_states.states.values()
+        ] == [0, 0]
 
     granting_test.run_scenario(scenario)
 
@@ -277,16 +283,18 @@
         harness = granting_test.build_harness(harnesses, "a", "b")
         granter = harness.elect("n1")
         await harness.run(granting_test.SETTLING_TIME)
-        (held,) = granter.list_owned("history", "a")
-        orders = granter.grant_states[granting.TargetIncarnation("a", 1)].orders
+        (held,) = granter.held.list_owned("history", "a")
+        orders = granter.grant_states.states[
+            grant_states.TargetIncarnation("a", 1)
+        ].orders
         last_number = held.generation + numbering.RESERVED_NUMBERS
         orders.numbering.sent[held.generation] = (
             orders.numbering.connection,
             last_number,
         )
         orders.close()
-        await harness.run(2 * granting.RENEWAL_INTERVAL)
-        (renumbered,) = granter.list_owned("history", "a")
+        await harness.run(2 * renewal.RENEWAL_INTERVAL)
+        (renumbered,) = granter.held.list_owned("history", "a")
         assert renumbered.generation > last_number
         assert renumbered.generation in {
             item.generation for item in harness.targets.list_held("a")
@@ -334,15 +342,15 @@
         for granter in self.harness.coordinators:
             granter.table_feeds.lost_at = self.harness.clock.monotonic()
         granter = self.harness.elect(f"n{len(self.harness.coordinators) + 1}")
-        check_term = granter.check_term
+        check_term = granter.term.check_term
 
         async def check_unless_refused():
             if not self.refusing:
                 return await check_term()
-            granter.confirmation = None
+            granter.term.confirmation = None
             return False
 
-        granter.check_term = check_unless_refused
+        granter.term.check_term = check_unless_refused
 
     def cause_silence(self, place):
         self.harness.targets.unanswering.add(self.names[place])
@@ -400,7 +408,7 @@
 
     def cause_reset(self, place):
         for granter in self.harness.coordinators:
-            for state in granter.grant_states.values():
+            for state in granter.grant_states.states.values():
                 if state.orders.connection is not None:
                     state.orders.connection.closed = True
 
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/rebalancing.py
@@ -0,0 +1,163 @@
+"""Starts the moves that balance the load of targets or empty a target.
+
+`planning` chooses the ranges and their new owners. A move needs the store, so none is
+started during an outage.
+"""
+
+import datetime
+from collections.abc import Callable, Iterable, Mapping
+
+from dewstep_core import clocks
+from dewstep_fleet import (
+    demands,
+    directories,
+    eligibility,
+    feeds,
+    grant_states,
+    held_ranges,
+    model,
+    moves,
+    planning,
+)
+
+MIN_MOVE_LIMIT = 8
+"""Limit of concurrent moves in a small service."""
+MOVE_LIMIT_PER_TARGET = 0.25
+"""Limit of concurrent moves per target in a large service. Keys with a third of the
+service's load can then be spread in one round."""
+HOT_KEY_MOVE_INTERVAL = datetime.timedelta(seconds=5)
+"""Minimum time between two moves of a key that alone saturates its owner. A move leaves
+the key without an owner for up to 0.9 s; a target that is a quarter faster needs about
+4 s to serve as many additional requests as were refused meanwhile."""
+MOVE_ANSWER_MAX_AGE = datetime.timedelta(milliseconds=2200)
+"""Maximum age of the store's last answer for starting a move; a watch lasts 1 s."""
+
+
+def get_move_limit(target_count: int) -> int:
+    """Return the limit of concurrent moves in a service."""
+    return max(MIN_MOVE_LIMIT, int(target_count * MOVE_LIMIT_PER_TARGET))
+
+
+class Rebalancer:
+    """Starts moves.
+
+    Parameters
+    ----------
+    directory : directories.Directory
+    table_feeds : feeds.TableFeeds
+    states : grant_states.GrantStates
+    held : held_ranges.HeldRanges
+    mover : moves.Mover
+    clock : clocks.Clock
+    get_demand : callable
+        Returns the `Demand` of a service.
+    """
+
+    def __init__(
+        self,
+        directory: directories.Directory,
+        table_feeds: feeds.TableFeeds,
+        states: grant_states.GrantStates,
+        held: held_ranges.HeldRanges,
+        mover: moves.Mover,
+        clock: clocks.Clock,
+        get_demand: Callable[[str], demands.Demand],
+    ):
+        self.directory = directory
+        self.table_feeds = table_feeds
+        self.grant_states = states
+        self.held = held
+        self.mover = mover
+        self.clock = clock
+        self.get_demand = get_demand
+        self.reset()
+
+    def reset(self) -> None:
+        """Discard the state of an earlier term."""
+        self.movable_after: dict[tuple[str, int], datetime.timedelta] = {}
+        """When a key that was moved on its own may be moved again."""
+        self.admitted_fractions: dict[str, float] = {}
+        """Fraction of its requests that each overloaded target can serve."""
+
+    def can_move(self) -> bool:
+        """Whether the store answered recently enough to record a move."""
+        return self.table_feeds.has_recent_answer(MOVE_ANSWER_MAX_AGE)
+
+    def get_capacities(
+        self, service: str, demand: demands.Demand
+    ) -> dict[str, planning.Capacity]:
+        """Return the capacity of each available target."""
+        available = eligibility.list_available(
+            self.directory, self.grant_states, service, self.clock.monotonic()
+        )
+        return eligibility.compute_capacities(available, demand)
+
+    def evacuate(
+        self, service: str, holdings: tuple[model.Holding, ...], release: bool
+    ) -> None:
+        """Start to move all ranges of a target that is leaving or lost.
+
+        With `release`, the owner is first asked to release them; without it, its grants
+        must have expired.
+        """
+        remaining = self.held.exclude_moving(service, holdings)
+        if not remaining or not self.can_move():
+            return
+        demand = self.get_demand(service)
+        capacities = self.get_capacities(service, demand)
+        if not capacities:
+            return
+        ownership = self.directory.ownerships[service]
+        totals = planning.sum_rates(ownership.holdings, demand.rates)
+        for move in planning.distribute_ranges(
+            remaining, demand.rates, capacities, totals
+        ):
+            self.mover.begin_move(service, move, release)
+
+    def plan_moves(self, services: Iterable[str]) -> None:
+        """Determine overloaded targets and start moves that balance the load."""
+        now = self.clock.monotonic()
+        self.movable_after = {
+            moved_key: until
+            for moved_key, until in self.movable_after.items()
+            if until > now
+        }
+        self.admitted_fractions = {}
+        for service in services:
+            demand = self.get_demand(service)
+            capacities = self.get_capacities(service, demand)
+            holdings = self.directory.ownerships[service].holdings
+            offered = planning.sum_rates(holdings, demand.rates)
+            self.admitted_fractions |= planning.compute_admitted(offered, capacities)
+            if self.can_move():
+                self.plan_service_moves(service, demand, capacities, now)
+
+    def plan_service_moves(
+        self,
+        service: str,
+        demand: demands.Demand,
+        capacities: Mapping[str, planning.Capacity],
+        now: datetime.timedelta,
+    ) -> None:
+        """Start moves that balance the load of one service."""
+        moving = self.held.moving.get(service, [])
+        max_new_moves = get_move_limit(len(capacities)) - len(moving)
+        if max_new_moves <= 0:
+            return
+        held = self.held.exclude_moving(
+            service, self.directory.ownerships[service].holdings
+        )
+        recently_moved = frozenset(
+            key for name, key in self.movable_after if name == service
+        )
+        for move in planning.plan_moves(
+            held,
+            demand.rates,
+            capacities,
+            max_new_moves,
+            demand.window_s,
+            recently_moved,
+        ):
+            if move.first == move.last:
+                self.movable_after[service, move.first] = now + HOT_KEY_MOVE_INTERVAL
+            self.mover.begin_move(service, move, release=True)
--- a/packages/fleet/dewstep_fleet/store_restore_test.py
+++ b/packages/fleet/dewstep_fleet/store_restore_test.py
@@ -12,10 +12,10 @@
 from dewstep_fleet import (
     builders,
     event_capture,
-    granting,
     granting_test,
     model,
     outstanding,
+    renewal,
 )
 
 STEP = granting_test.STEP
@@ -59,7 +59,7 @@
 
     def elect(self, node):
         granter = super().elect(node)
-        granter.store = ReachableStore(self.store, granter.table_feeds)
+        granter.term.store = ReachableStore(self.store, granter.table_feeds)
         return granter
 
     def register(self, target):
@@ -150,7 +150,7 @@
         harness.register(builders.build_target("c"))
         harness.register(builders.build_target("b", leaving=True))
         await harness.run(builders.SECOND)
-        assert not granter.deposed
+        assert not granter.term.deposed
         assert "b" not in harness.find_owners()
         assert harness.count_held() == model.KEY_SPACE_SIZE
         assert len(log.find("commit_failed")) <= 2
@@ -215,11 +215,11 @@
         harness = build_harness(harnesses, "a", "b")
         harness.store.save_copy()
         first = harness.elect("n1")
-        await harness.run(SETTLING_TIME + 2 * granting.RENEWAL_INTERVAL)
+        await harness.run(SETTLING_TIME + 2 * renewal.RENEWAL_INTERVAL)
         harness.cut()
         await harness.restore()
         first.tasks.cancel()
-        first.deposed = True
+        first.term.deposed = True
         harness.term = 0
         harness.elect("n2")
         harness.register(builders.build_target("c"))
@@ -256,7 +256,7 @@
         await harness.run(builders.SECOND)
         await move_keys(harness, "a")
         await harness.restore()
-        assert not second.may_send_orders()
+        assert not second.term.may_send_orders()
         harness.elect("n3")
         await harness.run(INHERITED_TIME + builders.SECOND)
         assert harness.count_held() == model.KEY_SPACE_SIZE
@@ -279,7 +279,7 @@
         await harness.restore()
         await harness.reconnect()
         await harness.run(builders.SECOND)
-        assert first.deposed
+        assert first.term.deposed
         harness.elect("n3")
         await harness.run(INHERITED_TIME + builders.SECOND)
         assert harness.count_held() == model.KEY_SPACE_SIZE
@@ -297,10 +297,10 @@
         await move_keys(harness, "a")
         await harness.restore()
         harness.write_again()
-        assert not granter.may_send_orders()
+        assert not granter.term.may_send_orders()
         harness.claim(granter, "n1")
         await harness.run(builders.SECOND)
-        assert not granter.deposed
+        assert not granter.term.deposed
         assert harness.count_held() == model.KEY_SPACE_SIZE
 
     granting_test.run_scenario(scenario)
--- a/packages/fleet/dewstep_fleet/suspected_faults_test.py
+++ b/packages/fleet/dewstep_fleet/suspected_faults_test.py
@@ -15,15 +15,18 @@
     directories,
     dispatch_test,
     feeds_test,
-    granting,
+    grant_durations,
+    grant_states,
     granting_test,
     links,
     model,
     outstanding,
     ownership_faults_test,
     ranges,
+    renewal,
     store_restore_test,
     target_orders,
+    terms,
 )
 
 STEP = granting_test.STEP
@@ -79,9 +82,11 @@
     """Fail if two targets hold a key after one of `nodes` was elected."""
     for node in nodes:
         granter = harness.running[node].participant.granter
-        granter.channel = PartialChannel(harness.targets, "a")
+        granter.grant_states.channel = PartialChannel(harness.targets, "a")
     await coordination_test.wait_until(lambda: nodes & set(harness.find_coordinators()))
-    inherited = outstanding.TERM_CONFIRMATION_MAX_AGE + 2 * granting.GRANT_DURATION
+    inherited = (
+        outstanding.TERM_CONFIRMATION_MAX_AGE + 2 * grant_durations.GRANT_DURATION
+    )
     end = time.monotonic() + inherited.total_seconds() + 2.0
     while time.monotonic() < end:
         assert harness.targets.find_conflict() is None
@@ -102,7 +107,7 @@
 @testing.run_in_event_loop
 async def test_minority_takes_no_keys_from_a_followed_coordinator(monkeypatch):
     monkeypatch.setattr(coordination, "MINORITY_ELECTION_TIMEOUT", 2 * builders.SECOND)
-    timing = builders.build_timing(max_grant_duration=granting.GRANT_DURATION)
+    timing = builders.build_timing(max_grant_duration=grant_durations.GRANT_DURATION)
     monkeypatch.setattr(builders, "build_timing", lambda: timing)
     async with coordination_test.run_fleet("n1", "n2", "n3", "n4", "n5") as harness:
         first = await wait_owners(harness)
@@ -115,7 +120,7 @@
 # instances were added, which make its followers a minority.
 @testing.run_in_event_loop
 async def test_added_instances_take_no_keys_from_a_followed_coordinator(monkeypatch):
-    timing = builders.build_timing(max_grant_duration=granting.GRANT_DURATION)
+    timing = builders.build_timing(max_grant_duration=grant_durations.GRANT_DURATION)
     monkeypatch.setattr(builders, "build_timing", lambda: timing)
     async with coordination_test.run_fleet("n1", "n2", "n3") as harness:
         first = await wait_owners(harness)
@@ -144,12 +149,12 @@
     """
     (predecessor,) = harness.coordinators
     successor = harness.elect("n2")
-    successor.channel = PartialChannel(harness.targets, "a")
-    successor.is_adopted = lambda: False
-    successor.get_inherited_grant_time_left = lambda: 0 * builders.SECOND
-    predecessor.can_lead_without_store = lambda: True
-    predecessor.is_followed = lambda: True
-    predecessor.store = LostStore()
+    successor.grant_states.channel = PartialChannel(harness.targets, "a")
+    successor.adoption.is_adopted = lambda: False
+    successor.adoption.get_inherited_grant_time_left = lambda: 0 * builders.SECOND
+    predecessor.term.can_lead_without_store = lambda: True
+    predecessor.term.is_followed = lambda: True
+    predecessor.term.store = LostStore()
     predecessor.table_feeds.lost_at = harness.clock.monotonic()
     return successor
 
@@ -174,8 +179,8 @@
             successor.directory.apply_rows([row])
         await harness.run(20 * builders.SECOND)
         assert harness.find_owners() == {"a", "b"}
-        predecessor.can_lead_without_store = lambda: False
-        successor.is_adopted = lambda: True
+        predecessor.term.can_lead_without_store = lambda: False
+        successor.adoption.is_adopted = lambda: True
         await harness.run(INHERITED_TIME)
         assert harness.find_owners() == {"b"}
         assert harness.count_held() == model.KEY_SPACE_SIZE
@@ -191,24 +196,24 @@
         harness.elect("n1")
         await harness.run(SETTLING_TIME + builders.SECOND)
         successor = elect_beside_a_followed_coordinator(harness)
-        successor.channel = harness.targets
+        successor.grant_states.channel = harness.targets
         async with asyncio.timeout(1.0):
-            while "history" not in successor.managed_services:
+            while "history" not in successor.adoption.managed_services:
                 successor.step()
                 await asyncio.sleep(0)
         target = successor.directory.targets["a"]
-        state = successor.get_grant_state(
-            granting.TargetIncarnation(target.name, target.life)
+        state = successor.grant_states.get_grant_state(
+            grant_states.TargetIncarnation(target.name, target.life)
         )
 
         async def skip(*_):
             return result.Success(target_orders.SKIPPED)
 
         grant, state.orders.grant = state.orders.grant, skip
-        await successor.renew("history", target, state)
+        await successor.renewer.renew("history", target, state)
         assert state.orders.outstanding.inherits
         state.orders.grant = grant
-        await successor.renew("history", target, state)
+        await successor.renewer.renew("history", target, state)
         assert not state.orders.outstanding.inherits
 
     granting_test.run_scenario(scenario)
@@ -227,7 +232,7 @@
         await harness.run(8 * builders.SECOND)
         harness.coordinators.append(successor)
         await harness.run(8 * builders.SECOND)
-        assert not successor.deposed
+        assert not successor.term.deposed
         assert harness.find_owners() == {"a", "b"}
 
     granting_test.run_scenario(scenario)
@@ -243,8 +248,8 @@
         predecessor = harness.elect("n1")
         await harness.run(SETTLING_TIME + builders.SECOND)
         successor = elect_beside_a_followed_coordinator(harness)
-        successor.channel = harness.targets
-        predecessor.can_connect_without_store = lambda: False
+        successor.grant_states.channel = harness.targets
+        predecessor.term.can_connect_without_store = lambda: False
         await harness.run(builders.SECOND)
         if moved:
             target = builders.build_target("a", leaving=True)
@@ -260,7 +265,7 @@
         )
         successor.directory.apply_rows([row])
         await harness.run(2 * builders.SECOND)
-        assert not predecessor.deposed
+        assert not predecessor.term.deposed
         assert harness.count_held() == model.KEY_SPACE_SIZE
 
     granting_test.run_scenario(scenario)
@@ -277,13 +282,13 @@
             harness.register(builders.build_target(name, life=life))
         granter = harness.elect("n1")
         await harness.run(SETTLING_TIME + builders.SECOND)
-        granter.can_lead_without_store = lambda: True
-        granter.can_connect_without_store = lambda: all_follow
-        granter.store = LostStore()
+        granter.term.can_lead_without_store = lambda: True
+        granter.term.can_connect_without_store = lambda: all_follow
+        granter.term.store = LostStore()
         granter.table_feeds.lost_at = harness.clock.monotonic()
-        for state in granter.grant_states.values():
+        for state in granter.grant_states.states.values():
             state.orders.close()
-        await harness.run(2 * granting.GRANT_DURATION)
+        await harness.run(2 * grant_durations.GRANT_DURATION)
         assert harness.count_held() == model.KEY_SPACE_SIZE
 
     granting_test.run_scenario(scenario)
@@ -339,8 +344,8 @@
     Most members voted for it, and none of them knows of long grants.
     """
     successor = harness.elect("n2")
-    successor.channel = PartialChannel(harness.targets, *unreachable)
-    successor.get_inherited_grant_time_left = lambda: 0 * builders.SECOND
+    successor.grant_states.channel = PartialChannel(harness.targets, *unreachable)
+    successor.adoption.get_inherited_grant_time_left = lambda: 0 * builders.SECOND
     return successor
 
 
@@ -350,10 +355,12 @@
     async def scenario(harnesses):
         harness = granting_test.build_harness(harnesses, "a", "b")
         deposed = harness.elect("n1")
-        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
-        deposed.store = ownership_faults_test.StaleStore(harness.store)
+        await harness.run(SETTLING_TIME + renewal.RENEWAL_INTERVAL)
+        deposed.term.store = ownership_faults_test.StaleStore(harness.store)
         # Its next transaction would depose it.
-        deposed.next_confirmation = harness.clock.monotonic() + 60 * builders.SECOND
+        deposed.term.next_confirmation = (
+            harness.clock.monotonic() + 60 * builders.SECOND
+        )
         elect_without_contact(harness, "a")
         await harness.run(3 * builders.SECOND)
         deposed.table_feeds.lost_at = harness.clock.monotonic()
@@ -417,7 +424,7 @@
     async def scenario(harnesses):
         harness = build_addressed(harnesses)
         harness.elect("n1")
-        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        await harness.run(SETTLING_TIME + renewal.RENEWAL_INTERVAL)
         await move_target(harness)
         await harness.restore()
         await harness.run(2 * builders.SECOND)
@@ -436,19 +443,19 @@
     async def scenario(harnesses):
         harness = build_addressed(harnesses)
         first = harness.elect("n1")
-        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        await harness.run(SETTLING_TIME + renewal.RENEWAL_INTERVAL)
         await move_target(harness)
         if not written_again:
             harness.cut()
         await harness.restore()
         await harness.run(STEP)
         first.tasks.cancel()
-        first.deposed = True
+        first.term.deposed = True
         harness.elect("n2")
-        await harness.run(INHERITED_TIME + 2 * granting.GRANT_DURATION)
+        await harness.run(INHERITED_TIME + 2 * grant_durations.GRANT_DURATION)
         assert harness.count_held() == model.KEY_SPACE_SIZE
         harness.write_again()
-        await harness.run(2 * granting.GRANT_DURATION)
+        await harness.run(2 * grant_durations.GRANT_DURATION)
         assert harness.count_held() == model.KEY_SPACE_SIZE
 
     granting_test.run_scenario(scenario)
@@ -463,7 +470,7 @@
         harness.elect("n1")
         await harness.run(SETTLING_TIME)
         harness.restart(builders.build_target("a", life=5))
-        await harness.run(granting.RENEWAL_INTERVAL)
+        await harness.run(renewal.RENEWAL_INTERVAL)
         assert harness.count_held() == model.KEY_SPACE_SIZE
         harness.restart(builders.build_target("a", life=3))
         await harness.run(steps * STEP)
@@ -534,8 +541,8 @@
         count_writes_only(harness.store)
         harness.store.save_copy()
         paused = harness.elect("n1")
-        paused.store = PlatformStore(harness.store)
-        await harness.run(SETTLING_TIME + granting.RENEWAL_INTERVAL)
+        paused.term.store = PlatformStore(harness.store)
+        await harness.run(SETTLING_TIME + renewal.RENEWAL_INTERVAL)
         harness.coordinators.clear()
         coordinator_version = get_version(harness, directories.COORDINATOR_KEY)
         ranges_version = get_version(harness, "ranges/history")
@@ -547,17 +554,17 @@
         await harness.run(INHERITED_TIME + SETTLING_TIME)
         assert get_version(harness, "ranges/history") == ranges_version
         change = ranges.Transfer(0, 99, "b", 1)
-        overwriting = asyncio.ensure_future(paused.transfer("history", [change]))
+        overwriting = asyncio.ensure_future(paused.writer.transfer("history", [change]))
         await harness.run(STEP)
-        assert isinstance(overwriting.exception(), granting.DeposedError)
+        assert isinstance(overwriting.exception(), terms.DeposedError)
         assert get_version(harness, "ranges/history") > ranges_version
         if successor_fails:
             second.tasks.cancel()
-            second.deposed = True
+            second.term.deposed = True
             harness.elect("n3")
             await harness.run(INHERITED_TIME)
         harness.register(builders.build_target("a", leaving=True))
-        await harness.run(2 * granting.GRANT_DURATION)
+        await harness.run(2 * grant_durations.GRANT_DURATION)
         assert harness.find_owners() == {"b"}
         assert harness.count_held() == model.KEY_SPACE_SIZE
 
--- a/packages/fleet/dewstep_fleet/target_limits_test.py
+++ b/packages/fleet/dewstep_fleet/target_limits_test.py
@@ -123,6 +123,6 @@
     harness = granting_test.build_harness(harnesses, "a", "b")
     granter = harness.elect("n1")
     demand = demands.Demand({}, {"a": 0.2, "b": 0.2}, 1.5, {"a": rate})
-    capacities = granter.get_capacities("history", demand)
+    capacities = granter.rebalancer.get_capacities("history", demand)
     assert capacities["a"] == planning.Capacity("a", expected)
     assert capacities["b"].rate == 20.0
