--- /dev/null
+++ b/packages/fleet/dewstep_fleet/adoption_test.py
@@ -0,0 +1,41 @@
+"""Tests of taking over ranges, without a coordinator; see also `granting_test`."""
+
+import pytest
+
+from dewstep_fleet import adoption, builders, outstanding, ranges
+
+ERA = 4_000
+
+
+def build_ownership(generation):
+    """Return an ownership whose newest number is `generation`."""
+    return ranges.build_unwritten("history")._replace(generation=generation)
+
+
+# Guards against a second owner after the store was restored without the last moves, and
+# against a needless wait before the first grants of a fleet.
+@pytest.mark.parametrize(
+    ("ownership", "term", "known_floor", "expected"),
+    [
+        (None, 1, None, False),
+        (None, 2, None, True),
+        (None, 2, ERA, False),
+        (build_ownership(ERA - 1), 1, None, True),
+        (build_ownership(ERA - 1), 2, ERA - 1, True),
+        (build_ownership(ERA - 1), 2, ERA, False),
+        (build_ownership(ERA), 2, None, False),
+    ],
+)
+def test_owners_may_be_lost_in_a_new_era(ownership, term, known_floor, expected):
+    lost = adoption.may_have_lost_owners(ownership, term, ERA, known_floor)
+    assert lost == expected
+
+
+# Guards against granting keys that a target holds under the longest grant that the
+# previous coordinator sent as the last one.
+def test_inherited_grants_expire_after_the_last_possible_one():
+    now = 100 * builders.SECOND
+    duration = 10 * builders.SECOND
+    last_sent_at = now + outstanding.TERM_CONFIRMATION_MAX_AGE
+    expiry = adoption.compute_inherited_expiry(now, duration)
+    assert expiry > last_sent_at + duration * outstanding.CLOCK_DRIFT_FACTOR
