--- a/packages/core/dewstep_core/fields.py
+++ b/packages/core/dewstep_core/fields.py
@@ -6,7 +6,6 @@
 """
 
 import datetime
-import ipaddress
 import re
 import tomllib
 from collections.abc import Callable, Mapping
@@ -14,7 +13,7 @@
 
 from returns import result
 
-from dewstep_core import durations, errors, settings
+from dewstep_core import durations, errors, settings, value_checks
 
 Problem = errors.FieldWrong | errors.SchemaUnknown
 
@@ -132,13 +131,7 @@
 
 def read_host(value: Any) -> str | None:
     """Return `value` if it is an IP address, else None."""
-    if not isinstance(value, str):
-        return None
-    try:
-        ipaddress.ip_address(value)
-    except ValueError:
-        return None
-    return value
+    return value if value_checks.is_ip_address(value) else None
 
 
 def expect_address() -> FieldCheck:
@@ -259,9 +252,9 @@
         return "true" if value else "false"
     try:
         text = repr(value)
-    except ValueError:
+    except (ValueError, RecursionError):
         # Python refuses to convert integers with thousands of digits, which TOML
-        # allows in hexadecimal notation.
+        # allows in hexadecimal notation, and values that are nested deeply.
         return "a value too long to be shown"
     if len(text) > MAXIMUM_QUOTED_CHARACTERS:
         return text[: MAXIMUM_QUOTED_CHARACTERS - 3] + "..."
