Give no range to a target with less than a key

Callers saw: no key of a service had an owner if one target had named more than 65,536 times the slots of another. Cause: `divide_keys` gave the smaller one an empty range, and `decode` refuses a row with such a range at every instance. Evidence: the test failed before, with an empty range.

--- a/packages/fleet/dewstep_fleet/ranges.py
+++ b/packages/fleet/dewstep_fleet/ranges.py
@@ -75,7 +75,10 @@
 def divide_keys(
     service: str, version: int, generation: int, targets: Iterable[model.Target]
 ) -> Ownership:
-    """Divide all keys into one range per target, in proportion to its slots."""
+    """Divide all keys into one range per target, in proportion to its slots.
+
+    A target whose part of all slots is less than a key gets no range.
+    """
     chosen = sorted(targets, key=lambda target: (target.data_centre, target.name))
     slots = sum(target.slots for target in chosen)
     holdings = []
@@ -84,6 +87,8 @@
     for target in chosen:
         assigned_slots += target.slots
         last = model.KEY_SPACE_SIZE * assigned_slots // slots - 1
+        if last < first:
+            continue
         holdings.append(
             model.Holding(first, last, target.name, target.life, generation + 1)
         )
--- a/packages/fleet/dewstep_fleet/ranges_test.py
+++ b/packages/fleet/dewstep_fleet/ranges_test.py
@@ -164,3 +164,14 @@
     content = zlib.decompress(ranges.encode(build_ownership("a", "b"))).decode()
     value = zlib.compress(content.replace("32767", number).encode())
     assert isinstance(ranges.decode("history", 1, value).failure(), errors.RowInvalid)
+
+
+def test_target_with_less_than_a_key_gets_no_range():
+    # Guards against a row that every instance refuses, so that no key has an owner.
+    targets = (
+        builders.build_target("large", slots=2**32 - 1),
+        builders.build_target("a", slots=1),
+    )
+    owners = ranges.divide_keys("history", 1, 0, targets)
+    assert [item.target for item in owners.holdings] == ["large"]
+    assert ranges.decode("history", 1, ranges.encode(owners)).unwrap() == owners
