Ignore rows whose keys cannot be encoded

Callers saw: an instance ended with UnicodeEncodeError when it told the coordinator the versions of its rows, or relayed them, if the key of one was not Unicode. Cause: the directory kept rows of any key. Change: such a row is logged once (`row_refused`) and ignored, and a registration that is refused is logged once for each reason, not for each version of its row. Evidence: both tests failed before.

--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -21,7 +21,7 @@
 
 from returns import result
 
-from dewstep_core import clocks, errors, events
+from dewstep_core import clocks, errors, events, fields, value_checks
 from dewstep_fleet import frames, model, quorums, ranges
 
 REMOVAL_GRACE = datetime.timedelta(milliseconds=2300)
@@ -48,6 +48,8 @@
 
 MAX_DEPARTURES = 4_096
 """Number of announced departures that are kept, many times those of a day."""
+MAX_REFUSALS = 4_096
+"""Number of refused rows whose reasons are kept."""
 NO_LEADERSHIP = Leadership("", "", 0, 0)
 
 
@@ -134,6 +136,8 @@
         """Last accepted incarnation of each target, also of removed ones."""
         self.refused_lives: dict[str, int] = {}
         """Incarnation of targets whose last row was refused because of it."""
+        self.refusals: dict[tuple[str, str], str] = {}
+        """Reason for which the last version of a row was refused, by table and key."""
         self.departures: dict[str, Departure] = {}
         """Targets that have announced in an answer that they are leaving."""
         self.ownerships: dict[str, ranges.Ownership] = {}
@@ -218,6 +222,9 @@
         changed = []
         for row in rows:
             self.record_era(row.version)
+            if not value_checks.is_text(row.key):
+                self._log_refused_key(row)
+                continue
             known = self.rows.get((row.table, row.key))
             if known is not None and known.version >= row.version:
                 self._check_version_reuse(known, row)
@@ -309,6 +316,7 @@
         if row.value is not None:
             decoded = self.decode_target(row.key, row.value).bind(self._check_life)
         if isinstance(decoded, result.Success):
+            self.refusals.pop((row.table, row.key), None)
             target = decoded.unwrap()
             if self.get_time_since_departure(target) is not None:
                 target = target._replace(leaving=True)
@@ -326,10 +334,10 @@
                 )
                 self._record_registration(row, known, target)
         else:
-            if decoded is not None:
-                events.warning(
-                    "target_refused", target=row.key, failure=decoded.failure()
-                )
+            if decoded is None:
+                self.refusals.pop((row.table, row.key), None)
+            else:
+                self._log_refused_target(row, decoded.failure())
             known = self.targets.pop(row.key, None)
             if known is not None:
                 self._forget_address(row.key, known)
@@ -341,6 +349,28 @@
                     row=row.version,
                 )
 
+    def _log_refused_key(self, row: model.StoredRow) -> None:
+        """Log a row whose key cannot be sent to other instances, once."""
+        key = fields.quote(row.key)
+        if (row.table, key) not in self.refusals and self._has_space_for_refusal():
+            self.refusals[row.table, key] = "key"
+            events.warning("row_refused", table=row.table, key=key, row=row.version)
+
+    def _log_refused_target(self, row: model.StoredRow, failure: Any) -> None:
+        """Log a refused registration, once for each reason.
+
+        Its writer may write the row again several times a second.
+        """
+        reason = str(failure)
+        if self.refusals.get((row.table, row.key)) == reason:
+            return
+        if self._has_space_for_refusal():
+            self.refusals[row.table, row.key] = reason
+        events.warning("target_refused", target=row.key, failure=failure)
+
+    def _has_space_for_refusal(self) -> bool:
+        return len(self.refusals) < MAX_REFUSALS
+
     def _record_registration(
         self, row: model.StoredRow, known: model.Target | None, target: model.Target
     ) -> None:
--- a/packages/fleet/dewstep_fleet/directories_test.py
+++ b/packages/fleet/dewstep_fleet/directories_test.py
@@ -43,6 +43,28 @@
     assert known.targets == {} and known.targets_by_service == {}
 
 
+def test_row_whose_key_cannot_be_encoded_is_ignored(monkeypatch):
+    # Guards against a UnicodeEncodeError when rows are compared with an instance.
+    log = event_capture.EventCapture(monkeypatch)
+    _, known = build_empty()
+    for version in (5, 6):
+        target = builders.build_target("\ud800")
+        known.apply_rows([builders.build_target_row(target, version)])
+    assert known.list_versions() == () and known.targets == {}
+    assert len(log.find("row_refused", key=r"'\ud800'")) == 1
+
+
+def test_refused_registration_is_logged_once_for_each_reason(monkeypatch):
+    # Guards against a line for each heartbeat of another program.
+    log = event_capture.EventCapture(monkeypatch)
+    _, known = build_empty()
+    good = builders.encode_target(builders.build_target("t"))
+    for version, value in enumerate([b"[1]", b"[2]", good, b"[3]", None, b"[4]"], 5):
+        row = builders.build_row(model.TABLES.targets, "t", version, value)
+        known.apply_rows([row])
+    assert len(log.find("target_refused")) == 3
+
+
 def apply_start_times(known, *lives):
     """Apply versions of a target's row; return its incarnation after each, or None."""
     found = []
