Refuse rows of the fleet's table with values out of range

Callers saw: a row of a member or of the coordinator that was nested deeply ended each process that read it with RecursionError. A member's port out of range or host that is no name, a term above 64 bits and text that is not Unicode were accepted, and raised exceptions when an instance was dialled, voted, or was told of them. Cause: records were checked for their types only, and only some exceptions were handled. Change: integers, text, ports and hosts have a range, and the reason is short. The incarnation in a range's row has none, because an earlier version may have granted a range to a target with an odd one.

--- a/packages/core/dewstep_core/fields_test.py
+++ b/packages/core/dewstep_core/fields_test.py
@@ -15,7 +15,7 @@
         (fields.expect_integer(1, 9), 9, [0, 10, True, 1.0, "1"]),
         (fields.expect_number(0, 9), 0.0, [-1, 9.5, float("nan"), True, "1"]),
         (fields.expect_choice("a", "b"), "a", ["c", ["a"], None]),
-        (fields.expect_host(), "::1", ["localhost", "127.0.0.1:80", 1, ""]),
+        (fields.expect_host(), "::1", ["localhost", "127.0.0.1:80", 1, "", "::1%\0"]),
         (fields.expect_list(fields.expect_name(), 1), ["a"], [[], "a", ["a", ""]]),
     ],
 )
@@ -82,3 +82,11 @@
     assert fields.describe_problem(invalid) == "a.toml: x.y: expected a name, found 3"
     unknown = errors.SchemaUnknown("a.toml", "x.schema", "9")
     assert "version 9 is not known" in fields.describe_problem(unknown)
+
+
+def test_value_that_is_nested_deeply_is_quoted_in_short():
+    # Guards against a RecursionError while a refused value is reported.
+    value = []
+    for _ in range(100_000):
+        value = [value]
+    assert len(fields.quote(value)) <= fields.MAXIMUM_QUOTED_CHARACTERS
--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -16,7 +16,7 @@
 import asyncio
 import datetime
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, NamedTuple
 
 from returns import result
@@ -48,6 +48,8 @@
 
 MAX_DEPARTURES = 4_096
 """Number of announced departures that are kept, many times those of a day."""
+MAX_DETAIL_CHARACTERS = 200
+"""Length to which the reason of a refusal is shortened."""
 MAX_REFUSALS = 4_096
 """Number of refused rows whose reasons are kept."""
 NO_LEADERSHIP = Leadership("", "", 0, 0)
@@ -79,19 +81,43 @@
         content = json.loads(row.value)
         schema = content.pop("schema")
         if schema != ranges.SCHEMA_VERSION:
-            detail = f"unknown schema {schema!r}"
+            detail = f"unknown schema {fields.quote(schema)}"
             return result.Failure(errors.RowInvalid(row.key, detail))
         # A row of an earlier version lacks the fields that were added since.
-        fields = {**record_type._field_defaults, **content, **extra}
+        values = {**record_type._field_defaults, **content, **extra}
         for name, expected_type in record_type.__annotations__.items():
-            if not isinstance(fields[name], expected_type):
-                detail = f"field {name!r} has the wrong type"
+            if name not in extra and not FIELD_CHECKS[expected_type](values[name]):
+                detail = f"field {name!r} has the wrong type or is out of range"
                 return result.Failure(errors.RowInvalid(row.key, detail))
         return result.Success(
-            record_type(**{name: fields[name] for name in record_type._fields})
+            record_type(**{name: values[name] for name in record_type._fields})
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        return result.Failure(errors.RowInvalid(row.key, repr(error)))
+    except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as error:
+        detail = f"{type(error).__name__}: {error}"[:MAX_DETAIL_CHARACTERS]
+        return result.Failure(errors.RowInvalid(row.key, detail))
+
+
+def is_stored_integer(value: Any) -> bool:
+    """Whether a value is an integer that a message to other instances can contain."""
+    return value_checks.is_integer(value, 0, value_checks.MAX_INT64)
+
+
+FIELD_CHECKS: Mapping[type, Callable[[Any], bool]] = {
+    str: value_checks.is_text,
+    int: is_stored_integer,
+    float: lambda value: isinstance(value, float) and value_checks.is_finite(value),
+}
+"""Checks of the fields of a record, by their type."""
+
+
+def check_member(member: model.Member) -> result.Result[model.Member, Any]:
+    """Return a member to which a connection can be opened, or `RowInvalid`."""
+    ports_valid = value_checks.is_port(member.port) and (
+        member.relay_port == 0 or value_checks.is_port(member.relay_port)
+    )
+    if ports_valid and value_checks.is_host(member.host):
+        return result.Success(member)
+    return result.Failure(errors.RowInvalid(member.node, "invalid host or port"))
 
 
 class Departure(NamedTuple):
@@ -478,7 +504,7 @@
         if row.value is None:
             self.members.pop(node, None)
             return
-        decoded = decode_record(model.Member, row)
+        decoded = decode_record(model.Member, row).bind(check_member)
         if isinstance(decoded, result.Failure):
             events.error("member_refused", failure=decoded.failure())
             return
--- a/packages/fleet/dewstep_fleet/directories_test.py
+++ b/packages/fleet/dewstep_fleet/directories_test.py
@@ -1,9 +1,14 @@
+import json
+
+import pytest
 from returns import result
 
 from dewstep_core import clocks
 from dewstep_fleet import builders, directories, event_capture, model, ranges
 
 OUTAGE = directories.MIN_OUTAGE
+MEMBER = model.Member("n", "i", "dc", "h", 1)
+LEADERSHIP = directories.Leadership("n", "i", 3, 0)
 
 
 def build_empty():
@@ -213,6 +218,43 @@
     assert known.members["n"].port == 1
 
 
+@pytest.mark.parametrize(
+    ("key", "record", "change"),
+    [
+        ("member/n", MEMBER, {"port": 99_999}),
+        ("member/n", MEMBER, {"port": 0}),
+        ("member/n", MEMBER, {"relay_port": -1}),
+        ("member/n", MEMBER, {"host": "a..b"}),
+        ("member/n", MEMBER, {"data_centre": "\ud800"}),
+        ("member/n", MEMBER, {"strength": float("nan")}),
+        ("member/n", MEMBER, {"schema": [[[]]] * 100}),
+        ("coordinator", LEADERSHIP, {"term": 2**64}),
+        ("coordinator", LEADERSHIP, {"term": -1}),
+        ("coordinator", LEADERSHIP, {"node": "x" * 5_000}),
+    ],
+)
+def test_record_with_a_value_out_of_range_is_refused(key, record, change, monkeypatch):
+    # Guards against a value that raises an exception when a connection is opened or a
+    # message is encoded.
+    log = event_capture.EventCapture(monkeypatch)
+    _, known = build_empty()
+    content = {**json.loads(directories.encode_record(record)), **change}
+    value = json.dumps(content).encode()
+    known.apply_rows([builders.build_row(model.TABLES.fleet, key, 5, value)])
+    assert known.members == {} and known.leadership == directories.NO_LEADERSHIP
+    (refused,) = log.find(f"{key.partition('/')[0]}_refused")
+    assert len(str(refused["failure"])) < 300
+
+
+def test_rows_of_the_fleet_that_are_nested_deeply_change_nothing():
+    # Guards against a RecursionError that ends the process.
+    _, known = build_empty()
+    nested = b'{"schema":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    for key in ("ranges/s", "coordinator", "member/n", "quorum"):
+        known.apply_rows([builders.build_row(model.TABLES.fleet, key, 5, nested)])
+    assert known.ownerships == {} and known.members == {}
+
+
 def test_moving_keys_are_known():
     _, known = build_empty()
     known.moving = {"s": ((5, 9),)}
--- a/packages/fleet/dewstep_fleet/quorums.py
+++ b/packages/fleet/dewstep_fleet/quorums.py
@@ -13,7 +13,7 @@
 
 from returns import result
 
-from dewstep_core import errors
+from dewstep_core import errors, fields, value_checks
 from dewstep_fleet import model, ranges
 
 
@@ -50,15 +50,15 @@
             content[name] for name in ("schema", "number", "nodes")
         )
     except (ValueError, TypeError, KeyError, RecursionError) as error:
-        return result.Failure(errors.RowInvalid(row.key, repr(error)))
+        return result.Failure(errors.RowInvalid(row.key, type(error).__name__))
     if schema != ranges.SCHEMA_VERSION:
-        detail = f"unknown schema {schema!r}"
+        detail = f"unknown schema {fields.quote(schema)}"
         return result.Failure(errors.RowInvalid(row.key, detail))
-    if not isinstance(number, int):
-        detail = "field 'number' has the wrong type"
+    if not value_checks.is_integer(number, 0, value_checks.MAX_INT64):
+        detail = "field 'number' has the wrong type or is out of range"
         return result.Failure(errors.RowInvalid(row.key, detail))
-    if not isinstance(nodes, list) or not all(isinstance(node, str) for node in nodes):
-        detail = "field 'nodes' has the wrong type"
+    if not isinstance(nodes, list) or not all(map(value_checks.is_text, nodes)):
+        detail = "field 'nodes' has the wrong type or is no valid text"
         return result.Failure(errors.RowInvalid(row.key, detail))
     return result.Success(Quorum(frozenset(nodes), number, row.version, stored=True))
 
--- a/packages/fleet/dewstep_fleet/quorums_test.py
+++ b/packages/fleet/dewstep_fleet/quorums_test.py
@@ -22,11 +22,21 @@
     # Guards against a quorum without members after a row of another client.
     content = json.loads(quorums.encode(MEMBERS, 3))
     values = [b"", b"[]", b"{}"]
-    for change in ({"schema": 0}, {"number": "3"}, {"nodes": "n1"}, {"nodes": [1]}):
+    for change in (
+        {"schema": 0},
+        {"schema": ["x" * 5_000]},
+        {"number": "3"},
+        {"number": -1},
+        {"number": 10**400},
+        {"nodes": "n1"},
+        {"nodes": [1]},
+        {"nodes": ["\ud800"]},
+    ):
         values.append(json.dumps({**content, **change}).encode())
     for value in values:
         failure = quorums.decode(build_row(value)).failure()
         assert isinstance(failure, errors.RowInvalid)
+        assert len(str(failure)) < 300
 
 
 def test_older_copy_of_the_row_does_not_replace_the_members():
--- a/packages/fleet/dewstep_fleet/ranges.py
+++ b/packages/fleet/dewstep_fleet/ranges.py
@@ -12,7 +12,7 @@
 
 from returns import result
 
-from dewstep_core import errors
+from dewstep_core import errors, fields, value_checks
 from dewstep_fleet import model, numbering
 
 SCHEMA_VERSION = 1
@@ -223,7 +223,7 @@
     try:
         content = json.loads(unpack(value))
         if content["schema"] != SCHEMA_VERSION:
-            detail = f"unknown schema {content['schema']!r}"
+            detail = f"unknown schema {fields.quote(content['schema'])}"
             return result.Failure(errors.RowInvalid(key, detail))
         unchanged = known.holdings if known is not None else ()
         by_first = {item.first: item for item in unchanged}
@@ -241,7 +241,9 @@
         OverflowError,
         RecursionError,
     ) as error:
-        return result.Failure(errors.RowInvalid(key, repr(error)))
+        return result.Failure(errors.RowInvalid(key, type(error).__name__))
+    if not is_number(generation) or not all(map(is_valid_holding, holdings)):
+        return result.Failure(errors.RowInvalid(key, "a value is out of range"))
     next_key = 0
     for item in holdings:
         if item.first != next_key or item.last < item.first:
@@ -268,6 +270,20 @@
     return model.Holding(int(first), int(last), str(target), int(life), int(number))
 
 
+def is_number(number: int) -> bool:
+    """Whether a generation number can be assigned in any era of the store."""
+    return value_checks.is_integer(number, 0, value_checks.MAX_UINT64)
+
+
+def is_valid_holding(holding: model.Holding) -> bool:
+    """Whether the number and the owner of a range can be used.
+
+    The incarnation is compared only. An earlier version of this package may have
+    granted a range to a target that had registered with one out of range.
+    """
+    return is_number(holding.generation) and value_checks.is_text(holding.target)
+
+
 def group_by_target(ownership: Ownership) -> Mapping[str, tuple[model.Holding, ...]]:
     """Return the ranges of each target."""
     owners: dict[str, list[model.Holding]] = {}
--- a/packages/fleet/dewstep_fleet/ranges_test.py
+++ b/packages/fleet/dewstep_fleet/ranges_test.py
@@ -175,3 +175,29 @@
     owners = ranges.divide_keys("history", 1, 0, targets)
     assert [item.target for item in owners.holdings] == ["large"]
     assert ranges.decode("history", 1, ranges.encode(owners)).unwrap() == owners
+
+
+@pytest.mark.parametrize(
+    ("change", "owner", "number"),
+    [
+        ({"generation": 10**4200}, "a", 1),
+        ({"generation": -1}, "a", 1),
+        ({}, "\ud800", 1),
+        ({}, "a", 2**64),
+        ({"schema": ["x" * 5_000]}, "a", 1),
+    ],
+)
+def test_row_with_a_value_out_of_range_is_refused(change, owner, number):
+    # Guards against a value that raises an exception when it is used or logged.
+    holdings = [[0, model.KEY_SPACE_SIZE - 1, owner, 1, number]]
+    content = {"schema": 1, "generation": 1, "holdings": holdings, **change}
+    outcome = ranges.decode("s", 1, json.dumps(content).encode())
+    assert len(str(outcome.failure())) < 300
+
+
+def test_incarnation_that_an_earlier_version_has_granted_to_is_read():
+    # Guards against an upgrade in which the owners of no key are known.
+    holdings = [[0, model.KEY_SPACE_SIZE - 1, "a", -(2**64), 1]]
+    content = {"schema": 1, "generation": 1, "holdings": holdings}
+    decoded = ranges.decode("s", 1, json.dumps(content).encode()).unwrap()
+    assert decoded.holdings[0].life == -(2**64)
