--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -380,7 +380,7 @@
         key = fields.quote(row.key)
         if (row.table, key) not in self.refusals and self._has_space_for_refusal():
             self.refusals[row.table, key] = "key"
-            events.warning("row_refused", table=row.table, key=key, row=row.version)
+            events.warning("row_ignored", table=row.table, key=key, row=row.version)
 
     def _log_refused_target(self, row: model.StoredRow, failure: Any) -> None:
         """Log a refused registration, once for each reason.
--- a/packages/fleet/dewstep_fleet/directories_test.py
+++ b/packages/fleet/dewstep_fleet/directories_test.py
@@ -56,7 +56,7 @@
         target = builders.build_target("\ud800")
         known.apply_rows([builders.build_target_row(target, version)])
     assert known.list_versions() == () and known.targets == {}
-    assert len(log.find("row_refused", key=r"'\ud800'")) == 1
+    assert len(log.find("row_ignored", key=r"'\ud800'")) == 1
 
 
 def test_refused_registration_is_logged_once_for_each_reason(monkeypatch):
