Refuse gate rows with values out of range

Callers saw: a gate row with an infinite port or a very long horizon, or a quarantine row with an infinite count, ended the task that read it with OverflowError. A port out of range and text that is not Unicode were accepted. Cause: values were converted, but not checked, and OverflowError was not handled.

--- a/packages/entry/dewstep_entry/gate/rows.py
+++ b/packages/entry/dewstep_entry/gate/rows.py
@@ -12,7 +12,7 @@
 
 from returns import result
 
-from dewstep_core import data, errors
+from dewstep_core import data, errors, value_checks
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
 
@@ -20,6 +20,18 @@
 # no answer whether its transaction took effect.
 MAXIMUM_OPERATION_IDS = 16
 
+DECODING_ERRORS = (
+    AttributeError,
+    LookupError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+"""Exceptions that reading values of any type and size from a row can raise."""
+MAXIMUM_DETAIL_LENGTH = 200
+OUT_OF_RANGE = "a value is out of range or no valid text"
+
 
 class GateRecord(NamedTuple):
     """A gate row with the fields that only gates use."""
@@ -66,6 +78,12 @@
     return f"declared-dead/{target}"
 
 
+def build_failure(row: data.Row, error: Exception) -> result.Result:
+    """Return the failure for a row whose decoding raised an exception."""
+    detail = f"{type(error).__name__}: {error}"[:MAXIMUM_DETAIL_LENGTH]
+    return result.Failure(errors.RowInvalid(row.key, detail))
+
+
 def decode_declarations(found: Iterable[data.Row]) -> dict[str, int]:
     """Return the terms of gates declared dead, by target.
 
@@ -120,8 +138,23 @@
             str(value.get("operation_id", "")),
             str(value.get("operator_address", "")),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        return result.Failure(errors.RowInvalid(row.key, repr(error)))
+    except DECODING_ERRORS as error:
+        return build_failure(row, error)
+    in_range = (
+        value_checks.is_host(gate.host)
+        and value_checks.is_port(gate.port)
+        and value_checks.is_integer(gate.term, 0, value_checks.MAX_INT64)
+        and datetime.timedelta() <= record.horizon <= value_checks.MAX_DURATION
+    )
+    texts = (
+        gate.target,
+        gate.entry,
+        gate.incarnation,
+        record.operation_id,
+        record.operator_address,
+    )
+    if not in_range or not all(map(value_checks.is_text, texts)):
+        return result.Failure(errors.RowInvalid(row.key, OUT_OF_RANGE))
     return result.Success(record)
 
 
@@ -177,8 +210,16 @@
             tuple(str(operation) for operation in value.get("operations", ())),
             decode_orders(value.get("orders", ())),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        return result.Failure(errors.RowInvalid(row.key, repr(error)))
+    except DECODING_ERRORS as error:
+        return build_failure(row, error)
+    texts = (
+        *assignment.owners,
+        *assignment.overrides,
+        *assignment.overrides.values(),
+        *assignment.operations,
+    )
+    if not all(map(value_checks.is_text, texts)):
+        return result.Failure(errors.RowInvalid(row.key, OUT_OF_RANGE))
     return result.Success(assignment)
 
 
@@ -202,6 +243,9 @@
             str(row.value["state"]),
             row.version,
         )
-    except (KeyError, TypeError, ValueError, IndexError) as error:
-        return result.Failure(errors.RowInvalid(row.key, repr(error)))
+    except DECODING_ERRORS as error:
+        return build_failure(row, error)
+    in_range = value_checks.is_integer(record.crashes, 0, value_checks.MAX_INT64)
+    if not in_range or not value_checks.is_text(record.state):
+        return result.Failure(errors.RowInvalid(row.key, OUT_OF_RANGE))
     return result.Success(record)
