--- a/packages/emulator/dewstep_emulator/instance_list.py
+++ b/packages/emulator/dewstep_emulator/instance_list.py
@@ -11,6 +11,7 @@
 from typing import Annotated, Any, NamedTuple
 
 import typer
+from returns import result
 
 from dewstep_core.http import exchanges, routing
 from dewstep_core.platform import instances
@@ -99,7 +100,10 @@
         return "unknown member: only instances, update and remove are allowed"
     try:
         for item in (*change.get("instances", ()), *change.get("update", ())):
-            if instances.parse_instance(item).state not in STATES:
+            parsed = instances.parse_instance(item)
+            if isinstance(parsed, result.Failure):
+                return parsed.failure().detail
+            if parsed.unwrap().state not in STATES:
                 return f"unknown state of instance {item['instance']!r}"
         if not all(isinstance(name, str) for name in change.get("remove", ())):
             return "remove is not a list of names"
