Handle an odd answer to a transaction

Callers saw: TypeError or KeyError from `TableClient.send` if an answer of the table service had versions or conflicts of another form. Cause: their form was not checked. Change: such an answer is lost, or a conflict without keys. Versions are 64-bit integers and keys are text. Evidence: the four cases failed before.

--- a/packages/core/dewstep_core/platform/table.py
+++ b/packages/core/dewstep_core/platform/table.py
@@ -15,7 +15,7 @@
 
 from returns import result
 
-from dewstep_core import clocks, data, errors, settings
+from dewstep_core import clocks, data, errors, settings, value_checks
 from dewstep_core.platform import base_client
 
 MAXIMUM_SEND_ATTEMPTS = 4
@@ -157,11 +157,16 @@
         response = outcome.unwrap()
         answer = response.read_json()
         if isinstance(answer, dict):
-            if response.status == base_client.OK and answer.get("committed") is True:
-                return result.Success(data.Commit(dict(answer.get("versions", {}))))
+            versions = answer.get("versions", {})
+            if (
+                response.status == base_client.OK
+                and answer.get("committed") is True
+                and isinstance(versions, dict)
+                and all(map(is_version, versions.values()))
+            ):
+                return result.Success(data.Commit(versions))
             if response.status == base_client.CONFLICT:
-                keys = tuple(item["key"] for item in answer.get("conflicts", ()))
-                return result.Failure(errors.Conflict(keys))
+                return result.Failure(errors.Conflict(list_conflicts(answer)))
         if base_client.OK <= response.status < 300:
             return result.Failure(
                 errors.AnswerLost(
@@ -216,11 +221,25 @@
     if not isinstance(item, dict):
         return None
     key, version, value = (item.get(name) for name in ("key", "version", "value"))
-    if not isinstance(key, str) or not isinstance(version, int):
+    if not value_checks.is_text(key) or not is_version(version):
         return None
     return data.Row(key, version, value) if isinstance(value, dict) else None
 
 
+def is_version(version: Any) -> bool:
+    """Whether a value is the version of a row."""
+    return value_checks.is_integer(version, 0, value_checks.MAX_INT64)
+
+
+def list_conflicts(answer: Mapping) -> tuple[str, ...]:
+    """Return the keys that an answer names as the cause of a conflict."""
+    items = answer.get("conflicts")
+    if not isinstance(items, list):
+        return ()
+    keys = (item.get("key") for item in items if isinstance(item, dict))
+    return tuple(key for key in keys if isinstance(key, str))
+
+
 def add_operation_id(value: Mapping | None, operation: str) -> dict | None:
     """Return a row's value with the id of the operation added, or None if deleted."""
     return None if value is None else {**value, OPERATION_ID: operation}
--- a/packages/core/dewstep_core/platform/table_test.py
+++ b/packages/core/dewstep_core/platform/table_test.py
@@ -5,6 +5,7 @@
 import pytest
 
 from dewstep_core import data, errors
+from dewstep_core.http import exchanges, server
 from dewstep_core.platform import table
 from dewstep_emulator import faults, program, table_service, testing
 
@@ -115,3 +116,26 @@
         served.table.rows["other"] = table_service.StoredRow("1", {})
         for outcome in (await client.read("other"), await client.read_prefix("")):
             assert isinstance(outcome.failure(), errors.RowInvalid)
+
+
+@pytest.mark.parametrize(
+    ("status", "content", "failure"),
+    [
+        (200, {"committed": True, "versions": 5}, errors.AnswerLost),
+        (200, {"committed": True, "versions": {"a": "x"}}, errors.AnswerLost),
+        (409, {"conflicts": 5}, errors.Conflict),
+        (409, {"conflicts": [5, {"key": "a"}, {}]}, errors.Conflict),
+    ],
+)
+@testing.run_in_event_loop
+async def test_odd_answer_to_a_transaction_is_a_typed_failure(status, content, failure):
+    # Guards against a TypeError or KeyError that ends the task of the transaction.
+    async def handle(exchange):
+        exchange.respond(exchanges.build_json(status, content))
+
+    running = server.Server(handle)
+    address = await running.start("127.0.0.1", 0)
+    client = table.TableClient((address,), "e1", "dc1")
+    assert testing.fails(await client.send(b"{}"), failure)
+    await client.close()
+    await running.close(grace=0.1)
