--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -16,12 +16,12 @@
 import asyncio
 import datetime
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, NamedTuple
 
 from returns import result
 
-from dewstep_core import clocks, errors, events
+from dewstep_core import clocks, errors, events, fields, value_checks
 from dewstep_fleet import frames, model, quorums, ranges
 
 REMOVAL_GRACE = datetime.timedelta(milliseconds=2300)
@@ -48,6 +48,10 @@
 
 MAX_DEPARTURES = 4_096
 """Number of announced departures that are kept, many times those of a day."""
+MAX_DETAIL_CHARACTERS = 200
+"""Length to which the reason of a refusal is shortened."""
+MAX_REFUSALS = 4_096
+"""Number of refused rows whose reasons are kept."""
 NO_LEADERSHIP = Leadership("", "", 0, 0)
 
 
@@ -77,19 +81,43 @@
         content = json.loads(row.value)
         schema = content.pop("schema")
         if schema != ranges.SCHEMA_VERSION:
-            detail = f"unknown schema {schema!r}"
+            detail = f"unknown schema {fields.quote(schema)}"
             return result.Failure(errors.RowInvalid(row.key, detail))
         # A row of an earlier version lacks the fields that were added since.
-        fields = {**record_type._field_defaults, **content, **extra}
+        values = {**record_type._field_defaults, **content, **extra}
         for name, expected_type in record_type.__annotations__.items():
-            if not isinstance(fields[name], expected_type):
-                detail = f"field {name!r} has the wrong type"
+            if name not in extra and not FIELD_CHECKS[expected_type](values[name]):
+                detail = f"field {name!r} has the wrong type or is out of range"
                 return result.Failure(errors.RowInvalid(row.key, detail))
         return result.Success(
-            record_type(**{name: fields[name] for name in record_type._fields})
+            record_type(**{name: values[name] for name in record_type._fields})
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        return result.Failure(errors.RowInvalid(row.key, repr(error)))
+    except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as error:
+        detail = f"{type(error).__name__}: {error}"[:MAX_DETAIL_CHARACTERS]
+        return result.Failure(errors.RowInvalid(row.key, detail))
+
+
+def is_stored_integer(value: Any) -> bool:
+    """Whether a value is an integer that a message to other instances can contain."""
+    return value_checks.is_integer(value, 0, value_checks.MAX_INT64)
+
+
+FIELD_CHECKS: Mapping[type, Callable[[Any], bool]] = {
+    str: value_checks.is_text,
+    int: is_stored_integer,
+    float: lambda value: isinstance(value, float) and value_checks.is_finite(value),
+}
+"""Checks of the fields of a record, by their type."""
+
+
+def check_member(member: model.Member) -> result.Result[model.Member, Any]:
+    """Return a member to which a connection can be opened, or `RowInvalid`."""
+    ports_valid = value_checks.is_port(member.port) and (
+        member.relay_port == 0 or value_checks.is_port(member.relay_port)
+    )
+    if ports_valid and value_checks.is_host(member.host):
+        return result.Success(member)
+    return result.Failure(errors.RowInvalid(member.node, "invalid host or port"))
 
 
 class Departure(NamedTuple):
@@ -134,6 +162,8 @@
         """Last accepted incarnation of each target, also of removed ones."""
         self.refused_lives: dict[str, int] = {}
         """Incarnation of targets whose last row was refused because of it."""
+        self.refusals: dict[tuple[str, str], str] = {}
+        """Reason for which the last version of a row was refused, by table and key."""
         self.departures: dict[str, Departure] = {}
         """Targets that have announced in an answer that they are leaving."""
         self.ownerships: dict[str, ranges.Ownership] = {}
@@ -218,6 +248,9 @@
         changed = []
         for row in rows:
             self.record_era(row.version)
+            if not value_checks.is_text(row.key):
+                self._log_refused_key(row)
+                continue
             known = self.rows.get((row.table, row.key))
             if known is not None and known.version >= row.version:
                 self._check_version_reuse(known, row)
@@ -309,6 +342,7 @@
         if row.value is not None:
             decoded = self.decode_target(row.key, row.value).bind(self._check_life)
         if isinstance(decoded, result.Success):
+            self.refusals.pop((row.table, row.key), None)
             target = decoded.unwrap()
             if self.get_time_since_departure(target) is not None:
                 target = target._replace(leaving=True)
@@ -326,10 +360,10 @@
                 )
                 self._record_registration(row, known, target)
         else:
-            if decoded is not None:
-                events.warning(
-                    "target_refused", target=row.key, failure=decoded.failure()
-                )
+            if decoded is None:
+                self.refusals.pop((row.table, row.key), None)
+            else:
+                self._log_refused_target(row, decoded.failure())
             known = self.targets.pop(row.key, None)
             if known is not None:
                 self._forget_address(row.key, known)
@@ -341,6 +375,28 @@
                     row=row.version,
                 )
 
+    def _log_refused_key(self, row: model.StoredRow) -> None:
+        """Log a row whose key cannot be sent to other instances, once."""
+        key = fields.quote(row.key)
+        if (row.table, key) not in self.refusals and self._has_space_for_refusal():
+            self.refusals[row.table, key] = "key"
+            events.warning("row_ignored", table=row.table, key=key, row=row.version)
+
+    def _log_refused_target(self, row: model.StoredRow, failure: Any) -> None:
+        """Log a refused registration, once for each reason.
+
+        Its writer may write the row again several times a second.
+        """
+        reason = str(failure)
+        if self.refusals.get((row.table, row.key)) == reason:
+            return
+        if self._has_space_for_refusal():
+            self.refusals[row.table, row.key] = reason
+        events.warning("target_refused", target=row.key, failure=failure)
+
+    def _has_space_for_refusal(self) -> bool:
+        return len(self.refusals) < MAX_REFUSALS
+
     def _record_registration(
         self, row: model.StoredRow, known: model.Target | None, target: model.Target
     ) -> None:
@@ -448,7 +504,7 @@
         if row.value is None:
             self.members.pop(node, None)
             return
-        decoded = decode_record(model.Member, row)
+        decoded = decode_record(model.Member, row).bind(check_member)
         if isinstance(decoded, result.Failure):
             events.error("member_refused", failure=decoded.failure())
             return
