Count messages of the coordinator as of their sending

Cause: news and heartbeats of a coordinator whose link is full wait in buffers. They arrive at the usual interval, so that instances that follow no table themselves took their rows for current ones, and none read the store. News say when they were sent, as heartbeats did already.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -29,6 +29,7 @@
     granting,
     links,
     load_counts,
+    message_delays,
     model,
     outstanding,
     permits,
@@ -223,6 +224,8 @@
         self.announcing_since: int | None = None
         """`heartbeat_ms` of the first heartbeat of this coordinator that announced long
         grants, or None if the last one did not."""
+        self.message_delays = message_delays.Delays()
+        """How late the coordinator's messages arrive."""
         self.received_heartbeat_ms = 0
         """`heartbeat_ms` of the last heartbeat received."""
         self.voted_at = now
@@ -900,6 +903,7 @@
             rows=rows,
             changes=changes,
             moving=self.list_moving(),
+            heartbeat_ms=to_milliseconds(self.clock.monotonic()),
         )
 
     def list_moving(self) -> tuple[frames.Span, ...]:
@@ -1285,9 +1289,17 @@
     def _record_contact(self, frame: frames.Frame, now: datetime.timedelta) -> None:
         """Record what a message of the coordinator says about its state.
 
-        News count as well, since the heartbeats of a busy coordinator may be late.
+        News count as well, since the heartbeats of a busy coordinator may be late. A
+        message that has waited in a buffer counts as of its sending. Only direct reads
+        depend on this: another coordinator would have the same load.
         """
-        self.last_heartbeat_at = now
+        sent_at = datetime.timedelta(milliseconds=frame.heartbeat_ms)
+        delay = datetime.timedelta()
+        if sent_at:
+            self.message_delays, delay = message_delays.record_message(
+                self.message_delays, frame.incarnation, sent_at, now
+            )
+        self.last_heartbeat_at = max(self.last_heartbeat_at, now - delay)
         if frame.stopping:
             # Elections may start at once; their jitter still applies.
             self.last_healthy_heartbeat_at = now - HEARTBEAT_TIMEOUT
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -148,7 +148,8 @@
     """Whether the sender has run for longer than any grant that was sent before its
     start, so that `holds_ms` is all that it could know."""
     heartbeat_ms: int = 0
-    """In a "beat": when it was sent, in ms of the coordinator's monotonic clock. In a
+    """In a "beat" and in "rows": when it was sent, in ms of the coordinator's monotonic
+    clock; earlier versions send none in "rows". In a
     "report": that of the last heartbeat received, or 0 if its `holds_ms` is not
     acknowledged because of a recent vote."""
     departures: tuple[Departure, ...] = ()
