--- a/packages/core/dewstep_core/errors.py
+++ b/packages/core/dewstep_core/errors.py
@@ -268,6 +268,17 @@
     entry: str
 
 
+@register_answer(503, NOT_RUN)
+class RequestSuspected(NamedTuple):
+    """Targets were lost that had an equal request in progress; this one was not sent.
+
+    The suspicion may be wrong, and ends after a time.
+    """
+
+    fingerprint: str
+    retry_after: datetime.timedelta
+
+
 # The request may have run.
 
 
--- a/packages/entry/dewstep_entry/bodies.py
+++ b/packages/entry/dewstep_entry/bodies.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 from dewstep_core import data
@@ -35,6 +35,20 @@
         await close()
 
 
+async def observe_end(
+    rest: AsyncIterator[bytes], on_end: Callable[[], None]
+) -> AsyncIterator[bytes]:
+    """Yield the pieces of `rest`; call `on_end` after the last one."""
+    try:
+        async for piece in rest:
+            yield piece
+    finally:
+        close = getattr(rest, "aclose", None)
+        if close is not None:
+            await close()
+    on_end()
+
+
 async def split_chunks(
     rest: AsyncIterator[bytes], size: int = SMALL_BODY_BYTES
 ) -> AsyncIterator[bytes]:
--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -195,8 +195,11 @@
             self._ask_for_confirmation,
         )
         self.crash_counts = crash_counts.CrashCounts()
-        self.unsent_crashes: dict[tuple, frames.Crash] = {}
-        """Crashes for the next heartbeat or report, by request and target."""
+        self.unsent_losses: dict[tuple[bytes, str, int], crash_counts.Loss] = {}
+        """Losses for the next report, by request, target and incarnation."""
+        self.unsent_counts: dict[bytes, int] = {}
+        """Changed counts of losses for the next heartbeat, by request; 0 also for the
+        next report."""
         self.unsent_departures: list[frames.Departure] = []
         """Departures of targets for the next heartbeat or report."""
         now = clock.monotonic()
@@ -1024,8 +1027,7 @@
         self,
     ) -> tuple[tuple[frames.Crash, ...], tuple[frames.Departure, ...]]:
         """Return the crashes and departures that have not been sent, as sent."""
-        crashes = tuple(self.unsent_crashes.values())
-        self.unsent_crashes = {}
+        crashes = self._take_crashes()
         departures, self.unsent_departures = tuple(self.unsent_departures), []
         return crashes, departures
 
@@ -1084,43 +1086,71 @@
         wait = selection.estimate_wait(estimate, target.slots)
         return datetime.timedelta(seconds=wait)
 
-    def record_crash(self, fingerprint: bytes, target: str, life: int) -> None:
+    def record_crash(self, fingerprint: bytes, loss: crash_counts.Loss) -> None:
         """Record the loss of a target while a request was in progress there."""
-        self._count_crash(frames.Crash(fingerprint, 1, target, life))
+        self.unsent_losses[fingerprint, loss.target, loss.life] = loss
+        self._count_loss(fingerprint, loss)
 
     def record_completion(self, fingerprint: bytes) -> None:
         """Clear a request that a target has completed of all suspicions."""
-        if self.crash_counts.clear(fingerprint):
+        if self.crash_counts.clear(fingerprint, self.clock.monotonic()):
             events.info("crash_cleared", fingerprint=fingerprint.hex())
-            self._add_unsent_crash(frames.Crash(fingerprint, 0))
+            self.unsent_counts[fingerprint] = 0
 
-    def _count_crash(self, crash: frames.Crash) -> None:
-        """Count a crash that this instance or a member has observed."""
+    def _receive_crash(self, crash: frames.Crash) -> None:
+        """Count a loss that a member reports, or clear a request."""
         if not crash.count:
             self.record_completion(crash.fingerprint)
             return
         now = self.clock.monotonic()
-        counted = self.crash_counts.add(
-            crash.fingerprint, crash.target, crash.life, now
+        loss = crash_counts.Loss(
+            crash.target,
+            crash.life,
+            now - datetime.timedelta(milliseconds=crash.sent_age_ms),
+            now - datetime.timedelta(milliseconds=crash.lost_age_ms),
         )
-        count = self.crash_counts.get(crash.fingerprint)
-        if counted:
-            events.info(
-                "crash_counted",
-                fingerprint=crash.fingerprint.hex(),
-                target=crash.target,
-                life=crash.life,
-                count=count,
-            )
-        if not self.coordinating:
-            self._add_unsent_crash(crash)
-        elif counted:
-            self._add_unsent_crash(frames.Crash(crash.fingerprint, count))
+        self._count_loss(crash.fingerprint, loss)
+
+    def _count_loss(self, fingerprint: bytes, loss: crash_counts.Loss) -> None:
+        now = self.clock.monotonic()
+        if not self.crash_counts.add(fingerprint, loss, now):
+            return
+        count = self.crash_counts.get(fingerprint, now)
+        events.info(
+            "crash_counted",
+            fingerprint=fingerprint.hex(),
+            target=loss.target,
+            life=loss.life,
+            count=count,
+        )
+        if self.coordinating:
+            self.unsent_counts[fingerprint] = count
+
+    def _take_crashes(self) -> tuple[frames.Crash, ...]:
+        """Return the counts or the losses that have not been sent, as sent.
 
-    def _add_unsent_crash(self, crash: frames.Crash) -> None:
-        """Send a crash with the next heartbeat or report."""
-        row = crash.fingerprint, crash.target, crash.life
-        self.unsent_crashes[row] = crash
+        A coordinator sends counts, a member the losses that it has seen itself, and
+        which requests have been completed.
+        """
+        now = self.clock.monotonic()
+        counts, self.unsent_counts = self.unsent_counts, {}
+        losses, self.unsent_losses = self.unsent_losses, {}
+        if self.coordinating:
+            return tuple(frames.Crash(*item) for item in counts.items())
+        cleared = [frames.Crash(item, 0) for item, count in counts.items() if not count]
+        reports = [
+            frames.Crash(
+                fingerprint,
+                1,
+                loss.target,
+                loss.life,
+                to_milliseconds(now - loss.sent_at),
+                to_milliseconds(now - loss.lost_at),
+            )
+            for (fingerprint, _, _), loss in losses.items()
+        ]
+        # A request that was completed after its losses were seen is cleared of them.
+        return (*reports, *cleared)
 
     def record_departure(self, target: str, life: int) -> None:
         """Record that a target is leaving, and tell the other instances."""
@@ -1160,7 +1190,7 @@
         self.demands.add_report(frame.keys, frame.loads)
         self.limits.apply_observations(frame.limits, first_hand=True)
         for crash in frame.crashes:
-            self._count_crash(crash)
+            self._receive_crash(crash)
         for departure in frame.departures:
             self.record_departure(*departure)
 
@@ -1417,10 +1447,11 @@
         age = self.configuration_checks.get_age()
         if age is None:
             return
+        versions = dict(frame.versions)
         rows = tuple(
             row
-            for row in self.directory.list_newer(frame.versions)
-            if row.table == model.TABLES.configuration
+            for row in self.directory.list_table(model.TABLES.configuration)
+            if versions.get(frames.hash_row_key(row), -1) < row.version
         )
         link.send(
             self.build_frame(
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -20,12 +20,13 @@
 from returns import result
 
 from dewstep_core import clocks, data, errors, events, settings, tasks
-from dewstep_entry import failures, header_rules
+from dewstep_entry import bodies, failures, header_rules
 from dewstep_entry.targets import answering, connection_pool
 from dewstep_fleet import (
     answers,
     budgets,
     coordination,
+    crash_counts,
     directories,
     load_counts,
     model,
@@ -75,6 +76,9 @@
 """Reason with which a target refuses a request for a key that it does not own."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses from which callers conclude that a request has not run."""
+SUSPECTED_RETRY_AFTER = datetime.timedelta(seconds=60)
+"""Retry time of a request that may crash targets, which costs them more than it does
+its caller."""
 CRASH_CONFIRMATION_PERIOD = datetime.timedelta(seconds=6)
 """Time within which the registration of a crashed target expires: three of its
 heartbeats, doubled for a slow store."""
@@ -113,8 +117,7 @@
     """A request that may have crashed a target."""
 
     fingerprint: bytes
-    incarnation: int
-    noted_at: datetime.timedelta
+    loss: crash_counts.Loss
 
 
 class Progress:
@@ -272,7 +275,7 @@
         A configuration that may have been replaced does not justify a refusal that
         callers do not repeat, so the newest one is awaited before such a refusal.
         """
-        end = request.arrived_at + MAX_START_WAIT
+        end: datetime.timedelta | None = None
         max_age = self.retry_budgets.timing.apply_time * MAX_CONFIGURATION_AGE
         checks = self.participant.configuration_checks
         while True:
@@ -287,10 +290,12 @@
                 if checks.is_confirmed(request.arrived_at - max_age):
                     return located
                 missing = "newest configuration"
-            time_left = end - self.clock.monotonic()
-            if time_left <= datetime.timedelta():
+            now = self.clock.monotonic()
+            if end is None:
+                end = now + MAX_START_WAIT
+            if now >= end:
                 return result.Failure(errors.NotReady(missing))
-            await checks.wait(time_left)
+            await checks.wait(end - now)
 
     def locate_request(
         self, request: model.IncomingRequest
@@ -503,7 +508,10 @@
         if self.participant.crash_counts.is_quarantined(
             plan.fingerprint, self.clock.monotonic()
         ):
-            return Outcome(None, errors.Quarantined(plan.fingerprint.hex()), "")
+            failure = errors.RequestSuspected(
+                plan.fingerprint.hex(), SUSPECTED_RETRY_AFTER
+            )
+            return Outcome(None, failure, "")
         found = await self.find_target(plan, tried)
         if isinstance(found, result.Failure):
             return Outcome(None, found.failure(), "")
@@ -779,8 +787,7 @@
             if answer.status < 500 and answer.status not in NOT_RUN_STATUSES:
                 if self.answer_rules.limit not in dict(answer.headers):
                     self.participant.limits.record_unnamed(target, sent_at)
-                if answer.body.rest is None:
-                    self.participant.record_completion(plan.fingerprint)
+                answer = self.observe_completion(plan, answer)
                 events.info(
                     "answered",
                     request_id=plan.request.request_id,
@@ -825,16 +832,19 @@
             )
             self.loads.avoid_until(target.name, until.total_seconds())
         if isinstance(failure, errors.ConnectionLost):
-            self.check_for_crash(plan, target)
+            self.check_for_crash(plan, target, sent_at)
         return Outcome(answer_kept, failure, target.name)
 
-    def check_for_crash(self, plan: PlannedRequest, target: model.Target) -> None:
+    def check_for_crash(
+        self, plan: PlannedRequest, target: model.Target, sent_at: datetime.timedelta
+    ) -> None:
         """Suspect a crash if the target refuses connections after a lost connection.
 
         A network fault may look the same, so the crash is counted only once the
         target's registration has ended as well.
         """
         registered = self.directory.targets.get(target.name)
+        lost_at = self.clock.monotonic()
 
         async def check() -> None:
             try:
@@ -848,9 +858,8 @@
                     fingerprint=plan.fingerprint.hex(),
                     target=target.name,
                 )
-                suspicion = CrashSuspicion(
-                    plan.fingerprint, target.life, self.clock.monotonic()
-                )
+                loss = crash_counts.Loss(target.name, target.life, sent_at, lost_at)
+                suspicion = CrashSuspicion(plan.fingerprint, loss)
                 self.suspicions.setdefault(target.name, set()).add(suspicion)
             except OSError as error:
                 # Without an answer, it is unknown whether the target crashed.
@@ -861,6 +870,19 @@
         if registered is not None:
             self.background_tasks.spawn(check())
 
+    def observe_completion(
+        self, plan: PlannedRequest, answer: data.Answer
+    ) -> data.Answer:
+        """Clear a request of suspicions once its answer is complete."""
+        rest = answer.body.rest
+        if rest is None:
+            self.participant.record_completion(plan.fingerprint)
+            return answer
+        observed = bodies.observe_end(
+            rest, lambda: self.participant.record_completion(plan.fingerprint)
+        )
+        return answer._replace(body=answer.body._replace(rest=observed))
+
     def get_owner_version(self, plan: PlannedRequest) -> int:
         """Return the version of the ownership row used, or 0 without a key."""
         ownership = self.directory.ownerships.get(plan.service.name)
@@ -990,16 +1012,16 @@
             recent = {
                 item
                 for item in suspicions
-                if now - item.noted_at <= CRASH_CONFIRMATION_PERIOD
+                if now - item.loss.lost_at <= CRASH_CONFIRMATION_PERIOD
             }
             registered = self.directory.targets.get(name)
             ended = {
-                (item.fingerprint, item.incarnation)
+                item
                 for item in recent
-                if registered is None or registered.life != item.incarnation
+                if registered is None or registered.life != item.loss.life
             }
-            for fingerprint, life in ended:
-                self.participant.record_crash(fingerprint, name, life)
+            for item in ended:
+                self.participant.record_crash(*item)
             if ended or not recent:
                 del self.suspicions[name]
             else:
--- a/packages/fleet/dewstep_fleet/feeds.py
+++ b/packages/fleet/dewstep_fleet/feeds.py
@@ -19,7 +19,6 @@
 """Maximum duration of watches that also show that what is known is the newest: the
 fleet's table confirms the coordinator's term, and the configuration justifies refusals
 that callers do not repeat."""
-SHORT_WATCHES = frozenset({model.TABLES.fleet, model.TABLES.configuration})
 RELAY_WATCH_INTERVAL = datetime.timedelta(milliseconds=100)
 """Minimum interval between watches of a table by an instance that relays changes, so
 that one answer contains all targets that register together. A leaving target must get
@@ -103,6 +102,18 @@
             self.followed_tables = tables
             self.tables_changed.set()
 
+    def choose_watch_timeout(self, table: str) -> datetime.timedelta:
+        """Return the maximum duration of a watch.
+
+        Only instances that relay changes confirm the configuration of others.
+        """
+        relays = self.watch_interval == RELAY_WATCH_INTERVAL
+        if table == model.TABLES.fleet or (
+            table == model.TABLES.configuration and relays
+        ):
+            return SHORT_WATCH_TIMEOUT
+        return WATCH_TIMEOUT
+
     async def run(self) -> None:
         """Follow the selected tables until cancelled."""
         try:
@@ -143,7 +154,7 @@
             if version is None:
                 outcome = await self.store.read_table(table)
             else:
-                wait = SHORT_WATCH_TIMEOUT if table in SHORT_WATCHES else WATCH_TIMEOUT
+                wait = self.choose_watch_timeout(table)
                 outcome = await self.store.watch(table, version, wait)
             if isinstance(outcome, result.Success):
                 state = outcome.unwrap()
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -57,6 +57,8 @@
   count @1 :UInt32;
   target @2 :Text;         # "report": the lost target; empty from earlier versions
   life @3 :UInt64;         # its incarnation
+  sentAgeMs @4 :UInt32;    # time since the request was sent to it
+  lostAgeMs @5 :UInt32;    # time since it was lost
 }
 
 struct Departure {
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -68,6 +68,10 @@
     """The lost target; "" in reports of earlier versions of this package."""
     life: int = 0
     """Incarnation of the target."""
+    sent_age_ms: int = 0
+    """Time in ms since the request was sent to the target."""
+    lost_age_ms: int = 0
+    """Time in ms since the target was lost."""
 
 
 class Departure(NamedTuple):
@@ -253,7 +257,17 @@
     if frame.keys:
         message.keys = [item._asdict() for item in frame.keys]
     if frame.crashes:
-        message.crashes = [item._asdict() for item in frame.crashes]
+        message.crashes = [
+            {
+                "fingerprint": item.fingerprint,
+                "count": item.count,
+                "target": item.target,
+                "life": item.life,
+                "sentAgeMs": min(item.sent_age_ms, MAX_UINT32),
+                "lostAgeMs": min(item.lost_age_ms, MAX_UINT32),
+            }
+            for item in frame.crashes
+        ]
     if frame.departures:
         message.departures = [item._asdict() for item in frame.departures]
     if frame.limits:
@@ -324,7 +338,14 @@
         tuple(Span(item.service, item.first, item.last) for item in message.moving),
         tuple(KeyCount(item.service, item.key, item.count) for item in message.keys),
         tuple(
-            Crash(bytes(item.fingerprint), item.count, item.target, item.life)
+            Crash(
+                bytes(item.fingerprint),
+                item.count,
+                item.target,
+                item.life,
+                item.sentAgeMs,
+                item.lostAgeMs,
+            )
             for item in message.crashes
         ),
         message.stopping,
--- a/packages/fleet/dewstep_fleet/telemetry.py
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -81,6 +81,7 @@
 def describe_numbers(process) -> dict[str, float]:
     """Return the numeric state of an instance."""
     participant = process.participant
+    now = process.clock.monotonic()
     return {
         "coordinating": float(participant.coordinating),
         "term": participant.term,
@@ -98,9 +99,9 @@
         "requests_passed_on": sum(process.dispatcher.relay.in_progress.values()),
         "requests_of_others": process.relay_receiver.in_progress,
         "targets_with_limit": len(participant.limits.list_rates()),
-        "suspected_requests": participant.crash_counts.count_suspects(1),
+        "suspected_requests": participant.crash_counts.count_suspects(1, now),
         "quarantined_requests": participant.crash_counts.count_suspects(
-            crash_counts.MAX_LOSSES_BEFORE_QUARANTINE
+            crash_counts.MAX_LOSSES_BEFORE_QUARANTINE, now
         ),
         "permits_used": participant.limits.counts["permits_used"],
         "permits_refused": participant.limits.counts["permits_refused"],
