Skip moves that are nowhere near the ranges of a target

Change: a move outside of the lowest and the highest key of the ranges is skipped. Behaviour is unchanged; held_ranges_test.py passes.

--- a/packages/fleet/dewstep_fleet/held_ranges.py
+++ b/packages/fleet/dewstep_fleet/held_ranges.py
@@ -30,9 +30,17 @@
 def exclude_spans(
     holdings: tuple[model.Holding, ...], spans: Iterable[Span]
 ) -> tuple[model.Holding, ...]:
-    """Return the parts of `holdings` that are outside of all `spans`."""
+    """Return the parts of `holdings` that are outside of all `spans`.
+
+    Most of hundreds of spans are nowhere near the few ranges of one target.
+    """
+    if not holdings:
+        return holdings
+    lowest = min(item.first for item in holdings)
+    highest = max(item.last for item in holdings)
     for first, last in spans:
-        holdings = ranges.exclude_range(holdings, first, last)
+        if last >= lowest and first <= highest:
+            holdings = ranges.exclude_range(holdings, first, last)
     return holdings
 
 
