Send changes of the moves instead of all moves with each message

Cause: each news and each heartbeat contained all ranges that were being moved. Change: move_changes.py; members that accept it get the moves that have begun and ended, earlier builds the whole list as before. News wait, up to 0.5 s, while most links have not sent the last ones, and are sent together then.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -31,6 +31,7 @@
     load_counts,
     message_delays,
     model,
+    move_changes,
     outstanding,
     permits,
     quorums,
@@ -46,6 +47,10 @@
 NEWS_INTERVAL_PER_MEMBER = datetime.timedelta(microseconds=100)
 """Minimum interval between news in proportion to the members, to each of which news are
 sent: 20 ms with 200. Changes in between are sent together."""
+NEWS_PAUSE = datetime.timedelta(milliseconds=20)
+"""Time after which it is checked again whether links have sent the last news."""
+MAX_NEWS_PAUSE = datetime.timedelta(milliseconds=500)
+"""Longest time without news because of links that send slowly or not at all."""
 HEARTBEAT_INTERVAL_PER_MEMBER = datetime.timedelta(milliseconds=2)
 """Increases the interval in larger fleets, which limits the reports to 500/s with up to
 150 members; decoding one takes 80 us."""
@@ -255,6 +260,10 @@
         """Changed rows for the next news, by table and key."""
         self.announced: dict[tuple[str, str], model.StoredRow] = {}
         """Rows as of the last news."""
+        self.announced_moves: frozenset[frames.Span] = frozenset()
+        """Ranges that were being moved as of the last news."""
+        self.accepting_moves: set[str] = set()
+        """Members that accept changes of moves."""
         self.next_dial_at: dict[str, datetime.timedelta] = {}
         self.reports: dict[str, Report] = {}
         self.pending_votes: dict[links.Link, asyncio.Future] = {}
@@ -581,6 +590,7 @@
         self.proposed_quorum = None
         self.coordinator_link = None
         self.announced = dict(self.directory.rows)
+        self.announced_moves = frozenset(self.list_moving())
         self.table_feeds.follow(frozenset(model.TABLES), relays=True)
         claimed_at, self.claimed_at = self.claimed_at, None
         self.granter_task = asyncio.ensure_future(self.granter.run(claimed_at))
@@ -612,6 +622,7 @@
             link.close()
         self.links.clear()
         self.synchronised.clear()
+        self.accepting_moves.clear()
         self.news.clear()
         self.announced.clear()
         self.informants.clear()
@@ -785,6 +796,7 @@
             if known is link:
                 del self.links[node]
                 self.synchronised.pop(node, None)
+                self.accepting_moves.discard(node)
                 self.reports.pop(node, None)
                 events.info("member_lost", node=node)
 
@@ -863,20 +875,55 @@
         self.news_scheduled = False
         if not self.coordinating:
             return
-        self.last_news_at = self.clock.monotonic()
+        now = self.clock.monotonic()
+        if self.has_unsent_news() and now - self.last_news_at < MAX_NEWS_PAUSE:
+            # Changes that are sent together take fewer bytes.
+            self.news_scheduled = True
+            asyncio.get_running_loop().call_later(
+                NEWS_PAUSE.total_seconds(), self._send_news
+            )
+            return
+        self.last_news_at = now
         rows, changes = self.take_news()
-        with_changes = frames.encode(self.build_news(rows, changes))
-        whole = with_changes
-        if changes and not all(self.synchronised.values()):
-            changed = tuple(self.announced[item.table, item.key] for item in changes)
-            whole = frames.encode(self.build_news(pack_rows((*rows, *changed))))
+        moves = move_changes.compare(self.announced_moves, self.directory.moving)
+        self.announced_moves = frozenset(self.list_moving())
+        encoded: dict[tuple[bool, bool], bytes] = {}
         for node, link in list(self.links.items()):
             # Other members still ask for all rows, and get the newest ones.
-            if node in self.synchronised and not link.send_encoded(
-                with_changes if self.synchronised[node] else whole
-            ):
+            if node not in self.synchronised:
+                continue
+            accepted = self.synchronised[node], node in self.accepting_moves
+            if accepted not in encoded:
+                # Most members get the same message.
+                frame = self.build_accepted_news(rows, changes, moves, *accepted)
+                encoded[accepted] = frames.encode(frame)
+            if not link.send_encoded(encoded[accepted]):
                 self._drop_link(link)
 
+    def has_unsent_news(self) -> bool:
+        """Whether most links have not sent the last news yet."""
+        waiting = sum(link.has_unsent_bytes() for link in self.links.values())
+        return 2 * waiting > len(self.links)
+
+    def build_accepted_news(
+        self,
+        rows: tuple[model.StoredRow, ...],
+        changes: tuple[row_changes.RowChange, ...],
+        moves: move_changes.MoveChanges,
+        accepts_changes: bool,
+        accepts_moves: bool,
+    ) -> frames.Frame:
+        """Return news as a member accepts them; earlier versions need whole values."""
+        if not accepts_changes:
+            changed = tuple(self.announced[item.table, item.key] for item in changes)
+            rows, changes = pack_rows((*rows, *changed)), ()
+        frame = self.build_news(rows, changes)
+        if not accepts_moves:
+            return frame
+        return frame._replace(
+            moves_kept=True, moving=(), begun=moves.begun, ended=moves.ended
+        )
+
     def take_news(
         self,
     ) -> tuple[tuple[model.StoredRow, ...], tuple[row_changes.RowChange, ...]]:
@@ -911,11 +958,7 @@
 
     def list_moving(self) -> tuple[frames.Span, ...]:
         """Return all ranges that are being moved."""
-        return tuple(
-            frames.Span(service, first, last)
-            for service, spans in self.directory.moving.items()
-            for first, last in spans
-        )
+        return move_changes.list_spans(self.directory.moving)
 
     def schedule_heartbeat(self) -> None:
         """Schedule a heartbeat for the event loop's next iteration."""
@@ -941,8 +984,12 @@
         totals = self.sum_loads()
         self.loads.apply_totals(totals, now.total_seconds())
         crashes, departures = self.take_unsent()
+        if move_changes.compare(self.announced_moves, self.directory.moving) != (
+            move_changes.MoveChanges()
+        ):
+            self.schedule_news()
         deputies = set(self.choose_deputies())
-        encoded: dict[bool, bytes] = {}
+        encoded: dict[tuple[bool, bool], bytes] = {}
         for node, link in list(self.links.items()):
             report_age = (
                 now - self.reports[node].received_at if node in self.reports else None
@@ -952,12 +999,15 @@
                 link.close()
                 self._drop_link(link)
                 continue
-            deputy = node in deputies
-            if deputy not in encoded:
+            kind = node in deputies, node in self.accepting_moves
+            if kind not in encoded:
                 # Most members get the same message.
+                deputy, accepts_moves = kind
                 frame = self.build_heartbeat(deputy, totals, crashes, departures)
-                encoded[deputy] = frames.encode(frame)
-            if not link.send_encoded(encoded[deputy]):
+                if accepts_moves:
+                    frame = frame._replace(moves_kept=True, moving=())
+                encoded[kind] = frames.encode(frame)
+            if not link.send_encoded(encoded[kind]):
                 self._drop_link(link)
 
     def build_heartbeat(
@@ -1204,15 +1254,19 @@
         elif frame.kind == "versions":
             if self.coordinating and self.links.get(frame.node) is link:
                 self.synchronised[frame.node] = frame.accepts_changes
+                if frame.accepts_moves:
+                    self.accepting_moves.add(frame.node)
                 rows = self.directory.list_newer(frame.versions)
                 if not frame.accepts_changes:
                     rows = pack_rows(rows)
-                link.send(self.build_news(rows))
+                # The next changes of moves are relative to the last news.
+                moving = tuple(sorted(self.announced_moves))
+                link.send(self.build_news(rows)._replace(moving=moving))
         elif frame.kind == "rows":
             if self._is_current(link, frame):
                 self._apply_news(link, frame)
                 if not self.coordinating:
-                    self._apply_moving(frame.moving)
+                    self._apply_moves(frame)
                     if frame.term == self.term and link is self.coordinator_link:
                         self._record_contact(frame, now)
         elif frame.kind == "report":
@@ -1280,7 +1334,11 @@
     def request_rows(self, link: links.Link) -> None:
         """Ask the coordinator for all rows that are newer than the known ones."""
         versions = self.directory.list_versions()
-        link.send(self.build_frame("versions", versions=versions, accepts_changes=True))
+        link.send(
+            self.build_frame(
+                "versions", versions=versions, accepts_changes=True, accepts_moves=True
+            )
+        )
 
     def _apply_news(self, link: links.Link, frame: frames.Frame) -> None:
         """Apply changed rows; ask for the rows that a change does not fit."""
@@ -1306,12 +1364,13 @@
         self.directory.apply_rows(rows, apply_removals=True)
         self.applying_relayed_rows = False
 
-    def _apply_moving(self, moved: tuple[frames.Span, ...]) -> None:
-        """Apply all ranges that the coordinator is moving."""
-        moving: dict[str, tuple[tuple[int, int], ...]] = {}
-        for span in moved:
-            spans = moving.get(span.service, ())
-            moving[span.service] = (*spans, (span.first, span.last))
+    def _apply_moves(self, frame: frames.Frame) -> None:
+        """Apply the ranges that the coordinator is moving, or their changes."""
+        if frame.moves_kept:
+            changes = move_changes.MoveChanges(frame.begun, frame.ended)
+            moving = move_changes.apply(self.directory.moving, changes)
+        else:
+            moving = move_changes.group_spans(frame.moving)
         if moving != self.directory.moving:
             self.directory.moving = moving
             self.directory.notify_waiters()
@@ -1359,7 +1418,7 @@
         self.deputy = frame.deputy
         if frame.rows:
             self._apply_relayed_rows(frame.rows)
-        self._apply_moving(frame.moving)
+        self._apply_moves(frame)
         self.loads.apply_totals(frame.totals, now.total_seconds())
         self.limits.apply_observations(frame.limits, first_hand=False)
         for crash in frame.crashes:
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -856,6 +856,11 @@
         holds_ms=3,
         holds_known=True,
         heartbeat_ms=2**40,
+        age_ms=4,
+        moves_kept=True,
+        begun=(frames.Span("s", 3, 4),),
+        ended=(frames.Span("s", 5, 6),),
+        accepts_moves=True,
     )
     assert frames.decode(frames.encode(frame)) == frame
 
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -114,4 +114,8 @@
   changes @25 :List(RowChange);
   acceptsChanges @26 :Bool; # "versions": the sender can apply changes of rows
   ageMs @27 :UInt32;       # "confirmed": time since the sender's configuration was the newest
+  movesKept @28 :Bool;     # see Frame.moves_kept in frames.py
+  begun @29 :List(Span);
+  ended @30 :List(Span);
+  acceptsMoves @31 :Bool;  # "versions": the sender can apply changes of the moves
 }
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -175,6 +175,15 @@
     of this package cannot."""
     age_ms: int = 0
     """In a "confirmed": time in ms since the sender's configuration was the newest."""
+    moves_kept: bool = False
+    """In a "beat" and in "rows": whether the moves of earlier messages go on, but for
+    the changes in `begun` and `ended`, so that `moving` is empty. Hundreds of moves in
+    each message would fill the coordinator's link."""
+    begun: tuple[Span, ...] = ()
+    ended: tuple[Span, ...] = ()
+    accepts_moves: bool = False
+    """In "versions": whether the sender can apply changes of the moves, which earlier
+    versions of this package cannot."""
 
 
 def hash_target_name(target: str) -> int:
@@ -215,6 +224,8 @@
         reachesTargets=frame.reaches_targets,
         acceptsChanges=frame.accepts_changes,
         ageMs=min(frame.age_ms, MAX_UINT32),
+        movesKept=frame.moves_kept,
+        acceptsMoves=frame.accepts_moves,
     )
     if frame.rows:
         message.rows = [
@@ -254,6 +265,10 @@
         versions.versions = [version for _, version in frame.versions]
     if frame.moving:
         message.moving = [span._asdict() for span in frame.moving]
+    if frame.begun:
+        message.begun = [span._asdict() for span in frame.begun]
+    if frame.ended:
+        message.ended = [span._asdict() for span in frame.ended]
     if frame.keys:
         message.keys = [item._asdict() for item in frame.keys]
     if frame.crashes:
@@ -335,7 +350,7 @@
                 strict=True,
             )
         ),
-        tuple(Span(item.service, item.first, item.last) for item in message.moving),
+        decode_spans(message.moving),
         tuple(KeyCount(item.service, item.key, item.count) for item in message.keys),
         tuple(
             Crash(
@@ -380,4 +395,13 @@
         ),
         message.acceptsChanges,
         message.ageMs,
+        message.movesKept,
+        decode_spans(message.begun),
+        decode_spans(message.ended),
+        message.acceptsMoves,
     )
+
+
+def decode_spans(spans: Any) -> tuple[Span, ...]:
+    """Return the spans in a list of a message."""
+    return tuple(Span(item.service, item.first, item.last) for item in spans)
