Refuse as not run what only the built-in limits forbid

Callers of an instance that knew no configuration yet saw 413 for bodies over 1 MiB and 431 for heads over 16 KiB, also where every configuration allows them. They do not repeat a request after these answers.

Cause: the listener applies built-in limits until the first configuration arrives and reports an excess as it does for a configured limit.

The built-in limits stay, as they bound the memory of the instance, but an excess now gets 503 NotReady("configuration") with Retry-After, and the connection ends as before. The refusal that the dispatcher gives after its wait for a configuration has a Retry-After too.

--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -260,8 +260,13 @@
 
     def _queue_refusal(self, http: h11.Connection, failure: Any) -> QueuedRequest:
         """Return what stands for input behind which nothing can be read."""
-        self.listener.on_refusal(failure)
-        return QueuedRequest(http, b"GET", result.Failure(failure))
+        return QueuedRequest(http, b"GET", self._refuse(failure))
+
+    def _refuse(self, failure: Any) -> result.Failure:
+        """Return the failure to report for a request that reaches no handler."""
+        reported = self.listener.choose_refusal(failure)
+        self.listener.on_refusal(reported)
+        return result.Failure(reported)
 
     def _prepare_parallel(self, identified) -> tuple[Any, bool]:
         """Return a request without a body as it runs, and whether beside others."""
@@ -437,8 +442,7 @@
                 method = head.method
                 outcome = await self._handle_head(head)
         except request_body.RequestRefused as refusal:
-            self.listener.on_refusal(refusal.failure)
-            outcome = result.Failure(refusal.failure)
+            outcome = self._refuse(refusal.failure)
         if isinstance(outcome, result.Success):
             answer = outcome.unwrap()
         else:
@@ -476,7 +480,7 @@
             head.method, head.target, headers, length
         )
         if not isinstance(identified, result.Success):
-            self.listener.on_refusal(identified.failure())
+            identified = self._refuse(identified.failure())
         return identified, length
 
     async def _handle_head(self, head: h11.Request):
--- a/packages/entry/dewstep_entry/caller/listener.py
+++ b/packages/entry/dewstep_entry/caller/listener.py
@@ -43,7 +43,10 @@
     jitter : callable
         Returns the jitter of retry times, from 0 to 1.
     on_refusal : callable
-        Called with the failure of each request that did not reach the handler.
+        Called with the failure of each request that did not reach the handler, as it
+        is reported to the caller.
+    choose_refusal : callable
+        Returns the failure to report for a request that does not reach the handler.
     prepare_parallel : callable
         Returns an identified request without a body as it runs beside the others on its
         connection, or None if it must wait for its turn since it may not be repeated.
@@ -59,6 +62,9 @@
         entry: str,
         jitter: Callable[[], float] = random.random,
         on_refusal: Callable[[interfaces.Failure], None] = lambda failure: None,
+        choose_refusal: Callable[
+            [interfaces.Failure], interfaces.Failure
+        ] = lambda failure: failure,
         prepare_parallel: PrepareCallback = lambda request: None,
     ):
         self.address = address
@@ -69,6 +75,7 @@
         self.entry = entry
         self.jitter = jitter
         self.on_refusal = on_refusal
+        self.choose_refusal = choose_refusal
         self.prepare_parallel = prepare_parallel
         self.parallel_requests = 0
         """Number of requests in progress that run behind others on a connection."""
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -986,6 +986,8 @@
     ) -> data.Answer:
         """Return the answer for a request that failed, and log the reason."""
         retry_after = None
+        if plan is None and isinstance(failure, errors.NotReady):
+            retry_after = BASE_RETRY_AFTER * (1 + self.random.random() / 2)
         if plan is not None:
             time_left = plan.due_at - self.clock.monotonic()
             failure = self.find_pause_failure(plan, failure)
--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -140,6 +140,7 @@
             self.meter,
             instance.member.node,
             on_refusal=self.log_refusal,
+            choose_refusal=self.choose_refusal,
             prepare_parallel=self.dispatcher.prepare_parallel,
         )
         self.relay_receiver = relaying.RelayReceiver(
@@ -346,6 +347,18 @@
             head_bytes = routes.limits.head_bytes + relaying.HEAD_MARGIN_BYTES
             self.relay_listener.limits = settings.CallerLimits(head_bytes=head_bytes)
 
+    def choose_refusal(self, failure: Any) -> Any:
+        """Return the failure to report for a request that was refused before routing.
+
+        The built-in limits bound the memory that an instance uses before it knows the
+        configuration, which may allow more. Callers do not repeat a request after 413
+        or 431, so that these are given by the limits of a configuration only.
+        """
+        exceeded = isinstance(failure, errors.HeadersTooLarge | errors.BodyTooLarge)
+        if exceeded and self.directory.routes is None:
+            return errors.NotReady("configuration")
+        return failure
+
     def log_refusal(self, failure: Any) -> None:
         """Log a request that was refused before routing."""
         events.info("request_refused", failure=failure)
--- a/packages/fleet/dewstep_fleet/process_test.py
+++ b/packages/fleet/dewstep_fleet/process_test.py
@@ -22,12 +22,26 @@
 class Harness:
     """An instance and a target that records its requests."""
 
-    def __init__(self, keyed=False):
+    def __init__(self, keyed=False, configured=True):
         self.requests = []
         self.delay = 0.0
-        self.keyed = keyed
         self.target = server.Server(self.answer)
         self.store = builders.FakeStore()
+        self.table = builders.build_table(
+            builders.build_route(idempotent=False), keyed=keyed
+        )
+        if configured:
+            self.configure()
+
+    def configure(self, **changes):
+        """Write the first or the next version of the configuration."""
+        version = self.table.version + 1
+        self.table = self.table._replace(version=version, **changes)
+        self.store.put(model.TABLES.configuration, "config", b"")
+
+    async def wait_configured(self):
+        while self.process.directory.routes != self.table:
+            await asyncio.sleep(0.01)
 
     async def answer(self, exchange):
         body = await exchange.read_body()
@@ -42,16 +56,12 @@
         address = await self.target.start("127.0.0.1", 0)
         target = builders.build_target("t", host=address.host, port=address.port)
         store = self.store
-        store.put(model.TABLES.configuration, "config", b"")
         store.put(model.TABLES.targets, "t", builders.encode_target(target))
-        table = builders.build_table(
-            builders.build_route(idempotent=False), keyed=self.keyed
-        )
         clock = clocks.SystemClock()
         adapter = process.PlatformAdapter(
             store,
             builders.FakeTargets(clock),
-            lambda content: result.Success(table),
+            lambda content: result.Success(self.table),
             builders.decode_target,
             HEADER_NAMES,
             RULES,
@@ -83,13 +93,13 @@
 
 
 @contextlib.asynccontextmanager
-async def run_instance(**options):
-    harness = Harness(**options)
+async def run_instance(configured=True, **options):
+    harness = Harness(configured=configured, **options)
     await harness.start()
     harness.caller.headers = ()
     try:
         async with asyncio.timeout(5):
-            while await harness.get_readiness() != 200:
+            while configured and await harness.get_readiness() != 200:
                 await asyncio.sleep(0.02)
         yield harness
     finally:
