Apply the limits of a new configuration to kept connections

Callers saw 431, 413, 408 or a closed connection by the limits of the configuration that was in force when their connection was opened, for as long as they kept it.

Cause: a connection copied the listener's limits, and built its parser with them, when it was opened. The body limit was read at the head and again before the body, and a streamed body kept what was found there.

A request now has the limits that are in force when its first byte is read, or when it is parsed behind others. They stay the same while it is read, so that a lowered limit does not cut it off. A raised body limit applies to a body that is being read. A longer idle time-out applies at once; a shorter one from the next request on, since the caller may know the earlier one.

Evidence: before the change, these tests of listener_test.py failed: head_limit_of_a_new_configuration, lowered_limits_apply_from_the_next_request, longer_idle_timeout (both cases), head_timeout_of_a_new_configuration, limits_of_requests_that_are_sent_ahead and raised_body_limit.

--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import collections
+import functools
+from collections.abc import Callable
 from typing import Any
 
 import h11
@@ -38,9 +40,11 @@
         Whether it may run beside others.
     length : int or None
         Announced length of its body; None if it is chunked.
+    limit : int
+        Maximum size of its body in bytes when its head was read.
     """
 
-    __slots__ = ("http", "identified", "length", "method", "parallel", "task")
+    __slots__ = ("http", "identified", "length", "limit", "method", "parallel", "task")
 
     def __init__(
         self,
@@ -49,11 +53,13 @@
         identified,
         length: int | None = 0,
         parallel: bool = True,
+        limit: int = 0,
     ):
         self.http = http
         self.method = method
         self.identified = identified
         self.length = length
+        self.limit = limit
         self.parallel = parallel
         self.task: asyncio.Task | None = None
 
@@ -70,6 +76,8 @@
     def __init__(self, listener):
         self.listener = listener
         self.limits = listener.limits
+        """Limits of the request that is read. They stay the same until it is read, so
+        that a new configuration does not cut it off."""
         self.http = self._build_parser()
         """State of the first request and its answer."""
         self.reader = self.http
@@ -132,6 +140,8 @@
         """Buffer the input for the task that parses it."""
         if self.phase is Phase.LINGERING:
             return
+        if self.phase is Phase.IDLE and not self.unparsed_bytes:
+            self._apply_limits()
         self.reader.receive_data(chunk)
         self.unparsed_bytes += len(chunk)
         if self.input_waiter is not None:
@@ -168,7 +178,12 @@
         progress = pacing.PhaseProgress(
             self.phase, elapsed, self.body_wait_seconds, self.received_body_bytes
         )
-        action = pacing.choose_action(progress, self.limits)
+        limits = self.limits
+        if self.phase is Phase.IDLE:
+            # The caller may know the limits of either configuration.
+            current = self.listener.limits
+            limits = max(limits, current, key=lambda item: item.idle_timeout)
+        action = pacing.choose_action(progress, limits)
         if action is pacing.Action.CLOSE:
             self.transport.abort()
         elif action is pacing.Action.REFUSE and self.input_waiter is not None:
@@ -201,6 +216,18 @@
 
     # Requests behind the first one.
 
+    def _apply_limits(self) -> None:
+        """Use the current limits for the next request, of which nothing is read yet."""
+        if self.limits == self.listener.limits:
+            return
+        self.limits = self.listener.limits
+        if self.http is self.reader and self.http.their_state is h11.IDLE:
+            unread, _ = self.http.trailing_data
+            self.http = self.reader = self._build_parser()
+            if unread:
+                # Without input, h11 would take this for the end of the connection.
+                self.http.receive_data(unread)
+
     def _build_parser(self) -> h11.Connection:
         return h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.head_bytes
@@ -225,6 +252,7 @@
             unread, _ = self.reader.trailing_data
             if not unread:
                 return False
+            self.limits = self.listener.limits
             self.reader = self._build_parser()
             self.reader.receive_data(unread)
             self.unparsed_bytes = len(unread)
@@ -252,7 +280,8 @@
         """Return the queued request that a head begins."""
         identified, length = self._identify(head)
         if length or length is None or http.they_are_waiting_for_100_continue:
-            return QueuedRequest(http, head.method, identified, length, False)
+            limit = self._find_body_limit(identified)
+            return QueuedRequest(http, head.method, identified, length, False, limit)
         # The end of a message without a body needs no more input.
         http.next_event()
         identified, parallel = self._prepare_parallel(identified)
@@ -376,22 +405,24 @@
             return bytes(event.data)
         return None
 
-    async def _read_body(self, length: int | None, limit: int) -> data.Body:
+    async def _read_body(
+        self, length: int | None, find_limit: Callable[[], int]
+    ) -> data.Body:
         """Read a small body completely, and the start of a large one."""
         self.body_wait_seconds = 0.0
         self.received_body_bytes = 0
         if length is not None and length > bodies.SMALL_BODY_BYTES:
-            return data.Body(b"", request_body.RequestBody(self, limit, 0))
+            return data.Body(b"", request_body.RequestBody(self, find_limit, 0))
         pieces: list[bytes] = []
         size = 0
         while (chunk := await self.read_chunk()) is not None:
             pieces.append(chunk)
             size += len(chunk)
-            if size > limit:
+            if size > (limit := find_limit()):
                 raise request_body.RequestRefused(errors.BodyTooLarge(limit))
             if length is None and size > bodies.SMALL_BODY_BYTES:
                 return data.Body(
-                    b"".join(pieces), request_body.RequestBody(self, limit, size)
+                    b"".join(pieces), request_body.RequestBody(self, find_limit, size)
                 )
         return data.Body(b"".join(pieces), None)
 
@@ -399,7 +430,7 @@
         """Skip a small body, so that the connection can be reused."""
         waiting = self.http.they_are_waiting_for_100_continue
         if length is not None and length <= bodies.SMALL_BODY_BYTES and not waiting:
-            await self._read_body(length, length)
+            await self._read_body(length, lambda: length)
 
     # Serving.
 
@@ -428,6 +459,7 @@
         else:
             self.http.start_next_cycle()
             self.unparsed_bytes = len(self.http.trailing_data[0])
+            self._apply_limits()
 
     async def _serve_request(self) -> bool:
         """Serve one request; return whether the connection can serve another."""
@@ -459,7 +491,9 @@
         if request.task is None and not self.sequence.started:
             self.sequence = sequencing.start(self.sequence, 1)
             self._read_ahead()
-            return await self._handle_identified(request.identified, request.length)
+            return await self._handle_identified(
+                request.identified, request.length, request.limit
+            )
         self._read_ahead()
         if request.task is not None:
             try:
@@ -488,20 +522,30 @@
         identified, length = self._identify(head)
         parallel = length == 0 and self._prepare_parallel(identified)[1]
         self.sequence = sequencing.start(sequencing.add(self.sequence, parallel), 1)
-        return await self._handle_identified(identified, length)
+        limit = self._find_body_limit(identified)
+        return await self._handle_identified(identified, length, limit)
+
+    def _find_body_limit(self, identified, earlier: int = 0) -> int:
+        """Return the maximum body size of a request in bytes.
+
+        A limit that is lowered while the request is read does not apply to it.
+        """
+        if not isinstance(identified, result.Success):
+            return earlier
+        return max(earlier, self.listener.get_body_limit(identified.unwrap()))
 
-    async def _handle_identified(self, identified, length: int | None):
+    async def _handle_identified(self, identified, length: int | None, limit: int):
         """Read the body of the first request and handle it."""
         if not isinstance(identified, result.Success):
             if self.http.their_state is h11.SEND_BODY:
                 await self._discard_body(length)
             return identified
         request = identified.unwrap()
-        limit = self.listener.get_body_limit(request)
-        if length is not None and length > limit:
+        find_limit = functools.partial(self._find_body_limit, identified, limit)
+        if length is not None and length > (limit := find_limit()):
             raise request_body.RequestRefused(errors.BodyTooLarge(limit))
         if self.http.their_state is h11.SEND_BODY:
-            body = await self._read_body(length, limit)
+            body = await self._read_body(length, find_limit)
             request = request._replace(body=body)
         if self.http is self.reader and self.http.their_state is h11.DONE:
             self._read_ahead()
--- a/packages/entry/dewstep_entry/caller/listener_test.py
+++ b/packages/entry/dewstep_entry/caller/listener_test.py
@@ -331,3 +331,155 @@
             await asyncio.wait_for(stopping, 3)
 
     asyncio.run(scenario())
+
+
+async def change_limits(server, **changes):
+    """Apply limits of a new configuration, once all that was sent has been read."""
+    await asyncio.sleep(0.05)
+    server.limits = server.limits._replace(**changes)
+    await asyncio.sleep(0.05)
+
+
+@contextlib.asynccontextmanager
+async def connect(server):
+    """Open a connection of a caller."""
+    reader, writer = await asyncio.open_connection(*server.address)
+    try:
+        yield reader, writer
+    finally:
+        writer.transport.abort()
+
+
+def build_get(size):
+    """Return a request whose head has `size` bytes."""
+    start, end = GET[:-2] + b"X: ", b"\r\n\r\n"
+    return start + b"x" * (size - len(start) - len(end)) + end
+
+
+# Guards against a kept connection that refuses what the current configuration allows,
+# or allows what it refuses.
+def test_head_limit_of_a_new_configuration_applies_to_kept_connections():
+    async def scenario():
+        async with serve() as server, contextlib.AsyncExitStack() as stack:
+            reader, writer = await stack.enter_async_context(connect(server))
+            # This connection is idle before its first request, the other after it.
+            unused_reader, unused_writer = await stack.enter_async_context(
+                connect(server)
+            )
+            writer.write(build_get(1_000))
+            assert (await read_answer(reader))[1] == b"/a"
+            await change_limits(server, head_bytes=3_000)
+            for pieces in ([build_get(3_000)], [build_get(3_000)[:2_900]]):
+                writer.write(pieces[0])
+                await asyncio.sleep(0.02)
+            writer.write(build_get(3_000)[2_900:])
+            for _ in range(2):
+                assert (await read_answer(reader))[1] == b"/a"
+            unused_writer.write(build_get(3_000))
+            assert (await read_answer(unused_reader))[1] == b"/a"
+            await change_limits(server, head_bytes=500)
+            writer.write(build_get(502)[:-1])
+            assert b" 431 " in (await read_answer(reader))[0]
+
+    asyncio.run(scenario())
+
+
+# Guards against a request that is cut off since a limit is lowered while it is read.
+def test_lowered_limits_apply_from_the_next_request():
+    limits = LIMITS._replace(head_bytes=3_000, head_timeout=datetime.timedelta(60))
+
+    async def scenario():
+        async with serve(limits=limits) as server, connect(server) as (reader, writer):
+            writer.write(build_get(2_000)[:1_000])
+            await asyncio.sleep(0.02)
+            await change_limits(server, head_bytes=500, head_timeout=SHORT_TIMEOUT)
+            writer.write(build_get(2_000)[1_000:1_900])
+            await asyncio.sleep(0.7)
+            writer.write(build_get(2_000)[1_900:])
+            assert (await read_answer(reader))[1] == b"/a"
+            writer.write(build_get(2_000))
+            assert b" 431 " in (await read_answer(reader))[0]
+
+    asyncio.run(scenario())
+
+
+# Guards against kept connections that are closed, or stay open, as an earlier
+# configuration says, and against the close of one that its caller may still use.
+@pytest.mark.parametrize(("before", "after"), [(0.2, 60), (60, 0.2)])
+def test_longer_idle_timeout_applies_at_once_and_a_shorter_one_after_a_request(
+    before, after
+):
+    limits = LIMITS._replace(idle_timeout=datetime.timedelta(seconds=before))
+    changed = datetime.timedelta(seconds=after)
+
+    async def scenario():
+        async with serve(limits=limits) as server, connect(server) as (reader, writer):
+            await change_limits(server, idle_timeout=changed)
+            await asyncio.sleep(0.6)
+            writer.write(GET)
+            assert (await read_answer(reader))[1] == b"/a"
+            await asyncio.sleep(0.6)
+            assert bool(server.connections) == (after > before)
+
+    asyncio.run(scenario())
+
+
+# Guards against a slow caller that is measured by an earlier configuration.
+def test_head_timeout_of_a_new_configuration_applies_to_kept_connections():
+    async def scenario():
+        async with serve() as server, connect(server) as (reader, writer):
+            writer.write(GET)
+            await read_answer(reader)
+            await change_limits(server, head_timeout=datetime.timedelta(seconds=60))
+            writer.write(GET[:-2])
+            await asyncio.sleep(0.8)
+            writer.write(GET[-2:])
+            assert (await read_answer(reader))[1] == b"/a"
+
+    asyncio.run(scenario())
+
+
+# Guards against limits of an earlier configuration for requests that were sent ahead,
+# and against a body that is refused since its limit is lowered while it waits.
+def test_limits_of_requests_that_are_sent_ahead_are_those_when_they_are_read():
+    first = asyncio.Event()
+
+    async def handle(request):
+        if request.path == "/first":
+            await first.wait()
+        return await measure_body(request)
+
+    async def scenario():
+        async with (
+            serve(handle, prepare_parallel=lambda request: request) as server,
+            connect(server) as (reader, writer),
+        ):
+            writer.write(GET.replace(b"/a", b"/first"))
+            await change_limits(server, head_bytes=3_000)
+            writer.write(build_get(2_500))
+            body = b"x" * 100_000
+            writer.write(POST + b"Content-Length: %d\r\n\r\n" % len(body))
+            await change_limits(server, head_bytes=500)
+            server.get_body_limit = lambda request: 10
+            first.set()
+            for _ in range(2):
+                assert (await read_answer(reader))[1] == b"0"
+            writer.write(body)
+            assert (await read_answer(reader))[1] == b"%d" % len(body)
+
+    asyncio.run(scenario())
+
+
+# Guards against a chunked body that is cut off at the limit of an earlier
+# configuration.
+def test_raised_body_limit_applies_to_a_body_that_is_read():
+    async def scenario():
+        async with serve(measure_body) as server, connect(server) as (reader, writer):
+            server.get_body_limit = lambda request: 100_000
+            writer.write(CHUNKED + b"15f90\r\n" + b"x" * 90_000 + b"\r\n")
+            await asyncio.sleep(0.05)
+            server.get_body_limit = lambda request: 200_000
+            writer.write(b"15f90\r\n" + b"x" * 90_000 + b"\r\n0\r\n\r\n")
+            assert (await read_answer(reader))[1] == b"180000"
+
+    asyncio.run(scenario())
--- a/packages/entry/dewstep_entry/caller/request_body.py
+++ b/packages/entry/dewstep_entry/caller/request_body.py
@@ -1,5 +1,6 @@
 """Body framing of a caller's request, and the iterator over a large body."""
 
+from collections.abc import Callable
 from typing import Any
 
 from dewstep_core import data, errors
@@ -27,15 +28,15 @@
     ----------
     connection : CallerConnection
         Provides `read_chunk`.
-    limit : int
-        Maximum size of the whole body in bytes.
+    find_limit : callable
+        Returns the maximum size of the whole body in bytes.
     received : int
         Bytes of the body that were already read.
     """
 
-    def __init__(self, connection, limit: int, received: int):
+    def __init__(self, connection, find_limit: Callable[[], int], received: int):
         self.connection = connection
-        self.limit = limit
+        self.find_limit = find_limit
         self.received = received
 
     def __aiter__(self):
@@ -49,8 +50,8 @@
         if chunk is None:
             raise StopAsyncIteration
         self.received += len(chunk)
-        if self.received > self.limit:
-            raise bodies.BodyFailure(errors.BodyTooLarge(self.limit))
+        if self.received > (limit := self.find_limit()):
+            raise bodies.BodyFailure(errors.BodyTooLarge(limit))
         return chunk
 
 
