Measure a request head instead of estimating its size

Callers could see 431 for a head within the limit if part of the body or the next request arrived with it.

Cause: the size of a complete head was estimated from its headers with four bytes for each ": " and line end. A caller may leave the space out, or end lines with LF alone, so that the estimate exceeds the number of bytes sent.

The size is now the number of bytes that the parser has taken.

Evidence: test_head_of_the_maximum_size_is_accepted_with_bytes_behind_it failed before with 431 instead of 200.

--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -264,7 +264,7 @@
             head = http.next_event()
             if type(head) is not h11.Request:
                 return False
-            self._check_head_size(head)
+            self._check_head_size(http)
             request = self._queue(http, head)
         except h11.RemoteProtocolError as error:
             failure = self._build_parse_failure(error)
@@ -368,11 +368,11 @@
         if type(event) is not h11.Request:
             # The caller closed the connection; ends the task as a cancellation does.
             raise asyncio.CancelledError
-        self._check_head_size(event)
+        self._check_head_size(self.http)
         return event
 
-    def _check_head_size(self, head: h11.Request) -> None:
-        """Check the size of a complete head; h11 limits incomplete heads only.
+    def _check_head_size(self, http: h11.Connection) -> None:
+        """Check the size of a head just parsed; h11 limits incomplete heads only.
 
         Raises
         ------
@@ -381,9 +381,7 @@
         """
         if self.unparsed_bytes <= self.limits.head_bytes:
             return
-        size = len(head.target) + sum(
-            len(name) + len(value) + 4 for name, value in head.headers
-        )
+        size = self.unparsed_bytes - len(http.trailing_data[0])
         if size > self.limits.head_bytes:
             raise request_body.RequestRefused(
                 errors.HeadersTooLarge(self.limits.head_bytes)
--- a/packages/entry/dewstep_entry/caller/listener_test.py
+++ b/packages/entry/dewstep_entry/caller/listener_test.py
@@ -483,3 +483,24 @@
             assert (await read_answer(reader))[1] == b"180000"
 
     asyncio.run(scenario())
+
+
+# Guards against 431 for a head within the limit, as its size was estimated too high
+# once bytes behind it had arrived.
+def test_head_of_the_maximum_size_is_accepted_with_bytes_behind_it():
+    short = b"POST /a HTTP/1.1\r\nHost:x\r\nContent-Length:900\r\n"
+    short += b"".join(b"X:\r\n" for _ in range(200))
+    limit = len(short) + 2
+
+    async def scenario():
+        async with (
+            serve(measure_body, LIMITS._replace(head_bytes=limit)) as server,
+            connect(server) as (reader, writer),
+        ):
+            writer.write(short + b"\r\n" + b"x" * 900 + GET)
+            assert (await read_answer(reader))[1] == b"900"
+            assert (await read_answer(reader))[1] == b"0"
+            writer.write(short + b"Y:\r\n\r\n" + b"x" * 900)
+            assert b" 431 " in (await read_answer(reader))[0]
+
+    asyncio.run(scenario())
