Refuse what another instance passes on instead of rejecting it

Callers of an instance that passes requests on (cut off from the targets, or from one owner) saw 404, 400, 413, 431, 422 or 503 NotReady by what another instance knows, although their own instance knows the route and the limits.

Cause: the receiver decides by its own configuration, which may be older or missing, and the sender took each of its failures as the request's result. The listener for other instances applied the receiver's limits to heads and bodies, with a margin that a rebuilt head may exceed, and sent its refusals without the mark of an instance, so that they counted as answers of targets.

The sender turns failures that only tell what one instance knows into RelayRefused, whether or not the receiver marks them as later versions do: it tries the next instance and then its own targets, and does not avoid the receiver for other requests. After Quarantined it asks no further instance. The receiver reports rejections as RelayRefused, for senders of earlier versions. Its listener bounds only memory and time, without a limit for streamed bodies. A refused HEAD request, whose answer has no body, is not run instead of unknown.

--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -477,7 +477,7 @@
             answer = outcome.unwrap()
         else:
             failure = outcome.failure()
-            answer = rendering.render_failure(failure, self.listener.jitter)
+            answer = self.listener.render_failure(failure, self.listener.jitter)
         if not await self._write_answer(answer, method):
             transports.reset(self.transport)
             return False
--- a/packages/entry/dewstep_entry/caller/listener.py
+++ b/packages/entry/dewstep_entry/caller/listener.py
@@ -8,7 +8,7 @@
 
 from dewstep_core import data, events, settings
 from dewstep_entry import interfaces
-from dewstep_entry.caller import connection
+from dewstep_entry.caller import connection, rendering
 
 MAXIMUM_PACE_CHECK_INTERVAL_SECONDS = 0.25
 MAX_PARALLEL_REQUESTS = 256
@@ -19,6 +19,7 @@
     [bytes, bytes, data.Headers, int | None],
     result.Result[data.Request, interfaces.Failure],
 ]
+RenderCallback = Callable[[interfaces.Failure, Callable[[], float]], data.Answer]
 PrepareCallback = Callable[[data.Request], data.Request | None]
 
 
@@ -47,6 +48,8 @@
         is reported to the caller.
     choose_refusal : callable
         Returns the failure to report for a request that does not reach the handler.
+    render_failure : callable
+        Returns the answer for a failure, given the jitter as well.
     prepare_parallel : callable
         Returns an identified request without a body as it runs beside the others on its
         connection, or None if it must wait for its turn since it may not be repeated.
@@ -65,6 +68,7 @@
         choose_refusal: Callable[
             [interfaces.Failure], interfaces.Failure
         ] = lambda failure: failure,
+        render_failure: RenderCallback = rendering.render_failure,
         prepare_parallel: PrepareCallback = lambda request: None,
     ):
         self.address = address
@@ -76,6 +80,7 @@
         self.jitter = jitter
         self.on_refusal = on_refusal
         self.choose_refusal = choose_refusal
+        self.render_failure = render_failure
         self.prepare_parallel = prepare_parallel
         self.parallel_requests = 0
         """Number of requests in progress that run behind others on a connection."""
--- a/packages/fleet/dewstep_fleet/caller_limits_test.py
+++ b/packages/fleet/dewstep_fleet/caller_limits_test.py
@@ -89,3 +89,62 @@
                     await writer.drain()
                     await asyncio.sleep(0)
         assert not harness.process.listener.connections
+
+
+@contextlib.asynccontextmanager
+async def connect_as_instance(harness):
+    """Open a connection of another instance to the port for requests passed on."""
+    member = harness.process.instance.member._replace(relay_port=1)
+    harness.process.instance = harness.process.instance._replace(member=member)
+    await harness.process.relay_listener.start()
+    address = harness.process.relay_listener.address
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        yield reader, writer
+    finally:
+        writer.transport.abort()
+
+
+# Guards against limits between instances that refuse what the instance of the caller
+# has accepted by a configuration that this one does not know yet.
+@pytest.mark.parametrize("configured", [True, False])
+@pytest.mark.parametrize(
+    ("request_bytes", "size"),
+    [
+        (build_request(b"abc", LONG_HEADER * 4), 3),
+        (build_request(b"x" * LONG_BODY_BYTES), LONG_BODY_BYTES),
+        (build_chunked(b"x" * LONG_BODY_BYTES), LONG_BODY_BYTES),
+    ],
+    ids=["head", "length", "chunks"],
+)
+@testing.run_in_event_loop
+async def test_requests_of_other_instances_exceed_the_own_limits(
+    request_bytes, size, configured
+):
+    async with (
+        process_test.run_instance(configured=configured) as harness,
+        connect_as_instance(harness) as (reader, writer),
+    ):
+        writer.write(request_bytes)
+        status, headers, body = await read_answer(reader)
+        if configured:
+            assert status == 201 and len(harness.requests[0][2]) == size
+        else:
+            # The sender tries the next instance.
+            assert status == 503
+            assert headers["dewstep-relay-failure"] in ("notready", "relayrefused")
+
+
+# Guards against a listener for other instances whose refusals end a caller's request.
+@pytest.mark.parametrize(
+    "request_bytes", [b"x\r\n\r\n", HEAD + b"X: " + b"x" * 300_000]
+)
+@testing.run_in_event_loop
+async def test_refusals_between_instances_are_marked(request_bytes):
+    async with (
+        process_test.run_instance() as harness,
+        connect_as_instance(harness) as (reader, writer),
+    ):
+        writer.write(request_bytes)
+        status, headers, _ = await read_answer(reader)
+        assert status == 503 and headers["dewstep-relay-failure"] == "relayrefused"
--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import random
+import sys
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -148,12 +149,15 @@
         )
         self.relay_listener = listener.Listener(
             settings.Address(instance.member.host, instance.member.relay_port),
-            settings.CallerLimits(),
+            relaying.INITIAL_LIMITS,
             self.build_relayed_request,
-            self.find_body_limit,
+            # The other instance has limited the body, which is streamed.
+            lambda request: sys.maxsize,
             self.relay_receiver,
             instance.member.node,
             on_refusal=self.log_refusal,
+            choose_refusal=self.relay_receiver.choose_refusal,
+            render_failure=relaying.render_refusal,
         )
         self.directory.listeners.append(self.apply_caller_limits)
         self.servers: list[server.Server] = []
@@ -307,17 +311,25 @@
         """Return the request that a request head describes."""
         if body_length is not None and body_length > self.find_body_limit(None):
             return result.Failure(errors.BodyTooLarge(self.find_body_limit(None)))
+        return result.Success(self.parse_head(method, target, headers, body_length))
+
+    def parse_head(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: data.Headers,
+        body_length: int | None,
+    ) -> model.IncomingRequest:
+        """Return the request of a head, whatever the size of its body."""
         request_id = dict(headers).get(self.request_id, b"").decode("latin-1")
-        return result.Success(
-            model.IncomingRequest(
-                request_id,
-                method.decode("latin-1"),
-                target.decode("latin-1"),
-                headers,
-                body_length,
-                data.Body(b"", None),
-                self.clock.monotonic(),
-            )
+        return model.IncomingRequest(
+            request_id,
+            method.decode("latin-1"),
+            target.decode("latin-1"),
+            headers,
+            body_length,
+            data.Body(b"", None),
+            self.clock.monotonic(),
         )
 
     def build_relayed_request(
@@ -328,11 +340,9 @@
         body_length: int | None,
     ) -> result.Result[model.IncomingRequest, Any]:
         """Return the request that another instance has passed on."""
-        return self.build_request(method, target, headers, body_length).map(
-            lambda request: request._replace(
-                relayed_attempts=relaying.read_attempts(headers)
-            )
-        )
+        request = self.parse_head(method, target, headers, body_length)
+        attempts = relaying.read_attempts(headers)
+        return result.Success(request._replace(relayed_attempts=attempts))
 
     def find_body_limit(self, request: Any) -> int:
         """Return the maximum size of a request body in bytes."""
@@ -340,12 +350,11 @@
         return routes.max_body_bytes if routes is not None else INITIAL_BODY_LIMIT_BYTES
 
     def apply_caller_limits(self, changed_rows: list[model.StoredRow]) -> None:
-        """Apply the limits of the current configuration to new connections."""
+        """Apply the limits of the current configuration to further requests."""
         routes = self.directory.routes
         if routes is not None:
             self.listener.limits = routes.limits
-            head_bytes = routes.limits.head_bytes + relaying.HEAD_MARGIN_BYTES
-            self.relay_listener.limits = settings.CallerLimits(head_bytes=head_bytes)
+            self.relay_listener.limits = relaying.adapt_limits(routes.limits)
 
     def choose_refusal(self, failure: Any) -> Any:
         """Return the failure to report for a request that was refused before routing.
--- a/packages/fleet/dewstep_fleet/relaying.py
+++ b/packages/fleet/dewstep_fleet/relaying.py
@@ -39,6 +39,19 @@
 bytes between data centres have a price."""
 HEAD_MARGIN_BYTES = 1_024
 """Size of the headers that instances add."""
+HEAD_GROWTH = 2
+"""Factor by which a head may grow when it is built again: a header takes at least three
+bytes ("a:" and LF) from a caller, and two more between instances."""
+INITIAL_LIMITS = settings.CallerLimits(
+    head_bytes=262_144, body_grace=datetime.timedelta(seconds=10)
+)
+"""Limits for requests of other instances, which have applied those of the configuration
+to their callers. They only bound the memory for heads and the time of slow bodies, and
+are wider than those of any configuration that this instance does not know yet."""
+UNSERVED_REASON = "cannot serve the request: "
+"""Start of the reason, before the name of a failure, with which an instance refuses a
+request that other instances may serve. The instance itself is not avoided then."""
+QUARANTINED_REASON = UNSERVED_REASON + errors.Quarantined.__name__
 MAX_PEERS = 8
 """Maximum number of instances that one request is offered to."""
 
@@ -132,7 +145,7 @@
             sent = await self._send_to(member, build_head(), body, due_at, request_id)
             if isinstance(sent, result.Success):
                 answer = sent.unwrap()
-                failure = restore_failure(answer)
+                failure = find_failure(answer, member.node, self.rules.request_id)
                 if failure is None:
                     events.info(
                         "passed_on",
@@ -150,8 +163,11 @@
             if not is_refusal(failure, member.node):
                 # That instance does not reach the owner of the key.
                 return RelayOutcome(None, failure, sent_body)
-            self.refused_until[member.node] = self.clock.monotonic() + REFUSED_PERIOD
-            if sent_body:
+            if not failure.reason.startswith(UNSERVED_REASON):
+                now = self.clock.monotonic()
+                self.refused_until[member.node] = now + REFUSED_PERIOD
+            if sent_body or failure.reason == QUARANTINED_REASON:
+                # The other instances would run a request that may crash targets.
                 return RelayOutcome(None, failure, sent_body)
         if not isinstance(failure, errors.RelayRefused):
             failure = errors.RelayRefused(self.node, "no other instance is reachable")
@@ -198,6 +214,68 @@
     return getattr(failure, "target", node) == node
 
 
+def find_failure(
+    answer: data.Answer, node: str, request_id_header: bytes
+) -> Any | None:
+    """Return why an instance did not serve a request, or None for a target's answer.
+
+    An instance decides by the configuration that it knows, which may be older than that
+    of the sender. What it finds wrong with the request itself is therefore no answer
+    for the caller, but a refusal of this instance.
+
+    Parameters
+    ----------
+    answer : data.Answer
+        Answer of the instance.
+    node : str
+        Name of the instance.
+    request_id_header : bytes
+        Header with the request's id, which each answer of a target repeats.
+    """
+    headers = dict(answer.headers)
+    name = headers.get(FAILURE_HEADER, b"").decode("latin-1")
+    if not name and request_id_header not in headers:
+        name = find_listener_failure(answer)
+    if not name:
+        return None
+    if is_local(name):
+        return build_refusal(node, name)
+    failure = restore_failure(answer)
+    rule = errors.answer_rules.get(name)
+    if isinstance(failure, errors.AnswerInvalid) and rule.outcome == errors.NOT_RUN:
+        # The answer to a HEAD request has no body with the details.
+        return build_refusal(node, name)
+    return failure
+
+
+def is_local(name: str) -> bool:
+    """Whether a failure only says what one instance knows about a request.
+
+    The request was not run after any of them.
+    """
+    rule = errors.answer_rules.get(name)
+    if rule is None:
+        return False
+    known_locally = issubclass(rule.failure, errors.NotReady | errors.Quarantined)
+    return known_locally or rule.outcome == errors.BAD_REQUEST
+
+
+def find_listener_failure(answer: data.Answer) -> str:
+    """Return the name of a failure that an instance's listener reports, or "".
+
+    The listeners of earlier versions do not mark their refusals of malformed or too
+    large requests.
+    """
+    try:
+        name = json.loads(answer.body.start)["type"]
+    except (ValueError, KeyError, TypeError):
+        return ""
+    rule = errors.answer_rules.get(name) if isinstance(name, str) else None
+    if rule is None or rule.outcome != errors.BAD_REQUEST:
+        return ""
+    return name if rule.status == answer.status else ""
+
+
 def restore_failure(answer: data.Answer) -> Any | None:
     """Return the failure that an instance reports, or None for a target's answer."""
     name = dict(answer.headers).get(FAILURE_HEADER)
@@ -242,7 +320,41 @@
             outcome = await self.handler.handle(request)
         finally:
             self.in_progress -= 1
-        return outcome.map(mark_answer)
+        return outcome.map(self._mark)
+
+    def _mark(self, answer: data.Answer) -> data.Answer:
+        """Return an answer as the sender reads it.
+
+        A failure that rejects the request itself is final for senders of earlier
+        versions, so it is reported as a refusal of this instance.
+        """
+        rule = errors.answer_rules.get(answer.failure)
+        if rule is not None and rule.outcome == errors.BAD_REQUEST:
+            failure = build_refusal(self.node, answer.failure)
+            return mark_answer(answers.build_answer(failure, None))
+        return mark_answer(answer)
+
+    def choose_refusal(self, failure: Any) -> errors.RelayRefused:
+        """Return the failure to report for a request that the listener refuses."""
+        return build_refusal(self.node, type(failure).__name__)
+
+
+def build_refusal(node: str, name: str) -> errors.RelayRefused:
+    """Return the refusal of a request that failed at one instance only."""
+    return errors.RelayRefused(node, UNSERVED_REASON + name)
+
+
+def render_refusal(failure: Any, jitter: Callable[[], float]) -> data.Answer:
+    """Return the answer of the listener for other instances to a refused request."""
+    return mark_answer(answers.build_answer(failure, None))
+
+
+def adapt_limits(limits: settings.CallerLimits) -> settings.CallerLimits:
+    """Return the limits for requests of other instances under a configuration."""
+    head_bytes = limits.head_bytes * HEAD_GROWTH + HEAD_MARGIN_BYTES
+    return INITIAL_LIMITS._replace(
+        head_bytes=max(INITIAL_LIMITS.head_bytes, head_bytes)
+    )
 
 
 def mark_answer(answer: data.Answer) -> data.Answer:
--- a/packages/fleet/dewstep_fleet/relaying_test.py
+++ b/packages/fleet/dewstep_fleet/relaying_test.py
@@ -487,3 +487,145 @@
 
     harness.dispatcher.relay.send = send
     assert harness.send().status == 200
+
+
+LOCAL_FAILURES = [
+    errors.UnknownService("POST", "/a/x"),
+    errors.KeyMissing("s", "x-key"),
+    errors.BodyTooLarge(1),
+    errors.HeadersTooLarge(1),
+    errors.MalformedRequest("detail"),
+    errors.NotReady("configuration"),
+]
+
+
+async def handle_as_before(receiver, request):
+    """Answer as an instance of an earlier version, which passes on all failures."""
+    outcome = await receiver.handler.handle(request)
+    return outcome.map(relaying.mark_answer)
+
+
+def use_earlier_version(monkeypatch, earlier):
+    """Let all receivers answer as those of an earlier version."""
+    if earlier:
+        monkeypatch.setattr(relaying.RelayReceiver, "handle", handle_as_before)
+
+
+earlier_version = pytest.mark.parametrize("earlier", [False, True])
+
+
+# Guards against a 4xx, after which the caller gives up, from an instance that knows
+# another configuration than that of the caller.
+@earlier_version
+@pytest.mark.parametrize("failure", LOCAL_FAILURES)
+@testing.run_in_event_loop
+async def test_next_instance_is_tried_after_one_that_knows_less(
+    failure, earlier, monkeypatch
+):
+    use_earlier_version(monkeypatch, earlier)
+    async with running_setting() as setting:
+        await setting.add("n2", failure)
+        await setting.add("n3", build_answer(), data_centre="dc-2")
+        assert (await setting.send(b"hello")).answer.status == 200
+        # It may serve other requests.
+        assert [item.node for item in setting.sender.list_peers()] == ["n2", "n3"]
+
+
+@earlier_version
+@pytest.mark.parametrize("failure", LOCAL_FAILURES)
+@testing.run_in_event_loop
+async def test_request_that_no_instance_knows_is_refused_as_not_run(
+    failure, earlier, monkeypatch
+):
+    use_earlier_version(monkeypatch, earlier)
+    async with running_setting() as setting:
+        for node in ("n2", "n3"):
+            await setting.add(node, failure)
+        outcome = await setting.send()
+        assert isinstance(outcome.failure, errors.RelayRefused)
+        assert not outcome.body_used
+        outcome = await setting.send(rest=stream_body())
+        assert isinstance(outcome.failure, errors.RelayRefused) and outcome.body_used
+
+
+# Guards against senders of an earlier version, for which all other failures are final.
+@testing.run_in_event_loop
+async def test_receiver_reports_what_it_does_not_know_as_a_refusal():
+    request = build_relayed(dispatch_test.Harness())
+    for failure in LOCAL_FAILURES[:-1]:
+        receiver = relaying.RelayReceiver("n2", Receiver(failure))
+        answer = (await receiver.handle(request)).unwrap()
+        restored = relaying.restore_failure(answer)
+        assert answer.status == 503 and isinstance(restored, errors.RelayRefused)
+
+
+# Guards against a request that crashes a target at each instance in turn, and against
+# a 422 of an instance that has counted its crashes wrongly.
+@testing.run_in_event_loop
+async def test_quarantined_request_is_passed_on_once():
+    async with running_setting() as setting:
+        for node in ("n2", "n3"):
+            await setting.add(node, errors.Quarantined("f"))
+        outcome = await setting.send()
+        assert isinstance(outcome.failure, errors.RelayRefused)
+        assert sum(len(item.requests) for item in setting.receivers) == 1
+
+
+# Guards against 400, 413 and 431 of the listener for other instances, which earlier
+# versions send without a mark, so that they look like answers of targets.
+@pytest.mark.parametrize("earlier", [False, True])
+@pytest.mark.parametrize("limits", [{"head_bytes": 60}, {"body_bytes": 4}])
+@testing.run_in_event_loop
+async def test_refusal_of_the_listener_is_not_final(limits, earlier):
+    async with running_setting() as setting:
+        receiver = await setting.add("n2", build_answer())
+        await setting.add("n3", build_answer(), data_centre="dc-2")
+        server = receiver.listener
+        if "head_bytes" in limits:
+            server.limits = server.limits._replace(**limits)
+        else:
+            server.get_body_limit = lambda request: limits["body_bytes"]
+        if not earlier:
+            server.choose_refusal = server.handler.choose_refusal
+            server.render_failure = relaying.render_refusal
+        assert (await setting.send(b"hello")).answer.status == 200
+        assert not receiver.requests and len(setting.receivers[1].requests) == 1
+
+
+# Guards against an answer of a target that is taken for a refusal.
+@pytest.mark.parametrize("status", [400, 404, 413, 422, 431])
+@testing.run_in_event_loop
+async def test_target_may_answer_with_any_status(status):
+    body = b'{"type": "BodyTooLarge", "outcome": "bad-request", "detail": {}}'
+    async with running_setting() as setting:
+        await setting.add("n2", build_answer(body, status=status))
+        assert (await setting.send()).answer.status == status
+
+
+# Guards against an unknown outcome of a HEAD request that was refused, as the answer
+# has no body with the details of the failure.
+@pytest.mark.parametrize(
+    "failure", [errors.RelayRefused("n2", "cut off"), errors.QueueFull("t", SECOND)]
+)
+@testing.run_in_event_loop
+async def test_refused_head_request_is_not_run(failure):
+    async with running_setting() as setting:
+        await setting.add("n2", failure)
+        build_head = setting.build_head
+        setting.build_head = lambda length: h11.Request(
+            method=b"HEAD", target=b"/a/x", headers=build_head().headers
+        )
+        outcome = await setting.send()
+        assert isinstance(outcome.failure, errors.RelayRefused)
+
+
+# Guards against a final answer by the instance that another one has refused to help.
+def test_instance_tries_its_own_targets_after_refusals_of_others():
+    harness = dispatch_test.Harness(200)
+    cut_off(harness)
+
+    async def send(build_head, body, due_at, request_id):
+        return relaying.RelayOutcome(None, relaying.build_refusal("n2", "Quarantined"))
+
+    harness.dispatcher.relay.send = send
+    assert harness.send().status == 200 and len(harness.sent) == 1
