Count the requests that the listener refuses

Operators could not tell rejections of the listener (400, 408, 413, 431) from others: the counters contained only requests that reached the dispatcher, and the log line named neither port nor configuration.

dewstep_answers counts them too, and dewstep_refusals shows them alone, by the port that they arrived at.

Evidence: test_refusals_of_the_listener_are_counted failed before.

--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import functools
 import random
 import sys
 from collections.abc import Callable
@@ -11,6 +12,7 @@
 
 from dewstep_core import clocks, data, errors, events, settings, tasks
 from dewstep_core.http import exchanges, routing, server
+from dewstep_entry import failures
 from dewstep_entry.caller import listener
 from dewstep_entry.targets import answering
 from dewstep_fleet import (
@@ -140,7 +142,7 @@
             self.find_body_limit,
             self.meter,
             instance.member.node,
-            on_refusal=self.log_refusal,
+            on_refusal=functools.partial(self.record_refusal, "callers"),
             choose_refusal=self.choose_refusal,
             prepare_parallel=self.dispatcher.prepare_parallel,
         )
@@ -155,7 +157,7 @@
             lambda request: sys.maxsize,
             self.relay_receiver,
             instance.member.node,
-            on_refusal=self.log_refusal,
+            on_refusal=functools.partial(self.record_refusal, "instances"),
             choose_refusal=self.relay_receiver.choose_refusal,
             render_failure=relaying.render_refusal,
         )
@@ -368,9 +370,26 @@
             return errors.NotReady("configuration")
         return failure
 
-    def log_refusal(self, failure: Any) -> None:
-        """Log a request that was refused before routing."""
-        events.info("request_refused", failure=failure)
+    def record_refusal(self, port: str, failure: Any) -> None:
+        """Count and log a request that was refused before routing.
+
+        Parameters
+        ----------
+        port : str
+            Who sends requests to the port: "callers" or "instances".
+        failure : tuple
+            The failure that is reported.
+        """
+        status = failures.find_rule(failure).status
+        routes = self.directory.routes
+        self.telemetry.count_refusal(port, status, type(failure).__name__)
+        events.info(
+            "request_refused",
+            port=port,
+            status=status,
+            failure=failure,
+            configuration=routes.version if routes is not None else None,
+        )
 
     # Operators.
 
--- a/packages/fleet/dewstep_fleet/process_test.py
+++ b/packages/fleet/dewstep_fleet/process_test.py
@@ -189,6 +189,18 @@
         assert running_process.instance.timing == timing
 
 
+# Guards against answers of the listener that no counter shows.
+@testing.run_in_event_loop
+async def test_refusals_of_the_listener_are_counted():
+    async with run_instance() as harness:
+        assert (await harness.send(body=b"x" * 1_100_000)).status == 413
+        text = harness.process.telemetry.render(harness.process).decode()
+        labels = 'failure="BodyTooLarge",status="413"'
+        assert f"dewstep_answers_total{{{labels}}} 1.0" in text
+        labels = 'failure="BodyTooLarge",port="callers",status="413"'
+        assert f"dewstep_refusals_total{{{labels}}} 1.0" in text
+
+
 # Guards against requests with large headers that only the instance of their caller
 # accepts.
 @testing.run_in_event_loop
--- a/packages/fleet/dewstep_fleet/telemetry.py
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -24,6 +24,12 @@
             ("status", "failure"),
             registry=self.registry,
         )
+        self.refusals = prometheus_client.Counter(
+            "dewstep_refusals",
+            "Requests refused before routing, by the port that they arrived at.",
+            ("port", "status", "failure"),
+            registry=self.registry,
+        )
         self.answer_seconds = prometheus_client.Histogram(
             "dewstep_answer_seconds",
             "Time from the head of a request to its answer.",
@@ -40,6 +46,15 @@
             "dewstep_events", "Log events so far.", ("event",), registry=self.registry
         )
 
+    def count_refusal(self, port: str, status: int, failure: str) -> None:
+        """Count a request that was refused before routing.
+
+        Those of callers are answers, too; the others are answers between instances.
+        """
+        self.refusals.labels(port, str(status), failure).inc()
+        if port == "callers":
+            self.answers.labels(str(status), failure).inc()
+
     def render(self, process) -> bytes:
         """Return all metrics as text."""
         for name, value in describe_numbers(process).items():
