Route requests whose target is a complete URI

Callers that send the absolute form of a target (GET http://host/path) saw 404 UnknownService, although servers have to accept it (RFC 9112, section 3.2.2).

Cause: routes were looked up with the whole URI as the path.

The listener's request now has the path and the host of the URI.

--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -26,6 +26,7 @@
     model,
     reachability,
     relaying,
+    routes,
     telemetry,
 )
 
@@ -323,6 +324,7 @@
         body_length: int | None,
     ) -> model.IncomingRequest:
         """Return the request of a head, whatever the size of its body."""
+        target, headers = routes.resolve_target(target, headers)
         request_id = dict(headers).get(self.request_id, b"").decode("latin-1")
         return model.IncomingRequest(
             request_id,
@@ -348,15 +350,15 @@
 
     def find_body_limit(self, request: Any) -> int:
         """Return the maximum size of a request body in bytes."""
-        routes = self.directory.routes
-        return routes.max_body_bytes if routes is not None else INITIAL_BODY_LIMIT_BYTES
+        table = self.directory.routes
+        return table.max_body_bytes if table is not None else INITIAL_BODY_LIMIT_BYTES
 
     def apply_caller_limits(self, changed_rows: list[model.StoredRow]) -> None:
         """Apply the limits of the current configuration to further requests."""
-        routes = self.directory.routes
-        if routes is not None:
-            self.listener.limits = routes.limits
-            self.relay_listener.limits = relaying.adapt_limits(routes.limits)
+        table = self.directory.routes
+        if table is not None:
+            self.listener.limits = table.limits
+            self.relay_listener.limits = relaying.adapt_limits(table.limits)
 
     def choose_refusal(self, failure: Any) -> Any:
         """Return the failure to report for a request that was refused before routing.
@@ -381,24 +383,24 @@
             The failure that is reported.
         """
         status = failures.find_rule(failure).status
-        routes = self.directory.routes
+        table = self.directory.routes
         self.telemetry.count_refusal(port, status, type(failure).__name__)
         events.info(
             "request_refused",
             port=port,
             status=status,
             failure=failure,
-            configuration=routes.version if routes is not None else None,
+            configuration=table.version if table is not None else None,
         )
 
     # Operators.
 
     def is_ready(self) -> bool:
         """Whether this instance can serve requests."""
-        routes = self.directory.routes
-        if self.stopping or routes is None:
+        table = self.directory.routes
+        if self.stopping or table is None:
             return False
-        for service in routes.services.values():
+        for service in table.services.values():
             if service.keyed and service.name not in self.directory.ownerships:
                 return False
         return True
--- a/packages/fleet/dewstep_fleet/routes.py
+++ b/packages/fleet/dewstep_fleet/routes.py
@@ -1,9 +1,13 @@
 """Finds the route of a request and chooses the service that serves it."""
 
+import re
 from typing import NamedTuple
 
+from dewstep_core import data
 from dewstep_fleet import model
 
+_AUTHORITY_END = re.compile(rb"[/?]")
+
 
 class Index(NamedTuple):
     """The routes of one route table, indexed for look-ups."""
@@ -42,6 +46,23 @@
     return None
 
 
+def resolve_target(target: bytes, headers: data.Headers) -> tuple[bytes, data.Headers]:
+    """Return path and headers of a request whose target may be a complete URI.
+
+    The host in the URI then replaces that in the headers (RFC 9112, section 3.2.2).
+    """
+    scheme, found, rest = target.partition(b"://")
+    if not found or scheme.lower() not in (b"http", b"https"):
+        return target, headers
+    end = _AUTHORITY_END.search(rest)
+    position = end.start() if end is not None else len(rest)
+    path = rest[position:]
+    if not path.startswith(b"/"):
+        path = b"/" + path
+    kept = tuple(item for item in headers if item[0] != b"host")
+    return path, ((b"host", rest[:position]), *kept)
+
+
 def find_lowest_priorities(table: model.RouteTable) -> dict[str, int]:
     """Return the highest priority number, thus lowest priority, by service."""
     found: dict[str, int] = {}
--- a/packages/fleet/dewstep_fleet/routes_test.py
+++ b/packages/fleet/dewstep_fleet/routes_test.py
@@ -1,5 +1,7 @@
 import collections
 
+import pytest
+
 from dewstep_fleet import builders, model, routes
 
 
@@ -55,3 +57,21 @@
     route = builders.build_route(weighted_services=weighted_services)
     splitter = routes.Splitter()
     assert {splitter.choose_service(route) for _ in range(50)} == {"x"}
+
+
+# Guards against 404 for a request whose target is a complete URI.
+@pytest.mark.parametrize(
+    ("target", "path", "host"),
+    [
+        (b"/a/x?u=http://b/c", b"/a/x?u=http://b/c", b"h"),
+        (b"http://h.example/a/x?q", b"/a/x?q", b"h.example"),
+        (b"HTTPS://h.example:80/a/", b"/a/", b"h.example:80"),
+        (b"http://h.example", b"/", b"h.example"),
+        (b"http://h.example?q=/", b"/?q=/", b"h.example"),
+        (b"*", b"*", b"h"),
+    ],
+)
+def test_target_may_be_a_complete_uri(target, path, host):
+    headers = ((b"a", b"1"), (b"host", b"h"))
+    found, changed = routes.resolve_target(target, headers)
+    assert (found, dict(changed)) == (path, {b"a": b"1", b"host": host})
