Drop what any Connection header lists, but never the host

A caller that lists "host" in Connection saw 400 MalformedRequest, as a head without a host cannot be built. With several Connection headers, only the first that names others was read, and headers named by the rest reached the target.

The options of all Connection headers are collected now, except host, which a caller must not list.

--- a/packages/entry/dewstep_entry/header_rules.py
+++ b/packages/entry/dewstep_entry/header_rules.py
@@ -17,6 +17,8 @@
     b"trailer",
     b"upgrade",
 }
+# Needed by every recipient, so that a caller must not list it in `Connection`.
+END_TO_END_HEADERS = frozenset({b"host"})
 # Removed from callers' requests, because targets trust all headers with this prefix,
 # including those that a later version adds: a caller could otherwise pose as a gate.
 PROTOCOL_PREFIX = b"dewstep-"
@@ -46,22 +48,16 @@
     prefixes : tuple of bytes
         Names that start with one of these are dropped as well.
     """
-    kept = []
-    for header in headers:
-        if header[0] in dropped or header[0].startswith(prefixes):
-            if header[0] == b"connection" and header[1].lower() not in (
-                b"close",
-                b"keep-alive",
-            ):
-                listed = {name.strip() for name in header[1].lower().split(b",")}
-                return drop_headers(
-                    [item for item in headers if item[0] != b"connection"],
-                    dropped | listed,
-                    prefixes,
-                )
-        else:
-            kept.append(header)
-    return tuple(kept)
+    headers = tuple(headers)
+    for name, value in headers:
+        if name == b"connection" and value.lower() not in (b"close", b"keep-alive"):
+            listed = {option.strip() for option in value.lower().split(b",")}
+            dropped |= listed - END_TO_END_HEADERS
+    return tuple(
+        header
+        for header in headers
+        if header[0] not in dropped and not header[0].startswith(prefixes)
+    )
 
 
 def find_header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
