--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import datetime
+import functools
 import random
+import sys
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -10,6 +12,7 @@
 
 from dewstep_core import clocks, data, errors, events, settings, tasks
 from dewstep_core.http import exchanges, routing, server
+from dewstep_entry import failures
 from dewstep_entry.caller import listener
 from dewstep_entry.targets import answering
 from dewstep_fleet import (
@@ -23,6 +26,7 @@
     model,
     reachability,
     relaying,
+    routes,
     telemetry,
 )
 
@@ -139,7 +143,8 @@
             self.find_body_limit,
             self.meter,
             instance.member.node,
-            on_refusal=self.log_refusal,
+            on_refusal=functools.partial(self.record_refusal, "callers"),
+            choose_refusal=self.choose_refusal,
             prepare_parallel=self.dispatcher.prepare_parallel,
         )
         self.relay_receiver = relaying.RelayReceiver(
@@ -147,12 +152,15 @@
         )
         self.relay_listener = listener.Listener(
             settings.Address(instance.member.host, instance.member.relay_port),
-            settings.CallerLimits(),
+            relaying.INITIAL_LIMITS,
             self.build_relayed_request,
-            self.find_body_limit,
+            # The other instance has limited the body, which is streamed.
+            lambda request: sys.maxsize,
             self.relay_receiver,
             instance.member.node,
-            on_refusal=self.log_refusal,
+            on_refusal=functools.partial(self.record_refusal, "instances"),
+            choose_refusal=self.relay_receiver.choose_refusal,
+            render_failure=relaying.render_refusal,
         )
         self.directory.listeners.append(self.apply_caller_limits)
         self.servers: list[server.Server] = []
@@ -306,17 +314,26 @@
         """Return the request that a request head describes."""
         if body_length is not None and body_length > self.find_body_limit(None):
             return result.Failure(errors.BodyTooLarge(self.find_body_limit(None)))
+        return result.Success(self.parse_head(method, target, headers, body_length))
+
+    def parse_head(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: data.Headers,
+        body_length: int | None,
+    ) -> model.IncomingRequest:
+        """Return the request of a head, whatever the size of its body."""
+        target, headers = routes.resolve_target(target, headers)
         request_id = dict(headers).get(self.request_id, b"").decode("latin-1")
-        return result.Success(
-            model.IncomingRequest(
-                request_id,
-                method.decode("latin-1"),
-                target.decode("latin-1"),
-                headers,
-                body_length,
-                data.Body(b"", None),
-                self.clock.monotonic(),
-            )
+        return model.IncomingRequest(
+            request_id,
+            method.decode("latin-1"),
+            target.decode("latin-1"),
+            headers,
+            body_length,
+            data.Body(b"", None),
+            self.clock.monotonic(),
         )
 
     def build_relayed_request(
@@ -327,37 +344,63 @@
         body_length: int | None,
     ) -> result.Result[model.IncomingRequest, Any]:
         """Return the request that another instance has passed on."""
-        return self.build_request(method, target, headers, body_length).map(
-            lambda request: request._replace(
-                relayed_attempts=relaying.read_attempts(headers)
-            )
-        )
+        request = self.parse_head(method, target, headers, body_length)
+        attempts = relaying.read_attempts(headers)
+        return result.Success(request._replace(relayed_attempts=attempts))
 
     def find_body_limit(self, request: Any) -> int:
         """Return the maximum size of a request body in bytes."""
-        routes = self.directory.routes
-        return routes.max_body_bytes if routes is not None else INITIAL_BODY_LIMIT_BYTES
+        table = self.directory.routes
+        return table.max_body_bytes if table is not None else INITIAL_BODY_LIMIT_BYTES
 
     def apply_caller_limits(self, changed_rows: list[model.StoredRow]) -> None:
-        """Apply the limits of the current configuration to new connections."""
-        routes = self.directory.routes
-        if routes is not None:
-            self.listener.limits = routes.limits
-            head_bytes = routes.limits.head_bytes + relaying.HEAD_MARGIN_BYTES
-            self.relay_listener.limits = settings.CallerLimits(head_bytes=head_bytes)
-
-    def log_refusal(self, failure: Any) -> None:
-        """Log a request that was refused before routing."""
-        events.info("request_refused", failure=failure)
+        """Apply the limits of the current configuration to further requests."""
+        table = self.directory.routes
+        if table is not None:
+            self.listener.limits = table.limits
+            self.relay_listener.limits = relaying.adapt_limits(table.limits)
+
+    def choose_refusal(self, failure: Any) -> Any:
+        """Return the failure to report for a request that was refused before routing.
+
+        The built-in limits bound the memory that an instance uses before it knows the
+        configuration, which may allow more. Callers do not repeat a request after 413
+        or 431, so that these are given by the limits of a configuration only.
+        """
+        exceeded = isinstance(failure, errors.HeadersTooLarge | errors.BodyTooLarge)
+        if exceeded and self.directory.routes is None:
+            return errors.NotReady("configuration")
+        return failure
+
+    def record_refusal(self, port: str, failure: Any) -> None:
+        """Count and log a request that was refused before routing.
+
+        Parameters
+        ----------
+        port : str
+            Who sends requests to the port: "callers" or "instances".
+        failure : tuple
+            The failure that is reported.
+        """
+        status = failures.find_rule(failure).status
+        table = self.directory.routes
+        self.telemetry.count_refusal(port, status, type(failure).__name__)
+        events.info(
+            "request_refused",
+            port=port,
+            status=status,
+            failure=failure,
+            configuration=table.version if table is not None else None,
+        )
 
     # Operators.
 
     def is_ready(self) -> bool:
         """Whether this instance can serve requests."""
-        routes = self.directory.routes
-        if self.stopping or routes is None:
+        table = self.directory.routes
+        if self.stopping or table is None:
             return False
-        for service in routes.services.values():
+        for service in table.services.values():
             if service.keyed and service.name not in self.directory.ownerships:
                 return False
         return True
