Split the registrations of targets off the directory

Registrations keeps the registered targets, their incarnations, departures and deferred removals; the directory applies rows and notifies waiters. Behaviour is unchanged.

--- a/packages/emulator/dewstep_emulator/ownership/mutation_list.py
+++ b/packages/emulator/dewstep_emulator/ownership/mutation_list.py
@@ -146,7 +146,7 @@
         "if False:",
     ),
     mutation_types.Edit(
-        FLEET + "directories.py",
+        FLEET + "registrations.py",
         "if target.life < known and not confirmed:",
         "if False:",
     ),
--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -3,10 +3,6 @@
 Rows are read from the store or relayed by the coordinator. A row is only replaced by a
 newer version, so rows may arrive by either way, repeatedly and in any order.
 
-During a store outage, live targets lose their rows because their heartbeats fail. A
-removal received within `REMOVAL_GRACE` of the store's recovery is therefore deferred,
-and discarded if the target registers again.
-
 A store that was restored from an older copy begins a new era (`model.get_era_floor`).
 The rows of the copy replace the known ones. Targets and operators write theirs again;
 what this package wrote is lost, so the owners of the key ranges are kept if the copy
@@ -22,10 +18,8 @@
 from returns import result
 
 from dewstep_core import clocks, errors, events
-from dewstep_fleet import frames, model, quorums, ranges
+from dewstep_fleet import frames, model, quorums, ranges, registrations
 
-REMOVAL_GRACE = datetime.timedelta(milliseconds=2300)
-"""Live targets are registered again within about 2 s of the store's recovery."""
 MIN_OUTAGE = datetime.timedelta(seconds=1)
 """Minimum observed outage after which removals are deferred. A shorter one expires no
 target's row: that takes three heartbeats of 0.9 s, and an instance notices an outage at
@@ -46,8 +40,6 @@
     """Version of the row in the store, or 0 if there is none."""
 
 
-MAX_DEPARTURES = 4_096
-"""Number of announced departures that are kept, many times those of a day."""
 NO_LEADERSHIP = Leadership("", "", 0, 0)
 
 
@@ -92,19 +84,6 @@
         return result.Failure(errors.RowInvalid(row.key, repr(error)))
 
 
-class Departure(NamedTuple):
-    """A target's announcement in an answer that it is leaving."""
-
-    life: int
-    """Incarnation of the target."""
-    noted_at: datetime.timedelta
-
-
-def format_address(target: model.Target) -> str:
-    """Return a target's address for log lines."""
-    return f"{target.host}:{target.port}"
-
-
 class Directory:
     """The newest known version of each row, and the decoded content.
 
@@ -123,19 +102,9 @@
     ):
         self.clock = clock
         self.decode_routes = decode_routes
-        self.decode_target = decode_target
+        self.registrations = registrations.Registrations(clock, decode_target)
         self.rows: dict[tuple[str, str], model.StoredRow] = {}
         self.routes: model.RouteTable | None = None
-        self.targets: dict[str, model.Target] = {}
-        self.targets_by_service: dict[str, tuple[model.Target, ...]] = {}
-        self.names_by_address: dict[tuple[str, int], set[str]] = {}
-        """Names of the registered targets at each address."""
-        self.lives: dict[str, int] = {}
-        """Last accepted incarnation of each target, also of removed ones."""
-        self.refused_lives: dict[str, int] = {}
-        """Incarnation of targets whose last row was refused because of it."""
-        self.departures: dict[str, Departure] = {}
-        """Targets that have announced in an answer that they are leaving."""
         self.ownerships: dict[str, ranges.Ownership] = {}
         self.members: dict[str, model.Member] = {}
         self.leadership = NO_LEADERSHIP
@@ -144,25 +113,27 @@
         """Ranges that are being moved, by service."""
         self.era_floor = 0
         """Lowest version of the newest known era of the store."""
-        self.store_recovered_at: datetime.timedelta | None = None
-        """When the store recovered from its last outage or was restored."""
-        self.deferred_removals: dict[
-            str, tuple[model.StoredRow, datetime.timedelta]
-        ] = {}
-        """Deferred removals of targets, and until when each is deferred. A further
-        outage does not extend this, since the target may be gone since the first
-        one."""
         self.change_count = 0
         """Number of changes so far, for `wait_change`."""
         self.waiters: set[asyncio.Future] = set()
         self.listeners: list[Callable[[list[model.StoredRow]], None]] = []
 
+    @property
+    def targets(self) -> dict[str, model.Target]:
+        """The registered targets by name."""
+        return self.registrations.targets
+
+    @property
+    def targets_by_service(self) -> dict[str, tuple[model.Target, ...]]:
+        """The registered targets of each service."""
+        return self.registrations.targets_by_service
+
     # Changes.
 
     def record_store_recovery(self, outage: datetime.timedelta) -> None:
         """Record that the store recovered from an outage of this duration."""
         if outage >= MIN_OUTAGE:
-            self.store_recovered_at = self.clock.monotonic()
+            self.registrations.record_store_recovery()
 
     def record_era(self, version: int) -> None:
         """Record the era of a version that the store has answered."""
@@ -171,7 +142,7 @@
             return
         self.era_floor = floor
         if self.rows:
-            self.store_recovered_at = self.clock.monotonic()
+            self.registrations.record_store_recovery()
             events.warning("store_restored", era=floor // model.VERSIONS_PER_ERA)
 
     def record_departure(self, name: str, life: int) -> bool:
@@ -180,28 +151,17 @@
         Its registration may not say so for a long time, or not at all. Returns false if
         the departure of this incarnation is known.
         """
-        known = self.departures.get(name)
-        if known is not None and known.life >= life:
+        if not self.registrations.record_departure(name, life):
             return False
-        while len(self.departures) >= MAX_DEPARTURES:
-            del self.departures[next(iter(self.departures))]
-        self.departures[name] = Departure(life, self.clock.monotonic())
-        target = self.targets.get(name)
-        if target is not None and target.life == life:
-            self.targets[name] = target._replace(leaving=True)
-            self._group_targets()
+        if self.registrations.mark_leaving(name, life):
             self.notify_waiters()
-        events.info("target_departing", target=name, life=life)
         return True
 
     def get_time_since_departure(
         self, target: model.Target
     ) -> datetime.timedelta | None:
         """Return the time since a target announced that it is leaving, or None."""
-        departure = self.departures.get(target.name)
-        if departure is None or departure.life != target.life:
-            return None
-        return self.clock.monotonic() - departure.noted_at
+        return self.registrations.get_time_since_departure(target)
 
     def apply_rows(
         self, rows: Iterable[model.StoredRow], apply_removals: bool = False
@@ -228,7 +188,7 @@
             changed.append(row)
             self._apply_row(row)
         if any(row.table == model.TABLES.targets for row in changed):
-            self._group_targets()
+            self.registrations.group()
         if changed:
             self.notify_waiters()
             for listener in self.listeners:
@@ -252,36 +212,20 @@
 
     def apply_deferred_removals(self) -> None:
         """Apply the deferred removals that are due."""
-        now = self.clock.monotonic()
-        due = [row for row, until in self.deferred_removals.values() if until <= now]
-        for row in due:
-            del self.deferred_removals[row.key]
+        due = self.registrations.take_due_removals()
         if due:
             self.apply_rows(due, apply_removals=True)
 
     def _defer_removal(self, row: model.StoredRow) -> bool:
         if row.table != model.TABLES.targets:
             return False
-        if row.value is not None:
-            self.deferred_removals.pop(row.key, None)
-            return False
-        known = self.targets.get(row.key)
-        if known is None or known.leaving or self.store_recovered_at is None:
-            return False
-        until = self.store_recovered_at + REMOVAL_GRACE
-        if row.key in self.deferred_removals:
-            until = self.deferred_removals[row.key][1]
-        if until <= self.clock.monotonic():
-            self.deferred_removals.pop(row.key, None)
-            return False
-        self.deferred_removals[row.key] = row, until
-        return True
+        return self.registrations.defer_removal(row)
 
     def _apply_row(self, row: model.StoredRow) -> None:
         if row.table == model.TABLES.configuration:
             self._apply_routes(row)
         elif row.table == model.TABLES.targets:
-            self._apply_target(row)
+            self.registrations.apply_row(row)
         elif row.key.startswith(RANGES_PREFIX):
             self._apply_ownership(row)
         elif row.key.startswith(MEMBER_PREFIX):
@@ -304,84 +248,6 @@
         self.routes = routes
         events.info("configuration", version=routes.version, row=row.version)
 
-    def _apply_target(self, row: model.StoredRow) -> None:
-        decoded = None
-        if row.value is not None:
-            decoded = self.decode_target(row.key, row.value).bind(self._check_life)
-        if isinstance(decoded, result.Success):
-            target = decoded.unwrap()
-            if self.get_time_since_departure(target) is not None:
-                target = target._replace(leaving=True)
-            known = self.targets.get(row.key)
-            self.targets[row.key] = target
-            if known != target:
-                events.info(
-                    "target",
-                    target=target.name,
-                    service=target.service,
-                    leaving=target.leaving,
-                    life=target.life,
-                    address=format_address(target),
-                    row=row.version,
-                )
-                self._record_registration(row, known, target)
-        else:
-            if decoded is not None:
-                events.warning(
-                    "target_refused", target=row.key, failure=decoded.failure()
-                )
-            known = self.targets.pop(row.key, None)
-            if known is not None:
-                self._forget_address(row.key, known)
-                events.info(
-                    "target_gone",
-                    target=row.key,
-                    life=known.life,
-                    address=format_address(known),
-                    row=row.version,
-                )
-
-    def _record_registration(
-        self, row: model.StoredRow, known: model.Target | None, target: model.Target
-    ) -> None:
-        """Log a new incarnation, and an address that another target has, too."""
-        if known is not None and known.life != target.life:
-            events.info(
-                "target_incarnation_changed",
-                target=row.key,
-                previous_life=known.life,
-                life=target.life,
-                previous_address=format_address(known),
-                address=format_address(target),
-                row=row.version,
-            )
-        if known is not None:
-            self._forget_address(row.key, known)
-        names = self.names_by_address.setdefault((target.host, target.port), set())
-        address = format_address(target)
-        is_new = (
-            known is None
-            or known.life != target.life
-            or format_address(known) != address
-        )
-        if names and is_new:
-            events.warning(
-                "target_address_shared",
-                target=row.key,
-                life=target.life,
-                address=address,
-                others=[f"{name}/{self.targets[name].life}" for name in sorted(names)],
-                row=row.version,
-            )
-        names.add(row.key)
-
-    def _forget_address(self, name: str, target: model.Target) -> None:
-        address = target.host, target.port
-        names = self.names_by_address.get(address, set())
-        names.discard(name)
-        if not names:
-            self.names_by_address.pop(address, None)
-
     def _check_version_reuse(
         self, known: model.StoredRow, row: model.StoredRow
     ) -> None:
@@ -393,30 +259,6 @@
                 "row_version_reused", table=row.table, key=row.key, version=row.version
             )
 
-    def _check_life(
-        self, target: model.Target
-    ) -> result.Result[model.Target, errors.RowInvalid]:
-        """Refuse a target whose start time is missing or earlier than the known one.
-
-        Other clients may write such rows, and the target's grants would be forgotten.
-        An earlier start time is accepted if the next version of the row has it as well,
-        since a target's clock may be set back before it restarts.
-        """
-        known = self.lives.get(target.name, 0)
-        confirmed = self.refused_lives.pop(target.name, 0) == target.life > 0
-        if target.life < known and not confirmed:
-            self.refused_lives[target.name] = target.life
-            detail = f"start time {target.life} after {known}"
-            return result.Failure(errors.RowInvalid(target.name, detail))
-        self.lives[target.name] = target.life
-        return result.Success(target)
-
-    def _group_targets(self) -> None:
-        groups: dict[str, list[model.Target]] = {}
-        for target in self.targets.values():
-            groups.setdefault(target.service, []).append(target)
-        self.targets_by_service = {name: tuple(group) for name, group in groups.items()}
-
     def _apply_ownership(self, row: model.StoredRow) -> None:
         service = row.key.removeprefix(RANGES_PREFIX)
         if row.value is None:
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/registrations.py
@@ -0,0 +1,244 @@
+"""The registered targets, as their rows describe them.
+
+During a store outage, live targets lose their rows because their heartbeats fail. A
+removal received within `REMOVAL_GRACE` of the store's recovery is therefore deferred,
+and discarded if the target registers again.
+
+A target may announce that it is leaving before its registration says so.
+"""
+
+import datetime
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from returns import result
+
+from dewstep_core import clocks, errors, events
+from dewstep_fleet import model
+
+REMOVAL_GRACE = datetime.timedelta(milliseconds=2300)
+"""Live targets are registered again within about 2 s of the store's recovery."""
+MAX_DEPARTURES = 4_096
+"""Number of announced departures that are kept, many times those of a day."""
+
+
+class Departure(NamedTuple):
+    """A target's announcement in an answer that it is leaving."""
+
+    life: int
+    """Incarnation of the target."""
+    noted_at: datetime.timedelta
+
+
+def format_address(target: model.Target) -> str:
+    """Return a target's address for log lines."""
+    return f"{target.host}:{target.port}"
+
+
+class Registrations:
+    """The registered targets and what is known of their incarnations.
+
+    Parameters
+    ----------
+    clock : clocks.Clock
+    decode_target : callable
+        Returns the target that a row's value describes, or a failure.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        decode_target: Callable[[str, bytes], result.Result[model.Target, Any]],
+    ):
+        self.clock = clock
+        self.decode_target = decode_target
+        self.targets: dict[str, model.Target] = {}
+        self.targets_by_service: dict[str, tuple[model.Target, ...]] = {}
+        self.names_by_address: dict[tuple[str, int], set[str]] = {}
+        """Names of the registered targets at each address."""
+        self.lives: dict[str, int] = {}
+        """Last accepted incarnation of each target, also of removed ones."""
+        self.refused_lives: dict[str, int] = {}
+        """Incarnation of targets whose last row was refused because of it."""
+        self.departures: dict[str, Departure] = {}
+        """Targets that have announced in an answer that they are leaving."""
+        self.store_recovered_at: datetime.timedelta | None = None
+        """When the store recovered from its last outage or was restored."""
+        self.deferred_removals: dict[
+            str, tuple[model.StoredRow, datetime.timedelta]
+        ] = {}
+        """Deferred removals of targets, and until when each is deferred. A further
+        outage does not extend this, since the target may be gone since the first
+        one."""
+
+    # Departures.
+
+    def record_departure(self, name: str, life: int) -> bool:
+        """Record that a target has announced that it is leaving.
+
+        Its registration may not say so for a long time, or not at all. Returns false if
+        the departure of this incarnation is known.
+        """
+        known = self.departures.get(name)
+        if known is not None and known.life >= life:
+            return False
+        while len(self.departures) >= MAX_DEPARTURES:
+            del self.departures[next(iter(self.departures))]
+        self.departures[name] = Departure(life, self.clock.monotonic())
+        events.info("target_departing", target=name, life=life)
+        return True
+
+    def mark_leaving(self, name: str, life: int) -> bool:
+        """Mark an incarnation as leaving; return false if it is not registered."""
+        target = self.targets.get(name)
+        if target is None or target.life != life:
+            return False
+        self.targets[name] = target._replace(leaving=True)
+        self.group()
+        return True
+
+    def get_time_since_departure(
+        self, target: model.Target
+    ) -> datetime.timedelta | None:
+        """Return the time since a target announced that it is leaving, or None."""
+        departure = self.departures.get(target.name)
+        if departure is None or departure.life != target.life:
+            return None
+        return self.clock.monotonic() - departure.noted_at
+
+    # Removals after an outage.
+
+    def record_store_recovery(self) -> None:
+        """Record that the store has recovered now: removals are deferred for a time."""
+        self.store_recovered_at = self.clock.monotonic()
+
+    def defer_removal(self, row: model.StoredRow) -> bool:
+        """Defer the removal of a live target; return false if none is due."""
+        if row.value is not None:
+            self.deferred_removals.pop(row.key, None)
+            return False
+        known = self.targets.get(row.key)
+        if known is None or known.leaving or self.store_recovered_at is None:
+            return False
+        until = self.store_recovered_at + REMOVAL_GRACE
+        if row.key in self.deferred_removals:
+            until = self.deferred_removals[row.key][1]
+        if until <= self.clock.monotonic():
+            self.deferred_removals.pop(row.key, None)
+            return False
+        self.deferred_removals[row.key] = row, until
+        return True
+
+    def take_due_removals(self) -> list[model.StoredRow]:
+        """Return the deferred removals that are due, and defer them no longer."""
+        now = self.clock.monotonic()
+        due = [row for row, until in self.deferred_removals.values() if until <= now]
+        for row in due:
+            del self.deferred_removals[row.key]
+        return due
+
+    # Rows.
+
+    def apply_row(self, row: model.StoredRow) -> None:
+        """Apply a row of the table of targets; `group` has to follow."""
+        decoded = None
+        if row.value is not None:
+            decoded = self.decode_target(row.key, row.value).bind(self._check_life)
+        if isinstance(decoded, result.Success):
+            target = decoded.unwrap()
+            if self.get_time_since_departure(target) is not None:
+                target = target._replace(leaving=True)
+            known = self.targets.get(row.key)
+            self.targets[row.key] = target
+            if known != target:
+                events.info(
+                    "target",
+                    target=target.name,
+                    service=target.service,
+                    leaving=target.leaving,
+                    life=target.life,
+                    address=format_address(target),
+                    row=row.version,
+                )
+                self._record_registration(row, known, target)
+        else:
+            if decoded is not None:
+                events.warning(
+                    "target_refused", target=row.key, failure=decoded.failure()
+                )
+            known = self.targets.pop(row.key, None)
+            if known is not None:
+                self._forget_address(row.key, known)
+                events.info(
+                    "target_gone",
+                    target=row.key,
+                    life=known.life,
+                    address=format_address(known),
+                    row=row.version,
+                )
+
+    def group(self) -> None:
+        """Group the targets by service after changes."""
+        groups: dict[str, list[model.Target]] = {}
+        for target in self.targets.values():
+            groups.setdefault(target.service, []).append(target)
+        self.targets_by_service = {name: tuple(group) for name, group in groups.items()}
+
+    def _record_registration(
+        self, row: model.StoredRow, known: model.Target | None, target: model.Target
+    ) -> None:
+        """Log a new incarnation, and an address that another target has, too."""
+        if known is not None and known.life != target.life:
+            events.info(
+                "target_incarnation_changed",
+                target=row.key,
+                previous_life=known.life,
+                life=target.life,
+                previous_address=format_address(known),
+                address=format_address(target),
+                row=row.version,
+            )
+        if known is not None:
+            self._forget_address(row.key, known)
+        names = self.names_by_address.setdefault((target.host, target.port), set())
+        address = format_address(target)
+        is_new = (
+            known is None
+            or known.life != target.life
+            or format_address(known) != address
+        )
+        if names and is_new:
+            events.warning(
+                "target_address_shared",
+                target=row.key,
+                life=target.life,
+                address=address,
+                others=[f"{name}/{self.targets[name].life}" for name in sorted(names)],
+                row=row.version,
+            )
+        names.add(row.key)
+
+    def _forget_address(self, name: str, target: model.Target) -> None:
+        address = target.host, target.port
+        names = self.names_by_address.get(address, set())
+        names.discard(name)
+        if not names:
+            self.names_by_address.pop(address, None)
+
+    def _check_life(
+        self, target: model.Target
+    ) -> result.Result[model.Target, errors.RowInvalid]:
+        """Refuse a target whose start time is missing or earlier than the known one.
+
+        Other clients may write such rows, and the target's grants would be forgotten.
+        An earlier start time is accepted if the next version of the row has it as well,
+        since a target's clock may be set back before it restarts.
+        """
+        known = self.lives.get(target.name, 0)
+        confirmed = self.refused_lives.pop(target.name, 0) == target.life > 0
+        if target.life < known and not confirmed:
+            self.refused_lives[target.name] = target.life
+            detail = f"start time {target.life} after {known}"
+            return result.Failure(errors.RowInvalid(target.name, detail))
+        self.lives[target.name] = target.life
+        return result.Success(target)
--- a/packages/fleet/dewstep_fleet/renewal_orders.py
+++ b/packages/fleet/dewstep_fleet/renewal_orders.py
@@ -6,12 +6,12 @@
 
 from dewstep_core import clocks, events, tasks
 from dewstep_fleet import (
-    directories,
     grant_states,
     held_ranges,
     model,
     ownership_writes,
     ranges,
+    registrations,
     renewal,
     target_orders,
     terms,
@@ -118,7 +118,7 @@
             "target_answers_again",
             target=target.name,
             life=target.life,
-            address=directories.format_address(target),
+            address=registrations.format_address(target),
             generation=holding.generation,
             failures=state.failures,
             failing_for=self.clock.monotonic() - state.failing_since,
--- a/packages/fleet/dewstep_fleet/target_orders.py
+++ b/packages/fleet/dewstep_fleet/target_orders.py
@@ -23,7 +23,7 @@
 from returns import result
 
 from dewstep_core import clocks, errors, events
-from dewstep_fleet import directories, model, numbering, outstanding
+from dewstep_fleet import model, numbering, outstanding, registrations
 
 SKIPPED = "skipped"
 """Result of a grant that was no longer due."""
@@ -170,7 +170,7 @@
             "order_connection",
             target=target.name,
             life=target.life,
-            address=directories.format_address(target),
+            address=registrations.format_address(target),
             connection=self.numbering.connection,
         )
         return result.Success(None)
@@ -243,7 +243,7 @@
             service=target.service,
             target=target.name,
             life=target.life,
-            address=directories.format_address(target),
+            address=registrations.format_address(target),
             connection=self.numbering.connection,
             first=holding.first,
             last=holding.last,
