Refuse a key of thousands of digits as invalid

Callers saw: a request with such a key was not refused as one without a valid key; reading its key raised ValueError. Cause: `int` refuses numbers of more than 4,300 digits, and a header may be longer. Change: leading zeros are dropped and the length is checked first. Evidence: two of the new cases failed before with ValueError.

--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -72,6 +72,8 @@
 """Reason with which a target refuses a request for a key that it does not own."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses from which callers conclude that a request has not run."""
+MAX_KEY_DIGITS = 5
+"""Number of digits of the last key."""
 QUARANTINE_CRASHES = 3
 """Number of target crashes after which a request is refused."""
 CRASH_CONFIRMATION_PERIOD = datetime.timedelta(seconds=6)
@@ -1079,7 +1081,11 @@
     """Return the key in a header value, or None if it is invalid."""
     if value is None or not value.isdigit():
         return None
-    key = int(value)
+    # `int` refuses numbers of thousands of digits.
+    digits = value.lstrip(b"0") or b"0"
+    if len(digits) > MAX_KEY_DIGITS:
+        return None
+    key = int(digits)
     return key if key < model.KEY_SPACE_SIZE else None
 
 
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -260,8 +260,16 @@
     assert harness.sent[0][0] == "a" and harness.keys == [("history", 70)]
 
 
-@pytest.mark.parametrize("value", [b"", b"x", b"-1", b"65536"])
+@pytest.mark.parametrize(
+    ("value", "key"), [(b"0", 0), (b"007", 7), (b"0" * 5_000 + b"7", 7)]
+)
+def test_key_may_have_leading_zeros(value, key):
+    assert dispatch.read_key(value) == key
+
+
+@pytest.mark.parametrize("value", [b"", b"x", b"-1", b"65536", b"9" * 5_000])
 def test_request_without_a_key_is_refused(value):
+    # Guards against the ValueError for a number of more than 4,300 digits.
     harness = Harness(keyed=True)
     assert harness.send(headers=((b"x-key", value),)).status == 400
 
