Start no request that a planned stop would cut

Callers saw: connections that ended without an answer at the end of the grace period of a planned stop, also for requests that may not be repeated. These requests had come late: their head or body was slow, or they had waited for a connection to a target, or they were retries, or another instance had passed them on.

Cause: an instance that stops passed on whatever it had read until the abort 300 ms before the end of the grace period, and requests that waited for a connection did so until the abort.

Change: policy/stop_schedule.py decides, from times only, whether a request is still started. The dispatcher asks it where a request is handed to a target or to another instance, so that one that has waited is caught. Until the listeners close (2.5 s), a request is started if it is expected to end before the abort; later only if its answer is due by then; in the last second before the abort none is. It is refused with Stopping (503, not run, Retry-After, connection closed). A request of another instance is started only if its answer is due before the abort, and is otherwise refused with RelayRefused. A second before the abort, requests that wait for a connection or have not been read are refused. A large body that is complete too late is not passed on. `cut` in the event `stopped` no longer counts connections that only wait for their caller's close.

--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -160,6 +160,16 @@
         if self.phase is Phase.IDLE and not self.unparsed_bytes:
             self.transport.close()
 
+    def is_answered(self) -> bool:
+        """Whether the last answer is written and only the caller's close is awaited."""
+        return self.phase is Phase.LINGERING
+
+    def refuse_unread(self) -> None:
+        """Refuse the request of which a part has been read, if any."""
+        waiting = self.input_waiter is not None and not self.input_waiter.done()
+        if waiting and self.phase in (Phase.HEAD, Phase.BODY):
+            self.input_waiter.set_result(None)
+
     def check_pace(self, now: float) -> None:
         """Refuse the request or close the connection if the caller is too slow."""
         if self.sample_started is not None and not self._check_write_pace(now):
@@ -305,6 +315,7 @@
             await self._wait_for_input(phase)
 
     async def _wait_for_input(self, phase: Phase) -> None:
+        self._check_unread(phase)
         if self.phase is not phase:
             self.phase = phase
             self.phase_started = self.loop.time()
@@ -320,6 +331,19 @@
             self.input_waiter = None
         if self.slow_failure is not None:
             raise request_body.RequestRefused(self.slow_failure)
+        self._check_unread(phase)
+
+    def _check_unread(self, phase: Phase) -> None:
+        """Refuse a request of which a part has been read, if the listener requires it.
+
+        Raises
+        ------
+        RequestRefused
+            If it does.
+        """
+        failure = self.listener.unread_failure
+        if failure is not None and phase is not Phase.IDLE:
+            raise request_body.RequestRefused(failure)
 
     def _build_parse_failure(self, error: h11.RemoteProtocolError) -> Any:
         if error.error_status_hint == 431:
--- a/packages/entry/dewstep_entry/caller/listener.py
+++ b/packages/entry/dewstep_entry/caller/listener.py
@@ -76,6 +76,8 @@
         self.stopping = False
         self.close_after_answer = False
         """Whether each answer closes its connection, before the listener is stopped."""
+        self.unread_failure: interfaces.Failure | None = None
+        """Failure of the requests that have not been read completely, or None."""
         self.server: asyncio.Server | None = None
         self.pace_task: asyncio.Task | None = None
         self.all_closed: asyncio.Future | None = None
@@ -103,6 +105,16 @@
             await self.all_closed
         self.pace_task.cancel()
 
+    def count_unanswered(self) -> int:
+        """Return the number of connections whose last answer is not written."""
+        return sum(not item.is_answered() for item in self.connections)
+
+    def refuse_unread(self, failure: interfaces.Failure) -> None:
+        """Refuse the requests that have not been read completely, now and later."""
+        self.unread_failure = failure
+        for caller_connection in list(self.connections):
+            caller_connection.refuse_unread()
+
     def abort(self) -> None:
         """Close all connections immediately."""
         self.stopping = True
--- a/packages/entry/dewstep_entry/targets/connection_pool.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool.py
@@ -142,6 +142,10 @@
             target_connection.record_refusal(request_id, deadline, now)
         return outcome
 
+    def refuse_waiting(self, failure: interfaces.Failure) -> None:
+        """Fail the requests that wait for a connection."""
+        self._resolve_waiters(failure)
+
     def set_limit(self, limit: int) -> None:
         """Set the maximum number of connections; open ones are kept."""
         if limit != self.opening_state.limit:
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -13,14 +13,15 @@
 import functools
 import hashlib
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from typing import Any, NamedTuple
 
 import h11
 from returns import result
 
 from dewstep_core import clocks, data, errors, events, settings, tasks
-from dewstep_entry import failures, header_rules
+from dewstep_entry import bodies, failures, header_rules
+from dewstep_entry.policy import stop_schedule
 from dewstep_entry.targets import answering, connection_pool
 from dewstep_fleet import (
     answers,
@@ -61,7 +62,12 @@
 MAX_REQUESTS_PER_SLOT = 4
 """Requests per slot from which on a target counts as full; targets queue three or four
 for each slot."""
-UNSENT_FAILURES = errors.TargetUnavailable | errors.TargetPaused | errors.TargetLimited
+UNSENT_FAILURES = (
+    errors.TargetUnavailable
+    | errors.TargetPaused
+    | errors.TargetLimited
+    | errors.Stopping
+)
 """Failures of requests that were not sent."""
 MAX_OWNER_CHANGE_WAIT = datetime.timedelta(milliseconds=100)
 """Maximum wait for a new owner after a key's owner failed; changes arrive in a few
@@ -203,6 +209,8 @@
         self.unreachable_until: dict[str, datetime.timedelta] = {}
         """Targets that another instance did not reach either, and until when this is
         assumed."""
+        self.stop_schedule: stop_schedule.StopSchedule | None = None
+        """Times of the planned stop, once it has begun."""
         self.in_progress = 0
         self.background_tasks = tasks.TaskOwner(self.handle_task_failure)
         self.suspicions: dict[str, set[CrashSuspicion]] = {}
@@ -356,6 +364,8 @@
             failure = choose_failure(failure, relayed.failure)
         if progress.answer is not None:
             return progress.answer
+        if plan.is_relayed() and isinstance(failure, errors.Stopping):
+            failure = errors.RelayRefused(self.node, "stopping")
         return self.build_refusal(plan.request, failure, plan)
 
     async def try_targets(self, plan: PlannedRequest, progress: Progress) -> None:
@@ -441,9 +451,10 @@
         try:
             outcome = await self.relay.send(
                 lambda: self.build_relayed_head(plan, attempts),
-                plan.request.body,
+                self.guard_body(plan),
                 plan.due_at,
                 request_id,
+                lambda: self.find_stop_refusal(plan),
             )
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             return relaying.RelayOutcome(None, errors.MalformedRequest(str(error)))
@@ -469,6 +480,9 @@
         """Return the outcome of one attempt, or the reason why there was none."""
         if self.participant.crashes.get(plan.fingerprint, 0) >= QUARANTINE_CRASHES:
             return Outcome(None, errors.Quarantined(plan.fingerprint.hex()), "")
+        stopping = self.find_stop_refusal(plan)
+        if stopping is not None:
+            return Outcome(None, stopping, "")
         found = await self.find_target(plan, tried)
         if isinstance(found, result.Failure):
             return Outcome(None, found.failure(), "")
@@ -479,6 +493,10 @@
         if isinstance(acquired, result.Failure):
             return Outcome(None, acquired.failure(), choice.target.name)
         permit = acquired.unwrap()
+        stopping = self.find_stop_refusal(plan, choice)
+        if stopping is not None:
+            limits.give_back(permit)
+            return Outcome(None, stopping, "")
         budget = self.retry_budgets.get(plan.service.name)
         if sends and not budget.reserve_resend(self.participant.live_instances):
             limits.give_back(permit)
@@ -488,7 +506,8 @@
 
     def should_resend(self, plan: PlannedRequest, failure: Any, runs: int) -> bool:
         """Whether a failed request may be resent and could then succeed."""
-        if isinstance(failure, errors.DeadlineExceeded | errors.MalformedRequest):
+        final = errors.DeadlineExceeded | errors.MalformedRequest | errors.Stopping
+        if isinstance(failure, final):
             return False
         refused = isinstance(failure, errors.TargetRefused)
         if refused and plan.key is not None and failure.reason != MISDIRECTED:
@@ -687,10 +706,10 @@
             request_id = header_rules.encode_value(plan.request.request_id)
             send_result = await pool.send(
                 head,
-                plan.request.body,
+                self.guard_body(plan),
                 plan.due_at,
                 request_id,
-                functools.partial(self.find_limit_refusal, target, permit),
+                functools.partial(self.find_send_refusal, plan, choice, permit),
             )
             success = (
                 isinstance(send_result, result.Success)
@@ -720,14 +739,77 @@
             )
         return self.evaluate_attempt(plan, choice, send_result, began, elapsed)
 
-    def find_limit_refusal(
-        self, target: model.Target, permit: request_limits.Permit | None
-    ) -> errors.TargetLimited | None:
+    def find_send_refusal(
+        self,
+        plan: PlannedRequest,
+        choice: selection.Choice,
+        permit: request_limits.Permit | None,
+    ) -> errors.Stopping | errors.TargetLimited | None:
         """Return the failure of a request that waited for a connection, or None.
 
-        The limit may have become known since the request was admitted.
+        A stop may have begun, or the limit become known, since it was admitted.
         """
-        return self.participant.limits.take_now(target) if permit is None else None
+        stopping = self.find_stop_refusal(plan, choice)
+        if stopping is not None or permit is not None:
+            return stopping
+        return self.participant.limits.take_now(choice.target)
+
+    # Planned stop.
+
+    def find_stop_refusal(
+        self, plan: PlannedRequest, choice: selection.Choice | None = None
+    ) -> errors.Stopping | None:
+        """Return the failure of a request that must not be started any more, or None.
+
+        A request of another instance, which can try a third one, is started only if it
+        certainly ends in time.
+        """
+        schedule = self.stop_schedule
+        if schedule is None:
+            return None
+        expected = None if plan.is_relayed() else estimate_duration(choice)
+        now = self.clock.monotonic()
+        if stop_schedule.may_start(schedule, now, plan.due_at, expected):
+            return None
+        return errors.Stopping(self.node)
+
+    def guard_body(self, plan: PlannedRequest) -> data.Body:
+        """Return the body of a request, of which a large one ends if it comes late."""
+        body = plan.request.body
+        if body.rest is None:
+            return body
+        return body._replace(rest=self._read_in_time(plan, body.rest))
+
+    async def _read_in_time(
+        self, plan: PlannedRequest, rest: AsyncIterator[bytes]
+    ) -> AsyncIterator[bytes]:
+        """Yield the rest of a body.
+
+        A target begins a request when its body is complete, so that a body which is
+        incomplete when the listeners close is not passed on if its answer is due too
+        late.
+
+        Raises
+        ------
+        bodies.BodyFailure
+            If the body comes too late.
+        """
+        async for chunk in rest:
+            self._check_body_time(plan)
+            yield chunk
+        self._check_body_time(plan)
+
+    def _check_body_time(self, plan: PlannedRequest) -> None:
+        schedule, now = self.stop_schedule, self.clock.monotonic()
+        if schedule is not None and not stop_schedule.may_start(
+            schedule, now, plan.due_at, datetime.timedelta()
+        ):
+            raise bodies.BodyFailure(errors.Stopping(self.node))
+
+    def refuse_waiting(self) -> None:
+        """Refuse the requests that wait for a connection to a target or instance."""
+        for pool in (*self.pools.values(), *self.relay.pools.values()):
+            pool.refuse_waiting(errors.Stopping(self.node))
 
     def evaluate_attempt(
         self,
@@ -1025,11 +1107,19 @@
     failure = send_result.failure()
     if isinstance(failure, errors.TargetRefused | errors.AnswerInvalid):
         return True
-    if isinstance(failure, errors.TargetPaused | errors.TargetLimited):
+    unsent = errors.TargetPaused | errors.TargetLimited | errors.Stopping
+    if isinstance(failure, unsent):
         return None
     return False
 
 
+def estimate_duration(choice: selection.Choice | None) -> datetime.timedelta:
+    """Return the expected time until a target answers, or 0 before one is chosen."""
+    if choice is None:
+        return datetime.timedelta()
+    return datetime.timedelta(seconds=choice.wait + choice.estimate.service)
+
+
 def build_pause_failure(target: str, seconds: float) -> errors.TargetPaused:
     """Return the failure of a request that a target's pause prevents."""
     return errors.TargetPaused(target, datetime.timedelta(seconds=seconds))
--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -11,6 +11,7 @@
 from dewstep_core import clocks, data, errors, events, settings, tasks
 from dewstep_core.http import exchanges, routing, server
 from dewstep_entry.caller import listener
+from dewstep_entry.policy import stop_schedule
 from dewstep_entry.targets import answering
 from dewstep_fleet import (
     budgets,
@@ -262,25 +263,28 @@
     async def stop(self) -> int:
         """Finish the requests in progress; return the number of aborted connections."""
         began = self.clock.monotonic()
+        abort_at = began + self.instance.timing.grace_period - ABORT_MARGIN
+        schedule = stop_schedule.plan_stop(began, abort_at, BALANCER_REMOVAL_TIME)
         self.stopping = True
         self.participant.stopping = True
+        self.dispatcher.stop_schedule = schedule
         self.listener.close_after_answer = True
         self.relay_listener.close_after_answer = True
         events.info("stopping", in_progress=self.dispatcher.in_progress)
         self.participant.schedule_heartbeat()
         # The balancer sends new connections until it has removed this instance.
-        await self.clock.sleep(BALANCER_REMOVAL_TIME)
-        end = began + self.instance.timing.grace_period - ABORT_MARGIN
+        await self.clock.sleep(schedule.closes_at - began)
+        self.tasks.spawn(self.refuse_late_requests(schedule))
         aborted = 0
         try:
-            time_left = (end - self.clock.monotonic()).total_seconds()
+            time_left = (abort_at - self.clock.monotonic()).total_seconds()
             async with asyncio.timeout(max(time_left, 0.0)):
                 await asyncio.gather(*(item.stop() for item in self.list_listeners()))
                 if self.dispatcher.background_tasks.tasks:
                     await asyncio.wait(self.dispatcher.background_tasks.tasks)
         except TimeoutError:
             for item in self.list_listeners():
-                aborted += len(item.connections)
+                aborted += item.count_unanswered()
                 item.abort()
         events.info("stopped", cut=aborted)
         self.tasks.cancel()
@@ -288,6 +292,17 @@
             await internal_server.close(grace=0.0)
         return aborted
 
+    async def refuse_late_requests(self, schedule: stop_schedule.StopSchedule) -> None:
+        """Refuse what has not been started once no request is started any more.
+
+        Requests that wait for a connection, and those that have not been read, would
+        be cut when the stop ends.
+        """
+        await self.clock.sleep(schedule.last_start_at - self.clock.monotonic())
+        self.dispatcher.refuse_waiting()
+        for item in self.list_listeners():
+            item.refuse_unread(errors.Stopping(self.instance.member.node))
+
     def list_listeners(self) -> list[listener.Listener]:
         """Return the listener for callers, and the one for other instances if any."""
         if not self.instance.member.relay_port:
--- a/packages/fleet/dewstep_fleet/process_test.py
+++ b/packages/fleet/dewstep_fleet/process_test.py
@@ -17,6 +17,10 @@
 RULES = answering.AnswerRules(b"x-id", b"x-n", None, has_request_id=True, buffered=True)
 ANY_PORT = settings.Address("127.0.0.1", 0)
 SECOND = datetime.timedelta(seconds=1)
+LATE_REQUEST = (
+    b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Id: late\r\nX-Key: 7\r\n"
+    b"X-Deadline: 30000\r\nContent-Length: 4\r\n\r\nbod"
+)
 
 
 class Harness:
@@ -148,6 +152,25 @@
         assert await stopping == 0
 
 
+# Guards against a request that is passed on when the grace period is nearly over, and
+# is cut at its end.
+@testing.run_in_event_loop
+async def test_request_that_is_incomplete_late_is_refused():
+    async with run_instance() as harness:
+        address = harness.process.listener.address
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(LATE_REQUEST)
+        await asyncio.sleep(0.1)
+        stopping = asyncio.ensure_future(harness.process.stop())
+        async with asyncio.timeout(5):
+            head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        assert head.startswith(b"HTTP/1.1 503 ")
+        assert b"dewstep-failure: Stopping" in head and b"connection: close" in head
+        assert await stopping == 0
+        assert not harness.requests
+
+
 @testing.run_in_event_loop
 async def test_metrics_and_dump_are_served():
     async with run_instance() as harness:
--- a/packages/fleet/dewstep_fleet/relaying.py
+++ b/packages/fleet/dewstep_fleet/relaying.py
@@ -112,6 +112,7 @@
         body: data.Body,
         due_at: datetime.timedelta,
         request_id: bytes,
+        find_refusal: Callable[[], Any] = lambda: None,
     ) -> RelayOutcome:
         """Pass a request on to the first instance that accepts it.
 
@@ -124,12 +125,20 @@
         body : data.Body
         due_at : datetime.timedelta
         request_id : bytes
+        find_refusal : callable, optional
+            Called before each try; returns the failure of a request that must not be
+            sent any more.
         """
         failure: Any = errors.RelayRefused(self.node, "no other instance")
         for member in self.list_peers():
             if self.clock.monotonic() >= due_at:
                 break
-            sent = await self._send_to(member, build_head(), body, due_at, request_id)
+            refusal = find_refusal()
+            if refusal is not None:
+                return RelayOutcome(None, refusal)
+            sent = await self._send_to(
+                member, build_head(), body, due_at, request_id, find_refusal
+            )
             if isinstance(sent, result.Success):
                 answer = sent.unwrap()
                 failure = restore_failure(answer)
@@ -164,6 +173,7 @@
         body: data.Body,
         due_at: datetime.timedelta,
         request_id: bytes,
+        find_refusal: Callable[[], Any],
     ):
         pool = self.pools.get(member)
         if pool is None:
@@ -179,7 +189,7 @@
             )
         self.in_progress[member.node] += 1
         try:
-            return await pool.send(head, body, due_at, request_id)
+            return await pool.send(head, body, due_at, request_id, find_refusal)
         finally:
             self.in_progress[member.node] -= 1
 
--- a/packages/fleet/dewstep_fleet/relaying_test.py
+++ b/packages/fleet/dewstep_fleet/relaying_test.py
@@ -12,6 +12,7 @@
 from dewstep_core import clocks, data, errors, settings
 from dewstep_emulator import testing
 from dewstep_entry.caller import listener
+from dewstep_entry.policy import stop_schedule
 from dewstep_fleet import (
     answers,
     builders,
@@ -127,13 +128,14 @@
             headers=relaying.add_attempts(tuple(headers), 2),
         )
 
-    async def send(self, body=b"", seconds=2.0, rest=None):
+    async def send(self, body=b"", seconds=2.0, rest=None, **options):
         length = len(body) if rest is None else STREAMED_BYTES
         return await self.sender.send(
             lambda: self.build_head(length),
             data.Body(body, rest),
             self.clock.monotonic() + seconds * SECOND,
             REQUEST_ID,
+            **options,
         )
 
     async def close(self):
@@ -256,7 +258,7 @@
     harness = dispatch_test.Harness(200)
     cut_off(harness)
 
-    async def send(build_head, body, due_at, request_id):
+    async def send(build_head, body, due_at, request_id, find_refusal):
         failure = errors.RelayRefused("n2", "cut off")
         return relaying.RelayOutcome(None, failure, body_used=True)
 
@@ -382,7 +384,7 @@
     cut_off(harness)
     passed_on = []
 
-    async def send(build_head, body, due_at, request_id):
+    async def send(build_head, body, due_at, request_id, find_refusal):
         passed_on.append(dict(build_head().headers))
         return relaying.RelayOutcome(build_answer(), None)
 
@@ -414,7 +416,7 @@
 def test_request_for_an_unreachable_owner_is_passed_on():
     harness = dispatch_test.Harness(dispatch_test.unreachable, keyed=True)
 
-    async def send(build_head, body, due_at, request_id):
+    async def send(build_head, body, due_at, request_id, find_refusal):
         return relaying.RelayOutcome(build_answer(), None)
 
     harness.dispatcher.relay.send = send
@@ -432,7 +434,7 @@
     harness = dispatch_test.Harness(dispatch_test.unreachable, keyed=True)
     passed_on = []
 
-    async def send(build_head, body, due_at, request_id):
+    async def send(build_head, body, due_at, request_id, find_refusal):
         passed_on.append(due_at)
         return relaying.RelayOutcome(None, errors.TargetUnavailable("a", "refused"))
 
@@ -456,7 +458,7 @@
     cut_off(harness)
     harness.dispatcher.reachability.next_trial_at = harness.clock.monotonic()
 
-    async def send(build_head, body, due_at, request_id):
+    async def send(build_head, body, due_at, request_id, find_refusal):
         return relaying.RelayOutcome(build_answer(), None)
 
     harness.dispatcher.relay.send = send
@@ -468,7 +470,7 @@
 def test_request_that_has_tried_all_targets_is_passed_on():
     harness = dispatch_test.Harness(*[dispatch_test.unreachable] * 2)
 
-    async def send(build_head, body, due_at, request_id):
+    async def send(build_head, body, due_at, request_id, find_refusal):
         return relaying.RelayOutcome(build_answer(), None)
 
     harness.dispatcher.relay.send = send
@@ -482,8 +484,43 @@
     now = harness.clock.monotonic()
     harness.dispatcher.unreachable_until = dict.fromkeys("ab", now + SECOND)
 
-    async def send(build_head, body, due_at, request_id):
+    async def send(build_head, body, due_at, request_id, find_refusal):
         return relaying.RelayOutcome(build_answer(), None)
 
     harness.dispatcher.relay.send = send
     assert harness.send().status == 200
+
+
+# Guards against requests of other instances that a stopping one begins and cuts, though
+# a third instance could serve them.
+@pytest.mark.parametrize(
+    ("abort_after", "attempts", "failure"),
+    [(1.25, 1, ""), (1.15, 1, "RelayRefused"), (1.15, None, "")],
+)
+def test_stopping_instance_refuses_relayed_requests_that_may_not_end(
+    abort_after, attempts, failure
+):
+    harness = dispatch_test.Harness(200)
+    now = harness.clock.monotonic()
+    harness.dispatcher.stop_schedule = stop_schedule.plan_stop(
+        now, now + abort_after * SECOND, SECOND
+    )
+    harness.clock.advance(SECOND / 10)
+    # Its answer is due after 1 s.
+    request = build_relayed(harness, relayed_attempts=attempts)
+    answer = asyncio.run(harness.dispatcher.handle(request)).unwrap()
+    assert answer.failure == failure and len(harness.sent) == (not failure)
+
+
+# Guards against a request that is offered to one instance after another while the time
+# ends in which the answer could still be passed on.
+@testing.run_in_event_loop
+async def test_request_that_must_not_start_is_not_passed_on():
+    async with running_setting() as setting:
+        first = await setting.add("n2", errors.RelayRefused("n2", "stopping"))
+        second = await setting.add("n3", errors.RelayRefused("n3", "stopping"))
+        failure = errors.Stopping("n1")
+        refusals = [None, None, failure]
+        outcome = await setting.send(find_refusal=lambda: refusals.pop(0))
+        assert outcome == relaying.RelayOutcome(None, failure)
+        assert len(first.requests) + len(second.requests) == 1
