Pass on no request that the stop of an entry process would cut

Callers saw: connections that ended without an answer at the end of `stop_limit`, for requests with a slow body whose head had come before SIGTERM and whose deadline (30 s for photos) was after the end of the stop (20 s).

Cause: only the head of a request was checked for the stop. A body that was complete late was still passed on, and a request that was routed again was begun again until the abort.

Change: the router asks policy/stop_schedule.py before each attempt, as the fleet's dispatcher does. In the second half of a stop only attempts whose deadline is before its end are begun, in the last second none; they are refused with Stopping (503, not run, Retry-After, connection closed). A second before the abort, what has not been read completely is refused.

--- a/packages/entry/dewstep_entry/pipeline/routing.py
+++ b/packages/entry/dewstep_entry/pipeline/routing.py
@@ -18,7 +18,7 @@
 from dewstep_core import clocks, data, errors
 from dewstep_entry import failures, interfaces
 from dewstep_entry.pipeline import locate
-from dewstep_entry.policy import retries
+from dewstep_entry.policy import retries, stop_schedule
 from dewstep_entry.state import view
 
 REROUTING_TIMEOUT = datetime.timedelta(milliseconds=1500)
@@ -118,6 +118,8 @@
         self.budgets: retries.Retries = budgets
         self.request_refresh = refresh
         self.random = random.Random()
+        self.stop_schedule: stop_schedule.StopSchedule | None = None
+        """Times of the planned stop, once it has begun."""
         self.waiting = 0
         self.in_progress = 0
         self.tries_again = 0
@@ -146,6 +148,11 @@
         self.budgets.add_first_attempt(request.service, "")
         attempt_number = 1
         while True:
+            if not self.may_start(request):
+                stopping = result.Failure(errors.Stopping(self.entry))
+                return (
+                    stopping if first_unknown_outcome is None else first_unknown_outcome
+                )
             sequence = self.holder.sequence
             attempt = await self.send_once(request)
             if attempt.failure is None or request.body.rest is not None:
@@ -166,6 +173,17 @@
             self.tries_again += 1
             await self.wait_for_change(sequence, delay)
 
+    def may_start(self, request: data.Request) -> bool:
+        """Whether an attempt of a request can end before a planned stop does."""
+        if self.stop_schedule is None:
+            return True
+        return stop_schedule.may_start(
+            self.stop_schedule,
+            self.clock.monotonic(),
+            request.deadline,
+            datetime.timedelta(),
+        )
+
     def choose_backoff(
         self, request: data.Request, started: datetime.timedelta, attempt_number: int
     ) -> datetime.timedelta | None:
--- a/packages/entry/dewstep_entry/process.py
+++ b/packages/entry/dewstep_entry/process.py
@@ -25,7 +25,7 @@
 from dewstep_entry.gate import dependencies, handover, manager, timing, transfer
 from dewstep_entry.peers import link
 from dewstep_entry.pipeline import identify, metering, routing
-from dewstep_entry.policy import admission, retries
+from dewstep_entry.policy import admission, retries, stop_schedule
 from dewstep_entry.state import (
     bootstrap,
     exchange,
@@ -40,6 +40,9 @@
 INCARNATION_BYTES = 6
 PEER_NOTICE_TIME = datetime.timedelta(milliseconds=500)
 """Time for which a stopping process notifies peers that it is no longer a gate."""
+STARTING_FRACTION = 0.5
+"""Part of a stop in which attempts are started whose deadline is after its end. The
+rest of the time is left for them."""
 QUARANTINE_REFRESH_INTERVAL = datetime.timedelta(seconds=5)
 SEED_CONNECT_INTERVAL = datetime.timedelta(seconds=1)
 
@@ -274,7 +277,11 @@
         self.stopping = True
         events.info("stopping", entry=self.own_member.entry)
         self.exchange.announce_stop()
-        end = self.clock.monotonic() + self.process_settings.stop_limit
+        began, limit = self.clock.monotonic(), self.process_settings.stop_limit
+        end = began + limit
+        schedule = stop_schedule.plan_stop(began, end, limit * STARTING_FRACTION)
+        self.router.stop_schedule = schedule
+        self.tasks.spawn(self.refuse_unread(schedule))
         closing = asyncio.ensure_future(self.listener.stop())
         remaining = await self.gates.stop()
         aborted = [f"gate of {target}" for target in remaining]
@@ -292,6 +299,11 @@
         events.info("stopped", entry=self.own_member.entry, cut=len(aborted))
         return tuple(aborted)
 
+    async def refuse_unread(self, schedule: stop_schedule.StopSchedule) -> None:
+        """Refuse the requests that have not been read when none is started any more."""
+        await self.clock.sleep(schedule.last_start_at - self.clock.monotonic())
+        self.listener.refuse_unread(errors.Stopping(self.own_member.entry))
+
     async def close(self) -> None:
         """End all tasks and connections."""
         self.tasks.cancel()
--- a/packages/entry/dewstep_entry/process_test.py
+++ b/packages/entry/dewstep_entry/process_test.py
@@ -17,6 +17,9 @@
     async def stop(self):
         await asyncio.Event().wait()
 
+    def refuse_unread(self, failure):
+        pass
+
     def abort(self):
         self.aborted = True
 
