Test the replacement of connections in virtual time

Cause: the test. Its target writes the second answer 10 ms after the first, and the pool does not reuse a connection for 20 ms. Both run in one event loop: if it is late by more than that between the first answer and the second request, the delay ends before the target could write, and the second request gets the second answer. Traced by a pause of 30 ms at this place: exactly this case of the four fails then, with b'no' for b'ok'.

Ruled out: a fault of the pool. In a process of its own, a target's answer waits in the socket, which the pool polls before it reuses a connection.

Change: testing.run_in_virtual_time runs a test on the virtual clock and the simulated network; the test uses it with the same times. Ports of the network may be chosen freely, as by the operating system.

Evidence: 4 of 4 cases pass; with a reuse delay of 0, the fault that the test guards against, the two cases with a pause of 0 fail. The whole file passes at a load average of 8.

--- a/packages/emulator/dewstep_emulator/ownership/network.py
+++ b/packages/emulator/dewstep_emulator/ownership/network.py
@@ -21,6 +21,7 @@
 RETRANSMISSION_SECONDS = 0.2
 MAX_RETRANSMISSION_SECONDS = 2.0
 CONNECT_RETRY_SECONDS = 1.0
+EPHEMERAL_PORTS = range(49152, 65536)
 SOCKET_BUFFER_BYTES = 256 * 1024
 """Unacknowledged bytes that the kernel takes from a process."""
 
@@ -406,7 +407,7 @@
     # Connections.
 
     def listen(self, protocol_factory, host: str, port: int) -> Server:
-        """Accept connections of the current process.
+        """Accept connections of the current process; port 0 stands for a free one.
 
         Raises
         ------
@@ -414,6 +415,10 @@
             If the port is in use.
         """
         process = event_loop.current_process.get()
+        if port == 0:
+            port = next(
+                free for free in EPHEMERAL_PORTS if (host, free) not in self.servers
+            )
         if (host, port) in self.servers:
             raise OSError(f"{host}:{port} is in use")
         server = Server(self, process, port, protocol_factory)
--- a/packages/emulator/dewstep_emulator/testing.py
+++ b/packages/emulator/dewstep_emulator/testing.py
@@ -9,8 +9,12 @@
 
 from dewstep_core import settings
 from dewstep_core.http import client, server
+from dewstep_emulator.ownership import event_loop, network
 
-REFUSED = settings.Address("127.0.0.1", 1)
+LOOPBACK = "127.0.0.1"
+UPTIME_SECONDS = 3600.0
+"""Reading of the monotonic clock at the start of a test in virtual time."""
+REFUSED = settings.Address(LOOPBACK, 1)
 """An address at which nothing listens."""
 CALL_SECONDS = 3.0
 
@@ -29,6 +33,28 @@
     return run
 
 
+def run_in_virtual_time(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
+    """Return a test function that runs `test` on a virtual clock.
+
+    Its servers and clients run in one process of a simulated network, so that no
+    time-out depends on how late a busy machine runs the event loop. Fixtures and
+    parameters are passed through as by `run_in_event_loop`.
+    """
+
+    @functools.wraps(test)
+    def run(*arguments, **named):
+        async def run_in_process(loop):
+            network.Network(loop, loop.random)
+            process = event_loop.Process(
+                "test", LOOPBACK, loop.now, clock_start=UPTIME_SECONDS
+            )
+            await loop.spawn(process, test(*arguments, **named))
+
+        event_loop.run(run_in_process)
+
+    return run
+
+
 def fails(outcome: result.Result, failure: type) -> bool:
     """Return whether `outcome` is a failure of the type `failure`."""
     return isinstance(outcome, result.Failure) and isinstance(
@@ -52,7 +78,7 @@
         finally:
             writer.transport.abort()
 
-    return await asyncio.start_server(serve, "127.0.0.1", 0)
+    return await asyncio.start_server(serve, LOOPBACK, 0)
 
 
 @contextlib.asynccontextmanager
@@ -75,7 +101,7 @@
 ) -> AsyncIterator[tuple[server.Server, client.Client]]:
     """Yield a server for `handler` and its client; options as for `server.Server`."""
     served = server.Server(handler, **options)
-    address = await served.start("127.0.0.1", 0)
+    address = await served.start(LOOPBACK, 0)
     try:
         async with calling(address, connections=connections) as caller:
             yield served, caller
--- a/packages/entry/dewstep_entry/targets/target_pool_test.py
+++ b/packages/entry/dewstep_entry/targets/target_pool_test.py
@@ -7,10 +7,12 @@
 
 from dewstep_core import clocks, data, errors
 from dewstep_emulator import testing
+from dewstep_emulator.ownership import event_loop
 from dewstep_entry import bodies
 from dewstep_entry.targets import target_pool
 
 SECOND = datetime.timedelta(seconds=1)
+SYSTEM_CLOCK = clocks.SystemClock()
 STAMP = data.GrantStamp(3, 7, "boot-1", 9 * SECOND)
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 HEADERS = (
@@ -23,15 +25,22 @@
 )
 
 
-def build_request(rest=None, length=0, key="k 1", seconds=5.0, method="POST"):
-    deadline = clocks.SystemClock().monotonic() + seconds * SECOND
+def build_request(
+    rest=None,
+    length=0,
+    key="k 1",
+    seconds=5.0,
+    method="POST",
+    clock=SYSTEM_CLOCK,
+):
+    deadline = clock.monotonic() + seconds * SECOND
     body = data.Body(b"", rest)
     fields = ("booker", "book", key, "id-1", False, method, "/book/1")
     return data.Request(*fields, HEADERS, length, body, deadline)
 
 
 @contextlib.asynccontextmanager
-async def run_target(*scripts, limit=None):
+async def run_target(*scripts, limit=None, clock=SYSTEM_CLOCK):
     """Run a target that handles its n-th connection with the n-th script."""
     accepted = []
 
@@ -44,7 +53,7 @@
     server = await testing.start_scripted_server(accept)
     port = server.sockets[0].getsockname()[1]
     target = data.Target("t", "booker", "dc", "127.0.0.1", port, 4, 50, True, False)
-    channel = target_pool.TargetPool(target, clocks.SystemClock(), "e1", "dc", limit)
+    channel = target_pool.TargetPool(target, clock, "e1", "dc", limit)
     try:
         yield channel, accepted
     finally:
@@ -145,8 +154,11 @@
 
 @pytest.mark.parametrize("extra", [OK, None])
 @pytest.mark.parametrize("pause", [0.1, 0])
-def test_closed_connection_or_one_with_extra_input_is_replaced(extra, pause):
-    # Guards against returning a second answer to the next caller.
+@testing.run_in_virtual_time
+async def test_closed_connection_or_one_with_extra_input_is_replaced(extra, pause):
+    # Guards against returning a second answer to the next caller. The target shares the
+    # event loop: in real time, a late loop delays the second answer past the delay for
+    # which a connection is not reused.
     async def answer_and_close(reader, writer):
         await answer_with(OK, requests=1, then_close=True)(reader, writer)
 
@@ -157,16 +169,14 @@
         writer.write(OK.replace(b"ok", b"no"))
         await asyncio.sleep(60)
 
-    async def scenario():
-        script = answer_twice if extra else answer_and_close
-        async with run_target(script, answer_with(OK)) as (channel, accepted):
-            for _ in range(2):
-                outcome = await channel.exchange(build_request(), STAMP)
-                assert outcome.unwrap().body.start == b"ok"
-                await asyncio.sleep(pause)
-            assert len(accepted) == 2
-
-    asyncio.run(scenario())
+    script = answer_twice if extra else answer_and_close
+    clock = event_loop.LoopClock(asyncio.get_running_loop())
+    async with run_target(script, answer_with(OK), clock=clock) as (channel, accepted):
+        for _ in range(2):
+            outcome = await channel.exchange(build_request(clock=clock), STAMP)
+            assert outcome.unwrap().body.start == b"ok"
+            await asyncio.sleep(pause)
+        assert len(accepted) == 2
 
 
 def test_closed_connection_is_not_used_before_the_event_loop_reports_the_close():
