Start commands with a copy of the environment

Cause: threads of the test start the scenarios while pytest, in the main thread, sets and removes the variable PYTEST_CURRENT_TEST for each test. subprocess starts a process by vfork, so that execve reads the environment from the memory of the running parent. The kernel counts the variables and copies them from the last one on. If one is removed in between, the last entry is null, and execve fails with EFAULT. A worker starts the next scenario just when the test of an ended one finishes, which removes the variable.

Traced by a program that sets and removes the variable in one thread and starts /bin/true in two others for 10 s: EFAULT in 149 of 644 starts; with an environment of its own, in 0 of 868 (load average 10 to 17).

Change: run_with_time_limit passes a copy of the environment, which is taken in a way that allows for changes by other threads.

--- a/packages/emulator/dewstep_emulator/command_runner.py
+++ b/packages/emulator/dewstep_emulator/command_runner.py
@@ -4,6 +4,7 @@
 SIGKILL would leave them running.
 """
 
+import os
 import subprocess
 from collections.abc import Mapping, Sequence
 
@@ -11,6 +12,16 @@
 """Longest time that a command takes to end its processes after SIGTERM."""
 
 
+def copy_environment() -> dict[str, str]:
+    """Return the environment variables, which other threads may change meanwhile.
+
+    A process that is started with the environment of its parent reads it from the
+    parent's memory. The start fails with EFAULT if a variable is removed meanwhile.
+    """
+    values = {name: os.environ.get(name) for name in tuple(os.environ)}
+    return {name: value for name, value in values.items() if value is not None}
+
+
 def run_with_time_limit(
     command: Sequence[str],
     limit: float,
@@ -39,7 +50,7 @@
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
         text=True,
-        env=environment,
+        env=copy_environment() if environment is None else environment,
         cwd=folder,
     )
     try:
