Compare rows with what was known before their read began

Seen: proofs_test operators-race (KNOWN-RED.txt): the monitor read assignment/history at version 1 after 3, and assignment/intake at 1 after 2; nothing else was broken.

Cause: the monitor. Two reads of the table overlap when the scenario reads the rows at its end, and the monitor compared a row with the highest version that any read had returned meanwhile. During the races each call to the table is delayed: in a run of this scenario at a load average of 14, each of the monitor's reads took 0.6 s and consists of two calls, so that rows read by the first call wait 0.3 s for the second. A later read that is not delayed returns later versions meanwhile. assignment/booker went from 1 to 4 within 1 s at the end of the same run, so that assignments do change then.

Ruled out: that the monitor reached the table of another run, as was suspected. Entry processes had reported versions 3 and 2 by then, and a read that began after that would have been reported as VersionMissing too.

Not shown: the failing run itself can't be taken apart any more.

Change: a row is compared with what was known when its read began, as was already done with what entry processes report. Decreases between reads that do not overlap are reported as before.

--- a/packages/emulator/dewstep_emulator/version_monitor.py
+++ b/packages/emulator/dewstep_emulator/version_monitor.py
@@ -74,6 +74,18 @@
     assignments: Mapping[str, int]
 
 
+class KnownVersions(NamedTuple):
+    """What the monitor knew before a read of the table began.
+
+    Another read or dump may return later versions before the read ends.
+    """
+
+    reported: Mapping[str, tuple[str, int]]
+    """Entry process and version of the newest reported assignment, by service."""
+    rows: Mapping[str, int]
+    """Highest version of each row that was read, by key."""
+
+
 class VersionMonitor:
     """Polls the entry processes and the table of a fleet and records violations.
 
@@ -176,36 +188,29 @@
 
     async def read_rows(self) -> None:
         """Read all assignments and the configuration."""
-        highest_versions = dict(self.highest_versions)
+        known = self.copy_known_versions()
         assignments = await self.local_fleet.table.read_prefix(ASSIGNMENT_PREFIX)
         configuration = await self.local_fleet.table.read(CONFIGURATION_KEY)
         for row in (*assignments.value_or(()), configuration.value_or(None)):
             if row is not None and row.value is not None:
-                self.receive_row(row.key, row.version, row.value, highest_versions)
+                self.receive_row(row.key, row.version, row.value, known)
+
+    def copy_known_versions(self) -> KnownVersions:
+        """Return the versions that a read which begins now must contain."""
+        return KnownVersions(dict(self.highest_versions), dict(self.row_versions))
 
     def receive_row(
-        self,
-        key: str,
-        version: int,
-        value: Mapping[str, Any],
-        highest_versions: Mapping[str, tuple[str, int]],
+        self, key: str, version: int, value: Mapping[str, Any], known: KnownVersions
     ) -> None:
-        """Compare a row with earlier reads.
-
-        Parameters
-        ----------
-        highest_versions : Mapping
-            Value of `self.highest_versions` before the read started.
-        """
-        if version < self.row_versions.get(key, 0):
-            self.version_violations.append(
-                RowWentBack(key, self.row_versions[key], version)
-            )
+        """Compare a row with what was known before its read began."""
+        earlier = known.rows.get(key, 0)
+        if version < earlier:
+            self.version_violations.append(RowWentBack(key, earlier, version))
         self.row_versions[key] = max(version, self.row_versions.get(key, 0))
         if self.row_values.setdefault((key, version), value) != value:
             self.version_violations.append(VersionChanged(key, version))
         service = key.removeprefix(ASSIGNMENT_PREFIX)
-        entry, reported = highest_versions.get(service, ("", 0))
+        entry, reported = known.reported.get(service, ("", 0))
         if key.startswith(ASSIGNMENT_PREFIX) and version < reported:
             self.version_violations.append(
                 VersionMissing(entry, service, reported, version)
