Delay only the answers that answers-overdue needs

Seen: proofs_test answers-overdue (KNOWN-RED.txt): condition not reached, 5 of at least 6 requests overdue.

Cause: the scenario. For 0.1 s it delayed all answers of the targets. Of 72 look-ups in eight rounds, 15 were overdue. 28 were refused as QueueFull: delayed answers to the load held the slots and lowered the gates' concurrency limits. 23 were answered: on a busy machine they run after the 0.1 s.

Change: a delay may be limited to keys with a prefix. The scenario delays the answers to its own look-ups, until their deadline. The required number is unchanged.

--- a/packages/emulator/dewstep_emulator/faults.py
+++ b/packages/emulator/dewstep_emulator/faults.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Set as AbstractSet
 from typing import Any, NamedTuple, TypeVar
 
 from returns import result
@@ -18,6 +18,8 @@
 
 CLOSE = "close"
 HOLD = "hold"
+TRIGGER_MEMBERS = frozenset({"count", "ratio", "seed"})
+DELAY_MEMBERS = TRIGGER_MEMBERS | {"seconds", "key_prefix"}
 
 
 class Trigger:
@@ -84,14 +86,22 @@
 
     seconds: float = 0.0
     trigger: Trigger = Trigger()
+    key_prefix: str = ""
+    """Only operations on keys with this prefix are delayed."""
 
-    def get_seconds(self) -> float:
-        """Return the delay of this operation, 0 if there is none."""
-        return self.seconds if self.seconds > 0 and self.trigger.fires() else 0.0
+    def get_seconds(self, key: str = "") -> float:
+        """Return the delay of an operation on a key, 0 if there is none."""
+        if self.seconds <= 0 or not key.startswith(self.key_prefix):
+            return 0.0
+        return self.seconds if self.trigger.fires() else 0.0
 
     def describe(self) -> dict[str, Any]:
         """Return the JSON form."""
-        return {"seconds": self.seconds, **self.trigger.describe()}
+        return {
+            "seconds": self.seconds,
+            "key_prefix": self.key_prefix,
+            **self.trigger.describe(),
+        }
 
 
 class Load(NamedTuple):
@@ -143,8 +153,7 @@
         return Trigger(ratio=float(form))
     count = form.get("count")
     ratio = parse_number(form.get("ratio", 1.0))
-    # A delay has the member `seconds` beside those of its trigger.
-    check_members(form, {"count", "ratio", "seed", "seconds"})
+    check_members(form, TRIGGER_MEMBERS)
     return Trigger(None if count is None else int(count), ratio, form.get("seed", 0))
 
 
@@ -163,9 +172,12 @@
 
 @parsers.register("Delay")
 def parse_delay(form: Any) -> Delay:
-    """Parse a delay: a number, or an object with seconds and a trigger's members."""
+    """Parse a delay: a number, or an object with its fields and a trigger's members."""
     if isinstance(form, dict):
-        return Delay(parse_number(form["seconds"]), parse_trigger(form))
+        check_members(form, DELAY_MEMBERS)
+        trigger = {name: form[name] for name in form if name in TRIGGER_MEMBERS}
+        key_prefix = parse_text(form.get("key_prefix", ""))
+        return Delay(parse_number(form["seconds"]), parse_trigger(trigger), key_prefix)
     return Delay(parse_number(form), Trigger(ratio=1.0))
 
 
@@ -176,7 +188,7 @@
     return Load(parse_text(form["state"]), parse_number(form["load"]))
 
 
-def check_members(form: dict, known: set[str]) -> None:
+def check_members(form: dict, known: AbstractSet[str]) -> None:
     """Raise ValueError if `form` has members other than `known`."""
     if not set(form) <= known:
         raise ValueError("only the members " + ", ".join(sorted(known)))
--- a/packages/emulator/dewstep_emulator/faults_test.py
+++ b/packages/emulator/dewstep_emulator/faults_test.py
@@ -23,6 +23,13 @@
     assert faults.parse_delay(2).get_seconds() == 2.0
 
 
+# Guards against late answers to the load in a scenario that delays other answers.
+def test_delay_with_a_key_prefix_applies_to_its_keys_only():
+    delay = faults.parse_delay({"seconds": 0.5, "key_prefix": "late-", "count": 1})
+    assert [delay.get_seconds(key) for key in ("", "k-late-1")] == [0.0, 0.0]
+    assert delay.get_seconds("late-1") == 0.5
+
+
 def test_change_faults_keeps_other_members():
     state = target_options.TargetFaults()
     for change in (
@@ -52,6 +59,8 @@
         {"cut": {"entries": "e1"}},
         {"cut": {"mode": "slow"}},
         {"answer_delay": {"count": 1}},
+        {"answer_delay": {"seconds": 1, "key_prefix": 2}},
+        {"answer_delay": {"seconds": 1, "keys": "late-"}},
         {"load": {"state": "live"}},
     ],
 )
--- a/packages/emulator/dewstep_emulator/scenarios/answer_faults.py
+++ b/packages/emulator/dewstep_emulator/scenarios/answer_faults.py
@@ -13,8 +13,6 @@
 MIN_OVERDUE_REQUESTS = 6
 """Over all rounds of nine requests. After late answers the concurrency limits of gates
 are lower, so that some requests stay queued."""
-DELIVERY_SECONDS = 0.1
-"""Time for requests to reach their targets."""
 FOLLOW_UP_INTERVAL_SECONDS = 0.004
 """Each target then gets a look-up about every 10 ms, so that all of its few connections
 are used while the late answers arrive."""
@@ -81,24 +79,26 @@
     """
     fleet = scenario_run.fleet
     names = sorted(set(await fleet.read_owners("history")))
+    prefix = f"late-{round_number}"
+    # Answers to the load are not delayed: they would occupy the slots that these
+    # requests need, and lower the concurrency limits of the gates.
+    late = {"answer_delay": {"seconds": LATE_ANSWER_SECONDS, "key_prefix": prefix}}
     keys = []
     for name in names:
         # Leaves one slot for the load, so that no late request is queued.
         count = fleet.deployment.slots - 1
-        prefix = f"late-{round_number}"
         keys += await requests.find_keys(scenario_run, "history", name, count, prefix)
-        late = {"answer_delay": {"seconds": LATE_ANSWER_SECONDS}}
         await fleet.set_faults(fleet.targets[name], late)
     plan = requests.find_call_plan(scenario_run, "due")
     ids = [scenario_run.caller.make_request_id(plan.kind) for _ in keys]
     began = asyncio.get_running_loop().time()
     waiting = asyncio.ensure_future(requests.send_all(scenario_run, plan, keys, ids))
-    await asyncio.sleep(DELIVERY_SECONDS)
-    for name in names:
-        await fleet.set_faults(fleet.targets[name], {"answer_delay": None})
     await asyncio.sleep(
         began + LOOK_UP_DEADLINE_SECONDS - asyncio.get_running_loop().time()
     )
+    # The look-ups that follow have the same keys.
+    for name in names:
+        await fleet.set_faults(fleet.targets[name], {"answer_delay": None})
     following = asyncio.ensure_future(
         pauses.send_steadily(scenario_run, "vehicle", keys, FOLLOW_UP_INTERVAL_SECONDS)
     )
--- a/packages/emulator/dewstep_emulator/target.py
+++ b/packages/emulator/dewstep_emulator/target.py
@@ -274,7 +274,7 @@
         self, exchange: exchanges.Exchange, run: run_log.Run, upload: uploads.Upload
     ) -> None:
         """Send the answer to a run, altered by the active answer faults."""
-        if seconds := self.faults.answer_delay.get_seconds():
+        if seconds := self.faults.answer_delay.get_seconds(run.key):
             await asyncio.sleep(seconds)
         headers = (
             *self.build_headers(exchange),
