Repeat a scenario's reads of the table until it answers

Cause: the scenario's own reads of owners and gates use the product's client, whose time-out is 0.5 s, and give up after one failure. The process that sends a scenario's requests may be that late on a busy machine. These reads check nothing.

Change: Fleet.read_owners and read_gates repeat a failed read for up to 10 s. The monitor's reads and all that a scenario measures are as before.

--- a/packages/emulator/dewstep_emulator/fleets.py
+++ b/packages/emulator/dewstep_emulator/fleets.py
@@ -4,9 +4,11 @@
 import datetime
 import pathlib
 import uuid
-from collections.abc import Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import Any, NamedTuple
 
+from returns import result
+
 from dewstep_core import data, records, settings
 from dewstep_core.http import client
 from dewstep_core.platform import table
@@ -22,6 +24,9 @@
 STOP_SECONDS = 25.0
 """Longest time that a process takes to end after SIGTERM."""
 POLL_INTERVAL_SECONDS = 0.05
+TABLE_READ_SECONDS = 10.0
+"""Longest time for which a read of the table is repeated. The time-out of one read is
+that of the product, which a scenario on a busy machine may exceed."""
 
 
 class NotReadyError(Exception):
@@ -333,12 +338,14 @@
 
     async def read_gates(self) -> dict[str, str]:
         """Return the name of each target's gate according to the table."""
-        rows = (await self.table.read_prefix("gate/")).unwrap()
+        rows = await read_until_answered(lambda: self.table.read_prefix("gate/"))
         return {row.key.removeprefix("gate/"): row.value["entry"] for row in rows}
 
     async def read_owners(self, service: str) -> list[str]:
         """Return the owners of all shards according to the table."""
-        row = (await self.table.read(f"assignment/{service}")).unwrap()
+        row = await read_until_answered(
+            lambda: self.table.read(f"assignment/{service}")
+        )
         return list(row.value["owners"]) if row.value else []
 
     async def wait_ready(self, limit: float = 20.0) -> None:
@@ -372,3 +379,22 @@
     def list_slots(self) -> dict[str, int]:
         """Return the number of slots of each target."""
         return dict.fromkeys(self.targets, self.deployment.slots)
+
+
+async def read_until_answered(
+    read: Callable[[], Awaitable[result.Result]], limit: float = TABLE_READ_SECONDS
+) -> Any:
+    """Read the table again until it answers; return the content.
+
+    Raises
+    ------
+    returns.primitives.exceptions.UnwrapFailedError
+        If no read that began within `limit` seconds was answered.
+    """
+    loop = asyncio.get_running_loop()
+    end = loop.time() + limit
+    outcome = await read()
+    while isinstance(outcome, result.Failure) and loop.time() < end:
+        await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        outcome = await read()
+    return outcome.unwrap()
--- a/packages/emulator/dewstep_emulator/fleets_test.py
+++ b/packages/emulator/dewstep_emulator/fleets_test.py
@@ -9,8 +9,11 @@
 import time
 
 import pytest
+from returns import result
+from returns.primitives import exceptions
 
-from dewstep_emulator import deployments, fleets, launching, processes
+from dewstep_core import errors
+from dewstep_emulator import deployments, fleets, launching, processes, testing
 
 POLL_INTERVAL_SECONDS = 0.02
 
@@ -101,3 +104,27 @@
     assert len(local_fleet) > 2
     assert left == []
     assert runner.returncode == 128 + signal.SIGTERM
+
+
+# Guards against scenarios that end with an error because the table answers one of
+# their own reads after the time-out.
+@testing.run_in_virtual_time
+async def test_reads_of_the_table_are_repeated_until_it_answers():
+    lost = result.Failure(errors.AnswerLost("time-out"))
+    outcomes = [lost, lost, result.Success("row")]
+
+    async def read():
+        return outcomes.pop(0)
+
+    assert await fleets.read_until_answered(read) == "row"
+
+
+@testing.run_in_virtual_time
+async def test_reads_of_a_table_that_never_answers_end():
+    async def read():
+        return result.Failure(errors.AnswerLost("time-out"))
+
+    with pytest.raises(exceptions.UnwrapFailedError):
+        await fleets.read_until_answered(read)
+    elapsed = asyncio.get_running_loop().time() - testing.UPTIME_SECONDS
+    assert 0 <= elapsed - fleets.TABLE_READ_SECONDS <= fleets.POLL_INTERVAL_SECONDS
