Split coordination.py into the parts of participation

Behaviour is unchanged. The new modules:

- membership, elections, long_grants, reports: pure rules over immutable tuples, which take the time and messages as arguments
- roles: the role and the term of this instance
- candidacy, votes, tenure: elections, votes, and the terms of this instance
- quorum_writes, followers: majorities, and what they allow a coordinator to do
- heartbeats, own_reports: heartbeats, and reports of members and deputies
- member_links, news: links, and rows for the members
- registration, permit_questions, configuration_questions, loss_reports: what an instance writes, asks and tells
- coordination: puts the parts together and passes messages to them by their kind

The name of a failed task in the event coordination_failed has the name of the new class, for example Candidacy.run for FleetParticipant.run_election.

--- a/packages/emulator/dewstep_emulator/ownership/instances.py
+++ b/packages/emulator/dewstep_emulator/ownership/instances.py
@@ -66,7 +66,7 @@
 
 def make_repeatable(participant: coordination.FleetParticipant) -> None:
     """Replace the sets whose order depends on addresses or on the hash seed."""
-    participant.accepted_links = InsertionOrderedSet()
+    participant.member_links.accepted = InsertionOrderedSet()
     granter = participant.granter
     reset = granter.reset
 
--- a/packages/emulator/dewstep_emulator/ownership/instances_test.py
+++ b/packages/emulator/dewstep_emulator/ownership/instances_test.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from dewstep_emulator.ownership import event_loop, simulation
-from dewstep_fleet import coordination
+from dewstep_fleet import membership
 
 SETTLING_SECONDS = 4.0
 
@@ -78,7 +78,7 @@
         (first,) = find_coordinators(fleet)
         incarnation = first.freeze()
         sent = len(fleet.senders)
-        await asyncio.sleep(coordination.HEARTBEAT_TIMEOUT.total_seconds() / 2)
+        await asyncio.sleep(membership.HEARTBEAT_TIMEOUT.total_seconds() / 2)
         assert len(fleet.senders) == sent
         await asyncio.sleep(SETTLING_SECONDS)
         assert len(find_coordinators(fleet)) == 2
--- a/packages/fleet/dewstep_fleet/coordination_quorum_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_quorum_test.py
@@ -39,8 +39,8 @@
 
 async def keep_quorum(participant):
     """Let a coordinator write the quorum if it may."""
-    participant.next_quorum_write = participant.clock.monotonic()
-    participant.keep_quorum(participant.clock.monotonic())
+    participant.quorum_writer.next_write = participant.clock.monotonic()
+    participant.quorum_writer.keep(participant.clock.monotonic())
     await asyncio.sleep(0.01)
 
 
@@ -70,7 +70,7 @@
     # Guards against a successor that replaces the members by whose majority an earlier
     # coordinator leads.
     participant = build_coordinator(["n1", "n4"], {"n1", "n2", "n3"})
-    participant.store = store = RecordingStore(result.Success(600))
+    participant.quorum_writer.store = store = RecordingStore(result.Success(600))
     await keep_quorum(participant)
     assert store.writes == []
     participant.granter.adoption.adopted = True
@@ -85,20 +85,24 @@
 async def test_majorities_of_both_are_needed_while_a_change_is_uncertain():
     # Guards against two leaders that count different members after a lost answer.
     participant = build_coordinator(["n1", "n2", "n3", "n4"], {"own", "n1", "n2"})
-    participant.store = RecordingStore(result.Failure(errors.AnswerLost("cut")))
+    participant.quorum_writer.store = RecordingStore(
+        result.Failure(errors.AnswerLost("cut"))
+    )
     participant.granter.adoption.adopted = True
-    assert participant.is_majority({"own", "n1"})
+    assert participant.quorum_writer.is_majority({"own", "n1"})
     await keep_quorum(participant)
-    assert not participant.is_majority({"own", "n1"})
-    assert not participant.is_majority({"own", "n3", "n4"})
-    assert participant.is_majority({"own", "n1", "n3"})
+    assert not participant.quorum_writer.is_majority({"own", "n1"})
+    assert not participant.quorum_writer.is_majority({"own", "n3", "n4"})
+    assert participant.quorum_writer.is_majority({"own", "n1", "n3"})
 
 
 @testing.run_in_event_loop
 async def test_uncertain_change_is_written_again_before_the_next():
     # Guards against a third set of members, of which no majority would be needed.
     participant = build_coordinator(["n1"], {"own"})
-    participant.store = store = RecordingStore(result.Failure(errors.AnswerLost("cut")))
+    participant.quorum_writer.store = store = RecordingStore(
+        result.Failure(errors.AnswerLost("cut"))
+    )
     participant.granter.adoption.adopted = True
     await keep_quorum(participant)
     member = model.Member("n2", "i", "dc", "h", 1)
@@ -118,18 +122,18 @@
     first = quorums.encode({"own", "n1"}, 2)
     second = quorums.encode({"own", "n1", "n2"}, 3)
     assert values == [first, first, first, second]
-    assert participant.list_quorums()[0] == {"own", "n1", "n2"}
+    assert participant.quorum_writer.list_quorums()[0] == {"own", "n1", "n2"}
 
 
 @testing.run_in_event_loop
 async def test_quorum_that_a_restored_store_lost_is_written_again():
     # Guards against followers that are a majority of the few members in an old copy.
     participant = build_coordinator(["n1", "n2"], {"own", "n1", "n2"})
-    participant.store = store = RecordingStore(result.Success(2 * ERA))
+    participant.quorum_writer.store = store = RecordingStore(result.Success(2 * ERA))
     participant.granter.adoption.adopted = True
     row = builders.build_row(model.TABLES.fleet, directories.QUORUM_KEY, ERA, None)
     participant.directory.apply_rows([row])
-    assert not participant.is_majority({"own"})
+    assert not participant.quorum_writer.is_majority({"own"})
     await keep_quorum(participant)
     ((expected, writes),) = store.writes
     value = quorums.encode({"own", "n1", "n2"}, 2)
@@ -154,5 +158,5 @@
             model.TABLES.fleet, directories.QUORUM_KEY, quorums.encode({"n1"}, 9)
         )
         other.directory.quorum = outdated
-        await participant.claim_leadership(known)
+        await participant.candidacy.claim_leadership(known)
         assert not participant.coordinating
--- a/packages/fleet/dewstep_fleet/coordination_restore_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_restore_test.py
@@ -97,7 +97,7 @@
             directories.encode_record(record),
         )
         await coordination_test.wait_until(lambda: not participant.coordinating)
-        participant.term = record.term
+        participant.role.term = record.term
         harness.store.restore()
         await coordination_test.wait_until(lambda: participant.coordinating)
         assert participant.term > record.term
--- a/packages/fleet/dewstep_fleet/coordination_targets_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_targets_test.py
@@ -24,7 +24,7 @@
     frame = frames.Frame(
         "report", 1, node, f"{node}-1", reaches_targets=reaches_targets
     )
-    participant.receive_report(node, frame)
+    participant.heartbeats.receive_report(node, frame)
 
 
 # Guards against a coordinator that keeps a term in which it can renew no grant, and
@@ -42,7 +42,7 @@
     report(participant, "n1", False)
     report(participant, "n2", False)
     report(participant, "n3", reached_by_others)
-    assert participant.should_yield() == expected
+    assert participant.followers.should_yield() == expected
     await asyncio.sleep(0)
 
 
@@ -54,7 +54,7 @@
     participant.reachability.is_cut_off = lambda now: True
     participant.granter.reaches_targets = lambda: True
     report(participant, "n2", True)
-    assert not participant.should_yield()
+    assert not participant.followers.should_yield()
     await asyncio.sleep(0)
 
 
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -17,14 +17,19 @@
     directories,
     event_capture,
     feeds,
+    followers,
     frames,
     grant_durations,
     grant_states,
+    heartbeats,
     keys,
     links,
     load_counts,
+    long_grants,
+    membership,
     model,
     outstanding,
+    reports,
 )
 
 TIMEOUT_S = 6.0
@@ -193,7 +198,7 @@
         tables = [item.feeds for item in followers]
         await wait_until(
             lambda: all(
-                feed.followed_tables <= coordination.DEPUTY_TABLES for feed in tables
+                feed.followed_tables <= membership.DEPUTY_TABLES for feed in tables
             )
         )
         content = builders.encode_target(builders.build_target("new"))
@@ -211,23 +216,23 @@
         leader = await wait_coordinator(harness)
         participant = harness.running[leader].participant
         reports = collections.Counter()
-        receive = participant.receive_report
+        receive = participant.heartbeats.receive_report
 
         def count_report(node, frame):
             reports[node] += 1
             receive(node, frame)
 
-        participant.receive_report = count_report
+        participant.heartbeats.receive_report = count_report
         began = asyncio.get_running_loop().time()
         for number in range(50):
             content = builders.encode_target(builders.build_target(f"late-{number}"))
             harness.store.put(model.TABLES.targets, f"late-{number}", content)
             await asyncio.sleep(0.02)
         elapsed = asyncio.get_running_loop().time() - began
-        rounds = elapsed / coordination.HEARTBEAT_INTERVAL.total_seconds()
+        rounds = elapsed / heartbeats.HEARTBEAT_INTERVAL.total_seconds()
         for node, item in harness.running.items():
             # Deputies also report the changes that they read.
-            assert item.participant.deputy or reports[node] <= rounds + 2
+            assert item.participant.role.deputy or reports[node] <= rounds + 2
         followers = [item for node, item in harness.running.items() if node != leader]
         await wait_until(
             lambda: all("late-49" in item.directory.targets for item in followers)
@@ -242,18 +247,18 @@
         leader = await wait_coordinator(harness)
         participant = harness.running[leader].participant
         term = participant.term
-        await wait_until(lambda: len(participant.synchronised) == 4)
-        participant.last_heartbeat_sent_at += 2 * SECOND
+        await wait_until(lambda: len(participant.news.synchronised) == 4)
+        participant.heartbeats.last_sent_at += 2 * SECOND
         followers = [
             item.participant for node, item in harness.running.items() if node != leader
         ]
         for _ in range(30):
-            participant.schedule_news()
+            participant.news.schedule()
             await asyncio.sleep(0.05)
             now = participant.clock.monotonic()
             for follower in followers:
-                heard = now - follower.last_heartbeat_at
-                assert heard < coordination.DIRECT_READ_TIMEOUT
+                heard = now - follower.membership.contact.heartbeat_at
+                assert heard < membership.DIRECT_READ_TIMEOUT
         assert harness.find_coordinators() == [leader]
         assert participant.term == term
 
@@ -283,7 +288,7 @@
         await wait_until(have_same_owners)
         row = misfit.directory.rows[row_key]
         misfit.directory.rows[row_key] = row._replace(value=b"x" * 700)
-        participant.synchronised[earlier.participant.own_member.node] = False
+        participant.news.synchronised[earlier.participant.own_member.node] = False
         participant.record_departure("t-7", 1)
         ownerships = participant.directory.ownerships
         await wait_until(
@@ -329,7 +334,7 @@
             await asyncio.sleep(0.01)
         leader = harness.find_coordinators()[0]
         for node, item in harness.running.items():
-            if node != leader and not item.participant.deputy:
+            if node != leader and not item.participant.role.deputy:
                 assert harness.calls[node] <= 10, harness.calls
 
 
@@ -359,7 +364,9 @@
     async with run_fleet("n1", "n2", "n3", "n4") as harness:
         leader = await wait_coordinator(harness)
         others = [item for node, item in harness.running.items() if node != leader]
-        await wait_until(lambda: sum(item.participant.deputy for item in others) == 2)
+        await wait_until(
+            lambda: sum(item.participant.role.deputy for item in others) == 2
+        )
         await asyncio.sleep(0.3)
         harness.unreachable.add(leader)
         content = builders.encode_target(builders.build_target("new"))
@@ -379,7 +386,7 @@
         harness.unreachable.update(harness.running)
         await asyncio.sleep(3.5)
         assert harness.find_coordinators() == [leader]
-        assert harness.running[leader].participant.can_lead_without_store()
+        assert harness.running[leader].participant.followers.can_lead_without_store()
 
 
 @testing.run_in_event_loop
@@ -400,13 +407,13 @@
         await wait_until(
             lambda: (
                 not participant.table_feeds.has_recent_answer(
-                    coordination.STORE_ANSWER_MAX_AGE
+                    followers.STORE_ANSWER_MAX_AGE
                 )
             )
         )
-        await asyncio.sleep(coordination.REPORT_MAX_AGE.total_seconds())
+        await asyncio.sleep(reports.REPORT_MAX_AGE.total_seconds())
         assert participant.coordinating
-        assert not participant.can_lead_without_store()
+        assert not participant.followers.can_lead_without_store()
         assert not participant.granter.term.may_send_orders()
 
 
@@ -417,7 +424,7 @@
         leader = await wait_coordinator(harness)
         other = next(item for node, item in harness.running.items() if node != leader)
         await wait_until(lambda: len(other.directory.members) == 3)
-        assert not await other.participant.collect_votes()
+        assert not await other.participant.candidacy.collect_votes()
 
 
 async def restart(harness, node):
@@ -430,7 +437,7 @@
 def get_inherited(harness):
     """Return the bound of the grants that the only coordinator inherits."""
     (leader,) = harness.find_coordinators()
-    return harness.running[leader].participant.get_inherited_grant_time_left()
+    return harness.running[leader].participant.votes.get_inherited_grant_time_left()
 
 
 MAX_DURATION = builders.build_timing().max_grant_duration
@@ -479,14 +486,14 @@
     async with run_fleet("n1", "n2", "n3") as harness:
         leader = await wait_coordinator(harness)
         participant = harness.running[leader].participant
-        assert not participant.may_send_long_grants()
+        assert not participant.votes.may_send_long_grants()
         harness.unreachable.update(harness.running)
-        await wait_until(participant.may_send_long_grants)
+        await wait_until(participant.votes.may_send_long_grants)
         until = participant.clock.monotonic() + MAX_DURATION
         informed = [
             node
             for node, item in harness.running.items()
-            if node != leader and item.participant.long_grants_until > until
+            if node != leader and item.participant.votes.known.until > until
         ]
         assert informed
 
@@ -502,7 +509,7 @@
         await restart(harness, leader)
         member = other.directory.members[leader]
         assert other.directory.leadership.incarnation == member.incarnation
-        assert await other.participant.request_vote(member) is False
+        assert await other.participant.votes.request(member) is False
 
 
 @testing.run_in_event_loop
@@ -513,8 +520,8 @@
         nodes = [node for node in harness.running if node != leader]
         asking, replacing = (harness.running[node].participant for node in nodes)
         replaced = replacing.own_member._replace(node="n4", incarnation="n4-1")
-        assert await asking.request_vote(replacing.own_member) is True
-        assert await asking.request_vote(replaced) is None
+        assert await asking.votes.request(replacing.own_member) is True
+        assert await asking.votes.request(replaced) is None
 
 
 def record_informed(harness, leader):
@@ -531,7 +538,7 @@
                 until = clocks.SystemClock().monotonic() + duration
                 counts.append(
                     sum(
-                        item.participant.long_grants_until >= until
+                        item.participant.votes.known.until >= until
                         for node, item in harness.running.items()
                         if node != leader
                     )
@@ -578,7 +585,7 @@
         async def request_vote(member):
             return answers[member.node]
 
-        self.participant.request_vote = request_vote
+        self.participant.votes.request = request_vote
 
     def build_leadership(self, node, term):
         """Return a coordinator row."""
@@ -593,14 +600,14 @@
 async def test_coordinator_is_replaced_if_most_receive_no_heartbeats():
     """Guards against keeping a coordinator whose saturated link loses messages."""
     answers = {"leader": None, "n1": True, "n2": False, "n3": False, "n4": False}
-    assert await VoteHarness(answers).participant.collect_votes()
+    assert await VoteHarness(answers).participant.candidacy.collect_votes()
 
 
 @testing.run_in_event_loop
 async def test_coordinator_that_answers_the_vote_is_not_replaced():
     """Guards against electing another one while only established links are broken."""
     answers = {"leader": True, "n1": False, "n2": False, "n3": False, "n4": False}
-    assert not await VoteHarness(answers).participant.collect_votes()
+    assert not await VoteHarness(answers).participant.candidacy.collect_votes()
 
 
 @testing.run_in_event_loop
@@ -610,13 +617,12 @@
     participant = election.participant
     participant.table_feeds.has_recent_answer = lambda max_age: True
     participant.table_feeds.current_tables.add(model.TABLES.fleet)
-    participant.last_healthy_heartbeat_at = participant.last_heartbeat_at = (
-        participant.clock.monotonic() - TIMEOUT_S * SECOND
-    )
+    past = participant.clock.monotonic() - TIMEOUT_S * SECOND
+    participant.membership.contact = membership.Contact(past, past)
     participant.directory.apply_rows([election.build_leadership("other", 2)])
     now = participant.clock.monotonic()
-    assert not participant.should_start_election(now)
-    assert participant.should_start_election(now + TIMEOUT_S * SECOND)
+    assert not participant.candidacy.should_start(now)
+    assert participant.candidacy.should_start(now + TIMEOUT_S * SECOND)
 
 
 @testing.run_in_event_loop
@@ -634,7 +640,7 @@
     participant.directory.apply_rows([row])
     assert participant.coordinating and participant.term == 2
     await asyncio.sleep(0)
-    participant._adopt_newer_term(frames.Frame("tell", 3, "n1", "i"))
+    participant.tenure.adopt_newer_term(frames.Frame("tell", 3, "n1", "i"))
     target = builders.build_target("new")
     participant.directory.apply_rows([builders.build_target_row(target, 900)])
     assert not participant.coordinating
@@ -657,7 +663,7 @@
 def ask(participant):
     """Return an instance's answer to a vote request."""
     link = RecordingLink()
-    participant._receive(link, frames.Frame("ask", 1, "n1", "i"))
+    participant.receive(link, frames.Frame("ask", 1, "n1", "i"))
     return link.sent[-1]
 
 
@@ -686,7 +692,7 @@
         orders.outstanding, participant.clock.monotonic(), MAX_DURATION
     )
     assert ask(participant).holds_ms > 9_000
-    participant._adopt_newer_term(frames.Frame("tell", 3, "n1", "i"))
+    participant.tenure.adopt_newer_term(frames.Frame("tell", 3, "n1", "i"))
     assert not participant.coordinating
     assert ask(participant).holds_ms > 9_000
 
@@ -702,11 +708,11 @@
     election = VoteHarness({"n1": False, "n2": False})
     participant = election.participant
     start_coordinating(election, 2)
-    participant.receive_report("n1", build_report(0))
-    assert participant.can_lead_without_store()
-    assert not participant.can_connect_without_store()
-    participant.receive_report("n2", build_report(0))
-    assert participant.can_connect_without_store()
+    participant.heartbeats.receive_report("n1", build_report(0))
+    assert participant.followers.can_lead_without_store()
+    assert not participant.followers.can_connect_without_store()
+    participant.heartbeats.receive_report("n2", build_report(0))
+    assert participant.followers.can_connect_without_store()
 
 
 @testing.run_in_event_loop
@@ -718,37 +724,44 @@
     election = VoteHarness({"n1": False, "n2": False})
     participant = election.participant
     start_coordinating(election, 2)
-    participant.receive_report("n1", build_report(0))
-    participant.receive_report("n2", build_report(0))
-    assert participant.can_lead_without_store()
-    assert not participant.may_send_long_grants()
+    participant.heartbeats.receive_report("n1", build_report(0))
+    participant.heartbeats.receive_report("n2", build_report(0))
+    assert participant.followers.can_lead_without_store()
+    assert not participant.votes.may_send_long_grants()
     now = participant.clock.monotonic()
-    participant.send_heartbeat(now)
-    announced_ms = coordination.to_milliseconds(now)
-    participant.receive_report("n1", build_report(announced_ms - 1))
-    assert not participant.may_send_long_grants()
-    participant.receive_report("n1", build_report(announced_ms))
-    assert participant.may_send_long_grants()
-    past_max_age = coordination.REPORT_MAX_AGE + 10 * builders.MILLISECOND
+    participant.heartbeats.send(now)
+    announced_ms = frames.to_milliseconds(now)
+    participant.heartbeats.receive_report("n1", build_report(announced_ms - 1))
+    assert not participant.votes.may_send_long_grants()
+    participant.heartbeats.receive_report("n1", build_report(announced_ms))
+    assert participant.votes.may_send_long_grants()
+    past_max_age = reports.REPORT_MAX_AGE + 10 * builders.MILLISECOND
     await asyncio.sleep(past_max_age.total_seconds())
-    participant.receive_report("n1", build_report(announced_ms))
-    assert participant.can_lead_without_store()
-    assert not participant.may_send_long_grants()
+    participant.heartbeats.receive_report("n1", build_report(announced_ms))
+    assert participant.followers.can_lead_without_store()
+    assert not participant.votes.may_send_long_grants()
 
 
 def answer_heartbeat(participant, heartbeat_ms):
     """Return which heartbeat an instance acknowledges after it received this one."""
     link = RecordingLink()
     frame = frames.Frame("beat", 2, "n1", "i", heartbeat_ms=heartbeat_ms)
-    participant._receive_heartbeat(link, frame, participant.clock.monotonic())
+    participant.receive_heartbeat(link, frame)
     return link.sent[-1].heartbeat_ms
 
 
+def outlast_vote(participant):
+    """Let the last vote of an instance have been given long ago."""
+    known = participant.votes.known
+    voted_at = known.voted_at - (long_grants.VOTE_VALIDITY + SECOND)
+    participant.votes.known = known._replace(voted_at=voted_at)
+
+
 @testing.run_in_event_loop
 async def test_voters_acknowledge_no_further_long_grants():
     """Guards against long grants that begin after the votes for a successor."""
     participant = VoteHarness({"n1": False}).participant
-    participant.voted_at -= coordination.VOTE_VALIDITY + SECOND
+    outlast_vote(participant)
     assert answer_heartbeat(participant, 5) == 5
     ask(participant)
     assert answer_heartbeat(participant, 6) == 0
@@ -760,7 +773,7 @@
     successor still relies on the vote."""
     participant = VoteHarness({"n1": False}).participant
     assert answer_heartbeat(participant, 5) == 0
-    participant.voted_at -= coordination.VOTE_VALIDITY + SECOND
+    outlast_vote(participant)
     assert answer_heartbeat(participant, 6) == 6
 
 
@@ -773,12 +786,13 @@
     waits = []
     for term in range(2, 102):
         for stopping in (False, True):
-            participant._receive_heartbeat(
+            participant.receive_heartbeat(
                 link,
                 frames.Frame("beat", term, "n1", "i", stopping=stopping),
-                participant.clock.monotonic(),
             )
-        waits.append(participant.election_timeout - coordination.HEARTBEAT_TIMEOUT)
+        waits.append(
+            participant.candidacy.election_timeout - membership.HEARTBEAT_TIMEOUT
+        )
     early_elections = sum(wait < 100 * builders.MILLISECOND for wait in waits)
     assert early_elections <= 20
 
@@ -792,11 +806,11 @@
         participant.directory.apply_rows([election.build_leadership("other", 2)])
         return False
 
-    participant.request_vote = request_vote
-    participant.last_healthy_heartbeat_at = (
-        participant.clock.monotonic() - TIMEOUT_S * SECOND
-    )
-    await participant.run_election()
+    participant.votes.request = request_vote
+    past = participant.clock.monotonic() - TIMEOUT_S * SECOND
+    contact = participant.membership.contact
+    participant.membership.contact = contact._replace(healthy_heartbeat_at=past)
+    await participant.candidacy.run()
     assert not participant.coordinating
     assert participant.directory.leadership.node == "other"
 
@@ -895,12 +909,12 @@
         member = next(
             item
             for node, item in harness.running.items()
-            if node != leader and not item.participant.deputy
+            if node != leader and not item.participant.role.deputy
         )
         participant = member.participant
         checks = participant.configuration_checks
         # News do not arrive, but answers do.
-        participant._apply_news = lambda link, frame: None
+        participant.news.apply = lambda link, frame: None
         version = member.directory.rows[model.TABLES.configuration, "config"].version
         harness.store.put(model.TABLES.configuration, "config", b"x")
         now = participant.clock.monotonic()
@@ -951,7 +965,7 @@
         assert fields["informants"] == 0
         participant = harness.running["n1"].participant
         frame = frames.Frame("beat", 1, "n2", "n2-x", holds_ms=5000)
-        participant.record_long_grants(frame)
-        participant.record_long_grants(frame)
+        participant.votes.record_long_grants(frame)
+        participant.votes.record_long_grants(frame)
         (fields,) = log.find("long_grants_reported")
         assert fields["node"] == "n2" and fields["time_left"] == 5 * SECOND
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -1,5 +1,6 @@
 """Encoding of the messages between instances (`fleet.capnp`)."""
 
+import datetime
 import hashlib
 import pathlib
 import zlib
@@ -359,3 +360,13 @@
         message.acceptsChanges,
         message.ageMs,
     )
+
+
+def to_milliseconds(duration: datetime.timedelta) -> int:
+    """Return a duration in whole milliseconds, at least 0."""
+    return max(0, duration // datetime.timedelta(milliseconds=1))
+
+
+def round_up(duration: datetime.timedelta) -> int:
+    """Return a duration in whole milliseconds, rounded up."""
+    return -(-duration // datetime.timedelta(milliseconds=1))
--- a/packages/fleet/dewstep_fleet/ownership_faults_test.py
+++ b/packages/fleet/dewstep_fleet/ownership_faults_test.py
@@ -11,7 +11,7 @@
 from dewstep_emulator import testing
 from dewstep_fleet import (
     builders,
-    coordination,
+    followers,
     grant_durations,
     grant_states,
     granting_test,
@@ -181,7 +181,7 @@
         for _ in range(200):
             # As `FleetParticipant.can_lead_without_store`.
             lasted = harness.clock.monotonic() - began
-            harness.leads_without_store = lasted > coordination.STORE_ANSWER_MAX_AGE
+            harness.leads_without_store = lasted > followers.STORE_ANSWER_MAX_AGE
             await harness.run(STEP)
             unowned += harness.count_held() < model.KEY_SPACE_SIZE
         assert unowned == 0
--- a/packages/fleet/dewstep_fleet/suspected_faults_test.py
+++ b/packages/fleet/dewstep_fleet/suspected_faults_test.py
@@ -10,10 +10,10 @@
 from dewstep_emulator import testing
 from dewstep_fleet import (
     builders,
-    coordination,
     coordination_test,
     directories,
     dispatch_test,
+    elections,
     feeds_test,
     grant_durations,
     grant_states,
@@ -72,10 +72,10 @@
     monkeypatch.setattr(links, "connect", connect_within_side)
     harness.unreachable.update(set(harness.running) - nodes)
     for item in harness.running.values():
-        for node, link in list(item.participant.links.items()):
+        for node, link in list(item.participant.member_links.links.items()):
             if node in nodes:
                 link.close()
-                item.participant._drop_link(link)
+                item.participant.drop_link(link)
 
 
 async def check_successor(harness, nodes):
@@ -106,7 +106,7 @@
 # a coordinator while most instances follow the previous one.
 @testing.run_in_event_loop
 async def test_minority_takes_no_keys_from_a_followed_coordinator(monkeypatch):
-    monkeypatch.setattr(coordination, "MINORITY_ELECTION_TIMEOUT", 2 * builders.SECOND)
+    monkeypatch.setattr(elections, "MINORITY_ELECTION_TIMEOUT", 2 * builders.SECOND)
     timing = builders.build_timing(max_grant_duration=grant_durations.GRANT_DURATION)
     monkeypatch.setattr(builders, "build_timing", lambda: timing)
     async with coordination_test.run_fleet("n1", "n2", "n3", "n4", "n5") as harness:
@@ -325,7 +325,7 @@
         first = await wait_owners(harness)
         await coordination_test.wait_until(lambda: is_all_held(harness))
         participant = harness.running[first].participant
-        participant.store.commit = LostStore().commit
+        participant.candidacy.store.commit = LostStore().commit
 
         def is_replaced():
             assert is_all_held(harness)
