Show how late the coordinator's messages are, and what fills its link

Change: metrics coordinator_delay_seconds, configuration_age_seconds, news_bytes_sent, heartbeat_bytes_sent and unsent_link_bytes, and the event coordinator_late. Tests of the modules pass.

--- a/packages/fleet/dewstep_fleet/heartbeats.py
+++ b/packages/fleet/dewstep_fleet/heartbeats.py
@@ -152,6 +152,7 @@
                 if accepts_moves:
                     frame = frame._replace(moves_kept=True, moving=())
                 encoded[kind] = frames.encode(frame)
+            self.members.sent_bytes["beat"] += len(encoded[kind])
             if not link.send_encoded(encoded[kind]):
                 self.members.drop(link)
 
--- a/packages/fleet/dewstep_fleet/links.py
+++ b/packages/fleet/dewstep_fleet/links.py
@@ -121,9 +121,11 @@
         prefix = len(content).to_bytes(LENGTH_PREFIX_BYTES, "big")
         return transports.write(self.transport, prefix + content)
 
-    def has_unsent_bytes(self) -> bool:
-        """Whether the connection has not taken all bytes of earlier frames."""
-        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+    def count_unsent_bytes(self) -> int:
+        """Return the bytes of earlier frames that the connection has not taken."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
 
     def close(self) -> None:
         """Close the connection at once."""
--- a/packages/fleet/dewstep_fleet/member_links.py
+++ b/packages/fleet/dewstep_fleet/member_links.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import datetime
 from collections.abc import Callable
 
@@ -53,6 +54,8 @@
         self.links: dict[str, links.Link] = {}
         """Links of this coordinator to the members."""
         self.next_dial_at: dict[str, datetime.timedelta] = {}
+        self.sent_bytes = collections.Counter()
+        """Bytes sent to all members, by kind of message."""
 
     async def listen(self) -> None:
         """Listen for connections of other instances."""
@@ -79,6 +82,10 @@
         """Whether a message came on the link of this coordinator to its sender."""
         return self.role.coordinating and self.links.get(frame.node) is link
 
+    def count_unsent_bytes(self) -> int:
+        """Return the bytes that wait to be sent to members."""
+        return sum(link.count_unsent_bytes() for link in self.links.values())
+
     def _accept(self) -> links.Link:
         link = links.Link(self.receive, self.handle_closed)
         self.accepted.add(link)
--- a/packages/fleet/dewstep_fleet/membership.py
+++ b/packages/fleet/dewstep_fleet/membership.py
@@ -7,6 +7,7 @@
 import datetime
 from typing import NamedTuple
 
+from dewstep_core import events
 from dewstep_fleet import frames, links, message_delays, model
 
 DIRECT_READ_TIMEOUT = datetime.timedelta(milliseconds=700)
@@ -88,7 +89,9 @@
         self.coordinator_link: links.Link | None = None
         """Link on which the last heartbeat was received."""
         self.message_delays = message_delays.Delays()
-        """How late the coordinator's messages arrive."""
+        """The coordinator's fastest messages."""
+        self.delay = datetime.timedelta()
+        """How late its last message arrived."""
         self.received_heartbeat_ms = 0
         """`heartbeat_ms` of the last heartbeat received."""
         self.live_instances = 1
@@ -101,12 +104,16 @@
     def record_message(self, frame: frames.Frame, now: datetime.timedelta) -> None:
         """Record what a message of the coordinator says about its state."""
         sent_at = datetime.timedelta(milliseconds=frame.heartbeat_ms)
-        delay = datetime.timedelta()
         if sent_at:
-            self.message_delays, delay = message_delays.record_message(
+            late = self.delay > DIRECT_READ_TIMEOUT
+            self.message_delays, self.delay = message_delays.record_message(
                 self.message_delays, frame.incarnation, sent_at, now
             )
-        self.contact = record_message(self.contact, frame, now, delay)
+            if late != (self.delay > DIRECT_READ_TIMEOUT):
+                events.warning(
+                    "coordinator_late", late=not late, node=frame.node, delay=self.delay
+                )
+        self.contact = record_message(self.contact, frame, now, self.delay)
 
     def send(self, frame: frames.Frame) -> None:
         """Send a message to the coordinator, if there is a link to it."""
--- a/packages/fleet/dewstep_fleet/membership_test.py
+++ b/packages/fleet/dewstep_fleet/membership_test.py
@@ -1,6 +1,6 @@
 """Tests of what a member concludes from the messages of its coordinator."""
 
-from dewstep_fleet import builders, frames, membership, model
+from dewstep_fleet import builders, event_capture, frames, membership, model
 
 NOW = 100 * builders.SECOND
 MOMENT = builders.MILLISECOND
@@ -64,3 +64,20 @@
     later = NOW + 60 * builders.SECOND
     expected = membership.Contact(later, later, coordinator_healthy=False)
     assert membership.restart(paused, later) == expected
+
+
+def test_late_messages_let_an_instance_read_the_store(monkeypatch):
+    # Guards against CONFIG: an instance that takes old news for new ones.
+    log = event_capture.EventCapture(monkeypatch)
+    own = membership.Membership(builders.SECOND)
+    for number in range(1, 30):
+        late = builders.SECOND / 10 * min(number, 10)
+        sent_ms = 100 * number
+        frame = frames.Frame("beat", 1, "n", "n-1", contact=True, heartbeat_ms=sent_ms)
+        own.record_message(
+            frame, 9 * builders.SECOND + sent_ms * builders.MILLISECOND + late
+        )
+    now = own.contact.healthy_heartbeat_at
+    assert membership.choose_tables(own.contact, now, False, False)
+    assert membership.has_healthy_coordinator(own.contact, now)
+    assert log.find("coordinator_late", late=True)
--- a/packages/fleet/dewstep_fleet/news.py
+++ b/packages/fleet/dewstep_fleet/news.py
@@ -131,15 +131,15 @@
                 # Most members get the same message.
                 frame = self.build_accepted(rows, changes, moves, *accepted)
                 encoded[accepted] = frames.encode(frame)
+            self.members.sent_bytes["rows"] += len(encoded[accepted])
             if not link.send_encoded(encoded[accepted]):
                 self.members.drop(link)
 
     def has_unsent(self) -> bool:
         """Whether most links have not sent the last news yet."""
         links_known = self.members.links.values()
-        return 2 * sum(link.has_unsent_bytes() for link in links_known) > len(
-            links_known
-        )
+        waiting = sum(link.count_unsent_bytes() > 0 for link in links_known)
+        return 2 * waiting > len(links_known)
 
     def has_unannounced_moves(self) -> bool:
         """Whether moves have begun or ended since the last news."""
--- a/packages/fleet/dewstep_fleet/telemetry.py
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -9,6 +9,8 @@
 from dewstep_fleet import crash_counts, dispatch, model
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+UNKNOWN = -1.0
+"""Value of a gauge that is not known yet."""
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0)
 """Finest around the usual target latencies, which lie between 0.4 and 1.5 s."""
 
@@ -97,6 +99,7 @@
     """Return the numeric state of an instance."""
     participant = process.participant
     now = process.clock.monotonic()
+    age = participant.configuration_checks.get_age()
     return {
         "coordinating": float(participant.coordinating),
         "term": participant.term,
@@ -114,6 +117,11 @@
         "requests_passed_on": sum(process.dispatcher.relay.in_progress.values()),
         "requests_of_others": process.relay_receiver.in_progress,
         "targets_with_limit": len(participant.limits.list_rates()),
+        "configuration_age_seconds": UNKNOWN if age is None else age.total_seconds(),
+        "coordinator_delay_seconds": participant.membership.delay.total_seconds(),
+        "news_bytes_sent": participant.member_links.sent_bytes["rows"],
+        "heartbeat_bytes_sent": participant.member_links.sent_bytes["beat"],
+        "unsent_link_bytes": participant.member_links.count_unsent_bytes(),
         "suspected_requests": participant.crash_counts.count_suspects(1, now),
         "quarantined_requests": participant.crash_counts.count_suspects(
             crash_counts.MAX_LOSSES_BEFORE_QUARANTINE, now
