Send questions to the coordinator on its link directly

Membership.send repeated a check of the link that both of its callers make. Also document the fields of a role.

--- a/packages/fleet/dewstep_fleet/configuration_questions.py
+++ b/packages/fleet/dewstep_fleet/configuration_questions.py
@@ -57,14 +57,15 @@
 
     def _ask(self) -> None:
         """Ask the coordinator whether the known configuration is the newest."""
-        if self.role.coordinating or self.membership.coordinator_link is None:
+        link = self.membership.coordinator_link
+        if self.role.coordinating or link is None:
             return
         versions = tuple(
             (frames.hash_row_key(row), row.version)
             for row in self.directory.list_table(model.TABLES.configuration)
         )
         now = self.clock.monotonic()
-        self.membership.send(
+        link.send(
             self.role.build_frame(
                 "confirm", versions=versions, asked_ms=frames.to_milliseconds(now)
             )
--- a/packages/fleet/dewstep_fleet/membership.py
+++ b/packages/fleet/dewstep_fleet/membership.py
@@ -93,8 +93,3 @@
     def record_message(self, frame: frames.Frame, now: datetime.timedelta) -> None:
         """Record what a message of the coordinator says about its state."""
         self.contact = record_message(self.contact, frame, now)
-
-    def send(self, frame: frames.Frame) -> None:
-        """Send a message to the coordinator, if there is a link to it."""
-        if self.coordinator_link is not None:
-            self.coordinator_link.send(frame)
--- a/packages/fleet/dewstep_fleet/permit_questions.py
+++ b/packages/fleet/dewstep_fleet/permit_questions.py
@@ -68,11 +68,12 @@
         if question is None:
             return
         self.last_question_at = self.clock.monotonic()
+        link = self.membership.coordinator_link
         if self.role.coordinating:
             issued = self.issue(question.wanted)
             self.limits.apply_answer(question.asked_ms, issued)
-        elif self.membership.coordinator_link is not None:
-            self.membership.send(
+        elif link is not None:
+            link.send(
                 self.role.build_frame(
                     "need",
                     limits=self.limits.list_all(),
--- a/packages/fleet/dewstep_fleet/roles.py
+++ b/packages/fleet/dewstep_fleet/roles.py
@@ -21,7 +21,9 @@
         self.term = 0
         self.coordinating = False
         self.deputy = False
+        """Whether this member also follows tables of the store, see `own_reports`."""
         self.stopping = False
+        """Whether this instance is about to stop and should lead no further."""
 
     def build_frame(self, kind: str, **fields) -> frames.Frame:
         """Return a message from this instance."""
