--- a/packages/fleet/dewstep_fleet/membership.py
+++ b/packages/fleet/dewstep_fleet/membership.py
@@ -114,8 +114,3 @@
                     "coordinator_late", late=not late, node=frame.node, delay=self.delay
                 )
         self.contact = record_message(self.contact, frame, now, self.delay)
-
-    def send(self, frame: frames.Frame) -> None:
-        """Send a message to the coordinator, if there is a link to it."""
-        if self.coordinator_link is not None:
-            self.coordinator_link.send(frame)
