--- a/packages/emulator/dewstep_emulator/mutation_list.py
+++ b/packages/emulator/dewstep_emulator/mutation_list.py
@@ -321,17 +321,17 @@
     "WrongStatus",
     mutation_types.Edit(
         "entry/dewstep_entry/caller/connection.py",
-        "if length is not None and length > limit:",
+        "if length is not None and length > (limit := find_limit()):",
         "if False:",
     ),
     mutation_types.Edit(
         "entry/dewstep_entry/caller/connection.py",
-        "            if size > limit:\n",
+        "            if size > (limit := find_limit()):\n",
         "            if False:\n",
     ),
     mutation_types.Edit(
         "entry/dewstep_entry/caller/request_body.py",
-        "if self.received > self.limit:",
+        "if self.received > (limit := self.find_limit()):",
         "if False:",
     ),
 )
