Log moves and evacuations that end or wait without a new owner

Change: events move_abandoned and evacuation_postponed with their reason, and the metric leaving_owners. An evacuation logs again only with another reason.

--- a/packages/fleet/dewstep_fleet/moves.py
+++ b/packages/fleet/dewstep_fleet/moves.py
@@ -191,11 +191,13 @@
         if destination is None or destination.leaving:
             destination = self.choose_replacement(service)
         if destination is None:
+            self.log_abandoned(service, holding, target, "no target can own keys")
             return
         change = ranges.Transfer(
             holding.first, holding.last, destination.name, destination.life
         )
         if not await self.writer.transfer_or_pause(service, [change]):
+            self.log_abandoned(service, holding, target, "not recorded in the store")
             return
         await self.grant_new(service, destination, [change], handover)
         events.info(
@@ -209,6 +211,20 @@
             lasted=self.clock.monotonic() - began,
         )
 
+    def log_abandoned(
+        self, service: str, holding: model.Holding, target: str, reason: str
+    ) -> None:
+        """Log a move that ends without a new owner, so that a later step repeats it."""
+        events.warning(
+            "move_abandoned",
+            service=service,
+            first=holding.first,
+            last=holding.last,
+            source=holding.target,
+            target=target,
+            reason=reason,
+        )
+
     def choose_replacement(self, service: str) -> model.Target | None:
         """Return any target that can own keys."""
         available = eligibility.list_available(
--- a/packages/fleet/dewstep_fleet/rebalancing.py
+++ b/packages/fleet/dewstep_fleet/rebalancing.py
@@ -7,7 +7,7 @@
 import datetime
 from collections.abc import Callable, Iterable, Mapping
 
-from dewstep_core import clocks
+from dewstep_core import clocks, events
 from dewstep_fleet import (
     demands,
     directories,
@@ -78,6 +78,8 @@
         """When a key that was moved on its own may be moved again."""
         self.admitted_fractions: dict[str, float] = {}
         """Fraction of its requests that each overloaded target can serve."""
+        self.postponed: dict[tuple[str, str], str] = {}
+        """Why the ranges of a target cannot be moved away yet, by service and target."""
 
     def can_move(self) -> bool:
         """Whether the store answered recently enough to record a move."""
@@ -101,12 +103,18 @@
         must have expired.
         """
         remaining = self.held.exclude_moving(service, holdings)
-        if not remaining or not self.can_move():
+        if not remaining:
+            return
+        source = remaining[0].target
+        if not self.can_move():
+            self.postpone(service, source, "the store does not answer")
             return
         demand = self.get_demand(service)
         capacities = self.get_capacities(service, demand)
         if not capacities:
+            self.postpone(service, source, "no target can own keys")
             return
+        self.postponed.pop((service, source), None)
         ownership = self.directory.ownerships[service]
         totals = planning.sum_rates(ownership.holdings, demand.rates)
         for move in planning.distribute_ranges(
@@ -114,6 +122,14 @@
         ):
             self.mover.begin_move(service, move, release)
 
+    def postpone(self, service: str, source: str, reason: str) -> None:
+        """Log why the ranges of a target stay there for now, once for each reason."""
+        if self.postponed.get((service, source)) != reason:
+            self.postponed[service, source] = reason
+            events.warning(
+                "evacuation_postponed", service=service, source=source, reason=reason
+            )
+
     def plan_moves(self, services: Iterable[str]) -> None:
         """Determine overloaded targets and start moves that balance the load."""
         now = self.clock.monotonic()
--- a/packages/fleet/dewstep_fleet/telemetry.py
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from dewstep_core import clocks, data, events
-from dewstep_fleet import crash_counts, dispatch, model
+from dewstep_fleet import crash_counts, directories, dispatch, model
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 UNKNOWN = -1.0
@@ -110,6 +110,7 @@
             len(pool.open_connections) for pool in process.dispatcher.pools.values()
         ),
         "targets": len(process.directory.targets),
+        "leaving_owners": count_leaving_owners(process.directory),
         "ranges": sum(
             len(item.holdings) for item in process.directory.ownerships.values()
         ),
@@ -131,6 +132,20 @@
     }
 
 
+def count_leaving_owners(directory: directories.Directory) -> int:
+    """Return the number of leaving or unregistered targets that still own keys."""
+    owners = {
+        holding.target
+        for ownership in directory.ownerships.values()
+        for holding in ownership.holdings
+        if holding.target
+    }
+    registered = {
+        target.name for target in directory.targets.values() if not target.leaving
+    }
+    return len(owners - registered)
+
+
 def describe_state(process) -> dict[str, Any]:
     """Return the state dump of an instance for operators."""
     directory = process.directory
