Grant a range to no target that has begun to leave during the write

Cause: a move looked whether its destination was leaving once, before the write to the store. The write got no answer for 1.7 s, the destination began to leave meanwhile, and was then granted the range. A restarted target could be granted its ranges in the same way.

Change: after the write, the destination is looked at again. If it is leaving, gone or restarted, the range gets another owner with a further write; if a restarted target is leaving, its ranges are evacuated.

Tests of packages/fleet pass.

--- a/packages/fleet/dewstep_fleet/moves.py
+++ b/packages/fleet/dewstep_fleet/moves.py
@@ -3,7 +3,8 @@
 A range is granted to another target only after its owner released it with no unanswered
 grant outstanding, or after all grants sent to the owner have expired, or after its
 owner was found to have ended; `ownership_ends` computes when that is. The new owner is
-recorded in the store before the first grant is sent to it.
+recorded in the store before the first grant is sent to it. A write may take seconds, so
+whether the new owner may own keys is decided again after it.
 """
 
 import datetime
@@ -187,18 +188,10 @@
         """Move one range: end its ownership, record the new owner, send the grant."""
         began = self.clock.monotonic()
         handover = await self.end_ownership(service, holding, release)
-        destination = self.directory.targets.get(target)
-        if destination is None or destination.leaving:
-            destination = self.choose_replacement(service)
+        destination = await self.record_new_owner(service, holding, target)
         if destination is None:
-            self.log_abandoned(service, holding, target, "no target can own keys")
-            return
-        change = ranges.Transfer(
-            holding.first, holding.last, destination.name, destination.life
-        )
-        if not await self.writer.transfer_or_pause(service, [change]):
-            self.log_abandoned(service, holding, target, "not recorded in the store")
             return
+        change = build_transfer(holding, destination)
         await self.grant_new(service, destination, [change], handover)
         events.info(
             "moved",
@@ -211,6 +204,41 @@
             lasted=self.clock.monotonic() - began,
         )
 
+    async def record_new_owner(
+        self, service: str, holding: model.Holding, target: str
+    ) -> model.Target | None:
+        """Record a range's new owner in the store, preferably `target`.
+
+        Returns
+        -------
+        model.Target or None
+            An owner that was not leaving after the write; None if there is none.
+        """
+        while True:
+            destination = self.directory.targets.get(target)
+            if destination is None or destination.leaving:
+                destination = self.choose_replacement(service)
+            if destination is None:
+                self.log_abandoned(service, holding, target, "no target can own keys")
+                return None
+            change = build_transfer(holding, destination)
+            if not await self.writer.transfer_or_pause(service, [change]):
+                self.log_abandoned(
+                    service, holding, target, "not recorded in the store"
+                )
+                return None
+            if self.is_available(destination):
+                return destination
+
+    def is_available(self, target: model.Target) -> bool:
+        """Whether a target is still registered and not leaving."""
+        registered = self.directory.targets.get(target.name)
+        return (
+            registered is not None
+            and registered.life == target.life
+            and not registered.leaving
+        )
+
     def log_abandoned(
         self, service: str, holding: model.Holding, target: str, reason: str
     ) -> None:
@@ -334,11 +362,16 @@
         changes: Iterable[ranges.Transfer],
         handover: str,
     ) -> None:
-        """Send the first grant of ranges that were handed over to a target."""
+        """Send the first grant of ranges that were handed over to a target.
+
+        If it is leaving by now, it is granted nothing, and its ranges are evacuated.
+        """
         for change in changes:
             holding = self.directory.ownerships[service].find(change.first)
             if holding is None or holding.target != target.name:
                 continue
+            if not self.is_available(target):
+                return
             state = self.grant_states.get_for(target)
             outcome = await state.orders.grant(target, holding, handover)
             if isinstance(outcome, result.Success):
@@ -353,3 +386,8 @@
                 generation=holding.generation,
                 failure=outcome.failure(),
             )
+
+
+def build_transfer(holding: model.Holding, owner: model.Target) -> ranges.Transfer:
+    """Return the transfer of a range to another owner."""
+    return ranges.Transfer(holding.first, holding.last, owner.name, owner.life)
--- a/packages/fleet/dewstep_fleet/rebalancing.py
+++ b/packages/fleet/dewstep_fleet/rebalancing.py
@@ -79,7 +79,7 @@
         self.admitted_fractions: dict[str, float] = {}
         """Fraction of its requests that each overloaded target can serve."""
         self.postponed: dict[tuple[str, str], str] = {}
-        """Why the ranges of a target cannot be moved away yet, by service and target."""
+        """Why a target's ranges cannot be moved away yet, by service and target."""
 
     def can_move(self) -> bool:
         """Whether the store answered recently enough to record a move."""
