End requests to a leaving owner also if only its registration says so

Cause: the time since a departure was kept for notices in answers only. After a departure in the registration, nothing but the move of the keys ended the requests; if the move was late or went wrong, they went on. Three more ways of the same class, knowledge that is looked at once and used later: the time counted from when an instance learned of the departure, with 0.3 s left; an instance that knew the target only as leaving counted from zero; and a request that had waited for a permit or a connection was sent without another look.

Change: a registration notes a departure like a notice. Requests for keys end 1 s before the drain time, of which 0.7 s are the time until an instance without news reads the store. A target that is already leaving when it becomes known is sent nothing. The departure is checked right before a request is sent (TargetLeaving, 503, not run). A ready registration ends a departure that an earlier one has announced, except across a restore of the store. Attempts are logged with leaving_for.

--- a/packages/core/dewstep_core/errors.py
+++ b/packages/core/dewstep_core/errors.py
@@ -209,6 +209,13 @@
     retry_after: datetime.timedelta
 
 
+@register_answer(503, NOT_RUN)
+class TargetLeaving(NamedTuple):
+    """The target has been leaving for too long to be sent a request."""
+
+    target: str
+
+
 @register_answer(503, NOT_RUN)
 class TargetLimited(NamedTuple):
     """The limit that the target has named leaves no room for the request."""
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -30,6 +30,7 @@
     crash_counts,
     directories,
     load_counts,
+    membership,
     model,
     reachability,
     relaying,
@@ -59,8 +60,8 @@
 """Time for which a target is avoided whose address now belongs to another target; its
 registration expires soon."""
 DRAIN_MARGIN = datetime.timedelta(milliseconds=300)
-"""Requests to a leaving target end this long before the end of the drain time, since a
-request may wait for a connection."""
+"""Part of the drain time for reading of a target's departure and for the way of the
+last request, of which a lost packet is retransmitted after 200 ms."""
 MAX_IDLE_TIME = datetime.timedelta(seconds=7)
 """Below the 10 s after which targets close idle connections."""
 MAX_REQUESTS_PER_SLOT = 4
@@ -69,6 +70,7 @@
 UNSENT_FAILURES = (
     errors.TargetUnavailable
     | errors.TargetPaused
+    | errors.TargetLeaving
     | errors.TargetLimited
     | errors.Stopping
 )
@@ -686,9 +688,14 @@
         return self.check_admission(plan, selection.Choice(target, estimate, wait))
 
     def has_departed(self, target: model.Target) -> bool:
-        """Whether a target has been leaving for too long to receive requests."""
+        """Whether a target has been leaving for too long to receive requests.
+
+        The drain time counts from the announcement, of which an instance may learn as
+        late as it takes to notice that there is no news.
+        """
         elapsed = self.directory.get_time_since_departure(target)
-        limit = self.retry_budgets.timing.drain_time - DRAIN_MARGIN
+        reserved = membership.DIRECT_READ_TIMEOUT + DRAIN_MARGIN
+        limit = self.retry_budgets.timing.drain_time - reserved
         return elapsed is not None and elapsed >= limit
 
     def exceeds_admitted_fraction(
@@ -789,14 +796,19 @@
         plan: PlannedRequest,
         choice: selection.Choice,
         permit: request_limits.Permit | None,
-    ) -> errors.Stopping | errors.TargetLimited | None:
+    ) -> errors.Stopping | errors.TargetLeaving | errors.TargetLimited | None:
         """Return the failure of a request that waited for a connection, or None.
 
-        A stop may have begun, or the limit become known, since it was admitted.
+        A stop or the departure of the target may have begun, or the limit become known,
+        since it was admitted.
         """
         stopping = self.find_stop_refusal(plan, choice)
-        if stopping is not None or permit is not None:
+        if stopping is not None:
             return stopping
+        if self.has_departed(choice.target):
+            return errors.TargetLeaving(choice.target.name)
+        if permit is not None:
+            return None
         return self.participant.limits.take_now(choice.target)
 
     # Planned stop.
@@ -882,6 +894,7 @@
                     elapsed_ms=round(elapsed * 1000),
                     running=running,
                     owners=self.get_owner_version(plan),
+                    leaving_for=self.directory.get_time_since_departure(target),
                 )
                 return Outcome(answer, None, target.name)
             failure = errors.AnswerInvalid(target.name, f"status {answer.status}")
@@ -901,6 +914,7 @@
             elapsed_ms=round(elapsed * 1000),
             running=running,
             owners=self.get_owner_version(plan),
+            leaving_for=self.directory.get_time_since_departure(target),
             failure=failure,
         )
         replaced = (
@@ -1168,8 +1182,9 @@
     failure = send_result.failure()
     if isinstance(failure, errors.TargetRefused | errors.AnswerInvalid):
         return True
-    unsent = errors.TargetPaused | errors.TargetLimited | errors.Stopping
-    if isinstance(failure, unsent):
+    if isinstance(failure, errors.TargetUnavailable):
+        return False
+    if isinstance(failure, UNSENT_FAILURES):
         return None
     return False
 
--- a/packages/fleet/dewstep_fleet/leaving_targets_test.py
+++ b/packages/fleet/dewstep_fleet/leaving_targets_test.py
@@ -4,11 +4,13 @@
 
 import pytest
 
-from dewstep_core import errors
+from dewstep_core import clocks, errors
 from dewstep_fleet import (
     builders,
+    dispatch_test,
     event_capture,
     granting_test,
+    membership,
     model,
     planning,
     ranges,
@@ -18,6 +20,8 @@
 
 STEP = granting_test.STEP
 SETTLING_TIME = granting_test.SETTLING_TIME
+DRAIN_TIME = builders.build_timing().drain_time
+KEY = ((b"x-key", b"7"),)
 
 
 # Guards against keys that stay with a leaving target without a trace in the log.
@@ -148,9 +152,111 @@
     granting_test.run_scenario(scenario)
 
 
+def build_instance(*outcomes, keyed=True):
+    """Return an instance whose waits for changes of owners end in vain."""
+    harness = dispatch_test.Harness(*outcomes, keyed=keyed)
+
+    async def wait_in_vain(change_count, seconds):
+        harness.clock.advance(seconds * builders.SECOND)
+
+    harness.directory.wait_change = wait_in_vain
+    return harness
+
+
+def register(harness, version, **changes):
+    """Let an instance read a registration of target "a"."""
+    target = builders.build_target("a", **changes)
+    harness.directory.apply_rows([builders.build_target_row(target, version)])
+
+
+# Guards against requests to a leaving owner after the drain time, if only its
+# registration says that it is leaving.
+def test_owner_registered_as_leaving_receives_nothing_after_the_drain_time():
+    harness = build_instance(200, 200)
+    register(harness, 8, leaving=True)
+    assert harness.send(headers=KEY).status == 200
+    harness.clock.advance(DRAIN_TIME / 4)
+    register(harness, 9, leaving=True, slots=9)
+    harness.clock.advance(DRAIN_TIME / 4)
+    answer = harness.send(headers=KEY)
+    assert answer.status == 503 and len(harness.sent) == 1
+    assert dispatch_test.get_outcome(answer) == b"not-run"
+
+
+# Guards against requests after the drain time by an instance that learned late of the
+# departure: it reads the store after 0.7 s without news.
+def test_requests_end_before_the_drain_time_of_an_instance_that_learns_late():
+    harness = build_instance(200)
+    register(harness, 8, leaving=True)
+    late = membership.DIRECT_READ_TIMEOUT + 200 * builders.MILLISECOND
+    harness.clock.advance(DRAIN_TIME - late)
+    assert harness.send(headers=KEY).status == 503
+    assert not harness.sent
+
+
+# Guards against a whole drain time for a target that may have left long ago, at an
+# instance that has just started or has not known the target before.
+@pytest.mark.parametrize("life", [1, 2])
+def test_owner_that_was_leaving_when_it_became_known_receives_nothing(life):
+    harness = build_instance(200)
+    gone = builders.build_row(model.TABLES.targets, "a", 7, None)
+    harness.directory.apply_rows([gone] if life == 1 else [])
+    register(harness, 8, leaving=True, life=life)
+    owners = [holding._replace(life=life) for holding in builders.build_holdings("a")]
+    ownership = ranges.Ownership("history", 0, 9, tuple(owners))
+    value = ranges.encode(ownership)
+    row = builders.build_row(model.TABLES.fleet, "ranges/history", 9, value)
+    harness.directory.apply_rows([row])
+    assert harness.send(headers=KEY).status == 503
+    assert not harness.sent
+
+
+# Guards against a request that is sent after the drain time, as it waited for a permit
+# or a connection.
+@pytest.mark.parametrize("keyed", [True, False])
+def test_request_that_waited_is_not_sent_after_the_drain_time(keyed):
+    harness = build_instance(200, keyed=keyed)
+    make_pool = harness.dispatcher.get_pool
+
+    def wait_for_connection(service, target):
+        if target.name == "a":
+            register(harness, 8, leaving=True)
+            harness.clock.advance(DRAIN_TIME / 2)
+        return make_pool(service, target)
+
+    harness.dispatcher.get_pool = wait_for_connection
+    if not keyed:
+        gone = builders.build_row(model.TABLES.targets, "b", 7, None)
+        harness.directory.apply_rows([gone])
+    answer = harness.send(headers=(*KEY, (b"x-deadline", b"9000")))
+    assert answer.status == 503 and not harness.sent
+    assert dispatch_test.get_outcome(answer) == b"not-run"
+
+
+# Guards against a ready target that receives nothing because it has once been leaving.
+def test_registration_ends_the_departure_that_it_announced():
+    harness = build_instance(200)
+    register(harness, 8, leaving=True)
+    harness.clock.advance(DRAIN_TIME)
+    register(harness, 9)
+    assert not harness.directory.targets["a"].leaving
+    assert harness.send(headers=KEY).status == 200
+
+
+# Guards against requests to a leaving target whose announcement a restored store lacks.
+def test_restored_registration_does_not_end_a_departure():
+    harness = build_instance(200)
+    register(harness, 8, leaving=True)
+    harness.clock.advance(DRAIN_TIME)
+    register(harness, model.VERSIONS_PER_ERA + 7)
+    assert harness.directory.targets["a"].leaving
+    assert harness.send(headers=KEY).status == 503
+    assert not harness.sent
+
+
 # Guards against a metric that misses the targets whose keys must move.
 def test_leaving_and_removed_owners_are_counted():
-    known = builders.build_directory(None)
+    known = builders.build_directory(clocks.ManualClock())
     owners = ranges.Ownership("history", 1, 9, builders.build_holdings("a", "b", "c"))
     known.ownerships["history"] = owners
     rows = [
--- a/packages/fleet/dewstep_fleet/registrations.py
+++ b/packages/fleet/dewstep_fleet/registrations.py
@@ -4,7 +4,8 @@
 removal received within `REMOVAL_GRACE` of the store's recovery is therefore deferred,
 and discarded if the target registers again.
 
-A target may announce that it is leaving before its registration says so.
+A target announces that it is leaving in an answer or with its registration, whichever
+comes first. From then on it counts as leaving until its incarnation ends.
 """
 
 import datetime
@@ -22,14 +23,21 @@
 """Number of announced departures that are kept, many times those of a day."""
 MAX_REFUSALS = 4_096
 """Number of refused rows whose reasons are kept."""
+UNKNOWN_DEPARTURE_AGE = datetime.timedelta(hours=1)
+"""Assumed time since the announcement of a target that was already leaving when it
+became known. Any amount of it may have passed."""
 
 
 class Departure(NamedTuple):
-    """A target's announcement in an answer that it is leaving."""
+    """A target's announcement that it is leaving."""
 
     life: int
     """Incarnation of the target."""
     noted_at: datetime.timedelta
+    """When this instance learned of it."""
+    era: int | None
+    """Lowest version of the store's era in which the registration announced it; None
+    if an answer did."""
 
 
 def format_address(target: model.Target) -> str:
@@ -65,7 +73,7 @@
         self.refusals: dict[tuple[str, str], str] = {}
         """Reason for which the last version of a row was refused, by table and key."""
         self.departures: dict[str, Departure] = {}
-        """Targets that have announced in an answer that they are leaving."""
+        """Last announcement of each target that has announced that it is leaving."""
         self.store_recovered_at: datetime.timedelta | None = None
         """When the store recovered from its last outage or was restored."""
         self.deferred_removals: dict[
@@ -78,20 +86,49 @@
     # Departures.
 
     def record_departure(self, name: str, life: int) -> bool:
-        """Record that a target has announced that it is leaving.
+        """Record that a target has announced in an answer that it is leaving.
 
         Its registration may not say so for a long time, or not at all. Returns false if
-        the departure of this incarnation is known.
+        another answer of this incarnation has said so.
         """
         known = self.departures.get(name)
+        noted_at = self.clock.monotonic()
         if known is not None and known.life >= life:
-            return False
-        while len(self.departures) >= MAX_DEPARTURES:
-            del self.departures[next(iter(self.departures))]
-        self.departures[name] = Departure(life, self.clock.monotonic())
+            if known.life > life or known.era is None:
+                return False
+            noted_at = known.noted_at
+        self._add_departure(name, Departure(life, noted_at, None))
         events.info("target_departing", target=name, life=life)
         return True
 
+    def _add_departure(self, name: str, departure: Departure) -> None:
+        if name not in self.departures:
+            while len(self.departures) >= MAX_DEPARTURES:
+                del self.departures[next(iter(self.departures))]
+        self.departures[name] = departure
+
+    def _apply_departure(
+        self, target: model.Target, known: model.Target | None, version: int
+    ) -> model.Target:
+        """Note what a registration says of a departure; return the target as it is.
+
+        A registration ends the departure that an earlier one has announced, unless the
+        store was restored since, as its copy may be older than the announcement.
+        """
+        departure = self.departures.get(target.name)
+        era = model.get_era_floor(version)
+        if departure is None or departure.life != target.life:
+            if target.leaving:
+                noted_at = self.clock.monotonic()
+                if known is None or known.life != target.life:
+                    noted_at -= UNKNOWN_DEPARTURE_AGE
+                self._add_departure(target.name, Departure(target.life, noted_at, era))
+            return target
+        if target.leaving or departure.era != era:
+            return target._replace(leaving=True)
+        del self.departures[target.name]
+        return target
+
     def mark_leaving(self, name: str, life: int) -> bool:
         """Mark an incarnation as leaving; return false if it is not registered."""
         target = self.targets.get(name)
@@ -104,7 +141,11 @@
     def get_time_since_departure(
         self, target: model.Target
     ) -> datetime.timedelta | None:
-        """Return the time since a target announced that it is leaving, or None."""
+        """Return the time since a target announced that it is leaving, or None.
+
+        Counted from when this instance learned of it, or `UNKNOWN_DEPARTURE_AGE` before
+        if the target was already leaving.
+        """
         departure = self.departures.get(target.name)
         if departure is None or departure.life != target.life:
             return None
@@ -150,10 +191,8 @@
             decoded = self.decode_target(row.key, row.value).bind(self._check_life)
         if isinstance(decoded, result.Success):
             self.refusals.pop((row.table, row.key), None)
-            target = decoded.unwrap()
-            if self.get_time_since_departure(target) is not None:
-                target = target._replace(leaving=True)
             known = self.targets.get(row.key)
+            target = self._apply_departure(decoded.unwrap(), known, row.version)
             self.targets[row.key] = target
             if known != target:
                 events.info(
