Send and move nothing to a gate's target once it is leaving

A request could reach a leaving target for as long as it waited for its claim or its grant, and keys could move to a target that began to leave while the move waited, up to 10 s, for the requests in progress.

The gate looked at the departure in a check each 50 ms that blocked the shards owned at that time. Shards that arrived later, a gate that was new, and a request that had been admitted before were not covered; planned moves looked at their destination when they were planned.

Change: a gate knows that its target is leaving and refuses requests for all its keys; it sends no admitted request once that is 1 s ago (TargetLeaving, not run, its claim is deleted); a move commits nothing if its new owner is leaving by then. Requests that a gate refused for this are routed again.

--- a/packages/entry/dewstep_entry/gate/evacuation.py
+++ b/packages/entry/dewstep_entry/gate/evacuation.py
@@ -38,14 +38,22 @@
             )
         )
 
-    def is_leaving(self, gate: gates.Gate) -> bool:
-        """Return whether the target of a gate should get no new requests."""
-        return gate.target.draining or gate.target.name in self.leaving_targets
+    def is_leaving(self, name: str) -> bool:
+        """Return whether a target should get no new requests, shards or keys."""
+        configuration = self.manager.view_holder.current.configuration
+        target = configuration and configuration.targets.get(name)
+        return name in self.leaving_targets or bool(target and target.draining)
+
+    def update_leaving(self, gate: gates.Gate) -> bool:
+        """Tell a gate whether its target is leaving; return that."""
+        leaving = self.is_leaving(gate.target.name)
+        gate.ownership.set_leaving(leaving, self.manager.clock.monotonic())
+        return leaving
 
     def start(self, gate: gates.Gate) -> None:
         """Start the task for a lost, leaving or waiting target, unless one runs."""
         name = gate.target.name
-        leaving = self.is_leaving(gate)
+        leaving = self.update_leaving(gate)
         waiting = not gate.fenced and gate.is_waiting()
         if name in self.tasks or not (gate.lost or leaving or waiting):
             return
@@ -55,7 +63,7 @@
         if gate.lost:
             work = self.manager.mover.evacuate(gate)
         elif leaving:
-            work = self.manager.mover.drain_target(gate, lambda: self.is_leaving(gate))
+            work = self.manager.mover.drain_target(gate)
         else:
             work = self.manager.mover.wait_declaration(gate)
         task = asyncio.ensure_future(work)
--- a/packages/entry/dewstep_entry/gate/manager.py
+++ b/packages/entry/dewstep_entry/gate/manager.py
@@ -104,6 +104,7 @@
             clock,
             gate_dependencies.plan_evacuation,
             self.evacuation.list_usable,
+            self.evacuation.is_leaving,
             self.raise_term,
         )
         self.gate_releaser = releases.GateReleaser(self)
@@ -298,6 +299,7 @@
             checks=self.checks,
             make_operation_id=self.make_operation_id,
         )
+        self.evacuation.update_leaving(gate)
         self.gates[target.name] = gate
         self.gate_dependencies.observer.start(target)
         gate.run()
--- a/packages/entry/dewstep_entry/gate/moves.py
+++ b/packages/entry/dewstep_entry/gate/moves.py
@@ -42,6 +42,8 @@
         Returns the new owners of the shards.
     list_usable : Callable[[str, str], tuple[str, ...]]
         Returns the targets of a service that may get shards, except one.
+    is_leaving : Callable[[str], bool]
+        Returns whether a target is leaving.
     raise_term : Callable[[gates.Gate], Awaitable[bool]]
         Replaces a gate by one of the next term; returns whether its term has ended.
     """
@@ -53,6 +55,7 @@
         clock: clocks.Clock,
         plan_evacuation: PlanEvacuation,
         list_usable: Callable[[str, str], tuple[str, ...]],
+        is_leaving: Callable[[str], bool],
         raise_term: Callable[[gates.Gate], Awaitable[bool]],
     ):
         self.writer = writer
@@ -60,6 +63,7 @@
         self.clock = clock
         self.plan_evacuation = plan_evacuation
         self.list_usable = list_usable
+        self.is_leaving = is_leaving
         self.raise_term = raise_term
         self.move_tasks: set[asyncio.Task] = set()
 
@@ -192,16 +196,14 @@
 
     # Leaving targets.
 
-    async def drain_target(
-        self, gate: gates.Gate, is_leaving: Callable[[], bool]
-    ) -> None:
+    async def drain_target(self, gate: gates.Gate) -> None:
         """Refuse new requests for a leaving target and move its shards away.
 
         Shards without requests in progress move at once, the others once their
         requests have ended.
         """
         while (
-            is_leaving()
+            self.is_leaving(gate.target.name)
             and not gate.releasing
             and not gate.lost
             and owns_shards_or_keys(gate)
@@ -224,7 +226,7 @@
             )
             if not owns_none_of(gate, idle):
                 await self.clock.sleep(MOVE_RETRY_PAUSE)
-        if not is_leaving():
+        if not self.is_leaving(gate.target.name):
             gate.resume_shards(*gate.ownership.list_owned())
 
     def unblock_moved(self, gate: gates.Gate) -> None:
@@ -253,10 +255,12 @@
         change = assignments.move_shards(dict(moves), gate.target.name)
         if ordered:
             change = orders.record_orders(change, moves, self.clock.now())
+        change = self.exclude_leaving(change, moves.values())
         outcome = await self.move(gate, ownership.make_key_set(moves), change)
-        return outcome.bind(
+        checked = outcome.bind(
             lambda found: assignments.check_shards(found, moves, gate.target.name)
         )
+        return checked.lash(lambda failure: self.explain(failure, moves.values()))
 
     async def move_key(
         self, gate: gates.Gate, key: str, new_owner: str, ordered: bool = False
@@ -272,10 +276,39 @@
         change = assignments.move_key(key, shard, new_owner, gate.target.name)
         if ordered:
             change = orders.record_orders(change, [key], self.clock.now())
+        change = self.exclude_leaving(change, [new_owner])
         outcome = await self.move(gate, ownership.make_key_set(keys=(key,)), change)
-        return outcome.bind(
+        checked = outcome.bind(
             lambda found: assignments.check_key(found, key, new_owner, gate.target.name)
         )
+        return checked.lash(lambda failure: self.explain(failure, [new_owner]))
+
+    def exclude_leaving(
+        self, change: assignments.Change, new_owners: Collection[str]
+    ) -> assignments.Change:
+        """Return `change`, or no change once a new owner has begun to leave.
+
+        The requests in progress are awaited before the change, for up to
+        `DRAIN_TIMEOUT`.
+        """
+
+        def change_unless_leaving(
+            assignment: data.Assignment,
+        ) -> data.Assignment | None:
+            if any(self.is_leaving(name) for name in new_owners):
+                return None
+            return change(assignment)
+
+        return change_unless_leaving
+
+    def explain(
+        self, failure: interfaces.Failure, new_owners: Collection[str]
+    ) -> result.Result[data.Assignment, interfaces.Failure]:
+        """Return the failure of a move, or that a new owner is leaving."""
+        leaving = next(filter(self.is_leaving, new_owners), None)
+        if isinstance(failure, errors.NotTheOwner) and leaving is not None:
+            failure = errors.TargetLeaving(leaving)
+        return result.Failure(failure)
 
     async def move(
         self, gate: gates.Gate, moving: ownership.KeySet, change: assignments.Change
--- a/packages/entry/dewstep_entry/gate/ownership.py
+++ b/packages/entry/dewstep_entry/gate/ownership.py
@@ -1,5 +1,6 @@
 """Which keys a gate may serve: those assigned to its target and not being moved."""
 
+import datetime
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -8,6 +9,10 @@
 from dewstep_entry.gate import invariants, rows
 from dewstep_entry.state import view
 
+MAX_DEPARTURE_AGE = datetime.timedelta(seconds=1)
+"""Time after which an admitted request is not sent to a leaving target any more. The
+objective is 2 s; the rest is for the lag of the instance list."""
+
 
 class KeySet(NamedTuple):
     """Shards, and single keys with an owner of their own (overrides)."""
@@ -65,6 +70,20 @@
         self.blocked_keys: set[str] = set()
         self.drained_shards: set[int] = set()
         self.drained_keys: set[str] = set()
+        self.leaving_since: datetime.timedelta | None = None
+        """When this process learned that the target is leaving."""
+
+    def set_leaving(self, leaving: bool, now: datetime.timedelta) -> None:
+        """Set whether the target is leaving, so that it gets no new requests."""
+        if not leaving:
+            self.leaving_since = None
+        elif self.leaving_since is None:
+            self.leaving_since = now
+
+    def has_departed(self, now: datetime.timedelta) -> bool:
+        """Return whether the target has been leaving for too long to be sent to."""
+        since = self.leaving_since
+        return since is not None and now - since >= MAX_DEPARTURE_AGE
 
     def get_assignment(self) -> data.Assignment | None:
         """Return the current assignment; report newly assigned shards and keys."""
@@ -101,8 +120,8 @@
         return assignment is not None and key in assignment.overrides
 
     def is_moving(self, key: str, shard: int) -> bool:
-        """Return whether a key is being moved."""
-        if key in self.blocked_keys:
+        """Return whether a key is being moved, as is each key of a leaving target."""
+        if self.leaving_since is not None or key in self.blocked_keys:
             return True
         return shard in self.blocked_shards and not self.has_override(key)
 
--- a/packages/entry/dewstep_entry/gate/sending.py
+++ b/packages/entry/dewstep_entry/gate/sending.py
@@ -244,6 +244,8 @@
         moved = self.target_ownership.explain_unsendable(run.request.key, run.shard)
         if moved is not None:
             return moved
+        if self.target_ownership.has_departed(now):
+            return errors.TargetLeaving(self.target.name)
         if now >= run.request.deadline:
             return errors.DeadlineUnreachable(self.target.name, datetime.timedelta())
         if not self.grant.may_send(now):
--- a/packages/entry/dewstep_entry/pipeline/routing.py
+++ b/packages/entry/dewstep_entry/pipeline/routing.py
@@ -36,6 +36,7 @@
     errors.NotTheGate,
     errors.NotTheOwner,
     errors.ShardMoving,
+    errors.TargetLeaving,
     errors.PeerUnreachable,
     errors.TargetUnavailable,
     errors.Stopping,
--- a/packages/entry/dewstep_entry/pipeline/routing_test.py
+++ b/packages/entry/dewstep_entry/pipeline/routing_test.py
@@ -2,6 +2,7 @@
 import datetime
 import random
 
+import pytest
 from returns import result
 
 from dewstep_core import clocks, data, errors
@@ -64,8 +65,11 @@
     return asyncio.run(router.handle(request))
 
 
-def test_request_is_sent_again_while_its_shard_moves():
-    moving = result.Failure(errors.ShardMoving("history", 1))
+@pytest.mark.parametrize(
+    "failure", [errors.ShardMoving("history", 1), errors.TargetLeaving("t1")]
+)
+def test_request_is_sent_again_while_its_shard_moves(failure):
+    moving = result.Failure(failure)
     gates = FakeGates(moving, moving, result.Success(ANSWER))
     router = build_router(gates)
     assert send_request(router, idempotent=False).unwrap() == ANSWER
--- a/packages/entry/dewstep_entry/policy/retries.py
+++ b/packages/entry/dewstep_entry/policy/retries.py
@@ -46,6 +46,7 @@
     errors.NotTheGate,
     errors.NotTheOwner,
     errors.ShardMoving,
+    errors.TargetLeaving,
     errors.Stopping,
 )
 
