Decode only the changed ranges of a row with owners

Change: the row lists each range as a text of its own; only texts that the version before lacked are decoded (owner_rows.py). All ranges are still checked to cover each key once. Any other form is decoded as a whole, as before. Frames and rows are unchanged.

--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -18,7 +18,14 @@
 from returns import result
 
 from dewstep_core import clocks, errors, events, fields, value_checks
-from dewstep_fleet import frames, model, quorums, ranges, registrations
+from dewstep_fleet import (
+    frames,
+    model,
+    owner_rows,
+    quorums,
+    ranges,
+    registrations,
+)
 
 MIN_OUTAGE = datetime.timedelta(seconds=1)
 """Minimum observed outage after which removals are deferred. A shorter one expires no
@@ -132,6 +139,7 @@
         self.rows: dict[tuple[str, str], model.StoredRow] = {}
         self.routes: model.RouteTable | None = None
         self.ownerships: dict[str, ranges.Ownership] = {}
+        self.owner_rows: dict[str, owner_rows.OwnerRow] = {}
         self.members: dict[str, model.Member] = {}
         self.leadership = NO_LEADERSHIP
         self.quorum = quorums.NO_QUORUM
@@ -296,7 +304,8 @@
                 self.ownerships[service] = unwritten
             return
         known = self.ownerships.get(service)
-        decoded = ranges.decode(service, row.version, row.value, known)
+        owner_row = self.owner_rows.setdefault(service, owner_rows.OwnerRow(service))
+        decoded = owner_row.decode(row.version, row.value)
         if isinstance(decoded, result.Failure):
             events.error("owners_refused", failure=decoded.failure())
             return
--- a/packages/fleet/dewstep_fleet/ranges.py
+++ b/packages/fleet/dewstep_fleet/ranges.py
@@ -210,14 +210,11 @@
 
 
 def decode(
-    service: str, version: int, value: bytes, known: Ownership | None = None
+    service: str, version: int, value: bytes
 ) -> result.Result[Ownership, errors.RowInvalid]:
     """Decode a row value, which may have been decompressed.
 
-    The ranges of `known` are used where they have not changed, which saves time.
-
-    A row that assigns a key to no range or to two is rejected, because otherwise it
-    would be applied as a change of owners.
+    `owner_rows.OwnerRow` decodes the later versions of a row in less time.
     """
     key = f"ranges/{service}"
     try:
@@ -225,12 +222,7 @@
         if content["schema"] != SCHEMA_VERSION:
             detail = f"unknown schema {fields.quote(content['schema'])}"
             return result.Failure(errors.RowInvalid(key, detail))
-        unchanged = known.holdings if known is not None else ()
-        by_first = {item.first: item for item in unchanged}
-        holdings = tuple(
-            find_same(by_first, row) or decode_holding(row)
-            for row in content["holdings"]
-        )
+        holdings = tuple(decode_holding(row) for row in content["holdings"])
         generation = int(content["generation"])
     except (
         zlib.error,
@@ -242,26 +234,32 @@
         RecursionError,
     ) as error:
         return result.Failure(errors.RowInvalid(key, type(error).__name__))
-    if not is_number(generation) or not all(map(is_valid_holding, holdings)):
+    if not all(map(is_valid_holding, holdings)):
+        return result.Failure(errors.RowInvalid(key, "a value is out of range"))
+    return check(Ownership(service, version, generation, holdings))
+
+
+def check(ownership: Ownership) -> result.Result[Ownership, errors.RowInvalid]:
+    """Return an ownership whose holdings are valid, or why it must not be applied.
+
+    One that assigns a key to no range or to two is rejected, because otherwise it would
+    be applied as a change of owners.
+    """
+    key = f"ranges/{ownership.service}"
+    if not is_number(ownership.generation):
         return result.Failure(errors.RowInvalid(key, "a value is out of range"))
     next_key = 0
-    for item in holdings:
+    for item in ownership.holdings:
         if item.first != next_key or item.last < item.first:
             return result.Failure(
                 errors.RowInvalid(key, f"no range starts at key {next_key}")
             )
         next_key = item.last + 1
-    if holdings and next_key != model.KEY_SPACE_SIZE:
+    if ownership.holdings and next_key != model.KEY_SPACE_SIZE:
         return result.Failure(
             errors.RowInvalid(key, f"no range contains key {next_key}")
         )
-    return result.Success(Ownership(service, version, generation, holdings))
-
-
-def find_same(by_first: Mapping[int, model.Holding], row: list) -> model.Holding | None:
-    """Return the known range that a row describes, or None if there is none."""
-    item = by_first.get(row[0])
-    return item if item is not None and item == tuple(row) else None
+    return result.Success(ownership)
 
 
 def decode_holding(row: list) -> model.Holding:
--- a/packages/fleet/dewstep_fleet/row_changes_test.py
+++ b/packages/fleet/dewstep_fleet/row_changes_test.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given, strategies
 
-from dewstep_fleet import builders, model, ranges, row_changes
+from dewstep_fleet import builders, model, owner_rows, ranges, row_changes
 
 
 def build_row(version, value):
@@ -24,6 +24,7 @@
     generator = random.Random(1)
     ownership = build_ownership(targets)
     row = build_row(1, ranges.encode(ownership))
+    owner_row = owner_rows.OwnerRow("history")
     for version in range(2, 12):
         first = generator.randrange(model.KEY_SPACE_SIZE - 200)
         transfer = ranges.Transfer(first, first + 100, f"i-{version:08x}", 1)
@@ -34,8 +35,8 @@
         applied = row_changes.apply_change(row, change)
         assert applied.version == version
         assert ranges.pack(applied.value) == changed.value
-        known = ranges.decode("history", 1, row.value).unwrap()
-        decoded = ranges.decode("history", version, applied.value, known).unwrap()
+        owner_row.decode(version - 1, row.value)
+        decoded = owner_row.decode(version, applied.value).unwrap()
         assert decoded == ownership._replace(version=version)
         row = applied
 
