Tell an instance that starts of the departures that answers announced

Cause: a departure that a target announced in an answer was told once, with the next heartbeat. An instance that started or linked later did not know of it while the registration said ready, and sent requests to the target.

Change: the coordinator's answer to the versions of a new link names all such departures; the receiver counts them as announced long ago.

Evidence: test_departure_reaches_an_instance_that_starts_later fails before.

--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -29,6 +29,7 @@
     membership,
     model,
     outstanding,
+    registrations,
     reports,
 )
 
@@ -322,6 +323,25 @@
         await wait_until(lambda: all(has_moved(item) for item in running))
 
 
+# Guards against requests to a target that has announced its departure before an
+# instance started, while its registration still says that it is ready.
+@testing.run_in_event_loop
+async def test_departure_reaches_an_instance_that_starts_later():
+    async with run_fleet("n1", "n2") as harness:
+        await wait_coordinator(harness)
+        for item in harness.running.values():
+            await wait_until(lambda item=item: "b" in item.directory.targets)
+            item.participant.record_departure("b", 1)
+        harness.running["n3"] = RunningInstance(harness, "n3")
+        await harness.running["n3"].start()
+        started = harness.running["n3"].directory
+        await wait_until(
+            lambda: "b" in started.targets and started.targets["b"].leaving
+        )
+        age = started.get_time_since_departure(started.targets["b"])
+        assert age >= registrations.UNKNOWN_DEPARTURE_AGE
+
+
 @testing.run_in_event_loop
 async def test_instances_make_few_store_calls_at_start():
     """Guards against a start where each instance reads every registration."""
--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -179,13 +179,11 @@
             self.registrations.record_store_recovery()
             events.warning("store_restored", era=floor // model.VERSIONS_PER_ERA)
 
-    def record_departure(self, name: str, life: int) -> bool:
-        """Record that a target has announced that it is leaving.
-
-        Its registration may not say so for a long time, or not at all. Returns false if
-        the departure of this incarnation is known.
-        """
-        if not self.registrations.record_departure(name, life):
+    def record_departure(
+        self, name: str, life: int, age: datetime.timedelta = datetime.timedelta()
+    ) -> bool:
+        """Record a departure; as `registrations.Registrations.record_departure`."""
+        if not self.registrations.record_departure(name, life, age):
             return False
         if self.registrations.mark_leaving(name, life):
             self.notify_waiters()
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -158,7 +158,8 @@
     "report": that of the last heartbeat received, or 0 if its `holds_ms` is not
     acknowledged because of a recent vote."""
     departures: tuple[Departure, ...] = ()
-    """Targets whose announcement was first seen since the last message."""
+    """Targets whose announcement was first seen since the last message. In "rows" that
+    answer "versions": all registered targets that an answer has said to be leaving."""
     limits: tuple[Limit, ...] = ()
     """In a "beat" and a "need": the limits that the sender knows. In a "report": those
     that it has observed itself."""
--- a/packages/fleet/dewstep_fleet/news.py
+++ b/packages/fleet/dewstep_fleet/news.py
@@ -18,6 +18,7 @@
     model,
     move_changes,
     ranges,
+    registrations,
     roles,
     row_changes,
 )
@@ -209,7 +210,9 @@
             rows = pack_rows(rows)
         # The next changes of moves are relative to the last news.
         moving = tuple(sorted(self.announced_moves))
-        link.send(self.build(rows)._replace(moving=moving))
+        announced = self.directory.registrations.list_announced()
+        departures = tuple(frames.Departure(*item) for item in announced)
+        link.send(self.build(rows)._replace(moving=moving, departures=departures))
 
     # Receiving.
 
@@ -241,6 +244,9 @@
             else:
                 rows.append(row)
         self.apply_relayed_rows(tuple(rows))
+        for departure in frame.departures:
+            age = registrations.UNKNOWN_DEPARTURE_AGE
+            self.directory.record_departure(*departure, age)
         if misfits:
             events.info("rows_requested", node=frame.node, rows=misfits)
             self.request_rows(link)
--- a/packages/fleet/dewstep_fleet/registrations.py
+++ b/packages/fleet/dewstep_fleet/registrations.py
@@ -85,14 +85,23 @@
 
     # Departures.
 
-    def record_departure(self, name: str, life: int) -> bool:
+    def record_departure(
+        self, name: str, life: int, age: datetime.timedelta = datetime.timedelta()
+    ) -> bool:
         """Record that a target has announced in an answer that it is leaving.
 
         Its registration may not say so for a long time, or not at all. Returns false if
         another answer of this incarnation has said so.
+
+        Parameters
+        ----------
+        name : str
+        life : int
+        age : datetime.timedelta, optional
+            Time since the announcement.
         """
         known = self.departures.get(name)
-        noted_at = self.clock.monotonic()
+        noted_at = self.clock.monotonic() - age
         if known is not None and known.life >= life:
             if known.life > life or known.era is None:
                 return False
@@ -101,6 +110,20 @@
         events.info("target_departing", target=name, life=life)
         return True
 
+    def list_announced(self) -> tuple[tuple[str, int], ...]:
+        """Return the registered targets that an answer has said to be leaving.
+
+        Returns
+        -------
+        tuple of tuple
+            Name and incarnation of each target.
+        """
+        return tuple(
+            (name, departure.life)
+            for name, departure in self.departures.items()
+            if departure.era is None and name in self.targets
+        )
+
     def _add_departure(self, name: str, departure: Departure) -> None:
         if name not in self.departures:
             while len(self.departures) >= MAX_DEPARTURES:
