Decode frames without visiting lists that are absent

Cause: each message was decoded list by list, fourteen of them, of which most are absent; and each message with changes of moves, also an empty one, rebuilt and sorted the list of all moves.

Change: absent lists are skipped; changes of moves touch only their service, and none costs nothing. The wire is unchanged.

--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -4,7 +4,8 @@
 import hashlib
 import pathlib
 import zlib
-from typing import Any, NamedTuple
+from collections.abc import Callable
+from typing import Any, NamedTuple, TypeVar
 
 import capnp
 
@@ -14,6 +15,8 @@
 MAX_UINT16 = 2**16 - 1
 MAX_UINT32 = 2**32 - 1
 
+Item = TypeVar("Item")
+
 schema = capnp.load(str(pathlib.Path(__file__).with_name("fleet.capnp")))
 
 
@@ -316,22 +319,6 @@
         If `content` is not a valid frame.
     """
     message: Any = schema.Frame.from_bytes_packed(content)
-    rows = tuple(
-        model.StoredRow(
-            row.table, row.key, row.version, None if row.removed else bytes(row.value)
-        )
-        for row in message.rows
-    )
-    loads = tuple(
-        Load(
-            load.target,
-            load.running,
-            load.ended,
-            load.busyMicroseconds,
-            load.expectedMicroseconds,
-        )
-        for load in message.loads
-    )
     return Frame(
         message.kind,
         message.term,
@@ -340,73 +327,137 @@
         message.heard,
         message.contact,
         message.members,
-        rows,
-        loads,
-        tuple(
-            Total(target, running, slowness / 100, admitted / 100)
-            for target, running, slowness, admitted in zip(
-                message.totals.targets,
-                message.totals.running,
-                message.totals.slowness,
-                message.totals.admitted,
-                strict=True,
-            )
-        ),
-        decode_spans(message.moving),
-        tuple(KeyCount(item.service, item.key, item.count) for item in message.keys),
-        tuple(
-            Crash(
-                bytes(item.fingerprint),
-                item.count,
-                item.target,
-                item.life,
-                item.sentAgeMs,
-                item.lostAgeMs,
-            )
-            for item in message.crashes
-        ),
+        decode_list(message, "rows", decode_row),
+        decode_list(message, "loads", decode_load),
+        decode_totals(message),
+        decode_list(message, "moving", decode_span),
+        decode_list(message, "keys", decode_key_count),
+        decode_list(message, "crashes", decode_crash),
         message.stopping,
         message.deputy,
-        tuple(zip(message.versions.rows, message.versions.versions, strict=True)),
+        decode_versions(message),
         message.holdsMs,
         message.holdsKnown,
         message.heartbeatMs,
-        tuple(Departure(item.target, item.life) for item in message.departures),
-        tuple(
-            Limit(item.target, item.life, item.rate, item.ageMs)
-            for item in message.limits
-        ),
-        tuple(
-            PermitRequest(item.target, item.life, item.count) for item in message.wanted
-        ),
-        tuple(
-            Permits(item.target, item.count, item.waitMs) for item in message.permits
-        ),
+        decode_list(message, "departures", decode_departure),
+        decode_list(message, "limits", decode_limit),
+        decode_list(message, "wanted", decode_permit_request),
+        decode_list(message, "permits", decode_permits),
         message.reachesTargets,
         message.askedMs,
-        tuple(
-            row_changes.RowChange(
-                item.table,
-                item.key,
-                item.base,
-                item.version,
-                tuple(bytes(piece) for piece in item.pieces),
-                item.checksum,
-            )
-            for item in message.changes
-        ),
+        decode_list(message, "changes", decode_row_change),
         message.acceptsChanges,
         message.ageMs,
         message.movesKept,
-        decode_spans(message.begun),
-        decode_spans(message.ended),
+        decode_list(message, "begun", decode_span),
+        decode_list(message, "ended", decode_span),
         message.acceptsMoves,
     )
 
 
-def decode_spans(spans: Any) -> tuple[Span, ...]:
-    """Return the spans in a list of a message."""
-    return tuple(Span(item.service, item.first, item.last) for item in spans)
+def decode_list(
+    message: Any, name: str, decode_item: Callable[[Any], Item]
+) -> tuple[Item, ...]:
+    """Return the decoded items of a list; most lists of a message are absent."""
+    if not message._has(name):
+        return ()
+    return tuple(map(decode_item, getattr(message, name)))
+
+
+def decode_row(item: Any) -> model.StoredRow:
+    """Return a row of the store."""
+    value = None if item.removed else bytes(item.value)
+    return model.StoredRow(item.table, item.key, item.version, value)
+
+
+def decode_load(item: Any) -> Load:
+    """Return the requests of an instance at a target."""
+    return Load(
+        item.target,
+        item.running,
+        item.ended,
+        item.busyMicroseconds,
+        item.expectedMicroseconds,
+    )
+
+
+def decode_totals(message: Any) -> tuple[Total, ...]:
+    """Return the requests of all instances at each target."""
+    if not message._has("totals"):
+        return ()
+    totals = message.totals
+    return tuple(
+        Total(target, running, slowness / 100, admitted / 100)
+        for target, running, slowness, admitted in zip(
+            totals.targets,
+            totals.running,
+            totals.slowness,
+            totals.admitted,
+            strict=True,
+        )
+    )
+
+
+def decode_versions(message: Any) -> tuple[tuple[int, int], ...]:
+    """Return the hash and the version of each row that the sender has."""
+    if not message._has("versions"):
+        return ()
+    versions = message.versions
+    return tuple(zip(versions.rows, versions.versions, strict=True))
+
+
+def decode_span(item: Any) -> Span:
+    """Return a range that is being moved."""
+    return Span(item.service, item.first, item.last)
+
+
+def decode_key_count(item: Any) -> KeyCount:
+    """Return the requests for one key."""
+    return KeyCount(item.service, item.key, item.count)
+
+
+def decode_crash(item: Any) -> Crash:
+    """Return a suspected crash, or a count of crashes."""
+    return Crash(
+        bytes(item.fingerprint),
+        item.count,
+        item.target,
+        item.life,
+        item.sentAgeMs,
+        item.lostAgeMs,
+    )
+
+
+def decode_departure(item: Any) -> Departure:
+    """Return a target's departure."""
+    return Departure(item.target, item.life)
+
+
+def decode_limit(item: Any) -> Limit:
+    """Return a limit that a target has named."""
+    return Limit(item.target, item.life, item.rate, item.ageMs)
+
+
+def decode_permit_request(item: Any) -> PermitRequest:
+    """Return a question for permits."""
+    return PermitRequest(item.target, item.life, item.count)
+
+
+def decode_permits(item: Any) -> Permits:
+    """Return permits that were issued."""
+    return Permits(item.target, item.count, item.waitMs)
+
+
+def decode_row_change(item: Any) -> row_changes.RowChange:
+    """Return the difference between two versions of a row."""
+    return row_changes.RowChange(
+        item.table,
+        item.key,
+        item.base,
+        item.version,
+        tuple(map(bytes, item.pieces)),
+        item.checksum,
+    )
 
 
 def to_milliseconds(duration: datetime.timedelta) -> int:
--- a/packages/fleet/dewstep_fleet/move_changes.py
+++ b/packages/fleet/dewstep_fleet/move_changes.py
@@ -49,5 +49,19 @@
 
 def apply(moving: Moving, changes: MoveChanges) -> Moving:
     """Return the moves after a change; applying one again has no effect."""
-    spans = set(list_spans(moving)) - set(changes.ended) | set(changes.begun)
-    return group_spans(sorted(spans))
+    if not changes.begun and not changes.ended:
+        return moving
+    changed = dict(moving)
+    for service in {span.service for span in (*changes.begun, *changes.ended)}:
+        spans = set(moving.get(service, ()))
+        spans -= list_keys(service, changes.ended)
+        spans |= list_keys(service, changes.begun)
+        changed[service] = tuple(sorted(spans))
+        if not spans:
+            del changed[service]
+    return changed
+
+
+def list_keys(service: str, spans: Iterable[frames.Span]) -> set[tuple[int, int]]:
+    """Return the first and last keys of the ranges of a service."""
+    return {(span.first, span.last) for span in spans if span.service == service}
