Send news at most each 300 us times the members

Cause: with 84 members, news were sent up to 119 times a second, and each instance applied each version of the owners for itself.

Change: the interval is 25 ms with 84 members, before 8 ms. A caller's request may wait that much longer for a key that moves.

--- a/packages/fleet/dewstep_fleet/news.py
+++ b/packages/fleet/dewstep_fleet/news.py
@@ -23,9 +23,9 @@
     row_changes,
 )
 
-NEWS_INTERVAL_PER_MEMBER = datetime.timedelta(microseconds=100)
+NEWS_INTERVAL_PER_MEMBER = datetime.timedelta(microseconds=300)
 """Minimum interval between news in proportion to the members, to each of which news are
-sent: 20 ms with 200. Changes in between are sent together."""
+sent: 60 ms with 200. Changes in between are sent together."""
 PAUSE = datetime.timedelta(milliseconds=20)
 """Time after which it is checked again whether links have sent the last news."""
 MAX_PAUSE = datetime.timedelta(milliseconds=500)
