Split the dispatcher into planning, search, attempts and their parts

Methods are moved with their text; what they call is reached through the part that has it. Behaviour is unchanged; tests only name the parts, and one sets the clock of all parts.

Evidence: tests of packages/fleet and platform pass (known red passed over).

--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -19,7 +19,9 @@
     load_counts,
     model,
     ranges,
+    refusals,
     request_limits,
+    request_plans,
 )
 
 HEADER_NAMES = model.HeaderNames(b"x-id", b"x-deadline", b"x-target", b"x-key", b"x-n")
@@ -142,7 +144,21 @@
             random.Random(1),
             lambda service, key: self.keys.append((service, key)),
         )
-        self.dispatcher.get_pool = lambda service, target: FakePool(self, target.name)
+        self.dispatcher.pools.get = lambda service, target: FakePool(self, target.name)
+
+    def use_clock(self, clock):
+        """Let all parts of the dispatcher use another clock."""
+        self.clock = clock
+        dispatcher = self.dispatcher
+        for part in (
+            dispatcher,
+            dispatcher.planner,
+            dispatcher.search,
+            dispatcher.refuser,
+            dispatcher.stop,
+            dispatcher.attempts,
+        ):
+            part.clock = clock
 
     def record_crash(self, fingerprint, life=1):
         """Record the loss of a target that has just received a request."""
@@ -271,7 +287,7 @@
     route = builders.build_route(prefix="/new/")
     harness.newer_table = builders.build_table(route, version=2, keyed=False)
     request = harness.build_request("/new/x", body=b"x", method="POST")
-    harness.clock.advance(dispatch.MAX_START_WAIT * 2)
+    harness.clock.advance(request_plans.MAX_START_WAIT * 2)
     answer = asyncio.run(harness.dispatcher.handle(request)).unwrap()
     assert answer.status == 200 and harness.questions == 1
 
@@ -373,7 +389,7 @@
     ("value", "key"), [(b"0", 0), (b"007", 7), (b"0" * 5_000 + b"7", 7)]
 )
 def test_key_may_have_leading_zeros(value, key):
-    assert dispatch.read_key(value) == key
+    assert request_plans.read_key(value) == key
 
 
 @pytest.mark.parametrize("value", [b"", b"x", b"-1", b"65536", b"9" * 5_000])
@@ -408,7 +424,7 @@
 def test_request_is_not_resent_to_an_owner_without_the_key():
     # Guards against resends that use up the retry budget of a service.
     harness = Harness(misdirected, 200, keyed=True)
-    harness.clock = harness.dispatcher.clock = clocks.SystemClock()
+    harness.use_clock(clocks.SystemClock())
     answer = harness.send(headers=((b"x-key", b"70"),))
     assert answer.status == 503 and len(harness.sent) == 1
 
@@ -434,7 +450,9 @@
     # Guards against a request that crashes every target that runs it.
     harness = Harness(lost, 200, targets="a")
     harness.send()
-    fingerprint = dispatch.compute_fingerprint(harness.build_request(), "h.example")
+    fingerprint = request_plans.compute_fingerprint(
+        harness.build_request(), "h.example"
+    )
     for life in range(crash_counts.MAX_LOSSES_BEFORE_QUARANTINE):
         harness.record_crash(fingerprint, life)
         harness.clock.advance(crash_counts.MIN_SEPARATION)
@@ -449,7 +467,9 @@
 # Guards against DENIED: requests that a target completes were refused for ever.
 def test_completed_request_is_not_suspected():
     harness = Harness(200, targets="a")
-    fingerprint = dispatch.compute_fingerprint(harness.build_request(), "h.example")
+    fingerprint = request_plans.compute_fingerprint(
+        harness.build_request(), "h.example"
+    )
     harness.record_crash(fingerprint)
     harness.send()
     assert not harness.count_crashes(fingerprint)
@@ -469,11 +489,11 @@
 # Guards against DENIED: a large popular answer did not clear its request.
 def test_request_with_a_streamed_answer_is_cleared_at_its_end():
     harness = Harness(targets="a")
-    harness.dispatcher.get_pool = lambda service, target: StreamingPool(
+    harness.dispatcher.pools.get = lambda service, target: StreamingPool(
         harness, target.name
     )
     request = harness.build_request()
-    fingerprint = dispatch.compute_fingerprint(request, "h.example")
+    fingerprint = request_plans.compute_fingerprint(request, "h.example")
     harness.record_crash(fingerprint)
 
     async def read():
@@ -497,7 +517,7 @@
         (request, "other.example"),
         (request, "h.example"),
     ]
-    assert len({dispatch.compute_fingerprint(*other) for other in others}) == 5
+    assert len({request_plans.compute_fingerprint(*other) for other in others}) == 5
 
 
 def test_deadline_of_the_target_is_the_remaining_time():
@@ -515,8 +535,8 @@
 def test_retry_time_lies_within_the_remaining_time():
     second = builders.SECOND
     failure = errors.QueueFull("t", 9 * second)
-    assert dispatch.choose_retry_after(failure, second, 0.5) <= second / 3
-    assert dispatch.choose_retry_after(failure, -second, 0.5) == datetime.timedelta()
+    assert refusals.choose_retry_after(failure, second, 0.5) <= second / 3
+    assert refusals.choose_retry_after(failure, -second, 0.5) == datetime.timedelta()
 
 
 def test_disconnect_cancels_only_idempotent_requests():
@@ -635,12 +655,12 @@
 ):
     harness = Harness()
     dispatcher = harness.dispatcher
-    del dispatcher.get_pool
+    del dispatcher.pools.get
     service = model.Service("history", max_connections, False)
     target = builders.build_target("a")
 
     async def find_limit():
-        return dispatcher.get_pool(service, target).opening_state.limit
+        return dispatcher.pools.get(service, target).opening_state.limit
 
     # The number of instances becomes known after the first connections.
     asyncio.run(find_limit())
--- a/packages/fleet/dewstep_fleet/endless_answers_test.py
+++ b/packages/fleet/dewstep_fleet/endless_answers_test.py
@@ -42,8 +42,9 @@
     harness = dispatch_test.Harness(
         targets="", timeout=3 * builders.SECOND, latency_objective=None, **route
     )
-    del harness.dispatcher.get_pool
-    harness.dispatcher.answer_rules = RULES
+    del harness.dispatcher.pools.get
+    harness.dispatcher.attempts.answer_rules = RULES
+    harness.dispatcher.pools.answer_rules = RULES
     targets = [
         builders.build_target(name, host=server.address.host, port=server.address.port)
         for name, server in zip("ab", servers, strict=False)
@@ -69,7 +70,7 @@
 def prefer_first_target(harness):
     """Make the dispatcher choose the target "a" first."""
     harness.counts.begin_request("b")
-    harness.dispatcher.random = random.Random(1)
+    harness.dispatcher.search.random = random.Random(1)
 
 
 @pytest.mark.parametrize("name", IDEMPOTENT_PATTERNS)
--- a/packages/fleet/dewstep_fleet/leaving_targets_test.py
+++ b/packages/fleet/dewstep_fleet/leaving_targets_test.py
@@ -216,7 +216,7 @@
 @pytest.mark.parametrize("keyed", [True, False])
 def test_request_that_waited_is_not_sent_after_the_drain_time(keyed):
     harness = build_instance(200, keyed=keyed)
-    make_pool = harness.dispatcher.get_pool
+    make_pool = harness.dispatcher.pools.get
 
     def wait_for_connection(service, target):
         if target.name == "a":
@@ -224,7 +224,7 @@
             harness.clock.advance(DRAIN_TIME / 2)
         return make_pool(service, target)
 
-    harness.dispatcher.get_pool = wait_for_connection
+    harness.dispatcher.pools.get = wait_for_connection
     if not keyed:
         gone = builders.build_row(model.TABLES.targets, "b", 7, None)
         harness.directory.apply_rows([gone])
--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -146,7 +146,7 @@
             instance.member.node,
             on_refusal=functools.partial(self.record_refusal, "callers"),
             choose_refusal=self.choose_refusal,
-            prepare_parallel=self.dispatcher.prepare_parallel,
+            prepare_parallel=self.dispatcher.planner.prepare_parallel,
         )
         self.relay_receiver = relaying.RelayReceiver(
             instance.member.node, self.dispatcher
@@ -234,7 +234,7 @@
                 cut_off = not cut_off
                 events.warning("cut_off", cut_off=cut_off)
                 if cut_off:
-                    self.dispatcher.retire_pools()
+                    self.dispatcher.pools.retire()
 
     async def reload_periodically(self) -> None:
         """Reload the settings at regular intervals, until cancelled."""
@@ -275,7 +275,7 @@
         schedule = stop_schedule.plan_stop(began, abort_at, BALANCER_REMOVAL_TIME)
         self.stopping = True
         self.participant.stopping = True
-        self.dispatcher.stop_schedule = schedule
+        self.dispatcher.stop.schedule = schedule
         self.listener.close_after_answer = True
         self.relay_listener.close_after_answer = True
         events.info("stopping", in_progress=self.dispatcher.in_progress)
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/refusals.py
@@ -0,0 +1,133 @@
+"""Answers to requests that are refused, and when their callers should retry."""
+
+import datetime
+import random
+from typing import Any
+
+from dewstep_core import clocks, data, errors, events
+from dewstep_entry import failures
+from dewstep_fleet import (
+    answers,
+    coordination,
+    directories,
+    load_counts,
+    model,
+    request_plans,
+)
+
+BASE_RETRY_AFTER = datetime.timedelta(milliseconds=300)
+"""Base of the retry time of a refused request: about one service time, in which each
+target frees a slot."""
+
+
+class Refuser:
+    """Builds and logs the answers to refused requests.
+
+    Parameters
+    ----------
+    directory : directories.Directory
+    loads : load_counts.Loads
+        Knows the pauses of targets.
+    participant : coordination.FleetParticipant
+    clock : clocks.Clock
+    generator : random.Random
+        Spreads retries over time.
+    """
+
+    def __init__(
+        self,
+        directory: directories.Directory,
+        loads: load_counts.Loads,
+        participant: coordination.FleetParticipant,
+        clock: clocks.Clock,
+        generator: random.Random,
+    ):
+        self.directory = directory
+        self.loads = loads
+        self.participant = participant
+        self.clock = clock
+        self.random = generator
+
+    def find_pause_failure(
+        self, plan: request_plans.PlannedRequest, failure: Any
+    ) -> Any:
+        """Return the failure to report: the owner's pause if it has asked for one."""
+        if plan.key is None or not isinstance(failure, errors.TargetRefused):
+            return failure
+        now = self.clock.monotonic().total_seconds()
+        pause_left = self.loads.get_pause_left(failure.target, now)
+        return (
+            build_pause_failure(failure.target, pause_left) if pause_left else failure
+        )
+
+    def refuse(
+        self,
+        request: model.IncomingRequest,
+        failure: Any,
+        plan: request_plans.PlannedRequest | None,
+    ) -> data.Answer:
+        """Return the answer for a request that failed, and log the reason."""
+        retry_after = BASE_RETRY_AFTER * (1 + self.random.random() / 2)
+        if plan is not None:
+            time_left = plan.due_at - self.clock.monotonic()
+            failure = self.find_pause_failure(plan, failure)
+            retry_after = choose_retry_after(failure, time_left, self.random.random())
+            if isinstance(failure, errors.DeadlineExceeded) and plan.due_by_timeout:
+                retry_after = None
+        answer = answers.build_answer(failure, retry_after)
+        table = self.directory.routes
+        events.info(
+            "refused",
+            request_id=request.request_id,
+            status=answer.status,
+            failure=failure,
+            route=plan.route.name if plan is not None else "",
+            service=plan.service.name if plan is not None else "",
+            key=plan.key if plan is not None else None,
+            held_ms=round(
+                (self.clock.monotonic() - request.arrived_at).total_seconds() * 1000
+            ),
+            retry_after_ms=round(retry_after.total_seconds() * 1000)
+            if retry_after
+            else None,
+            configuration=table.version if table is not None else None,
+            configuration_age=self.participant.configuration_checks.get_age(),
+        )
+        return answer
+
+
+def build_pause_failure(target: str, seconds: float) -> errors.TargetPaused:
+    """Return the failure of a request that a target's pause prevents."""
+    return errors.TargetPaused(target, datetime.timedelta(seconds=seconds))
+
+
+def choose_failure(earlier: Any, failure: Any) -> Any:
+    """Return the failure to report.
+
+    This is the first one after which the request may have run, or else the latest one.
+    """
+    if earlier is None:
+        return failure
+    return earlier if failures.find_rule(earlier).outcome != errors.NOT_RUN else failure
+
+
+def choose_retry_after(
+    failure: Any, time_left: datetime.timedelta, jitter: float
+) -> datetime.timedelta:
+    """Return the time after which a caller should retry.
+
+    It is within the caller's remaining time, except after a target's pause.
+
+    Parameters
+    ----------
+    failure : tuple
+    time_left : datetime.timedelta
+        Time until an answer is due.
+    jitter : float
+        Random number from 0 to 1, which spreads the retries over time.
+    """
+    if isinstance(failure, errors.TargetPaused):
+        # An earlier retry would be refused again.
+        return failure.retry_after * (1 + jitter / 2)
+    base = max(getattr(failure, "retry_after", BASE_RETRY_AFTER), BASE_RETRY_AFTER / 2)
+    return min(base * (1 + jitter / 2), max(time_left / 3, datetime.timedelta()))
--- a/packages/fleet/dewstep_fleet/relaying_test.py
+++ b/packages/fleet/dewstep_fleet/relaying_test.py
@@ -644,7 +644,7 @@
 ):
     harness = dispatch_test.Harness(200)
     now = harness.clock.monotonic()
-    harness.dispatcher.stop_schedule = stop_schedule.plan_stop(
+    harness.dispatcher.stop.schedule = stop_schedule.plan_stop(
         now, now + abort_after * SECOND, SECOND
     )
     harness.clock.advance(SECOND / 10)
--- a/packages/fleet/dewstep_fleet/stopping_test.py
+++ b/packages/fleet/dewstep_fleet/stopping_test.py
@@ -16,7 +16,7 @@
 def begin_stop(harness):
     """Begin a planned stop."""
     now = harness.clock.monotonic()
-    harness.dispatcher.stop_schedule = stop_schedule.plan_stop(
+    harness.dispatcher.stop.schedule = stop_schedule.plan_stop(
         now, now + ABORT_AFTER * SECOND, 2.5 * SECOND
     )
 
@@ -106,7 +106,9 @@
             harness.clock.advance(0.3 * SECOND)
             return await super().send(*arguments)
 
-    harness.dispatcher.get_pool = lambda service, target: SlowPool(harness, target.name)
+    harness.dispatcher.pools.get = lambda service, target: SlowPool(
+        harness, target.name
+    )
     check_refusal(harness.send())
     assert not harness.sent
 
@@ -124,7 +126,9 @@
             harness.clock.advance(SECOND)
             return outcome
 
-    harness.dispatcher.get_pool = lambda service, target: SlowPool(harness, target.name)
+    harness.dispatcher.pools.get = lambda service, target: SlowPool(
+        harness, target.name
+    )
     answer = harness.send()
     assert answer.status == 502 and answer.failure == "ConnectionLost"
     assert len(harness.sent) == 1
@@ -142,7 +146,9 @@
             harness.clock.advance(SECOND)
             return outcome
 
-    harness.dispatcher.get_pool = lambda service, target: SlowPool(harness, target.name)
+    harness.dispatcher.pools.get = lambda service, target: SlowPool(
+        harness, target.name
+    )
     check_refusal(harness.send())
     assert len(harness.sent) == 1
 
@@ -173,7 +179,7 @@
         def refuse_waiting(self, failure):
             refused.append(failure)
 
-    harness.dispatcher.pools["t"] = Pool()
+    harness.dispatcher.pools.by_target["t"] = Pool()
     harness.dispatcher.relay.pools["n2"] = Pool()
     harness.dispatcher.refuse_waiting()
     assert refused == [errors.Stopping("n1")] * 2
--- a/packages/fleet/dewstep_fleet/target_limits_test.py
+++ b/packages/fleet/dewstep_fleet/target_limits_test.py
@@ -84,13 +84,13 @@
 # without a permit after a wait for a connection.
 def test_waiting_request_needs_a_permit_once_the_limit_is_known():
     harness = dispatch_test.Harness(200, targets="a")
-    get_pool = harness.dispatcher.get_pool
+    get_pool = harness.dispatcher.pools.get
 
     def name_limit_first(service, target):
         name_limit(harness)
         return get_pool(service, target)
 
-    harness.dispatcher.get_pool = name_limit_first
+    harness.dispatcher.pools.get = name_limit_first
     assert harness.send().status == 503
     assert not harness.sent
 
--- a/packages/fleet/dewstep_fleet/target_notices_test.py
+++ b/packages/fleet/dewstep_fleet/target_notices_test.py
@@ -19,7 +19,7 @@
 def give_notice(harness, target, notice, life=1):
     """Let an instance receive an answer with a notice."""
     described = builders.build_target(target, life=life)
-    harness.dispatcher.receive_notice(described, notice)
+    harness.dispatcher.pools.receive_notice(described, notice)
 
 
 def assign(harness, owner):
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/target_search.py
@@ -0,0 +1,255 @@
+"""Finds the target to which a request should be sent.
+
+For a request with a key, that is the key's owner; for any other, the target with the
+shortest expected completion time. A request that the target cannot serve in time is
+refused at once.
+"""
+
+import datetime
+import random
+from collections.abc import Iterable
+from typing import Any
+
+from returns import result
+
+from dewstep_core import clocks, errors
+from dewstep_fleet import (
+    budgets,
+    coordination,
+    directories,
+    load_counts,
+    membership,
+    model,
+    refusals,
+    request_plans,
+    selection,
+)
+
+MAX_MOVE_WAIT = datetime.timedelta(milliseconds=600)
+"""Maximum wait for a key in a planned move. The owner first finishes its queued and
+running requests, which takes about two service times."""
+MAX_OWNER_CHANGE_WAIT = datetime.timedelta(milliseconds=100)
+"""Maximum wait for a new owner after a key's owner failed; changes arrive in a few
+ms."""
+DRAIN_MARGIN = datetime.timedelta(milliseconds=300)
+"""Part of the drain time for reading of a target's departure and for the way of the
+last request, of which a lost packet is retransmitted after 200 ms."""
+MAX_REQUESTS_PER_SLOT = 4
+"""Requests per slot from which on a target counts as full; targets queue three or four
+for each slot."""
+TYPICAL_ANSWER_BYTES = 5_000
+"""Typical size of an answer, used to choose a target."""
+
+
+class TargetSearch:
+    """Finds targets by what this instance knows of owners and loads.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of this instance.
+    directory : directories.Directory
+    loads : load_counts.Loads
+    retry_budgets : budgets.Budgets
+        Knows the drain time of targets.
+    participant : coordination.FleetParticipant
+    planner : request_plans.Planner
+        Knows the priorities of the routes to a service.
+    clock : clocks.Clock
+    generator : random.Random
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        directory: directories.Directory,
+        loads: load_counts.Loads,
+        retry_budgets: budgets.Budgets,
+        participant: coordination.FleetParticipant,
+        planner: request_plans.Planner,
+        clock: clocks.Clock,
+        generator: random.Random,
+    ):
+        self.data_centre = data_centre
+        self.directory = directory
+        self.loads = loads
+        self.retry_budgets = retry_budgets
+        self.participant = participant
+        self.planner = planner
+        self.clock = clock
+        self.random = generator
+
+    async def find_target(
+        self, plan: request_plans.PlannedRequest, tried: frozenset[str]
+    ) -> result.Result[selection.Choice, Any]:
+        """Return the target to which the request should be sent."""
+        if plan.key is not None:
+            return await self.find_owner(plan)
+        targets = self.directory.targets_by_service.get(plan.service.name, ())
+        now = self.clock.monotonic().total_seconds()
+        body = plan.request.body_length or len(plan.request.body.start)
+        choice = selection.choose_target(
+            targets,
+            self.loads,
+            now,
+            self.data_centre,
+            body + TYPICAL_ANSWER_BYTES,
+            self.random,
+            tried | self.participant.limits.find_exhausted(),
+            plan.route.name,
+        )
+        if choice is None:
+            return result.Failure(self.find_shortest_refusal(plan, targets, tried))
+        return self.check_admission(plan, choice)
+
+    def find_shortest_refusal(
+        self,
+        plan: request_plans.PlannedRequest,
+        targets: Iterable[model.Target],
+        tried: frozenset[str],
+    ) -> Any:
+        """Return the failure of a request for which no target is available.
+
+        This is the pause or the limit of the target that accepts requests first.
+        """
+        now = self.clock.monotonic().total_seconds()
+        found = self.participant.limits.find_refusals(targets)
+        pause = selection.find_shortest_pause(targets, self.loads, now, tried)
+        if pause is not None:
+            found.append(refusals.build_pause_failure(*pause))
+        if not found:
+            return errors.NotReady(plan.service.name)
+        return min(found, key=lambda refusal: refusal.retry_after)
+
+    async def find_owner(
+        self, plan: request_plans.PlannedRequest
+    ) -> result.Result[selection.Choice, Any]:
+        """Return the owner of the key, after a short wait if the key is being moved."""
+        service, key = plan.service.name, plan.key
+        began = self.clock.monotonic()
+        while True:
+            change_count = self.directory.change_count
+            ownership = self.directory.ownerships.get(service)
+            holding = ownership.find(key) if ownership is not None else None
+            moving = self.directory.is_moving(service, key)
+            target = self.directory.targets.get(holding.target) if holding else None
+            if holding is not None and not moving and target is not None:
+                registered = target.life == holding.life and target.service == service
+                if registered and not self.has_departed(target):
+                    break
+                moving = True
+            waited = self.clock.monotonic() - began
+            max_wait = min(MAX_MOVE_WAIT, (plan.due_at - began) / 4)
+            if waited >= max_wait:
+                if holding is None:
+                    return result.Failure(errors.NotReady(f"owner of {key}"))
+                owner = holding.target
+                return result.Failure(errors.NotTheOwner(owner, ownership.version))
+            await self.directory.wait_change(
+                change_count, (max_wait - waited).total_seconds()
+            )
+        now = self.clock.monotonic().total_seconds()
+        estimate = self.loads.estimate(
+            service, target.name, now, target.slots, plan.route.name
+        )
+        if estimate.blocked:
+            failure = errors.TargetUnavailable(target.name, "unreachable a moment ago")
+            return result.Failure(failure)
+        if estimate.pause_left:
+            failure = refusals.build_pause_failure(target.name, estimate.pause_left)
+            return result.Failure(failure)
+        wait = selection.estimate_wait(estimate, target.slots)
+        if self.exceeds_admitted_fraction(plan, target, estimate):
+            retry_after = datetime.timedelta(seconds=wait / 2)
+            admitted_percent = round(estimate.admitted * 100)
+            failure = errors.DemandExceeded(target.name, admitted_percent, retry_after)
+            return result.Failure(failure)
+        return self.check_admission(plan, selection.Choice(target, estimate, wait))
+
+    def find_holding(
+        self, plan: request_plans.PlannedRequest
+    ) -> tuple[model.Holding | None, bool]:
+        """Return the range with a request's key, and whether it is being moved."""
+        service = plan.service.name
+        ownership = self.directory.ownerships.get(service)
+        holding = ownership.find(plan.key) if ownership is not None else None
+        return holding, self.directory.is_moving(service, plan.key)
+
+    def get_owner_version(self, plan: request_plans.PlannedRequest) -> int:
+        """Return the version of the ownership row used, or 0 without a key."""
+        ownership = self.directory.ownerships.get(plan.service.name)
+        return (
+            ownership.version if ownership is not None and plan.key is not None else 0
+        )
+
+    async def wait_owner_change(
+        self, plan: request_plans.PlannedRequest, failure: Any
+    ) -> bool:
+        """Wait briefly for a new owner after a key's owner failed.
+
+        Returns false if the request should not be resent. An owner that rejected the
+        request would reject it again, which would only use up the retry budget.
+        """
+        time_left = (plan.due_at - self.clock.monotonic()) / 4
+        end = self.clock.monotonic() + min(time_left, MAX_OWNER_CHANGE_WAIT)
+        previous = self.find_holding(plan)
+        while self.find_holding(plan) == previous:
+            wait_s = (end - self.clock.monotonic()).total_seconds()
+            if wait_s <= 0:
+                return not isinstance(failure, errors.TargetRefused)
+            await self.directory.wait_change(self.directory.change_count, wait_s)
+        return True
+
+    def has_departed(self, target: model.Target) -> bool:
+        """Whether a target has been leaving for too long to receive requests.
+
+        The drain time counts from the announcement, of which an instance may learn as
+        late as it takes to notice that there is no news.
+        """
+        elapsed = self.directory.get_time_since_departure(target)
+        reserved = membership.DIRECT_READ_TIMEOUT + DRAIN_MARGIN
+        limit = self.retry_budgets.timing.drain_time - reserved
+        return elapsed is not None and elapsed >= limit
+
+    def exceeds_admitted_fraction(
+        self,
+        plan: request_plans.PlannedRequest,
+        target: model.Target,
+        estimate: load_counts.Estimate,
+    ) -> bool:
+        """Whether to refuse a request because it exceeds what a busy owner can serve.
+
+        Only requests of the service's lowest priority are refused.
+        """
+        if estimate.admitted >= 1 or estimate.running < target.slots:
+            return False
+        if plan.route.priority < self.planner.lowest_priorities.get(
+            plan.service.name, 0
+        ):
+            return False
+        return self.random.random() > estimate.admitted
+
+    def check_admission(
+        self, plan: request_plans.PlannedRequest, choice: selection.Choice
+    ) -> result.Result[selection.Choice, Any]:
+        """Refuse the request if the target cannot finish it in time."""
+        estimate = choice.estimate
+        now = self.clock.monotonic()
+        time_left = (plan.due_at - now).total_seconds()
+        latency_objective = plan.route.latency_objective
+        if estimate.overloaded and latency_objective is not None:
+            # All slots stay busy anyway. A short queue then serves as many requests as
+            # a long one, but each of them in time.
+            time_left = min(
+                time_left,
+                max(latency_objective.total_seconds(), estimate.service * 1.3),
+            )
+        if estimate.running >= choice.target.slots * MAX_REQUESTS_PER_SLOT:
+            retry_after = datetime.timedelta(seconds=choice.wait / 2)
+            return result.Failure(errors.QueueFull(choice.target.name, retry_after))
+        if choice.wait + estimate.service * 0.8 > time_left:
+            retry_after = datetime.timedelta(seconds=choice.wait / 2)
+            return result.Failure(
+                errors.DeadlineUnreachable(choice.target.name, retry_after)
+            )
+        return result.Success(choice)
--- a/packages/fleet/dewstep_fleet/telemetry.py
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -107,7 +107,8 @@
         "requests_in_progress": process.dispatcher.in_progress,
         "caller_connections": len(process.listener.connections),
         "target_connections": sum(
-            len(pool.open_connections) for pool in process.dispatcher.pools.values()
+            len(pool.open_connections)
+            for pool in process.dispatcher.pools.by_target.values()
         ),
         "targets": len(process.directory.targets),
         "leaving_owners": count_leaving_owners(process.directory),
