Tell an instance that starts of the counts of losses

A request that crashes its targets was sent again by an instance that had started after the third loss.

Cause: counts were sent once, with the heartbeat after a change.

Change: the coordinator's answer to the versions of a new link contains all counts, beside the departures.

Evidence: test_counts_of_losses_reach_an_instance_that_starts_later fails before.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -154,8 +154,14 @@
             self.drop_link,
             self.forget_member,
         )
+        self.losses = loss_reports.LossReports(self.role, directory, clock)
         self.news = news.News(
-            self.role, directory, clock, self.member_links, self.followers.is_healthy
+            self.role,
+            directory,
+            clock,
+            self.member_links,
+            self.losses,
+            self.followers.is_healthy,
         )
         self.granter = granting.Granter(
             directory,
@@ -196,7 +202,6 @@
         self.registration = registration.Registration(
             own_member, directory, store_feeds, store, clock, generator, self.tasks
         )
-        self.losses = loss_reports.LossReports(self.role, directory, clock)
         self.permit_questions = permit_questions.PermitQuestions(
             self.role,
             self.membership,
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -342,6 +342,30 @@
         assert age >= registrations.UNKNOWN_DEPARTURE_AGE
 
 
+# Guards against a request that crashes its targets and is sent again by an instance
+# that has started since.
+@testing.run_in_event_loop
+async def test_counts_of_losses_reach_an_instance_that_starts_later():
+    async with run_fleet("n1", "n2") as harness:
+        leader = harness.running[await wait_coordinator(harness)]
+        for number in range(3):
+            lost_at = leader.clock.monotonic() - (3 - number) * 2 * builders.SECOND
+            loss = crash_counts.Loss(f"t{number}", 1, lost_at, lost_at)
+            leader.participant.record_crash(b"request", loss)
+
+        def is_known():
+            now = leader.clock.monotonic()
+            return all(
+                item.participant.crash_counts.is_quarantined(b"request", now)
+                for item in harness.running.values()
+            )
+
+        await wait_until(is_known)
+        harness.running["n3"] = RunningInstance(harness, "n3")
+        await harness.running["n3"].start()
+        await wait_until(is_known)
+
+
 @testing.run_in_event_loop
 async def test_instances_make_few_store_calls_at_start():
     """Guards against a start where each instance reads every registration."""
--- a/packages/fleet/dewstep_fleet/crash_counts.py
+++ b/packages/fleet/dewstep_fleet/crash_counts.py
@@ -98,6 +98,14 @@
             self._count(suspect, now) >= losses for suspect in self.suspects.values()
         )
 
+    def list_counts(self, now: datetime.timedelta) -> list[tuple[bytes, int]]:
+        """Return the suspected requests with the number of their separate losses."""
+        counts = [
+            (fingerprint, self._count(suspect, now))
+            for fingerprint, suspect in self.suspects.items()
+        ]
+        return [(fingerprint, count) for fingerprint, count in counts if count]
+
     def add(self, fingerprint: bytes, loss: Loss, now: datetime.timedelta) -> bool:
         """Record a report of a loss; return whether the count has changed."""
         suspect = self._get_suspect(fingerprint)
--- a/packages/fleet/dewstep_fleet/loss_reports.py
+++ b/packages/fleet/dewstep_fleet/loss_reports.py
@@ -1,13 +1,14 @@
 """Crashes and departures of targets, of which the instances tell one another.
 
 A member sends what it has observed with its next report. The coordinator sends the
-counts of crashes, and the departures, to all members with its next heartbeat.
+counts of crashes, and the departures, to all members with its next heartbeat, and to a
+member that links later with the rows that it lacks.
 """
 
 import datetime
 
 from dewstep_core import clocks, events
-from dewstep_fleet import crash_counts, directories, frames, roles
+from dewstep_fleet import crash_counts, directories, frames, registrations, roles
 
 
 class LossReports:
@@ -68,6 +69,25 @@
         cleared = [frames.Crash(item, 0) for item, count in counts.items() if not count]
         return (*reports, *cleared)
 
+    def list_known(
+        self,
+    ) -> tuple[tuple[frames.Crash, ...], tuple[frames.Departure, ...]]:
+        """Return all counts and departures, for a member that has just linked."""
+        counts = self.crash_counts.list_counts(self.clock.monotonic())
+        announced = self.directory.registrations.list_announced()
+        return (
+            tuple(frames.Crash(*item) for item in counts),
+            tuple(frames.Departure(*item) for item in announced),
+        )
+
+    def receive_known(self, frame: frames.Frame, now: datetime.timedelta) -> None:
+        """Take over the counts and departures of before this instance linked."""
+        for crash in frame.crashes:
+            self.crash_counts.apply(crash.fingerprint, crash.count, now)
+        for departure in frame.departures:
+            age = registrations.UNKNOWN_DEPARTURE_AGE
+            self.directory.record_departure(*departure, age)
+
     def record_crash(self, fingerprint: bytes, loss: crash_counts.Loss) -> None:
         """Record the loss of a target while a request was in progress there."""
         self.unsent_losses[fingerprint, loss.target, loss.life] = loss
--- a/packages/fleet/dewstep_fleet/news.py
+++ b/packages/fleet/dewstep_fleet/news.py
@@ -14,11 +14,11 @@
     directories,
     frames,
     links,
+    loss_reports,
     member_links,
     model,
     move_changes,
     ranges,
-    registrations,
     roles,
     row_changes,
 )
@@ -41,6 +41,7 @@
     directory : directories.Directory
     clock : clocks.Clock
     members : member_links.MemberLinks
+    losses : loss_reports.LossReports
     is_healthy : callable
         Whether this coordinator should keep its term.
     """
@@ -51,12 +52,14 @@
         directory: directories.Directory,
         clock: clocks.Clock,
         members: member_links.MemberLinks,
+        losses: loss_reports.LossReports,
         is_healthy: Callable[[], bool],
     ):
         self.role = role
         self.directory = directory
         self.clock = clock
         self.members = members
+        self.losses = losses
         self.is_healthy = is_healthy
         self.synchronised: dict[str, bool] = {}
         """Members that have received all rows of before, and whether they accept
@@ -210,9 +213,12 @@
             rows = pack_rows(rows)
         # The next changes of moves are relative to the last news.
         moving = tuple(sorted(self.announced_moves))
-        announced = self.directory.registrations.list_announced()
-        departures = tuple(frames.Departure(*item) for item in announced)
-        link.send(self.build(rows)._replace(moving=moving, departures=departures))
+        crashes, departures = self.losses.list_known()
+        link.send(
+            self.build(rows)._replace(
+                moving=moving, crashes=crashes, departures=departures
+            )
+        )
 
     # Receiving.
 
@@ -244,9 +250,7 @@
             else:
                 rows.append(row)
         self.apply_relayed_rows(tuple(rows))
-        for departure in frame.departures:
-            age = registrations.UNKNOWN_DEPARTURE_AGE
-            self.directory.record_departure(*departure, age)
+        self.losses.receive_known(frame, self.clock.monotonic())
         if misfits:
             events.info("rows_requested", node=frame.node, rows=misfits)
             self.request_rows(link)
