--- a/packages/emulator/dewstep_emulator/mutation_list.py
+++ b/packages/emulator/dewstep_emulator/mutation_list.py
@@ -214,8 +214,8 @@
     "WorkAfterDeparture",
     mutation_types.Edit(
         mutation_types.GATE + "evacuation.py",
-        "return gate.target.draining or gate.target.name in self.leaving_targets",
-        "return gate.target.draining",
+        "return name in self.leaving_targets or bool(target and target.draining)",
+        "return bool(target and target.draining)",
     ),
 )
 mutation_types.register_mutation(
@@ -224,8 +224,8 @@
     "WorkAfterDeparture",
     mutation_types.Edit(
         mutation_types.GATE + "evacuation.py",
-        "return gate.target.draining or gate.target.name in self.leaving_targets",
-        "return gate.target.name in self.leaving_targets",
+        "return name in self.leaving_targets or bool(target and target.draining)",
+        "return name in self.leaving_targets",
     ),
 )
 mutation_types.register_mutation(
