Count a departure from its earliest announcement

What callers saw: nothing; found when the change was read again. An instance that read a leaving registration, and then heard that an answer had announced the departure long before, counted it from the registration.

--- a/packages/fleet/dewstep_fleet/leaving_targets_test.py
+++ b/packages/fleet/dewstep_fleet/leaving_targets_test.py
@@ -14,6 +14,7 @@
     model,
     planning,
     ranges,
+    registrations,
     telemetry,
     terms,
 )
@@ -233,6 +234,20 @@
     assert dispatch_test.get_outcome(answer) == b"not-run"
 
 
+# Guards against a whole drain time for a target that has announced its departure long
+# before an instance started, which read its registration first.
+@pytest.mark.parametrize("announced_first", [True, False])
+def test_departure_counts_from_its_earliest_announcement(announced_first):
+    harness = build_instance(200)
+    age = registrations.UNKNOWN_DEPARTURE_AGE
+    if announced_first:
+        harness.directory.record_departure("a", 1, age)
+    register(harness, 8, leaving=True)
+    harness.directory.record_departure("a", 1, age)
+    assert harness.send(headers=KEY).status == 503
+    assert not harness.sent
+
+
 # Guards against a ready target that receives nothing because it has once been leaving.
 def test_registration_ends_the_departure_that_it_announced():
     harness = build_instance(200)
--- a/packages/fleet/dewstep_fleet/registrations.py
+++ b/packages/fleet/dewstep_fleet/registrations.py
@@ -5,7 +5,8 @@
 and discarded if the target registers again.
 
 A target announces that it is leaving in an answer or with its registration, whichever
-comes first. From then on it counts as leaving until its incarnation ends.
+comes first. It then counts as leaving until its incarnation ends; only what a
+registration announced can be undone by a later one.
 """
 
 import datetime
@@ -105,7 +106,7 @@
         if known is not None and known.life >= life:
             if known.life > life or known.era is None:
                 return False
-            noted_at = known.noted_at
+            noted_at = min(noted_at, known.noted_at)
         self._add_departure(name, Departure(life, noted_at, None))
         events.info("target_departing", target=name, life=life)
         return True
