--- a/packages/entry/dewstep_entry/gate/moves.py
+++ b/packages/entry/dewstep_entry/gate/moves.py
@@ -260,7 +260,9 @@
         checked = outcome.bind(
             lambda found: assignments.check_shards(found, moves, gate.target.name)
         )
-        return checked.lash(lambda failure: self.explain(failure, moves.values()))
+        return checked.lash(
+            lambda failure: self.explain_failure(failure, moves.values())
+        )
 
     async def move_key(
         self, gate: gates.Gate, key: str, new_owner: str, ordered: bool = False
@@ -281,7 +283,7 @@
         checked = outcome.bind(
             lambda found: assignments.check_key(found, key, new_owner, gate.target.name)
         )
-        return checked.lash(lambda failure: self.explain(failure, [new_owner]))
+        return checked.lash(lambda failure: self.explain_failure(failure, [new_owner]))
 
     def exclude_leaving(
         self, change: assignments.Change, new_owners: Collection[str]
@@ -301,7 +303,7 @@
 
         return change_unless_leaving
 
-    def explain(
+    def explain_failure(
         self, failure: interfaces.Failure, new_owners: Collection[str]
     ) -> result.Result[data.Assignment, interfaces.Failure]:
         """Return the failure of a move, or that a new owner is leaving."""
--- a/packages/fleet/dewstep_fleet/target_search.py
+++ b/packages/fleet/dewstep_fleet/target_search.py
@@ -32,8 +32,8 @@
 """Maximum wait for a new owner after a key's owner failed; changes arrive in a few
 ms."""
 DRAIN_MARGIN = datetime.timedelta(milliseconds=300)
-"""Part of the drain time for reading of a target's departure and for the way of the
-last request, of which a lost packet is retransmitted after 200 ms."""
+"""Part of the drain time for reading a target's departure and for the way of the last
+request, of which a lost packet is retransmitted after 200 ms."""
 MAX_REQUESTS_PER_SLOT = 4
 """Requests per slot from which on a target counts as full; targets queue three or four
 for each slot."""
