--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,6 @@
-"""The machines lose the workers for seconds while they recover from the final fault.
+"""The store comes back from a copy of before the first election; all processes are new.
 
-Only uploads are sent. Exits with 1 if RECOVER is broken, 0 if it holds, 2 if the case
-cannot run.
+Exits with 1 if OWNER is broken, 0 if it holds, 2 if the case cannot run.
 """
 
 import asyncio
@@ -17,61 +16,50 @@
 import standins  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-MACHINES, WORKERS = 9, 6
-RATE = 5
-BODY = b"0123456789abcdef" * 6_250
-"""100,000 bytes; the uploads of the site have up to 360,000."""
-DEADLINE_S = 3.0
-DOWN_S = 1.2
-CUT_S = float(os.environ.get("CUT_S", "8"))
-"""Time from the final fault for which the machines are partitioned from the workers."""
-RECOVER_S = 15.0
-WINDOW_S = 10.0
+DRILL = TROUBLE and os.environ.get("DRILL", "1") != "0"
+KILL = TROUBLE and os.environ.get("KILL", "1") != "0"
+MACHINES, WORKERS = 3, 4
+RATE = 60
+HOT_KEYS = range(3000, 3008)
+AWAY_S = 4.5
+"""How long the store is away."""
+KILLED_BEFORE_S = 0.5
+"""Time before its return at which the processes are killed."""
+DOWN_S = 0.6
+WATCHED_S = 15.0
+MAX_SHARED_S = 0.5
+SAMPLE_S = 0.05
+KEYS = [*range(0, 65536, 64), *HOT_KEYS]
 
 
-class Traffic:
-    """Uploads at a steady rate; a refused one comes back once, as its answer says."""
+class Watcher:
+    """Finds keys that two workers hold at the same time."""
 
-    def __init__(self, balancer, record):
-        self.balancer, self.record = balancer, record
-        self.sent = []
-        self.tasks = set()
+    def __init__(self, workers, record):
+        self.workers, self.record = workers, record
+        self.since = {}
+        self.longest = {}
+        """Longest time for which two workers held a key, and which."""
 
     async def run(self):
         while True:
-            task = asyncio.create_task(self.send())
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-            await asyncio.sleep(1 / RATE)
-
-    async def send(self):
-        began = time.monotonic()
-        served = False
-        for attempt in range(2):
-            left = DEADLINE_S - (time.monotonic() - began)
-            machine = self.balancer.choose()
-            request_id, status, headers, body = await standins.send_request(
-                machine, "POST", "/cards/7", "dealer.example", [], BODY, int(left * 1000)
-            )
-            self.record.write(
-                f"request {request_id} at {machine.node}: {status} "
-                f"{headers.get('dewstep-failure', '')}"
-            )
-            served = (
-                status == 200
-                and "x-upstream-signature" in headers
-                and body == f"bytes of {request_id}".encode()
-            )
-            if status not in (429, 503):
-                break
-            left = DEADLINE_S - (time.monotonic() - began)
-            await asyncio.sleep(min(float(headers.get("retry-after", 0.1)), left / 3))
-        self.sent.append((began, served))
-
-    def measure(self, first, last):
-        """Return the served share of the requests sent in a span, and their number."""
-        chosen = [served for at, served in self.sent if first <= at < last]
-        return (sum(chosen) / len(chosen) if chosen else 0.0), len(chosen)
+            at = time.monotonic()
+            for key in KEYS:
+                holders = tuple(
+                    worker.id
+                    for worker in self.workers
+                    if not worker.crashed and worker.holds_key(key)
+                )
+                if len(holders) < 2:
+                    self.since.pop(key, None)
+                    continue
+                if self.since.get(key, (None,))[0] != holders:
+                    self.since[key] = holders, at
+                    self.record.write(f"key {key} is held by {' and '.join(holders)}")
+                lasted = at - self.since[key][1]
+                if lasted > self.longest.get(key, (0.0,))[0]:
+                    self.longest[key] = lasted, holders
+            await asyncio.sleep(SAMPLE_S)
 
 
 async def main():
@@ -79,18 +67,19 @@
     async with standins.running(record) as (folder, machines):
         store = standins.Store("127.0.0.1", record)
         await store.start()
-        rules = [
-            standins.build_rule("r-1", "upload", "/cards/", "intake", timeout="3000ms")
-        ]
-        services = [("intake", False)]
-        store.put("op", "config", standins.build_manifest(3, services, rules))
+        rules = [standins.build_rule("r-1", "idempotent", "/cars/", "history")]
+        manifest = standins.build_manifest(3, [("history", True)], rules)
+        store.put("op", "config", manifest)
         workers = []
         for number in range(WORKERS):
             worker = standins.Worker(
-                f"127.0.2.{number + 1}", "intake", store, record, sharded=False, work_s=0.26
+                f"127.0.2.{number + 1}", "history", store, record, work_s=0.15
             )
             await worker.begin()
             workers.append(worker)
+        copy = store.take_copy()
+        copied_at = time.monotonic()
+        record.say("a copy of the store is taken; the machines start")
         balancer = standins.Balancer()
         for number in range(MACHINES):
             machine = standins.Machine(
@@ -100,40 +89,64 @@
             balancer.machines.append(machine)
         await asyncio.gather(*(machine.start() for machine in machines))
         balancer.start()
+        watcher = Watcher(workers, record)
+        watching = asyncio.create_task(watcher.run())
+        statuses = []
+        sent = set()
+
+        async def send():
+            machine = balancer.choose()
+            key = random.choice(HOT_KEYS) if random.random() < 0.44 else random.randrange(65536)
+            request_id, status, _, _ = await standins.send_request(
+                machine, "GET", "/cars/7", "dealer.example", [("X-Shard-Key", str(key))]
+            )
+            statuses.append(status)
+            record.write(f"request {request_id} key {key} at {machine.node}: {status}")
+
+        async def traffic():
+            while True:
+                task = asyncio.create_task(send())
+                sent.add(task)
+                task.add_done_callback(sent.discard)
+                await asyncio.sleep(1 / RATE)
+
+        sending = asyncio.create_task(traffic())
         await standins.wait_until(
-            lambda: all(item.in_rotation for item in machines), 25, "ready machine"
+            lambda: statuses[-20:].count(200) >= 15, 15, "served requests"
         )
-        traffic = Traffic(balancer, record)
-        sending = asyncio.create_task(traffic.run())
-        await asyncio.sleep(8.0)
-        before, count = traffic.measure(time.monotonic() - 7.0, time.monotonic() - 3.0)
-        record.say(f"before the final fault: {before:.2f} of {count} requests served")
-        if before < 0.25:
-            return 2
-        store.put("op", "config", standins.build_manifest(4, services, rules))
-        record.say("manifest 4 acknowledged; all processes are killed")
-        for machine in machines:
-            machine.signal(signal.SIGKILL)
-        if TROUBLE:
-            # The workers run on and reach the store; the machines cannot connect.
-            for worker in workers:
-                worker.stop()
-            asyncio.get_running_loop().call_later(
-                CUT_S, lambda: [asyncio.ensure_future(item.start()) for item in workers]
-            )
-            record.say(f"the machines are partitioned from all workers for {CUT_S} s")
-        await asyncio.sleep(DOWN_S)
-        await asyncio.gather(*(machine.start() for machine in machines))
-        back = time.monotonic()
-        await asyncio.sleep(RECOVER_S + WINDOW_S + DEADLINE_S + 0.5)
-        first = back + RECOVER_S
-        after, count = traffic.measure(first, first + WINDOW_S)
-        record.say(f"after the recovery: {after:.2f} of {count} requests served")
+        await asyncio.sleep(2.0)
+        if DRILL:
+            record.say("the store is away")
+            store.go_away()
+        await asyncio.sleep(AWAY_S - KILLED_BEFORE_S)
+        if KILL:
+            record.say("all processes are killed")
+            for machine in machines:
+                machine.signal(signal.SIGKILL)
+        await asyncio.sleep(KILLED_BEFORE_S)
+        if DRILL:
+            age = time.monotonic() - copied_at
+            store.come_back(copy)
+            record.say(f"the store is back from a copy {age:.1f} s old, era {store.era}")
+            store.put("op", "config", manifest)
+        if KILL:
+            await asyncio.sleep(DOWN_S)
+            for machine in machines:
+                await machine.start()
+        await asyncio.sleep(WATCHED_S)
+        watching.cancel()
         sending.cancel()
-        broken = after < 0.25
-        record.say("RECOVER is broken" if broken else "RECOVER holds")
+        record.say(f"{statuses.count(200)} of {len(statuses)} requests served")
+        broken = {key: item for key, item in watcher.longest.items() if item[0] > MAX_SHARED_S}
+        if broken:
+            lasted, holders = max(broken.values())
+            record.say(
+                f"{len(broken)} of {len(KEYS)} watched keys were held by two workers for over "
+                f"{MAX_SHARED_S} s, the longest for {lasted:.1f} s by {' and '.join(holders)}"
+            )
+        record.say("OWNER is broken" if broken else "OWNER holds")
         return 1 if broken else 0
 
 
 if __name__ == "__main__":
-    standins.run_case(main)
+    standins.run_case(main, 80)
--- a/review/standins.py
+++ b/review/standins.py
@@ -147,6 +147,27 @@
         self.changes = []
         self.history_from = 0
         self.changed = asyncio.Event()
+        self.era = 0
+        """Number of returns from an older copy, which the header `Store-Era` tells."""
+        self.away = False
+
+    def take_copy(self):
+        return dict(self.rows), self.version
+
+    def go_away(self):
+        """Become unreachable: connections are reset, and new ones at once."""
+        self.away = True
+        for writer in list(self.writers):
+            reset(writer)
+
+    def come_back(self, copy):
+        """Return from a copy; what was written since it was taken is gone."""
+        self.away = False
+        rows, self.version = copy
+        self.rows = dict(rows)
+        self.changes = []
+        self.history_from = self.version
+        self.era += 1
 
     def put(self, table, key, value):
         """Write or remove a row, as the operator and the workers do."""
@@ -182,14 +203,25 @@
         return row
 
     async def answer(self, message, reader, writer):
+        era = self.era
+        answer = None if self.away else await self._answer(message)
+        if answer is None or self.away or self.era != era:
+            reset(writer)
+            return None
+        head, _, body = answer.partition(b"\r\n\r\n")
+        return head + b"\r\nStore-Era: %d\r\n\r\n" % era + body
+
+    async def _answer(self, message):
         line, _, body = message
         method, target, _ = line.split(" ")
         path, _, query = target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
         await asyncio.sleep(0.004)
+        if self.away:
+            return None
         if path == "/dewstep/rows-tx":
             await asyncio.sleep(0.004)
-            return self._transact(json.loads(body))
+            return None if self.away else self._transact(json.loads(body))
         if path == "/dewstep/rows-get":
             return self._read(fields)
         if path == "/dewstep/rows-feed":
@@ -306,7 +338,8 @@
                 },
                 "status": {"state": "ready", "seq": self.seq, "warmup_left": "0ms"},
             }
-            self.store.put("servers", self.id, json.dumps(content).encode())
+            if not self.store.away:
+                self.store.put("servers", self.id, json.dumps(content).encode())
             await asyncio.sleep(HEARTBEAT_S)
 
     def crash(self):
@@ -602,6 +635,8 @@
     """Run a case and end the process with its exit code; 2 if it could not run."""
 
     async def limited():
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         async with asyncio.timeout(limit_s):
             return await main()
 
