Release all keys in the first term of a restored store

Cause: may_have_lost_owners made an exception of term 1 without owners, whatever the era, for the first start of a fleet. A store that lacks all rows of the fleet looks alike.

Change: in term 1 of a later era, all registered targets are ordered to release all keys before these are divided.

--- a/packages/fleet/dewstep_fleet/adoption.py
+++ b/packages/fleet/dewstep_fleet/adoption.py
@@ -6,7 +6,8 @@
 
 A store that is restored from an older copy forgets changes of owners. The coordinator
 whose row survived knows them all and goes on. Any other one cannot know which target
-holds a key; it grants nothing until all earlier grants have expired.
+holds a key; it grants nothing until all earlier grants have expired. In the first term
+that the store knows of, the targets are asked to release all keys instead.
 
 The keys of a service without owners are divided among its targets.
 """
@@ -26,6 +27,7 @@
     ranges,
     target_orders,
     terms,
+    unknown_owners,
 )
 
 REGISTRATION_QUIET_PERIOD = datetime.timedelta(milliseconds=1500)
@@ -35,7 +37,6 @@
 
 def may_have_lost_owners(
     ownership: ranges.Ownership | None,
-    term: int,
     era_floor: int,
     known_floor: int | None,
 ) -> bool:
@@ -45,13 +46,11 @@
     ----------
     ownership : ranges.Ownership or None
         Owners that the store has.
-    term, era_floor : int
-        The coordinator's term, and the lowest version of the store's era.
+    era_floor : int
+        Lowest version of the store's era.
     known_floor : int or None
         Era of which this instance knows all valid grants of earlier eras.
     """
-    if ownership is None and term == 1:
-        return False
     generation = ownership.generation if ownership is not None else 0
     return generation < era_floor and known_floor != era_floor
 
@@ -97,6 +96,7 @@
         self.term = term
         self.grant_states = states
         self.writer = writer
+        self.unknown_owners = unknown_owners.UnknownOwners(directory, states, clock)
         self.clock = clock
         self.tasks = task_owner
         self.is_adopted = is_adopted
@@ -153,7 +153,7 @@
 
         try:
             while self.may_have_lost_owners(service):
-                await self.await_unknown_grants(service)
+                await self.end_unknown_grants(service)
             if not await self.writer.commit(service, build):
                 return
         finally:
@@ -190,25 +190,34 @@
         """Whether owners may have changed after the copy of which the store began."""
         return may_have_lost_owners(
             self.directory.ownerships.get(service),
-            self.term.leadership.term,
             self.directory.era_floor,
             self.known_era_floors.get(service),
         )
 
-    async def await_unknown_grants(self, service: str) -> None:
-        """Wait until all grants of coordinators before the store's era have expired.
+    async def end_unknown_grants(self, service: str) -> None:
+        """Wait until no target holds keys from before the store's era.
 
         Until this term has been adopted, an earlier coordinator may lead.
         """
         while not self.adopted:
             await self.clock.sleep(terms.STEP_INTERVAL)
-        now = self.clock.monotonic()
-        wait = compute_inherited_expiry(now, self.get_max_inherited_duration()) - now
         era_floor = self.directory.era_floor
-        events.warning("owners_lost", service=service, wait=wait)
-        await self.clock.sleep(wait)
+        now = self.clock.monotonic()
+        expiry = compute_inherited_expiry(now, self.get_max_inherited_duration())
+        events.warning("owners_lost", service=service, wait=expiry - now)
+        if not (
+            self.is_first_term(service)
+            and await self.unknown_owners.release_all(service, expiry)
+        ):
+            wait = expiry - self.clock.monotonic()
+            await self.clock.sleep(max(wait, datetime.timedelta()))
         self.known_era_floors[service] = era_floor
 
+    def is_first_term(self, service: str) -> bool:
+        """Whether neither the store nor any member knows of an earlier coordinator."""
+        first_term = self.term.leadership.term == 1
+        return first_term and service not in self.directory.ownerships
+
     # Grants of the previous coordinator.
 
     def get_max_inherited_duration(self) -> datetime.timedelta:
--- a/packages/fleet/dewstep_fleet/adoption_test.py
+++ b/packages/fleet/dewstep_fleet/adoption_test.py
@@ -13,24 +13,28 @@
 
 
 # Guards against a second owner after the store was restored without the last moves, and
-# against a needless wait before the first grants of a fleet.
+# against a needless wait of a coordinator that knows all owners.
 @pytest.mark.parametrize(
-    ("ownership", "term", "known_floor", "expected"),
+    ("ownership", "known_floor", "expected"),
     [
-        (None, 1, None, False),
-        (None, 2, None, True),
-        (None, 2, ERA, False),
-        (build_ownership(ERA - 1), 1, None, True),
-        (build_ownership(ERA - 1), 2, ERA - 1, True),
-        (build_ownership(ERA - 1), 2, ERA, False),
-        (build_ownership(ERA), 2, None, False),
+        (None, None, True),
+        (None, ERA, False),
+        (build_ownership(ERA - 1), None, True),
+        (build_ownership(ERA - 1), ERA - 1, True),
+        (build_ownership(ERA - 1), ERA, False),
+        (build_ownership(ERA), None, False),
     ],
 )
-def test_owners_may_be_lost_in_a_new_era(ownership, term, known_floor, expected):
-    lost = adoption.may_have_lost_owners(ownership, term, ERA, known_floor)
+def test_owners_may_be_lost_in_a_new_era(ownership, known_floor, expected):
+    lost = adoption.may_have_lost_owners(ownership, ERA, known_floor)
     assert lost == expected
 
 
+# Guards against a slow first start in a store that has never been restored.
+def test_no_owners_are_lost_in_the_first_era():
+    assert not adoption.may_have_lost_owners(None, 0, None)
+
+
 # Guards against granting keys that a target holds under the longest grant that the
 # previous coordinator sent as the last one.
 def test_inherited_grants_expire_after_the_last_possible_one():
--- a/packages/fleet/dewstep_fleet/store_restore_test.py
+++ b/packages/fleet/dewstep_fleet/store_restore_test.py
@@ -229,6 +229,70 @@
     granting_test.run_scenario(scenario)
 
 
+def restart_fleet(harness):
+    """Replace all coordinators by a new one that has not heard of any term."""
+    harness.cut()
+    for granter in harness.coordinators:
+        granter.tasks.cancel()
+        granter.term.deposed = True
+    harness.term = 0
+    return harness.elect(f"n{len(harness.coordinators) + 1}")
+
+
+# Guards against grants beside a target that has not released its keys.
+def test_first_term_of_a_restored_store_waits_for_targets_that_do_not_answer():
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        harness.store.save_copy()
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME + 2 * renewal.RENEWAL_INTERVAL)
+        harness.targets.down.add("a")
+        await harness.restore()
+        restart_fleet(harness)
+        harness.register(builders.build_target("c"))
+        await harness.run(8 * builders.SECOND)
+        assert not harness.targets.list_held("c")
+        harness.targets.down.discard("a")
+        await harness.run(SETTLING_TIME)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+# Guards against waiting for ever for a target that has been removed.
+def test_first_term_of_a_restored_store_grants_when_unknown_grants_have_expired():
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        harness.store.save_copy()
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME + 2 * renewal.RENEWAL_INTERVAL)
+        harness.targets.down.add("a")
+        await harness.restore()
+        restart_fleet(harness)
+        await harness.run(INHERITED_TIME + 2 * SETTLING_TIME)
+        assert "b" in harness.find_owners()
+
+    granting_test.run_scenario(scenario)
+
+
+# Guards against numbers of the first restore that targets take for newer ones.
+def test_second_restore_to_before_the_first_term_gives_no_second_owner():
+    async def scenario(harnesses):
+        harness = build_harness(harnesses, "a", "b")
+        harness.store.save_copy()
+        harness.elect("n1")
+        await harness.run(SETTLING_TIME + builders.SECOND)
+        for name in ("c", "d"):
+            await harness.restore()
+            harness.write_again()
+            restart_fleet(harness)
+            harness.register(builders.build_target(name))
+            await harness.run(2 * SETTLING_TIME)
+            assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
 def test_coordinator_writes_owners_again_that_the_copy_lacks():
     async def scenario(harnesses):
         harness = build_harness(harnesses, "a", "b")
