--- a/packages/core/dewstep_core/http/client.py
+++ b/packages/core/dewstep_core/http/client.py
@@ -47,9 +47,15 @@
 
     Bytes that are received between calls make the connection unusable, since they
     would be read as the answer to the next call.
+
+    Parameters
+    ----------
+    maximum_body_bytes : int, optional
+        Limit on the body of an answer.
     """
 
-    def __init__(self):
+    def __init__(self, maximum_body_bytes: int = MAXIMUM_ANSWER_BODY_BYTES):
+        self.maximum_body_bytes = maximum_body_bytes
         self.http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=answer_heads.MAXIMUM_HEAD_BYTES
         )
@@ -134,17 +140,30 @@
             raise ConnectionResetError(
                 "connection closed before an answer was received"
             )
-        check_body_size(int(dict(head.headers).get(b"content-length", 0)))
+        self.check_body_size(int(dict(head.headers).get(b"content-length", 0)))
         body = bytearray()
         while isinstance(event := await self.next_event(), h11.Data):
             body += event.data
-            check_body_size(len(body))
+            self.check_body_size(len(body))
         headers = {
             name.decode("ascii"): value.decode("latin-1")
             for name, value in head.headers
         }
         return Response(head.status_code, headers, bytes(body))
 
+    def check_body_size(self, size: int) -> None:
+        """Check the size of an answer's body.
+
+        Raises
+        ------
+        h11.RemoteProtocolError
+            If it exceeds the limit.
+        """
+        if size > self.maximum_body_bytes:
+            raise h11.RemoteProtocolError(
+                f"answer body exceeds {self.maximum_body_bytes} bytes"
+            )
+
     async def next_event(self) -> Any:
         """Return the next h11 event, reading bytes as needed."""
         self.events_until_pause -= 1
@@ -175,20 +194,6 @@
         transports.reset(self.transport)
 
 
-def check_body_size(size: int) -> None:
-    """Check the size of an answer's body.
-
-    Raises
-    ------
-    h11.RemoteProtocolError
-        If it exceeds the limit.
-    """
-    if size > MAXIMUM_ANSWER_BODY_BYTES:
-        raise h11.RemoteProtocolError(
-            f"answer body exceeds {MAXIMUM_ANSWER_BODY_BYTES} bytes"
-        )
-
-
 def encode_json(value: Any) -> bytes:
     """Return `value` as a JSON body."""
     return json.dumps(value, separators=(",", ":")).encode()
@@ -210,16 +215,26 @@
     return h11.Request(method=method, target=path, headers=all_headers)
 
 
-async def open_connection(address: settings.Address) -> ClientConnection:
+async def open_connection(
+    address: settings.Address, maximum_body_bytes: int = MAXIMUM_ANSWER_BODY_BYTES
+) -> ClientConnection:
     """Open a connection to a server.
 
+    Parameters
+    ----------
+    address : settings.Address
+    maximum_body_bytes : int, optional
+        Limit on the body of an answer.
+
     Raises
     ------
     OSError
         If it cannot be opened.
     """
     loop = asyncio.get_running_loop()
-    _, connection = await loop.create_connection(ClientConnection, *address)
+    _, connection = await loop.create_connection(
+        lambda: ClientConnection(maximum_body_bytes), *address
+    )
     return connection
 
 
@@ -236,6 +251,8 @@
         Sent with every call.
     connections : int, optional
         Maximum number of open connections.
+    maximum_body_bytes : int, optional
+        Limit on the body of an answer.
     """
 
     def __init__(
@@ -244,8 +261,10 @@
         timeout: float,
         headers: Iterable[tuple[str, str]] = (),
         connections: int = DEFAULT_CONNECTION_LIMIT,
+        maximum_body_bytes: int = MAXIMUM_ANSWER_BODY_BYTES,
     ):
         self.address = address
+        self.maximum_body_bytes = maximum_body_bytes
         self.timeout = timeout
         self.headers = (build_host_header(address), *headers)
         self.connection_slots = asyncio.Semaphore(connections)
@@ -327,7 +346,7 @@
             if connection.usable:
                 return connection
             connection.close()
-        return await open_connection(self.address)
+        return await open_connection(self.address, self.maximum_body_bytes)
 
     async def close(self) -> None:
         """Close idle connections; calls in progress close theirs when they end."""
