Read at most 32 KiB of a target's answer at a time

Callers saw: nothing yet; with 150 callers that read nothing and 20 targets that send bodies without end, an instance took 327 MB, above its limit of 300 MB, which would end all requests in progress there.

Cause: one read takes up to 256 KiB, one more may come before reading pauses, and a waiting body is kept unread, unparsed and in the buffer towards the caller.

Change: a connection to a target reads into a buffer of 32 KiB that all connections share, and pauses above 64 KiB of an unread body.

Evidence: test_many_unread_bodies_without_end_fit_into_memory failed before with 568 and 644 KB for each request, and passes.

--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -4,6 +4,9 @@
 wakes its caller once, when the answer is complete or its body starts to stream. Any
 protocol violation closes the connection, because the rest of an answer could otherwise
 be taken for the answer to the next request.
+
+A target may send faster than the caller reads, on all connections at the same time, so
+each keeps at most a few times 64 KiB of an answer.
 """
 
 import asyncio
@@ -19,8 +22,11 @@
 from dewstep_entry import bodies, header_rules, interfaces
 from dewstep_entry.targets import answering, outcome
 
-ANSWER_BUFFER_BYTES = 262_144
+ANSWER_BUFFER_BYTES = 65_536
 """Unread bytes of an answer above which reading from the socket pauses."""
+RECEIVE_BUFFER = memoryview(bytearray(32_768))
+"""Buffer of one read from a socket. All connections share it, since its content is
+copied before the next read."""
 WRITE_BUFFER_BYTES = 131_072
 MAXIMUM_EVENTS_PER_TURN = 128
 """Parsed events after which other connections take their turn in the event loop."""
@@ -92,7 +98,7 @@
         return self.length > bodies.SMALL_BODY_BYTES
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A connection to a target.
 
     Parameters
@@ -177,6 +183,14 @@
             self.write_waiter.set_result(None)
         self.write_waiter = None
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        return RECEIVE_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process the bytes of a read."""
+        self.data_received(bytes(RECEIVE_BUFFER[:nbytes]))
+
     def data_received(self, chunk: bytes) -> None:
         """Parse input; input without a request in progress closes the connection."""
         exchange = self.current_exchange
--- a/packages/entry/dewstep_entry/targets/endless_answers_test.py
+++ b/packages/entry/dewstep_entry/targets/endless_answers_test.py
@@ -26,15 +26,17 @@
 """Limit of the processor time that input may take in one turn of the event loop."""
 SOCKET_BUFFER_BYTES = 8_000_000
 """Upper limit of what the kernel buffers between two sockets."""
+MAXIMUM_REQUEST_BYTES = 500_000
+"""Memory for each of 400 requests, if an instance has 200 MB for all of them."""
 
 
 @contextlib.asynccontextmanager
-async def run_pool(address, rules=RULES):
+async def run_pool(address, rules=RULES, limit=4):
     pool = connection_pool.ConnectionPool(
         "t",
         address,
         clocks.SystemClock(),
-        4,
+        limit,
         rules=rules,
         reuse_delay=datetime.timedelta(),
     )
@@ -385,3 +387,23 @@
         assert await server.wait_closed(PROMPT_SECONDS)
         assert server.sent_bytes < SOCKET_BUFFER_BYTES
         channel.close()
+
+
+# Guards against an instance that runs out of its 300 MB while 400 requests get bodies
+# without end from targets and their callers read nothing.
+@pytest.mark.parametrize("name", ["chunks", "until-close"])
+@testing.run_in_event_loop
+async def test_many_unread_bodies_without_end_fit_into_memory(name):
+    count = 20
+    async with (
+        endless_answers.running(endless_answers.UNENDING_BODIES[name]) as server,
+        run_pool(server.address, limit=count) as pool,
+    ):
+        with trace_memory() as peaks:
+            outcomes = await asyncio.gather(
+                *(send_request(pool, 20.0) for _ in range(count))
+            )
+            await asyncio.sleep(1.0)
+        assert peaks[0] < count * MAXIMUM_REQUEST_BYTES
+        for outcome in outcomes:
+            await bodies.close_body(outcome.unwrap().body)
