Seed the generator of a simulated instance before it is built

Cause: the simulated fleet seeded the generator of an instance after its parts had been built, which draw from it: the election time-out decided at random who coordinates.

Change: the generator is passed to the process.

--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -79,6 +79,8 @@
     clock : clocks.Clock
     writer : line_writer.LineWriter or None
         Log writer, which is flushed regularly.
+    generator : random.Random, optional
+        Shared by all parts, also while they are built.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         adapter: PlatformAdapter,
         clock: clocks.Clock,
         writer=None,
+        generator: random.Random | None = None,
     ):
         self.instance = instance
         self.read_instance = adapter.read_instance
@@ -95,7 +98,7 @@
         self.clock = clock
         self.writer = writer
         self.started_at = clock.monotonic()
-        self.random = random.Random()
+        self.random = generator or random.Random()
         self.failed = asyncio.Event()
         """Set when a task has failed, so that the process must stop."""
         self.stopping = False
