Ask another instance if one does not reach the owner of a key

Cause: RelaySender.send gave up at the first instance that did not reach the owner, which may be cut off itself, and the dispatcher refused all requests for that target's keys for a second.

Change: the next instance is asked, for up to 300 ms. The target counts as unreachable once no instance that was asked reached it and none refused. A streamed body that was partly sent stays final.

--- a/packages/fleet/dewstep_fleet/relaying.py
+++ b/packages/fleet/dewstep_fleet/relaying.py
@@ -4,7 +4,8 @@
 that do. Each instance serves such requests at a port of its own, with the HTTP server
 for callers, so that bodies are streamed both ways, a caller's disconnection cancels the
 request and a stopping instance finishes it. A request is passed on once: an instance
-that reaches no target either refuses it at once, and the next one is tried.
+that reaches no target either refuses it at once, and the next one is tried. So it is
+after an instance that does not reach the owner of the request's key.
 """
 
 import collections
@@ -54,6 +55,9 @@
 QUARANTINED_REASON = UNSERVED_REASON + errors.Quarantined.__name__
 MAX_PEERS = 8
 """Maximum number of instances that one request is offered to."""
+UNREACHED_SEARCH_TIME = datetime.timedelta(milliseconds=300)
+"""Time after which no further instance is asked for a target that others did not reach.
+It allows for two that wait in vain for a connection."""
 
 
 class RelayOutcome(NamedTuple):
@@ -129,7 +133,8 @@
     ) -> RelayOutcome:
         """Pass a request on to the first instance that accepts it.
 
-        Fails with `errors.RelayRefused` if none does; the request was not run then.
+        Fails with `errors.RelayRefused` if none does, or with the failure of a target
+        that none of them reached; the request was not run then.
 
         Parameters
         ----------
@@ -143,6 +148,9 @@
             sent any more.
         """
         failure: Any = errors.RelayRefused(self.node, "no other instance")
+        unreached: errors.TargetUnavailable | None = None
+        refused = False
+        began = self.clock.monotonic()
         for member in self.list_peers():
             if self.clock.monotonic() >= due_at:
                 break
@@ -170,14 +178,21 @@
                 return RelayOutcome(None, failure)
             sent_body = body.rest is not None and isinstance(sent, result.Success)
             if not is_refusal(failure, member.node):
-                # That instance does not reach the owner of the key.
-                return RelayOutcome(None, failure, sent_body)
+                # Other instances may reach that target.
+                unreached = failure
+                elapsed = self.clock.monotonic() - began
+                if sent_body or elapsed >= UNREACHED_SEARCH_TIME:
+                    return RelayOutcome(None, failure, sent_body)
+                continue
+            refused = True
             if not failure.reason.startswith(UNSERVED_REASON):
                 now = self.clock.monotonic()
                 self.refused_until[member.node] = now + REFUSED_PERIOD
             if sent_body or failure.reason == QUARANTINED_REASON:
                 # The other instances would run a request that may crash targets.
                 return RelayOutcome(None, failure, sent_body)
+        if unreached is not None and not refused:
+            return RelayOutcome(None, unreached)
         if not isinstance(failure, errors.RelayRefused):
             failure = errors.RelayRefused(self.node, "no other instance is reachable")
         return RelayOutcome(None, failure)
--- a/packages/fleet/dewstep_fleet/relaying_test.py
+++ b/packages/fleet/dewstep_fleet/relaying_test.py
@@ -39,6 +39,7 @@
 
     def __init__(self, outcome=None):
         self.outcome = outcome
+        self.delay = 0.0
         self.requests = []
         self.cancelled = 0
 
@@ -74,6 +75,7 @@
             async for chunk in request.body.rest:
                 body += chunk
         self.requests.append((request, bytes(body)))
+        await asyncio.sleep(self.delay)
         if self.outcome == "hang":
             try:
                 await asyncio.sleep(30)
@@ -222,6 +224,68 @@
         assert [member.node for member in setting.sender.list_peers()] == ["n6"]
 
 
+# Guards against requests that are refused, as the first instance that was asked does
+# not reach the owner either.
+@testing.run_in_event_loop
+async def test_next_instance_is_tried_after_one_that_does_not_reach_the_target():
+    async with running_setting() as setting:
+        for node in ("n2", "n3"):
+            await setting.add(node, errors.TargetUnavailable("t", "refused"))
+        await setting.add("n4", build_answer(), data_centre="dc-2")
+        assert (await setting.send()).answer.status == 200
+        # The instances serve requests for other targets.
+        assert len(setting.sender.list_peers()) == 3
+
+
+@testing.run_in_event_loop
+async def test_target_is_unreachable_if_no_instance_reaches_it():
+    failure = errors.TargetUnavailable("t", "refused")
+    async with running_setting() as setting:
+        for node in ("n2", "n3"):
+            await setting.add(node, failure)
+        outcome = await setting.send()
+        assert outcome.answer is None and outcome.failure == failure
+        assert sum(len(item.requests) for item in setting.receivers) == 2
+
+
+# Guards against requests that are refused at once for a target that only some instances
+# did not reach.
+@testing.run_in_event_loop
+async def test_target_is_not_known_to_be_unreachable_after_a_refusal():
+    async with running_setting() as setting:
+        await setting.add("n2", errors.TargetUnavailable("t", "refused"))
+        await setting.add("n3", errors.RelayRefused("n3", "cut off"))
+        outcome = await setting.send()
+        assert isinstance(outcome.failure, errors.RelayRefused)
+
+
+# Guards against refusals that come late, as each instance waits for a connection to a
+# target that is gone.
+@testing.run_in_event_loop
+async def test_few_instances_wait_for_a_target_that_does_not_answer():
+    failure = errors.TargetUnavailable("t", "no connection")
+    async with running_setting() as setting:
+        for number in range(2, 8):
+            receiver = await setting.add(f"n{number}", failure)
+            receiver.delay = 0.25
+        outcome = await setting.send()
+        assert outcome.failure == failure
+        assert sum(len(item.requests) for item in setting.receivers) == 2
+
+
+# Guards against a body that lacks what an instance has read which does not reach the
+# target.
+@testing.run_in_event_loop
+async def test_streamed_body_is_not_sent_on_after_a_vain_try():
+    async with running_setting() as setting:
+        for node in ("n2", "n3"):
+            await setting.add(node, errors.TargetUnavailable("t", "refused"))
+        outcome = await setting.send(rest=stream_body())
+        assert isinstance(outcome.failure, errors.TargetUnavailable)
+        assert outcome.body_used
+        assert sum(len(receiver.requests) for receiver in setting.receivers) == 1
+
+
 @testing.run_in_event_loop
 async def test_request_is_refused_as_not_run_if_no_instance_accepts_it():
     async with running_setting() as setting:
