--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -388,9 +388,7 @@
             if self.tenure.end_if_deposed():
                 return
             self.member_links.dial_members(now)
-            self.quorum_writer.presence.observe(
-                self.directory.members.values(), self.followers.list_nodes(), now
-            )
+            self.quorum_writer.observe_if_due(self.followers.list_nodes, now)
             self.quorum_writer.keep(now)
             self.member_removal.remove_if_due(now)
             self.heartbeats.send_if_due(now)
--- a/packages/fleet/dewstep_fleet/quorum_writes.py
+++ b/packages/fleet/dewstep_fleet/quorum_writes.py
@@ -21,6 +21,9 @@
     terms,
 )
 
+OBSERVATION_INTERVAL = datetime.timedelta(milliseconds=500)
+"""Interval at which all members are compared with those that report."""
+
 
 class QuorumWriter:
     """The quorum as this instance counts it.
@@ -62,6 +65,7 @@
         """Members of a quorum that this coordinator has perhaps written."""
         self.writing = False
         self.next_write = now
+        self.next_observation = now
 
     def reset(self) -> None:
         """Discard the state of an earlier term."""
@@ -72,6 +76,22 @@
         """Return the nodes of all known members, including this one."""
         return frozenset({*self.directory.members, self.role.own_member.node})
 
+    def observe_if_due(
+        self, list_reporting: Callable[[], Set[str]], now: datetime.timedelta
+    ) -> None:
+        """Record regularly which members report to this coordinator.
+
+        Parameters
+        ----------
+        list_reporting : callable
+            Returns the nodes that report, including this one.
+        now : datetime.timedelta
+        """
+        if now >= self.next_observation:
+            self.next_observation = now + OBSERVATION_INTERVAL
+            members = self.directory.members.values()
+            self.presence.observe(members, list_reporting(), now)
+
     def list_present(self, now: datetime.timedelta) -> frozenset[str]:
         """Return the members that are not gone, including this one."""
         gone = self.presence.list_silent(member_presence.LOSS_TIMEOUT, now)
