--- a/packages/core/dewstep_core/http/client.py
+++ b/packages/core/dewstep_core/http/client.py
@@ -251,6 +251,9 @@
         Sent with every call.
     connections : int, optional
         Maximum number of open connections.
+    reuses_connections : bool, optional
+        Whether a connection carries further calls. A faulty server may send an answer
+        once more, which a later call on the connection would take for its own.
     maximum_body_bytes : int, optional
         Limit on the body of an answer.
     """
@@ -261,9 +264,11 @@
         timeout: float,
         headers: Iterable[tuple[str, str]] = (),
         connections: int = DEFAULT_CONNECTION_LIMIT,
+        reuses_connections: bool = True,
         maximum_body_bytes: int = MAXIMUM_ANSWER_BODY_BYTES,
     ):
         self.address = address
+        self.reuses_connections = reuses_connections
         self.maximum_body_bytes = maximum_body_bytes
         self.timeout = timeout
         self.headers = (build_host_header(address), *headers)
@@ -309,7 +314,8 @@
                 connection = await self.get_connection()
                 sent = True
                 response = await connection.exchange(request, body)
-                if not self.closed and connection.prepare_next_call():
+                reusable = self.reuses_connections and not self.closed
+                if reusable and connection.prepare_next_call():
                     self.idle_connections.append(connection)
                     connection = None
                 return result.Success(response)
--- a/packages/fleet/dewstep_fleet/moves.py
+++ b/packages/fleet/dewstep_fleet/moves.py
@@ -352,7 +352,7 @@
             return None
         found = self.directory.ownerships[service].find(holding.first)
         holding = found._replace(first=holding.first, last=holding.last)
-        outcome = await orders.grant(owner, holding, "")
+        outcome = await orders.grant(owner, holding, "", on_new_connection=True)
         return holding if isinstance(outcome, result.Success) else None
 
     async def grant_new(
--- a/packages/fleet/dewstep_fleet/target_orders.py
+++ b/packages/fleet/dewstep_fleet/target_orders.py
@@ -13,6 +13,9 @@
 An order that another target answers shows that the intended process has ended, and its
 grants with it. A restart under the same name does not show: the next process may have
 accepted orders for the previous one.
+
+An answer names no order, and a faulty target may repeat an earlier one. The answer to a
+fence ends an ownership, so a fence is the first order on its connection.
 """
 
 import asyncio
@@ -73,6 +76,7 @@
         holding: model.Holding,
         handover: str,
         is_due: Callable[[], bool] = lambda: True,
+        on_new_connection: bool = False,
     ) -> result.Result[str | None, Any]:
         """Grant or renew a range.
 
@@ -83,6 +87,9 @@
         is_due : callable, optional
             Asked when earlier orders have ended, and again before the order is sent;
             the result is `SKIPPED` if the answer is false.
+        on_new_connection : bool, optional
+            Whether only this order may have been sent on the connection, so that the
+            answer cannot be that to an earlier one.
 
         Returns
         -------
@@ -93,6 +100,8 @@
         async with self.lock:
             if not is_due():
                 return result.Success(SKIPPED)
+            if on_new_connection:
+                self.close()
             opened = await self._ensure_connection(target)
             if isinstance(opened, result.Failure):
                 return opened
--- a/packages/fleet/dewstep_fleet/target_orders_test.py
+++ b/packages/fleet/dewstep_fleet/target_orders_test.py
@@ -51,6 +51,21 @@
     assert len(log.find("grant_sent", target="a", connection=1)) == 1
 
 
+# Guards against a fence that counts as accepted, as the answer to an earlier grant came
+# once more.
+@testing.run_in_event_loop
+async def test_fence_is_the_first_order_on_its_connection(monkeypatch):
+    log = event_capture.EventCapture(monkeypatch)
+    sender = Sender()
+    await sender.grant()
+    fence = HOLDING._replace(generation=2_000)
+    outcome = await sender.orders.grant(
+        sender.target, fence, "", on_new_connection=True
+    )
+    assert outcome.unwrap() is None
+    assert len(log.find("order_connection", target="a", life=1)) == 2
+
+
 @testing.run_in_event_loop
 async def test_restarted_process_gets_a_higher_number():
     # Guards against a number that the previous process of the same name had.
