--- a/packages/fleet/dewstep_fleet/quorum_writes.py
+++ b/packages/fleet/dewstep_fleet/quorum_writes.py
@@ -120,9 +120,9 @@
     def keep(self, now: datetime.timedelta) -> None:
         """Write the quorum if it is not the members that are present.
 
-        Until half of the previous one has adopted this term, an earlier coordinator may
-        lead by a majority of it. Afterwards, members that are only cut off can be left
-        out: they lead by no majority, and elect nobody without the store.
+        Until this term is adopted, an earlier coordinator may lead by a majority of the
+        previous quorum. Afterwards, members that are only cut off can be left out: none
+        of them leads by a majority, and they elect nobody without the store.
         """
         quorum = self.directory.quorum
         if quorum.stored and self.proposed == quorum.nodes:
--- a/packages/fleet/dewstep_fleet/relaying.py
+++ b/packages/fleet/dewstep_fleet/relaying.py
@@ -4,8 +4,8 @@
 that do. Each instance serves such requests at a port of its own, with the HTTP server
 for callers, so that bodies are streamed both ways, a caller's disconnection cancels the
 request and a stopping instance finishes it. A request is passed on once: an instance
-that reaches no target either refuses it at once, and the next one is tried. So it is
-after an instance that does not reach the owner of the request's key.
+that reaches no target either refuses it at once, and the next one is tried. The next
+one is also tried after an instance that does not reach the owner of the request's key.
 """
 
 import collections
