Share the first term of three tests of a restored store

Cause: three tests copied the store, elected a coordinator and let it grant all keys with the same four lines. Change: run_first_term does this once; steps and assertions are unchanged.

--- a/packages/fleet/dewstep_fleet/store_restore_test.py
+++ b/packages/fleet/dewstep_fleet/store_restore_test.py
@@ -208,14 +208,20 @@
     granting_test.run_scenario(scenario)
 
 
+async def run_first_term(harnesses):
+    """Copy the store, then let its first coordinator grant all keys; return both."""
+    harness = build_harness(harnesses, "a", "b")
+    harness.store.save_copy()
+    first = harness.elect("n1")
+    await harness.run(SETTLING_TIME + 2 * renewal.RENEWAL_INTERVAL)
+    return harness, first
+
+
 # Guards against two owners after a restore from a copy of before the first election,
 # which hides that there have been coordinators.
 def test_first_term_of_a_restored_store_waits_for_earlier_grants():
     async def scenario(harnesses):
-        harness = build_harness(harnesses, "a", "b")
-        harness.store.save_copy()
-        first = harness.elect("n1")
-        await harness.run(SETTLING_TIME + 2 * renewal.RENEWAL_INTERVAL)
+        harness, first = await run_first_term(harnesses)
         harness.cut()
         await harness.restore()
         first.tasks.cancel()
@@ -242,10 +248,7 @@
 # Guards against grants beside a target that has not released its keys.
 def test_first_term_of_a_restored_store_waits_for_targets_that_do_not_answer():
     async def scenario(harnesses):
-        harness = build_harness(harnesses, "a", "b")
-        harness.store.save_copy()
-        harness.elect("n1")
-        await harness.run(SETTLING_TIME + 2 * renewal.RENEWAL_INTERVAL)
+        harness, _ = await run_first_term(harnesses)
         harness.targets.down.add("a")
         await harness.restore()
         restart_fleet(harness)
@@ -262,10 +265,7 @@
 # Guards against waiting for ever for a target that has been removed.
 def test_first_term_of_a_restored_store_grants_when_unknown_grants_have_expired():
     async def scenario(harnesses):
-        harness = build_harness(harnesses, "a", "b")
-        harness.store.save_copy()
-        harness.elect("n1")
-        await harness.run(SETTLING_TIME + 2 * renewal.RENEWAL_INTERVAL)
+        harness, _ = await run_first_term(harnesses)
         harness.targets.down.add("a")
         await harness.restore()
         restart_fleet(harness)
