Do not wait for orders to an owner whose grants have expired

Callers of keys whose owners were cut off with their data centre got 503 for up to 6 s, until the cut ended. Fences of one target are sent in turn, 0.4 s each without a connection, and a release waits 2.5 s for its time-out, although the owner's grants had expired long before. Seen in a trace of a zone cut: 306 moves began within a second after the cut had been noticed, the first of them ended 3.5 s later.

A fence that has not been sent when no earlier grant can arrive any more is skipped, and a release is awaited until the grants have expired, unless a previous coordinator may still send some. The test failed before: the lost owner still had ranges 3.4 s after its last order.

--- a/packages/fleet/dewstep_fleet/builders.py
+++ b/packages/fleet/dewstep_fleet/builders.py
@@ -284,6 +284,8 @@
         """Targets that apply orders but do not answer."""
         self.down: set[str] = set()
         """Targets that cannot be reached."""
+        self.connect_timeout = self.release_timeout = datetime.timedelta()
+        """Times after which orders to a target that cannot be reached fail."""
         self.delayed: list = []
         """Grants that `apply_delayed` applies."""
         self.delay_next = 0
@@ -388,6 +390,7 @@
     async def connect(self, target):
         """Open a connection to the process at a target's address."""
         if target.name in self.down:
+            await self.clock.sleep(self.connect_timeout)
             return result.Failure(errors.TargetUnavailable(target.name, "down"))
         process = self.get_process(target.name)
         return result.Success(FakeConnection(self, target, process))
@@ -395,6 +398,7 @@
     async def release(self, target, holding):
         """Apply a release and return its hand-over."""
         if target.name in self.down:
+            await self.clock.sleep(self.release_timeout)
             return result.Failure(errors.TargetUnavailable(target.name, "down"))
         if self.get_process(target.name).target != target.name:
             return result.Failure(model.TargetReplaced(target.name))
--- a/packages/fleet/dewstep_fleet/moves.py
+++ b/packages/fleet/dewstep_fleet/moves.py
@@ -7,8 +7,10 @@
 whether the new owner may own keys is decided again after it.
 """
 
+import asyncio
 import datetime
 from collections.abc import Callable, Coroutine, Iterable
+from typing import Any
 
 from returns import result
 
@@ -276,20 +278,19 @@
         )
         handover = ""
         if release and owner is not None and owner.life == holding.life:
-            if end.late_until > self.clock.monotonic():
-                fenced = await self.fence(service, owner, holding, orders)
-                if fenced is None:
-                    end = ownership_ends.record_unanswered_fence(
-                        end, orders.outstanding
-                    )
-                else:
-                    holding = fenced
-                    end = ownership_ends.record_accepted_fence(
-                        end, orders.outstanding, self.clock.monotonic()
-                    )
+            end, holding = await self.fence_late_grants(
+                service, owner, holding, orders, end
+            )
             await self.clock.sleep(min(self.estimate_queue_wait(owner), MAX_QUEUE_WAIT))
-            outcome = await orders.release(owner, holding)
-            if isinstance(outcome, result.Success):
+            outcome = await self.release_unless_expired(owner, holding, orders, end)
+            if outcome is None:
+                events.warning(
+                    "release_abandoned",
+                    target=holding.target,
+                    first=holding.first,
+                    last=holding.last,
+                )
+            elif isinstance(outcome, result.Success):
                 handover = outcome.unwrap()
                 end = ownership_ends.record_release(end)
             else:
@@ -331,29 +332,79 @@
             wait += await self.adoption.await_inherited_grants(orders)
         return wait
 
-    async def fence(
+    async def fence_late_grants(
         self,
         service: str,
         owner: model.Target,
         holding: model.Holding,
         orders: target_orders.TargetOrders,
-    ) -> model.Holding | None:
-        """Make the owner reject earlier grants that may still arrive.
+        end: ownership_ends.OwnershipEnd,
+    ) -> tuple[ownership_ends.OwnershipEnd, model.Holding]:
+        """Make the owner reject earlier grants that may still arrive, if there are any.
+
+        Orders to a target are sent one after the other, each with its own time-out, so
+        an unreachable owner of many ranges would delay the fence of the last one by
+        seconds. A fence that is not sent by the time from which on no grant can arrive
+        any more is therefore not sent at all.
 
         Returns
         -------
-        model.Holding or None
-            The range with the generation number that the owner has accepted; None if
-            the owner did not answer.
+        tuple
+            The end of the ownership as it is known then, and the range with the number
+            that the owner has accepted last.
         """
+        if end.late_until <= self.clock.monotonic():
+            return end, holding
         if not await self.writer.transfer(
             service, [ranges.build_same_owner_transfer(holding)]
         ):
-            return None
+            return ownership_ends.record_unanswered_fence(
+                end, orders.outstanding
+            ), holding
         found = self.directory.ownerships[service].find(holding.first)
-        holding = found._replace(first=holding.first, last=holding.last)
-        outcome = await orders.grant(owner, holding, "", on_new_connection=True)
-        return holding if isinstance(outcome, result.Success) else None
+        fencing = found._replace(first=holding.first, last=holding.last)
+        outcome = await orders.grant(
+            owner,
+            fencing,
+            "",
+            lambda: self.clock.monotonic() < end.late_until,
+            on_new_connection=True,
+        )
+        if isinstance(outcome, result.Failure):
+            return ownership_ends.record_unanswered_fence(
+                end, orders.outstanding
+            ), holding
+        if outcome.unwrap() is target_orders.SKIPPED:
+            return end, holding
+        accepted = ownership_ends.record_accepted_fence(
+            end, orders.outstanding, self.clock.monotonic()
+        )
+        return accepted, fencing
+
+    async def release_unless_expired(
+        self,
+        owner: model.Target,
+        holding: model.Holding,
+        orders: target_orders.TargetOrders,
+        end: ownership_ends.OwnershipEnd,
+    ) -> result.Result[str, Any] | None:
+        """Let the owner release a range; return None once its grants have expired.
+
+        An owner that cannot be reached answers nothing until the time-out of a release,
+        which would leave its keys without an owner for as long. Grants that a previous
+        coordinator may still send have no known expiry, so the release is awaited.
+        """
+        release = asyncio.ensure_future(orders.release(owner, holding))
+        if orders.outstanding.inherits:
+            return await release
+        wait = ownership_ends.compute_wait(end, self.clock.monotonic())
+        expiry = asyncio.ensure_future(self.clock.sleep(wait))
+        try:
+            await asyncio.wait({release, expiry}, return_when=asyncio.FIRST_COMPLETED)
+            return release.result() if release.done() else None
+        finally:
+            release.cancel()
+            expiry.cancel()
 
     async def grant_new(
         self,
