Spread unkeyed requests over targets when totals are old

All instances chose the target with the lowest cost by the same totals, which are 100 to 250 ms old, and so sent to the same few targets until the next ones: 7.4 requests were found at the chosen target where 1.9 were believed in.

An instance now expects as many requests to have begun since the totals as have ended, places them one after another at the lowest cost, and chooses one of these places at random. Targets of its own data centre come first; those elsewhere are used once the queue here costs more than the traffic.

--- a/packages/fleet/dewstep_fleet/load_counts.py
+++ b/packages/fleet/dewstep_fleet/load_counts.py
@@ -102,6 +102,10 @@
     """Fraction of the requests for its keys that it can serve."""
     pause_left: float = 0.0
     """Seconds for which it has asked for no requests."""
+    others: int = 0
+    """Requests in `running` that are known from the totals only."""
+    age: float | None = None
+    """Seconds since the requests in `others` were counted, or None without totals."""
 
 
 class Loads:
@@ -113,6 +117,11 @@
         """Moving average of the service time of each service."""
         self.route_seconds: dict[str, tuple[int, float]] = {}
         """Number of answers and typical service time of each route."""
+        self.totals_at: float | None = None
+        """When the last totals were received."""
+        self.totals_interval = 0.0
+        """Seconds between the last two totals. Members report in answer to a heartbeat
+        and the next one carries the totals, so they are that old when received."""
 
     def get_load(self, target: str) -> TargetLoad:
         """Return the load of a target, creating it if needed."""
@@ -226,7 +235,8 @@
         totals_are_recent = (
             now - load.totals_received_at <= MAX_TOTALS_AGE.total_seconds()
         )
-        running = load.running + (load.others_running if totals_are_recent else 0)
+        others = load.others_running if totals_are_recent else 0
+        running = load.running + others
         success = load.successes / (load.successes + load.failures)
         slowness = 1.0 if load.slowness is None else load.slowness
         if load.slot_free_at is None or running < slots:
@@ -244,8 +254,14 @@
             overloaded,
             load.admitted if totals_are_recent else 1.0,
             max(0.0, load.paused_until - now),
+            others,
+            None if self.totals_at is None else self.get_totals_age(now),
         )
 
+    def get_totals_age(self, now: float) -> float:
+        """Return the seconds since the requests in the last totals were counted."""
+        return max(0.0, now - self.totals_at) + self.totals_interval
+
     def collect_report(self) -> tuple[frames.Load, ...]:
         """Return the loads that changed since the last report."""
         report = []
@@ -276,6 +292,10 @@
             Monotonic seconds.
         """
         by_hash = {total.target: total for total in totals}
+        if self.totals_at is not None:
+            elapsed = max(0.0, now - self.totals_at)
+            self.totals_interval = min(elapsed, MAX_TOTALS_AGE.total_seconds())
+        self.totals_at = now
         for load in self.by_target.values():
             total = by_hash.get(load.name_hash)
             load.totals_received_at = now
--- a/packages/fleet/dewstep_fleet/selection.py
+++ b/packages/fleet/dewstep_fleet/selection.py
@@ -1,8 +1,8 @@
 """Chooses a target for a request that any target of a service can run.
 
-The target with the lowest cost is chosen. The cost is the expected completion time
-divided by the success rate, since a failure costs the time of another try, plus a
-penalty for traffic to another data centre.
+The cost of a target is the expected completion time divided by the success rate, since
+a failure costs the time of another try, plus a penalty for traffic to another data
+centre. `spreading` chooses among the targets with low costs.
 """
 
 import random
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from dewstep_fleet import load_counts, model
+from dewstep_fleet.load import spreading
 
 REMOTE_PENALTY_S = 0.015
 """Penalty for a target in another data centre: several times the round trip of 2 ms,
@@ -52,7 +53,7 @@
     excluded: frozenset[str] = frozenset(),
     route: str = "",
 ) -> Choice | None:
-    """Return the target with the lowest cost, or None if there is none.
+    """Return a target with a low cost, or None if there is none.
 
     Parameters
     ----------
@@ -66,30 +67,33 @@
     exchange_bytes : int
         Size of the request and its answer in bytes.
     generator : random.Random
-        Source of the random variation of the cost.
+        Chooses among the targets at which other instances are expected to fill the
+        places, too.
     excluded : frozenset of str
         Targets that have already received the request.
     route : str, optional
         Name of the request's route.
     """
-    best = None
+    offers = []
     for target in targets:
         if target.leaving or target.name in excluded:
             continue
         estimate = loads.estimate(target.service, target.name, now, target.slots, route)
         if estimate.pause_left:
             continue
-        wait = estimate_wait(estimate, target.slots)
-        cost = (wait + estimate.service) / max(estimate.success, MIN_SUCCESS)
-        if target.data_centre != data_centre:
-            cost += REMOTE_PENALTY_S + exchange_bytes * REMOTE_PENALTY_S_PER_BYTE
+        remote = target.data_centre != data_centre
+        penalty = 0.0
+        if remote:
+            penalty = REMOTE_PENALTY_S + exchange_bytes * REMOTE_PENALTY_S_PER_BYTE
         if estimate.blocked:
-            cost += UNREACHABLE_PENALTY_S
-        # Instances with the same information must not all choose the same target.
-        cost *= 1 + 0.1 * generator.random()
-        if best is None or cost < best[0]:
-            best = cost, Choice(target, estimate, wait)
-    return None if best is None else best[1]
+            penalty += UNREACHABLE_PENALTY_S
+        success = max(estimate.success, MIN_SUCCESS)
+        offers.append(spreading.Offer(target, estimate, success, penalty, remote))
+    chosen = spreading.choose_offer(offers, generator)
+    if chosen is None:
+        return None
+    target, estimate = chosen.target, chosen.estimate
+    return Choice(target, estimate, estimate_wait(estimate, target.slots))
 
 
 def find_shortest_pause(
