Repeat a request that its owner refused with free slots

A refusal by a key's owner was final, since the owner counted as full.

A request is now sent to the same owner at once up to twice more, if fewer requests than slots are known there, within the route's attempts and the retry budget. Refusals with 421, by a replaced target and in a pause stay final. The test of a full owner now says that the owner is full, which it had left open. The new tests fail without the change (see the test of three tries).

--- /dev/null
+++ b/packages/fleet/dewstep_fleet/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests are sent to a target, sent again, or refused."""
--- /dev/null
+++ b/packages/fleet/dewstep_fleet/admission/owner_resends.py
@@ -0,0 +1,33 @@
+"""Whether a request is sent again to the owner of its key that refused it.
+
+A full owner refuses for as long as its queue stays full, so a resend would cost it and
+the retry budget in vain. An owner with free slots refuses for another reason, which
+each request meets by chance, and the next try may be accepted.
+"""
+
+from dewstep_fleet import load_counts
+
+MAX_OWNER_RESENDS = 2
+"""Maximum number of resends to an owner. If it refuses half of the requests, three
+tries leave an eighth of them refused."""
+
+
+def may_resend(
+    estimate: load_counts.Estimate, slots: int, sends: int, max_attempts: int
+) -> bool:
+    """Whether a request may be sent once more to the owner that has refused it.
+
+    Parameters
+    ----------
+    estimate : load_counts.Estimate
+        What is known of the owner after the refusal.
+    slots : int
+        Slots of the owner.
+    sends : int
+        Number of times that the request has reached a target.
+    max_attempts : int
+        Maximum number of attempts of the route.
+    """
+    if estimate.pause_left or estimate.blocked or estimate.running >= slots:
+        return False
+    return sends <= MAX_OWNER_RESENDS and sends < max_attempts
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -36,6 +36,7 @@
     target_pools,
     target_search,
 )
+from dewstep_fleet.admission import owner_resends
 
 MAX_TRIES = 5
 """Maximum number of tries of one request, including those that reached no target."""
@@ -260,6 +261,8 @@
             if not isinstance(failure, attempts.UNSENT_FAILURES):
                 progress.sends += 1
                 progress.runs += not isinstance(failure, errors.TargetRefused)
+            if self.should_repeat(plan, failure, progress):
+                continue
             if not self.should_resend(plan, failure, progress.runs):
                 return
             if self.should_stop_trial(plan, failure):
@@ -395,7 +398,7 @@
             return False
         refused = isinstance(failure, errors.TargetRefused)
         if refused and plan.key is not None and failure.reason != MISDIRECTED:
-            # The owner is full, and no other target may run the request.
+            # No other target may run the request; see `should_repeat`.
             return False
         closed = errors.TargetPaused | errors.TargetLimited
         if isinstance(failure, closed) and plan.key is not None:
@@ -405,6 +408,21 @@
             return False
         return self.can_resend(plan, runs)
 
+    def should_repeat(
+        self, plan: request_plans.PlannedRequest, failure: Any, progress: Progress
+    ) -> bool:
+        """Whether to repeat a request at once that its owner refused although free."""
+        if plan.key is None or not isinstance(failure, errors.TargetRefused):
+            return False
+        owner = self.directory.targets.get(failure.target)
+        if owner is None or failure.reason in (MISDIRECTED, answering.REPLACED):
+            return False
+        now = self.clock.monotonic().total_seconds()
+        estimate = self.loads.estimate(owner.service, owner.name, now, owner.slots)
+        return owner_resends.may_resend(
+            estimate, owner.slots, progress.sends, plan.max_attempts
+        ) and self.can_resend(plan, progress.runs)
+
     def can_resend(self, plan: request_plans.PlannedRequest, runs: int) -> bool:
         """Whether a request that may have run `runs` times may be resent."""
         if plan.request.body.rest is not None:
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -402,10 +402,42 @@
 def test_request_to_a_full_owner_is_refused_at_once():
     # Guards against delaying requests that no other target may run.
     harness = Harness(full, keyed=True)
+    harness.counts.get_load("a").running = 4
     assert harness.send(headers=((b"x-key", b"70"),)).status == 503
     assert len(harness.sent) == 1
 
 
+@pytest.mark.parametrize(
+    ("outcomes", "status", "sends"),
+    [
+        ((full, 200), 200, 2),
+        ((full, full, 200), 200, 3),
+        ((full, full, full), 503, 3),
+        ((replaced, replaced), 503, 1),
+    ],
+)
+def test_request_is_repeated_to_an_owner_that_refuses_with_free_slots(
+    outcomes, status, sends
+):
+    # Guards against refusing 55% of the requests while an owner refuses each of them
+    # by chance, although three of four would be served with two repetitions.
+    harness = Harness(*outcomes, keyed=True, idempotent=False, max_attempts=4)
+    assert harness.send(headers=((b"x-key", b"70"),)).status == status
+    assert [target for target, *_ in harness.sent] == ["a"] * sends
+
+
+def test_repetitions_to_an_owner_count_as_attempts_and_use_the_retry_budget():
+    # Guards against multiplying the load on a service whose targets refuse everything.
+    harness = Harness(full, full, keyed=True, max_attempts=2)
+    assert harness.send(headers=((b"x-key", b"70"),)).status == 503
+    assert len(harness.sent) == 2
+    harness = Harness(*[full] * 600, keyed=True)
+    for _ in range(200):
+        harness.send(headers=((b"x-key", b"70"),))
+    allowed = 0.2 * 200 + builders.build_timing().retry_slack / 2
+    assert 200 < len(harness.sent) <= 200 + allowed
+
+
 def test_request_is_resent_to_the_new_owner():
     harness = Harness(misdirected, 200, keyed=True)
 
