Stop requests to an evacuated data centre

Change: the adapter passes the rows on, and each instance keeps the evacuated data centres with the earliest time at which the store may have acknowledged the row.

--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -26,6 +26,7 @@
     ranges,
     registrations,
 )
+from dewstep_fleet.evacuation import evacuations
 
 MIN_OUTAGE = datetime.timedelta(seconds=1)
 """Minimum observed outage after which removals are deferred. A shorter one expires no
@@ -136,6 +137,7 @@
         self.clock = clock
         self.decode_routes = decode_routes
         self.registrations = registrations.Registrations(clock, decode_target)
+        self.evacuations = evacuations.Evacuations(clock)
         self.rows: dict[tuple[str, str], model.StoredRow] = {}
         self.routes: model.RouteTable | None = None
         self.ownerships: dict[str, ranges.Ownership] = {}
@@ -247,6 +249,8 @@
 
     def apply_deferred_removals(self) -> None:
         """Apply the deferred removals that are due."""
+        if self.evacuations.end_lost():
+            self.notify_waiters()
         due = self.registrations.take_due_removals()
         if due:
             self.apply_rows(due, apply_removals=True)
@@ -258,7 +262,10 @@
 
     def _apply_row(self, row: model.StoredRow) -> None:
         if row.table == model.TABLES.configuration:
-            self._apply_routes(row)
+            if row.key.startswith(model.EVACUATION_PREFIX):
+                self.evacuations.apply_row(row)
+            else:
+                self._apply_routes(row)
         elif row.table == model.TABLES.targets:
             self.registrations.apply_row(row)
         elif row.key.startswith(RANGES_PREFIX):
@@ -360,6 +367,18 @@
 
     # Queries.
 
+    def is_withdrawn(self, target: model.Target) -> bool:
+        """Whether a target can get no keys: it is leaving or being evacuated."""
+        return target.leaving or self.evacuations.is_evacuated(target.data_centre)
+
+    def list_open(self, service: str) -> tuple[model.Target, ...]:
+        """Return the targets of a service whose data centre is not being evacuated."""
+        targets = self.targets_by_service.get(service, ())
+        if not self.evacuations.current:
+            return targets
+        is_evacuated = self.evacuations.is_evacuated
+        return tuple(item for item in targets if not is_evacuated(item.data_centre))
+
     def list_table(self, table: str) -> list[model.StoredRow]:
         """Return the known rows of a table."""
         return [row for (name, _), row in self.rows.items() if name == table]
--- a/packages/fleet/dewstep_fleet/feeds.py
+++ b/packages/fleet/dewstep_fleet/feeds.py
@@ -161,8 +161,13 @@
                 self._record_success(table, sent, began)
                 if version is None:
                     self.directory.apply_table(table, state)
+                    self._record_complete(table, sent)
                 else:
+                    if not failures:
+                        # The store answers a watch as soon as a row is written.
+                        self._record_complete(table, self.clock.monotonic())
                     self.directory.apply_rows(state.rows)
+                    self._record_complete(table, sent)
                 self.current_tables.add(table)
                 complete_at = sent
                 if version is not None and not state.rows:
@@ -188,6 +193,11 @@
             )
             await self.clock.sleep(max_pause * (0.5 + self.random.random() / 2))
 
+    def _record_complete(self, table: str, at: datetime.timedelta) -> None:
+        """Record that all rows written before a time are known."""
+        if table == model.TABLES.configuration:
+            self.directory.evacuations.record_complete(at)
+
     def _record_success(
         self, table: str, sent: datetime.timedelta, began: datetime.timedelta
     ) -> None:
--- a/packages/fleet/dewstep_fleet/model.py
+++ b/packages/fleet/dewstep_fleet/model.py
@@ -250,6 +250,9 @@
 
 
 TABLES = Tables()
+EVACUATION_PREFIX = "evacuation/"
+"""Start of the keys of the configuration's rows that ask for an evacuation; followed by
+the name of the data centre."""
 
 
 class Timing(NamedTuple):
@@ -268,6 +271,9 @@
     retry_slack: float
     """Resends allowed beyond the ratio per window, over the whole fleet."""
     retry_window: datetime.timedelta
+    evacuation_time: datetime.timedelta = datetime.timedelta(seconds=5)
+    """Time after which the targets of an evacuated data centre must receive no more
+    requests."""
 
 
 class HeaderNames(NamedTuple):
--- a/packages/fleet/dewstep_fleet/target_search.py
+++ b/packages/fleet/dewstep_fleet/target_search.py
@@ -85,7 +85,7 @@
         """Return the target to which the request should be sent."""
         if plan.key is not None:
             return await self.find_owner(plan)
-        targets = self.directory.targets_by_service.get(plan.service.name, ())
+        targets = self.directory.list_open(plan.service.name)
         now = self.clock.monotonic().total_seconds()
         body = plan.request.body_length or len(plan.request.body.start)
         choice = selection.choose_target(
@@ -204,11 +204,17 @@
         """Whether a target has been leaving for too long to receive requests.
 
         The drain time counts from the announcement, of which an instance may learn as
-        late as it takes to notice that there is no news.
+        late as it takes to notice that there is no news. The same holds for the
+        evacuation of its data centre.
         """
+        timing = self.retry_budgets.timing
+        if self.directory.evacuations.is_closed(
+            target.data_centre, timing.evacuation_time - membership.DIRECT_READ_TIMEOUT
+        ):
+            return True
         elapsed = self.directory.get_time_since_departure(target)
         reserved = membership.DIRECT_READ_TIMEOUT + DRAIN_MARGIN
-        limit = self.retry_budgets.timing.drain_time - reserved
+        limit = timing.drain_time - reserved
         return elapsed is not None and elapsed >= limit
 
     def exceeds_admitted_fraction(
