Move the ranges out of an evacuated data centre

Cause: the owners in an evacuated data centre kept their keys, for which there are no requests after the allowed time.

Change: the coordinator moves their ranges as those of leaving targets, with release and handover, but at most as many at a time as the limit of concurrent moves allows, ranges in demand first. The others are renewed until it is their turn. Ranges on their way count as load of their destinations. An evacuated target is no destination, also if the evacuation begins while the store records the move. A restarted target there gets none of its ranges back.

--- a/packages/fleet/dewstep_fleet/eligibility.py
+++ b/packages/fleet/dewstep_fleet/eligibility.py
@@ -17,7 +17,8 @@
     return tuple(
         target
         for target in directory.targets_by_service.get(service, ())
-        if not states.get_for(target).renewal.is_avoided(now) and not target.leaving
+        if not states.get_for(target).renewal.is_avoided(now)
+        and not directory.is_withdrawn(target)
     )
 
 
--- a/packages/fleet/dewstep_fleet/granting.py
+++ b/packages/fleet/dewstep_fleet/granting.py
@@ -228,6 +228,7 @@
         owners = ranges.group_by_target(ownership)
         for target, holdings in owners.items():
             self.renew_or_evacuate(service, target, holdings, now)
+        self.rebalancer.empty_data_centres(service)
 
     def renew_or_evacuate(
         self,
@@ -236,7 +237,11 @@
         holdings: tuple[model.Holding, ...],
         now: datetime.timedelta,
     ) -> None:
-        """Renew a target's ranges, or start to move them if it is leaving or lost."""
+        """Renew a target's ranges, or start to move them if it is leaving or lost.
+
+        Those of an evacuated target are renewed until it is their turn to be moved, see
+        `rebalancing.Rebalancer.empty_data_centres`.
+        """
         registered = self.directory.targets.get(target)
         incarnations = {holding.life for holding in holdings}
         match renewal.compare_registration(registered, service, incarnations):
@@ -248,6 +253,11 @@
                 )
                 if now >= owner.expiry:
                     self.rebalancer.evacuate(service, holdings, release=False)
+            case renewal.Registration.RESTARTED if self.directory.is_withdrawn(
+                registered
+            ):
+                # It gets no keys; the earlier incarnation needs no renewal.
+                return
             case renewal.Registration.RESTARTED:
                 self.mover.begin_regrant(service, registered, holdings)
             case renewal.Registration.CURRENT:
--- a/packages/fleet/dewstep_fleet/moves.py
+++ b/packages/fleet/dewstep_fleet/moves.py
@@ -212,11 +212,11 @@
         Returns
         -------
         model.Target or None
-            An owner that was not leaving after the write; None if there is none.
+            An owner that could get keys after the write; None if there is none.
         """
         while True:
             destination = self.directory.targets.get(target)
-            if destination is None or destination.leaving:
+            if destination is None or self.directory.is_withdrawn(destination):
                 destination = self.choose_replacement(service)
             if destination is None:
                 self.log_abandoned(service, holding, target, "no target can own keys")
@@ -231,12 +231,12 @@
                 return destination
 
     def is_available(self, target: model.Target) -> bool:
-        """Whether a target is still registered and not leaving."""
+        """Whether a target is still registered, not leaving and not evacuated."""
         registered = self.directory.targets.get(target.name)
         return (
             registered is not None
             and registered.life == target.life
-            and not registered.leaving
+            and not self.directory.is_withdrawn(registered)
         )
 
     def log_abandoned(
@@ -364,7 +364,8 @@
     ) -> None:
         """Send the first grant of ranges that were handed over to a target.
 
-        If it is leaving by now, it is granted nothing, and its ranges are evacuated.
+        If it is leaving or evacuated by now, it is granted nothing, and its ranges are
+        moved away.
         """
         for change in changes:
             holding = self.directory.ownerships[service].find(change.first)
--- a/packages/fleet/dewstep_fleet/rebalancing.py
+++ b/packages/fleet/dewstep_fleet/rebalancing.py
@@ -19,6 +19,7 @@
     moves,
     planning,
 )
+from dewstep_fleet.evacuation import emptying, progress
 
 MIN_MOVE_LIMIT = 8
 """Limit of concurrent moves in a small service."""
@@ -80,6 +81,9 @@
         """Fraction of its requests that each overloaded target can serve."""
         self.postponed: dict[tuple[str, str], str] = {}
         """Why a target's ranges cannot be moved away yet, by service and target."""
+        self.destinations: dict[tuple[str, held_ranges.Span], str] = {}
+        """Where the ranges are moved that leave evacuated data centres now, by service
+        and range."""
 
     def can_move(self) -> bool:
         """Whether the store answered recently enough to record a move."""
@@ -122,6 +126,64 @@
         ):
             self.mover.begin_move(service, move, release)
 
+    def empty_data_centres(self, service: str) -> None:
+        """Start to move the next ranges out of the evacuated data centres."""
+        if not self.directory.evacuations.current:
+            self.destinations.clear()
+            return
+        holdings = self.held.exclude_moving(
+            service,
+            progress.list_holdings(self.directory, service),
+        )
+        if not holdings:
+            return
+        source = holdings[0].target
+        if not self.can_move():
+            self.postpone(service, source, "the store does not answer")
+            return
+        moving = self.held.moving.get(service, [])
+        # Computing the demand takes longer than the rest.
+        if len(moving) >= get_move_limit(len(self.directory.targets)):
+            return
+        demand = self.get_demand(service)
+        capacities = self.get_capacities(service, demand)
+        if not capacities:
+            self.postpone(service, source, "no target can own keys")
+            return
+        self.postponed.pop((service, source), None)
+        totals = self.sum_future_rates(service, demand)
+        for move in emptying.choose_moves(
+            holdings,
+            demand.rates,
+            capacities,
+            totals,
+            get_move_limit(len(capacities)) - len(moving),
+        ):
+            self.destinations[service, (move.first, move.last)] = move.target
+            self.mover.begin_move(service, move, release=True)
+
+    def sum_future_rates(
+        self, service: str, demand: demands.Demand
+    ) -> dict[str, float]:
+        """Return the request rate of each target's keys, and of those on the way to it.
+
+        Only ranges that leave an evacuated data centre are followed on their way.
+        """
+        moving = set(self.held.moving.get(service, ()))
+        self.destinations = {
+            (name, span): target
+            for (name, span), target in self.destinations.items()
+            if name != service or span in moving
+        }
+        ownership = self.directory.ownerships[service]
+        totals = planning.sum_rates(ownership.holdings, demand.rates)
+        ordered = sorted(demand.rates.items())
+        for (name, span), target in self.destinations.items():
+            if name == service and ownership.find(span[0]).target != target:
+                rate = sum(rate for _, rate in planning.slice_rates(ordered, *span))
+                totals[target] = totals.get(target, 0.0) + rate
+        return totals
+
     def postpone(self, service: str, source: str, reason: str) -> None:
         """Log why the ranges of a target stay there for now, once for each reason."""
         if self.postponed.get((service, source)) != reason:
