Learn of evacuations by each way of the rows

Cause: a row that reaches an instance late may be older than the time that is allowed, and an instance of an earlier version, to which a complete table seems to lack the row, would end the evacuation for all others.

Change: heartbeats and news of a coordinator that reaches the store show up to when a member had all rows; a row found later counts from then. Messages say whether their sender reads the rows (a new field, false by default), and removals by others are ignored.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -58,6 +58,7 @@
     tenure,
     votes,
 )
+from dewstep_fleet.evacuation import relayed_rows
 
 TICK_INTERVAL = datetime.timedelta(milliseconds=50)
 PAUSE_THRESHOLD = datetime.timedelta(milliseconds=400)
@@ -416,7 +417,7 @@
         """Process a message of another instance."""
         handler = self.handlers.get(frame.kind)
         if handler is not None:
-            handler(link, frame)
+            handler(link, relayed_rows.exclude_assumed_removals(frame))
 
     def drop_link(self, link: links.Link) -> None:
         """Forget a link that has closed."""
@@ -454,6 +455,7 @@
         self.loads.apply_totals(frame.totals, now.total_seconds())
         self.limits.apply_observations(frame.limits, first_hand=False)
         self.losses.receive_heartbeat(frame, now)
+        self.news.record_complete(link, frame, now - self.membership.delay)
         link.send(self.own_reports.build())
 
     def receive_news(self, link: links.Link, frame: frames.Frame) -> None:
@@ -469,6 +471,7 @@
                 and link is self.membership.coordinator_link
             ):
                 self.membership.record_message(frame, now)
+                self.news.record_complete(link, frame, now - self.membership.delay)
 
     def receive_report(self, link: links.Link, frame: frames.Frame) -> None:
         """Process the report of a member."""
--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -26,7 +26,7 @@
     ranges,
     registrations,
 )
-from dewstep_fleet.evacuation import evacuations
+from dewstep_fleet.evacuation import evacuations, relayed_rows
 
 MIN_OUTAGE = datetime.timedelta(seconds=1)
 """Minimum observed outage after which removals are deferred. A shorter one expires no
@@ -262,7 +262,7 @@
 
     def _apply_row(self, row: model.StoredRow) -> None:
         if row.table == model.TABLES.configuration:
-            if row.key.startswith(model.EVACUATION_PREFIX):
+            if relayed_rows.is_evacuation(row):
                 self.evacuations.apply_row(row)
             else:
                 self._apply_routes(row)
--- a/packages/fleet/dewstep_fleet/evacuation/evacuations_test.py
+++ b/packages/fleet/dewstep_fleet/evacuation/evacuations_test.py
@@ -5,11 +5,12 @@
 from dewstep_fleet import (
     builders,
     dispatch_test,
+    frames,
     leaving_targets_test,
     membership,
     model,
 )
-from dewstep_fleet.evacuation import evacuations
+from dewstep_fleet.evacuation import evacuations, relayed_rows
 
 SECOND = builders.SECOND
 ALLOWED = builders.build_timing().evacuation_time
@@ -111,6 +112,20 @@
     assert harness.send(headers=KEY).status == 503 and len(harness.sent) == 2
 
 
+# Guards against an instance of an earlier version, which does not read the rows, and
+# ends an evacuation as its complete table lacks one.
+@pytest.mark.parametrize("reads", [True, False])
+def test_removal_counts_only_from_an_instance_that_reads_the_rows(reads):
+    rows = tuple(
+        builders.build_row(table, ROW, 9, None)
+        for table in (model.TABLES.configuration, model.TABLES.fleet)
+    )
+    sent = frames.Frame("report", 1, "n", "n-1", rows=rows, reads_evacuations=reads)
+    received = frames.decode(frames.encode(sent))
+    kept = relayed_rows.exclude_assumed_removals(received).rows
+    assert kept == (rows if reads else rows[1:])
+
+
 # Guards against an evacuation whose removal was not seen, as the history is gone, and
 # against requests when a restored store lacks the row until it is written again.
 @pytest.mark.parametrize("restored", [True, False])
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -118,4 +118,5 @@
   begun @29 :List(Span);
   ended @30 :List(Span);
   acceptsMoves @31 :Bool;  # "versions": the sender can apply changes of the moves
+  readsEvacuations @32 :Bool; # the sender reads the rows that ask for an evacuation
 }
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -189,6 +189,9 @@
     accepts_moves: bool = False
     """In "versions": whether the sender can apply changes of the moves, which earlier
     versions of this package cannot."""
+    reads_evacuations: bool = False
+    """Whether the sender reads the rows that ask for an evacuation. To earlier versions
+    of this package, a complete table seems to lack such a row."""
 
 
 def hash_target_name(target: str) -> int:
@@ -231,6 +234,7 @@
         ageMs=min(frame.age_ms, MAX_UINT32),
         movesKept=frame.moves_kept,
         acceptsMoves=frame.accepts_moves,
+        readsEvacuations=frame.reads_evacuations,
     )
     if frame.rows:
         message.rows = [
@@ -352,6 +356,7 @@
         decode_list(message, "begun", decode_span),
         decode_list(message, "ended", decode_span),
         message.acceptsMoves,
+        message.readsEvacuations,
     )
 
 
--- a/packages/fleet/dewstep_fleet/news.py
+++ b/packages/fleet/dewstep_fleet/news.py
@@ -76,6 +76,8 @@
         self.scheduled = False
         self.applying_relayed_rows = False
         """Whether the rows being applied came from the coordinator."""
+        self.source: links.Link | None = None
+        """Link to a coordinator that has sent all rows which it knew at first."""
 
     def begin_term(self) -> None:
         """Start to announce changes of the rows that are known now."""
@@ -251,10 +253,21 @@
                 rows.append(row)
         self.apply_relayed_rows(tuple(rows))
         self.losses.receive_known(frame, self.clock.monotonic())
+        self.source = link
         if misfits:
             events.info("rows_requested", node=frame.node, rows=misfits)
             self.request_rows(link)
 
+    def record_complete(
+        self, link: links.Link, frame: frames.Frame, sent_at: datetime.timedelta
+    ) -> None:
+        """Record that this instance had all rows when the coordinator sent a message.
+
+        The coordinator must have reached the store, and sent all rows over this link.
+        """
+        if link is self.source and frame.contact and frame.reads_evacuations:
+            self.directory.evacuations.record_complete(sent_at)
+
     def apply_relayed_rows(self, rows: tuple[model.StoredRow, ...]) -> None:
         """Apply rows received from the coordinator."""
         self.applying_relayed_rows = True
--- a/packages/fleet/dewstep_fleet/roles.py
+++ b/packages/fleet/dewstep_fleet/roles.py
@@ -28,7 +28,12 @@
     def build_frame(self, kind: str, **fields) -> frames.Frame:
         """Return a message from this instance."""
         return frames.Frame(
-            kind, self.term, self.own_member.node, self.own_member.incarnation, **fields
+            kind,
+            self.term,
+            self.own_member.node,
+            self.own_member.incarnation,
+            reads_evacuations=True,
+            **fields,
         )
 
     def is_current(self, link: links.Link, frame: frames.Frame) -> bool:
