Split the ranges of an evacuated data centre by their load only

Cause: each range was split into four pieces, and the limit of moves counted the remaining targets, so that 20 of 73 targets needed more rounds of releases than the allowed time has room for.

Change: a range is split into pieces of a quarter of what a target can serve, and the limit is that of all targets of the service.

--- a/packages/fleet/dewstep_fleet/evacuation/emptying.py
+++ b/packages/fleet/dewstep_fleet/evacuation/emptying.py
@@ -5,10 +5,16 @@
 their owners, which are renewed until it is their turn.
 """
 
+import math
 from collections.abc import Mapping
 
 from dewstep_fleet import model, planning
 
+MAX_PIECE_LOAD = 0.25
+"""Load above which a range is split, as a part of what a target can serve. If a quarter
+of the targets leaves, each of the others takes over about as much. Splitting further
+would take more moves than the allowed time has room for."""
+
 
 def choose_moves(
     holdings: tuple[model.Holding, ...],
@@ -29,27 +35,35 @@
     rates : mapping of int to float
         Requests/s by key.
     capacities : mapping of str to planning.Capacity
-        Targets that can own keys.
+        Targets that can own keys, at least one.
     totals : mapping of str to float
         Requests/s for the keys of each target, including those on the way to it.
     max_moves : int
         Maximum number of moves.
     """
-    if max_moves <= 0:
-        return []
     ordered = sorted(rates.items())
+    loads = {target: totals.get(target, 0.0) for target in capacities}
+    mean_rate = sum(item.rate for item in capacities.values()) / len(capacities)
+
+    def get_rate(first: int, last: int) -> float:
+        return sum(rate for _, rate in planning.slice_rates(ordered, first, last))
 
-    def get_rate(holding: model.Holding) -> float:
+    moves: list[planning.Move] = []
+    for holding in sorted(
+        holdings, key=lambda item: get_rate(item.first, item.last), reverse=True
+    ):
         keys = planning.slice_rates(ordered, holding.first, holding.last)
-        return sum(rate for _, rate in keys)
-
-    # Each range takes at least one move.
-    next_holdings = sorted(holdings, key=get_rate, reverse=True)[:max_moves]
-    moves = planning.distribute_ranges(next_holdings, rates, capacities, totals)
-    chosen: list[planning.Move] = []
-    for holding in next_holdings:
-        pieces = [move for move in moves if holding.first <= move.first <= holding.last]
-        if len(chosen) + len(pieces) > max_moves:
+        load = get_rate(holding.first, holding.last) / mean_rate
+        pieces = min(len(loads), math.ceil(load / MAX_PIECE_LOAD) or 1)
+        spans = planning.split_by_load(holding, keys, pieces)
+        if len(moves) + len(spans) > max_moves:
             break
-        chosen += pieces
-    return chosen
+        for first, last in spans:
+            rate = get_rate(first, last)
+            target = min(
+                loads, key=lambda name: (loads[name] + rate) / capacities[name].rate
+            )
+            # The addend spreads ranges without any load over different targets.
+            loads[target] += rate + capacities[target].rate * 0.01
+            moves.append(planning.Move(first, last, holding.target, target))
+    return moves
--- a/packages/fleet/dewstep_fleet/rebalancing.py
+++ b/packages/fleet/dewstep_fleet/rebalancing.py
@@ -142,8 +142,9 @@
             self.postpone(service, source, "the store does not answer")
             return
         moving = self.held.moving.get(service, [])
-        # Computing the demand takes longer than the rest.
-        if len(moving) >= get_move_limit(len(self.directory.targets)):
+        targets = self.directory.targets_by_service.get(service, ())
+        max_new_moves = get_move_limit(len(targets)) - len(moving)
+        if max_new_moves <= 0:
             return
         demand = self.get_demand(service)
         capacities = self.get_capacities(service, demand)
@@ -157,7 +158,7 @@
             demand.rates,
             capacities,
             totals,
-            get_move_limit(len(capacities)) - len(moving),
+            max_new_moves,
         ):
             self.destinations[service, (move.first, move.last)] = move.target
             self.mover.begin_move(service, move, release=True)
