Show how far an evacuation is

Cause: operators could not see which instances know of an evacuation, what is left to move, or why a request reached the data centre.

Change: gauges evacuated_data_centres and evacuated_ranges, evacuations in the dump, and evacuated_for in the log lines of attempts. A request without a key that waited for a connection to an evacuated target goes elsewhere.

--- a/packages/fleet/dewstep_fleet/attempts.py
+++ b/packages/fleet/dewstep_fleet/attempts.py
@@ -161,13 +161,16 @@
     ) -> errors.Stopping | errors.TargetLeaving | errors.TargetLimited | None:
         """Return the failure of a request that waited for a connection, or None.
 
-        A stop or the departure of the target may have begun, or the limit become known,
-        since it was admitted.
+        A stop, the departure of the target or an evacuation may have begun, or the
+        limit become known, since it was admitted.
         """
         stopping = self.stop.find_refusal(plan, choice)
         if stopping is not None:
             return stopping
-        if self.search.has_departed(choice.target):
+        if self.search.has_departed(choice.target) or (
+            plan.key is None
+            and self.directory.evacuations.is_evacuated(choice.target.data_centre)
+        ):
             return errors.TargetLeaving(choice.target.name)
         if permit is not None:
             return None
@@ -200,6 +203,7 @@
                     running=running,
                     owners=self.search.get_owner_version(plan),
                     leaving_for=self.directory.get_time_since_departure(target),
+                    evacuated_for=self.directory.get_time_since_evacuation(target),
                 )
                 return Outcome(answer, None, target.name)
             failure = errors.AnswerInvalid(target.name, f"status {answer.status}")
@@ -220,6 +224,7 @@
             running=running,
             owners=self.search.get_owner_version(plan),
             leaving_for=self.directory.get_time_since_departure(target),
+            evacuated_for=self.directory.get_time_since_evacuation(target),
             failure=failure,
         )
         replaced = (
--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -197,6 +197,12 @@
         """Return the time since a target announced that it is leaving, or None."""
         return self.registrations.get_time_since_departure(target)
 
+    def get_time_since_evacuation(
+        self, target: model.Target
+    ) -> datetime.timedelta | None:
+        """Return the time since the evacuation of a target's data centre, or None."""
+        return self.evacuations.get_elapsed(target.data_centre)
+
     def apply_rows(
         self, rows: Iterable[model.StoredRow], apply_removals: bool = False
     ) -> list[model.StoredRow]:
--- a/packages/fleet/dewstep_fleet/evacuation/evacuations.py
+++ b/packages/fleet/dewstep_fleet/evacuation/evacuations.py
@@ -139,8 +139,12 @@
             Time after the acknowledgement of the row for which requests may arrive,
             less the time in which an instance notices that it gets no news.
         """
+        elapsed = self.get_elapsed(data_centre)
+        return elapsed is not None and elapsed >= allowed - SAFETY_MARGIN
+
+    def get_elapsed(self, data_centre: str) -> datetime.timedelta | None:
+        """Return the time since an evacuation may have begun, or None."""
         evacuation = self.current.get(data_centre)
         if evacuation is None:
-            return False
-        elapsed = self.clock.monotonic() - evacuation.since
-        return elapsed >= allowed - SAFETY_MARGIN
+            return None
+        return self.clock.monotonic() - evacuation.since
--- a/packages/fleet/dewstep_fleet/evacuation/evacuations_test.py
+++ b/packages/fleet/dewstep_fleet/evacuation/evacuations_test.py
@@ -79,14 +79,15 @@
 
 
 # Guards against a request that is sent after the allowed time, as it waited for a
-# permit or a connection.
-def test_request_that_waited_is_not_sent_after_the_allowed_time():
-    harness = build_instance(200)
+# permit or a connection, and against one without a key that is sent at all.
+@pytest.mark.parametrize("keyed", [True, False])
+def test_request_that_waited_is_not_sent_after_the_allowed_time(keyed):
+    harness = build_instance(200, keyed=keyed)
     make_pool = harness.dispatcher.pools.get
 
     def wait_for_connection(service, target):
         write(harness, 9)
-        harness.clock.advance(ALLOWED - LATE)
+        harness.clock.advance(keyed * (ALLOWED - LATE))
         return make_pool(service, target)
 
     harness.dispatcher.pools.get = wait_for_connection
--- a/packages/fleet/dewstep_fleet/evacuation/granting_test.py
+++ b/packages/fleet/dewstep_fleet/evacuation/granting_test.py
@@ -1,25 +1,30 @@
 """Tests of how key ranges leave an evacuated data centre."""
 
-import collections
-
 import pytest
 
-from dewstep_fleet import builders, granting_test, model, planning, rebalancing, terms
+from dewstep_fleet import (
+    builders,
+    granting_test,
+    leaving_targets_test,
+    model,
+    planning,
+    rebalancing,
+)
+from dewstep_fleet.evacuation import progress
 
 STEP = granting_test.STEP
 EVACUATION_TIME = builders.build_timing().evacuation_time
 LEFT, STAYING = ("a", "b"), ("c", "d")
 
 
-def start(harnesses, left=LEFT, staying=STAYING):
-    """Return a harness with targets in two data centres that own all keys."""
-    harness = granting_test.build_harness(harnesses)
+async def start(harnesses, left=LEFT, staying=STAYING):
+    """Return a coordinator and its harness, with targets in two data centres."""
+    harness = granting_test.build_harness(harnesses, *staying)
     for name in left:
         harness.register(builders.build_target(name, data_centre="dc-2"))
-    for name in staying:
-        harness.register(builders.build_target(name))
-    harness.elect("n1")
-    return harness
+    granter = harness.elect("n1")
+    await harness.run(granting_test.SETTLING_TIME)
+    return harness, granter
 
 
 def evacuate(harness, value=b"{}", data_centre="dc-2"):
@@ -36,28 +41,25 @@
     async def scenario(harnesses):
         left = [f"x{number}" for number in range(20)]
         staying = [f"y{number}" for number in range(40)]
-        harness = start(harnesses, left, staying)
-        await harness.run(granting_test.SETTLING_TIME)
-        (granter,) = harness.coordinators
-        harness.rates = dict.fromkeys(range(0, model.KEY_SPACE_SIZE, 64), 1.0)
+        harness, granter = await start(harnesses, left, staying)
+        limit = rebalancing.get_move_limit(len(left + staying))
+        harness.rates = dict.fromkeys(range(0, model.KEY_SPACE_SIZE, 64), 0.4)
         hot = granter.held.list_owned("history", "x19")[0].first
         harness.rates[hot] = 50.0
-        limit = rebalancing.get_move_limit(len(left + staying))
         evacuate(harness)
         granter.step()
         assert granter.directory.is_moving("history", hot)
-        loads = collections.Counter(granter.rebalancer.destinations.values())
-        for _ in range(60):
+        (state,) = progress.describe(granter.directory).values()
+        assert state["ranges"] >= len(left)
+        destinations = set()
+        while harness.find_owners() != set(staying):
+            assert len(granter.held.moving["history"]) <= limit
+            destinations.update(granter.rebalancer.destinations.values())
             await harness.run(STEP)
-            assert len(granter.held.moving.get("history", ())) <= limit
-            moving = sum(
-                last - first + 1 for first, last in granter.held.moving["history"]
-            )
-            assert harness.count_held() >= model.KEY_SPACE_SIZE - 2 * moving
-            loads.update(granter.rebalancer.destinations.values())
-        assert harness.find_owners() == set(staying)
+            assert harness.count_held() > model.KEY_SPACE_SIZE / 2
         assert harness.count_held() == model.KEY_SPACE_SIZE
-        assert len(loads) > len(staying) / 2
+        assert len(destinations) > len(staying) / 2
+        assert progress.count_ranges(granter.directory) == {"dc-2": 0}
 
     granting_test.run_scenario(scenario)
 
@@ -68,9 +70,7 @@
 )
 def test_data_centre_is_emptied_despite_a_fault(fault):
     async def scenario(harnesses):
-        harness = start(harnesses)
-        await harness.run(granting_test.SETTLING_TIME)
-        (granter,) = harness.coordinators
+        harness, granter = await start(harnesses)
         evacuate(harness)
         owners = set(STAYING)
         if fault == "successor":
@@ -83,20 +83,18 @@
             assert harness.count_held() == model.KEY_SPACE_SIZE
             granter.table_feeds.lost_at = None
             harness.leads_without_store = False
-        elif fault == "unanswering":
-            harness.targets.unanswering.update(LEFT)
-        elif fault == "down":
-            harness.targets.down.update(LEFT)
         elif fault == "new target":
             new = builders.build_target("a", data_centre="dc-2", life=2)
             harness.restart(new)
             harness.register(new._replace(name="e"))
-        else:
+        elif fault == "both":
             evacuate(harness, data_centre="dc-1")
             await harness.run(2 * EVACUATION_TIME)
             assert harness.count_held() == model.KEY_SPACE_SIZE
             evacuate(harness, None)
             owners = set(LEFT)
+        else:
+            getattr(harness.targets, fault).update(LEFT)
         await harness.run(2 * EVACUATION_TIME)
         assert harness.find_owners() == owners
         assert harness.count_held() == model.KEY_SPACE_SIZE
@@ -108,27 +106,15 @@
 # as long as the store took to record the move.
 def test_target_evacuated_during_the_write_is_granted_nothing():
     async def scenario(harnesses):
-        harness = start(harnesses)
-        await harness.run(granting_test.SETTLING_TIME)
-        (granter,) = harness.coordinators
+        harness, granter = await start(harnesses)
+        released = leaving_targets_test.hold_writes(harness.store)
         (held,) = granter.held.list_owned("history", "c")
         move = planning.Move(held.first, held.first + 9, "c", "a")
         granter.mover.begin_move("history", move, release=True)
-        record = granter.mover.record_new_owner
-
-        async def evacuate_during_the_write(service, holding, target):
-            transfer = granter.writer.transfer
-
-            async def transfer_late(service, changes):
-                evacuate(harness)
-                granter.writer.transfer = transfer
-                return await transfer(service, changes)
-
-            granter.writer.transfer = transfer_late
-            return await record(service, holding, target)
-
-        granter.mover.record_new_owner = evacuate_during_the_write
-        await harness.run(terms.RETRY_PAUSE + EVACUATION_TIME)
+        await harness.run(4 * STEP)
+        evacuate(harness)
+        released.set()
+        await harness.run(EVACUATION_TIME)
         assert harness.find_owners() == set(STAYING)
         assert not any(
             grant.process.target == "a" and grant.holding.first == held.first
@@ -141,8 +127,7 @@
 # Guards against a bulk move back: ranges return only as balancing needs them.
 def test_end_of_an_evacuation_moves_no_more_than_balancing_does():
     async def scenario(harnesses):
-        harness = start(harnesses)
-        await harness.run(granting_test.SETTLING_TIME)
+        harness, _ = await start(harnesses)
         evacuate(harness)
         await harness.run(EVACUATION_TIME)
         released = len(harness.targets.released)
--- a/packages/fleet/dewstep_fleet/telemetry.py
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -7,6 +7,7 @@
 
 from dewstep_core import clocks, data, events
 from dewstep_fleet import crash_counts, directories, dispatch, model
+from dewstep_fleet.evacuation import progress
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 UNKNOWN = -1.0
@@ -112,6 +113,8 @@
         ),
         "targets": len(process.directory.targets),
         "leaving_owners": count_leaving_owners(process.directory),
+        "evacuated_data_centres": len(process.directory.evacuations.current),
+        "evacuated_ranges": sum(progress.count_ranges(process.directory).values()),
         "ranges": sum(
             len(item.holdings) for item in process.directory.ownerships.values()
         ),
@@ -169,5 +172,6 @@
             for service, ownership in directory.ownerships.items()
         },
         "moving": directory.moving,
+        "evacuations": progress.describe(directory),
         "limits": process.participant.limits.list_rates(),
     }
