--- a/packages/fleet/dewstep_fleet/evacuation/granting_test.py
+++ b/packages/fleet/dewstep_fleet/evacuation/granting_test.py
@@ -98,6 +98,9 @@
         await harness.run(2 * EVACUATION_TIME)
         assert harness.find_owners() == owners
         assert harness.count_held() == model.KEY_SPACE_SIZE
+        # A target that registers anew is granted nothing.
+        grantees = {grant.process for grant in harness.targets.accepted}
+        assert not grantees & {builders.Process("a", 2), builders.Process("e", 1)}
 
     granting_test.run_scenario(scenario)
 
