Wait once for the grants of earlier coordinators after a restore

When the store came back from an older copy while all instances and targets were restarted, callers got 503 for 28 s after the store's return (0 of 158 requests served from 15 to 23 s after everything was back).

A new coordinator that may not know all owners waits until all earlier grants have expired: 13.75 s from the adoption of its term. It then took over the ranges of the copy and assumed the same grants once more, for 13.75 s from that moment, before it moved the ranges of the lost targets. Both waits were counted from when the code reached them.

The time at which earlier grants have expired is now established once for each era of the store, when half of the members report to the coordinator, and every service waits until that time. A restore within a term establishes it anew, as it may have hidden another coordinator. Until half of the members report, nothing changes. The same applies to a configuration that is written late and to a second restore during the wait.

--- a/packages/fleet/dewstep_fleet/adoption.py
+++ b/packages/fleet/dewstep_fleet/adoption.py
@@ -9,11 +9,16 @@
 holds a key; it grants nothing until all earlier grants have expired. In the first term
 that the store knows of, the targets are asked to release all keys instead.
 
+The time until which earlier grants last is established once for each era of the store,
+when half of the members report to this instance. Each service whose ranges are taken
+over later waits until this time, and not for the whole duration again.
+
 The keys of a service without owners are divided among its targets.
 """
 
 import datetime
 from collections.abc import Callable
+from typing import NamedTuple
 
 from dewstep_core import clocks, events, tasks
 from dewstep_fleet import (
@@ -55,12 +60,14 @@
     return generation < era_floor and known_floor != era_floor
 
 
-def compute_inherited_expiry(
-    now: datetime.timedelta, max_duration: datetime.timedelta
-) -> datetime.timedelta:
-    """Return when the latest grants that a predecessor may have sent have expired."""
-    ended = outstanding.build_ended(now)
-    return outstanding.record_inherited(ended, now, max_duration).expiry
+class InheritedLimit(NamedTuple):
+    """When all grants of earlier coordinators have expired."""
+
+    era_floor: int
+    """Lowest version of the store's era in which this was established."""
+    max_duration: datetime.timedelta
+    """Longest duration of such a grant."""
+    expiry: datetime.timedelta
 
 
 class Adoption:
@@ -116,6 +123,8 @@
         changed."""
         self.adopted = False
         """Whether the previous coordinator cannot lead without the store any more."""
+        self.inherited_limit: InheritedLimit | None = None
+        """Known once half of the members have reported in the store's era."""
 
     # Ranges.
 
@@ -202,9 +211,9 @@
         while not self.adopted:
             await self.clock.sleep(terms.STEP_INTERVAL)
         era_floor = self.directory.era_floor
-        now = self.clock.monotonic()
-        expiry = compute_inherited_expiry(now, self.get_max_inherited_duration())
-        events.warning("owners_lost", service=service, wait=expiry - now)
+        expiry = self.get_inherited_limit().expiry
+        wait = expiry - self.clock.monotonic()
+        events.warning("owners_lost", service=service, wait=wait)
         if not (
             self.is_first_term(service)
             and await self.unknown_owners.release_all(service, expiry)
@@ -224,21 +233,46 @@
         """Return the longest duration of a grant that a predecessor may send now."""
         return max(grant_durations.GRANT_DURATION, self.get_inherited_grant_time_left())
 
-    def record_inherited_grants(self, ownership: ranges.Ownership) -> None:
-        """Assume the latest grants that the previous coordinator may have sent."""
+    def get_inherited_limit(self) -> InheritedLimit:
+        """Return when the latest grants that a predecessor may have sent have expired.
+
+        Once the predecessor cannot lead any more, this does not depend on when the
+        ranges of a service are taken over.
+        """
+        era_floor = self.directory.era_floor
+        limit = self.inherited_limit
+        if limit is not None and limit.era_floor == era_floor:
+            return limit
         max_duration = self.get_max_inherited_duration()
         now = self.clock.monotonic()
+        expiry = outstanding.compute_inherited_expiry(now, max_duration)
+        return InheritedLimit(era_floor, max_duration, expiry)
+
+    def limit_inherited_grants(self) -> None:
+        """Record when the grants of all earlier coordinators have expired.
+
+        None of them leads without the store for longer than is assumed once half of the
+        members report to this one. A restore may have hidden a successor of this one,
+        so this is established again in each era of the store.
+        """
+        limit = self.get_inherited_limit()
+        if limit != self.inherited_limit and self.is_adopted():
+            self.inherited_limit = limit
+
+    def record_inherited_grants(self, ownership: ranges.Ownership) -> None:
+        """Assume the latest grants that the previous coordinator may have sent."""
+        limit = self.get_inherited_limit()
         events.info(
             "grants_inherited",
             service=ownership.service,
             term=self.term.leadership.term,
             generation=ownership.generation,
-            max_duration=max_duration,
-            grants_left=compute_inherited_expiry(now, max_duration) - now,
+            max_duration=limit.max_duration,
+            grants_left=limit.expiry - self.clock.monotonic(),
         )
         for holding in ownership.holdings:
             state = self.grant_states.get_owner(holding)
-            state.orders.record_inherited(max_duration)
+            state.orders.record_inherited(limit.expiry)
 
     def extend_inherited_grants(self) -> None:
         """Assume further grants of the previous coordinator while it may be followed.
@@ -247,15 +281,16 @@
         time that is assumed for a coordinator without the store once half of them have
         adopted this term. It can grant nothing once all owners reject its orders.
         """
+        self.limit_inherited_grants()
         if self.adopted:
             return
         self.adopted = self.is_adopted() or self.is_accepted_by_owners()
         if self.adopted:
             events.info("term_adopted", term=self.term.leadership.term)
-        max_duration = self.get_max_inherited_duration()
+        expiry = self.get_inherited_limit().expiry
         for state in self.grant_states.states.values():
             if state.orders.outstanding.inherits:
-                state.orders.record_inherited(max_duration)
+                state.orders.record_inherited(expiry)
 
     def is_accepted_by_owners(self) -> bool:
         """Whether all owners of keys have accepted numbers of this term.
--- a/packages/fleet/dewstep_fleet/adoption_test.py
+++ b/packages/fleet/dewstep_fleet/adoption_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from dewstep_fleet import adoption, builders, outstanding, ranges
+from dewstep_fleet import adoption, ranges
 
 ERA = 4_000
 
@@ -33,13 +33,3 @@
 # Guards against a slow first start in a store that has never been restored.
 def test_no_owners_are_lost_in_the_first_era():
     assert not adoption.may_have_lost_owners(None, 0, None)
-
-
-# Guards against granting keys that a target holds under the longest grant that the
-# previous coordinator sent as the last one.
-def test_inherited_grants_expire_after_the_last_possible_one():
-    now = 100 * builders.SECOND
-    duration = 10 * builders.SECOND
-    last_sent_at = now + outstanding.TERM_CONFIRMATION_MAX_AGE
-    expiry = adoption.compute_inherited_expiry(now, duration)
-    assert expiry > last_sent_at + duration * outstanding.CLOCK_DRIFT_FACTOR
--- a/packages/fleet/dewstep_fleet/outstanding.py
+++ b/packages/fleet/dewstep_fleet/outstanding.py
@@ -91,18 +91,22 @@
     return grants._replace(unanswered_until=max(grants.unanswered_until, expiry))
 
 
-def record_inherited(
-    grants: OutstandingGrants,
-    now: datetime.timedelta,
-    duration: datetime.timedelta,
-) -> OutstandingGrants:
-    """Return the bounds at the start of a term.
+def compute_inherited_expiry(
+    now: datetime.timedelta, duration: datetime.timedelta
+) -> datetime.timedelta:
+    """Return when the latest grants of the previous coordinator have expired.
 
-    Assumes that the previous coordinator still sends grants of `duration` for as long
-    as it may act without the store.
+    Assumes that it still sends grants of `duration` for as long as it may act without
+    the store.
     """
     latest_sent_at = now + TERM_CONFIRMATION_MAX_AGE + ORDER_TIMEOUT
-    expiry = latest_sent_at + get_max_validity(duration)
+    return latest_sent_at + get_max_validity(duration)
+
+
+def record_inherited(
+    grants: OutstandingGrants, expiry: datetime.timedelta
+) -> OutstandingGrants:
+    """Return the bounds with grants of the previous coordinator until `expiry`."""
     return grants._replace(
         sent_until=max(grants.sent_until, expiry),
         inherited_until=max(grants.inherited_until, expiry),
--- a/packages/fleet/dewstep_fleet/outstanding_test.py
+++ b/packages/fleet/dewstep_fleet/outstanding_test.py
@@ -11,6 +11,12 @@
 SLOWEST_CLOCK = 0.98
 
 
+def record_inherited(grants, now, duration):
+    """Record that the previous coordinator may send grants of `duration` now."""
+    expiry = outstanding.compute_inherited_expiry(now, duration)
+    return outstanding.record_inherited(grants, expiry)
+
+
 def test_grant_in_progress_is_assumed_to_arrive_at_its_timeout():
     # Guards against an expiry that is computed from when an order was sent.
     grants = outstanding.record_sending(outstanding.build_ended(NOW), NOW, DURATION)
@@ -39,9 +45,7 @@
 
 def test_accepted_ranges_end_late_orders_but_not_accepted_grants():
     # Guards against ignoring long grants that the previous coordinator sent.
-    grants = outstanding.record_inherited(
-        outstanding.build_ended(NOW), NOW, 4 * DURATION
-    )
+    grants = record_inherited(outstanding.build_ended(NOW), NOW, 4 * DURATION)
     bound = NOW + outstanding.TERM_CONFIRMATION_MAX_AGE + 4 * DURATION
     assert grants.late_until >= bound
     grants = outstanding.exclude_inherited(grants, NOW)
@@ -49,6 +53,15 @@
     assert grants.expiry >= bound
 
 
+# Guards against granting keys that a target holds under the longest grant that the
+# previous coordinator sent as the last one.
+def test_inherited_grants_expire_after_the_last_possible_one():
+    duration = 4 * DURATION
+    last_sent_at = NOW + outstanding.TERM_CONFIRMATION_MAX_AGE
+    expiry = outstanding.compute_inherited_expiry(NOW, duration)
+    assert expiry > last_sent_at + duration * outstanding.CLOCK_DRIFT_FACTOR
+
+
 @given(
     strategies.lists(
         strategies.tuples(
@@ -57,7 +70,7 @@
                     outstanding.record_sending,
                     outstanding.record_answer,
                     outstanding.record_lost_answer,
-                    outstanding.record_inherited,
+                    record_inherited,
                 ]
             ),
             strategies.integers(0, 500),
--- a/packages/fleet/dewstep_fleet/ownership_ends_test.py
+++ b/packages/fleet/dewstep_fleet/ownership_ends_test.py
@@ -10,7 +10,8 @@
     """Return the bounds of a process after one grant, sent and ended at `NOW`."""
     grants = outstanding.build_ended(NOW)
     if inherited:
-        grants = outstanding.record_inherited(grants, NOW, DURATION)
+        expiry = outstanding.compute_inherited_expiry(NOW, DURATION)
+        grants = outstanding.record_inherited(grants, expiry)
     grants = outstanding.record_sending(grants, NOW, DURATION)
     record = outstanding.record_answer
     if unanswered:
--- a/packages/fleet/dewstep_fleet/store_restore_test.py
+++ b/packages/fleet/dewstep_fleet/store_restore_test.py
@@ -176,6 +176,115 @@
     granting_test.run_scenario(scenario)
 
 
+async def lose_all(harness):
+    """Lose all coordinators and targets while the store goes back to the copy."""
+    harness.cut()
+    for granter in harness.coordinators:
+        granter.tasks.cancel()
+        granter.term.deposed = True
+    for name in harness.registered:
+        harness.targets.down.add(name)
+        harness.targets.grants[name] = []
+    harness.registered.clear()
+    await harness.restore()
+
+
+def replace_targets(harness, *names):
+    """Remove the registrations of all lost targets, and register others."""
+    for table, name in list(harness.store.rows):
+        if table == model.TABLES.targets:
+            harness.remove(name)
+    for name in names:
+        harness.register(builders.build_target(name))
+
+
+async def run_and_lose_all(harnesses, copied_at):
+    """Lose a fleet that ran on two targets, and elect a coordinator; return both."""
+    harness = build_harness(harnesses, "a", "b")
+    harness.elect("n1")
+    await harness.run(copied_at)
+    harness.store.save_copy()
+    await harness.run(4 * builders.SECOND)
+    await lose_all(harness)
+    return harness, harness.elect("n2")
+
+
+# Guards against waiting twice for the same grants: once until no target holds keys from
+# before the restore, and again for the owners in the copy, which are lost.
+def test_new_targets_get_the_keys_of_lost_ones_once_earlier_grants_have_expired():
+    async def scenario(harnesses):
+        harness, _ = await run_and_lose_all(harnesses, SETTLING_TIME)
+        await harness.run(builders.SECOND)
+        replace_targets(harness, "c", "d")
+        await harness.run(INHERITED_TIME - 2 * builders.SECOND)
+        assert not harness.count_held()
+        await harness.run(builders.SECOND + SETTLING_TIME)
+        assert harness.find_owners() <= {"c", "d"}
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+# Guards against a further wait if the copy is from before the first owners.
+def test_copy_without_owners_delays_the_first_grant_only_once():
+    async def scenario(harnesses):
+        harness, _ = await run_and_lose_all(harnesses, STEP)
+        replace_targets(harness, "c", "d")
+        await harness.run(INHERITED_TIME + SETTLING_TIME)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+# Guards against a wait for earlier grants that begins when the configuration, which the
+# copy lacks, is written again.
+def test_late_configuration_does_not_prolong_the_wait_for_earlier_grants():
+    async def scenario(harnesses):
+        harness, successor = await run_and_lose_all(harnesses, SETTLING_TIME)
+        routes, successor.directory.routes = successor.directory.routes, None
+        replace_targets(harness, "c", "d")
+        await harness.run(INHERITED_TIME - 2 * builders.SECOND)
+        successor.directory.routes = routes
+        await harness.run(2 * builders.SECOND + SETTLING_TIME)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+# Guards against two waits after a second restore, and against a wait that does not
+# allow for grants of a coordinator that the second restore has hidden.
+def test_second_restore_within_the_wait_begins_it_anew_once():
+    async def scenario(harnesses):
+        harness, _ = await run_and_lose_all(harnesses, SETTLING_TIME)
+        replace_targets(harness, "c", "d")
+        harness.store.save_copy()
+        await harness.run(6 * builders.SECOND)
+        await harness.restore()
+        await harness.run(INHERITED_TIME - builders.SECOND)
+        assert not harness.count_held()
+        await harness.run(builders.SECOND + SETTLING_TIME)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
+# Guards against grants to new targets while an earlier coordinator, which most members
+# follow, still renews those of the owners in the copy.
+def test_wait_for_earlier_grants_begins_when_the_earlier_coordinator_has_ended():
+    async def scenario(harnesses):
+        harness, successor = await run_and_lose_all(harnesses, SETTLING_TIME)
+        successor.adoption.is_adopted = lambda: False
+        replace_targets(harness, "c", "d")
+        await harness.run(INHERITED_TIME)
+        successor.adoption.is_adopted = lambda: True
+        await harness.run(INHERITED_TIME - STEP)
+        assert not harness.count_held()
+        await harness.run(SETTLING_TIME)
+        assert harness.count_held() == model.KEY_SPACE_SIZE
+
+    granting_test.run_scenario(scenario)
+
+
 def test_new_coordinator_divides_keys_whose_owners_are_lost():
     # Guards against numbers that targets received before the copy had any owners.
     async def scenario(harnesses):
--- a/packages/fleet/dewstep_fleet/target_orders.py
+++ b/packages/fleet/dewstep_fleet/target_orders.py
@@ -129,11 +129,9 @@
             self._record_failure(outcome.failure())
         return outcome
 
-    def record_inherited(self, duration: datetime.timedelta) -> None:
+    def record_inherited(self, expiry: datetime.timedelta) -> None:
         """Assume grants of the previous coordinator; see `outstanding`."""
-        self.outstanding = outstanding.record_inherited(
-            self.outstanding, self.clock.monotonic(), duration
-        )
+        self.outstanding = outstanding.record_inherited(self.outstanding, expiry)
 
     def exclude_inherited(self, accepted_since: datetime.timedelta) -> None:
         """Record that the target rejects orders of the previous coordinator."""
