Let strong instances start elections first in a large fleet

Callers of keyed services got 503 for up to 7 s after the loss of a coordinator beside a zone cut: a weak instance with a link of 10 Mbit/s was elected, its link was full of messages to 79 members, so that it reached the store no more, and it was replaced.

The jitter of the election time-out grew with all members, up to 1.2 s for 80 of them, while weak instances start only 0.45 s later. It now grows with the members that are at least as strong. The new test failed before.

--- a/packages/fleet/dewstep_fleet/candidacy.py
+++ b/packages/fleet/dewstep_fleet/candidacy.py
@@ -89,9 +89,9 @@
 
     def draw_timeout(self) -> datetime.timedelta:
         """Return a random time without a healthy heartbeat until the next election."""
-        strength = self.role.own_member.strength
+        strengths = [member.strength for member in self.directory.members.values()]
         return elections.draw_timeout(
-            strength, len(self.directory.members), self.random
+            self.role.own_member.strength, strengths, self.random
         )
 
     def redraw_timeout(self) -> None:
--- a/packages/fleet/dewstep_fleet/elections.py
+++ b/packages/fleet/dewstep_fleet/elections.py
@@ -8,7 +8,7 @@
 
 import datetime
 import random
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from dewstep_fleet import directories, membership, model
@@ -19,7 +19,9 @@
 ELECTION_JITTER = datetime.timedelta(milliseconds=300)
 """Elections start randomly within this time, so that one ends before others begin."""
 ELECTION_JITTER_PER_MEMBER = datetime.timedelta(milliseconds=15)
-"""Widens the jitter in a large fleet; an election takes 50 to 150 ms."""
+"""Widens the jitter in a large fleet; an election takes 50 to 150 ms. Only members that
+are as strong count, since the weaker ones start later: with a jitter for all 80 members
+of a fleet, one of its many weak members was often ahead of the few strong ones."""
 WEAK_INSTANCE_DELAY = datetime.timedelta(milliseconds=500)
 """Additional election time-out of the weakest instances. A coordinator has a link to
 each member, so strong instances should start elections first."""
@@ -55,11 +57,21 @@
 
 
 def draw_timeout(
-    strength: float, member_count: int, generator: random.Random
+    strength: float, strengths: Iterable[float], generator: random.Random
 ) -> datetime.timedelta:
-    """Return a random time without a healthy heartbeat until the next election."""
+    """Return a random time without a healthy heartbeat until the next election.
+
+    Parameters
+    ----------
+    strength : float
+        Strength of this instance, see `model.Member`.
+    strengths : iterable of float
+        Strengths of all members.
+    generator : random.Random
+    """
     weakness = max(0.0, 1.0 - strength)
-    jitter = max(ELECTION_JITTER, ELECTION_JITTER_PER_MEMBER * member_count)
+    rivals = sum(other >= strength for other in strengths)
+    jitter = max(ELECTION_JITTER, ELECTION_JITTER_PER_MEMBER * rivals)
     return (
         membership.HEARTBEAT_TIMEOUT
         + WEAK_INSTANCE_DELAY * weakness
--- a/packages/fleet/dewstep_fleet/elections_test.py
+++ b/packages/fleet/dewstep_fleet/elections_test.py
@@ -72,13 +72,26 @@
 # Guards against weak coordinators, and against simultaneous elections in large fleets.
 def test_timeout_grows_with_weakness_and_with_the_fleet():
     generator = random.Random(1)
-    weak = [elections.draw_timeout(0.0, 3, generator) for _ in range(100)]
+    weak = [elections.draw_timeout(0.0, [0.0] * 3, generator) for _ in range(100)]
     shortest = membership.HEARTBEAT_TIMEOUT + elections.WEAK_INSTANCE_DELAY
     assert shortest <= min(weak) <= max(weak) < shortest + elections.ELECTION_JITTER
-    spread = [elections.draw_timeout(1.0, 200, generator) for _ in range(100)]
+    spread = [elections.draw_timeout(1.0, [1.0] * 200, generator) for _ in range(100)]
     assert max(spread) > membership.HEARTBEAT_TIMEOUT + 2 * builders.SECOND
 
 
+# Guards against a coordinator whose link of 10 Mbit/s is too slow for messages to 80
+# members, so that it loses the store and is replaced again.
+def test_strong_instances_start_elections_before_many_weak_ones():
+    generator = random.Random(1)
+    strengths = [2.0] * 4 + [0.1] * 76
+    for _ in range(100):
+        timeouts = [
+            elections.draw_timeout(strength, strengths, generator)
+            for strength in strengths
+        ]
+        assert min(timeouts[:4]) + 150 * builders.MILLISECOND < min(timeouts[4:])
+
+
 # Guards against a coordinator elected by a minority, or against the coordinator's vote.
 @pytest.mark.parametrize(
     ("votes", "expected"),
