Limit queues by the latency objective while demand exceeds capacity

A queue now counts as standing after a service time. Requests are sent while the wait is at most half of the time between service time and objective, less urgent ones to shorter queues, and in the fraction that all instances together have room for until the next totals.

The test of an overloaded owner gives the totals an age now, which the fraction depends on; its bounds are the same. The targets' loads are known from the start there, so that the service time is not taken to be 0.

--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -600,8 +600,10 @@
     """Return how many requests for an overloaded owner's key are sent to it."""
     harness = Harness(*[200] * requests, keyed=True, **route)
     total = frames.Total(frames.hash_target_name("a"), running, 1.0, 0.2)
+    harness.counts.get_load("a")
     sent = 0
     for _ in range(requests):
+        harness.clock.advance(120 * MILLISECOND)
         harness.counts.apply_totals((total,), harness.clock.monotonic().total_seconds())
         answer = harness.send(headers=((b"x-key", b"7"),))
         sent += answer.status == 200
--- a/packages/fleet/dewstep_fleet/load_counts.py
+++ b/packages/fleet/dewstep_fleet/load_counts.py
@@ -27,8 +27,9 @@
 SUCCESS_PRIOR = 3.0
 """Number of successes assumed for a target without answers."""
 STANDING_QUEUE_THRESHOLD_S = 0.5
-"""Time after which a queue counts as standing, similar to CoDel's interval. The queue
-of a burst drains within this time, two or three service times."""
+"""Longest time after which a queue counts as standing, similar to CoDel's interval. It
+is one service time if that is shorter: the queue of a random burst, of about as many
+requests as there are slots, drains within it."""
 MAX_TOTALS_AGE = datetime.timedelta(seconds=2)
 """Older totals of other instances are ignored."""
 
@@ -50,6 +51,7 @@
         "paused_until",
         "running",
         "slot_free_at",
+        "slots",
         "slowness",
         "successes",
         "totals_received_at",
@@ -81,6 +83,8 @@
         """End of the last pause that the target asked for."""
         self.slot_free_at: float | None = None
         """When a slot was last free, or when the target was first estimated."""
+        self.slots = 0
+        """Slots of the target, once it has been estimated."""
 
 
 class Estimate(NamedTuple):
@@ -239,11 +243,11 @@
         running = load.running + others
         success = load.successes / (load.successes + load.failures)
         slowness = 1.0 if load.slowness is None else load.slowness
+        load.slots = slots or load.slots
         if load.slot_free_at is None or running < slots:
             load.slot_free_at = now
-        overloaded = (
-            bool(slots) and now - load.slot_free_at > STANDING_QUEUE_THRESHOLD_S
-        )
+        threshold = min(STANDING_QUEUE_THRESHOLD_S, typical * slowness)
+        overloaded = bool(slots) and now - load.slot_free_at > threshold
         blocked = load.blocked_until > now
         return Estimate(
             running,
@@ -302,9 +306,13 @@
             if total is None:
                 load.others_running = 0
                 load.admitted = 1.0
+                if load.running < load.slots:
+                    load.slot_free_at = now
                 continue
             load.admitted = total.admitted
             load.others_running = max(0, total.running - load.last_reported)
+            if load.running + load.others_running < load.slots:
+                load.slot_free_at = now
             if load.slowness is None:
                 load.slowness = limit_slowness(total.slowness)
 
--- a/packages/fleet/dewstep_fleet/request_plans.py
+++ b/packages/fleet/dewstep_fleet/request_plans.py
@@ -87,9 +87,7 @@
         self.clock = clock
         self.count_key = count_key
         self.route_index = routes.EMPTY_INDEX
-        self.lowest_priorities: dict[str, int] = {}
-        """Highest priority number, thus lowest priority, of the routes to each
-        service."""
+        self.routes_by_service: dict[str, list[model.Route]] = {}
         self.splitter = routes.Splitter()
 
     def prepare_parallel(
@@ -144,7 +142,7 @@
             return result.Failure(errors.NotReady("configuration"))
         if table.version != self.route_index.version:
             self.route_index = routes.build_index(table)
-            self.lowest_priorities = routes.find_lowest_priorities(table)
+            self.routes_by_service = routes.group_by_service(table)
             self.loads.keep_routes({route.name for route in table.routes})
         headers = dict(request.headers)
         host = headers.get(b"host", b"").decode("latin-1")
--- a/packages/fleet/dewstep_fleet/routes.py
+++ b/packages/fleet/dewstep_fleet/routes.py
@@ -63,13 +63,12 @@
     return path, ((b"host", rest[:position]), *kept)
 
 
-def find_lowest_priorities(table: model.RouteTable) -> dict[str, int]:
-    """Return the highest priority number, thus lowest priority, by service."""
-    found: dict[str, int] = {}
+def group_by_service(table: model.RouteTable) -> dict[str, list[model.Route]]:
+    """Return the routes to each service."""
+    found: dict[str, list[model.Route]] = {}
     for route in table.routes:
         for weighted_service in route.weighted_services:
-            known = found.get(weighted_service.service, route.priority)
-            found[weighted_service.service] = max(known, route.priority)
+            found.setdefault(weighted_service.service, []).append(route)
     return found
 
 
--- a/packages/fleet/dewstep_fleet/target_search.py
+++ b/packages/fleet/dewstep_fleet/target_search.py
@@ -24,6 +24,7 @@
     request_plans,
     selection,
 )
+from dewstep_fleet.admission import demand_counts, queue_limits
 
 MAX_MOVE_WAIT = datetime.timedelta(milliseconds=600)
 """Maximum wait for a key in a planned move. The owner first finishes its queued and
@@ -34,9 +35,6 @@
 DRAIN_MARGIN = datetime.timedelta(milliseconds=300)
 """Part of the drain time for reading a target's departure and for the way of the last
 request, of which a lost packet is retransmitted after 200 ms."""
-MAX_REQUESTS_PER_SLOT = 4
-"""Requests per slot from which on a target counts as full; targets queue three or four
-for each slot."""
 TYPICAL_ANSWER_BYTES = 5_000
 """Typical size of an answer, used to choose a target."""
 
@@ -54,7 +52,7 @@
         Knows the drain time of targets.
     participant : coordination.FleetParticipant
     planner : request_plans.Planner
-        Knows the priorities of the routes to a service.
+        Knows the routes to a service.
     clock : clocks.Clock
     generator : random.Random
     """
@@ -78,6 +76,7 @@
         self.planner = planner
         self.clock = clock
         self.random = generator
+        self.demand_counts = demand_counts.DemandCounts()
 
     async def find_target(
         self, plan: request_plans.PlannedRequest, tried: frozenset[str]
@@ -100,7 +99,10 @@
         )
         if choice is None:
             return result.Failure(self.find_shortest_refusal(plan, targets, tried))
-        return self.check_admission(plan, choice)
+        admitted = self.check_admission(plan, choice)
+        sent = isinstance(admitted, result.Success)
+        self.demand_counts.count(plan.service.name, now, sent)
+        return admitted
 
     def find_shortest_refusal(
         self,
@@ -159,11 +161,6 @@
             failure = refusals.build_pause_failure(target.name, estimate.pause_left)
             return result.Failure(failure)
         wait = selection.estimate_wait(estimate, target.slots)
-        if self.exceeds_admitted_fraction(plan, target, estimate):
-            retry_after = datetime.timedelta(seconds=wait / 2)
-            admitted_percent = round(estimate.admitted * 100)
-            failure = errors.DemandExceeded(target.name, admitted_percent, retry_after)
-            return result.Failure(failure)
         return self.check_admission(plan, selection.Choice(target, estimate, wait))
 
     def find_holding(
@@ -211,45 +208,45 @@
         limit = self.retry_budgets.timing.drain_time - reserved
         return elapsed is not None and elapsed >= limit
 
-    def exceeds_admitted_fraction(
-        self,
-        plan: request_plans.PlannedRequest,
-        target: model.Target,
-        estimate: load_counts.Estimate,
-    ) -> bool:
-        """Whether to refuse a request because it exceeds what a busy owner can serve.
-
-        Only requests of the service's lowest priority are refused.
-        """
-        if estimate.admitted >= 1 or estimate.running < target.slots:
-            return False
-        if plan.route.priority < self.planner.lowest_priorities.get(
-            plan.service.name, 0
-        ):
-            return False
-        return self.random.random() > estimate.admitted
-
     def check_admission(
         self, plan: request_plans.PlannedRequest, choice: selection.Choice
     ) -> result.Result[selection.Choice, Any]:
         """Refuse the request if the target cannot finish it in time."""
-        estimate = choice.estimate
-        now = self.clock.monotonic()
-        time_left = (plan.due_at - now).total_seconds()
-        latency_objective = plan.route.latency_objective
-        if estimate.overloaded and latency_objective is not None:
-            # All slots stay busy anyway. A short queue then serves as many requests as
-            # a long one, but each of them in time.
-            time_left = min(
-                time_left,
-                max(latency_objective.total_seconds(), estimate.service * 1.3),
-            )
-        if estimate.running >= choice.target.slots * MAX_REQUESTS_PER_SLOT:
+        target, estimate = choice.target, choice.estimate
+        time_left = (plan.due_at - self.clock.monotonic()).total_seconds()
+        if estimate.running >= target.slots * queue_limits.MAX_REQUESTS_PER_SLOT:
             retry_after = datetime.timedelta(seconds=choice.wait / 2)
-            return result.Failure(errors.QueueFull(choice.target.name, retry_after))
+            return result.Failure(errors.QueueFull(target.name, retry_after))
         if choice.wait + estimate.service * 0.8 > time_left:
             retry_after = datetime.timedelta(seconds=choice.wait / 2)
-            return result.Failure(
-                errors.DeadlineUnreachable(choice.target.name, retry_after)
-            )
-        return result.Success(choice)
+            return result.Failure(errors.DeadlineUnreachable(target.name, retry_after))
+        return self.check_demand(plan, choice, time_left)
+
+    def check_demand(
+        self,
+        plan: request_plans.PlannedRequest,
+        choice: selection.Choice,
+        time_left: float,
+    ) -> result.Result[selection.Choice, Any]:
+        """Refuse a part of the requests that exceed what the target can serve."""
+        target, estimate = choice.target, choice.estimate
+        if not queue_limits.is_exceeded(estimate, target.slots):
+            return result.Success(choice)
+        routes = self.planner.routes_by_service.get(plan.service.name, ())
+        longest_wait = queue_limits.compute_longest_wait(
+            plan.route, routes, self.loads, estimate, plan.service.name, time_left
+        )
+        demand = self.demand_counts.get_ratio(
+            plan.service.name, self.clock.monotonic().total_seconds()
+        )
+        fraction = queue_limits.compute_sent_fraction(
+            estimate, target.slots, longest_wait, demand
+        )
+        if self.random.random() < fraction:
+            return result.Success(choice)
+        excess_s = queue_limits.estimate_excess_seconds(
+            estimate, target.slots, longest_wait
+        )
+        retry_after = datetime.timedelta(seconds=excess_s)
+        failure = errors.DemandExceeded(target.name, round(fraction * 100), retry_after)
+        return result.Failure(failure)
