Serve callers who can still meet their objective first

Callers who come back after a refusal competed with new ones, although most of them could not be served within the objective any more. In excessive demand nearly all served requests were then late.

The deadline of a later send is shorter by the time since the first one. Deadlines that many requests of a route share are taken for those of first sends, and the difference counts towards the objective. A request that can no longer meet it is sent to a free slot only. Where callers send one deadline always, none, or deadlines that differ from caller to caller, nothing changes.

--- a/packages/fleet/dewstep_fleet/admission/queue_limits.py
+++ b/packages/fleet/dewstep_fleet/admission/queue_limits.py
@@ -33,9 +33,13 @@
     estimate: load_counts.Estimate,
     service: str,
     time_left: float,
-) -> float:
+    elapsed: float = 0.0,
+) -> float | None:
     """Return the longest wait in seconds for which a request is sent.
 
+    It is None for a request that can no longer meet its objective, as it was first sent
+    too long ago. Only a free slot is left to such a request.
+
     Parameters
     ----------
     route : model.Route
@@ -48,11 +52,15 @@
     service : str
     time_left : float
         Seconds until the answer is due, which bounds the wait without an objective.
+    elapsed : float, optional
+        Seconds since the caller first sent the request.
     """
     objective = time_left
     if route.latency_objective is not None:
-        objective = min(time_left, route.latency_objective.total_seconds())
-    longest = objective - estimate.service
+        objective = route.latency_objective.total_seconds() - elapsed
+        if objective < estimate.service <= objective + elapsed:
+            return None
+    longest = min(objective, time_left) - estimate.service
     typical = loads.get_typical_seconds(service, route.name)
     slowness = estimate.service / typical if typical > 0 else 1.0
     more_urgent = [
@@ -85,7 +93,7 @@
 def compute_sent_fraction(
     estimate: load_counts.Estimate,
     slots: int,
-    longest_wait: float,
+    longest_wait: float | None,
     demand: float = 1.0,
 ) -> float:
     """Return the fraction of requests to send to a target in excessive demand.
@@ -95,11 +103,13 @@
     estimate : load_counts.Estimate
     slots : int
     longest_wait : float
-        Longest wait in seconds for which requests are sent.
+        Longest wait in seconds for which requests are sent, or None.
     demand : float, optional
         Demand for the service relative to what is sent. The coordinator knows it for
         owners of keys.
     """
+    if longest_wait is None:
+        return 0.0
     room = count_places(estimate, slots, longest_wait) - estimate.running
     ended = spreading.count_ended(estimate, slots)
     if not ended:
@@ -110,8 +120,8 @@
 
 
 def estimate_excess_seconds(
-    estimate: load_counts.Estimate, slots: int, longest_wait: float
+    estimate: load_counts.Estimate, slots: int, longest_wait: float | None
 ) -> float:
     """Return the seconds until a queue is short enough if nothing is added to it."""
-    excess = estimate.running + 1 - count_places(estimate, slots, longest_wait)
+    excess = estimate.running + 1 - count_places(estimate, slots, longest_wait or 0.0)
     return max(0.0, excess) * estimate.turn / slots
--- a/packages/fleet/dewstep_fleet/admission/queue_limits_test.py
+++ b/packages/fleet/dewstep_fleet/admission/queue_limits_test.py
@@ -88,14 +88,24 @@
     assert refused < 0.03 * 0.8 * 300 * load_builders.DURATION_S
 
 
-def compute_wait(route, routes):
+def compute_wait(route, routes, elapsed=0.0):
     loads = load_counts.Loads()
     estimate = load_counts.Estimate(8, 0.2, 0.2, 1.0, False, True)
     return queue_limits.compute_longest_wait(
-        route, routes, loads, estimate, "history", DEADLINE_S
+        route, routes, loads, estimate, "history", DEADLINE_S, elapsed
     )
 
 
+def test_requests_that_are_late_already_wait_for_a_free_slot():
+    # Guards against queues of callers who have come back too late for their objective,
+    # behind which those who could meet it become late, too.
+    assert compute_wait(ROUTE, [ROUTE], 0.2) < compute_wait(ROUTE, [ROUTE])
+    assert compute_wait(ROUTE, [ROUTE], 0.4) is None
+    estimate = load_counts.Estimate(8, 0.2, 0.2, 1.0, False, True, others=8, age=0.5)
+    assert queue_limits.compute_sent_fraction(estimate, 4, None) == 0
+    assert queue_limits.compute_sent_fraction(estimate, 4, 0.0) > 0
+
+
 def test_less_urgent_requests_are_sent_to_shorter_queues():
     # Guards against a route with a late objective that fills the queue, which then is
     # too long for the objective of the urgent route.
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -617,6 +617,23 @@
     assert 20 <= count_served(200, running=6) <= 60
 
 
+def test_callers_who_come_back_too_late_leave_the_queue_to_others():
+    """Guards against serving late callers while others could be served in time."""
+    harness = Harness(*[200] * 60, keyed=True)
+    harness.counts.get_load("a")
+
+    def send(deadline_ms, running):
+        harness.clock.advance(120 * MILLISECOND)
+        total = frames.Total(frames.hash_target_name("a"), running, 1.0)
+        harness.counts.apply_totals((total,), harness.clock.monotonic().total_seconds())
+        headers = ((b"x-key", b"7"), (b"x-deadline", b"%d" % deadline_ms))
+        return harness.send(headers=headers).status
+
+    assert {send(900, 5) for _ in range(30)} == {200}
+    assert send(500, 5) == 503
+    assert send(500, 2) == 200
+
+
 def test_owner_with_a_free_slot_receives_all_requests():
     """Guards against refusals after the demand has decreased."""
     assert count_served(50, running=2) == 50
--- a/packages/fleet/dewstep_fleet/request_plans.py
+++ b/packages/fleet/dewstep_fleet/request_plans.py
@@ -17,6 +17,7 @@
     model,
     routes,
 )
+from dewstep_fleet.admission import first_sends
 
 DEFAULT_DEADLINE = datetime.timedelta(seconds=30)
 """For requests without a deadline whose route has no time-out."""
@@ -45,6 +46,8 @@
     fingerprint: bytes
     max_attempts: int
     """Maximum number of attempts in which a target may have run the request."""
+    first_sent_at: datetime.timedelta
+    """When the caller sent the request for the first time, as far as is known."""
 
     def is_relayed(self) -> bool:
         """Whether another instance has passed the request on."""
@@ -89,6 +92,7 @@
         self.route_index = routes.EMPTY_INDEX
         self.routes_by_service: dict[str, list[model.Route]] = {}
         self.splitter = routes.Splitter()
+        self.first_deadlines = first_sends.FirstDeadlines()
 
     def prepare_parallel(
         self, request: model.IncomingRequest
@@ -143,7 +147,9 @@
         if table.version != self.route_index.version:
             self.route_index = routes.build_index(table)
             self.routes_by_service = routes.group_by_service(table)
-            self.loads.keep_routes({route.name for route in table.routes})
+            names = {route.name for route in table.routes}
+            self.loads.keep_routes(names)
+            self.first_deadlines.keep_routes(names)
         headers = dict(request.headers)
         host = headers.get(b"host", b"").decode("latin-1")
         route = routes.find_route(self.route_index, host, request.path)
@@ -195,8 +201,24 @@
             due_by_timeout,
             fingerprint,
             max_attempts,
+            now - self.estimate_elapsed(request, route, given),
         )
 
+    def estimate_elapsed(
+        self,
+        request: model.IncomingRequest,
+        route: model.Route,
+        given: datetime.timedelta | None,
+    ) -> datetime.timedelta:
+        """Return the time since a caller first sent a request, as far as is known."""
+        if given is None:
+            return datetime.timedelta()
+        deadline_ms = given // datetime.timedelta(milliseconds=1)
+        if request.relayed_attempts is None:
+            self.first_deadlines.observe(route.name, deadline_ms)
+        elapsed_ms = self.first_deadlines.estimate_elapsed(route.name, deadline_ms)
+        return datetime.timedelta(milliseconds=elapsed_ms)
+
 
 def compute_fingerprint(request: model.IncomingRequest, host: str) -> bytes:
     """Return a hash that is equal for equal requests of any caller.
--- a/packages/fleet/dewstep_fleet/target_search.py
+++ b/packages/fleet/dewstep_fleet/target_search.py
@@ -233,8 +233,15 @@
         if not queue_limits.is_exceeded(estimate, target.slots):
             return result.Success(choice)
         routes = self.planner.routes_by_service.get(plan.service.name, ())
+        elapsed = (self.clock.monotonic() - plan.first_sent_at).total_seconds()
         longest_wait = queue_limits.compute_longest_wait(
-            plan.route, routes, self.loads, estimate, plan.service.name, time_left
+            plan.route,
+            routes,
+            self.loads,
+            estimate,
+            plan.service.name,
+            time_left,
+            elapsed,
         )
         demand = self.demand_counts.get_ratio(
             plan.service.name, self.clock.monotonic().total_seconds()
