Read what the platform says of cold targets

The remaining warm-up time of a registration was checked and dropped, and the limit of cold targets was not read, so nothing could keep it. The adapter now passes on the time, the services' warm-up time and rate, and the platform's bound. The directory keeps the time apart from the target, since it differs in each registration and would log a change of the target several times a second.

Without these settings the values are zero and nothing changes.

--- a/packages/fleet/dewstep_fleet/builders.py
+++ b/packages/fleet/dewstep_fleet/builders.py
@@ -44,9 +44,12 @@
     return route._replace(**changes)
 
 
-def build_table(*routes, version=1, keyed=True) -> model.RouteTable:
-    """Return a route table with the service "history"."""
-    service = model.Service("history", 100, keyed)
+def build_table(*routes, version=1, keyed=True, warm_up=()) -> model.RouteTable:
+    """Return a route table with the service "history".
+
+    `warm_up` contains the duration and the rate of its cold targets, if any.
+    """
+    service = model.Service("history", 100, keyed, *warm_up)
     return model.RouteTable(
         version, routes, {"history": service}, settings.CallerLimits(), 1_000_000
     )
@@ -74,13 +77,15 @@
 
 def encode_target(target: model.Target) -> bytes:
     """Return the row value that `decode_target` reads."""
-    return json.dumps(list(target)).encode()
+    *fields, warm_up_left = target
+    return json.dumps([*fields, warm_up_left.total_seconds()]).encode()
 
 
 def decode_target(name: str, content: bytes):
     """Return the target that a row describes, or a failure if it is unreadable."""
     try:
-        return result.Success(model.Target(*json.loads(content)))
+        *fields, warm_up_left = json.loads(content)
+        return result.Success(model.Target(*fields, warm_up_left * SECOND))
     except (ValueError, TypeError):
         return result.Failure(errors.RowInvalid(name, "unreadable"))
 
--- a/packages/fleet/dewstep_fleet/model.py
+++ b/packages/fleet/dewstep_fleet/model.py
@@ -57,6 +57,11 @@
     """Maximum connections to each target from all instances together."""
     keyed: bool
     """Whether a target runs only requests for keys that were granted to it."""
+    warm_up_time: datetime.timedelta = datetime.timedelta()
+    """Time for which a target is cold after it starts."""
+    warm_up_rate: float = 0.0
+    """Requests/s that a cold target accepts from all instances together; 0 if there is
+    no such limit."""
 
 
 class RouteTable(NamedTuple):
@@ -83,6 +88,9 @@
     life: int
     """Identifies the target's incarnation, which changes whenever it restarts under the
     same name."""
+    warm_up_left: datetime.timedelta = datetime.timedelta()
+    """Time for which the target is still cold, as of its registration. The directory
+    keeps it apart from the target, since each registration has another one."""
 
 
 def get_era_floor(version: int) -> int:
@@ -252,6 +260,16 @@
 TABLES = Tables()
 
 
+class WarmUpBounds(NamedTuple):
+    """What a cold target may receive in any second, from all instances together.
+
+    This is the service's `warm_up_rate` x `overage` + `slack` requests.
+    """
+
+    overage: float
+    slack: float
+
+
 class Timing(NamedTuple):
     """Durations and retry limits that the platform guarantees or requires."""
 
@@ -268,6 +286,8 @@
     retry_slack: float
     """Resends allowed beyond the ratio per window, over the whole fleet."""
     retry_window: datetime.timedelta
+    warm_up: WarmUpBounds | None = None
+    """None if the platform sets no bound for cold targets."""
 
 
 class HeaderNames(NamedTuple):
--- a/packages/fleet/dewstep_fleet/registrations.py
+++ b/packages/fleet/dewstep_fleet/registrations.py
@@ -29,6 +29,15 @@
 became known. Any amount of it may have passed."""
 
 
+class WarmUp(NamedTuple):
+    """What the last registration of a target says of its warm-up."""
+
+    life: int
+    """Incarnation of the target."""
+    time_left: datetime.timedelta
+    received_at: datetime.timedelta
+
+
 class Departure(NamedTuple):
     """A target's announcement that it is leaving."""
 
@@ -75,6 +84,8 @@
         """Reason for which the last version of a row was refused, by table and key."""
         self.departures: dict[str, Departure] = {}
         """Last announcement of each target that has announced that it is leaving."""
+        self.warm_ups: dict[str, WarmUp] = {}
+        """Warm-up of each registered target."""
         self.store_recovered_at: datetime.timedelta | None = None
         """When the store recovered from its last outage or was restored."""
         self.deferred_removals: dict[
@@ -216,7 +227,8 @@
         if isinstance(decoded, result.Success):
             self.refusals.pop((row.table, row.key), None)
             known = self.targets.get(row.key)
-            target = self._apply_departure(decoded.unwrap(), known, row.version)
+            registered = self._take_warm_up(decoded.unwrap())
+            target = self._apply_departure(registered, known, row.version)
             self.targets[row.key] = target
             if known != target:
                 events.info(
@@ -235,6 +247,7 @@
             else:
                 self._log_refused_target(row, decoded.failure())
             known = self.targets.pop(row.key, None)
+            self.warm_ups.pop(row.key, None)
             if known is not None:
                 self._forget_address(row.key, known)
                 events.info(
@@ -245,6 +258,16 @@
                     row=row.version,
                 )
 
+    def _take_warm_up(self, target: model.Target) -> model.Target:
+        """Record the time left of a warm-up; return the target without it.
+
+        Each registration has another time, which is no change of the target.
+        """
+        self.warm_ups[target.name] = WarmUp(
+            target.life, target.warm_up_left, self.clock.monotonic()
+        )
+        return target._replace(warm_up_left=datetime.timedelta())
+
     def log_refused_key(self, row: model.StoredRow) -> None:
         """Log a row whose key cannot be sent to other instances, once."""
         key = fields.quote(row.key)
--- a/packages/fleet/dewstep_fleet/registrations_test.py
+++ b/packages/fleet/dewstep_fleet/registrations_test.py
@@ -155,3 +155,18 @@
     assert (fields["previous_life"], fields["life"]) == (1, 2)
     assert fields["previous_address"] == "10.0.0.1:80"
     assert fields["address"] == "10.0.0.1:81"
+
+
+# Guards against a log line, and a change of the target, for each of its registrations.
+def test_remaining_warm_up_time_is_no_change_of_the_target(monkeypatch):
+    log = event_capture.EventCapture(monkeypatch)
+    clock, known = directories_test.build_empty()
+    for version, seconds in ((5, 2.0), (6, 1.1), (7, 0.0)):
+        left = seconds * builders.SECOND
+        cold = builders.build_target("a", warm_up_left=left)
+        known.apply_rows([builders.build_target_row(cold, version)])
+        assert known.targets["a"] == builders.build_target("a")
+        expected = registrations.WarmUp(1, left, clock.monotonic())
+        assert known.registrations.warm_ups["a"] == expected
+        clock.advance(builders.SECOND)
+    assert len(log.find("target")) == 1
