Report answers, refused connections and warm-up times of targets

The fleet cannot tell whether a target that has reset a connection has restarted, and drops the remaining warm-up time that answers name.

A pool now reports for each answer when its connection was opened and its request sent, and each connection that could not be opened.

Tests of pools and notices pass.

--- a/packages/entry/dewstep_entry/targets/answering.py
+++ b/packages/entry/dewstep_entry/targets/answering.py
@@ -12,6 +12,7 @@
 PAUSE_STATUS = 503
 """Status of an answer whose Retry-After asks for a pause."""
 MAXIMUM_PAUSE = datetime.timedelta(minutes=5)
+MAXIMUM_WARM_UP = datetime.timedelta(minutes=5)
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
@@ -44,6 +45,9 @@
     limit: bytes = b""
     """Header with the number of requests per second that the target accepts from all
     instances together; b"" if there is none."""
+    warm_up: bytes = b""
+    """Header with the milliseconds for which the target is still cold after its start;
+    b"" if there is none."""
 
 
 DEWSTEP_RULES = AnswerRules(
@@ -67,6 +71,8 @@
     limit: float | None = None
     """Requests per second that it accepts from all instances together; None if it
     names no limit."""
+    warm_up_left: datetime.timedelta | None = None
+    """Time for which it is still cold, or None if it does not say."""
 
 
 def find_notice(
@@ -88,16 +94,17 @@
     pause = datetime.timedelta()
     if status == PAUSE_STATUS:
         pause = read_pause(fields.get(rules.pause))
-    limit = None
+    limit = warm_up_left = None
     if status not in rules.refusing_statuses:
         # A process that refuses requests for others may not be the target.
         limit = read_limit(fields.get(rules.limit))
-    if not leaving and not pause and limit is None:
+        warm_up_left = read_warm_up(fields.get(rules.warm_up))
+    if not leaving and not pause and limit is None and warm_up_left is None:
         return None
     instance = fields.get(rules.instance)
     if instance and instance.decode("latin-1") != target:
         return None
-    return Notice(leaving, pause, limit)
+    return Notice(leaving, pause, limit, warm_up_left)
 
 
 def read_pause(value: bytes | None) -> datetime.timedelta:
@@ -114,6 +121,13 @@
     return float(value)
 
 
+def read_warm_up(value: bytes | None) -> datetime.timedelta | None:
+    """Return the time left of a warm-up, or None if missing or invalid."""
+    if value is None or not _DECIMAL.fullmatch(value):
+        return None
+    return min(datetime.timedelta(milliseconds=float(value)), MAXIMUM_WARM_UP)
+
+
 def find_refusal(
     rules: AnswerRules,
     status: int,
--- a/packages/entry/dewstep_entry/targets/answering_test.py
+++ b/packages/entry/dewstep_entry/targets/answering_test.py
@@ -16,6 +16,7 @@
     leaving=b"x-leaving",
     pause=b"retry-after",
     limit=b"x-limit",
+    warm_up=b"x-warm",
     refusing_statuses=frozenset({421}),
 )
 
@@ -96,3 +97,20 @@
 )
 def test_limit_is_a_decimal_number(value, expected):
     assert answering.read_limit(value) == expected
+
+
+# Guards against a warm-up that is overlooked, or taken from a process that may not be
+# the target, or of an invalid time.
+@pytest.mark.parametrize(
+    ("status", "value", "expected"),
+    [
+        (200, b"1500", 1.5 * SECOND),
+        (503, b"0", NOTHING),
+        (421, b"1500", None),
+        (200, b"soon", None),
+        (200, b"999999999", answering.MAXIMUM_WARM_UP),
+    ],
+)
+def test_time_left_of_a_warm_up_is_noticed(status, value, expected):
+    notice = answering.find_notice(RULES, status, {b"x-warm": value}, "t")
+    assert (notice and notice.warm_up_left) == expected
--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -138,6 +138,8 @@
         """Whether the target closed the connection or exceeded a deadline."""
         self.freed_at = 0.0
         """Event loop time at which the last exchange ended; 0 before the first."""
+        self.opened_at: datetime.timedelta | None = None
+        """When it was opened, by the clock of its pool."""
         self.reading = True
         self.next_turn: asyncio.Handle | None = None
         """Parses the rest of the input; reading pauses until then."""
--- a/packages/entry/dewstep_entry/targets/connection_pool.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool.py
@@ -52,6 +52,11 @@
     on_notice : callable, optional
         Called with what the target says about itself in an answer. The pool observes
         pauses itself.
+    on_answer : callable, optional
+        Called after an answer with the times at which its connection was opened and its
+        request was sent.
+    on_unreached : callable, optional
+        Called when no connection could be opened, with whether it was refused.
     """
 
     def __init__(
@@ -65,6 +70,9 @@
         rules: answering.AnswerRules = answering.DEWSTEP_RULES,
         max_idle_time: datetime.timedelta = MAXIMUM_IDLE_TIME,
         on_notice: Callable[[answering.Notice], None] | None = None,
+        on_answer: Callable[[datetime.timedelta, datetime.timedelta], None]
+        | None = None,
+        on_unreached: Callable[[bool], None] | None = None,
     ):
         self.name = name
         self.address = address
@@ -75,6 +83,8 @@
         self.rules = rules
         self.maximum_idle_seconds = max_idle_time.total_seconds()
         self.on_notice = on_notice
+        self.on_answer = on_answer
+        self.on_unreached = on_unreached
         self.paused_until: datetime.timedelta | None = None
         """End of the last pause that the target has asked for."""
         self.reuse_timer: asyncio.TimerHandle | None = None
@@ -130,11 +140,14 @@
         if refusal is not None:
             self._release_connection(target_connection)
             return result.Failure(refusal)
-        remaining = (deadline - self.clock.monotonic()).total_seconds()
+        sent_at = self.clock.monotonic()
+        remaining = (deadline - sent_at).total_seconds()
         if remaining <= 0:
             self._release_connection(target_connection)
             return result.Failure(self._build_unavailable("the deadline has passed"))
         outcome = await target_connection.exchange(head, body, remaining, request_id)
+        if isinstance(outcome, result.Success) and self.on_answer is not None:
+            self.on_answer(target_connection.opened_at, sent_at)
         if isinstance(outcome, result.Failure) and isinstance(
             outcome.failure(), errors.TargetRefused
         ):
@@ -254,6 +267,7 @@
 
     async def _open_connection(self) -> None:
         target_connection = None
+        refused = False
         detail = f"no connection within {self.connect_timeout_seconds} s"
         try:
             async with asyncio.timeout(self.connect_timeout_seconds):
@@ -272,14 +286,18 @@
                 )
         except OSError as error:
             detail = str(error) or detail
+            refused = isinstance(error, ConnectionError)
         finally:
             self.opening_state = openings.record_attempt_end(
                 self.opening_state, target_connection is not None
             )
         if target_connection is None:
+            if self.on_unreached is not None:
+                self.on_unreached(refused)
             if not self.open_connections:
                 self._fail_waiters(detail)
             return
+        target_connection.opened_at = self.clock.monotonic()
         self.open_connections.add(target_connection)
         if self.closed or not target_connection.usable:
             target_connection.abort()
--- a/packages/entry/dewstep_entry/targets/connection_pool_test.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool_test.py
@@ -219,3 +219,31 @@
         assert testing.fails(outcome, errors.ConnectionLost) or testing.fails(
             outcome, errors.AnswerInvalid
         ), size
+
+
+# Guards against a restarted target that is taken for the process before, since its
+# answers seem to come on an old connection.
+@testing.run_in_event_loop
+async def test_answers_are_reported_with_the_time_of_their_connection():
+    reported = []
+    async with run_target(render_answer(b"a"), render_answer(b"b")) as (pool, _):
+        pool.on_answer = lambda opened_at, sent_at: reported.append(
+            (opened_at, sent_at)
+        )
+        began = pool.clock.monotonic()
+        await send_request(pool, b"a")
+        await send_request(pool, b"b")
+    (opened, first), (opened_again, second) = reported
+    assert began < opened <= first < second and opened == opened_again
+
+
+# Guards against a restart that is overlooked because nothing was sent.
+@testing.run_in_event_loop
+async def test_refused_connections_are_reported():
+    reported = []
+    async with run_target() as (pool, _):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            pool.address = settings.Address(*listener.getsockname()[:2])
+        pool.on_unreached = reported.append
+        assert testing.fails(await send_request(pool, b"a"), errors.TargetUnavailable)
+    assert reported == [True]
