Limit the requests to cold targets over all instances

Targets crash shortly after their start at a request rate well above warmup_per_s, and nothing limited the sum over all instances.

A target counts as cold by its registration or its answers, and possibly after it has refused or reset a connection (warm_up/states.py). Each request to it then needs a permit of the coordinator. Bucket, validity of permits and the shares of isolated instances are computed from the platform's bound (warm_up/allowances.py). Questions for permits carry the limit, so that a coordinator that does not know of the restart keeps it, and reports and heartbeats carry what registrations do not say. Permits are checked again right before sending. Unkeyed requests prefer warm targets with a free slot, and the capacity of a cold owner is its limit when ranges are planned.

Without the bound in the settings nothing changes.

--- a/packages/emulator/dewstep_emulator/ownership/limits_test.py
+++ b/packages/emulator/dewstep_emulator/ownership/limits_test.py
@@ -5,7 +5,7 @@
 import pytest
 
 from dewstep_emulator.ownership import limits
-from dewstep_fleet import permits, request_limits
+from dewstep_fleet import limit_states, permits, request_limits
 
 SEEDS = range(6)
 NO_FAULTS = ()
@@ -32,7 +32,7 @@
 def test_limit_kept_by_each_instance_alone_is_found(monkeypatch):
     def take_share(known, target, limit, now):
         issue = known.issuer.issue(target.name, target.life, limit.rate, 1, now)
-        return request_limits.Permit(target.name, now) if issue.count else None
+        return limit_states.Permit(target.name, now) if issue.count else None
 
     monkeypatch.setattr(request_limits.RequestLimits, "is_isolated", lambda *_: True)
     monkeypatch.setattr(request_limits.RequestLimits, "_take_share", take_share)
--- a/packages/fleet/dewstep_fleet/attempts.py
+++ b/packages/fleet/dewstep_fleet/attempts.py
@@ -15,12 +15,12 @@
     coordination,
     crash_checks,
     directories,
+    limit_states,
     load_counts,
     model,
     planned_stops,
     reachability,
     relaying,
-    request_limits,
     request_plans,
     selection,
     target_pools,
@@ -104,7 +104,7 @@
         self,
         plan: request_plans.PlannedRequest,
         choice: selection.Choice,
-        permit: request_limits.Permit | None = None,
+        permit: limit_states.Permit | None = None,
     ) -> Outcome:
         """Send the request to one target and return the outcome."""
         target = choice.target
@@ -157,7 +157,7 @@
         self,
         plan: request_plans.PlannedRequest,
         choice: selection.Choice,
-        permit: request_limits.Permit | None,
+        permit: limit_states.Permit | None,
     ) -> errors.Stopping | errors.TargetLeaving | errors.TargetLimited | None:
         """Return the failure of a request that waited for a connection, or None.
 
@@ -169,9 +169,7 @@
             return stopping
         if self.search.has_departed(choice.target):
             return errors.TargetLeaving(choice.target.name)
-        if permit is not None:
-            return None
-        return self.participant.limits.take_now(choice.target)
+        return self.participant.limits.confirm(choice.target, permit)
 
     def evaluate(
         self,
@@ -235,6 +233,7 @@
             )
             self.loads.avoid_until(target.name, until.total_seconds())
         if isinstance(failure, errors.ConnectionLost):
+            self.pools.record_reset(target)
             self.crashes.check(plan, target, sent_at)
         return Outcome(answer_kept, failure, target.name)
 
--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -58,6 +58,7 @@
     tenure,
     votes,
 )
+from dewstep_fleet.warm_up import tracking
 
 TICK_INTERVAL = datetime.timedelta(milliseconds=50)
 PAUSE_THRESHOLD = datetime.timedelta(milliseconds=400)
@@ -116,6 +117,7 @@
             generator,
             lambda: self.permit_questions.schedule(),
             lambda: len(self.quorum_writer.list_members()),
+            tracking.WarmUp(clock, directory, timing.warm_up),
         )
         self.quorum_writer = quorum_writes.QuorumWriter(
             self.role,
@@ -188,7 +190,7 @@
             lambda service: self.demands.get_demand(
                 service,
                 loads.get_typical_seconds(service, ""),
-                self.limits.list_rates(),
+                self.limits.list_capacity_rates(),
             ),
             self.estimate_queue_wait,
             self.votes.get_inherited_grant_time_left,
@@ -453,6 +455,7 @@
         news.apply_moves(self.directory, frame)
         self.loads.apply_totals(frame.totals, now.total_seconds())
         self.limits.apply_observations(frame.limits, first_hand=False)
+        self.limits.warm_up.apply_observations(frame.cold)
         self.losses.receive_heartbeat(frame, now)
         link.send(self.own_reports.build())
 
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -73,16 +73,27 @@
   ageMs @3 :UInt32;        # time since the answer that named it
 }
 
+struct Cold {
+  target @0 :Text;
+  life @1 :UInt64;
+  ageMs @2 :UInt32;        # time since the observation
+  leftMs @3 :UInt32;       # time until it becomes warm
+  unanswered @4 :Bool;     # no answer since the observation; leftMs is 0
+  failed @5 :Bool;         # it has refused or reset connections
+}
+
 struct PermitRequest {
   target @0 :Text;
   life @1 :UInt64;
   count @2 :UInt32;
+  coldRate @3 :Float64;    # requests/s to a cold target; 0 if it is warm for the sender
 }
 
 struct Permits {
   target @0 :Text;
   count @1 :UInt32;
   waitMs @2 :UInt32;       # time until the next permit; 0 if all were issued
+  cold @3 :Bool;           # issued for a cold target
 }
 
 struct Frame {
@@ -118,4 +129,5 @@
   begun @29 :List(Span);
   ended @30 :List(Span);
   acceptsMoves @31 :Bool;  # "versions": the sender can apply changes of the moves
+  cold @32 :List(Cold);
 }
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -96,12 +96,31 @@
     """Time in ms since the answer that said so."""
 
 
+class Cold(NamedTuple):
+    """A target that is cold or may be so."""
+
+    target: str
+    life: int
+    """Incarnation that was known when it was observed."""
+    age_ms: int
+    """Time in ms since the observation."""
+    left_ms: int
+    """Time in ms until it becomes warm."""
+    unanswered: bool = False
+    """Whether it has not answered since the observation, so that nothing is known of
+    the time left."""
+    failed: bool = False
+    """Whether it has refused or reset connections."""
+
+
 class PermitRequest(NamedTuple):
     """Number of requests to a target with a limit that need a permit."""
 
     target: str
     life: int
     count: int
+    cold_rate: float = 0.0
+    """Requests/s that it may get as a cold target; 0 if it is warm for the sender."""
 
 
 class Permits(NamedTuple):
@@ -111,6 +130,9 @@
     count: int
     wait_ms: int
     """Time in ms until the next permit; 0 if all were issued."""
+    cold: bool = False
+    """Whether they were issued for a cold target. Earlier versions of this package
+    issue any number instead, without this mark."""
 
 
 class Frame(NamedTuple):
@@ -189,6 +211,9 @@
     accepts_moves: bool = False
     """In "versions": whether the sender can apply changes of the moves, which earlier
     versions of this package cannot."""
+    cold: tuple[Cold, ...] = ()
+    """In a "beat": the targets that may be cold although their rows do not say so. In a
+    "report": those that the sender has observed itself."""
 
 
 def hash_target_name(target: str) -> int:
@@ -301,12 +326,37 @@
             for item in frame.limits
         ]
     if frame.wanted:
-        message.wanted = [item._asdict() for item in frame.wanted]
+        message.wanted = [
+            {
+                "target": item.target,
+                "life": item.life,
+                "count": item.count,
+                "coldRate": item.cold_rate,
+            }
+            for item in frame.wanted
+        ]
     if frame.permits:
         message.permits = [
-            {"target": item.target, "count": item.count, "waitMs": item.wait_ms}
+            {
+                "target": item.target,
+                "count": item.count,
+                "waitMs": item.wait_ms,
+                "cold": item.cold,
+            }
             for item in frame.permits
         ]
+    if frame.cold:
+        message.cold = [
+            {
+                "target": item.target,
+                "life": item.life,
+                "ageMs": min(item.age_ms, MAX_UINT32),
+                "leftMs": min(item.left_ms, MAX_UINT32),
+                "unanswered": item.unanswered,
+                "failed": item.failed,
+            }
+            for item in frame.cold
+        ]
     return message.to_bytes_packed()
 
 
@@ -352,6 +402,7 @@
         decode_list(message, "begun", decode_span),
         decode_list(message, "ended", decode_span),
         message.acceptsMoves,
+        decode_list(message, "cold", decode_cold),
     )
 
 
@@ -440,12 +491,24 @@
 
 def decode_permit_request(item: Any) -> PermitRequest:
     """Return a question for permits."""
-    return PermitRequest(item.target, item.life, item.count)
+    return PermitRequest(item.target, item.life, item.count, item.coldRate)
 
 
 def decode_permits(item: Any) -> Permits:
     """Return permits that were issued."""
-    return Permits(item.target, item.count, item.waitMs)
+    return Permits(item.target, item.count, item.waitMs, item.cold)
+
+
+def decode_cold(item: Any) -> Cold:
+    """Return a target that may be cold."""
+    return Cold(
+        item.target,
+        item.life,
+        item.ageMs,
+        item.leftMs,
+        item.unanswered,
+        item.failed,
+    )
 
 
 def decode_row_change(item: Any) -> row_changes.RowChange:
--- a/packages/fleet/dewstep_fleet/heartbeats.py
+++ b/packages/fleet/dewstep_fleet/heartbeats.py
@@ -174,6 +174,7 @@
             crashes=crashes,
             departures=departures,
             limits=self.limits.list_all(),
+            cold=self.limits.warm_up.list_all(),
             stopping=self.role.stopping,
             deputy=deputy,
             holds_ms=frames.to_milliseconds(time_left),
@@ -198,4 +199,6 @@
             self.directory.apply_rows(frame.rows, apply_removals=True)
         self.demands.add_report(frame.keys, frame.loads)
         self.limits.apply_observations(frame.limits, first_hand=True)
+        if node != self.role.own_member.node:
+            self.limits.warm_up.apply_observations(frame.cold)
         self.losses.receive_report(frame)
--- a/packages/fleet/dewstep_fleet/own_reports.py
+++ b/packages/fleet/dewstep_fleet/own_reports.py
@@ -79,6 +79,7 @@
             crashes=crashes,
             departures=departures,
             limits=self.limits.list_own(),
+            cold=self.limits.warm_up.list_own(),
             reaches_targets=self.reaches_targets(),
             stopping=self.role.stopping,
             heartbeat_ms=self.votes.choose_acknowledged(),
--- a/packages/fleet/dewstep_fleet/permit_questions.py
+++ b/packages/fleet/dewstep_fleet/permit_questions.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import datetime
 import math
 from collections.abc import Callable, Iterable
 
@@ -17,6 +18,11 @@
     request_limits,
     roles,
 )
+from dewstep_fleet.warm_up import allowances
+
+SETTLING_TIME = datetime.timedelta(milliseconds=1150)
+"""Time for which the coordinator before may still issue permits, which are then valid:
+the age of reports by which it counts its followers, and the validity of permits."""
 
 
 class PermitQuestions:
@@ -52,6 +58,9 @@
     def reset(self) -> None:
         """Discard the permits of an earlier term."""
         self.issuer = permits.PermitIssuer()
+        self.cold_issuer = permits.PermitIssuer()
+        """Issues the permits for cold targets."""
+        self.settled_at = self.clock.monotonic() + SETTLING_TIME
 
     def schedule(self) -> None:
         """Schedule a question for permits, unless one is scheduled."""
@@ -99,13 +108,33 @@
         part = self.get_permit_part()
         issued = []
         for item in wanted:
-            rate = rates.get(item.target, math.inf) * part
-            issue = self.issuer.issue(item.target, item.life, rate, item.count, now)
-            issued.append(
-                frames.Permits(item.target, issue.count, frames.round_up(issue.wait))
+            cold_rate = min(
+                self.limits.find_cold_rate(item.target), item.cold_rate or math.inf
             )
+            cold = not math.isinf(cold_rate)
+            if cold:
+                issue = self._issue_cold(item, cold_rate, part, now)
+            else:
+                rate = rates.get(item.target, math.inf) * part
+                issue = self.issuer.issue(item.target, item.life, rate, item.count, now)
+            wait_ms = frames.round_up(issue.wait)
+            issued.append(frames.Permits(item.target, issue.count, wait_ms, cold))
         return tuple(issued)
 
+    def _issue_cold(
+        self,
+        item: frames.PermitRequest,
+        rate: float,
+        part: float,
+        now: datetime.timedelta,
+    ) -> permits.Issue:
+        """Issue permits for a cold target, all incarnations of it together."""
+        if now < self.settled_at:
+            part = min(part, allowances.OTHER_PART)
+        return self.cold_issuer.issue(
+            item.target, 0, rate * part, item.count, now, allowances.BURST
+        )
+
     def receive_answer(self, link: links.Link, frame: frames.Frame) -> None:
         """Apply the answer of the coordinator."""
         if link is self.membership.coordinator_link and self.role.is_current(
--- a/packages/fleet/dewstep_fleet/permits.py
+++ b/packages/fleet/dewstep_fleet/permits.py
@@ -47,7 +47,13 @@
         self.buckets: dict[str, Bucket] = {}
 
     def issue(
-        self, target: str, life: int, rate: float, count: int, now: datetime.timedelta
+        self,
+        target: str,
+        life: int,
+        rate: float,
+        count: int,
+        now: datetime.timedelta,
+        burst: float | None = None,
     ) -> Issue:
         """Issue up to `count` permits for a target.
 
@@ -61,6 +67,9 @@
         count : int
             Number of requests that need a permit.
         now : datetime.timedelta
+        burst : float, optional
+            Permits that an idle target accumulates; `BURST_PERIOD` of them and one more
+            if absent.
         """
         if math.isinf(rate):
             self.buckets.pop(target, None)
@@ -70,7 +79,9 @@
         if bucket is None or bucket.life != life:
             bucket = Bucket(life, 0.0, now)
         elapsed = (now - bucket.filled_at).total_seconds()
-        capacity = 1.0 + rate * BURST_PERIOD.total_seconds()
+        capacity = burst
+        if capacity is None:
+            capacity = 1.0 + rate * BURST_PERIOD.total_seconds()
         level = min(bucket.level + elapsed * rate, capacity)
         issued = min(count, int(level + ROUNDING_ERROR))
         level -= issued
--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -268,6 +268,7 @@
         if applied:
             self.budgets.set_timing(found.timing)
             self.participant.granter.timing = found.timing
+            self.participant.limits.warm_up.set_bounds(found.timing.warm_up)
         deferred = [name for name in changed if name not in applied]
         events.info("settings_changed", applied=applied, at_next_start=deferred)
 
--- a/packages/fleet/dewstep_fleet/request_limits.py
+++ b/packages/fleet/dewstep_fleet/request_limits.py
@@ -9,6 +9,9 @@
 Permits of this part expire like the others, so that instances do not accumulate one
 each for a burst.
 
+A cold target has an implied limit (`dewstep_fleet.warm_up`), whose permits are valid
+for a shorter time. If it names a limit, too, the lower one applies.
+
 Of two observations of a target's limit, the later one counts. A limit ends with an
 answer that names none, to a request that was sent when the limit was known.
 """
@@ -24,7 +27,8 @@
 from returns import result
 
 from dewstep_core import clocks, errors, events
-from dewstep_fleet import frames, model, permits
+from dewstep_fleet import frames, limit_states, model, permits
+from dewstep_fleet.warm_up import allowances, cold_limits, tracking
 
 PERMIT_VALIDITY = datetime.timedelta(seconds=1)
 MAX_PERMIT_WAIT = datetime.timedelta(milliseconds=100)
@@ -48,47 +52,6 @@
 MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-class Permit(NamedTuple):
-    """Permission to send one request to a target."""
-
-    target: str
-    valid_until: datetime.timedelta
-
-
-class TargetLimit:
-    """The limit of one incarnation of a target, and this instance's permits for it."""
-
-    __slots__ = (
-        "life",
-        "next_share_at",
-        "observed_at",
-        "permits",
-        "rate",
-        "refused_until",
-        "reported_until",
-        "waiters",
-        "wanted",
-    )
-
-    def __init__(self, life: int, rate: float, observed_at: datetime.timedelta):
-        self.life = life
-        self.rate = rate
-        """Requests/s; infinite after the end of the limit."""
-        self.observed_at = observed_at
-        self.reported_until = observed_at
-        """Until then, this instance reports its own observation."""
-        self.permits: collections.deque[datetime.timedelta] = collections.deque()
-        """Ends of the validity of unused permits."""
-        self.waiters: collections.deque[asyncio.Future] = collections.deque()
-        """Requests that wait for a permit."""
-        self.wanted = 0
-        """Requests that have found no permit since the last question."""
-        self.refused_until = NOTHING
-        """Until then, the coordinator has no permit."""
-        self.next_share_at: datetime.timedelta | None = None
-        """When the next permit of this instance's part becomes valid."""
-
-
 class Question(NamedTuple):
     """A request for permits."""
 
@@ -108,6 +71,8 @@
         Called when a question should be sent, which `build_question` returns.
     count_members : callable
         Returns the number of instances that may send requests.
+    warm_up : tracking.WarmUp, optional
+        Knows the cold targets.
     """
 
     def __init__(
@@ -116,13 +81,16 @@
         generator: random.Random,
         ask: Callable[[], None],
         count_members: Callable[[], int],
+        warm_up: tracking.WarmUp | None = None,
     ):
         self.clock = clock
+        self.warm_up = warm_up if warm_up is not None else tracking.WarmUp(clock)
         self.random = generator
         self.ask = ask
         self.count_members = count_members
-        self.limits: dict[str, TargetLimit] = {}
+        self.limits: dict[str, limit_states.TargetLimit] = {}
         """The last known limits by target."""
+        self.cold = cold_limits.ColdLimits(clock, self.warm_up, self.get_named_rate)
         self.question: Question | None = None
         """The last question, until it is answered."""
         self.unanswered_since: datetime.timedelta | None = None
@@ -132,15 +100,35 @@
 
     # Observations.
 
-    def find(self, target: model.Target) -> TargetLimit | None:
+    def find(self, target: model.Target) -> limit_states.TargetLimit | None:
         """Return the limit of a target, or None if it has none."""
+        cold = self.cold.find(target.name)
+        if cold is not None:
+            return cold
         limit = self.limits.get(target.name)
         if limit is None or limit.life != target.life or math.isinf(limit.rate):
             return None
         return limit
 
+    def get_named_rate(self, target: str) -> float:
+        """Return the requests/s that a target has named; infinite if there are none."""
+        limit = self.limits.get(target)
+        return math.inf if limit is None else limit.rate
+
+    def find_cold_rate(self, target: str) -> float:
+        """Return the requests/s of a cold target, or infinity if it is warm."""
+        limit = self.cold.find(target)
+        return math.inf if limit is None else limit.rate
+
+    def list_capacity_rates(self) -> dict[str, float]:
+        """Return the requests/s that targets with a limit or after a start can take."""
+        rates = self.list_rates()
+        for name, rate in self.warm_up.list_restarted().items():
+            rates[name] = min(rate, rates.get(name, rate))
+        return rates
+
     def list_rates(self) -> dict[str, float]:
-        """Return the requests/s of all targets that have a limit."""
+        """Return the requests/s of all targets that name a limit."""
         return {
             name: limit.rate
             for name, limit in self.limits.items()
@@ -164,7 +152,7 @@
         """Return the recent observations of this instance."""
         now = self.clock.monotonic()
         return tuple(
-            build_observation(name, limit, now)
+            limit_states.build_observation(name, limit, now)
             for name, limit in self.limits.items()
             if limit.reported_until > now
         )
@@ -173,7 +161,8 @@
         """Return the last observations of all instances."""
         now = self.clock.monotonic()
         return tuple(
-            build_observation(name, limit, now) for name, limit in self.limits.items()
+            limit_states.build_observation(name, limit, now)
+            for name, limit in self.limits.items()
         )
 
     def apply_observations(
@@ -206,8 +195,10 @@
                 return
             previous = math.inf
             if known is not None:
-                refuse_waiters(known)
-            known = self.limits[target] = TargetLimit(life, rate, observed_at)
+                limit_states.refuse_waiters(known)
+            known = self.limits[target] = limit_states.TargetLimit(
+                life, rate, observed_at
+            )
         elif observed_at < known.observed_at:
             return
         else:
@@ -217,7 +208,7 @@
             return
         if math.isinf(rate):
             events.info("limit_ended", target=target, limit=previous)
-            resolve_waiters(known)
+            limit_states.resolve_waiters(known)
         else:
             known_rate = None if math.isinf(previous) else previous
             events.info("limit_named", target=target, limit=rate, known=known_rate)
@@ -225,6 +216,7 @@
     def forget_ended(self, targets: Mapping[str, model.Target]) -> None:
         """Forget the limits that have ended, and those of targets that are gone."""
         now = self.clock.monotonic()
+        self.cold.forget_ended()
         for name, limit in list(self.limits.items()):
             period = None
             if math.isinf(limit.rate):
@@ -233,14 +225,14 @@
                 period = REMOVED_TARGET_PERIOD
             replaced = name in targets and targets[name].life != limit.life
             if replaced or (period is not None and now - limit.observed_at > period):
-                refuse_waiters(limit)
+                limit_states.refuse_waiters(limit)
                 del self.limits[name]
 
     # Permits.
 
     async def acquire(
         self, target: model.Target, time_left: datetime.timedelta
-    ) -> result.Result[Permit | None, Any]:
+    ) -> result.Result[limit_states.Permit | None, Any]:
         """Return a permit for a request to a target, or None if it needs none.
 
         Fails with `errors.TargetLimited` if there is no permit.
@@ -250,7 +242,7 @@
             return result.Success(None)
         permit = self._take(target, limit)
         now = self.clock.monotonic()
-        if permit is None and self.is_isolated(now):
+        if permit is None and (self.is_isolated(now) or limit.unserved):
             limit.wanted += 1
             self.ask()
         elif permit is None and limit.refused_until <= now:
@@ -260,35 +252,60 @@
                 if self.find(target) is None:
                     return result.Success(None)
                 permit = self._take(target, limit)
+        self._count(limit, permit)
         if permit is None:
-            self.counts["permits_refused"] += 1
             return result.Failure(self.build_refusal(target, limit))
-        self.counts["permits_used"] += 1
         return result.Success(permit)
 
-    def take_now(self, target: model.Target) -> errors.TargetLimited | None:
-        """Use a permit for a request that was admitted before the limit was known.
+    def confirm(
+        self, target: model.Target, permit: limit_states.Permit | None
+    ) -> errors.TargetLimited | None:
+        """Check the permit of a request right before it is sent.
 
-        Returns the failure of the request if there is no permit.
+        The limit may have become known since the request was admitted. The permit for
+        a cold target may have expired while the request waited for a connection, and
+        that for a target that has become cold since is not one for a cold target.
+        Returns the failure of the request if it needs another permit and there is none.
         """
         limit = self.find(target)
-        if limit is None:
+        if limit is None or (permit is not None and limit.allowance is None):
+            return None
+        now = self.clock.monotonic()
+        if permit is not None and permit.cold and permit.valid_until > now:
             return None
-        if self._take(target, limit) is None:
+        taken = self._take(target, limit)
+        self._count(limit, taken)
+        if taken is None:
             limit.wanted += 1
-            self.counts["permits_refused"] += 1
             return self.build_refusal(target, limit)
-        self.counts["permits_used"] += 1
         return None
 
-    def give_back(self, permit: Permit | None) -> None:
+    def take_now(self, target: model.Target) -> errors.TargetLimited | None:
+        """Use a permit for a request that was admitted before the limit was known.
+
+        Returns the failure of the request if there is no permit.
+        """
+        return self.confirm(target, None)
+
+    def _count(
+        self, limit: limit_states.TargetLimit, permit: limit_states.Permit | None
+    ) -> None:
+        name = "permits_refused" if permit is None else "permits_used"
+        self.counts[name] += 1
+        self.counts[f"cold_{name}"] += limit.allowance is not None
+
+    def give_back(self, permit: limit_states.Permit | None) -> None:
         """Keep the permit of a request that was not sent for another one."""
-        if permit is not None and permit.target in self.limits:
-            self.limits[permit.target].permits.append(permit.valid_until)
+        if permit is None:
+            return
+        limits = self.cold.limits if permit.cold else self.limits
+        if permit.target in limits:
+            limits[permit.target].permits.append(permit.valid_until)
             self.counts["permits_used"] -= 1
+            self.counts["cold_permits_used"] -= permit.cold
 
     def build_refusal(
-        self, target: model.Target, limit: TargetLimit
+        self, target: model.Target, limit: limit_states.TargetLimit
     ) -> errors.TargetLimited:
         """Return the failure of a request without a permit."""
         wait = max(limit.refused_until - self.clock.monotonic(), NOTHING)
@@ -298,7 +315,7 @@
         self, targets: Iterable[model.Target]
     ) -> list[errors.TargetLimited]:
         """Return the failure of a request to each target that has a limit."""
-        if not self.limits:
+        if not self.limits and not self.warm_up.states:
             return []
         known = [(target, self.find(target)) for target in targets]
         return [
@@ -309,50 +326,78 @@
 
     def find_exhausted(self) -> frozenset[str]:
         """Return the targets for which there is no permit at the moment."""
-        if not self.limits:
+        if not self.limits and not self.cold.limits:
             return frozenset()
         now = self.clock.monotonic()
         return frozenset(
             name
-            for name, limit in self.limits.items()
-            if limit.refused_until > now and not has_permit(limit, now)
+            for name, limit in {**self.limits, **self.cold.limits}.items()
+            if limit.refused_until > now and not limit_states.has_permit(limit, now)
         )
 
-    def _take(self, target: model.Target, limit: TargetLimit) -> Permit | None:
+    def find_unpermitted(self, targets: Iterable[model.Target]) -> frozenset[str]:
+        """Return the cold targets for which there is no permit, and ask for permits.
+
+        A request that comes soon afterwards finds one and need not wait.
+        """
+        now = self.clock.monotonic()
+        found = self.cold.find_unpermitted(targets, now)
+        for limit in found.values():
+            if limit.refused_until <= now and not limit.wanted:
+                limit.wanted = 1
+                self.ask()
+        return frozenset(found)
+
+    def _take(
+        self, target: model.Target, limit: limit_states.TargetLimit
+    ) -> limit_states.Permit | None:
         """Return an unused permit, or one of this instance's part if it is isolated."""
         now = self.clock.monotonic()
-        if has_permit(limit, now):
-            return Permit(target.name, limit.permits.popleft())
-        if self.is_isolated(now):
+        if limit_states.has_permit(limit, now):
+            valid_until = limit.permits.popleft()
+            cold = limit.allowance is not None
+            return limit_states.Permit(target.name, valid_until, cold)
+        if self.is_isolated(now) or limit.unserved:
             return self._take_share(target, limit, now)
         return None
 
     def _take_share(
-        self, target: model.Target, limit: TargetLimit, now: datetime.timedelta
-    ) -> Permit | None:
+        self,
+        target: model.Target,
+        limit: limit_states.TargetLimit,
+        now: datetime.timedelta,
+    ) -> limit_states.Permit | None:
+        rate, validity = limit.rate, PERMIT_VALIDITY
+        if limit.allowance is not None:
+            rate = min(rate, limit.allowance.share_rate)
+            validity = allowances.SHARE_VALIDITY
         period = datetime.timedelta(
-            seconds=max(1, self.count_members()) / max(limit.rate, permits.MIN_RATE)
+            seconds=max(1, self.count_members()) / max(rate, permits.MIN_RATE)
         )
         if limit.next_share_at is None:
             limit.next_share_at = now + period * self.random.random()
-        overdue = now - PERMIT_VALIDITY - limit.next_share_at
+        overdue = now - validity - limit.next_share_at
         if overdue > NOTHING:
             limit.next_share_at += period * math.ceil(overdue / period)
         if limit.next_share_at > now:
             limit.refused_until = min(limit.next_share_at, now + permits.MAX_WAIT)
             return None
         limit.next_share_at += period
-        return Permit(target.name, now + PERMIT_VALIDITY)
+        cold = limit.allowance is not None
+        return limit_states.Permit(target.name, now + validity, cold)
 
     async def _await_permit(
-        self, limit: TargetLimit, max_wait: datetime.timedelta
+        self, limit: limit_states.TargetLimit, max_wait: datetime.timedelta
     ) -> bool:
         """Return whether a permit has become available."""
         loop = asyncio.get_running_loop()
         waiter = loop.create_future()
         limit.waiters.append(waiter)
         timer = loop.call_later(
-            max(max_wait.total_seconds(), 0.0), resolve_waiter, waiter, False
+            max(max_wait.total_seconds(), 0.0),
+            limit_states.resolve_waiter,
+            waiter,
+            False,
         )
         self.ask()
         try:
@@ -385,6 +430,12 @@
             if limit.wanted and not math.isinf(limit.rate):
                 wanted.append(frames.PermitRequest(name, limit.life, limit.wanted))
             limit.wanted = 0
+        for name, limit in self.cold.limits.items():
+            if limit.wanted:
+                wanted.append(
+                    frames.PermitRequest(name, limit.life, limit.wanted, limit.rate)
+                )
+            limit.wanted = 0
         if not wanted:
             return None
         self.question = Question(now // MILLISECOND, tuple(wanted))
@@ -402,56 +453,24 @@
         self.unanswered_since = None
         if self.question is not None and self.question.asked_ms <= asked_ms:
             self.question = None
-        valid_until = asked_ms * MILLISECOND + PERMIT_VALIDITY
+        asked_at = asked_ms * MILLISECOND
         for item in issued:
-            limit = self.limits.get(item.target)
+            if item.target in self.cold.limits:
+                limit = self.cold.find_issued(item)
+            else:
+                limit = self.limits.get(item.target)
             if limit is None:
                 continue
+            validity = allowances.PERMIT_VALIDITY if item.cold else PERMIT_VALIDITY
+            valid_until = asked_at + validity
             limit.next_share_at = None
             if valid_until > now:
                 limit.permits.extend([valid_until] * item.count)
             if item.wait_ms:
                 limit.refused_until = now + item.wait_ms * MILLISECOND
-            resolve_waiters(limit, len(limit.permits))
+            limit_states.resolve_waiters(limit, len(limit.permits))
             if item.wait_ms:
-                refuse_waiters(limit)
-        if any(limit.waiters and limit.wanted for limit in self.limits.values()):
+                limit_states.refuse_waiters(limit)
+        known = (*self.limits.values(), *self.cold.limits.values())
+        if any(limit.waiters and limit.wanted for limit in known):
             self.ask()
-
-
-def build_observation(
-    target: str, limit: TargetLimit, now: datetime.timedelta
-) -> frames.Limit:
-    """Return an observation as it is sent to other instances."""
-    age_ms = max(0, (now - limit.observed_at) // MILLISECOND)
-    return frames.Limit(target, limit.life, limit.rate, age_ms)
-
-
-def has_permit(limit: TargetLimit, now: datetime.timedelta) -> bool:
-    """Whether there is a valid permit; discards those that have expired."""
-    while limit.permits and limit.permits[0] <= now:
-        limit.permits.popleft()
-    return bool(limit.permits)
-
-
-def resolve_waiter(waiter: asyncio.Future, permitted: bool) -> None:
-    """Let a waiting request continue."""
-    if not waiter.done():
-        waiter.set_result(permitted)
-
-
-def resolve_waiters(limit: TargetLimit, count: int | None = None) -> None:
-    """Let up to `count` waiting requests take a permit, or all."""
-    while limit.waiters and (count is None or count > 0):
-        waiter = limit.waiters.popleft()
-        if waiter.done():
-            continue
-        waiter.set_result(True)
-        if count is not None:
-            count -= 1
-
-
-def refuse_waiters(limit: TargetLimit) -> None:
-    """End the wait of all waiting requests."""
-    while limit.waiters:
-        resolve_waiter(limit.waiters.popleft(), False)
--- a/packages/fleet/dewstep_fleet/request_limits_test.py
+++ b/packages/fleet/dewstep_fleet/request_limits_test.py
@@ -238,3 +238,17 @@
         asked_ms=123_456,
     )
     assert frames.decode(frames.encode(frame)) == frame
+
+
+# Guards against cold targets that are unknown to instances that have not seen them.
+def test_cold_targets_are_part_of_messages():
+    frame = frames.Frame(
+        "beat",
+        1,
+        "n1",
+        "n1-x",
+        cold=(frames.Cold("a", 3, 120, 800), frames.Cold("b", 0, 9, 0, True, True)),
+        wanted=(frames.PermitRequest("a", 3, 7, 7.3),),
+        permits=(frames.Permits("a", 2, 40, True),),
+    )
+    assert frames.decode(frames.encode(frame)) == frame
--- a/packages/fleet/dewstep_fleet/target_pools.py
+++ b/packages/fleet/dewstep_fleet/target_pools.py
@@ -64,6 +64,12 @@
                 reuse_delay=datetime.timedelta(),
                 max_idle_time=MAX_IDLE_TIME,
                 on_notice=functools.partial(self.receive_notice, target),
+                on_answer=functools.partial(
+                    self.participant.limits.warm_up.record_answer, target
+                ),
+                on_unreached=functools.partial(
+                    self.participant.limits.warm_up.record_failure, target
+                ),
             )
         pool.set_limit(limit)
         return pool
@@ -81,6 +87,17 @@
         limit = max(target.slots * 2, service.max_connections // (2 * instances))
         return max(1, min(limit, service.max_connections // instances))
 
+    def record_reset(self, target: model.Target) -> None:
+        """Record that a target has reset the connection of a request.
+
+        It has perhaps restarted; if other connections are left, it may only have too
+        many.
+        """
+        pool_key = (target.name, target.life, target.host, target.port)
+        pool = self.by_target.get(pool_key)
+        shared = pool is None or not pool.open_connections
+        self.participant.limits.warm_up.record_failure(target, shared)
+
     def retire(self) -> None:
         """Use no open connection for further requests, since they may hang."""
         for pool in self.by_target.values():
@@ -98,6 +115,9 @@
             events.info("target_paused", target=target.name, lasts=notice.pause)
         if notice.limit is not None:
             self.participant.limits.record_named(target, notice.limit)
+        if notice.warm_up_left is not None:
+            warm_up = self.participant.limits.warm_up
+            warm_up.record_notice(target, notice.warm_up_left)
         if notice.leaving:
             # The registration may be missing, or say later that the target is ready.
             self.participant.record_departure(target.name, target.life)
--- a/packages/fleet/dewstep_fleet/target_search.py
+++ b/packages/fleet/dewstep_fleet/target_search.py
@@ -6,6 +6,7 @@
 """
 
 import datetime
+import functools
 import random
 from collections.abc import Iterable
 from typing import Any
@@ -88,16 +89,24 @@
         targets = self.directory.targets_by_service.get(plan.service.name, ())
         now = self.clock.monotonic().total_seconds()
         body = plan.request.body_length or len(plan.request.body.start)
-        choice = selection.choose_target(
+        choose = functools.partial(
+            selection.choose_target,
             targets,
             self.loads,
             now,
             self.data_centre,
             body + TYPICAL_ANSWER_BYTES,
             self.random,
-            tried | self.participant.limits.find_exhausted(),
-            plan.route.name,
+            route=plan.route.name,
         )
+        excluded = tried | self.participant.limits.find_exhausted()
+        # A request waits for the permit of a cold target only if no warm one is free.
+        waiting = self.participant.limits.find_unpermitted(targets)
+        choice = choose(excluded=excluded | waiting)
+        if waiting and (
+            choice is None or choice.estimate.running >= choice.target.slots
+        ):
+            choice = choose(excluded=excluded)
         if choice is None:
             return result.Failure(self.find_shortest_refusal(plan, targets, tried))
         return self.check_admission(plan, choice)
--- a/packages/fleet/dewstep_fleet/telemetry.py
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -130,6 +130,9 @@
         ),
         "permits_used": participant.limits.counts["permits_used"],
         "permits_refused": participant.limits.counts["permits_refused"],
+        "cold_targets": len(participant.limits.warm_up.list_cold()),
+        "cold_permits_used": participant.limits.counts["cold_permits_used"],
+        "cold_permits_refused": participant.limits.counts["cold_permits_refused"],
     }
 
 
@@ -154,7 +157,10 @@
     targets = {}
     for name, target in directory.targets.items():
         estimate = process.loads.estimate(target.service, name, now)
-        targets[name] = {**target._asdict(), **estimate._asdict()}
+        registered = target._asdict()
+        # "cold" has the time left.
+        del registered["warm_up_left"]
+        targets[name] = {**registered, **estimate._asdict()}
     routes = directory.routes
     return {
         "schema": 1,
@@ -170,4 +176,5 @@
         },
         "moving": directory.moving,
         "limits": process.participant.limits.list_rates(),
+        "cold": process.participant.limits.warm_up.describe(),
     }
