--- a/packages/fleet/dewstep_fleet/target_search.py
+++ b/packages/fleet/dewstep_fleet/target_search.py
@@ -6,6 +6,7 @@
 """
 
 import datetime
+import functools
 import random
 from collections.abc import Iterable
 from typing import Any
@@ -25,6 +26,7 @@
     selection,
 )
 from dewstep_fleet.admission import demand_counts, queue_limits
+from dewstep_fleet.warm_up import preferences
 
 MAX_MOVE_WAIT = datetime.timedelta(milliseconds=600)
 """Maximum wait for a key in a planned move. The owner first finishes its queued and
@@ -87,16 +89,21 @@
         targets = self.directory.list_open(plan.service.name)
         now = self.clock.monotonic().total_seconds()
         body = plan.request.body_length or len(plan.request.body.start)
-        choice = selection.choose_target(
-            targets,
-            self.loads,
-            now,
-            self.data_centre,
-            body + TYPICAL_ANSWER_BYTES,
-            self.random,
-            tried | self.participant.limits.find_exhausted(),
-            plan.route.name,
+        choose = functools.partial(
+            selection.choose_target,
+            loads=self.loads,
+            now=now,
+            data_centre=self.data_centre,
+            exchange_bytes=body + TYPICAL_ANSWER_BYTES,
+            generator=self.random,
+            route=plan.route.name,
+        )
+        limits = self.participant.limits
+        preference = preferences.find_preference(
+            limits, targets, self.data_centre, self.directory.members.values()
         )
+        excluded = tried | limits.find_exhausted()
+        choice = preferences.choose(choose, targets, excluded, preference)
         if choice is None:
             return result.Failure(self.find_shortest_refusal(plan, targets, tried))
         admitted = self.check_admission(plan, choice)
