Move the exchange of a connection into a module of its own

Change: exchanges.py has the class Exchange and the size of its buffer, unchanged. Evidence: the tests of packages/entry/dewstep_entry/targets pass.

--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -20,10 +20,8 @@
 from dewstep_core import data
 from dewstep_core.http import answer_heads, transports
 from dewstep_entry import bodies, header_rules, interfaces
-from dewstep_entry.targets import answering, outcome
+from dewstep_entry.targets import answering, exchanges, outcome
 
-ANSWER_BUFFER_BYTES = 65_536
-"""Unread bytes of an answer above which reading from the socket pauses."""
 RECEIVE_BUFFER = memoryview(bytearray(32_768))
 """Buffer of one read from a socket. All connections share it, since its content is
 copied before the next read."""
@@ -36,68 +34,6 @@
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
-class Exchange(bodies.ChunkQueue):
-    """One request and its answer, with the received part of the answer's body."""
-
-    __slots__ = (
-        "body_task",
-        "buffered",
-        "head",
-        "headers",
-        "informational_answers",
-        "length",
-        "method",
-        "refusal",
-        "request_id",
-        "sent",
-        "skipped_answers",
-        "skipped_bytes",
-        "skipping_answer",
-        "timer",
-    )
-
-    def __init__(
-        self, method: bytes, request_id: bytes, buffered: bool, on_read, on_close
-    ):
-        super().__init__(ANSWER_BUFFER_BYTES, on_read, on_close)
-        self.method = method
-        self.buffered = buffered
-        self.informational_answers = 0
-        self.skipping_answer = False
-        self.skipped_answers = 0
-        self.skipped_bytes = 0
-        self.request_id = request_id
-        self.head: h11.Response | None = None
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.length: int | None = None
-        self.refusal = ""
-        self.sent = False
-        self.body_task: asyncio.Task | None = None
-        self.timer: asyncio.TimerHandle | None = None
-
-    def add_chunk(self, chunk: bytearray) -> None:
-        """Add a chunk; small chunks are joined, as each object takes memory."""
-        if self.chunks:
-            self.chunks[-1] += chunk
-            self.size += len(chunk)
-            self.wake_reader()
-        else:
-            super().add_chunk(chunk)
-
-    def get_progress(self) -> outcome.Progress:
-        """Return the progress of the exchange."""
-        status = self.head.status_code if self.head is not None else 0
-        return outcome.Progress(self.sent, status, self.refusal)
-
-    def is_ready(self) -> bool:
-        """Whether the answer can be returned; a small one only when it is complete."""
-        if self.ended or self.head is None:
-            return self.ended
-        if self.length is None:
-            return not self.buffered or self.size > bodies.SMALL_BODY_BYTES
-        return self.length > bodies.SMALL_BODY_BYTES
-
-
 class Connection(asyncio.BufferedProtocol):
     """A connection to a target.
 
@@ -132,7 +68,7 @@
             h11.CLIENT, max_incomplete_event_size=answer_heads.MAXIMUM_HEAD_BYTES
         )
         self.transport: asyncio.Transport | None = None
-        self.current_exchange: Exchange | None = None
+        self.current_exchange: exchanges.Exchange | None = None
         self.usable = True
         self.failed = False
         """Whether the target closed the connection or exceeded a deadline."""
@@ -258,7 +194,7 @@
             The answer, or `TargetRefused`, `ConnectionLost`, `DeadlineExceeded` or
             `AnswerInvalid`.
         """
-        exchange = Exchange(
+        exchange = exchanges.Exchange(
             head.method,
             request_id,
             self.rules.buffered,
@@ -292,7 +228,7 @@
     # Internals.
 
     def _send_head(
-        self, exchange: Exchange, head: h11.Request, body: data.Body
+        self, exchange: exchanges.Exchange, head: h11.Request, body: data.Body
     ) -> None:
         pieces = [self.http.send(head)]
         if body.start:
@@ -308,7 +244,7 @@
                 self._send_body_rest(exchange, body.rest)
             )
 
-    async def _send_body_rest(self, exchange: Exchange, rest) -> None:
+    async def _send_body_rest(self, exchange: exchanges.Exchange, rest) -> None:
         try:
             async for chunk in bodies.split_chunks(rest):
                 while self.write_waiter is not None:
@@ -324,7 +260,7 @@
             if self.current_exchange is exchange:
                 self._fail(outcome.Event.ABANDONED, str(error))
 
-    def _receive(self, exchange: Exchange, chunk: bytes) -> None:
+    def _receive(self, exchange: exchanges.Exchange, chunk: bytes) -> None:
         """Parse the input of one turn of the event loop, which ends with `chunk`."""
         try:
             if chunk:
@@ -345,14 +281,14 @@
             self.reading = False
             self.transport.pause_reading()
 
-    def _continue_input(self, exchange: Exchange) -> None:
+    def _continue_input(self, exchange: exchanges.Exchange) -> None:
         self.next_turn = None
         self._receive(exchange, b"")
         if self.next_turn is None and exchange is self.current_exchange:
             if not exchange.full:
                 self._resume_reading(0)
 
-    def _process_input(self, exchange: Exchange) -> bool:
+    def _process_input(self, exchange: exchanges.Exchange) -> bool:
         """Parse received bytes; return whether some are left for the next turn."""
         for _ in range(MAXIMUM_EVENTS_PER_TURN):
             if exchange is not self.current_exchange:
@@ -364,7 +300,7 @@
             self._process_event(exchange, event)
         return exchange is self.current_exchange
 
-    def _process_event(self, exchange: Exchange, event) -> None:
+    def _process_event(self, exchange: exchanges.Exchange, event) -> None:
         kind = type(event)
         if exchange.skipping_answer:
             if exchange.skipped_bytes > MAXIMUM_SKIPPED_BYTES:
@@ -387,7 +323,7 @@
         elif kind is h11.ConnectionClosed:
             self._fail(outcome.Event.CLOSED)
 
-    def _process_head(self, exchange: Exchange, head: h11.Response) -> None:
+    def _process_head(self, exchange: exchanges.Exchange, head: h11.Response) -> None:
         # Iterating h11 headers is slow, so they are converted once.
         exchange.headers = list(head.headers)
         fields = dict(exchange.headers)
@@ -440,7 +376,7 @@
         )
         exchange.wake_reader()
 
-    def _complete_exchange(self, exchange: Exchange) -> None:
+    def _complete_exchange(self, exchange: exchanges.Exchange) -> None:
         trailing = bool(self.http.trailing_data[0])
         if trailing and not self.rules.has_request_id:
             self._fail(outcome.Event.INVALID, "bytes after the end of the answer")
@@ -455,7 +391,7 @@
         else:
             self.abort()
 
-    def _resume_after_skipped_answer(self, exchange: Exchange) -> None:
+    def _resume_after_skipped_answer(self, exchange: exchanges.Exchange) -> None:
         """Parse the input after a skipped late answer to an earlier request."""
         if self.http.our_state is not h11.DONE:
             raise h11.RemoteProtocolError("answer has another request's id")
@@ -471,7 +407,7 @@
         self.http.send(h11.EndOfMessage())
         self.http.receive_data(bytes(trailing))
 
-    def _detach_exchange(self, exchange: Exchange) -> None:
+    def _detach_exchange(self, exchange: exchanges.Exchange) -> None:
         self.current_exchange = None
         exchange.timer.cancel()
         if self.next_turn is not None:
@@ -507,7 +443,7 @@
             self.lost(self)
 
 
-def build_answer(exchange: Exchange) -> data.Answer:
+def build_answer(exchange: exchanges.Exchange) -> data.Answer:
     """Return the answer of an exchange whose head has arrived."""
     headers = header_rules.drop_headers(
         exchange.headers, header_rules.DROPPED_FROM_ANSWERS
--- a/packages/entry/dewstep_entry/targets/endless_answers_test.py
+++ b/packages/entry/dewstep_entry/targets/endless_answers_test.py
@@ -13,7 +13,7 @@
 from dewstep_core import clocks, data, errors
 from dewstep_emulator import endless_answers, testing
 from dewstep_entry import bodies
-from dewstep_entry.targets import answering, connection, connection_pool, control
+from dewstep_entry.targets import answering, connection_pool, control, exchanges
 
 SECOND = datetime.timedelta(seconds=1)
 RULES = answering.AnswerRules(
@@ -207,7 +207,7 @@
             outcome = await send_request(pool, 20.0)
             assert outcome.unwrap().body.rest is not None
             await asyncio.sleep(1.0)
-        assert peaks[0] < 6 * connection.ANSWER_BUFFER_BYTES
+        assert peaks[0] < 6 * exchanges.ANSWER_BUFFER_BYTES
         assert server.sent_bytes < SOCKET_BUFFER_BYTES
         await bodies.close_body(outcome.unwrap().body)
         assert await server.wait_closed(PROMPT_SECONDS)
