Read the refusal of an upload before reporting its connection as lost

Callers saw: 502 for a large upload that the target had refused with the header that says that it was not run, when the target then reset the connection. After a 502, a request that must not run twice is not repeated. Cause: a write to a connection that was reset fails and closes the transport at once. The kernel still held the refusal, which was never read. Change: a connection that ends with an error first parses the input that has arrived. What is incomplete, has another request's id or no refusal is reported as before.

--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -20,7 +20,7 @@
 from dewstep_core import data
 from dewstep_core.http import answer_heads, transports
 from dewstep_entry import bodies, header_rules, interfaces
-from dewstep_entry.targets import answering, exchanges, outcome
+from dewstep_entry.targets import answering, exchanges, outcome, unread_input
 
 RECEIVE_BUFFER = memoryview(bytearray(32_768))
 """Buffer of one read from a socket. All connections share it, since its content is
@@ -78,7 +78,7 @@
         self.next_turn: asyncio.Handle | None = None
         """Parses the rest of the input; reading pauses until then."""
         self.write_waiter: asyncio.Future | None = None
-        self.poller = select.poll()
+        self.poller: select.poll | None = None
         self.refusals: dict[bytes, datetime.timedelta] = {}
         """Deadlines of the requests that the target has refused here, by id."""
 
@@ -89,11 +89,14 @@
         self.transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         socket = transport.get_extra_info("socket")
-        self.poller.register(socket.fileno(), select.POLLIN | select.POLLRDHUP)
+        self.poller = unread_input.build_poller(socket.fileno())
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Fail the exchange in progress."""
+        """Fail the exchange in progress, unless its answer has arrived."""
         self.resume_writing()
+        exchange = self.current_exchange
+        if error is not None and exchange is not None:
+            self._receive_unread(exchange)
         self._fail(outcome.Event.CLOSED)
 
     def eof_received(self) -> bool:
@@ -281,6 +284,16 @@
             self.reading = False
             self.transport.pause_reading()
 
+    def _receive_unread(self, exchange: exchanges.Exchange) -> None:
+        """Parse what had arrived before a write failed, but was not read."""
+        left = unread_input.MAXIMUM_BYTES
+        while exchange is self.current_exchange and left > 0:
+            chunk = unread_input.read_next(self.poller)
+            if not chunk:
+                return
+            left -= len(chunk)
+            self.data_received(chunk)
+
     def _continue_input(self, exchange: exchanges.Exchange) -> None:
         self.next_turn = None
         self._receive(exchange, b"")
--- /dev/null
+++ b/packages/entry/dewstep_entry/targets/unread_input.py
@@ -0,0 +1,32 @@
+"""Input that a broken connection still holds, and how its peer has ended it.
+
+The kernel keeps what has arrived when a connection is reset, but a failed write closes
+the transport before it is read. A refusal among that input says that a request has not
+run.
+"""
+
+import os
+import select
+
+READ_BYTES = 32_768
+MAXIMUM_BYTES = 131_072
+"""More than the largest head of an answer; the rest is not read."""
+
+
+def build_poller(descriptor: int) -> select.poll:
+    """Return a poller that reports input, the end of the input and resets."""
+    poller = select.poll()
+    poller.register(descriptor, select.POLLIN | select.POLLRDHUP)
+    return poller
+
+
+def read_next(poller: select.poll) -> bytes:
+    """Return the next input of a connection without waiting; b"" if there is none."""
+    for descriptor, events in poller.poll(0):
+        if events & select.POLLIN and not events & select.POLLNVAL:
+            try:
+                return os.read(descriptor, READ_BYTES)
+            except OSError:
+                # The error of a reset is reported after the last input.
+                return b""
+    return b""
