Report an answer as lost whose connection ends before the upload does

Callers saw: a part of an answer as a complete one with status 200, when a target answered a long upload without a length and reset the connection while the upload was being written. Cause: the kernel can report the end of the stream before the reset, and the end completes an answer that only the end of its connection delimits. Change: such an answer is complete only if the whole request has been written and the connection was not reset at its end; otherwise it ends as ConnectionLost. Answers with a length or in chunks are not affected.

--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -351,13 +351,11 @@
             raise h11.RemoteProtocolError(
                 "answer has both Content-Length and Transfer-Encoding"
             )
-        if (
-            not self.rules.has_request_id
-            and length is None
-            and coding is None
-            and exchange.method != b"HEAD"
-            and head.status_code not in NO_BODY_STATUSES
-        ):
+        has_body = (
+            exchange.method != b"HEAD" and head.status_code not in NO_BODY_STATUSES
+        )
+        ends_with_close = has_body and length is None and coding is None
+        if ends_with_close and not self.rules.has_request_id:
             # A body that ends with the close cannot be told from a truncated one.
             raise h11.RemoteProtocolError("answer has no body length")
         answered_id = fields.get(self.rules.request_id)
@@ -380,6 +378,7 @@
             return
         exchange.head = head
         exchange.length = int(length) if length is not None else None
+        exchange.ends_with_close = ends_with_close
         exchange.refusal = answering.find_refusal(
             self.rules,
             head.status_code,
@@ -394,6 +393,9 @@
         if trailing and not self.rules.has_request_id:
             self._fail(outcome.Event.INVALID, "bytes after the end of the answer")
             return
+        if exchange.ends_with_close and self._ends_early():
+            self._fail(outcome.Event.CLOSED)
+            return
         self._detach_exchange(exchange)
         exchange.end()
         http = self.http
@@ -404,6 +406,16 @@
         else:
             self.abort()
 
+    def _ends_early(self) -> bool:
+        """Whether a connection that marks the end of an answer may end it too early.
+
+        A target that ends it while the request's body is being sent, or resets it, may
+        not have sent the whole answer.
+        """
+        sending = self.http.our_state is h11.SEND_BODY
+        unsent = self.transport.get_write_buffer_size() > 0
+        return sending or unsent or unread_input.was_reset(self.poller)
+
     def _resume_after_skipped_answer(self, exchange: exchanges.Exchange) -> None:
         """Parse the input after a skipped late answer to an earlier request."""
         if self.http.our_state is not h11.DONE:
--- a/packages/entry/dewstep_entry/targets/exchanges.py
+++ b/packages/entry/dewstep_entry/targets/exchanges.py
@@ -17,6 +17,7 @@
     __slots__ = (
         "body_task",
         "buffered",
+        "ends_with_close",
         "head",
         "headers",
         "informational_answers",
@@ -45,6 +46,8 @@
         self.head: h11.Response | None = None
         self.headers: list[tuple[bytes, bytes]] = []
         self.length: int | None = None
+        self.ends_with_close = False
+        """Whether only the end of the connection marks the end of the answer."""
         self.refusal = ""
         self.sent = False
         self.body_task: asyncio.Task | None = None
--- a/packages/entry/dewstep_entry/targets/unread_input.py
+++ b/packages/entry/dewstep_entry/targets/unread_input.py
@@ -30,3 +30,9 @@
                 # The error of a reset is reported after the last input.
                 return b""
     return b""
+
+
+def was_reset(poller: select.poll) -> bool:
+    """Whether the peer has reset a connection, not only ended its side of it."""
+    reset = select.POLLERR | select.POLLHUP
+    return any(events & reset for _, events in poller.poll(0))
