Reject answers with a status above 599

Callers saw: statuses from 600 to 999 that a target in trouble had sent. Cause: h11 rejects statuses below 100 only. Change: a status above 599 makes the answer invalid, also with a refusal header. Evidence: four of the eight cases of the new test failed before; those for 000 and 099 guard against h11 accepting them.

--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -31,6 +31,8 @@
 MAXIMUM_SKIPPED_ANSWERS = 16
 MAXIMUM_SKIPPED_BYTES = 4_194_304
 """Limits of the late answers to other requests that are skipped during an exchange."""
+MAXIMUM_STATUS = 599
+"""Highest status of HTTP. h11 accepts up to 999, and rejects those below 100."""
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -337,6 +339,8 @@
             self._fail(outcome.Event.CLOSED)
 
     def _process_head(self, exchange: exchanges.Exchange, head: h11.Response) -> None:
+        if head.status_code > MAXIMUM_STATUS:
+            raise h11.RemoteProtocolError(f"status above {MAXIMUM_STATUS}")
         # Iterating h11 headers is slow, so they are converted once.
         exchange.headers = list(head.headers)
         fields = dict(exchange.headers)
--- a/packages/entry/dewstep_entry/targets/connection_pool_test.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool_test.py
@@ -219,3 +219,15 @@
         assert testing.fails(outcome, errors.ConnectionLost) or testing.fails(
             outcome, errors.AnswerInvalid
         ), size
+
+
+# Guards against statuses that HTTP does not have and callers cannot interpret, and
+# against taking their refusal header for "not run".
+@pytest.mark.parametrize("refusal", [b"", b"X-Not-Run: 1\r\n"])
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+@testing.run_in_event_loop
+async def test_answer_with_a_status_outside_of_http_is_invalid(status, refusal):
+    head = b"Content-Length: 2\r\n" + refusal
+    answer = render_answer(b"a", b"ok", head, status + b" OK")
+    async with run_target(answer) as (pool, _):
+        assert testing.fails(await send_request(pool, b"a"), errors.AnswerInvalid)
