Refuse a request whose connection becomes free too late to serve it

Callers saw: 504, which leaves the outcome open, for requests that had waited for a connection until their deadline and were then sent with a few milliseconds left. Cause: the time left was not checked again when a connection had become free. A request that was sent before its time-out still ends as 504.

--- a/packages/fleet/dewstep_fleet/attempts.py
+++ b/packages/fleet/dewstep_fleet/attempts.py
@@ -39,6 +39,7 @@
     | errors.TargetPaused
     | errors.TargetLeaving
     | errors.TargetLimited
+    | errors.DeadlineUnreachable
     | errors.Stopping
 )
 """Failures of requests that were not sent."""
@@ -158,12 +159,22 @@
         plan: request_plans.PlannedRequest,
         choice: selection.Choice,
         permit: request_limits.Permit | None,
-    ) -> errors.Stopping | errors.TargetLeaving | errors.TargetLimited | None:
+    ) -> (
+        errors.DeadlineUnreachable
+        | errors.Stopping
+        | errors.TargetLeaving
+        | errors.TargetLimited
+        | None
+    ):
         """Return the failure of a request that waited for a connection, or None.
 
-        A stop or the departure of the target may have begun, or the limit become known,
-        since it was admitted.
+        A stop or the departure of the target may have begun, the limit become known, or
+        the time for an answer ended, since it was admitted.
         """
+        time_left = plan.due_at - self.clock.monotonic()
+        if time_left <= DEADLINE_MARGIN:
+            # Sent now, it could only end as overdue, which leaves its outcome open.
+            return errors.DeadlineUnreachable(choice.target.name, datetime.timedelta())
         stopping = self.stop.find_refusal(plan, choice)
         if stopping is not None:
             return stopping
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -335,6 +335,25 @@
     assert b"retry-after" in dict(answer.headers)
 
 
+class WaitingPool(FakePool):
+    """Connection pool in which a connection becomes free late."""
+
+    async def send(self, *arguments):
+        self.harness.clock.advance(995 * MILLISECOND)
+        return await super().send(*arguments)
+
+
+def test_request_that_waited_for_a_connection_until_the_end_is_not_sent():
+    # Guards against 504, which leaves the outcome open, for a request that ran nowhere.
+    harness = Harness(overdue, targets="a", timeout=builders.SECOND, idempotent=False)
+    harness.dispatcher.pools.get = lambda service, target: WaitingPool(
+        harness, target.name
+    )
+    answer = harness.send(method="POST")
+    assert answer.status == 503 and get_outcome(answer) == b"not-run"
+    assert b"retry-after" in dict(answer.headers) and not harness.sent
+
+
 def test_idempotent_request_is_resent():
     harness = Harness(lost, 200)
     assert harness.send().status == 200
