Believe the outcome that another version's unknown failure states

Callers saw: 502 for a request that was passed on to an instance of another version, if that refused it as not run with a failure that this version does not know. The failure was looked up without a check, and the exception counted as an unknown outcome. Change: an unknown failure counts as a refusal of that instance if its answer states that the request was not run, and leaves the outcome open otherwise. Evidence: all three cases of the new test ended in AttributeError before.

--- a/packages/fleet/dewstep_fleet/relaying.py
+++ b/packages/fleet/dewstep_fleet/relaying.py
@@ -267,8 +267,12 @@
         return build_refusal(node, name)
     failure = restore_failure(answer)
     rule = errors.answer_rules.get(name)
-    if isinstance(failure, errors.AnswerInvalid) and rule.outcome == errors.NOT_RUN:
-        # The answer to a HEAD request has no body with the details.
+    outcome = headers.get(b"dewstep-outcome", b"").decode("latin-1")
+    if rule is not None:
+        outcome = rule.outcome
+    if isinstance(failure, errors.AnswerInvalid) and outcome == errors.NOT_RUN:
+        # The answer to a HEAD request has no body with the details, and other versions
+        # have failures that are unknown here.
         return build_refusal(node, name)
     return failure
 
--- a/packages/fleet/dewstep_fleet/relaying_test.py
+++ b/packages/fleet/dewstep_fleet/relaying_test.py
@@ -730,3 +730,25 @@
         outcome = await setting.send(find_refusal=lambda: refusals.pop(0))
         assert outcome == relaying.RelayOutcome(None, failure)
         assert len(first.requests) + len(second.requests) == 1
+
+
+# Guards against 502 for a request that another instance, of another version, refused as
+# not run, and against a wrong "not run" if that instance leaves the outcome open.
+@pytest.mark.parametrize(
+    ("outcome", "expected"),
+    [
+        (errors.NOT_RUN, errors.RelayRefused),
+        (errors.UNKNOWN, errors.AnswerInvalid),
+        ("", errors.AnswerInvalid),
+    ],
+)
+def test_unknown_failure_of_another_version_has_the_outcome_that_it_states(
+    outcome, expected
+):
+    headers = (
+        (relaying.FAILURE_HEADER, b"FailureOfTomorrow"),
+        (b"dewstep-outcome", outcome.encode()),
+    )
+    answer = data.Answer(503, headers, 2, data.Body(b"{}", None), "")
+    failure = relaying.find_failure(answer, "n2", b"x-id")
+    assert isinstance(failure, expected)
