--- a/packages/fleet/dewstep_fleet/warm_up/tracking.py
+++ b/packages/fleet/dewstep_fleet/warm_up/tracking.py
@@ -46,6 +46,7 @@
         """Route table and bounds for which the allowances were computed."""
         if directory is not None:
             directory.listeners.append(self.apply_rows)
+            directory.evacuations.listeners.append(self.apply_evacuation_end)
 
     # Services.
 
@@ -203,6 +204,17 @@
         state = states.apply_notice(known, target.life, time_left, now)
         self._set(target.name, target.service, state, states.ANSWER)
 
+    def apply_evacuation_end(
+        self, data_centre: str, ended_at: datetime.timedelta, version: int
+    ) -> None:
+        """Treat the targets of a data centre as cold whose evacuation has ended.
+
+        They may have become cold before the end, while nothing was sent to them.
+        """
+        for target in self.directory.targets.values():
+            if target.data_centre == data_centre:
+                self.assume_cold(target, ended_at)
+
     def assume_cold(self, target: model.Target, since: datetime.timedelta) -> None:
         """Treat a target as cold for the warm-up time of its service from `since` on.
 
--- a/packages/fleet/dewstep_fleet/warm_up/tracking_test.py
+++ b/packages/fleet/dewstep_fleet/warm_up/tracking_test.py
@@ -155,6 +155,21 @@
     assert not setting.is_cold()
 
 
+# Guards against a burst to targets that became cold while nothing was sent to them.
+def test_end_of_an_evacuation_leaves_its_targets_cold():
+    setting = Setting()
+    setting.register()
+    key = model.EVACUATION_PREFIX + TARGET.data_centre
+    for version, value in ((11, b"{}"), (12, None)):
+        row = builders.build_row(model.TABLES.configuration, key, version, value)
+        setting.directory.apply_rows([row])
+        assert setting.is_cold() == (value is None)
+        setting.wait(2)
+    assert setting.is_cold()
+    setting.wait(1.1)
+    assert not setting.is_cold()
+
+
 # Guards against instances that learn of a restart only by their own failures, and
 # against an observation that lasts longer each time that it is passed on.
 def test_other_instances_learn_of_a_failure():
