Keep the end of an evacuation that a restored store lost

Cause: each further report that the restored store lacks the row put the end off again, and listeners got the version of the row instead of that of its absence, so that an older row of a target would have counted as newer.

Change: the end stays as it was first set, and the version of the newest report is passed on. The requests of other instances are tested as well.

Evidence: evacuation/evacuations_test.py.

--- a/packages/fleet/dewstep_fleet/evacuation/evacuations.py
+++ b/packages/fleet/dewstep_fleet/evacuation/evacuations.py
@@ -35,6 +35,8 @@
     """Version of the row."""
     ends_at: datetime.timedelta | None = None
     """When it ends, if a restored store lacks the row."""
+    lost_version: int = 0
+    """Version at which the restored store lacked it."""
 
 
 class Evacuations:
@@ -66,12 +68,7 @@
         if row.value is not None:
             self._continue_or_begin(data_centre, known, row.version)
         elif known is not None and known.version < model.get_era_floor(row.version):
-            # The copy may be older than the row.
-            ends_at = self.clock.monotonic() + RESTORE_GRACE
-            self.current[data_centre] = known._replace(ends_at=ends_at)
-            events.warning(
-                "evacuation_row_lost", data_centre=data_centre, row=known.version
-            )
+            self._await_row(data_centre, known, row.version)
         else:
             self._end(data_centre, row.version)
 
@@ -85,7 +82,7 @@
         """
         now = self.clock.monotonic()
         due = [
-            (data_centre, evacuation.version)
+            (data_centre, evacuation.lost_version)
             for data_centre, evacuation in self.current.items()
             if evacuation.ends_at is not None and evacuation.ends_at <= now
         ]
@@ -109,6 +106,18 @@
             "evacuation_begun", data_centre=data_centre, age=now - since, row=version
         )
 
+    def _await_row(self, data_centre: str, known: Evacuation, version: int) -> None:
+        """Note that a restored store lacks the row, as its copy may be older.
+
+        Other instances may report the same at a later version.
+        """
+        if known.ends_at is None:
+            events.warning(
+                "evacuation_row_lost", data_centre=data_centre, row=known.version
+            )
+            known = known._replace(ends_at=self.clock.monotonic() + RESTORE_GRACE)
+        self.current[data_centre] = known._replace(lost_version=version)
+
     def _end(self, data_centre: str, version: int) -> None:
         ended = self.current.pop(data_centre, None)
         now = self.clock.monotonic()
--- a/packages/fleet/dewstep_fleet/evacuation/evacuations_test.py
+++ b/packages/fleet/dewstep_fleet/evacuation/evacuations_test.py
@@ -1,5 +1,7 @@
 """Tests of what an instance knows of evacuations, and of its requests."""
 
+import asyncio
+
 import pytest
 
 from dewstep_fleet import (
@@ -56,12 +58,15 @@
 
 # Guards against requests to an owner after the allowed time, by an instance that has
 # learned of the row as late as an instance in touch with the platform does.
-def test_requests_for_keys_end_before_the_allowed_time():
+@pytest.mark.parametrize("relayed_attempts", [None, 2])
+def test_requests_for_keys_end_before_the_allowed_time(relayed_attempts):
     harness = build_instance(200, 200)
     write(harness, 9)
     assert harness.send(headers=KEY).status == 200
     harness.clock.advance(ALLOWED - LATE)
-    answer = harness.send(headers=KEY)
+    request = harness.build_request(headers=KEY)
+    request = request._replace(relayed_attempts=relayed_attempts)
+    answer = asyncio.run(harness.dispatcher.handle(request)).unwrap()
     assert answer.status == 503 and len(harness.sent) == 1
     assert dispatch_test.get_outcome(answer) == b"not-run"
 
@@ -145,7 +150,12 @@
         harness.directory.apply_deferred_removals()
         assert known.is_evacuated("dc-1")
         assert harness.send(headers=KEY).status == 503
+        ended = []
+        known.listeners.append(lambda *end: ended.append(end))
         harness.directory.apply_table(table, model.TableState((), 2 * floor + 9))
         harness.clock.advance(evacuations.RESTORE_GRACE)
+        # Another instance reports the same at a later version.
+        write(harness, 2 * floor + 10, None)
         harness.directory.apply_deferred_removals()
+        assert ended == [("dc-1", harness.clock.monotonic(), 2 * floor + 10)]
     assert harness.send(headers=KEY).status == 200
--- a/packages/fleet/dewstep_fleet/evacuation/progress.py
+++ b/packages/fleet/dewstep_fleet/evacuation/progress.py
@@ -27,6 +27,8 @@
 def count_ranges(directory: directories.Directory) -> dict[str, int]:
     """Return the number of ranges left in each evacuated data centre."""
     counts = dict.fromkeys(directory.evacuations.current, 0)
+    if not counts:
+        return counts
     for ownership in directory.ownerships.values():
         for holding in ownership.holdings:
             target = directory.targets.get(holding.target)
