Restart everything with a restored store in the ownership simulation

The simulation had no run in which the store returns from an older copy while everything restarts, and checked only that keys have owners a minute after the faults, so it did not show the second wait for earlier grants.

A final fault begins when all others have ended and all keys have owners. The new one, restore_and_restart, kills all instances and most targets while the store is away; the copy may be from before, during or after the start, some targets may run on, and the others may start on new hosts. A quarter of the keys must have owners 15 s after its end, which is the platform's `recover`. A quarter of the random schedules ends with it; their other faults are as before.

--- a/packages/emulator/dewstep_emulator/ownership/faults.py
+++ b/packages/emulator/dewstep_emulator/ownership/faults.py
@@ -20,6 +20,10 @@
 MAX_GROUP_SIZE = 5
 GROUP_SECONDS = 3.0
 """Time within which the faults of a group begin."""
+FINAL_FAULT_SHARE = 0.25
+"""Probability that a random schedule ends with a final fault."""
+NEW_HOSTS_SHARE = 0.7
+"""Probability that lost targets start again on new hosts after a final fault."""
 COORDINATOR_SHARE = 0.5
 """Probability that a fault of an instance befalls the coordinator."""
 
@@ -45,6 +49,8 @@
     max_duration: float
     drawn: bool = True
     """Whether random schedules contain it; the others are for named schedules."""
+    final: bool = False
+    """Whether it begins when all other faults have ended and all keys have owners."""
 
 
 kinds: registry.Registry[FaultKind] = registry.Registry("fault kind")
@@ -56,13 +62,14 @@
     min_duration: float,
     max_duration: float,
     drawn: bool = True,
+    final: bool = False,
 ):
     """Return a decorator that registers a generator function as a kind of fault."""
 
     def add(function):
         cause = contextlib.contextmanager(function)
         kinds.register(name)(
-            FaultKind(cause, subjects, min_duration, max_duration, drawn)
+            FaultKind(cause, subjects, min_duration, max_duration, drawn, final)
         )
         return cause
 
@@ -77,7 +84,7 @@
     """Return random faults in the order of their beginning.
 
     Faults come in groups that begin together, since the rules are broken by faults that
-    overlap.
+    overlap. A final fault may follow them.
 
     Parameters
     ----------
@@ -87,16 +94,26 @@
     subjects : dict of str to tuple of str
         Names by the kind of subject.
     """
-    names = sorted(name for name in kinds if kinds.get(name).drawn)
+    drawn = [name for name in sorted(kinds) if kinds.get(name).drawn]
+    names = [name for name in drawn if not kinds.get(name).final]
+    final_names = [name for name in drawn if kinds.get(name).final]
     faults = []
     for _ in range(generator.randrange(1, MAX_GROUPS + 1)):
         began = generator.random() * duration
         for _ in range(generator.randrange(1, MAX_GROUP_SIZE + 1)):
             at = min(began + GROUP_SECONDS * generator.random(), duration)
             faults.append(draw_fault(generator, generator.choice(names), at, subjects))
+    if generator.random() < FINAL_FAULT_SHARE:
+        name = generator.choice(final_names)
+        faults.append(draw_fault(generator, name, duration, subjects))
     return tuple(sorted(faults))
 
 
+def is_final(fault: Fault) -> bool:
+    """Whether a fault begins when all others have ended."""
+    return kinds.get(fault.kind).final
+
+
 def draw_fault(
     generator: random.Random, name: str, at: float, subjects: dict[str, tuple[str, ...]]
 ) -> Fault:
@@ -356,6 +373,35 @@
     simulation.store.restore(datetime.timedelta(seconds=seconds))
 
 
+@register("restore_and_restart", "none", 0.5, 5.0, final=True)
+def restore_and_restart(simulation, subject):
+    """Restart everything while the store is away, which returns from an older copy.
+
+    The copy may be from before, during or after the start of the fleet. A third of the
+    targets may run on, with grants of which the copy does not tell. The others start on
+    their hosts or on new ones, where nothing shows that the earlier ones have ended.
+    """
+    for instance in simulation.instances.values():
+        instance.kill()
+    names = list(simulation.running_targets)
+    spared = simulation.random.choice((0, 0, len(names) // 3))
+    crashed = simulation.random.sample(names, len(names) - spared)
+    for name in crashed:
+        simulation.targets.crash(simulation.running_targets[name])
+    if simulation.random.random() < NEW_HOSTS_SHARE:
+        for name in crashed:
+            simulation.target_hosts[name] = f"new-host-{name}"
+    with refusing(simulation, stores.Refusal(stores.UNAVAILABLE)):
+        yield
+    max_age = simulation.random.choice((1.0, 8.0, simulation.loop.now))
+    seconds = max_age * simulation.random.random()
+    simulation.store.restore(datetime.timedelta(seconds=seconds))
+    for name in crashed:
+        simulation.start_target(name)
+    for instance in simulation.instances.values():
+        instance.start()
+
+
 # Faults of targets.
 
 
--- a/packages/emulator/dewstep_emulator/ownership/mutation_list.py
+++ b/packages/emulator/dewstep_emulator/ownership/mutation_list.py
@@ -184,3 +184,14 @@
     ),
     seed=3,
 )
+register_mutation(
+    "earlier-grants-waited-for-twice",
+    "restored-and-restarted",
+    "NotRecovered",
+    mutation_types.Edit(
+        FLEET + "adoption.py",
+        "if limit is not None and limit.era_floor == era_floor:",
+        "if False:",
+    ),
+    seed=5,
+)
--- a/packages/emulator/dewstep_emulator/ownership/schedules.py
+++ b/packages/emulator/dewstep_emulator/ownership/schedules.py
@@ -17,6 +17,7 @@
 VIOLATION_TYPES = {
     checks.TWO_OWNERS: "TwoOwners",
     checks.STALE_GENERATION: "NumberReused",
+    simulation.NOT_RECOVERED: "NotRecovered",
 }
 """Types of violations by their kinds; other kinds are types themselves."""
 BROKEN_EXIT_STATUS = 1
@@ -109,6 +110,11 @@
     faults.Fault(4.9, "cut_off_some_targets", "", 12.0),
     faults.Fault(5.0, "cut_off_peers", faults.COORDINATOR, 12.0),
 )
+register_schedule(
+    "restored-and-restarted",
+    8.0,
+    faults.Fault(8.0, "restore_and_restart", "", 1.2),
+)
 
 
 def run(name: str, seed: int) -> simulation.Report:
--- a/packages/emulator/dewstep_emulator/ownership/simulation.py
+++ b/packages/emulator/dewstep_emulator/ownership/simulation.py
@@ -46,6 +46,12 @@
 no rule."""
 RECOVERY_SECONDS = 60.0
 """Time after the end of all faults within which all keys must have owners."""
+FINAL_RECOVERY_SECONDS = 15.0
+"""Time after the end of a final fault from which on a quarter of all requests has to be
+served; `recover` of the platform's settings."""
+RECOVERED_SHARE = 0.25
+NOT_RECOVERED = "not_recovered"
+"""Kind of the violation that fewer keys have owners by then."""
 KEY_REQUESTS = 4
 """Requests that each instance counts at a time."""
 TRAFFIC_INTERVAL = 0.25
@@ -379,14 +385,21 @@
         self, duration: float, faults: tuple[fault_kinds.Fault, ...]
     ) -> None:
         """Cause the faults, and wait until all keys have owners."""
+        usual = [fault for fault in faults if not fault_kinds.is_final(fault)]
         await asyncio.gather(
-            asyncio.sleep(duration), *(self.cause(fault) for fault in faults)
+            asyncio.sleep(duration),
+            *(self.cause(fault, fault.at) for fault in usual),
         )
         await self.await_service()
-
-    async def cause(self, fault: fault_kinds.Fault) -> None:
-        """Begin and end one fault."""
-        await asyncio.sleep(fault.at)
+        for fault in faults:
+            if fault_kinds.is_final(fault):
+                await self.cause(fault, 0.0)
+                await self.check_recovery()
+                await self.await_service()
+
+    async def cause(self, fault: fault_kinds.Fault, pause: float) -> None:
+        """Begin one fault after a pause, and end it."""
+        await asyncio.sleep(pause)
         kind = fault_kinds.kinds.get(fault.kind)
         fields = (("subject", fault.subject), ("duration", fault.duration))
         with kind.cause(self, fault.subject):
@@ -403,6 +416,15 @@
                 return
             await asyncio.sleep(0.25)
 
+    async def check_recovery(self) -> None:
+        """Check that keys of each service soon have owners after a final fault."""
+        await asyncio.sleep(FINAL_RECOVERY_SECONDS)
+        for service in self.services:
+            share = self.targets.count_owned(service) / model.KEY_SPACE_SIZE
+            if share < RECOVERED_SHARE:
+                detail = f"{share:.2f} of the keys of {service} have owners"
+                self.add_violation(NOT_RECOVERED, detail)
+
     def is_served(self) -> bool:
         """Whether each key has an owner."""
         return all(
--- a/packages/emulator/dewstep_emulator/ownership/simulation_test.py
+++ b/packages/emulator/dewstep_emulator/ownership/simulation_test.py
@@ -151,6 +151,34 @@
     assert simulation.reduce(1, schedule) == (schedule[1], schedule[3])
 
 
+# Guards against final faults that overlap with others, whose limits would be wrong.
+def test_final_fault_begins_when_all_others_have_ended():
+    schedule = (
+        faults.Fault(4.0, "restore_and_restart", "", 1.0),
+        faults.Fault(4.0, "freeze", "n1", 5.0),
+    )
+    report = simulation.run(2, SHORT, schedule)
+    assert report.violations == ()
+    names = [event.name for event in report.events if event.process == "fault"]
+    assert names[1:3] == ["freeze_ends", "restore_and_restart_begins"]
+
+
+# Guards against a check that does not notice a slow recovery.
+def test_keys_without_owners_after_a_final_fault_are_a_violation(monkeypatch):
+    monkeypatch.setattr(simulation, "FINAL_RECOVERY_SECONDS", 1.0)
+    schedule = (faults.Fault(4.0, "restore_and_restart", "", 1.0),)
+    kinds = {item.kind for item in simulation.run(2, SHORT, schedule).violations}
+    assert kinds == {simulation.NOT_RECOVERED}
+
+
+# Guards against random schedules without final faults, or with nothing else.
+def test_some_random_schedules_end_with_a_final_fault():
+    drawn = [simulation.draw_faults(seed, 60.0) for seed in range(100)]
+    ends = [faults.is_final(schedule[-1]) for schedule in drawn]
+    assert 10 < sum(ends) < 40
+    assert not any(faults.is_final(item) for part in drawn for item in part[:-1])
+
+
 # Guards against subjects that no run has.
 def test_schedules_name_known_subjects():
     for seed in range(50):
