Steer by the load that targets report in their answers

It now replaces the totals of its target while it is newer, for 0.5 s at most, with the own requests begun since then. Its pace scales the expected service time. Invalid values are ignored as a whole, and reports of an earlier incarnation are dropped. Without the header nothing changes.

--- a/packages/entry/dewstep_entry/targets/answering.py
+++ b/packages/entry/dewstep_entry/targets/answering.py
@@ -14,6 +14,9 @@
 MAXIMUM_PAUSE = datetime.timedelta(minutes=5)
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
+_LOAD = re.compile(rb"([0-9]{1,5}),([0-9]{1,5}),([0-9]{1,5})(?:,([0-9]{1,4}))?")
+"""Larger numbers are no plausible load."""
+
 
 class AnswerRules(NamedTuple):
     """Meaning of headers and statuses in a target's answers; names in lower case."""
@@ -44,6 +47,9 @@
     limit: bytes = b""
     """Header with the number of requests per second that the target accepts from all
     instances together; b"" if there is none."""
+    load: bytes = b""
+    """Header with the requests at the target; b"" if there is none. See
+    `read_load`."""
 
 
 DEWSTEP_RULES = AnswerRules(
@@ -58,6 +64,15 @@
 """Reason of a refusal by another target that has taken over the address."""
 
 
+class ReportedLoad(NamedTuple):
+    """The load that a target has reported of itself."""
+
+    requests: int
+    """Requests that run or wait there."""
+    pace: float
+    """How long work takes at this moment, relative to what is usual."""
+
+
 class Notice(NamedTuple):
     """What a target has said about itself in an answer."""
 
@@ -67,6 +82,7 @@
     limit: float | None = None
     """Requests per second that it accepts from all instances together; None if it
     names no limit."""
+    load: ReportedLoad | None = None
 
 
 def find_notice(
@@ -88,16 +104,17 @@
     pause = datetime.timedelta()
     if status == PAUSE_STATUS:
         pause = read_pause(fields.get(rules.pause))
-    limit = None
+    limit = load = None
     if status not in rules.refusing_statuses:
         # A process that refuses requests for others may not be the target.
         limit = read_limit(fields.get(rules.limit))
-    if not leaving and not pause and limit is None:
+        load = read_load(fields.get(rules.load))
+    if not leaving and not pause and limit is None and load is None:
         return None
     instance = fields.get(rules.instance)
     if instance and instance.decode("latin-1") != target:
         return None
-    return Notice(leaving, pause, limit)
+    return Notice(leaving, pause, limit, load)
 
 
 def read_pause(value: bytes | None) -> datetime.timedelta:
@@ -114,6 +131,21 @@
     return float(value)
 
 
+def read_load(value: bytes | None) -> ReportedLoad | None:
+    """Return the load in a header, or None if it is missing or invalid.
+
+    The value is `running,waiting,slots` or `running,waiting,slots,pace`, with the pace
+    in per cent.
+    """
+    found = _LOAD.fullmatch(value) if value is not None else None
+    if found is None:
+        return None
+    running, waiting, slots, pace = (int(item or b"100") for item in found.groups())
+    if not slots or not pace:
+        return None
+    return ReportedLoad(running + waiting, pace / 100)
+
+
 def find_refusal(
     rules: AnswerRules,
     status: int,
--- a/packages/entry/dewstep_entry/targets/answering_test.py
+++ b/packages/entry/dewstep_entry/targets/answering_test.py
@@ -96,3 +96,30 @@
 )
 def test_limit_is_a_decimal_number(value, expected):
     assert answering.read_limit(value) == expected
+
+
+# Guards against steering by loads that are partial, negative, huge or no numbers.
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (b"3,0,8", (3, 1.0)),
+        (b"4,16,4,250", (20, 2.5)),
+        (b"3,0", None),
+        (b"3,0,8,100,1", None),
+        (b"3,-1,8", None),
+        (b"3,,8", None),
+        (b"3,0,8,", None),
+        (b"3,0,0", None),
+        (b"3,0,8,0", None),
+        (b"3,0,8,1e2", None),
+        (b"1234567,0,8", None),
+        (b"nan,0,8", None),
+        (None, None),
+    ],
+)
+def test_reported_load_is_taken_or_ignored_as_a_whole(value, expected):
+    assert answering.read_load(value) == expected
+    rules = RULES._replace(load=b"x-load")
+    notice = answering.find_notice(rules, 200, {b"x-load": value}, "t")
+    assert (notice and notice.load) == expected
+    assert answering.find_notice(rules, 421, {b"x-load": value}, "t") is None
--- a/packages/fleet/dewstep_fleet/load_counts.py
+++ b/packages/fleet/dewstep_fleet/load_counts.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from dewstep_fleet import frames
+from dewstep_fleet.load import observations
 
 INITIAL_SERVICE_TIME = datetime.timedelta(milliseconds=200)
 """Service time that is assumed before the first answer, a typical order of
@@ -47,6 +48,7 @@
         "failures",
         "last_reported",
         "name_hash",
+        "observation",
         "others_running",
         "paused_until",
         "running",
@@ -83,6 +85,8 @@
         """End of the last pause that the target asked for."""
         self.slot_free_at: float | None = None
         """When a slot was last free, or when the target was first estimated."""
+        self.observation: observations.Observation | None = None
+        """The last load that the target has reported of itself."""
         self.slots = 0
         """Slots of the target, once it has been estimated."""
 
@@ -136,7 +140,10 @@
 
     def begin_request(self, target: str) -> None:
         """Count a request that is sent to a target."""
-        self.get_load(target).running += 1
+        load = self.get_load(target)
+        load.running += 1
+        if load.observation is not None:
+            load.observation = observations.add_request(load.observation)
 
     def end_request(
         self,
@@ -204,6 +211,22 @@
         load = self.get_load(target)
         load.blocked_until = max(load.blocked_until, until)
 
+    def observe(self, target: str, now: float, requests: int, pace: float) -> None:
+        """Record the load that a target reports in an answer.
+
+        Parameters
+        ----------
+        target : str
+        now : float
+            Monotonic seconds.
+        requests : int
+            Requests that run or wait there.
+        pace : float
+            How long work takes at this moment, relative to what is usual.
+        """
+        observation = observations.Observation(now, requests, pace)
+        self.get_load(target).observation = observation
+
     def pause_until(self, target: str, until: float) -> None:
         """Send nothing to a target until the time `until`."""
         load = self.get_load(target)
@@ -215,11 +238,12 @@
         return max(0.0, load.paused_until - now) if load is not None else 0.0
 
     def forget_failures(self, target: str) -> None:
-        """Forget the failures and pauses of a target that has restarted since."""
+        """Forget what a target did and reported before it restarted."""
         load = self.get_load(target)
         load.paused_until = -math.inf
         load.blocked_until = -math.inf
         load.failures = 0.0
+        load.observation = None
 
     def estimate(
         self, service: str, target: str, now: float, slots: int = 0, route: str = ""
@@ -241,8 +265,17 @@
         )
         others = load.others_running if totals_are_recent else 0
         running = load.running + others
+        age = None if self.totals_at is None else self.get_totals_age(now)
+        pace = 1.0
+        if load.observation is not None and observations.is_newer(
+            load.observation, now, age
+        ):
+            running = max(load.running, load.observation.requests)
+            others = running - load.running
+            age = max(0.0, now - load.observation.observed_at)
+            pace = load.observation.pace
         success = load.successes / (load.successes + load.failures)
-        slowness = 1.0 if load.slowness is None else load.slowness
+        slowness = pace * (1.0 if load.slowness is None else load.slowness)
         load.slots = slots or load.slots
         if load.slot_free_at is None or running < slots:
             load.slot_free_at = now
@@ -259,7 +292,7 @@
             load.admitted if totals_are_recent else 1.0,
             max(0.0, load.paused_until - now),
             others,
-            None if self.totals_at is None else self.get_totals_age(now),
+            age,
         )
 
     def get_totals_age(self, now: float) -> float:
--- a/packages/fleet/dewstep_fleet/target_pools.py
+++ b/packages/fleet/dewstep_fleet/target_pools.py
@@ -98,6 +98,9 @@
             events.info("target_paused", target=target.name, lasts=notice.pause)
         if notice.limit is not None:
             self.participant.limits.record_named(target, notice.limit)
+        if notice.load is not None:
+            now = self.clock.monotonic().total_seconds()
+            self.loads.observe(target.name, now, *notice.load)
         if notice.leaving:
             # The registration may be missing, or say later that the target is ready.
             self.participant.record_departure(target.name, target.life)
