Spread the callers who come back over the time in which there is room

Refused callers were told to come back after half of the wait, 150 ms at least, times 1 to 1.5. That says nothing of the length of the queue that is allowed, nor of how many are refused, so that they came back too early and together.

They now come back once the excess of the queue is served, plus a random part of one service time times the demand relative to what is served.

--- a/packages/fleet/dewstep_fleet/admission/queue_limits.py
+++ b/packages/fleet/dewstep_fleet/admission/queue_limits.py
@@ -82,6 +82,21 @@
     return estimate.running >= slots and (estimate.overloaded or estimate.admitted < 1)
 
 
+def estimate_demand(estimate: load_counts.Estimate, own_ratio: float = 1.0) -> float:
+    """Return the demand for a target relative to what it can serve, at least 1.
+
+    Parameters
+    ----------
+    estimate : load_counts.Estimate
+        Contains what the coordinator knows of the demand for an owner's keys.
+    own_ratio : float, optional
+        Ratio of the own requests for the service to those that were sent.
+    """
+    if estimate.admitted >= 1:
+        return max(1.0, own_ratio)
+    return max(1.0, planning.ADMISSION_FACTOR / max(estimate.admitted, 0.01))
+
+
 def count_places(
     estimate: load_counts.Estimate, slots: int, longest_wait: float
 ) -> float:
@@ -105,8 +120,7 @@
     longest_wait : float
         Longest wait in seconds for which requests are sent, or None.
     demand : float, optional
-        Demand for the service relative to what is sent. The coordinator knows it for
-        owners of keys.
+        Demand relative to what is served, at least 1.
     """
     if longest_wait is None:
         return 0.0
@@ -114,8 +128,6 @@
     ended = spreading.count_ended(estimate, slots)
     if not ended:
         return float(room >= 0)
-    if estimate.admitted < 1:
-        demand = max(demand, planning.ADMISSION_FACTOR / max(estimate.admitted, 0.01))
     return min(1.0, max(0.0, (room + ended) / (ended * demand)))
 
 
--- a/packages/fleet/dewstep_fleet/admission/queue_limits_test.py
+++ b/packages/fleet/dewstep_fleet/admission/queue_limits_test.py
@@ -22,7 +22,8 @@
     def count(choice, loads, generator):
         now = loads.totals_at + choice.estimate.age - loads.totals_interval
         own = counts[id(loads)]
-        demand = 1.0 if keyed else own.get_ratio("history", now)
+        own_ratio = 1.0 if keyed else own.get_ratio("history", now)
+        demand = queue_limits.estimate_demand(choice.estimate, own_ratio)
         sent = admit(choice, loads, generator, demand)
         own.count("history", now, sent)
         return sent
--- a/packages/fleet/dewstep_fleet/refusals.py
+++ b/packages/fleet/dewstep_fleet/refusals.py
@@ -19,6 +19,9 @@
 """Base of the retry time of a refused request: about one service time, in which each
 target frees a slot."""
 
+SPREAD_FAILURES = errors.DemandExceeded | errors.QueueFull | errors.DeadlineUnreachable
+"""Failures whose retry times are spread already, see `admission/return_times.py`."""
+
 
 class Refuser:
     """Builds and logs the answers to refused requests.
@@ -129,5 +132,8 @@
     if isinstance(failure, errors.TargetPaused):
         # An earlier retry would be refused again.
         return failure.retry_after * (1 + jitter / 2)
+    latest = max(time_left / 3, datetime.timedelta())
+    if isinstance(failure, SPREAD_FAILURES):
+        return min(failure.retry_after, latest)
     base = max(getattr(failure, "retry_after", BASE_RETRY_AFTER), BASE_RETRY_AFTER / 2)
-    return min(base * (1 + jitter / 2), max(time_left / 3, datetime.timedelta()))
+    return min(base * (1 + jitter / 2), latest)
--- a/packages/fleet/dewstep_fleet/target_search.py
+++ b/packages/fleet/dewstep_fleet/target_search.py
@@ -24,7 +24,7 @@
     request_plans,
     selection,
 )
-from dewstep_fleet.admission import demand_counts, queue_limits
+from dewstep_fleet.admission import demand_counts, queue_limits, return_times
 
 MAX_MOVE_WAIT = datetime.timedelta(milliseconds=600)
 """Maximum wait for a key in a planned move. The owner first finishes its queued and
@@ -213,47 +213,43 @@
     ) -> result.Result[selection.Choice, Any]:
         """Refuse the request if the target cannot finish it in time."""
         target, estimate = choice.target, choice.estimate
-        time_left = (plan.due_at - self.clock.monotonic()).total_seconds()
-        if estimate.running >= target.slots * queue_limits.MAX_REQUESTS_PER_SLOT:
-            retry_after = datetime.timedelta(seconds=choice.wait / 2)
-            return result.Failure(errors.QueueFull(target.name, retry_after))
-        if choice.wait + estimate.service * 0.8 > time_left:
-            retry_after = datetime.timedelta(seconds=choice.wait / 2)
-            return result.Failure(errors.DeadlineUnreachable(target.name, retry_after))
-        return self.check_demand(plan, choice, time_left)
-
-    def check_demand(
-        self,
-        plan: request_plans.PlannedRequest,
-        choice: selection.Choice,
-        time_left: float,
-    ) -> result.Result[selection.Choice, Any]:
-        """Refuse a part of the requests that exceed what the target can serve."""
-        target, estimate = choice.target, choice.estimate
-        if not queue_limits.is_exceeded(estimate, target.slots):
-            return result.Success(choice)
-        routes = self.planner.routes_by_service.get(plan.service.name, ())
-        elapsed = (self.clock.monotonic() - plan.first_sent_at).total_seconds()
+        now = self.clock.monotonic()
+        time_left = (plan.due_at - now).total_seconds()
         longest_wait = queue_limits.compute_longest_wait(
             plan.route,
-            routes,
+            self.planner.routes_by_service.get(plan.service.name, ()),
             self.loads,
             estimate,
             plan.service.name,
             time_left,
-            elapsed,
+            (now - plan.first_sent_at).total_seconds(),
         )
-        demand = self.demand_counts.get_ratio(
-            plan.service.name, self.clock.monotonic().total_seconds()
+        own_ratio = 1.0
+        if plan.key is None:
+            own_ratio = self.demand_counts.get_ratio(
+                plan.service.name, now.total_seconds()
+            )
+        demand = queue_limits.estimate_demand(estimate, own_ratio)
+        excess_s = queue_limits.estimate_excess_seconds(
+            estimate, target.slots, longest_wait
         )
+        if estimate.running >= target.slots * queue_limits.MAX_REQUESTS_PER_SLOT:
+            retry_after = self.choose_return_time(excess_s, demand)
+            return result.Failure(errors.QueueFull(target.name, retry_after))
+        if choice.wait + estimate.service * 0.8 > time_left:
+            retry_after = self.choose_return_time(excess_s, demand)
+            return result.Failure(errors.DeadlineUnreachable(target.name, retry_after))
+        if not queue_limits.is_exceeded(estimate, target.slots):
+            return result.Success(choice)
         fraction = queue_limits.compute_sent_fraction(
             estimate, target.slots, longest_wait, demand
         )
         if self.random.random() < fraction:
             return result.Success(choice)
-        excess_s = queue_limits.estimate_excess_seconds(
-            estimate, target.slots, longest_wait
-        )
-        retry_after = datetime.timedelta(seconds=excess_s)
+        retry_after = self.choose_return_time(excess_s, demand)
         failure = errors.DemandExceeded(target.name, round(fraction * 100), retry_after)
         return result.Failure(failure)
+
+    def choose_return_time(self, excess_s: float, demand: float) -> datetime.timedelta:
+        """Return the time after which a refused caller should come back."""
+        return return_times.choose_return_time(excess_s, demand, self.random.random())
