--- a/packages/entry/dewstep_entry/targets/answering.py
+++ b/packages/entry/dewstep_entry/targets/answering.py
@@ -15,6 +15,9 @@
 MAXIMUM_WARM_UP = datetime.timedelta(minutes=5)
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
+_LOAD = re.compile(rb"([0-9]{1,5}),([0-9]{1,5}),([0-9]{1,5})(?:,([0-9]{1,4}))?")
+"""Larger numbers are no plausible load."""
+
 
 class AnswerRules(NamedTuple):
     """Meaning of headers and statuses in a target's answers; names in lower case."""
@@ -48,6 +51,9 @@
     warm_up: bytes = b""
     """Header with the milliseconds for which the target is still cold after its start;
     b"" if there is none."""
+    load: bytes = b""
+    """Header with the requests at the target; b"" if there is none. See
+    `read_load`."""
 
 
 DEWSTEP_RULES = AnswerRules(
@@ -62,6 +68,15 @@
 """Reason of a refusal by another target that has taken over the address."""
 
 
+class ReportedLoad(NamedTuple):
+    """The load that a target has reported of itself."""
+
+    requests: int
+    """Requests that run or wait there."""
+    pace: float
+    """How long work takes at this moment, relative to what is usual."""
+
+
 class Notice(NamedTuple):
     """What a target has said about itself in an answer."""
 
@@ -73,6 +88,7 @@
     names no limit."""
     warm_up_left: datetime.timedelta | None = None
     """Time for which it is still cold, or None if it does not say."""
+    load: ReportedLoad | None = None
 
 
 def find_notice(
@@ -94,17 +110,18 @@
     pause = datetime.timedelta()
     if status == PAUSE_STATUS:
         pause = read_pause(fields.get(rules.pause))
-    limit = warm_up_left = None
+    limit = load = warm_up_left = None
     if status not in rules.refusing_statuses:
         # A process that refuses requests for others may not be the target.
         limit = read_limit(fields.get(rules.limit))
+        load = read_load(fields.get(rules.load))
         warm_up_left = read_warm_up(fields.get(rules.warm_up))
-    if not leaving and not pause and limit is None and warm_up_left is None:
+    if not (leaving or pause or load) and limit is None and warm_up_left is None:
         return None
     instance = fields.get(rules.instance)
     if instance and instance.decode("latin-1") != target:
         return None
-    return Notice(leaving, pause, limit, warm_up_left)
+    return Notice(leaving, pause, limit, warm_up_left, load)
 
 
 def read_pause(value: bytes | None) -> datetime.timedelta:
@@ -128,6 +145,21 @@
     return min(datetime.timedelta(milliseconds=float(value)), MAXIMUM_WARM_UP)
 
 
+def read_load(value: bytes | None) -> ReportedLoad | None:
+    """Return the load in a header, or None if it is missing or invalid.
+
+    The value is `running,waiting,slots` or `running,waiting,slots,pace`, with the pace
+    in per cent.
+    """
+    found = _LOAD.fullmatch(value) if value is not None else None
+    if found is None:
+        return None
+    running, waiting, slots, pace = (int(item or b"100") for item in found.groups())
+    if not slots or not pace:
+        return None
+    return ReportedLoad(running + waiting, pace / 100)
+
+
 def find_refusal(
     rules: AnswerRules,
     status: int,
--- a/packages/fleet/dewstep_fleet/target_pools.py
+++ b/packages/fleet/dewstep_fleet/target_pools.py
@@ -118,6 +118,9 @@
         if notice.warm_up_left is not None:
             warm_up = self.participant.limits.warm_up
             warm_up.record_notice(target, notice.warm_up_left)
+        if notice.load is not None:
+            now = self.clock.monotonic().total_seconds()
+            self.loads.observe(target.name, now, *notice.load)
         if notice.leaving:
             # The registration may be missing, or say later that the target is ready.
             self.participant.record_departure(target.name, target.life)
