--- a/packages/fleet/dewstep_fleet/adoption.py
+++ b/packages/fleet/dewstep_fleet/adoption.py
@@ -38,6 +38,7 @@
 REGISTRATION_QUIET_PERIOD = datetime.timedelta(milliseconds=1500)
 """A service's keys are divided once no target has registered for this long. Targets
 start within a second of each other, and each later move interrupts its keys."""
+NO_TIME = datetime.timedelta()
 
 
 def may_have_lost_owners(
@@ -219,7 +220,7 @@
             and await self.unknown_owners.release_all(service, expiry)
         ):
             wait = expiry - self.clock.monotonic()
-            await self.clock.sleep(max(wait, datetime.timedelta()))
+            await self.clock.sleep(max(wait, NO_TIME))
         self.known_era_floors[service] = era_floor
 
     def is_first_term(self, service: str) -> bool:
@@ -268,7 +269,7 @@
             term=self.term.leadership.term,
             generation=ownership.generation,
             max_duration=limit.max_duration,
-            grants_left=limit.expiry - self.clock.monotonic(),
+            grants_left=max(limit.expiry - self.clock.monotonic(), NO_TIME),
         )
         for holding in ownership.holdings:
             state = self.grant_states.get_owner(holding)
@@ -319,5 +320,5 @@
         while orders.outstanding.inherits and not self.adopted:
             await self.clock.sleep(terms.STEP_INTERVAL)
         time_left = orders.outstanding.inherited_until - self.clock.monotonic()
-        await self.clock.sleep(max(time_left, datetime.timedelta()))
+        await self.clock.sleep(max(time_left, NO_TIME))
         return self.clock.monotonic() - began
