--- a/packages/emulator/dewstep_emulator/ownership/mutation_list.py
+++ b/packages/emulator/dewstep_emulator/ownership/mutation_list.py
@@ -46,8 +46,11 @@
     "TwoOwners",
     mutation_types.Edit(
         FLEET + "moves.py",
-        "fenced = await self.fence(service, owner, holding, orders)",
-        "fenced = holding",
+        "        if end.late_until <= self.clock.monotonic():\n"
+        "            return end, holding\n",
+        "        return ownership_ends.record_accepted_fence(\n"
+        "            end, orders.outstanding, self.clock.monotonic()\n"
+        "        ), holding\n",
     ),
     seed=5,
 )
@@ -103,13 +106,12 @@
     "TwoOwners",
     mutation_types.Edit(
         FLEET + "moves.py",
-        "                if fenced is None:\n",
-        "                if False:\n",
-    ),
-    mutation_types.Edit(
-        FLEET + "moves.py",
-        "                    holding = fenced\n",
-        "                    holding = fenced or holding\n",
+        "        if isinstance(outcome, result.Failure):\n"
+        "            return ownership_ends.record_unanswered_fence(\n"
+        "                end, orders.outstanding\n"
+        "            ), holding\n"
+        "        if outcome.unwrap() is target_orders.SKIPPED:\n",
+        "        if outcome == result.Success(target_orders.SKIPPED):\n",
     ),
     seed=5,
 )
