Do not lose requests on new connections that a full target resets

Callers saw: 502 for requests that no target ran. Three targets of an unkeyed service in turn refused a request, and the fourth try went out on a connection that the target reset. Cause: the kernel of a target completes a connection before its process resets it because it has more than it accepts, or a long queue. A request sent by then may have run as far as its sender can tell. Each further request opened, and lost, another connection. One request waits for each connection that is left; the others end as QueueFull, which counts as unsent: an unkeyed request goes to another target, a keyed one is refused with Retry-After. Targets that never reset connections are served as before, apart from the wait at full ones whose maximum is scarce.

--- a/packages/core/dewstep_core/errors.py
+++ b/packages/core/dewstep_core/errors.py
@@ -228,7 +228,10 @@
 
 @register_answer(503, NOT_RUN)
 class QueueFull(NamedTuple):
-    """The target's queue holds more requests than can be served in time."""
+    """The target's queue holds more requests than can be served in time.
+
+    Or, in a fleet, the target accepts no further connection at the moment.
+    """
 
     target: str
     retry_after: datetime.timedelta
--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -19,8 +19,14 @@
 
 from dewstep_core import data
 from dewstep_core.http import answer_heads, transports
-from dewstep_entry import bodies, header_rules, interfaces
-from dewstep_entry.targets import answering, exchanges, outcome, unread_input
+from dewstep_entry import bodies, interfaces
+from dewstep_entry.targets import (
+    acceptance,
+    answering,
+    exchanges,
+    outcome,
+    unread_input,
+)
 
 RECEIVE_BUFFER = memoryview(bytearray(32_768))
 """Buffer of one read from a socket. All connections share it, since its content is
@@ -33,7 +39,6 @@
 """Limits of the late answers to other requests that are skipped during an exchange."""
 MAXIMUM_STATUS = 599
 """Highest status of HTTP. h11 accepts up to 999, and rejects those below 100."""
-NO_BODY_STATUSES = frozenset({204, 304})
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -76,6 +81,14 @@
         """Whether the target closed the connection or exceeded a deadline."""
         self.freed_at = 0.0
         """Event loop time at which the last exchange ended; 0 before the first."""
+        self.opened_at = 0.0
+        """Event loop time at which the connection was opened."""
+        self.reset_while_new = False
+        """Whether the target ended it soon and without sending anything."""
+        self.received = False
+        """Whether the target has sent anything."""
+        self.has_sent = False
+        """Whether a request has been sent."""
         self.reading = True
         self.next_turn: asyncio.Handle | None = None
         """Parses the rest of the input; reading pauses until then."""
@@ -89,6 +102,7 @@
     def connection_made(self, transport) -> None:
         """Prepare the transport's buffers and the check for pending input."""
         self.transport = transport
+        self.opened_at = asyncio.get_running_loop().time()
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         socket = transport.get_extra_info("socket")
         self.poller = unread_input.build_poller(socket.fileno())
@@ -135,6 +149,7 @@
     def data_received(self, chunk: bytes) -> None:
         """Parse input; input without a request in progress closes the connection."""
         exchange = self.current_exchange
+        self.received = True
         if exchange is None:
             self.abort()
             return
@@ -173,6 +188,10 @@
             return True
         return bool(self.poller.poll(0))
 
+    def has_ended(self) -> bool:
+        """Whether the target has ended the connection, even if not processed yet."""
+        return not self.usable or unread_input.has_ended(self.poller)
+
     async def exchange(
         self,
         head: h11.Request,
@@ -224,7 +243,7 @@
         if failure is not None:
             await exchange.aclose()
             return result.Failure(failure)
-        return result.Success(build_answer(exchange))
+        return result.Success(exchanges.build_answer(exchange))
 
     def abort(self) -> None:
         """Close the connection immediately; it cannot be used again."""
@@ -243,7 +262,7 @@
         if not transports.write(self.transport, b"".join(pieces)):
             self._fail(outcome.Event.CLOSED)
             return
-        exchange.sent = True
+        exchange.sent = self.has_sent = True
         if body.rest is not None:
             exchange.body_task = asyncio.ensure_future(
                 self._send_body_rest(exchange, body.rest)
@@ -356,7 +375,8 @@
                 "answer has both Content-Length and Transfer-Encoding"
             )
         has_body = (
-            exchange.method != b"HEAD" and head.status_code not in NO_BODY_STATUSES
+            exchange.method != b"HEAD"
+            and head.status_code not in exchanges.NO_BODY_STATUSES
         )
         ends_with_close = has_body and length is None and coding is None
         if ends_with_close and not self.rules.has_request_id:
@@ -465,24 +485,11 @@
         if self.usable:
             self.usable = False
             self.failed = event in (outcome.Event.CLOSED, outcome.Event.OVERDUE)
+            if event is outcome.Event.CLOSED and not self.received:
+                age = asyncio.get_running_loop().time() - self.opened_at
+                self.reset_while_new = age < acceptance.NEW_CONNECTION_S
             if exchange is not None:
                 transports.reset(self.transport)
             else:
                 self.transport.abort()
             self.lost(self)
-
-
-def build_answer(exchange: exchanges.Exchange) -> data.Answer:
-    """Return the answer of an exchange whose head has arrived."""
-    headers = header_rules.drop_headers(
-        exchange.headers, header_rules.DROPPED_FROM_ANSWERS
-    )
-    start = exchange.read_available() if exchange.chunks else b""
-    rest = None if exchange.ended else exchange
-    length = exchange.length
-    if rest is None and length is None:
-        length = len(start)
-        if exchange.method == b"HEAD" or exchange.head.status_code in NO_BODY_STATUSES:
-            length = None
-    body = data.Body(start, rest)
-    return data.Answer(exchange.head.status_code, headers, length, body, "")
--- a/packages/entry/dewstep_entry/targets/connection_pool.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool.py
@@ -17,7 +17,7 @@
 
 from dewstep_core import clocks, data, errors, settings
 from dewstep_entry import interfaces
-from dewstep_entry.targets import answering, connection, openings
+from dewstep_entry.targets import acceptance, answering, connection, openings
 
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
 REUSE_DELAY = datetime.timedelta(milliseconds=20)
@@ -52,6 +52,9 @@
     on_notice : callable, optional
         Called with what the target says about itself in an answer. The pool observes
         pauses itself.
+    accepts : acceptance.Acceptance, optional
+        Learns from new connections that the target resets, and limits those that are
+        opened after that.
     """
 
     def __init__(
@@ -65,8 +68,14 @@
         rules: answering.AnswerRules = answering.DEWSTEP_RULES,
         max_idle_time: datetime.timedelta = MAXIMUM_IDLE_TIME,
         on_notice: Callable[[answering.Notice], None] | None = None,
+        accepts: acceptance.Acceptance | None = None,
     ):
         self.name = name
+        self.accepts = accepts
+        self.settling: dict[connection.Connection, asyncio.Future] = {}
+        """New connections that wait for a reset."""
+        self.opening_timer: asyncio.TimerHandle | None = None
+        """Opens connections for waiting requests after a pause."""
         self.address = address
         self.clock = clock
         self.connect_timeout_seconds = connect_timeout.total_seconds()
@@ -170,6 +179,8 @@
         self._fail_waiters("the pool is closed")
         if self.reuse_timer is not None:
             self.reuse_timer.cancel()
+        if self.opening_timer is not None:
+            self.opening_timer.cancel()
 
     def retire(self) -> None:
         """Close idle connections now, and busy ones when their request has ended."""
@@ -216,6 +227,9 @@
             return self._build_unavailable("the pool is closed")
         if remaining <= 0:
             return self._build_unavailable("the deadline has passed")
+        full = self._find_full()
+        if full is not None:
+            return full
         loop = asyncio.get_running_loop()
         waiter = loop.create_future()
         self.waiters.append(waiter)
@@ -244,16 +258,24 @@
             self._release_connection(outcome)
 
     def _start_opening_tasks(self) -> None:
-        waiting = sum(not waiter.done() for waiter in self.waiters)
-        count = openings.count_new_connections(self.opening_state, waiting)
+        state = self.opening_state
+        if self.accepts is not None:
+            now = self.clock.monotonic()
+            room = self.accepts.find_room(now, state.limit, state.total)
+            state = state._replace(limit=room)
+        count = openings.count_new_connections(state, self._count_waiting())
         self.opening_state = openings.record_attempt_start(self.opening_state, count)
         for _ in range(count):
             task = asyncio.ensure_future(self._open_connection())
             self.opening_tasks.add(task)
             task.add_done_callback(self.opening_tasks.discard)
 
+    def _count_waiting(self) -> int:
+        return sum(not waiter.done() for waiter in self.waiters)
+
     async def _open_connection(self) -> None:
         target_connection = None
+        began = asyncio.get_running_loop().time()
         detail = f"no connection within {self.connect_timeout_seconds} s"
         try:
             async with asyncio.timeout(self.connect_timeout_seconds):
@@ -270,6 +292,7 @@
                     ),
                     *self.address,
                 )
+            await self._await_acceptance(target_connection, began)
         except OSError as error:
             detail = str(error) or detail
         finally:
@@ -284,15 +307,40 @@
         if self.closed or not target_connection.usable:
             target_connection.abort()
             self._remove_connection(target_connection)
+        elif self.accepts is not None and target_connection.has_ended():
+            # The event loop has not processed the reset yet.
+            target_connection.connection_lost(None)
         else:
             # A new connection needs no delay: no earlier answer can arrive on it.
             self.idle.appendleft(target_connection)
             self._assign_connections()
             self._start_opening_tasks()
 
+    async def _await_acceptance(
+        self, target_connection: connection.Connection, began: float
+    ) -> None:
+        """Wait until a reset of a new connection would have arrived, if one may."""
+        if self.accepts is None:
+            return
+        loop = asyncio.get_running_loop()
+        now = self.clock.monotonic()
+        wait_s = self.accepts.choose_wait(now, loop.time() - began)
+        if not wait_s or not target_connection.usable:
+            return
+        waiter = self.settling[target_connection] = loop.create_future()
+        timer = loop.call_later(wait_s, _resolve_waiter, waiter, None)
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            target_connection.abort()
+            raise
+        finally:
+            timer.cancel()
+            del self.settling[target_connection]
+
     def _release_connection(self, target_connection: connection.Connection) -> None:
         """Return a connection to the pool, for waiting or later requests."""
-        if self.closed:
+        if self.closed or self._is_surplus():
             target_connection.abort()
             return
         target_connection.freed_at = asyncio.get_running_loop().time()
@@ -320,6 +368,8 @@
         self._assign_connections()
 
     def _remove_connection(self, target_connection: connection.Connection) -> None:
+        if target_connection in self.settling:
+            _resolve_waiter(self.settling[target_connection], None)
         if target_connection not in self.open_connections:
             return
         self.open_connections.discard(target_connection)
@@ -328,9 +378,54 @@
         self.opening_state = openings.record_connection_loss(
             self.opening_state, target_connection.failed
         )
+        if self.accepts is not None and target_connection.reset_while_new:
+            self._record_reset(target_connection)
         if self.waiters and not self.closed:
             self._start_opening_tasks()
 
+    # Connections that the target does not accept.
+
+    def _find_full(self) -> errors.QueueFull | None:
+        """Return the failure of a further waiting request at a full target, or None."""
+        if self.accepts is None:
+            return None
+        state, waiting = self.opening_state, self._count_waiting()
+        now = self.clock.monotonic()
+        return self.accepts.find_refusal(now, state.limit, state.total, waiting)
+
+    def _is_surplus(self) -> bool:
+        """Whether a connection that no request waits for should be closed."""
+        if self.accepts is None or self.accepts.limit is None:
+            return False
+        if self._count_waiting():
+            return False
+        state = self.opening_state
+        now = self.clock.monotonic()
+        return state.total > self.accepts.find_limit(now, state.limit)
+
+    def _record_reset(self, target_connection: connection.Connection) -> None:
+        """Lower the number of connections, and refuse requests that it leaves out."""
+        now = self.clock.monotonic()
+        total = self.opening_state.total
+        used = target_connection.has_sent
+        self.accepts.record_reset(now, total, used)
+        while self.idle and self._is_surplus():
+            self.idle[0].abort()
+        for waiter in list(self.waiters)[total:]:
+            full = self._find_full()
+            if full is not None:
+                _resolve_waiter(waiter, full)
+        if self.opening_timer is None:
+            pause = (self.accepts.paused_until - now).total_seconds()
+            self.opening_timer = asyncio.get_running_loop().call_later(
+                max(pause, 0.0), self._end_opening_pause
+            )
+
+    def _end_opening_pause(self) -> None:
+        self.opening_timer = None
+        if not self.closed:
+            self._start_opening_tasks()
+
     def _receive_notice(self, notice: answering.Notice) -> None:
         if notice.pause:
             until = self.clock.monotonic() + notice.pause
--- a/packages/entry/dewstep_entry/targets/exchanges.py
+++ b/packages/entry/dewstep_entry/targets/exchanges.py
@@ -4,11 +4,13 @@
 
 import h11
 
-from dewstep_entry import bodies
+from dewstep_core import data
+from dewstep_entry import bodies, header_rules
 from dewstep_entry.targets import outcome
 
 ANSWER_BUFFER_BYTES = 65_536
 """Unread bytes of an answer above which reading from the socket pauses."""
+NO_BODY_STATUSES = frozenset({204, 304})
 
 
 class Exchange(bodies.ChunkQueue):
@@ -74,3 +76,19 @@
         if self.length is None:
             return not self.buffered or self.size > bodies.SMALL_BODY_BYTES
         return self.length > bodies.SMALL_BODY_BYTES
+
+
+def build_answer(exchange: Exchange) -> data.Answer:
+    """Return the answer of an exchange whose head has arrived."""
+    headers = header_rules.drop_headers(
+        exchange.headers, header_rules.DROPPED_FROM_ANSWERS
+    )
+    start = exchange.read_available() if exchange.chunks else b""
+    rest = None if exchange.ended else exchange
+    length = exchange.length
+    if rest is None and length is None:
+        length = len(start)
+        if exchange.method == b"HEAD" or exchange.head.status_code in NO_BODY_STATUSES:
+            length = None
+    body = data.Body(start, rest)
+    return data.Answer(exchange.head.status_code, headers, length, body, "")
--- a/packages/entry/dewstep_entry/targets/unread_input.py
+++ b/packages/entry/dewstep_entry/targets/unread_input.py
@@ -36,3 +36,9 @@
     """Whether the peer has reset a connection, not only ended its side of it."""
     reset = select.POLLERR | select.POLLHUP
     return any(events & reset for _, events in poller.poll(0))
+
+
+def has_ended(poller: select.poll) -> bool:
+    """Whether the peer has ended or reset a connection."""
+    end = select.POLLERR | select.POLLHUP | select.POLLRDHUP
+    return any(events & end for _, events in poller.poll(0))
--- a/packages/fleet/dewstep_fleet/attempts.py
+++ b/packages/fleet/dewstep_fleet/attempts.py
@@ -40,6 +40,7 @@
     | errors.TargetLeaving
     | errors.TargetLimited
     | errors.DeadlineUnreachable
+    | errors.QueueFull
     | errors.Stopping
 )
 """Failures of requests that were not sent."""
@@ -110,6 +111,7 @@
         """Send the request to one target and return the outcome."""
         target = choice.target
         pool = self.pools.get(plan.service, target)
+        self.pools.expect_load(plan.service, target, choice.estimate.running)
         began = self.clock.monotonic()
         found_free_slot = choice.estimate.running < target.slots
         success = False
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -397,7 +397,7 @@
         if refused and plan.key is not None and failure.reason != MISDIRECTED:
             # The owner is full, and no other target may run the request.
             return False
-        closed = errors.TargetPaused | errors.TargetLimited
+        closed = errors.TargetPaused | errors.TargetLimited | errors.QueueFull
         if isinstance(failure, closed) and plan.key is not None:
             return False
         not_run = refused or isinstance(failure, attempts.UNSENT_FAILURES)
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -354,6 +354,62 @@
     assert b"retry-after" in dict(answer.headers) and not harness.sent
 
 
+def closed(target):
+    """Return the failure of a request whose new connection the target has reset."""
+    return errors.QueueFull(target, 400 * MILLISECOND)
+
+
+def test_request_that_all_targets_refused_or_reset_unsent_is_reported_as_not_run():
+    # Guards against 502: the trace of a day has three refusals, and then a connection
+    # that was reset.
+    harness = Harness(full, full, full, closed, targets="abcd", idempotent=False)
+    answer = harness.send(method="POST")
+    assert answer.status == 503 and get_outcome(answer) == b"not-run"
+    assert 0 < float(dict(answer.headers)[b"retry-after"]) < 1
+
+
+def test_connection_that_was_reset_unsent_is_no_attempt():
+    # Guards against giving up although other targets have room.
+    harness = Harness(closed, closed, 200, targets="abc", idempotent=False)
+    assert harness.send(method="POST").status == 200
+
+
+def test_keyed_request_is_refused_if_its_owner_accepts_no_connection():
+    # Guards against further resets by an owner that no other target replaces, and
+    # against avoiding the owner for a second.
+    harness = Harness(closed, 200, keyed=True)
+    harness.use_clock(clocks.SystemClock())
+    answer = harness.send(headers=((b"x-key", b"70"),))
+    assert answer.status == 503 and len(harness.sent) == 1
+    assert harness.send(headers=((b"x-key", b"70"),)).status == 200
+
+
+# Guards against waits at targets that are not full, or whose maximum leaves room.
+@pytest.mark.parametrize(
+    ("max_connections", "running", "expected"),
+    [(430, 4, True), (430, 3, False), (2 * 4 * 62, 9, False)],
+)
+def test_resets_are_expected_of_full_targets_with_a_scarce_maximum(
+    max_connections, running, expected
+):
+    harness = Harness()
+    del harness.dispatcher.pools.get
+    harness.participant.live_instances = 62
+    service = model.Service("history", max_connections, False)
+    target = builders.build_target("a")
+    pools = harness.dispatcher.pools
+
+    async def connect():
+        pool = pools.get(service, target)
+        pools.expect_load(service, target, running)
+        return pool.accepts
+
+    accepts = asyncio.run(connect())
+    assert accepts.expects_reset == expected
+    accepts.record_reset(harness.clock.monotonic(), 1, False)
+    assert pools.count_resets("unused") == 1
+
+
 def test_idempotent_request_is_resent():
     harness = Harness(lost, 200)
     assert harness.send().status == 200
--- a/packages/fleet/dewstep_fleet/target_pools.py
+++ b/packages/fleet/dewstep_fleet/target_pools.py
@@ -4,7 +4,7 @@
 import functools
 
 from dewstep_core import clocks, events, settings
-from dewstep_entry.targets import answering, connection_pool
+from dewstep_entry.targets import acceptance, answering, connection_pool
 from dewstep_fleet import coordination, directories, load_counts, model
 
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=250)
@@ -45,6 +45,8 @@
             tuple[str, int, str, int], connection_pool.ConnectionPool
         ] = {}
         """Connection pools by target name, incarnation, host and port."""
+        self.resets: dict[str, acceptance.ServiceResets] = {}
+        """New connections that the targets of each service have reset."""
 
     def get(
         self, service: model.Service, target: model.Target
@@ -64,10 +66,39 @@
                 reuse_delay=datetime.timedelta(),
                 max_idle_time=MAX_IDLE_TIME,
                 on_notice=functools.partial(self.receive_notice, target),
+                accepts=acceptance.Acceptance(
+                    target.name,
+                    self.resets.setdefault(service.name, acceptance.ServiceResets()),
+                ),
             )
         pool.set_limit(limit)
         return pool
 
+    def expect_load(
+        self, service: model.Service, target: model.Target, running: int
+    ) -> None:
+        """Record how many requests are expected at a target that is used now.
+
+        A full target may reset new connections if the maximum allows less than two
+        requests a slot for each instance.
+        """
+        pool = self.by_target.get((target.name, target.life, target.host, target.port))
+        if pool is not None:
+            scarce = self.find_connection_share(service) < target.slots * 2
+            pool.accepts.expects_reset = scarce and running >= target.slots
+
+    def count_resets(self, kind: str) -> int:
+        """Return the new connections that were reset, `unused` or `used`."""
+        return sum(resets.counts[kind] for resets in self.resets.values())
+
+    def find_connection_share(self, service: model.Service) -> int:
+        """Return this instance's share of the connections that a target accepts."""
+        return service.max_connections // self.count_instances()
+
+    def count_instances(self) -> int:
+        """Return the number of instances that may connect to targets."""
+        return max(self.participant.live_instances, len(self.directory.members), 1)
+
     def find_connection_limit(
         self, service: model.Service, target: model.Target
     ) -> int:
@@ -77,9 +108,9 @@
         of that is left for instances that start or stop, if it suffices for two
         requests a slot.
         """
-        instances = max(self.participant.live_instances, len(self.directory.members), 1)
+        instances = self.count_instances()
         limit = max(target.slots * 2, service.max_connections // (2 * instances))
-        return max(1, min(limit, service.max_connections // instances))
+        return max(1, min(limit, self.find_connection_share(service)))
 
     def retire(self) -> None:
         """Use no open connection for further requests, since they may hang."""
--- a/packages/fleet/dewstep_fleet/telemetry.py
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -110,6 +110,8 @@
             len(pool.open_connections)
             for pool in process.dispatcher.pools.by_target.values()
         ),
+        "new_connections_reset_unused": process.dispatcher.pools.count_resets("unused"),
+        "new_connections_reset_used": process.dispatcher.pools.count_resets("used"),
         "targets": len(process.directory.targets),
         "leaving_owners": count_leaving_owners(process.directory),
         "ranges": sum(
