Find a target full, not unreachable, if a wait for its connections ends

Callers saw: 503 for all requests to a target for a second ("unreachable a moment ago") after one had waited until its deadline for a connection. Cause: the end of such a wait counts as an unreachable target. It becomes likelier while resets have lowered the number of connections. Change: while that number is lowered, the request ends as QueueFull. Otherwise nothing changes. Evidence: the new test of new_connections_test.py ended as TargetUnavailable before.

--- a/packages/entry/dewstep_entry/targets/connection_pool.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool.py
@@ -233,12 +233,7 @@
         loop = asyncio.get_running_loop()
         waiter = loop.create_future()
         self.waiters.append(waiter)
-        timer = loop.call_later(
-            remaining,
-            _resolve_waiter,
-            waiter,
-            self._build_unavailable("no connection was free"),
-        )
+        timer = loop.call_later(remaining, self._end_wait, waiter)
         self._start_opening_tasks()
         self._assign_connections()
         try:
@@ -385,6 +380,15 @@
 
     # Connections that the target does not accept.
 
+    def _end_wait(self, waiter: asyncio.Future) -> None:
+        """Fail a request whose deadline passes while it waits for a connection."""
+        if self.accepts is not None and self.accepts.limit is not None:
+            # The target is reachable, but accepts no more connections.
+            full = errors.QueueFull(self.name, datetime.timedelta())
+            _resolve_waiter(waiter, full)
+            return
+        _resolve_waiter(waiter, self._build_unavailable("no connection was free"))
+
     def _find_full(self) -> errors.QueueFull | None:
         """Return the failure of a further waiting request at a full target, or None."""
         if self.accepts is None:
--- a/packages/entry/dewstep_entry/targets/new_connections_test.py
+++ b/packages/entry/dewstep_entry/targets/new_connections_test.py
@@ -105,6 +105,17 @@
         assert pool.accepts.resets.counts == {"unused": 1}
 
 
+# Guards against taking a full target for an unreachable one, to which nothing is sent for
+# a second.
+@testing.run_in_event_loop
+async def test_request_that_waits_in_vain_at_a_full_target_finds_it_full():
+    async with run_target(1, expects_reset=True) as (_, pool):
+        first = asyncio.ensure_future(send(pool))
+        await asyncio.sleep(0.03)
+        assert testing.fails(await send(pool, 0.03), errors.QueueFull)
+        assert (await first).unwrap().status == 204
+
+
 # Guards against resets by each further request of a burst at a full target.
 @testing.run_in_event_loop
 async def test_requests_to_a_target_without_room_are_refused_as_not_run():
