--- a/packages/entry/dewstep_entry/targets/new_connections_test.py
+++ b/packages/entry/dewstep_entry/targets/new_connections_test.py
@@ -105,8 +105,8 @@
         assert pool.accepts.resets.counts == {"unused": 1}
 
 
-# Guards against taking a full target for an unreachable one, to which nothing is sent for
-# a second.
+# Guards against taking a full target for an unreachable one, to which nothing is sent
+# for a second.
 @testing.run_in_event_loop
 async def test_request_that_waits_in_vain_at_a_full_target_finds_it_full():
     async with run_target(1, expects_reset=True) as (_, pool):
