Exclude waits in queues from the service times of targets

A request counted as served without a wait if old totals showed a free slot at its target. With queues, targets then counted as half as fast as they are, so that owners were found to be in excessive demand too early and queues were kept too short.

Each complete answer is measured now, and its time is divided by one plus the requests waiting per slot in the totals at its end, which were counted about when it was sent.

Two tests of owners in excessive demand forget the speed before each request, since answers take no time there; their bounds are unchanged.

--- a/packages/fleet/dewstep_fleet/attempts.py
+++ b/packages/fleet/dewstep_fleet/attempts.py
@@ -110,7 +110,7 @@
         target = choice.target
         pool = self.pools.get(plan.service, target)
         began = self.clock.monotonic()
-        found_free_slot = choice.estimate.running < target.slots
+        measured = True
         success = False
         answered: bool | None = None
         self.loads.begin_request(target.name)
@@ -136,7 +136,7 @@
         except asyncio.CancelledError:
             # The caller disconnected, which is no failure of the target.
             success = True
-            found_free_slot = False
+            measured = False
             raise
         finally:
             now = self.clock.monotonic()
@@ -148,7 +148,7 @@
                 now.total_seconds(),
                 elapsed,
                 success,
-                found_free_slot,
+                measured,
                 plan.route.name,
             )
         return self.evaluate(plan, choice, send_result, began, elapsed)
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -596,6 +596,12 @@
     assert asyncio.run(disconnect(Harness("hang", idempotent=False))) == 1
 
 
+def forget_speed(harness):
+    """Forget the service times, since answers take no time here."""
+    harness.counts.route_seconds.clear()
+    harness.counts.typical_seconds.clear()
+
+
 def count_served(requests, running, **route):
     """Return how many requests for an overloaded owner's key are sent to it."""
     harness = Harness(*[200] * requests, keyed=True, **route)
@@ -603,6 +609,7 @@
     harness.counts.get_load("a")
     sent = 0
     for _ in range(requests):
+        forget_speed(harness)
         harness.clock.advance(120 * MILLISECOND)
         harness.counts.apply_totals((total,), harness.clock.monotonic().total_seconds())
         answer = harness.send(headers=((b"x-key", b"7"),))
@@ -623,6 +630,7 @@
     harness.counts.get_load("a")
 
     def send(deadline_ms, running):
+        forget_speed(harness)
         harness.clock.advance(120 * MILLISECOND)
         total = frames.Total(frames.hash_target_name("a"), running, 1.0)
         harness.counts.apply_totals((total,), harness.clock.monotonic().total_seconds())
--- a/packages/fleet/dewstep_fleet/load/builders.py
+++ b/packages/fleet/dewstep_fleet/load/builders.py
@@ -64,6 +64,8 @@
         self.choose = choose or selection.choose_target
         self.admit = admit or (lambda choice, loads, generator: True)
         self.admitted = admitted
+        self.measured = False
+        """Whether instances measure the service times, or know them."""
         self.random = random.Random(1)
         self.choices = random.Random(2)
         names = [f"target-{number}" for number in range(TARGET_COUNT)]
@@ -126,7 +128,13 @@
                 _, name, sender, arrived = heapq.heappop(self.ends)
                 self.running[name] -= 1
                 self.instances[sender].end_request(
-                    "history", name, now, now - arrived, True, False, "r"
+                    "history",
+                    name,
+                    now,
+                    now - arrived,
+                    True,
+                    self.measured,
+                    "r",
                 )
                 if now > DURATION_S / 3:
                     times.append(now - arrived)
--- a/packages/fleet/dewstep_fleet/load/spreading_test.py
+++ b/packages/fleet/dewstep_fleet/load/spreading_test.py
@@ -1,10 +1,12 @@
 """Tests of the spread of requests over targets by old totals."""
 
 import random
+import statistics
 
 import pytest
 
 from dewstep_fleet import builders, frames, load_counts, selection
+from dewstep_fleet.admission import queue_limits_test
 from dewstep_fleet.load import builders as load_builders
 
 
@@ -109,3 +111,21 @@
         for seed in range(100)
     }
     assert len(chosen) > load_builders.TARGET_COUNT / 2
+
+
+@pytest.mark.parametrize(("instances", "age"), [(12, 0.12), (62, 0.25)])
+@pytest.mark.parametrize("load", [0.8, 2.0])
+def test_waits_in_queues_are_not_taken_for_service_times(instances, age, load):
+    # Guards against targets that count as half as fast as they are, since requests that
+    # waited were believed to have found a free slot. Queues were then too short.
+    fleet = load_builders.Fleet(
+        instances, age, load, admit=queue_limits_test.build_rule()
+    )
+    fleet.measured = True
+    fleet.run()
+    ratios = [
+        loads.estimate("history", name, loads.totals_at, 4, "r").service / seconds
+        for loads in fleet.instances
+        for name, seconds in fleet.seconds.items()
+    ]
+    assert 0.8 < statistics.median(ratios) < 1.3
--- a/packages/fleet/dewstep_fleet/load_counts.py
+++ b/packages/fleet/dewstep_fleet/load_counts.py
@@ -152,7 +152,7 @@
         now: float,
         elapsed: float,
         success: bool,
-        found_free_slot: bool,
+        measured: bool,
         route: str = "",
     ) -> None:
         """Count the end of a request, successful or not.
@@ -166,17 +166,18 @@
             Seconds since it was sent.
         success : bool
             Whether the target answered successfully.
-        found_free_slot : bool
-            Whether a slot was free, so that `elapsed` is the service time.
+        measured : bool
+            Whether `elapsed` is the time of a complete answer.
         """
         load = self.get_load(target)
+        elapsed = exclude_wait(load, elapsed)
         load.running -= 1
         decay_outcomes(load, now)
         if not success:
             load.failures += 1
             return
         load.successes += 1
-        if not found_free_slot:
+        if not measured:
             return
         count, typical = self.route_seconds.get(route, (0, elapsed))
         slowness = 1.0 if load.slowness is None else load.slowness
@@ -366,6 +367,19 @@
                 del self.by_target[target]
 
 
+def exclude_wait(load: TargetLoad, elapsed: float) -> float:
+    """Return the service time in seconds of a request that ends now.
+
+    Whether it found a free slot is not known, since the totals were old when it was
+    sent. The present ones were counted about at that time. With all slots in use, a
+    request waits for a service time divided by the slots for each one ahead of it.
+    """
+    if not load.slots:
+        return elapsed
+    waiting = max(0, load.running + load.others_running - load.slots)
+    return elapsed / (1 + waiting / load.slots)
+
+
 def update_average(average: float | None, observed: float) -> float:
     """Return a moving average after one more observation."""
     if average is None:
