--- a/packages/fleet/dewstep_fleet/attempts.py
+++ b/packages/fleet/dewstep_fleet/attempts.py
@@ -113,7 +113,7 @@
         pool = self.pools.get(plan.service, target)
         self.pools.expect_load(plan.service, target, choice.estimate.running)
         began = self.clock.monotonic()
-        found_free_slot = choice.estimate.running < target.slots
+        measured = True
         success = False
         answered: bool | None = None
         self.loads.begin_request(target.name)
@@ -139,7 +139,7 @@
         except asyncio.CancelledError:
             # The caller disconnected, which is no failure of the target.
             success = True
-            found_free_slot = False
+            measured = False
             raise
         finally:
             now = self.clock.monotonic()
@@ -151,7 +151,7 @@
                 now.total_seconds(),
                 elapsed,
                 success,
-                found_free_slot,
+                measured,
                 plan.route.name,
             )
         return self.evaluate(plan, choice, send_result, began, elapsed)
