Doubt failures of most targets that one instance alone reports

One instance whose network refuses its connections would make all targets cold for the whole fleet until their next registrations. The coordinator now passes such failures on once a second instance reports failures, too; those of less than half of the targets at once.

--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -1,6 +1,7 @@
 """Encoding of the messages between instances (`fleet.capnp`)."""
 
 import datetime
+import functools
 import hashlib
 import pathlib
 import zlib
@@ -302,64 +303,40 @@
     if frame.keys:
         message.keys = [item._asdict() for item in frame.keys]
     if frame.crashes:
-        message.crashes = [
-            {
-                "fingerprint": item.fingerprint,
-                "count": item.count,
-                "target": item.target,
-                "life": item.life,
-                "sentAgeMs": min(item.sent_age_ms, MAX_UINT32),
-                "lostAgeMs": min(item.lost_age_ms, MAX_UINT32),
-            }
-            for item in frame.crashes
-        ]
+        message.crashes = [encode_item(item) for item in frame.crashes]
     if frame.departures:
         message.departures = [item._asdict() for item in frame.departures]
     if frame.limits:
-        message.limits = [
-            {
-                "target": item.target,
-                "life": item.life,
-                "rate": item.rate,
-                "ageMs": min(item.age_ms, MAX_UINT32),
-            }
-            for item in frame.limits
-        ]
+        message.limits = [encode_item(item) for item in frame.limits]
     if frame.wanted:
-        message.wanted = [
-            {
-                "target": item.target,
-                "life": item.life,
-                "count": item.count,
-                "coldRate": item.cold_rate,
-            }
-            for item in frame.wanted
-        ]
+        message.wanted = [encode_item(item) for item in frame.wanted]
     if frame.permits:
-        message.permits = [
-            {
-                "target": item.target,
-                "count": item.count,
-                "waitMs": item.wait_ms,
-                "cold": item.cold,
-            }
-            for item in frame.permits
-        ]
+        message.permits = [encode_item(item) for item in frame.permits]
     if frame.cold:
-        message.cold = [
-            {
-                "target": item.target,
-                "life": item.life,
-                "ageMs": min(item.age_ms, MAX_UINT32),
-                "leftMs": min(item.left_ms, MAX_UINT32),
-                "unanswered": item.unanswered,
-                "failed": item.failed,
-            }
-            for item in frame.cold
-        ]
+        message.cold = [encode_item(item) for item in frame.cold]
     return message.to_bytes_packed()
 
 
+@functools.cache
+def name_fields(record_type: type) -> tuple[str, ...]:
+    """Return the names of a record's fields in a message."""
+    words = [name.split("_") for name in record_type._fields]
+    return tuple(first + "".join(map(str.title, rest)) for first, *rest in words)
+
+
+def encode_item(item: Any) -> dict[str, Any]:
+    """Return the fields of a record, with ages and times that fit."""
+    return {
+        name: min(value, MAX_UINT32) if name.endswith("Ms") else value
+        for name, value in zip(name_fields(type(item)), item, strict=True)
+    }
+
+
+def decode_item(record_type: Callable[..., Item], item: Any) -> Item:
+    """Return the record that a part of a message describes."""
+    return record_type(*(getattr(item, name) for name in name_fields(record_type)))
+
+
 def decode(content: bytes) -> Frame:
     """Decode a frame.
 
@@ -380,8 +357,8 @@
         decode_list(message, "rows", decode_row),
         decode_list(message, "loads", decode_load),
         decode_totals(message),
-        decode_list(message, "moving", decode_span),
-        decode_list(message, "keys", decode_key_count),
+        decode_records(message, "moving", Span),
+        decode_records(message, "keys", KeyCount),
         decode_list(message, "crashes", decode_crash),
         message.stopping,
         message.deputy,
@@ -389,20 +366,20 @@
         message.holdsMs,
         message.holdsKnown,
         message.heartbeatMs,
-        decode_list(message, "departures", decode_departure),
-        decode_list(message, "limits", decode_limit),
-        decode_list(message, "wanted", decode_permit_request),
-        decode_list(message, "permits", decode_permits),
+        decode_records(message, "departures", Departure),
+        decode_records(message, "limits", Limit),
+        decode_records(message, "wanted", PermitRequest),
+        decode_records(message, "permits", Permits),
         message.reachesTargets,
         message.askedMs,
         decode_list(message, "changes", decode_row_change),
         message.acceptsChanges,
         message.ageMs,
         message.movesKept,
-        decode_list(message, "begun", decode_span),
-        decode_list(message, "ended", decode_span),
+        decode_records(message, "begun", Span),
+        decode_records(message, "ended", Span),
         message.acceptsMoves,
-        decode_list(message, "cold", decode_cold),
+        decode_records(message, "cold", Cold),
     )
 
 
@@ -415,6 +392,13 @@
     return tuple(map(decode_item, getattr(message, name)))
 
 
+def decode_records(
+    message: Any, name: str, record_type: Callable[..., Item]
+) -> tuple[Item, ...]:
+    """Return the records of a list."""
+    return decode_list(message, name, functools.partial(decode_item, record_type))
+
+
 def decode_row(item: Any) -> model.StoredRow:
     """Return a row of the store."""
     value = None if item.removed else bytes(item.value)
@@ -457,16 +441,6 @@
     return tuple(zip(versions.rows, versions.versions, strict=True))
 
 
-def decode_span(item: Any) -> Span:
-    """Return a range that is being moved."""
-    return Span(item.service, item.first, item.last)
-
-
-def decode_key_count(item: Any) -> KeyCount:
-    """Return the requests for one key."""
-    return KeyCount(item.service, item.key, item.count)
-
-
 def decode_crash(item: Any) -> Crash:
     """Return a suspected crash, or a count of crashes."""
     return Crash(
@@ -479,38 +453,6 @@
     )
 
 
-def decode_departure(item: Any) -> Departure:
-    """Return a target's departure."""
-    return Departure(item.target, item.life)
-
-
-def decode_limit(item: Any) -> Limit:
-    """Return a limit that a target has named."""
-    return Limit(item.target, item.life, item.rate, item.ageMs)
-
-
-def decode_permit_request(item: Any) -> PermitRequest:
-    """Return a question for permits."""
-    return PermitRequest(item.target, item.life, item.count, item.coldRate)
-
-
-def decode_permits(item: Any) -> Permits:
-    """Return permits that were issued."""
-    return Permits(item.target, item.count, item.waitMs, item.cold)
-
-
-def decode_cold(item: Any) -> Cold:
-    """Return a target that may be cold."""
-    return Cold(
-        item.target,
-        item.life,
-        item.ageMs,
-        item.leftMs,
-        item.unanswered,
-        item.failed,
-    )
-
-
 def decode_row_change(item: Any) -> row_changes.RowChange:
     """Return the difference between two versions of a row."""
     return row_changes.RowChange(
--- a/packages/fleet/dewstep_fleet/heartbeats.py
+++ b/packages/fleet/dewstep_fleet/heartbeats.py
@@ -200,5 +200,5 @@
         self.demands.add_report(frame.keys, frame.loads)
         self.limits.apply_observations(frame.limits, first_hand=True)
         if node != self.role.own_member.node:
-            self.limits.warm_up.apply_observations(frame.cold)
+            self.limits.warm_up.apply_report(node, frame.cold)
         self.losses.receive_report(frame)
--- a/packages/fleet/dewstep_fleet/warm_up/tracking.py
+++ b/packages/fleet/dewstep_fleet/warm_up/tracking.py
@@ -10,6 +10,10 @@
 
 FORGOTTEN_PERIOD = datetime.timedelta(seconds=30)
 """Time for which a target without a registration may still count as cold."""
+REPORTER_PERIOD = datetime.timedelta(seconds=2)
+"""Time for which a report of failures supports those of another instance."""
+MIN_TARGETS = 4
+"""Number of targets from which on an instance that reaches few of them is doubted."""
 MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -40,6 +44,8 @@
         self.proven: dict[str, datetime.timedelta] = {}
         """Last time of which it is known that a target has not restarted before it,
         although it reset a connection."""
+        self.reporters: dict[str, datetime.timedelta] = {}
+        """When each instance has last reported failures to this coordinator."""
         self.allowances: dict[str, allowances.Allowance] = {}
         """What the cold targets of each service may get, by service."""
         self.computed_for: Any = None
@@ -302,6 +308,25 @@
             for name, state in found.items()
         )
 
+    def apply_report(self, node: str, observations: tuple[frames.Cold, ...]) -> None:
+        """Apply the observations of a member, as the coordinator.
+
+        Failures of most targets that only one instance reports are failures of its
+        network. They would limit all targets for all instances.
+        """
+        if not observations or self.directory is None:
+            return
+        now = self.clock.monotonic()
+        failed = sum(item.failed for item in observations)
+        if failed:
+            self.reporters[node] = now
+        oldest = now - REPORTER_PERIOD
+        reporters = [name for name, at in self.reporters.items() if at >= oldest]
+        known = len(self.directory.targets)
+        if len(reporters) < 2 and known >= MIN_TARGETS and failed * 2 > known:
+            observations = tuple(item for item in observations if not item.failed)
+        self.apply_observations(observations)
+
     def apply_observations(self, observations: Iterable[frames.Cold]) -> None:
         """Apply observations of other instances."""
         now = self.clock.monotonic()
--- a/packages/fleet/dewstep_fleet/warm_up/tracking_test.py
+++ b/packages/fleet/dewstep_fleet/warm_up/tracking_test.py
@@ -198,6 +198,24 @@
         assert not setting.is_cold()
 
 
+# Guards against an instance whose network fails, and that makes all targets cold for
+# the others.
+def test_failures_of_most_targets_count_if_two_instances_report_them():
+    setting = Setting()
+    names = "abcdef"
+    for version, name in enumerate(names, 10):
+        row = builders.build_target_row(builders.build_target(name), version)
+        setting.directory.apply_rows([row])
+    reported = tuple(frames.Cold(name, 1, 5, 0, True, True) for name in names)
+    setting.warm_up.apply_report("n1", reported)
+    assert setting.warm_up.list_cold() == {}
+    setting.warm_up.apply_report("n1", reported[:3])
+    assert set(setting.warm_up.list_cold()) == set("abc")
+    setting.wait(1.5)
+    setting.warm_up.apply_report("n2", reported)
+    assert set(setting.warm_up.list_cold()) == set(names)
+
+
 # Guards against a second failure that is taken for the first one.
 def test_later_failure_counts_anew():
     setting = Setting()
