--- a/packages/fleet/dewstep_fleet/warm_up/tracking.py
+++ b/packages/fleet/dewstep_fleet/warm_up/tracking.py
@@ -228,7 +228,7 @@
 
     def tick(self) -> None:
         """End the states that are over, and forget targets that are gone."""
-        if not self.states and not self.proven:
+        if not (self.states or self.services or self.proven or self.reporters):
             return
         now = self.clock.monotonic()
         for name, state in list(self.states.items()):
@@ -239,9 +239,12 @@
                 and now - state.since > FORGOTTEN_PERIOD
             ):
                 self._set(name, self.services[name], None, "forgotten")
-        for name, at in list(self.proven.items()):
-            if now - at > FORGOTTEN_PERIOD:
-                del self.proven[name]
+        for times in (self.proven, self.reporters):
+            for name, at in list(times.items()):
+                if now - at > FORGOTTEN_PERIOD:
+                    del times[name]
+        for name in self.services.keys() - self.states.keys():
+            del self.services[name]
 
     def _is_replaced(self, name: str, life: int) -> bool:
         """Whether another incarnation has registered, whose rows say what it needs."""
--- a/packages/fleet/dewstep_fleet/warm_up/tracking_test.py
+++ b/packages/fleet/dewstep_fleet/warm_up/tracking_test.py
@@ -267,7 +267,7 @@
     assert setting.is_cold()
     setting.wait(20)
     setting.warm_up.tick()
-    assert not setting.warm_up.states
+    assert not setting.warm_up.states and not setting.warm_up.services
 
 
 # Guards against a configuration or settings that arrive after the registrations.
