--- a/packages/entry/dewstep_entry/targets/acceptance.py
+++ b/packages/entry/dewstep_entry/targets/acceptance.py
@@ -22,8 +22,8 @@
 """Time in which a target's process accepts a connection and resets it."""
 NEW_CONNECTION_S = 0.05
 """Age up to which a connection that ends before any input counts as reset while new.
-The reset arrives after some ms, and a busy event loop may be late by tens of ms. A longer
-time would count more of the connections that a network partition ends."""
+The reset arrives after some ms, and a busy event loop may be late by tens of ms. A
+longer time would count more of the connections that a network partition ends."""
 CAUTION_PERIOD = datetime.timedelta(seconds=10)
 """Time after a reset for which all new connections to the service's targets wait: the
 queues of a burst, and the connections that it opened, last for some seconds."""
