--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -19,11 +19,15 @@
 
 from dewstep_core import data
 from dewstep_core.http import answer_heads, transports
-from dewstep_entry import bodies, header_rules, interfaces
-from dewstep_entry.targets import answering, outcome
+from dewstep_entry import bodies, interfaces
+from dewstep_entry.targets import (
+    acceptance,
+    answering,
+    exchanges,
+    outcome,
+    unread_input,
+)
 
-ANSWER_BUFFER_BYTES = 65_536
-"""Unread bytes of an answer above which reading from the socket pauses."""
 RECEIVE_BUFFER = memoryview(bytearray(32_768))
 """Buffer of one read from a socket. All connections share it, since its content is
 copied before the next read."""
@@ -33,69 +37,8 @@
 MAXIMUM_SKIPPED_ANSWERS = 16
 MAXIMUM_SKIPPED_BYTES = 4_194_304
 """Limits of the late answers to other requests that are skipped during an exchange."""
-NO_BODY_STATUSES = frozenset({204, 304})
-
-
-class Exchange(bodies.ChunkQueue):
-    """One request and its answer, with the received part of the answer's body."""
-
-    __slots__ = (
-        "body_task",
-        "buffered",
-        "head",
-        "headers",
-        "informational_answers",
-        "length",
-        "method",
-        "refusal",
-        "request_id",
-        "sent",
-        "skipped_answers",
-        "skipped_bytes",
-        "skipping_answer",
-        "timer",
-    )
-
-    def __init__(
-        self, method: bytes, request_id: bytes, buffered: bool, on_read, on_close
-    ):
-        super().__init__(ANSWER_BUFFER_BYTES, on_read, on_close)
-        self.method = method
-        self.buffered = buffered
-        self.informational_answers = 0
-        self.skipping_answer = False
-        self.skipped_answers = 0
-        self.skipped_bytes = 0
-        self.request_id = request_id
-        self.head: h11.Response | None = None
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.length: int | None = None
-        self.refusal = ""
-        self.sent = False
-        self.body_task: asyncio.Task | None = None
-        self.timer: asyncio.TimerHandle | None = None
-
-    def add_chunk(self, chunk: bytearray) -> None:
-        """Add a chunk; small chunks are joined, as each object takes memory."""
-        if self.chunks:
-            self.chunks[-1] += chunk
-            self.size += len(chunk)
-            self.wake_reader()
-        else:
-            super().add_chunk(chunk)
-
-    def get_progress(self) -> outcome.Progress:
-        """Return the progress of the exchange."""
-        status = self.head.status_code if self.head is not None else 0
-        return outcome.Progress(self.sent, status, self.refusal)
-
-    def is_ready(self) -> bool:
-        """Whether the answer can be returned; a small one only when it is complete."""
-        if self.ended or self.head is None:
-            return self.ended
-        if self.length is None:
-            return not self.buffered or self.size > bodies.SMALL_BODY_BYTES
-        return self.length > bodies.SMALL_BODY_BYTES
+MAXIMUM_STATUS = 599
+"""Highest status of HTTP. h11 accepts up to 999, and rejects those below 100."""
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -132,17 +75,27 @@
             h11.CLIENT, max_incomplete_event_size=answer_heads.MAXIMUM_HEAD_BYTES
         )
         self.transport: asyncio.Transport | None = None
-        self.current_exchange: Exchange | None = None
+        self.current_exchange: exchanges.Exchange | None = None
         self.usable = True
         self.failed = False
         """Whether the target closed the connection or exceeded a deadline."""
         self.freed_at = 0.0
         """Event loop time at which the last exchange ended; 0 before the first."""
+        self.opened_at: datetime.timedelta | None = None
+        """When it was opened, by the clock of its pool."""
+        self.connected_at = 0.0
+        """Event loop time at which the connection was opened."""
+        self.reset_while_new = False
+        """Whether the target ended it soon and without sending anything."""
+        self.received = False
+        """Whether the target has sent anything."""
+        self.has_sent = False
+        """Whether a request has been sent."""
         self.reading = True
         self.next_turn: asyncio.Handle | None = None
         """Parses the rest of the input; reading pauses until then."""
         self.write_waiter: asyncio.Future | None = None
-        self.poller = select.poll()
+        self.poller: select.poll | None = None
         self.refusals: dict[bytes, datetime.timedelta] = {}
         """Deadlines of the requests that the target has refused here, by id."""
 
@@ -151,13 +104,17 @@
     def connection_made(self, transport) -> None:
         """Prepare the transport's buffers and the check for pending input."""
         self.transport = transport
+        self.connected_at = asyncio.get_running_loop().time()
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         socket = transport.get_extra_info("socket")
-        self.poller.register(socket.fileno(), select.POLLIN | select.POLLRDHUP)
+        self.poller = unread_input.build_poller(socket.fileno())
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Fail the exchange in progress."""
+        """Fail the exchange in progress, unless its answer has arrived."""
         self.resume_writing()
+        exchange = self.current_exchange
+        if error is not None and exchange is not None:
+            self._receive_unread(exchange)
         self._fail(outcome.Event.CLOSED)
 
     def eof_received(self) -> bool:
@@ -194,6 +151,7 @@
     def data_received(self, chunk: bytes) -> None:
         """Parse input; input without a request in progress closes the connection."""
         exchange = self.current_exchange
+        self.received = True
         if exchange is None:
             self.abort()
             return
@@ -232,6 +190,10 @@
             return True
         return bool(self.poller.poll(0))
 
+    def has_ended(self) -> bool:
+        """Whether the target has ended the connection, even if not processed yet."""
+        return not self.usable or unread_input.has_ended(self.poller)
+
     async def exchange(
         self,
         head: h11.Request,
@@ -258,7 +220,7 @@
             The answer, or `TargetRefused`, `ConnectionLost`, `DeadlineExceeded` or
             `AnswerInvalid`.
         """
-        exchange = Exchange(
+        exchange = exchanges.Exchange(
             head.method,
             request_id,
             self.rules.buffered,
@@ -283,7 +245,7 @@
         if failure is not None:
             await exchange.aclose()
             return result.Failure(failure)
-        return result.Success(build_answer(exchange))
+        return result.Success(exchanges.build_answer(exchange))
 
     def abort(self) -> None:
         """Close the connection immediately; it cannot be used again."""
@@ -292,7 +254,7 @@
     # Internals.
 
     def _send_head(
-        self, exchange: Exchange, head: h11.Request, body: data.Body
+        self, exchange: exchanges.Exchange, head: h11.Request, body: data.Body
     ) -> None:
         pieces = [self.http.send(head)]
         if body.start:
@@ -302,13 +264,13 @@
         if not transports.write(self.transport, b"".join(pieces)):
             self._fail(outcome.Event.CLOSED)
             return
-        exchange.sent = True
+        exchange.sent = self.has_sent = True
         if body.rest is not None:
             exchange.body_task = asyncio.ensure_future(
                 self._send_body_rest(exchange, body.rest)
             )
 
-    async def _send_body_rest(self, exchange: Exchange, rest) -> None:
+    async def _send_body_rest(self, exchange: exchanges.Exchange, rest) -> None:
         try:
             async for chunk in bodies.split_chunks(rest):
                 while self.write_waiter is not None:
@@ -324,7 +286,7 @@
             if self.current_exchange is exchange:
                 self._fail(outcome.Event.ABANDONED, str(error))
 
-    def _receive(self, exchange: Exchange, chunk: bytes) -> None:
+    def _receive(self, exchange: exchanges.Exchange, chunk: bytes) -> None:
         """Parse the input of one turn of the event loop, which ends with `chunk`."""
         try:
             if chunk:
@@ -345,14 +307,24 @@
             self.reading = False
             self.transport.pause_reading()
 
-    def _continue_input(self, exchange: Exchange) -> None:
+    def _receive_unread(self, exchange: exchanges.Exchange) -> None:
+        """Parse what had arrived before a write failed, but was not read."""
+        left = unread_input.MAXIMUM_BYTES
+        while exchange is self.current_exchange and left > 0:
+            chunk = unread_input.read_next(self.poller)
+            if not chunk:
+                return
+            left -= len(chunk)
+            self.data_received(chunk)
+
+    def _continue_input(self, exchange: exchanges.Exchange) -> None:
         self.next_turn = None
         self._receive(exchange, b"")
         if self.next_turn is None and exchange is self.current_exchange:
             if not exchange.full:
                 self._resume_reading(0)
 
-    def _process_input(self, exchange: Exchange) -> bool:
+    def _process_input(self, exchange: exchanges.Exchange) -> bool:
         """Parse received bytes; return whether some are left for the next turn."""
         for _ in range(MAXIMUM_EVENTS_PER_TURN):
             if exchange is not self.current_exchange:
@@ -364,7 +336,7 @@
             self._process_event(exchange, event)
         return exchange is self.current_exchange
 
-    def _process_event(self, exchange: Exchange, event) -> None:
+    def _process_event(self, exchange: exchanges.Exchange, event) -> None:
         kind = type(event)
         if exchange.skipping_answer:
             if exchange.skipped_bytes > MAXIMUM_SKIPPED_BYTES:
@@ -387,7 +359,9 @@
         elif kind is h11.ConnectionClosed:
             self._fail(outcome.Event.CLOSED)
 
-    def _process_head(self, exchange: Exchange, head: h11.Response) -> None:
+    def _process_head(self, exchange: exchanges.Exchange, head: h11.Response) -> None:
+        if head.status_code > MAXIMUM_STATUS:
+            raise h11.RemoteProtocolError(f"status above {MAXIMUM_STATUS}")
         # Iterating h11 headers is slow, so they are converted once.
         exchange.headers = list(head.headers)
         fields = dict(exchange.headers)
@@ -402,13 +376,12 @@
             raise h11.RemoteProtocolError(
                 "answer has both Content-Length and Transfer-Encoding"
             )
-        if (
-            not self.rules.has_request_id
-            and length is None
-            and coding is None
-            and exchange.method != b"HEAD"
-            and head.status_code not in NO_BODY_STATUSES
-        ):
+        has_body = (
+            exchange.method != b"HEAD"
+            and head.status_code not in exchanges.NO_BODY_STATUSES
+        )
+        ends_with_close = has_body and length is None and coding is None
+        if ends_with_close and not self.rules.has_request_id:
             # A body that ends with the close cannot be told from a truncated one.
             raise h11.RemoteProtocolError("answer has no body length")
         answered_id = fields.get(self.rules.request_id)
@@ -431,6 +404,7 @@
             return
         exchange.head = head
         exchange.length = int(length) if length is not None else None
+        exchange.ends_with_close = ends_with_close
         exchange.refusal = answering.find_refusal(
             self.rules,
             head.status_code,
@@ -440,11 +414,14 @@
         )
         exchange.wake_reader()
 
-    def _complete_exchange(self, exchange: Exchange) -> None:
+    def _complete_exchange(self, exchange: exchanges.Exchange) -> None:
         trailing = bool(self.http.trailing_data[0])
         if trailing and not self.rules.has_request_id:
             self._fail(outcome.Event.INVALID, "bytes after the end of the answer")
             return
+        if exchange.ends_with_close and self._ends_early():
+            self._fail(outcome.Event.CLOSED)
+            return
         self._detach_exchange(exchange)
         exchange.end()
         http = self.http
@@ -455,7 +432,17 @@
         else:
             self.abort()
 
-    def _resume_after_skipped_answer(self, exchange: Exchange) -> None:
+    def _ends_early(self) -> bool:
+        """Whether a connection that marks the end of an answer may end it too early.
+
+        A target that ends it while the request's body is being sent, or resets it, may
+        not have sent the whole answer.
+        """
+        sending = self.http.our_state is h11.SEND_BODY
+        unsent = self.transport.get_write_buffer_size() > 0
+        return sending or unsent or unread_input.was_reset(self.poller)
+
+    def _resume_after_skipped_answer(self, exchange: exchanges.Exchange) -> None:
         """Parse the input after a skipped late answer to an earlier request."""
         if self.http.our_state is not h11.DONE:
             raise h11.RemoteProtocolError("answer has another request's id")
@@ -471,7 +458,7 @@
         self.http.send(h11.EndOfMessage())
         self.http.receive_data(bytes(trailing))
 
-    def _detach_exchange(self, exchange: Exchange) -> None:
+    def _detach_exchange(self, exchange: exchanges.Exchange) -> None:
         self.current_exchange = None
         exchange.timer.cancel()
         if self.next_turn is not None:
@@ -500,24 +487,11 @@
         if self.usable:
             self.usable = False
             self.failed = event in (outcome.Event.CLOSED, outcome.Event.OVERDUE)
+            if event is outcome.Event.CLOSED and not self.received:
+                age = asyncio.get_running_loop().time() - self.connected_at
+                self.reset_while_new = age < acceptance.NEW_CONNECTION_S
             if exchange is not None:
                 transports.reset(self.transport)
             else:
                 self.transport.abort()
             self.lost(self)
-
-
-def build_answer(exchange: Exchange) -> data.Answer:
-    """Return the answer of an exchange whose head has arrived."""
-    headers = header_rules.drop_headers(
-        exchange.headers, header_rules.DROPPED_FROM_ANSWERS
-    )
-    start = exchange.read_available() if exchange.chunks else b""
-    rest = None if exchange.ended else exchange
-    length = exchange.length
-    if rest is None and length is None:
-        length = len(start)
-        if exchange.method == b"HEAD" or exchange.head.status_code in NO_BODY_STATUSES:
-            length = None
-    body = data.Body(start, rest)
-    return data.Answer(exchange.head.status_code, headers, length, body, "")
--- a/packages/entry/dewstep_entry/targets/connection_pool.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool.py
@@ -17,7 +17,7 @@
 
 from dewstep_core import clocks, data, errors, settings
 from dewstep_entry import interfaces
-from dewstep_entry.targets import answering, connection, openings
+from dewstep_entry.targets import acceptance, answering, connection, openings
 
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
 REUSE_DELAY = datetime.timedelta(milliseconds=20)
@@ -52,6 +52,15 @@
     on_notice : callable, optional
         Called with what the target says about itself in an answer. The pool observes
         pauses itself.
+    on_answer : callable, optional
+        Called after an answer with the times at which its connection was opened and its
+        request was sent.
+    on_unreached : callable, optional
+        Called when no connection could be opened, or a new one was reset, with whether
+        it was refused.
+    accepts : acceptance.Acceptance, optional
+        Learns from new connections that the target resets, and limits those that are
+        opened after that.
     """
 
     def __init__(
@@ -65,8 +74,17 @@
         rules: answering.AnswerRules = answering.DEWSTEP_RULES,
         max_idle_time: datetime.timedelta = MAXIMUM_IDLE_TIME,
         on_notice: Callable[[answering.Notice], None] | None = None,
+        on_answer: Callable[[datetime.timedelta, datetime.timedelta], None]
+        | None = None,
+        on_unreached: Callable[[bool], None] | None = None,
+        accepts: acceptance.Acceptance | None = None,
     ):
         self.name = name
+        self.accepts = accepts
+        self.settling: dict[connection.Connection, asyncio.Future] = {}
+        """New connections that wait for a reset."""
+        self.opening_timer: asyncio.TimerHandle | None = None
+        """Opens connections for waiting requests after a pause."""
         self.address = address
         self.clock = clock
         self.connect_timeout_seconds = connect_timeout.total_seconds()
@@ -75,6 +93,8 @@
         self.rules = rules
         self.maximum_idle_seconds = max_idle_time.total_seconds()
         self.on_notice = on_notice
+        self.on_answer = on_answer
+        self.on_unreached = on_unreached
         self.paused_until: datetime.timedelta | None = None
         """End of the last pause that the target has asked for."""
         self.reuse_timer: asyncio.TimerHandle | None = None
@@ -130,11 +150,14 @@
         if refusal is not None:
             self._release_connection(target_connection)
             return result.Failure(refusal)
-        remaining = (deadline - self.clock.monotonic()).total_seconds()
+        sent_at = self.clock.monotonic()
+        remaining = (deadline - sent_at).total_seconds()
         if remaining <= 0:
             self._release_connection(target_connection)
             return result.Failure(self._build_unavailable("the deadline has passed"))
         outcome = await target_connection.exchange(head, body, remaining, request_id)
+        if isinstance(outcome, result.Success) and self.on_answer is not None:
+            self.on_answer(target_connection.opened_at, sent_at)
         if isinstance(outcome, result.Failure) and isinstance(
             outcome.failure(), errors.TargetRefused
         ):
@@ -170,6 +193,8 @@
         self._fail_waiters("the pool is closed")
         if self.reuse_timer is not None:
             self.reuse_timer.cancel()
+        if self.opening_timer is not None:
+            self.opening_timer.cancel()
 
     def retire(self) -> None:
         """Close idle connections now, and busy ones when their request has ended."""
@@ -216,15 +241,13 @@
             return self._build_unavailable("the pool is closed")
         if remaining <= 0:
             return self._build_unavailable("the deadline has passed")
+        full = self._find_full()
+        if full is not None:
+            return full
         loop = asyncio.get_running_loop()
         waiter = loop.create_future()
         self.waiters.append(waiter)
-        timer = loop.call_later(
-            remaining,
-            _resolve_waiter,
-            waiter,
-            self._build_unavailable("no connection was free"),
-        )
+        timer = loop.call_later(remaining, self._end_wait, waiter)
         self._start_opening_tasks()
         self._assign_connections()
         try:
@@ -244,16 +267,25 @@
             self._release_connection(outcome)
 
     def _start_opening_tasks(self) -> None:
-        waiting = sum(not waiter.done() for waiter in self.waiters)
-        count = openings.count_new_connections(self.opening_state, waiting)
+        state = self.opening_state
+        if self.accepts is not None:
+            now = self.clock.monotonic()
+            room = self.accepts.find_room(now, state.limit, state.total)
+            state = state._replace(limit=room)
+        count = openings.count_new_connections(state, self._count_waiting())
         self.opening_state = openings.record_attempt_start(self.opening_state, count)
         for _ in range(count):
             task = asyncio.ensure_future(self._open_connection())
             self.opening_tasks.add(task)
             task.add_done_callback(self.opening_tasks.discard)
 
+    def _count_waiting(self) -> int:
+        return sum(not waiter.done() for waiter in self.waiters)
+
     async def _open_connection(self) -> None:
         target_connection = None
+        refused = False
+        began = asyncio.get_running_loop().time()
         detail = f"no connection within {self.connect_timeout_seconds} s"
         try:
             async with asyncio.timeout(self.connect_timeout_seconds):
@@ -270,29 +302,59 @@
                     ),
                     *self.address,
                 )
+            await self._await_acceptance(target_connection, began)
         except OSError as error:
             detail = str(error) or detail
+            refused = isinstance(error, ConnectionError)
         finally:
             self.opening_state = openings.record_attempt_end(
                 self.opening_state, target_connection is not None
             )
         if target_connection is None:
+            if self.on_unreached is not None:
+                self.on_unreached(refused)
             if not self.open_connections:
                 self._fail_waiters(detail)
             return
+        target_connection.opened_at = self.clock.monotonic()
         self.open_connections.add(target_connection)
         if self.closed or not target_connection.usable:
             target_connection.abort()
             self._remove_connection(target_connection)
+        elif self.accepts is not None and target_connection.has_ended():
+            # The event loop has not processed the reset yet.
+            target_connection.connection_lost(None)
         else:
             # A new connection needs no delay: no earlier answer can arrive on it.
             self.idle.appendleft(target_connection)
             self._assign_connections()
             self._start_opening_tasks()
 
+    async def _await_acceptance(
+        self, target_connection: connection.Connection, began: float
+    ) -> None:
+        """Wait until a reset of a new connection would have arrived, if one may."""
+        if self.accepts is None:
+            return
+        loop = asyncio.get_running_loop()
+        now = self.clock.monotonic()
+        wait_s = self.accepts.choose_wait(now, loop.time() - began)
+        if not wait_s or not target_connection.usable:
+            return
+        waiter = self.settling[target_connection] = loop.create_future()
+        timer = loop.call_later(wait_s, _resolve_waiter, waiter, None)
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            target_connection.abort()
+            raise
+        finally:
+            timer.cancel()
+            del self.settling[target_connection]
+
     def _release_connection(self, target_connection: connection.Connection) -> None:
         """Return a connection to the pool, for waiting or later requests."""
-        if self.closed:
+        if self.closed or self._is_surplus():
             target_connection.abort()
             return
         target_connection.freed_at = asyncio.get_running_loop().time()
@@ -320,6 +382,8 @@
         self._assign_connections()
 
     def _remove_connection(self, target_connection: connection.Connection) -> None:
+        if target_connection in self.settling:
+            _resolve_waiter(self.settling[target_connection], None)
         if target_connection not in self.open_connections:
             return
         self.open_connections.discard(target_connection)
@@ -328,9 +392,65 @@
         self.opening_state = openings.record_connection_loss(
             self.opening_state, target_connection.failed
         )
+        if self.accepts is not None and target_connection.reset_while_new:
+            self._record_reset(target_connection)
         if self.waiters and not self.closed:
             self._start_opening_tasks()
 
+    # Connections that the target does not accept.
+
+    def _end_wait(self, waiter: asyncio.Future) -> None:
+        """Fail a request whose deadline passes while it waits for a connection."""
+        if self.accepts is not None and self.accepts.limit is not None:
+            # The target is reachable, but accepts no more connections.
+            full = errors.QueueFull(self.name, datetime.timedelta())
+            _resolve_waiter(waiter, full)
+            return
+        _resolve_waiter(waiter, self._build_unavailable("no connection was free"))
+
+    def _find_full(self) -> errors.QueueFull | None:
+        """Return the failure of a further waiting request at a full target, or None."""
+        if self.accepts is None:
+            return None
+        state, waiting = self.opening_state, self._count_waiting()
+        now = self.clock.monotonic()
+        return self.accepts.find_refusal(now, state.limit, state.total, waiting)
+
+    def _is_surplus(self) -> bool:
+        """Whether a connection that no request waits for should be closed."""
+        if self.accepts is None or self.accepts.limit is None:
+            return False
+        if self._count_waiting():
+            return False
+        state = self.opening_state
+        now = self.clock.monotonic()
+        return state.total > self.accepts.find_limit(now, state.limit)
+
+    def _record_reset(self, target_connection: connection.Connection) -> None:
+        """Lower the number of connections, and refuse requests that it leaves out."""
+        now = self.clock.monotonic()
+        total = self.opening_state.total
+        used = target_connection.has_sent
+        self.accepts.record_reset(now, total, used)
+        if self.on_unreached is not None:
+            self.on_unreached(False)
+        while self.idle and self._is_surplus():
+            self.idle[0].abort()
+        for waiter in list(self.waiters)[total:]:
+            full = self._find_full()
+            if full is not None:
+                _resolve_waiter(waiter, full)
+        if self.opening_timer is None:
+            pause = (self.accepts.paused_until - now).total_seconds()
+            self.opening_timer = asyncio.get_running_loop().call_later(
+                max(pause, 0.0), self._end_opening_pause
+            )
+
+    def _end_opening_pause(self) -> None:
+        self.opening_timer = None
+        if not self.closed:
+            self._start_opening_tasks()
+
     def _receive_notice(self, notice: answering.Notice) -> None:
         if notice.pause:
             until = self.clock.monotonic() + notice.pause
--- a/packages/fleet/dewstep_fleet/attempts.py
+++ b/packages/fleet/dewstep_fleet/attempts.py
@@ -15,12 +15,12 @@
     coordination,
     crash_checks,
     directories,
+    limit_states,
     load_counts,
     model,
     planned_stops,
     reachability,
     relaying,
-    request_limits,
     request_plans,
     selection,
     target_pools,
@@ -39,6 +39,8 @@
     | errors.TargetPaused
     | errors.TargetLeaving
     | errors.TargetLimited
+    | errors.DeadlineUnreachable
+    | errors.QueueFull
     | errors.Stopping
 )
 """Failures of requests that were not sent."""
@@ -104,13 +106,14 @@
         self,
         plan: request_plans.PlannedRequest,
         choice: selection.Choice,
-        permit: request_limits.Permit | None = None,
+        permit: limit_states.Permit | None = None,
     ) -> Outcome:
         """Send the request to one target and return the outcome."""
         target = choice.target
         pool = self.pools.get(plan.service, target)
+        self.pools.expect_load(plan.service, target, choice.estimate.running)
         began = self.clock.monotonic()
-        found_free_slot = choice.estimate.running < target.slots
+        measured = True
         success = False
         answered: bool | None = None
         self.loads.begin_request(target.name)
@@ -136,7 +139,7 @@
         except asyncio.CancelledError:
             # The caller disconnected, which is no failure of the target.
             success = True
-            found_free_slot = False
+            measured = False
             raise
         finally:
             now = self.clock.monotonic()
@@ -148,7 +151,7 @@
                 now.total_seconds(),
                 elapsed,
                 success,
-                found_free_slot,
+                measured,
                 plan.route.name,
             )
         return self.evaluate(plan, choice, send_result, began, elapsed)
@@ -157,13 +160,23 @@
         self,
         plan: request_plans.PlannedRequest,
         choice: selection.Choice,
-        permit: request_limits.Permit | None,
-    ) -> errors.Stopping | errors.TargetLeaving | errors.TargetLimited | None:
+        permit: limit_states.Permit | None,
+    ) -> (
+        errors.DeadlineUnreachable
+        | errors.Stopping
+        | errors.TargetLeaving
+        | errors.TargetLimited
+        | None
+    ):
         """Return the failure of a request that waited for a connection, or None.
 
-        A stop, the departure of the target or an evacuation may have begun, or the
-        limit become known, since it was admitted.
+        A stop, the departure of the target or an evacuation may have begun, the limit
+        become known, or the time for an answer ended, since it was admitted.
         """
+        time_left = plan.due_at - self.clock.monotonic()
+        if time_left <= DEADLINE_MARGIN:
+            # Sent now, it could only end as overdue, which leaves its outcome open.
+            return errors.DeadlineUnreachable(choice.target.name, datetime.timedelta())
         stopping = self.stop.find_refusal(plan, choice)
         if stopping is not None:
             return stopping
@@ -172,9 +185,7 @@
             and self.directory.evacuations.is_evacuated(choice.target.data_centre)
         ):
             return errors.TargetLeaving(choice.target.name)
-        if permit is not None:
-            return None
-        return self.participant.limits.take_now(choice.target)
+        return self.participant.limits.confirm(choice.target, permit)
 
     def evaluate(
         self,
--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -59,6 +59,7 @@
     votes,
 )
 from dewstep_fleet.evacuation import relayed_rows
+from dewstep_fleet.warm_up import tracking
 
 TICK_INTERVAL = datetime.timedelta(milliseconds=50)
 PAUSE_THRESHOLD = datetime.timedelta(milliseconds=400)
@@ -117,6 +118,7 @@
             generator,
             lambda: self.permit_questions.schedule(),
             lambda: len(self.quorum_writer.list_members()),
+            tracking.WarmUp(clock, directory, timing.warm_up),
         )
         self.quorum_writer = quorum_writes.QuorumWriter(
             self.role,
@@ -189,7 +191,7 @@
             lambda service: self.demands.get_demand(
                 service,
                 loads.get_typical_seconds(service, ""),
-                self.limits.list_rates(),
+                self.limits.list_capacity_rates(),
             ),
             self.estimate_queue_wait,
             self.votes.get_inherited_grant_time_left,
@@ -454,6 +456,7 @@
         news.apply_moves(self.directory, frame)
         self.loads.apply_totals(frame.totals, now.total_seconds())
         self.limits.apply_observations(frame.limits, first_hand=False)
+        self.limits.warm_up.apply_observations(frame.cold)
         self.losses.receive_heartbeat(frame, now)
         self.news.record_complete(link, frame, now - self.membership.delay)
         link.send(self.own_reports.build())
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -400,7 +400,7 @@
         if refused and plan.key is not None and failure.reason != MISDIRECTED:
             # No other target may run the request; see `should_repeat`.
             return False
-        closed = errors.TargetPaused | errors.TargetLimited
+        closed = errors.TargetPaused | errors.TargetLimited | errors.QueueFull
         if isinstance(failure, closed) and plan.key is not None:
             return False
         not_run = refused or isinstance(failure, attempts.UNSENT_FAILURES)
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -335,6 +335,81 @@
     assert b"retry-after" in dict(answer.headers)
 
 
+class WaitingPool(FakePool):
+    """Connection pool in which a connection becomes free late."""
+
+    async def send(self, *arguments):
+        self.harness.clock.advance(995 * MILLISECOND)
+        return await super().send(*arguments)
+
+
+def test_request_that_waited_for_a_connection_until_the_end_is_not_sent():
+    # Guards against 504, which leaves the outcome open, for a request that ran nowhere.
+    harness = Harness(overdue, targets="a", timeout=builders.SECOND, idempotent=False)
+    harness.dispatcher.pools.get = lambda service, target: WaitingPool(
+        harness, target.name
+    )
+    answer = harness.send(method="POST")
+    assert answer.status == 503 and get_outcome(answer) == b"not-run"
+    assert b"retry-after" in dict(answer.headers) and not harness.sent
+
+
+def closed(target):
+    """Return the failure of a request whose new connection the target has reset."""
+    return errors.QueueFull(target, 400 * MILLISECOND)
+
+
+def test_request_that_all_targets_refused_or_reset_unsent_is_reported_as_not_run():
+    # Guards against 502: the trace of a day has three refusals, and then a connection
+    # that was reset.
+    harness = Harness(full, full, full, closed, targets="abcd", idempotent=False)
+    answer = harness.send(method="POST")
+    assert answer.status == 503 and get_outcome(answer) == b"not-run"
+    assert 0 < float(dict(answer.headers)[b"retry-after"]) < 1
+
+
+def test_connection_that_was_reset_unsent_is_no_attempt():
+    # Guards against giving up although other targets have room.
+    harness = Harness(closed, closed, 200, targets="abc", idempotent=False)
+    assert harness.send(method="POST").status == 200
+
+
+def test_keyed_request_is_refused_if_its_owner_accepts_no_connection():
+    # Guards against further resets by an owner that no other target replaces, and
+    # against avoiding the owner for a second.
+    harness = Harness(closed, 200, keyed=True)
+    harness.use_clock(clocks.SystemClock())
+    answer = harness.send(headers=((b"x-key", b"70"),))
+    assert answer.status == 503 and len(harness.sent) == 1
+    assert harness.send(headers=((b"x-key", b"70"),)).status == 200
+
+
+# Guards against waits at targets that are not full, or whose maximum leaves room.
+@pytest.mark.parametrize(
+    ("max_connections", "running", "expected"),
+    [(430, 4, True), (430, 3, False), (2 * 4 * 62, 9, False)],
+)
+def test_resets_are_expected_of_full_targets_with_a_scarce_maximum(
+    max_connections, running, expected
+):
+    harness = Harness()
+    del harness.dispatcher.pools.get
+    harness.participant.live_instances = 62
+    service = model.Service("history", max_connections, False)
+    target = builders.build_target("a")
+    pools = harness.dispatcher.pools
+
+    async def connect():
+        pool = pools.get(service, target)
+        pools.expect_load(service, target, running)
+        return pool.accepts
+
+    accepts = asyncio.run(connect())
+    assert accepts.expects_reset == expected
+    accepts.record_reset(harness.clock.monotonic(), 1, False)
+    assert pools.count_resets("unused") == 1
+
+
 def test_idempotent_request_is_resent():
     harness = Harness(lost, 200)
     assert harness.send().status == 200
@@ -596,12 +671,21 @@
     assert asyncio.run(disconnect(Harness("hang", idempotent=False))) == 1
 
 
+def forget_speed(harness):
+    """Forget the service times, since answers take no time here."""
+    harness.counts.route_seconds.clear()
+    harness.counts.typical_seconds.clear()
+
+
 def count_served(requests, running, **route):
     """Return how many requests for an overloaded owner's key are sent to it."""
     harness = Harness(*[200] * requests, keyed=True, **route)
     total = frames.Total(frames.hash_target_name("a"), running, 1.0, 0.2)
+    harness.counts.get_load("a")
     sent = 0
     for _ in range(requests):
+        forget_speed(harness)
+        harness.clock.advance(120 * MILLISECOND)
         harness.counts.apply_totals((total,), harness.clock.monotonic().total_seconds())
         answer = harness.send(headers=((b"x-key", b"7"),))
         sent += answer.status == 200
@@ -615,6 +699,24 @@
     assert 20 <= count_served(200, running=6) <= 60
 
 
+def test_callers_who_come_back_too_late_leave_the_queue_to_others():
+    """Guards against serving late callers while others could be served in time."""
+    harness = Harness(*[200] * 60, keyed=True)
+    harness.counts.get_load("a")
+
+    def send(deadline_ms, running):
+        forget_speed(harness)
+        harness.clock.advance(120 * MILLISECOND)
+        total = frames.Total(frames.hash_target_name("a"), running, 1.0)
+        harness.counts.apply_totals((total,), harness.clock.monotonic().total_seconds())
+        headers = ((b"x-key", b"7"), (b"x-deadline", b"%d" % deadline_ms))
+        return harness.send(headers=headers).status
+
+    assert {send(900, 5) for _ in range(30)} == {200}
+    assert send(500, 5) == 503
+    assert send(500, 2) == 200
+
+
 def test_owner_with_a_free_slot_receives_all_requests():
     """Guards against refusals after the demand has decreased."""
     assert count_served(50, running=2) == 50
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -1,6 +1,7 @@
 """Encoding of the messages between instances (`fleet.capnp`)."""
 
 import datetime
+import functools
 import hashlib
 import pathlib
 import zlib
@@ -96,12 +97,31 @@
     """Time in ms since the answer that said so."""
 
 
+class Cold(NamedTuple):
+    """A target that is cold or may be so."""
+
+    target: str
+    life: int
+    """Incarnation that was known when it was observed."""
+    age_ms: int
+    """Time in ms since the observation."""
+    left_ms: int
+    """Time in ms until it becomes warm."""
+    unanswered: bool = False
+    """Whether it has not answered since the observation, so that nothing is known of
+    the time left."""
+    failed: bool = False
+    """Whether it has refused or reset connections."""
+
+
 class PermitRequest(NamedTuple):
     """Number of requests to a target with a limit that need a permit."""
 
     target: str
     life: int
     count: int
+    cold_rate: float = 0.0
+    """Requests/s that it may get as a cold target; 0 if it is warm for the sender."""
 
 
 class Permits(NamedTuple):
@@ -111,6 +131,9 @@
     count: int
     wait_ms: int
     """Time in ms until the next permit; 0 if all were issued."""
+    cold: bool = False
+    """Whether they were issued for a cold target. Earlier versions of this package
+    issue any number instead, without this mark."""
 
 
 class Frame(NamedTuple):
@@ -192,6 +215,9 @@
     reads_evacuations: bool = False
     """Whether the sender reads the rows that ask for an evacuation. To earlier versions
     of this package, a complete table seems to lack such a row."""
+    cold: tuple[Cold, ...] = ()
+    """In a "beat": the targets that may be cold although their rows do not say so. In a
+    "report": those that the sender has observed itself."""
 
 
 def hash_target_name(target: str) -> int:
@@ -281,39 +307,40 @@
     if frame.keys:
         message.keys = [item._asdict() for item in frame.keys]
     if frame.crashes:
-        message.crashes = [
-            {
-                "fingerprint": item.fingerprint,
-                "count": item.count,
-                "target": item.target,
-                "life": item.life,
-                "sentAgeMs": min(item.sent_age_ms, MAX_UINT32),
-                "lostAgeMs": min(item.lost_age_ms, MAX_UINT32),
-            }
-            for item in frame.crashes
-        ]
+        message.crashes = [encode_item(item) for item in frame.crashes]
     if frame.departures:
         message.departures = [item._asdict() for item in frame.departures]
     if frame.limits:
-        message.limits = [
-            {
-                "target": item.target,
-                "life": item.life,
-                "rate": item.rate,
-                "ageMs": min(item.age_ms, MAX_UINT32),
-            }
-            for item in frame.limits
-        ]
+        message.limits = [encode_item(item) for item in frame.limits]
     if frame.wanted:
-        message.wanted = [item._asdict() for item in frame.wanted]
+        message.wanted = [encode_item(item) for item in frame.wanted]
     if frame.permits:
-        message.permits = [
-            {"target": item.target, "count": item.count, "waitMs": item.wait_ms}
-            for item in frame.permits
-        ]
+        message.permits = [encode_item(item) for item in frame.permits]
+    if frame.cold:
+        message.cold = [encode_item(item) for item in frame.cold]
     return message.to_bytes_packed()
 
 
+@functools.cache
+def name_fields(record_type: type) -> tuple[str, ...]:
+    """Return the names of a record's fields in a message."""
+    words = [name.split("_") for name in record_type._fields]
+    return tuple(first + "".join(map(str.title, rest)) for first, *rest in words)
+
+
+def encode_item(item: Any) -> dict[str, Any]:
+    """Return the fields of a record, with ages and times that fit."""
+    return {
+        name: min(value, MAX_UINT32) if name.endswith("Ms") else value
+        for name, value in zip(name_fields(type(item)), item, strict=True)
+    }
+
+
+def decode_item(record_type: Callable[..., Item], item: Any) -> Item:
+    """Return the record that a part of a message describes."""
+    return record_type(*(getattr(item, name) for name in name_fields(record_type)))
+
+
 def decode(content: bytes) -> Frame:
     """Decode a frame.
 
@@ -334,8 +361,8 @@
         decode_list(message, "rows", decode_row),
         decode_list(message, "loads", decode_load),
         decode_totals(message),
-        decode_list(message, "moving", decode_span),
-        decode_list(message, "keys", decode_key_count),
+        decode_records(message, "moving", Span),
+        decode_records(message, "keys", KeyCount),
         decode_list(message, "crashes", decode_crash),
         message.stopping,
         message.deputy,
@@ -343,20 +370,21 @@
         message.holdsMs,
         message.holdsKnown,
         message.heartbeatMs,
-        decode_list(message, "departures", decode_departure),
-        decode_list(message, "limits", decode_limit),
-        decode_list(message, "wanted", decode_permit_request),
-        decode_list(message, "permits", decode_permits),
+        decode_records(message, "departures", Departure),
+        decode_records(message, "limits", Limit),
+        decode_records(message, "wanted", PermitRequest),
+        decode_records(message, "permits", Permits),
         message.reachesTargets,
         message.askedMs,
         decode_list(message, "changes", decode_row_change),
         message.acceptsChanges,
         message.ageMs,
         message.movesKept,
-        decode_list(message, "begun", decode_span),
-        decode_list(message, "ended", decode_span),
+        decode_records(message, "begun", Span),
+        decode_records(message, "ended", Span),
         message.acceptsMoves,
         message.readsEvacuations,
+        decode_records(message, "cold", Cold),
     )
 
 
@@ -369,6 +397,13 @@
     return tuple(map(decode_item, getattr(message, name)))
 
 
+def decode_records(
+    message: Any, name: str, record_type: Callable[..., Item]
+) -> tuple[Item, ...]:
+    """Return the records of a list."""
+    return decode_list(message, name, functools.partial(decode_item, record_type))
+
+
 def decode_row(item: Any) -> model.StoredRow:
     """Return a row of the store."""
     value = None if item.removed else bytes(item.value)
@@ -411,16 +446,6 @@
     return tuple(zip(versions.rows, versions.versions, strict=True))
 
 
-def decode_span(item: Any) -> Span:
-    """Return a range that is being moved."""
-    return Span(item.service, item.first, item.last)
-
-
-def decode_key_count(item: Any) -> KeyCount:
-    """Return the requests for one key."""
-    return KeyCount(item.service, item.key, item.count)
-
-
 def decode_crash(item: Any) -> Crash:
     """Return a suspected crash, or a count of crashes."""
     return Crash(
@@ -433,26 +458,6 @@
     )
 
 
-def decode_departure(item: Any) -> Departure:
-    """Return a target's departure."""
-    return Departure(item.target, item.life)
-
-
-def decode_limit(item: Any) -> Limit:
-    """Return a limit that a target has named."""
-    return Limit(item.target, item.life, item.rate, item.ageMs)
-
-
-def decode_permit_request(item: Any) -> PermitRequest:
-    """Return a question for permits."""
-    return PermitRequest(item.target, item.life, item.count)
-
-
-def decode_permits(item: Any) -> Permits:
-    """Return permits that were issued."""
-    return Permits(item.target, item.count, item.waitMs)
-
-
 def decode_row_change(item: Any) -> row_changes.RowChange:
     """Return the difference between two versions of a row."""
     return row_changes.RowChange(
--- a/packages/fleet/dewstep_fleet/load_counts.py
+++ b/packages/fleet/dewstep_fleet/load_counts.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from dewstep_fleet import frames
+from dewstep_fleet.load import observations
 
 INITIAL_SERVICE_TIME = datetime.timedelta(milliseconds=200)
 """Service time that is assumed before the first answer, a typical order of
@@ -27,8 +28,9 @@
 SUCCESS_PRIOR = 3.0
 """Number of successes assumed for a target without answers."""
 STANDING_QUEUE_THRESHOLD_S = 0.5
-"""Time after which a queue counts as standing, similar to CoDel's interval. The queue
-of a burst drains within this time, two or three service times."""
+"""Longest time after which a queue counts as standing, similar to CoDel's interval. It
+is one service time if that is shorter: the queue of a random burst, of about as many
+requests as there are slots, drains within it."""
 MAX_TOTALS_AGE = datetime.timedelta(seconds=2)
 """Older totals of other instances are ignored."""
 
@@ -46,10 +48,12 @@
         "failures",
         "last_reported",
         "name_hash",
+        "observation",
         "others_running",
         "paused_until",
         "running",
         "slot_free_at",
+        "slots",
         "slowness",
         "successes",
         "totals_received_at",
@@ -81,6 +85,10 @@
         """End of the last pause that the target asked for."""
         self.slot_free_at: float | None = None
         """When a slot was last free, or when the target was first estimated."""
+        self.observation: observations.Observation | None = None
+        """The last load that the target has reported of itself."""
+        self.slots = 0
+        """Slots of the target, once it has been estimated."""
 
 
 class Estimate(NamedTuple):
@@ -132,7 +140,10 @@
 
     def begin_request(self, target: str) -> None:
         """Count a request that is sent to a target."""
-        self.get_load(target).running += 1
+        load = self.get_load(target)
+        load.running += 1
+        if load.observation is not None:
+            load.observation = observations.add_request(load.observation)
 
     def end_request(
         self,
@@ -141,7 +152,7 @@
         now: float,
         elapsed: float,
         success: bool,
-        found_free_slot: bool,
+        measured: bool,
         route: str = "",
     ) -> None:
         """Count the end of a request, successful or not.
@@ -155,17 +166,18 @@
             Seconds since it was sent.
         success : bool
             Whether the target answered successfully.
-        found_free_slot : bool
-            Whether a slot was free, so that `elapsed` is the service time.
+        measured : bool
+            Whether `elapsed` is the time of a complete answer.
         """
         load = self.get_load(target)
+        elapsed = exclude_wait(load, elapsed)
         load.running -= 1
         decay_outcomes(load, now)
         if not success:
             load.failures += 1
             return
         load.successes += 1
-        if not found_free_slot:
+        if not measured:
             return
         count, typical = self.route_seconds.get(route, (0, elapsed))
         slowness = 1.0 if load.slowness is None else load.slowness
@@ -200,6 +212,22 @@
         load = self.get_load(target)
         load.blocked_until = max(load.blocked_until, until)
 
+    def observe(self, target: str, now: float, requests: int, pace: float) -> None:
+        """Record the load that a target reports in an answer.
+
+        Parameters
+        ----------
+        target : str
+        now : float
+            Monotonic seconds.
+        requests : int
+            Requests that run or wait there.
+        pace : float
+            How long work takes at this moment, relative to what is usual.
+        """
+        observation = observations.Observation(now, requests, pace)
+        self.get_load(target).observation = observation
+
     def pause_until(self, target: str, until: float) -> None:
         """Send nothing to a target until the time `until`."""
         load = self.get_load(target)
@@ -211,11 +239,12 @@
         return max(0.0, load.paused_until - now) if load is not None else 0.0
 
     def forget_failures(self, target: str) -> None:
-        """Forget the failures and pauses of a target that has restarted since."""
+        """Forget what a target did and reported before it restarted."""
         load = self.get_load(target)
         load.paused_until = -math.inf
         load.blocked_until = -math.inf
         load.failures = 0.0
+        load.observation = None
 
     def estimate(
         self, service: str, target: str, now: float, slots: int = 0, route: str = ""
@@ -237,13 +266,22 @@
         )
         others = load.others_running if totals_are_recent else 0
         running = load.running + others
+        age = None if self.totals_at is None else self.get_totals_age(now)
+        pace = 1.0
+        if load.observation is not None and observations.is_newer(
+            load.observation, now, age
+        ):
+            running = max(load.running, load.observation.requests)
+            others = running - load.running
+            age = max(0.0, now - load.observation.observed_at)
+            pace = load.observation.pace
         success = load.successes / (load.successes + load.failures)
-        slowness = 1.0 if load.slowness is None else load.slowness
+        slowness = pace * (1.0 if load.slowness is None else load.slowness)
+        load.slots = slots or load.slots
         if load.slot_free_at is None or running < slots:
             load.slot_free_at = now
-        overloaded = (
-            bool(slots) and now - load.slot_free_at > STANDING_QUEUE_THRESHOLD_S
-        )
+        threshold = min(STANDING_QUEUE_THRESHOLD_S, typical * slowness)
+        overloaded = bool(slots) and now - load.slot_free_at > threshold
         blocked = load.blocked_until > now
         return Estimate(
             running,
@@ -255,7 +293,7 @@
             load.admitted if totals_are_recent else 1.0,
             max(0.0, load.paused_until - now),
             others,
-            None if self.totals_at is None else self.get_totals_age(now),
+            age,
         )
 
     def get_totals_age(self, now: float) -> float:
@@ -302,9 +340,13 @@
             if total is None:
                 load.others_running = 0
                 load.admitted = 1.0
+                if load.running < load.slots:
+                    load.slot_free_at = now
                 continue
             load.admitted = total.admitted
             load.others_running = max(0, total.running - load.last_reported)
+            if load.running + load.others_running < load.slots:
+                load.slot_free_at = now
             if load.slowness is None:
                 load.slowness = limit_slowness(total.slowness)
 
@@ -325,6 +367,19 @@
                 del self.by_target[target]
 
 
+def exclude_wait(load: TargetLoad, elapsed: float) -> float:
+    """Return the service time in seconds of a request that ends now.
+
+    Whether it found a free slot is not known, since the totals were old when it was
+    sent. The present ones were counted about at that time. With all slots in use, a
+    request waits for a service time divided by the slots for each one ahead of it.
+    """
+    if not load.slots:
+        return elapsed
+    waiting = max(0, load.running + load.others_running - load.slots)
+    return elapsed / (1 + waiting / load.slots)
+
+
 def update_average(average: float | None, observed: float) -> float:
     """Return a moving average after one more observation."""
     if average is None:
--- a/packages/fleet/dewstep_fleet/target_search.py
+++ b/packages/fleet/dewstep_fleet/target_search.py
@@ -6,6 +6,7 @@
 """
 
 import datetime
+import functools
 import random
 from collections.abc import Iterable
 from typing import Any
@@ -24,6 +25,8 @@
     request_plans,
     selection,
 )
+from dewstep_fleet.admission import demand_counts, queue_limits, return_times
+from dewstep_fleet.warm_up import preferences
 
 MAX_MOVE_WAIT = datetime.timedelta(milliseconds=600)
 """Maximum wait for a key in a planned move. The owner first finishes its queued and
@@ -34,9 +37,6 @@
 DRAIN_MARGIN = datetime.timedelta(milliseconds=300)
 """Part of the drain time for reading a target's departure and for the way of the last
 request, of which a lost packet is retransmitted after 200 ms."""
-MAX_REQUESTS_PER_SLOT = 4
-"""Requests per slot from which on a target counts as full; targets queue three or four
-for each slot."""
 TYPICAL_ANSWER_BYTES = 5_000
 """Typical size of an answer, used to choose a target."""
 
@@ -54,7 +54,7 @@
         Knows the drain time of targets.
     participant : coordination.FleetParticipant
     planner : request_plans.Planner
-        Knows the priorities of the routes to a service.
+        Knows the routes to a service.
     clock : clocks.Clock
     generator : random.Random
     """
@@ -78,6 +78,7 @@
         self.planner = planner
         self.clock = clock
         self.random = generator
+        self.demand_counts = demand_counts.DemandCounts()
 
     async def find_target(
         self, plan: request_plans.PlannedRequest, tried: frozenset[str]
@@ -88,19 +89,27 @@
         targets = self.directory.list_open(plan.service.name)
         now = self.clock.monotonic().total_seconds()
         body = plan.request.body_length or len(plan.request.body.start)
-        choice = selection.choose_target(
-            targets,
-            self.loads,
-            now,
-            self.data_centre,
-            body + TYPICAL_ANSWER_BYTES,
-            self.random,
-            tried | self.participant.limits.find_exhausted(),
-            plan.route.name,
+        choose = functools.partial(
+            selection.choose_target,
+            loads=self.loads,
+            now=now,
+            data_centre=self.data_centre,
+            exchange_bytes=body + TYPICAL_ANSWER_BYTES,
+            generator=self.random,
+            route=plan.route.name,
+        )
+        limits = self.participant.limits
+        preference = preferences.find_preference(
+            limits, targets, self.data_centre, self.directory.members.values()
         )
+        excluded = tried | limits.find_exhausted()
+        choice = preferences.choose(choose, targets, excluded, preference)
         if choice is None:
             return result.Failure(self.find_shortest_refusal(plan, targets, tried))
-        return self.check_admission(plan, choice)
+        admitted = self.check_admission(plan, choice)
+        sent = isinstance(admitted, result.Success)
+        self.demand_counts.count(plan.service.name, now, sent)
+        return admitted
 
     def find_shortest_refusal(
         self,
@@ -159,11 +168,6 @@
             failure = refusals.build_pause_failure(target.name, estimate.pause_left)
             return result.Failure(failure)
         wait = selection.estimate_wait(estimate, target.slots)
-        if self.exceeds_admitted_fraction(plan, target, estimate):
-            retry_after = datetime.timedelta(seconds=wait / 2)
-            admitted_percent = round(estimate.admitted * 100)
-            failure = errors.DemandExceeded(target.name, admitted_percent, retry_after)
-            return result.Failure(failure)
         return self.check_admission(plan, selection.Choice(target, estimate, wait))
 
     def find_holding(
@@ -217,45 +221,48 @@
         limit = timing.drain_time - reserved
         return elapsed is not None and elapsed >= limit
 
-    def exceeds_admitted_fraction(
-        self,
-        plan: request_plans.PlannedRequest,
-        target: model.Target,
-        estimate: load_counts.Estimate,
-    ) -> bool:
-        """Whether to refuse a request because it exceeds what a busy owner can serve.
-
-        Only requests of the service's lowest priority are refused.
-        """
-        if estimate.admitted >= 1 or estimate.running < target.slots:
-            return False
-        if plan.route.priority < self.planner.lowest_priorities.get(
-            plan.service.name, 0
-        ):
-            return False
-        return self.random.random() > estimate.admitted
-
     def check_admission(
         self, plan: request_plans.PlannedRequest, choice: selection.Choice
     ) -> result.Result[selection.Choice, Any]:
         """Refuse the request if the target cannot finish it in time."""
-        estimate = choice.estimate
+        target, estimate = choice.target, choice.estimate
         now = self.clock.monotonic()
         time_left = (plan.due_at - now).total_seconds()
-        latency_objective = plan.route.latency_objective
-        if estimate.overloaded and latency_objective is not None:
-            # All slots stay busy anyway. A short queue then serves as many requests as
-            # a long one, but each of them in time.
-            time_left = min(
-                time_left,
-                max(latency_objective.total_seconds(), estimate.service * 1.3),
+        longest_wait = queue_limits.compute_longest_wait(
+            plan.route,
+            self.planner.routes_by_service.get(plan.service.name, ()),
+            self.loads,
+            estimate,
+            plan.service.name,
+            time_left,
+            (now - plan.first_sent_at).total_seconds(),
+        )
+        own_ratio = 1.0
+        if plan.key is None:
+            own_ratio = self.demand_counts.get_ratio(
+                plan.service.name, now.total_seconds()
             )
-        if estimate.running >= choice.target.slots * MAX_REQUESTS_PER_SLOT:
-            retry_after = datetime.timedelta(seconds=choice.wait / 2)
-            return result.Failure(errors.QueueFull(choice.target.name, retry_after))
+        demand = queue_limits.estimate_demand(estimate, own_ratio)
+        excess_s = queue_limits.estimate_excess_seconds(
+            estimate, target.slots, longest_wait
+        )
+        if estimate.running >= target.slots * queue_limits.MAX_REQUESTS_PER_SLOT:
+            retry_after = self.choose_return_time(excess_s, demand)
+            return result.Failure(errors.QueueFull(target.name, retry_after))
         if choice.wait + estimate.service * 0.8 > time_left:
-            retry_after = datetime.timedelta(seconds=choice.wait / 2)
-            return result.Failure(
-                errors.DeadlineUnreachable(choice.target.name, retry_after)
-            )
-        return result.Success(choice)
+            retry_after = self.choose_return_time(excess_s, demand)
+            return result.Failure(errors.DeadlineUnreachable(target.name, retry_after))
+        if not queue_limits.is_exceeded(estimate, target.slots):
+            return result.Success(choice)
+        fraction = queue_limits.compute_sent_fraction(
+            estimate, target.slots, longest_wait, demand
+        )
+        if self.random.random() < fraction:
+            return result.Success(choice)
+        retry_after = self.choose_return_time(excess_s, demand)
+        failure = errors.DemandExceeded(target.name, round(fraction * 100), retry_after)
+        return result.Failure(failure)
+
+    def choose_return_time(self, excess_s: float, demand: float) -> datetime.timedelta:
+        """Return the time after which a refused caller should come back."""
+        return return_times.choose_return_time(excess_s, demand, self.random.random())
--- a/packages/fleet/dewstep_fleet/telemetry.py
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -111,6 +111,8 @@
             len(pool.open_connections)
             for pool in process.dispatcher.pools.by_target.values()
         ),
+        "new_connections_reset_unused": process.dispatcher.pools.count_resets("unused"),
+        "new_connections_reset_used": process.dispatcher.pools.count_resets("used"),
         "targets": len(process.directory.targets),
         "leaving_owners": count_leaving_owners(process.directory),
         "evacuated_data_centres": len(process.directory.evacuations.current),
@@ -133,6 +135,9 @@
         ),
         "permits_used": participant.limits.counts["permits_used"],
         "permits_refused": participant.limits.counts["permits_refused"],
+        "cold_targets": len(participant.limits.warm_up.list_cold()),
+        "cold_permits_used": participant.limits.counts["cold_permits_used"],
+        "cold_permits_refused": participant.limits.counts["cold_permits_refused"],
     }
 
 
@@ -157,7 +162,10 @@
     targets = {}
     for name, target in directory.targets.items():
         estimate = process.loads.estimate(target.service, name, now)
-        targets[name] = {**target._asdict(), **estimate._asdict()}
+        registered = target._asdict()
+        # "cold" has the time left.
+        del registered["warm_up_left"]
+        targets[name] = {**registered, **estimate._asdict()}
     routes = directory.routes
     return {
         "schema": 1,
@@ -174,4 +182,5 @@
         "moving": directory.moving,
         "evacuations": progress.describe(directory),
         "limits": process.participant.limits.list_rates(),
+        "cold": process.participant.limits.warm_up.describe(),
     }
