Share the choice of destinations of leaving ranges

Moves away from a leaving target and out of an evacuated data centre looked for targets that can own keys, and logged the lack of them, with the same lines. One method does it now; behaviour is unchanged. Tests of granting and evacuation pass.

--- a/packages/fleet/dewstep_fleet/rebalancing.py
+++ b/packages/fleet/dewstep_fleet/rebalancing.py
@@ -114,11 +114,9 @@
             self.postpone(service, source, "the store does not answer")
             return
         demand = self.get_demand(service)
-        capacities = self.get_capacities(service, demand)
+        capacities = self.find_destinations(service, source, demand)
         if not capacities:
-            self.postpone(service, source, "no target can own keys")
             return
-        self.postponed.pop((service, source), None)
         ownership = self.directory.ownerships[service]
         totals = planning.sum_rates(ownership.holdings, demand.rates)
         for move in planning.distribute_ranges(
@@ -126,6 +124,20 @@
         ):
             self.mover.begin_move(service, move, release)
 
+    def find_destinations(
+        self, service: str, source: str, demand: demands.Demand
+    ) -> dict[str, planning.Capacity]:
+        """Return the capacities of the targets to which a target's ranges can go.
+
+        If there are none, the move is postponed.
+        """
+        capacities = self.get_capacities(service, demand)
+        if capacities:
+            self.postponed.pop((service, source), None)
+        else:
+            self.postpone(service, source, "no target can own keys")
+        return capacities
+
     def empty_data_centres(self, service: str) -> None:
         """Start to move the next ranges out of the evacuated data centres."""
         if not self.directory.evacuations.current:
@@ -147,11 +159,9 @@
         if max_new_moves <= 0:
             return
         demand = self.get_demand(service)
-        capacities = self.get_capacities(service, demand)
+        capacities = self.find_destinations(service, source, demand)
         if not capacities:
-            self.postpone(service, source, "no target can own keys")
             return
-        self.postponed.pop((service, source), None)
         totals = self.sum_future_rates(service, demand)
         for move in emptying.choose_moves(
             holdings,
