Cache the allowances of cold targets where they are computed

They depend on the service's rate and the bounds only, so the cache of each instance with the route table for which it holds is not needed. Behaviour is unchanged; the tests of warm_up pass.

--- a/packages/fleet/dewstep_fleet/warm_up/allowances.py
+++ b/packages/fleet/dewstep_fleet/warm_up/allowances.py
@@ -14,6 +14,7 @@
 """
 
 import datetime
+import functools
 import math
 from typing import NamedTuple
 
@@ -46,6 +47,7 @@
     """Requests/s of all isolated instances together."""
 
 
+@functools.lru_cache(maxsize=64)
 def compute_allowance(warm_up_rate: float, bounds: model.WarmUpBounds) -> Allowance:
     """Return what the cold targets of a service may get.
 
--- a/packages/fleet/dewstep_fleet/warm_up/tracking.py
+++ b/packages/fleet/dewstep_fleet/warm_up/tracking.py
@@ -46,10 +46,6 @@
         although it reset a connection."""
         self.reporters: dict[str, datetime.timedelta] = {}
         """When each member has last reported failures of most targets."""
-        self.allowances: dict[str, allowances.Allowance] = {}
-        """What the cold targets of each service may get, by service."""
-        self.computed_for: Any = None
-        """Route table and bounds for which the allowances were computed."""
         if directory is not None:
             directory.listeners.append(self.apply_rows)
             directory.evacuations.listeners.append(self.apply_evacuation_end)
@@ -75,19 +71,6 @@
             return None
         return service
 
-    def _get_allowance(self, service: model.Service) -> allowances.Allowance:
-        key = self.directory.routes, self.bounds
-        if self.computed_for is None or any(
-            one is not other for one, other in zip(self.computed_for, key, strict=True)
-        ):
-            self.computed_for = key
-            self.allowances = {}
-        if service.name not in self.allowances:
-            self.allowances[service.name] = allowances.compute_allowance(
-                service.warm_up_rate, self.bounds
-            )
-        return self.allowances[service.name]
-
     # Queries.
 
     def find(self, target: str) -> states.ColdState | None:
@@ -105,7 +88,7 @@
         if not self.states or self.find(target) is None:
             return None
         service = self.find_service(self.services[target])
-        return self._get_allowance(service)
+        return allowances.compute_allowance(service.warm_up_rate, self.bounds)
 
     def list_cold(self) -> dict[str, states.ColdState]:
         """Return the states of all cold targets."""
@@ -286,7 +269,7 @@
                 "target_cold",
                 target=name,
                 life=state.life,
-                limit=self._get_allowance(self.find_service(service)).rate,
+                limit=self.find_allowance(name).rate,
                 left=None if state.until is None else state.until - now,
                 source=source,
             )
