Remove a method that only tests used

Requests are checked by RequestLimits.confirm; take_now was left as its special case. The tests call confirm with the same arguments and the same assertions.

--- a/packages/fleet/dewstep_fleet/request_limits.py
+++ b/packages/fleet/dewstep_fleet/request_limits.py
@@ -280,13 +280,6 @@
             return self.build_refusal(target, limit)
         return None
 
-    def take_now(self, target: model.Target) -> errors.TargetLimited | None:
-        """Use a permit for a request that was admitted before the limit was known.
-
-        Returns the failure of the request if there is no permit.
-        """
-        return self.confirm(target, None)
-
     def _count(
         self, limit: limit_states.TargetLimit, permit: limit_states.Permit | None
     ) -> None:
--- a/packages/fleet/dewstep_fleet/request_limits_test.py
+++ b/packages/fleet/dewstep_fleet/request_limits_test.py
@@ -119,7 +119,7 @@
         for _ in range(400):
             for setting in settings:
                 setting.clock.advance(SECOND / 20)
-                taken = setting.limits.take_now(TARGET) is None
+                taken = setting.limits.confirm(TARGET, None) is None
                 used += [setting.clock.monotonic()] * taken
         for first in used:
             window = [at for at in used if first <= at < first + 4 * SECOND]
--- a/packages/fleet/dewstep_fleet/warm_up/bound_test.py
+++ b/packages/fleet/dewstep_fleet/warm_up/bound_test.py
@@ -60,7 +60,7 @@
         """Return whether a request is sent; ask for permits at the usual interval."""
         if asks:
             self.limits.request_permits([TARGET])
-        sent = sends and self.limits.take_now(TARGET) is None
+        sent = sends and self.limits.confirm(TARGET, None) is None
         now = self.clock.monotonic()
         if now >= self.next_question_at:
             question = self.limits.build_question()
@@ -190,7 +190,7 @@
 def test_permits_of_a_coordinator_that_knows_no_cold_targets_are_not_used():
     fleet = Fleet(3)
     (instance, *_) = fleet.instances
-    assert instance.limits.take_now(TARGET) is not None
+    assert instance.limits.confirm(TARGET, None) is not None
     question = instance.limits.build_question()
     assert question.wanted[0].cold_rate > 0
     instance.limits.apply_answer(question.asked_ms, [frames.Permits("a", 50, 0)])
@@ -202,10 +202,10 @@
 def test_permits_for_cold_targets_expire_soon():
     fleet = Fleet(1)
     (instance,) = fleet.instances
-    instance.limits.take_now(TARGET)
+    instance.limits.confirm(TARGET, None)
     question = instance.limits.build_question()
     issued = [frames.Permits("a", 2, 0, True)]
     instance.limits.apply_answer(question.asked_ms, issued)
-    assert instance.limits.take_now(TARGET) is None
+    assert instance.limits.confirm(TARGET, None) is None
     fleet.clock.advance(datetime.timedelta(milliseconds=200))
-    assert instance.limits.take_now(TARGET) is not None
+    assert instance.limits.confirm(TARGET, None) is not None
--- a/packages/fleet/dewstep_fleet/warm_up/requests_test.py
+++ b/packages/fleet/dewstep_fleet/warm_up/requests_test.py
@@ -145,4 +145,4 @@
     target = harness.directory.targets["a"]
     notice = answering.Notice(False, 0 * SECOND, None, SECOND)
     harness.dispatcher.pools.receive_notice(target, notice)
-    assert isinstance(harness.limits.take_now(target), errors.TargetLimited)
+    assert isinstance(harness.limits.confirm(target, None), errors.TargetLimited)
