--- a/packages/fleet/dewstep_fleet/load_counts.py
+++ b/packages/fleet/dewstep_fleet/load_counts.py
@@ -340,15 +340,13 @@
             if total is None:
                 load.others_running = 0
                 load.admitted = 1.0
-                if load.running < load.slots:
-                    load.slot_free_at = now
-                continue
-            load.admitted = total.admitted
-            load.others_running = max(0, total.running - load.last_reported)
+            else:
+                load.others_running = max(0, total.running - load.last_reported)
+                load.admitted = total.admitted
+                if load.slowness is None:
+                    load.slowness = limit_slowness(total.slowness)
             if load.running + load.others_running < load.slots:
                 load.slot_free_at = now
-            if load.slowness is None:
-                load.slowness = limit_slowness(total.slowness)
 
     def set_targets(self, names, now: float) -> None:
         """Keep the loads of these targets and of others with requests or a pause.
