--- a/packages/fleet/dewstep_fleet/moves.py
+++ b/packages/fleet/dewstep_fleet/moves.py
@@ -394,9 +394,9 @@
         which would leave its keys without an owner for as long. Grants that a previous
         coordinator may still send have no known expiry, so the release is awaited.
         """
-        release = asyncio.ensure_future(orders.release(owner, holding))
         if orders.outstanding.inherits:
-            return await release
+            return await orders.release(owner, holding)
+        release = asyncio.ensure_future(orders.release(owner, holding))
         wait = ownership_ends.compute_wait(end, self.clock.monotonic())
         expiry = asyncio.ensure_future(self.clock.sleep(wait))
         try:
