Find the longest wait only for requests that may be refused

It looks at all routes to the service, hundreds in a large configuration, and was found for each request, although only a queue in excessive demand or a refusal needs it. Decisions are unchanged; the tests of admission and dispatch pass.

--- a/packages/fleet/dewstep_fleet/target_search.py
+++ b/packages/fleet/dewstep_fleet/target_search.py
@@ -228,6 +228,10 @@
         target, estimate = choice.target, choice.estimate
         now = self.clock.monotonic()
         time_left = (plan.due_at - now).total_seconds()
+        full = estimate.running >= target.slots * queue_limits.MAX_REQUESTS_PER_SLOT
+        late = choice.wait + estimate.service * 0.8 > time_left
+        if not (full or late or queue_limits.is_exceeded(estimate, target.slots)):
+            return result.Success(choice)
         longest_wait = queue_limits.compute_longest_wait(
             plan.route,
             self.planner.routes_by_service.get(plan.service.name, ()),
@@ -246,14 +250,12 @@
         excess_s = queue_limits.estimate_excess_seconds(
             estimate, target.slots, longest_wait
         )
-        if estimate.running >= target.slots * queue_limits.MAX_REQUESTS_PER_SLOT:
+        if full:
             retry_after = self.choose_return_time(excess_s, demand)
             return result.Failure(errors.QueueFull(target.name, retry_after))
-        if choice.wait + estimate.service * 0.8 > time_left:
+        if late:
             retry_after = self.choose_return_time(excess_s, demand)
             return result.Failure(errors.DeadlineUnreachable(target.name, retry_after))
-        if not queue_limits.is_exceeded(estimate, target.slots):
-            return result.Success(choice)
         fraction = queue_limits.compute_sent_fraction(
             estimate, target.slots, longest_wait, demand
         )
