--- a/packages/fleet/dewstep_fleet/admission/demand_counts.py
+++ b/packages/fleet/dewstep_fleet/admission/demand_counts.py
@@ -31,12 +31,16 @@
             Monotonic seconds.
         sent : bool
         """
-        counted_at, requests, sends = self.counts.get(service, (now, 0.0, 0.0))
-        kept = math.exp(-max(0.0, now - counted_at) / TIME_CONSTANT_S)
-        self.counts[service] = now, requests * kept + 1, sends * kept + sent
+        requests, sends = self._decay(service, now)
+        self.counts[service] = now, requests + 1, sends + sent
 
     def get_ratio(self, service: str, now: float) -> float:
         """Return the ratio of all requests to those that were sent, at least 1."""
+        requests, sends = self._decay(service, now)
+        return (requests + PRIOR) / (sends + PRIOR)
+
+    def _decay(self, service: str, now: float) -> tuple[float, float]:
+        """Return the numbers of requests and of sends, decayed to the present."""
         counted_at, requests, sends = self.counts.get(service, (now, 0.0, 0.0))
         kept = math.exp(-max(0.0, now - counted_at) / TIME_CONSTANT_S)
-        return (requests * kept + PRIOR) / (sends * kept + PRIOR)
+        return requests * kept, sends * kept
