Answer all requests that were read before a planned stop closes a connection

Callers that sent a look-up and a booking together lost the booking when the instance got SIGTERM: the answer to the look-up carried "Connection: close", and the booking, read 0.4 s earlier, was neither run nor refused. Look-ups behind the ninth of a connection were lost as well.

Cause: the first answer closed the connection unless a request behind it had started. Requests that wait for their turn, and input for which the queue had no room, were dropped with the connection.

Change: the last answer is that to the last request that was read before it is written. Requests behind others run as without a stop, so count_startable() no longer takes "closing". Input that arrived with the end of a body is parsed before an answer closes the connection. Nothing is read behind the closing answer.

--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -102,6 +102,8 @@
         """Size of the write buffer at the last write sample."""
         self.slow_failure: Any = None
         self.reading = True
+        self.last_answer = False
+        """Whether the answer that is written, or was, closes the connection."""
 
     # Callbacks of the transport.
 
@@ -245,8 +247,8 @@
 
     def _read_ahead(self) -> None:
         """Read the requests that have arrived behind others, and start what may run."""
-        if not self.sequence.parallel:
-            # The task reads the first request.
+        if not self.sequence.parallel or self.last_answer:
+            # The task reads the first request. None gets an answer behind the last one.
             return
         while sequencing.can_read(self.sequence) and self._read_queued():
             pass
@@ -320,9 +322,8 @@
     def _start_queued(self) -> None:
         """Start the requests that may run beside those in front of them."""
         listener = self.listener
-        count = sequencing.count_startable(
-            self.sequence, listener.get_parallel_room(), listener.is_closing()
-        )
+        room = listener.get_parallel_room()
+        count = sequencing.count_startable(self.sequence, room)
         first = self.sequence.started
         for position in range(max(first, 1), first + count):
             request = self.queued[position - 1]
@@ -584,8 +585,12 @@
         """Write an answer; return false if it could not be completed."""
         http = self.http
         listener = self.listener
-        close = listener.is_closing() and sequencing.may_close(self.sequence)
-        close = close or http.their_state is not h11.DONE
+        close = http.their_state is not h11.DONE
+        if not close and listener.is_closing():
+            # What arrived with the end of a body has not been read yet.
+            self._read_ahead()
+            close = sequencing.may_close(self.sequence)
+        self.last_answer = close
         body = answer.body
         with_body = rendering.has_body(answer, method)
         try:
--- a/packages/entry/dewstep_entry/caller/sequencing.py
+++ b/packages/entry/dewstep_entry/caller/sequencing.py
@@ -5,9 +5,8 @@
 this holds for all requests in front of them too; any other request waits until it is
 the first. Answers are written in the order of the requests.
 
-An answer that closes the connection tells the caller that the requests behind it were
-not read, and the caller sends them again, whatever they do. So a connection is not
-closed in front of a request that has started.
+An answer that closes the connection is the last one. So a connection is not closed in
+front of a request that has been read: its caller would not know whether it has run.
 """
 
 from typing import NamedTuple
@@ -35,7 +34,7 @@
     return sequence._replace(parallel=(*sequence.parallel, parallel))
 
 
-def count_startable(sequence: Sequence, room: int, closing: bool) -> int:
+def count_startable(sequence: Sequence, room: int) -> int:
     """Return how many more requests to start.
 
     Parameters
@@ -43,14 +42,10 @@
     sequence : Sequence
     room : int
         Number of requests behind others that the process may still start.
-    closing : bool
-        Whether the connection is to be closed as soon as possible.
     """
     if sequence.parallel and not sequence.started:
         first = start(sequence, 1)
-        return 1 + count_startable(first, room, closing)
-    if closing:
-        return 0
+        return 1 + count_startable(first, room)
     count = 0
     for position in range(sequence.started, len(sequence.parallel)):
         if count == room or not all(sequence.parallel[: position + 1]):
@@ -66,7 +61,7 @@
 
 def may_close(sequence: Sequence) -> bool:
     """Whether the answer to the first request may close the connection."""
-    return sequence.started <= 1
+    return len(sequence.parallel) <= 1
 
 
 def remove_first(sequence: Sequence) -> Sequence:
