Answer requests that have arrived before a server closes a connection

Gates that had sent a request to a target just before its planned stop could get a reset connection instead of an answer or a refusal.

Cause: the HTTP server of dewstep_core, which also serves the operators' and internal ports, closed each connection whose task had not parsed a head yet. A request that the event loop had read, or that waited in the socket, was dropped. Closed transports drop what arrives until the next turn of the event loop, and all connections were closed in one turn.

Change: a connection with unparsed input is closed after the requests in it are answered; connections are closed one in each turn.

--- a/packages/core/dewstep_core/http/server.py
+++ b/packages/core/dewstep_core/http/server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import select
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -41,7 +42,7 @@
         self.writing_paused = False
         self.body_complete = False
         self.busy = False
-        self.stopping = False
+        self.server_closes = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start serving, or close the connection if the server has too many."""
@@ -129,8 +130,9 @@
         try:
             if self.server.accept_delay > 0:
                 await asyncio.sleep(self.server.accept_delay)
-            while not self.stopping and await self.serve_request():
-                pass
+            while await self.serve_request():
+                if self.stopping:
+                    break
         except h11.RemoteProtocolError as error:
             self.send_error(error)
         except ConnectionError:
@@ -182,10 +184,29 @@
         answer = h11.Response(status_code=status, headers=headers)
         transports.write(self.transport, self.http.send(answer))
 
+    @property
+    def stopping(self) -> bool:
+        """Whether the connection is to be closed after the present answer."""
+        return self.server_closes and not self.has_input()
+
+    def has_input(self) -> bool:
+        """Return whether something has arrived that was not parsed.
+
+        The event loop may not have read it yet, so the socket is polled. Closing would
+        drop it, and its sender could not know whether the request was processed.
+        """
+        if self.transport.is_closing():
+            return False
+        if self.received or self.http.trailing_data[0]:
+            return True
+        poller = select.poll()
+        poller.register(self.transport.get_extra_info("socket"), select.POLLIN)
+        return bool(poller.poll(0))
+
     def stop(self) -> None:
-        """Close the connection now if it is idle, else after the present exchange."""
-        self.stopping = True
-        if not self.busy:
+        """Close the connection now if it is idle, else after the requests received."""
+        self.server_closes = True
+        if not self.busy and self.stopping:
             self.transport.close()
 
 
@@ -265,9 +286,12 @@
             Seconds after which exchanges in progress are aborted.
         """
         self.stop_listening()
-        tasks = [connection.task for connection in self.connections]
         for connection in tuple(self.connections):
             connection.stop()
+            # The socket is closed in the next turn of the event loop. What arrives
+            # until then is dropped, so the connections do not wait for each other.
+            await asyncio.sleep(0)
+        tasks = [connection.task for connection in self.connections]
         if tasks:
             await asyncio.wait(tasks, timeout=grace)
         self.abort_connections()
--- a/packages/core/dewstep_core/http/server_test.py
+++ b/packages/core/dewstep_core/http/server_test.py
@@ -1,4 +1,7 @@
 import asyncio
+import socket
+
+import pytest
 
 from dewstep_core import errors
 from dewstep_core.http import exchanges, routing, server
@@ -64,6 +67,31 @@
         assert (answer.body, answer.headers["connection"]) == (b"done", "close")
 
 
+@pytest.mark.parametrize("turns", range(4))
+def test_close_answers_requests_that_have_arrived(turns):
+    # Guards against a graceful stop that drops a request which the event loop has not
+    # read yet, or which the task of the connection has not parsed yet.
+    async def answer(exchange):
+        exchange.respond(exchanges.Response(200, b"done"))
+
+    async def scenario():
+        async with testing.serving(answer) as (served, _):
+            with socket.create_connection(served.address) as caller:
+                caller.setblocking(False)
+                while not served.connections:
+                    await asyncio.sleep(0)
+                caller.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * 2)
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                await served.close()
+                received = b""
+                while chunk := caller.recv(4096):
+                    received += chunk
+                assert received.count(b"HTTP/1.1 200") == 2
+
+    asyncio.run(scenario())
+
+
 @testing.run_in_event_loop
 async def test_stop_listening_refuses_connections_and_resume_listening_keeps_the_port():
     # Guards against an emulated service losing its port while it refuses connections.
