Close a connection after an answer that had begun before a planned stop

A process that stopped while it wrote a long answer kept the connection until the end of the stop, counted it as cut (exit status 3 of an entry process) and reset it. A request that a caller sent on it late was cut with it.

Cause: a stopping listener closes its idle connections once; the others end with an answer that carries "Connection: close". An answer that has begun without this header does neither.

Change: after each answer, a connection of a stopped listener is closed if nothing behind the answer has been read.

--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -461,6 +461,9 @@
         try:
             while await self._serve_request():
                 self._advance()
+                if self.listener.stopping and not (self.queued or self.unparsed_bytes):
+                    # The head was written before the stop, without a close.
+                    break
             self._start_lingering_close()
         except asyncio.CancelledError:
             self.transport.abort()
--- a/packages/entry/dewstep_entry/caller/listener_test.py
+++ b/packages/entry/dewstep_entry/caller/listener_test.py
@@ -333,6 +333,34 @@
     asyncio.run(scenario())
 
 
+# Guards against a connection that stays open until the end of a stop, as the answer's
+# head was written before the stop began; a request sent on it then would be cut.
+def test_stop_closes_a_connection_after_an_answer_that_had_begun():
+    may_end = asyncio.Event()
+
+    async def stream():
+        yield b"1"
+        await may_end.wait()
+        yield b"2"
+
+    async def handle(request):
+        return build_answer(rest=stream(), length=2)
+
+    async def scenario():
+        async with serve(handle) as server:
+            reader, writer = await asyncio.open_connection(*server.address)
+            writer.write(GET)
+            await reader.readuntil(b"\r\n\r\n1")
+            stopping = asyncio.ensure_future(server.stop())
+            await asyncio.sleep(0.02)
+            may_end.set()
+            assert await asyncio.wait_for(reader.read(), 2) == b"2"
+            writer.close()
+            await asyncio.wait_for(stopping, 2)
+
+    asyncio.run(scenario())
+
+
 async def change_limits(server, **changes):
     """Apply limits of a new configuration, once all that was sent has been read."""
     await asyncio.sleep(0.05)
