Send compact heartbeats in fleets of 30 members or more

Heartbeats are about a quarter of the bytes between data centres in the largest fleet: 177 totals take 1,417 bytes in each, mostly hashes of names and 16-bit numbers that a link carries again each time.

A coordinator now numbers the targets with requests. A link carries each hash once; after that, a heartbeat has one byte for the requests and one for the slowness (steps of 2%) of each target, compressed once for all members. The values depend on no earlier values. A member whose targets do not match the checksum ignores the totals, logs totals_refused once and asks for all hashes with its next report.

--- a/packages/fleet/dewstep_fleet/coordination.py
+++ b/packages/fleet/dewstep_fleet/coordination.py
@@ -59,6 +59,7 @@
     votes,
 )
 from dewstep_fleet.evacuation import relayed_rows
+from dewstep_fleet.totals import columns
 from dewstep_fleet.warm_up import tracking
 
 TICK_INTERVAL = datetime.timedelta(milliseconds=50)
@@ -107,11 +108,12 @@
         self.reachability = reachability.Reachability(now)
         """Contact of this instance to the targets; replaced by that of its
         dispatcher."""
-        self.initial_read_done = False
-        """Whether all tables have been read at least once."""
         self.tasks = tasks.TaskOwner(self.handle_task_failure)
         self.role = roles.Role(own_member)
         self.membership = membership.Membership(now)
+        self.needed_tables = followers.NeededTables(
+            self.role, self.membership, store_feeds
+        )
         self.demands = demands.Demands(clock)
         self.limits = request_limits.RequestLimits(
             clock,
@@ -193,7 +195,9 @@
                 loads.get_typical_seconds(service, ""),
                 self.limits.list_capacity_rates(),
             ),
-            self.estimate_queue_wait,
+            lambda target: selection.estimate_queue_wait(
+                loads, target, clock.monotonic()
+            ),
             self.votes.get_inherited_grant_time_left,
             self.news.schedule,
             self.followers.can_connect_without_store,
@@ -376,7 +380,7 @@
     def tick(self, now: datetime.timedelta) -> None:
         """Do all work that is due."""
         self.directory.apply_deferred_removals()
-        self.follow_needed_tables(now)
+        self.needed_tables.follow(now)
         if (
             not self.directory.leadership.version
             and not self.directory.era_floor
@@ -398,21 +402,6 @@
         else:
             self.candidacy.stand_if_due(now)
 
-    def follow_needed_tables(self, now: datetime.timedelta) -> None:
-        """Follow the tables whose changes no other instance sends."""
-        coordinating, deputy = self.role.coordinating, self.role.deputy
-        tables = membership.choose_tables(
-            self.membership.contact, now, coordinating, deputy
-        )
-        if not self.initial_read_done:
-            # Afterwards, a live coordinator sends the changes as soon as it has read
-            # the row of this instance.
-            self.initial_read_done = self.table_feeds.is_current()
-            tables = frozenset(model.TABLES)
-        elif not self.role.term:
-            tables |= {model.TABLES.fleet}
-        self.table_feeds.follow(tables, coordinating or deputy)
-
     # Messages.
 
     def receive(self, link: links.Link, frame: frames.Frame) -> None:
@@ -454,12 +443,14 @@
         if frame.rows:
             self.news.apply_relayed_rows(frame.rows)
         news.apply_moves(self.directory, frame)
-        self.loads.apply_totals(frame.totals, now.total_seconds())
+        totals = columns.read(link.state, frame)
+        if totals is not None:
+            self.loads.apply_totals(totals, now.total_seconds())
         self.limits.apply_observations(frame.limits, first_hand=False)
         self.limits.warm_up.apply_observations(frame.cold)
         self.losses.receive_heartbeat(frame, now)
         self.news.record_complete(link, frame, now - self.membership.delay)
-        link.send(self.own_reports.build())
+        self.own_reports.send(link)
 
     def receive_news(self, link: links.Link, frame: frames.Frame) -> None:
         """Apply news, which also show that the coordinator lives."""
@@ -504,10 +495,3 @@
         self.tenure.start_if_elected()
         if not self.news.applying_relayed_rows:
             self.own_reports.send_rows(changed_rows)
-
-    def estimate_queue_wait(self, target: model.Target) -> datetime.timedelta:
-        """Return the expected queueing time at a target."""
-        now = self.clock.monotonic().total_seconds()
-        estimate = self.loads.estimate(target.service, target.name, now, target.slots)
-        wait = selection.estimate_wait(estimate, target.slots)
-        return datetime.timedelta(seconds=wait)
--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -32,6 +32,7 @@
     registrations,
     reports,
 )
+from dewstep_fleet.totals import link_states
 
 TIMEOUT_S = 6.0
 SECOND = builders.SECOND
@@ -695,6 +696,7 @@
 
     def __init__(self):
         self.sent = []
+        self.state = link_states.LinkState()
 
     def send(self, frame):
         self.sent.append(frame)
--- a/packages/fleet/dewstep_fleet/fleet.capnp
+++ b/packages/fleet/dewstep_fleet/fleet.capnp
@@ -131,4 +131,6 @@
   acceptsMoves @31 :Bool;  # "versions": the sender can apply changes of the moves
   readsEvacuations @32 :Bool; # the sender reads the rows that ask for an evacuation
   cold @33 :List(Cold);
+  acceptsCompact @34 :Bool; # "report": see Frame.accepts_compact in frames.py
+  wantsTotals @35 :Bool;   # "report": the last totals did not fit
 }
--- a/packages/fleet/dewstep_fleet/followers.py
+++ b/packages/fleet/dewstep_fleet/followers.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from dewstep_core import clocks
-from dewstep_fleet import feeds, quorum_writes, reports, roles
+from dewstep_fleet import feeds, membership, model, quorum_writes, reports, roles
 
 STORE_ANSWER_MAX_AGE = datetime.timedelta(milliseconds=2300)
 """Maximum age of the store's last answer for an instance that reaches the store; a
@@ -133,3 +133,41 @@
             for node, report in self.list_recent().items()
             if node != self.role.own_member.node
         )
+
+
+class NeededTables:
+    """The tables that this instance follows in the store itself.
+
+    Parameters
+    ----------
+    role : roles.Role
+    own_membership : membership.Membership
+    table_feeds : feeds.TableFeeds
+    """
+
+    def __init__(
+        self,
+        role: roles.Role,
+        own_membership: membership.Membership,
+        table_feeds: feeds.TableFeeds,
+    ):
+        self.role = role
+        self.membership = own_membership
+        self.table_feeds = table_feeds
+        self.initial_read_done = False
+        """Whether all tables have been read at least once."""
+
+    def follow(self, now: datetime.timedelta) -> None:
+        """Follow the tables whose changes no other instance sends."""
+        coordinating, deputy = self.role.coordinating, self.role.deputy
+        tables = membership.choose_tables(
+            self.membership.contact, now, coordinating, deputy
+        )
+        if not self.initial_read_done:
+            # Afterwards, a live coordinator sends the changes as soon as it has read
+            # the row of this instance.
+            self.initial_read_done = self.table_feeds.is_current()
+            tables = frozenset(model.TABLES)
+        elif not self.role.term:
+            tables |= {model.TABLES.fleet}
+        self.table_feeds.follow(tables, coordinating or deputy)
--- a/packages/fleet/dewstep_fleet/frames.py
+++ b/packages/fleet/dewstep_fleet/frames.py
@@ -218,6 +218,14 @@
     cold: tuple[Cold, ...] = ()
     """In a "beat": the targets that may be cold although their rows do not say so. In a
     "report": those that the sender has observed itself."""
+    accepts_compact: bool = False
+    """In a "report": whether the sender reads compact heartbeats (`totals`), which
+    earlier versions of this package cannot."""
+    wants_totals: bool = False
+    """In a "report": whether the last totals did not fit the targets that the sender
+    has, so that it needs all of them again."""
+    compact: Any = None
+    """In a "beat" or "report": its compact block, see `totals.blocks`."""
 
 
 def hash_target_name(target: str) -> int:
@@ -261,6 +269,8 @@
         movesKept=frame.moves_kept,
         acceptsMoves=frame.accepts_moves,
         readsEvacuations=frame.reads_evacuations,
+        acceptsCompact=frame.accepts_compact,
+        wantsTotals=frame.wants_totals,
     )
     if frame.rows:
         message.rows = [
@@ -385,6 +395,8 @@
         message.acceptsMoves,
         message.readsEvacuations,
         decode_records(message, "cold", Cold),
+        message.acceptsCompact,
+        message.wantsTotals,
     )
 
 
--- a/packages/fleet/dewstep_fleet/heartbeats.py
+++ b/packages/fleet/dewstep_fleet/heartbeats.py
@@ -23,8 +23,10 @@
     reports,
     request_limits,
     roles,
+    totals,
     votes,
 )
+from dewstep_fleet.totals import columns, envelopes
 
 HEARTBEAT_INTERVAL = datetime.timedelta(milliseconds=100)
 HEARTBEAT_INTERVAL_PER_MEMBER = datetime.timedelta(milliseconds=2)
@@ -99,6 +101,7 @@
         self.get_admitted_fractions = get_admitted_fractions
         self.last_sent_at = clock.monotonic()
         self.scheduled = False
+        self.columns = columns.ColumnWriter()
 
     def send_if_due(self, now: datetime.timedelta) -> None:
         """Send a heartbeat if the interval since the last one has passed."""
@@ -123,17 +126,21 @@
         self.receive_report(self.role.own_member.node, self.build_own_report())
         self.votes.announce_long_grants(now)
         self.membership.live_instances = len(self.followers.list_nodes())
-        totals = reports.sum_loads(
+        summed = reports.sum_loads(
             self.followers.reports,
             self.demands.slowness,
             self.get_admitted_fractions(),
         )
-        self.loads.apply_totals(totals, now.total_seconds())
+        self.loads.apply_totals(summed, now.total_seconds())
         crashes, departures = self.losses.take_unsent()
         deputies = set(self.choose_deputies())
         if self.news.has_unannounced_moves():
             self.news.schedule()
-        encoded: dict[tuple[bool, bool], bytes] = {}
+        large = self.membership.live_instances >= totals.MIN_MEMBERS
+        if large:
+            registered = len(self.directory.targets)
+            self.columns.begin(self.role.term, summed, registered)
+        encoded: dict[tuple[bool, bool, int | None], bytes] = {}
         for node, link in list(self.members.links.items()):
             report = self.followers.reports.get(node)
             if (
@@ -144,22 +151,36 @@
                 link.close()
                 self.members.drop(link)
                 continue
-            kind = node in deputies, node in self.news.accepting_moves
+            known = None
+            if large and report is not None and report.accepts_compact:
+                known = self.columns.count_known(link.state)
+            kind = node in deputies, node in self.news.accepting_moves, known
             if kind not in encoded:
                 # Most members get the same message.
-                deputy, accepts_moves = kind
-                frame = self.build(deputy, totals, crashes, departures)
+                deputy, accepts_moves, _ = kind
+                frame = self.build(deputy, summed, crashes, departures)
                 if accepts_moves:
                     frame = frame._replace(moves_kept=True, moving=())
-                encoded[kind] = frames.encode(frame)
+                encoded[kind] = self.encode(frame, known)
             self.members.sent_bytes["beat"] += len(encoded[kind])
+            if known is not None:
+                self.columns.record_sent(link.state)
             if not link.send_encoded(encoded[kind]):
                 self.members.drop(link)
 
+    def encode(self, frame: frames.Frame, known: int | None) -> bytes:
+        """Encode a heartbeat for members that have received some of the targets.
+
+        They get the earlier form if `known` is None.
+        """
+        if known is None:
+            return frames.encode(frame)
+        return envelopes.encode(frame, self.columns.encode(known))
+
     def build(
         self,
         deputy: bool,
-        totals: tuple[frames.Total, ...] = (),
+        summed: tuple[frames.Total, ...] = (),
         crashes: tuple[frames.Crash, ...] = (),
         departures: tuple[frames.Departure, ...] = (),
     ) -> frames.Frame:
@@ -169,7 +190,7 @@
             "beat",
             contact=self.followers.is_healthy(),
             members=self.membership.live_instances,
-            totals=totals,
+            totals=summed,
             moving=move_changes.list_spans(self.directory.moving),
             crashes=crashes,
             departures=departures,
@@ -202,3 +223,6 @@
         if node != self.role.own_member.node:
             self.limits.warm_up.apply_report(node, frame.cold)
         self.losses.receive_report(frame)
+        link = self.members.links.get(node)
+        if frame.wants_totals and link is not None:
+            self.columns.repeat(link.state)
--- a/packages/fleet/dewstep_fleet/links.py
+++ b/packages/fleet/dewstep_fleet/links.py
@@ -9,6 +9,7 @@
 from dewstep_core import events
 from dewstep_core.http import transports
 from dewstep_fleet import frames
+from dewstep_fleet.totals import envelopes, link_states
 
 LENGTH_PREFIX_BYTES = 4
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=400)
@@ -48,6 +49,7 @@
         self.received = bytearray()
         self.closed = False
         self.accepted = accepted
+        self.state = link_states.LinkState()
         self.frame_timer: asyncio.TimerHandle | None = None
         """Closes the link unless the next frame is complete."""
 
@@ -85,7 +87,7 @@
             del self.received[: LENGTH_PREFIX_BYTES + size]
             self._stop_frame_timer()
             try:
-                frame = frames.decode(content)
+                frame = envelopes.decode(content, self.state)
             except (capnp.KjException, ValueError) as error:
                 events.warning("frame_refused", error=type(error).__name__)
                 self.close()
--- a/packages/fleet/dewstep_fleet/own_reports.py
+++ b/packages/fleet/dewstep_fleet/own_reports.py
@@ -10,6 +10,7 @@
     feeds,
     followers,
     frames,
+    links,
     load_counts,
     loss_reports,
     membership,
@@ -90,4 +91,13 @@
         link = self.membership.coordinator_link
         if self.role.deputy and link is not None:
             self.rows.extend(rows)
-            link.send(self.build())
+            self.send(link)
+
+    def send(self, link: links.Link) -> None:
+        """Send a report to the coordinator in the form that it accepts."""
+        link.send(
+            self.build()._replace(
+                accepts_compact=link.state.accepts_compact,
+                wants_totals=link.state.totals_refused,
+            )
+        )
--- a/packages/fleet/dewstep_fleet/reports.py
+++ b/packages/fleet/dewstep_fleet/reports.py
@@ -28,6 +28,7 @@
     heartbeat_ms: int
     """When the heartbeat was sent that the member has acknowledged."""
     reaches_targets: bool
+    accepts_compact: bool = False
 
 
 def build_report(frame: frames.Frame, now: datetime.timedelta) -> Report:
@@ -39,6 +40,7 @@
         frame.loads,
         frame.heartbeat_ms,
         frame.reaches_targets,
+        frame.accepts_compact,
     )
 
 
--- a/packages/fleet/dewstep_fleet/selection.py
+++ b/packages/fleet/dewstep_fleet/selection.py
@@ -5,6 +5,7 @@
 centre. `spreading` chooses among the targets with low costs.
 """
 
+import datetime
 import random
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -43,6 +44,16 @@
     return max(0, ahead) * estimate.turn / max(1, slots)
 
 
+def estimate_queue_wait(
+    loads: load_counts.Loads, target: model.Target, now: datetime.timedelta
+) -> datetime.timedelta:
+    """Return the expected queueing time at a target."""
+    estimate = loads.estimate(
+        target.service, target.name, now.total_seconds(), target.slots
+    )
+    return datetime.timedelta(seconds=estimate_wait(estimate, target.slots))
+
+
 def choose_target(
     targets: Iterable[model.Target],
     loads: load_counts.Loads,
