--- a/packages/fleet/dewstep_fleet/own_reports.py
+++ b/packages/fleet/dewstep_fleet/own_reports.py
@@ -19,6 +19,7 @@
     roles,
     votes,
 )
+from dewstep_fleet.totals import envelopes, report_targets
 
 
 class OwnReports:
@@ -62,6 +63,7 @@
         self.reaches_targets = reaches_targets
         self.rows: list[model.StoredRow] = []
         """Changed rows that a deputy sends to the coordinator with its next report."""
+        self.writer = report_targets.ReportWriter()
 
     def build(self) -> frames.Frame:
         """Return a report of what this instance counted since the last one."""
@@ -95,9 +97,14 @@
 
     def send(self, link: links.Link) -> None:
         """Send a report to the coordinator in the form that it accepts."""
-        link.send(
-            self.build()._replace(
-                accepts_compact=link.state.accepts_compact,
-                wants_totals=link.state.totals_refused,
-            )
+        frame = self.build()._replace(
+            accepts_compact=link.state.accepts_compact,
+            wants_totals=link.state.totals_refused,
         )
+        block = None
+        if link.state.reports_compact:
+            block = self.writer.encode(link.state, frame)
+        if block is None:
+            link.send(frame)
+        else:
+            link.send_encoded(envelopes.encode(frame, block))
--- a/packages/fleet/dewstep_fleet/totals/columns.py
+++ b/packages/fleet/dewstep_fleet/totals/columns.py
@@ -94,6 +94,7 @@
 ) -> tuple[frames.Total, ...] | None:
     """Return the totals of a heartbeat, or None if they do not fit earlier ones."""
     state.accepts_compact = frame.members >= totals.MIN_MEMBERS
+    state.reports_compact = frame.compact is not None
     if frame.compact is None:
         state.totals_refused = False
         return frame.totals
--- a/packages/fleet/dewstep_fleet/totals/envelopes.py
+++ b/packages/fleet/dewstep_fleet/totals/envelopes.py
@@ -7,7 +7,7 @@
 import struct
 
 from dewstep_fleet import frames
-from dewstep_fleet.totals import blocks, link_states
+from dewstep_fleet.totals import blocks, link_states, report_blocks, report_targets
 
 HEAD = struct.Struct(">BI")
 MARK = 0xFF
@@ -42,4 +42,6 @@
     block = content[HEAD.size : end]
     if frame.kind == "beat":
         return frame._replace(compact=blocks.decode_totals(block))
+    if frame.kind == "report":
+        return report_targets.read(state, frame, report_blocks.decode_report(block))
     raise ValueError("message has no compact form")
--- a/packages/fleet/dewstep_fleet/totals/link_states.py
+++ b/packages/fleet/dewstep_fleet/totals/link_states.py
@@ -19,3 +19,12 @@
         """Whether the last totals did not fit, so that complete ones are needed."""
         self.accepts_compact = False
         """Whether the last heartbeat told of a fleet that is large enough."""
+        self.reports_compact = False
+        """Whether the last heartbeat was compact, so that its sender reads reports of
+        that form."""
+        self.sent_numbers: dict[str, int] = {}
+        """Numbers of the targets in reports sent, by name."""
+        self.sent_checksum = 0
+        self.received_names: tuple[str, ...] = ()
+        """Names of the targets in reports received, by number."""
+        self.received_names_checksum = 0
--- a/packages/fleet/dewstep_fleet/totals/mixed_builds_test.py
+++ b/packages/fleet/dewstep_fleet/totals/mixed_builds_test.py
@@ -100,7 +100,12 @@
 async def test_compact_form_begins_once_the_member_accepts_it(monkeypatch):
     pair = Pair(monkeypatch)
     pair.coordinator.loads.begin_request("a")
-    assert [pair.exchange()[0] for _ in range(4)] == [False, False, True, True]
+    forms = [pair.exchange() for _ in range(4)]
+    assert forms == [(False, False)] * 2 + [(True, True)] * 2
+    pair.member.loads.begin_request("b")
+    pair.exchange()
+    report = pair.coordinator.followers.reports["m1"]
+    assert [load[:2] for load in report.loads] == [("b", 1)]
     assert pair.count_others("a") == 1
     pair.connect()
     assert [pair.exchange()[0] for _ in range(3)] == [False, False, True]
