Count the bytes of an instance by purpose

Links now count what they send by kind of message, and connections to targets and to other instances count both directions, with one addition for each message or chunk; those to targets by whether the target is in this data centre.

The values of compact heartbeats are now encoded only if a member needs them, so that among members of an earlier build a coordinator encodes nothing more than before.

--- a/packages/entry/dewstep_entry/targets/connection.py
+++ b/packages/entry/dewstep_entry/targets/connection.py
@@ -25,6 +25,7 @@
     answering,
     exchanges,
     outcome,
+    traffic,
     unread_input,
 )
 
@@ -56,6 +57,7 @@
         How the target's answers identify and refuse requests.
     on_notice : callable, optional
         Called with what the target says about itself in the head of an answer.
+    counts : traffic.Traffic, optional
     """
 
     def __init__(
@@ -65,10 +67,12 @@
         lost: Callable[["Connection"], None],
         rules: answering.AnswerRules = answering.DEWSTEP_RULES,
         on_notice: Callable[[answering.Notice], None] | None = None,
+        counts: traffic.Traffic | None = None,
     ):
         self.target = target
         self.rules = rules
         self.on_notice = on_notice
+        self.traffic = counts or traffic.Traffic()
         self.freed = freed
         self.lost = lost
         self.http = h11.Connection(
@@ -152,6 +156,7 @@
         """Parse input; input without a request in progress closes the connection."""
         exchange = self.current_exchange
         self.received = True
+        self.traffic.received += len(chunk)
         if exchange is None:
             self.abort()
             return
@@ -261,7 +266,7 @@
             pieces.append(self.http.send(h11.Data(data=body.start)))
         if body.rest is None:
             pieces.append(self.http.send(h11.EndOfMessage()))
-        if not transports.write(self.transport, b"".join(pieces)):
+        if not self._write(b"".join(pieces)):
             self._fail(outcome.Event.CLOSED)
             return
         exchange.sent = self.has_sent = True
@@ -270,6 +275,10 @@
                 self._send_body_rest(exchange, body.rest)
             )
 
+    def _write(self, content: bytes) -> bool:
+        self.traffic.sent += len(content)
+        return transports.write(self.transport, content)
+
     async def _send_body_rest(self, exchange: exchanges.Exchange, rest) -> None:
         try:
             async for chunk in bodies.split_chunks(rest):
@@ -278,10 +287,10 @@
                 if self.current_exchange is not exchange:
                     return
                 chunk = self.http.send(h11.Data(data=chunk))
-                if not transports.write(self.transport, chunk):
+                if not self._write(chunk):
                     return
             if self.current_exchange is exchange:
-                transports.write(self.transport, self.http.send(h11.EndOfMessage()))
+                self._write(self.http.send(h11.EndOfMessage()))
         except (bodies.BodyFailure, h11.LocalProtocolError) as error:
             if self.current_exchange is exchange:
                 self._fail(outcome.Event.ABANDONED, str(error))
@@ -419,7 +428,9 @@
         if trailing and not self.rules.has_request_id:
             self._fail(outcome.Event.INVALID, "bytes after the end of the answer")
             return
-        if exchange.ends_with_close and self._ends_early():
+        if exchange.ends_with_close and unread_input.ends_early(
+            self.http, self.transport, self.poller
+        ):
             self._fail(outcome.Event.CLOSED)
             return
         self._detach_exchange(exchange)
@@ -432,16 +443,6 @@
         else:
             self.abort()
 
-    def _ends_early(self) -> bool:
-        """Whether a connection that marks the end of an answer may end it too early.
-
-        A target that ends it while the request's body is being sent, or resets it, may
-        not have sent the whole answer.
-        """
-        sending = self.http.our_state is h11.SEND_BODY
-        unsent = self.transport.get_write_buffer_size() > 0
-        return sending or unsent or unread_input.was_reset(self.poller)
-
     def _resume_after_skipped_answer(self, exchange: exchanges.Exchange) -> None:
         """Parse the input after a skipped late answer to an earlier request."""
         if self.http.our_state is not h11.DONE:
--- a/packages/entry/dewstep_entry/targets/connection_pool.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool.py
@@ -17,7 +17,7 @@
 
 from dewstep_core import clocks, data, errors, settings
 from dewstep_entry import interfaces
-from dewstep_entry.targets import acceptance, answering, connection, openings
+from dewstep_entry.targets import acceptance, answering, connection, openings, traffic
 
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
 REUSE_DELAY = datetime.timedelta(milliseconds=20)
@@ -61,6 +61,8 @@
     accepts : acceptance.Acceptance, optional
         Learns from new connections that the target resets, and limits those that are
         opened after that.
+    counts : traffic.Traffic, optional
+        Counts the bytes on all connections.
     """
 
     def __init__(
@@ -78,8 +80,10 @@
         | None = None,
         on_unreached: Callable[[bool], None] | None = None,
         accepts: acceptance.Acceptance | None = None,
+        counts: traffic.Traffic | None = None,
     ):
         self.name = name
+        self.traffic = counts or traffic.Traffic()
         self.accepts = accepts
         self.settling: dict[connection.Connection, asyncio.Future] = {}
         """New connections that wait for a reset."""
@@ -299,6 +303,7 @@
                         self._remove_connection,
                         self.rules,
                         self._receive_notice,
+                        self.traffic,
                     ),
                     *self.address,
                 )
--- a/packages/entry/dewstep_entry/targets/connection_pool_test.py
+++ b/packages/entry/dewstep_entry/targets/connection_pool_test.py
@@ -99,6 +99,24 @@
         assert len(opened) == 2
 
 
+@testing.run_in_event_loop
+async def test_bytes_of_all_connections_are_counted():
+    """Guards against counts that miss a body, or end with a connection."""
+    answers = (render_answer(b"a"), render_answer(b"b"))
+    async with run_target(*answers, close=True) as (pool, _):
+        await send_request(pool, b"a")
+        assert pool.traffic.received == len(answers[0])
+        head = len(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert pool.traffic.sent == head
+        deadline = pool.clock.monotonic() + SECOND
+        request = h11.Request(
+            method="POST", target="/", headers=[("host", "h"), ("content-length", "9")]
+        )
+        await pool.send(request, data.Body(b"123456789", None), deadline, b"b")
+        length = len(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n")
+        assert pool.traffic.sent == head + length + 9
+
+
 @testing.run_in_event_loop
 async def test_answer_without_a_request_id_is_invalid():
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
--- a/packages/entry/dewstep_entry/targets/unread_input.py
+++ b/packages/entry/dewstep_entry/targets/unread_input.py
@@ -5,9 +5,12 @@
 run.
 """
 
+import asyncio
 import os
 import select
 
+import h11
+
 READ_BYTES = 32_768
 MAXIMUM_BYTES = 131_072
 """More than the largest head of an answer; the rest is not read."""
@@ -42,3 +45,16 @@
     """Whether the peer has ended or reset a connection."""
     end = select.POLLERR | select.POLLHUP | select.POLLRDHUP
     return any(events & end for _, events in poller.poll(0))
+
+
+def ends_early(
+    http: h11.Connection, transport: asyncio.Transport, poller: select.poll
+) -> bool:
+    """Whether a connection that marks the end of an answer may end it too early.
+
+    A target that ends it while the request's body is being sent, or resets it, may not
+    have sent the whole answer.
+    """
+    sending = http.our_state is h11.SEND_BODY
+    unsent = transport.get_write_buffer_size() > 0
+    return sending or unsent or was_reset(poller)
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -138,7 +138,7 @@
         self.refuser = refusals.Refuser(directory, loads, participant, clock, generator)
         self.stop = planned_stops.PlannedStop(node, clock)
         self.pools = target_pools.TargetPools(
-            directory, loads, participant, answer_rules, clock
+            directory, loads, participant, answer_rules, data_centre, clock
         )
         self.crashes = crash_checks.CrashChecks(
             directory, participant, clock, self.background_tasks
--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -410,6 +410,17 @@
     assert pools.count_resets("unused") == 1
 
 
+def test_bytes_are_counted_by_the_data_centre_of_the_target():
+    """Guards against bytes between data centres that are counted as local ones."""
+    harness = Harness()
+    del harness.dispatcher.pools.get
+    pools = harness.dispatcher.pools
+    service = harness.directory.routes.services["history"]
+    for data_centre, counts in ((pools.data_centre, pools.near), ("other", pools.far)):
+        target = builders.build_target(data_centre, data_centre=data_centre)
+        assert pools.get(service, target).traffic is counts
+
+
 def test_idempotent_request_is_resent():
     harness = Harness(lost, 200)
     assert harness.send().status == 200
--- a/packages/fleet/dewstep_fleet/heartbeats.py
+++ b/packages/fleet/dewstep_fleet/heartbeats.py
@@ -162,10 +162,9 @@
                 if accepts_moves:
                     frame = frame._replace(moves_kept=True, moving=())
                 encoded[kind] = self.encode(frame, known)
-            self.members.sent_bytes["beat"] += len(encoded[kind])
             if known is not None:
                 self.columns.record_sent(link.state)
-            if not link.send_encoded(encoded[kind]):
+            if not link.send_encoded(encoded[kind], "beat"):
                 self.members.drop(link)
 
     def encode(self, frame: frames.Frame, known: int | None) -> bytes:
--- a/packages/fleet/dewstep_fleet/links.py
+++ b/packages/fleet/dewstep_fleet/links.py
@@ -1,6 +1,7 @@
 """TCP connections between instances that carry length-prefixed frames."""
 
 import asyncio
+import collections
 import datetime
 from collections.abc import Callable
 
@@ -49,6 +50,8 @@
         self.received = bytearray()
         self.closed = False
         self.accepted = accepted
+        self.sent_bytes = collections.Counter()
+        """Bytes sent, by kind of message; its owner may count several links in one."""
         self.state = link_states.LinkState()
         self.frame_timer: asyncio.TimerHandle | None = None
         """Closes the link unless the next frame is complete."""
@@ -111,15 +114,16 @@
 
     def send(self, frame: frames.Frame) -> bool:
         """Send a frame; return false if the link is closed or its buffer is full."""
-        return self.send_encoded(frames.encode(frame))
+        return self.send_encoded(frames.encode(frame), frame.kind)
 
-    def send_encoded(self, content: bytes) -> bool:
-        """Send an encoded frame; returns as `send`."""
+    def send_encoded(self, content: bytes, kind: str) -> bool:
+        """Send an encoded frame of a kind; returns as `send`."""
         if self.closed or self.transport is None:
             return False
         if self.transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
             self.close()
             return False
+        self.sent_bytes[kind] += LENGTH_PREFIX_BYTES + len(content)
         prefix = len(content).to_bytes(LENGTH_PREFIX_BYTES, "big")
         return transports.write(self.transport, prefix + content)
 
--- a/packages/fleet/dewstep_fleet/member_links.py
+++ b/packages/fleet/dewstep_fleet/member_links.py
@@ -55,7 +55,7 @@
         """Links of this coordinator to the members."""
         self.next_dial_at: dict[str, datetime.timedelta] = {}
         self.sent_bytes = collections.Counter()
-        """Bytes sent to all members, by kind of message."""
+        """Bytes sent on all links but those of votes, by kind of message."""
 
     async def listen(self) -> None:
         """Listen for connections of other instances."""
@@ -88,6 +88,7 @@
 
     def _accept(self) -> links.Link:
         link = links.Link(self.receive, self.handle_closed)
+        link.sent_bytes = self.sent_bytes
         self.accepted.add(link)
         return link
 
@@ -124,6 +125,7 @@
         if not self.role.coordinating or member.node in self.links:
             link.close()
             return
+        link.sent_bytes = self.sent_bytes
         self.links[member.node] = link
         # Sending all rows to all members would saturate a slow link for seconds.
         if not link.send(self.role.build_frame("greeting")):
--- a/packages/fleet/dewstep_fleet/news.py
+++ b/packages/fleet/dewstep_fleet/news.py
@@ -137,8 +137,7 @@
                 # Most members get the same message.
                 frame = self.build_accepted(rows, changes, moves, *accepted)
                 encoded[accepted] = frames.encode(frame)
-            self.members.sent_bytes["rows"] += len(encoded[accepted])
-            if not link.send_encoded(encoded[accepted]):
+            if not link.send_encoded(encoded[accepted], "rows"):
                 self.members.drop(link)
 
     def has_unsent(self) -> bool:
--- a/packages/fleet/dewstep_fleet/own_reports.py
+++ b/packages/fleet/dewstep_fleet/own_reports.py
@@ -107,4 +107,4 @@
         if block is None:
             link.send(frame)
         else:
-            link.send_encoded(envelopes.encode(frame, block))
+            link.send_encoded(envelopes.encode(frame, block), frame.kind)
--- a/packages/fleet/dewstep_fleet/process_test.py
+++ b/packages/fleet/dewstep_fleet/process_test.py
@@ -192,6 +192,10 @@
         assert "dewstep_answer_seconds_bucket" in text
         dump = (await harness.operator.call("GET", "/dump")).unwrap().body
         assert json.loads(dump)["targets"]["t"]["slots"] == 4
+        numbers = json.loads(dump)["numbers"]
+        sent = numbers["target_bytes_sent_near"] + numbers["target_bytes_sent_far"]
+        assert sent > len("hello") and numbers["passed_on_bytes_sent"] == 0
+        assert 'dewstep_state{name="report_bytes_sent"}' in text
 
 
 @testing.run_in_event_loop
--- a/packages/fleet/dewstep_fleet/relaying.py
+++ b/packages/fleet/dewstep_fleet/relaying.py
@@ -20,7 +20,7 @@
 
 from dewstep_core import clocks, data, errors, events, settings
 from dewstep_entry import failures, header_rules
-from dewstep_entry.targets import answering, connection_pool
+from dewstep_entry.targets import answering, connection_pool, traffic
 from dewstep_fleet import answers, directories, model
 
 ATTEMPTS_HEADER = b"dewstep-relay-attempts"
@@ -100,6 +100,8 @@
         self.clock = clock
         self.random = generator
         self.pools: dict[model.Member, connection_pool.ConnectionPool] = {}
+        self.traffic = traffic.Traffic()
+        """Bytes of the requests passed on and of their answers."""
         self.in_progress = collections.Counter()
         """Requests passed on to each instance."""
         self.refused_until: dict[str, datetime.timedelta] = {}
@@ -217,6 +219,7 @@
                 rules=self.rules,
                 reuse_delay=datetime.timedelta(),
                 max_idle_time=MAX_IDLE_TIME,
+                counts=self.traffic,
             )
         self.in_progress[member.node] += 1
         try:
--- a/packages/fleet/dewstep_fleet/target_pools.py
+++ b/packages/fleet/dewstep_fleet/target_pools.py
@@ -4,7 +4,7 @@
 import functools
 
 from dewstep_core import clocks, events, settings
-from dewstep_entry.targets import acceptance, answering, connection_pool
+from dewstep_entry.targets import acceptance, answering, connection_pool, traffic
 from dewstep_fleet import coordination, directories, load_counts, model
 
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=250)
@@ -25,6 +25,8 @@
     participant : coordination.FleetParticipant
         Told of departures and limits; counts the instances.
     answer_rules : answering.AnswerRules
+    data_centre : str
+        Data centre of this instance.
     clock : clocks.Clock
     """
 
@@ -34,6 +36,7 @@
         loads: load_counts.Loads,
         participant: coordination.FleetParticipant,
         answer_rules: answering.AnswerRules,
+        data_centre: str,
         clock: clocks.Clock,
     ):
         self.directory = directory
@@ -45,6 +48,9 @@
             tuple[str, int, str, int], connection_pool.ConnectionPool
         ] = {}
         """Connection pools by target name, incarnation, host and port."""
+        self.data_centre = data_centre
+        self.near, self.far = traffic.Traffic(), traffic.Traffic()
+        """Bytes to and from targets in this data centre, and in others."""
         self.resets: dict[str, acceptance.ServiceResets] = {}
         """New connections that the targets of each service have reset."""
 
@@ -76,6 +82,9 @@
                     target.name,
                     self.resets.setdefault(service.name, acceptance.ServiceResets()),
                 ),
+                counts=self.near
+                if target.data_centre == self.data_centre
+                else self.far,
             )
         pool.set_limit(limit)
         return pool
--- a/packages/fleet/dewstep_fleet/telemetry.py
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -126,8 +126,7 @@
         "targets_with_limit": len(participant.limits.list_rates()),
         "configuration_age_seconds": UNKNOWN if age is None else age.total_seconds(),
         "coordinator_delay_seconds": participant.membership.delay.total_seconds(),
-        "news_bytes_sent": participant.member_links.sent_bytes["rows"],
-        "heartbeat_bytes_sent": participant.member_links.sent_bytes["beat"],
+        **count_bytes(process),
         "unsent_link_bytes": participant.member_links.count_unsent_bytes(),
         "suspected_requests": participant.crash_counts.count_suspects(1, now),
         "quarantined_requests": participant.crash_counts.count_suspects(
@@ -141,6 +140,28 @@
     }
 
 
+def count_bytes(process) -> dict[str, int]:
+    """Return the bytes sent and received so far, by purpose.
+
+    Those of links include the length before each frame.
+    """
+    sent = process.participant.member_links.sent_bytes
+    pools, relay = process.dispatcher.pools, process.dispatcher.relay
+    named = sent["beat"], sent["report"], sent["rows"]
+    return {
+        "heartbeat_bytes_sent": named[0],
+        "report_bytes_sent": named[1],
+        "news_bytes_sent": named[2],
+        "other_link_bytes_sent": sent.total() - sum(named),
+        "passed_on_bytes_sent": relay.traffic.sent,
+        "passed_on_bytes_received": relay.traffic.received,
+        "target_bytes_sent_near": pools.near.sent,
+        "target_bytes_sent_far": pools.far.sent,
+        "target_bytes_received_near": pools.near.received,
+        "target_bytes_received_far": pools.far.received,
+    }
+
+
 def count_leaving_owners(directory: directories.Directory) -> int:
     """Return the number of leaving or unregistered targets that still own keys."""
     owners = {
--- a/packages/fleet/dewstep_fleet/totals/columns.py
+++ b/packages/fleet/dewstep_fleet/totals/columns.py
@@ -45,12 +45,14 @@
 
     def __init__(self):
         self.column = SentColumn(0)
-        self.values = b""
+        self.counted: tuple[frames.Total, ...] = ()
+        self.values: bytes | None = None
+        """Encoded values of `counted`, once a member needs them."""
 
     def begin(
         self, term: int, counted: tuple[frames.Total, ...], registered: int
     ) -> None:
-        """Encode the values of the next heartbeat.
+        """Prepare the totals of the next heartbeat.
 
         Parameters
         ----------
@@ -63,7 +65,7 @@
         if self.column.term != term or len(self.column.numbers) > bound:
             self.column = SentColumn(term)
         self.column.add(counted)
-        self.values = blocks.encode_values(self.column.numbers, counted)
+        self.counted, self.values = counted, None
 
     def count_known(self, state: link_states.LinkState) -> int | None:
         """Return the number of targets that a link has carried.
@@ -76,6 +78,8 @@
 
     def encode(self, known: int) -> bytes:
         """Return the totals for members that have received some of the targets."""
+        if self.values is None:
+            self.values = blocks.encode_values(self.column.numbers, self.counted)
         added = tuple(self.column.numbers)[known:]
         return blocks.encode_totals(self.column.checksum, known, added, self.values)
 
--- a/packages/fleet/dewstep_fleet/totals/mixed_builds_test.py
+++ b/packages/fleet/dewstep_fleet/totals/mixed_builds_test.py
@@ -106,6 +106,11 @@
     pair.exchange()
     report = pair.coordinator.followers.reports["m1"]
     assert [load[:2] for load in report.loads] == [("b", 1)]
+    for link, kind in ((pair.link, "beat"), (pair.member_link, "report")):
+        sizes = [
+            links.LENGTH_PREFIX_BYTES + len(item) for item in link.transport.frames
+        ]
+        assert link.sent_bytes == {kind: sum(sizes)}
     assert pair.count_others("a") == 1
     pair.connect()
     assert [pair.exchange()[0] for _ in range(3)] == [False, False, True]
