--- a/packages/fleet/dewstep_fleet/own_reports.py
+++ b/packages/fleet/dewstep_fleet/own_reports.py
@@ -10,6 +10,7 @@
     feeds,
     followers,
     frames,
+    links,
     load_counts,
     loss_reports,
     membership,
@@ -18,6 +19,7 @@
     roles,
     votes,
 )
+from dewstep_fleet.totals import envelopes, report_targets
 
 
 class OwnReports:
@@ -61,6 +63,7 @@
         self.reaches_targets = reaches_targets
         self.rows: list[model.StoredRow] = []
         """Changed rows that a deputy sends to the coordinator with its next report."""
+        self.writer = report_targets.ReportWriter()
 
     def build(self) -> frames.Frame:
         """Return a report of what this instance counted since the last one."""
@@ -90,4 +93,18 @@
         link = self.membership.coordinator_link
         if self.role.deputy and link is not None:
             self.rows.extend(rows)
-            link.send(self.build())
+            self.send(link)
+
+    def send(self, link: links.Link) -> None:
+        """Send a report to the coordinator in the form that it accepts."""
+        frame = self.build()._replace(
+            accepts_compact=link.state.accepts_compact,
+            wants_totals=link.state.totals_refused,
+        )
+        block = None
+        if link.state.reports_compact:
+            block = self.writer.encode(link.state, frame)
+        if block is None:
+            link.send(frame)
+        else:
+            link.send_encoded(envelopes.encode(frame, block), frame.kind)
