Try targets with any request once all may be reachable again

Cause: only an answer ended the belief, and only a request that may be repeated was sent to a target during it. Others were passed on to instances that believed the same, and a body of more than 64 KiB counts as used after that. An instance without requests kept the belief, too, and did not stand for election.

Change: any request may be the trial. One that must not run twice is used if there was no trial for 1 s, and only after the open connections have been given up, so that it is sent on a new one or not at all. If no connection opens, it is passed on with its whole body. Failures older than 5 s no longer show a cut.

The simulated network sent an empty write as data, which parsers take for the end of file. Each connection therefore ended after an upload. It now sends nothing, as sockets do. No instance sent uploads there before.

--- a/packages/emulator/dewstep_emulator/ownership/network.py
+++ b/packages/emulator/dewstep_emulator/ownership/network.py
@@ -162,7 +162,7 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes to the peer."""
-        if self.closed or self.process.ended:
+        if not data or self.closed or self.process.ended:
             return
         self.outgoing.unacknowledged += len(data)
         self.outgoing.send(self.peer.receive, bytes(data))
--- a/packages/emulator/dewstep_emulator/ownership/network_test.py
+++ b/packages/emulator/dewstep_emulator/ownership/network_test.py
@@ -65,6 +65,16 @@
         process.context.run(recorder.transport.write, content)
 
 
+async def write_nothing(harness):
+    recorder, accepted = await harness.connect_both()
+    received = []
+    accepted.data_received = received.append
+    harness.write(recorder, b"")
+    harness.write(recorder, b"x")
+    await asyncio.sleep(0.01)
+    assert received == [b"x"]
+
+
 def run_scenario(scenario):
     async def main(loop):
         await scenario(Harness(loop))
@@ -233,3 +243,9 @@
         assert 0.4 <= harness.loop.now - began < 0.7
 
     run_scenario(scenario)
+
+
+# Guards against the end of a streamed body, for which nothing is written, that ends the
+# connection: a parser takes empty input for the end of file.
+def test_writing_nothing_sends_nothing():
+    run_scenario(write_nothing)
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -113,6 +113,8 @@
         self.in_progress = 0
         self.background_tasks = tasks.TaskOwner(self.handle_task_failure)
         self.reachability = reachability.Reachability(clock.monotonic())
+        self.uses_new_connections = False
+        """Whether the connections to targets from before a cut have been given up."""
         self.relay = relaying.RelaySender(
             node, data_centre, directory, header_names.request_id, clock, generator
         )
@@ -278,11 +280,23 @@
         """Whether this instance is probably cut off from all targets."""
         return self.reachability.is_cut_off()
 
+    def note_cut(self, cut_off: bool) -> None:
+        """Use no open connection to a target once a cut is believed in."""
+        self.uses_new_connections = cut_off
+        if cut_off:
+            self.pools.retire()
+
     def begin_trial(self, plan: request_plans.PlannedRequest) -> bool:
-        """Whether to find out with a request whether the cut has ended."""
-        return plan.route.idempotent and self.reachability.begin_trial(
-            self.clock.monotonic()
-        )
+        """Whether to find out with a request whether the cut has ended.
+
+        The outcome of a request on a connection that hangs is unknown, so one that must
+        not run twice is a trial on a new connection only. If none can be opened, the
+        request has not been sent, and its body not been read.
+        """
+        repeatable = plan.route.idempotent
+        if not repeatable and not self.uses_new_connections:
+            return False
+        return self.reachability.begin_trial(self.clock.monotonic(), repeatable)
 
     def should_stop_trial(
         self, plan: request_plans.PlannedRequest, failure: Any
--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -236,8 +236,7 @@
             if cut_off != self.dispatcher.is_cut_off():
                 cut_off = not cut_off
                 events.warning("cut_off", cut_off=cut_off)
-                if cut_off:
-                    self.dispatcher.pools.retire()
+                self.dispatcher.note_cut(cut_off)
 
     async def reload_periodically(self) -> None:
         """Reload the settings at regular intervals, until cancelled."""
--- a/packages/fleet/dewstep_fleet/reachability.py
+++ b/packages/fleet/dewstep_fleet/reachability.py
@@ -27,6 +27,10 @@
 """Maximum age of an answer that shows that targets are reachable."""
 TRIAL_INTERVAL = datetime.timedelta(milliseconds=500)
 """Interval at which an instance that is cut off sends a request to a target itself."""
+FAILURE_MAX_AGE = datetime.timedelta(seconds=5)
+"""Age after which a failure no longer shows a cut. An instance without requests would
+otherwise believe in a cut for good, and not become the coordinator. Ten trials fail
+within this time while a cut lasts."""
 
 
 def choose_silence_period(service_seconds: Iterable[float]) -> datetime.timedelta:
@@ -127,7 +131,8 @@
     def _is_silent(self, contact: Contact) -> bool:
         """Whether a target has failed since any target answered, or lets wait."""
         if contact.failed_at is not None and contact.failed_at >= self.silent_since:
-            return True
+            if self.running_time - contact.failed_at < FAILURE_MAX_AGE:
+                return True
         return (
             contact.in_progress > 0
             and contact.unanswered_since is not None
@@ -138,9 +143,13 @@
         """Whether a target has answered this instance a short time ago."""
         return self.answered_at is not None and now - self.answered_at < ANSWER_MAX_AGE
 
-    def begin_trial(self, now: datetime.timedelta) -> bool:
-        """Whether to send the next request to a target all the same."""
-        if now < self.next_trial_at:
+    def begin_trial(self, now: datetime.timedelta, repeatable: bool) -> bool:
+        """Whether to send the next request to a target all the same.
+
+        A request that must not run twice waits for a further interval, in which one
+        that may be repeated can be the trial.
+        """
+        if now < self.next_trial_at + (not repeatable) * TRIAL_INTERVAL:
             return False
         self.next_trial_at = now + TRIAL_INTERVAL
         return True
--- a/packages/fleet/dewstep_fleet/reachability_test.py
+++ b/packages/fleet/dewstep_fleet/reachability_test.py
@@ -154,5 +154,45 @@
     trials = 0
     for _ in range(200):
         setting.run(50 * MILLISECOND)
-        trials += setting.reachability.begin_trial(setting.now)
+        trials += setting.reachability.begin_trial(setting.now, repeatable=True)
     assert 18 <= trials <= 21
+
+
+# Guards against orders that are delayed by trials although requests that may be
+# repeated are there for them, and against orders that are never a trial.
+def test_trial_with_a_request_that_must_not_run_twice_comes_later():
+    setting = Setting()
+    begin_trial = setting.reachability.begin_trial
+    assert begin_trial(setting.now, repeatable=True)
+    setting.run(0.75 * SECOND)
+    assert not begin_trial(setting.now, repeatable=False)
+    assert begin_trial(setting.now, repeatable=True)
+    setting.run(SECOND)
+    assert begin_trial(setting.now, repeatable=False)
+    assert not begin_trial(setting.now, repeatable=False)
+
+
+# Guards against instances without requests that remain cut off, and none of which
+# becomes the coordinator.
+def test_cut_is_forgotten_without_requests():
+    setting = Setting()
+    setting.run(SECOND)
+    setting.begin()
+    setting.end(False)
+    setting.run(reachability.FAILURE_MAX_AGE - 100 * MILLISECOND)
+    assert setting.is_cut_off()
+    setting.run(200 * MILLISECOND)
+    assert not setting.is_cut_off()
+
+
+# Guards against requests that try targets one by one while a cut lasts.
+def test_cut_is_remembered_while_trials_fail():
+    setting = Setting()
+    setting.run(SECOND)
+    setting.begin()
+    setting.end(False)
+    for number in range(40):
+        setting.run(reachability.TRIAL_INTERVAL)
+        setting.begin("abc"[number % 3])
+        setting.end(False, "abc"[number % 3])
+        assert setting.is_cut_off()
--- a/packages/fleet/dewstep_fleet/relaying_test.py
+++ b/packages/fleet/dewstep_fleet/relaying_test.py
@@ -530,6 +530,67 @@
     assert len(harness.sent) == 1
 
 
+def refuse_relayed(harness):
+    """Let all other instances refuse requests, of which they read streamed bodies."""
+    streamed = []
+
+    async def send(build_head, body, due_at, request_id, find_refusal):
+        streamed.append(body.rest is not None)
+        failure = errors.RelayRefused("n2", "cut off")
+        return relaying.RelayOutcome(None, failure, body_used=body.rest is not None)
+
+    harness.dispatcher.relay.send = send
+    return streamed
+
+
+# Guards against requests that are refused for good after all instances have believed
+# that they are cut off, as no request shows that targets answer again.
+@pytest.mark.parametrize(
+    ("idempotent", "streamed"), [(True, False), (False, False), (False, True)]
+)
+def test_request_of_any_kind_shows_that_a_cut_has_ended(idempotent, streamed):
+    harness = dispatch_test.Harness(200, 200, idempotent=idempotent)
+    cut_off(harness)
+    harness.dispatcher.note_cut(cut_off=True)
+    refuse_relayed(harness)
+    method = "GET" if idempotent else "POST"
+    for _ in range(4):
+        harness.clock.advance(0.5 * SECOND)
+        rest = stream_body() if streamed else None
+        answer = harness.send(rest=rest, method=method)
+        if answer.status == 200:
+            break
+    assert answer.status == 200 and not harness.dispatcher.is_cut_off()
+
+
+# Guards against an upload that is lost since it was the trial during a cut that lasts.
+def test_upload_whose_trial_gets_no_connection_is_passed_on_whole():
+    harness = dispatch_test.Harness(dispatch_test.unreachable, idempotent=False)
+    cut_off(harness)
+    harness.dispatcher.note_cut(cut_off=True)
+    harness.clock.advance(2 * SECOND)
+    received = bytearray()
+
+    async def send(build_head, body, due_at, request_id, find_refusal):
+        async for chunk in body.rest:
+            received.extend(chunk)
+        return relaying.RelayOutcome(build_answer(), None)
+
+    harness.dispatcher.relay.send = send
+    assert harness.send(rest=stream_body(), method="POST").status == 200
+    assert len(harness.sent) == 1 and len(received) == STREAMED_BYTES
+
+
+# Guards against an order that is sent on a connection that hangs since the cut.
+def test_request_that_must_not_run_twice_is_no_trial_on_open_connections():
+    harness = dispatch_test.Harness(200, idempotent=False)
+    cut_off(harness)
+    harness.clock.advance(2 * SECOND)
+    streamed = refuse_relayed(harness)
+    answer = harness.send(rest=stream_body(), method="POST")
+    assert answer.failure == "RelayRefused" and streamed == [True] and not harness.sent
+
+
 # Guards against a refusal because no target is left that has not been tried.
 def test_request_that_has_tried_all_targets_is_passed_on():
     harness = dispatch_test.Harness(*[dispatch_test.unreachable] * 2)
