Keep requests of a route in its allowed regions

Routes may name allowed_regions. Until now, a request could reach any target and any instance.

RegionRules decides by the newest configuration which targets and instances may get a request and which targets may own keys; the directory holds it. The rule is checked again right before sending. A request that is passed on carries its regions, and goes only to members that tell their region in their row, since an earlier build ignores the rule. The row is as before where no region is set. The stand-ins of RelaySender.send in tests take the new argument; their checks are the same.

--- a/packages/core/dewstep_core/errors.py
+++ b/packages/core/dewstep_core/errors.py
@@ -263,6 +263,19 @@
     reason: str
 
 
+@register_answer(503, NOT_RUN)
+class RegionUnavailable(NamedTuple):
+    """No target in the regions that are allowed for the request is reachable.
+
+    Or the owner of its key is in another region.
+    """
+
+    service: str
+    regions: str
+    """Allowed regions, separated by commas."""
+    reason: str
+
+
 @register_answer(503, NOT_RUN)
 class RelayRefused(NamedTuple):
     """An instance cannot serve a request for one that does not reach the targets."""
--- a/packages/fleet/dewstep_fleet/attempts.py
+++ b/packages/fleet/dewstep_fleet/attempts.py
@@ -26,6 +26,7 @@
     target_pools,
     target_search,
 )
+from dewstep_fleet.regions import places
 
 DEADLINE_MARGIN = datetime.timedelta(milliseconds=10)
 """Subtracted from a target's deadline, for the answer's way back to the caller."""
@@ -41,6 +42,7 @@
     | errors.TargetLimited
     | errors.DeadlineUnreachable
     | errors.QueueFull
+    | errors.RegionUnavailable
     | errors.Stopping
 )
 """Failures of requests that were not sent."""
@@ -163,6 +165,7 @@
         permit: limit_states.Permit | None,
     ) -> (
         errors.DeadlineUnreachable
+        | errors.RegionUnavailable
         | errors.Stopping
         | errors.TargetLeaving
         | errors.TargetLimited
@@ -171,7 +174,8 @@
         """Return the failure of a request that waited for a connection, or None.
 
         A stop, the departure of the target or an evacuation may have begun, the limit
-        become known, or the time for an answer ended, since it was admitted.
+        become known, the regions changed, or the time for an answer ended, since it was
+        admitted.
         """
         time_left = plan.due_at - self.clock.monotonic()
         if time_left <= DEADLINE_MARGIN:
@@ -185,6 +189,11 @@
             and self.directory.evacuations.is_evacuated(choice.target.data_centre)
         ):
             return errors.TargetLeaving(choice.target.name)
+        outside = self.directory.regions.refuse_target(
+            plan.request, plan.route, choice.target
+        )
+        if outside is not None:
+            return outside
         return self.participant.limits.confirm(choice.target, permit)
 
     def evaluate(
@@ -215,6 +224,9 @@
                     owners=self.search.get_owner_version(plan),
                     leaving_for=self.directory.get_time_since_departure(target),
                     evacuated_for=self.directory.get_time_since_evacuation(target),
+                    **self.directory.regions.describe_use(
+                        plan.request, plan.route, target
+                    ),
                 )
                 return Outcome(answer, None, target.name)
             failure = errors.AnswerInvalid(target.name, f"status {answer.status}")
@@ -237,6 +249,7 @@
             leaving_for=self.directory.get_time_since_departure(target),
             evacuated_for=self.directory.get_time_since_evacuation(target),
             failure=failure,
+            **self.directory.regions.describe_use(plan.request, plan.route, target),
         )
         replaced = (
             isinstance(failure, errors.TargetRefused)
@@ -279,6 +292,7 @@
             header_names.deadline,
             header_names.target,
             relaying.ATTEMPTS_HEADER,
+            places.REGIONS_HEADER,
         }
         headers = list(header_rules.drop_headers(request.headers, dropped))
         if request.body_length is None:
--- a/packages/fleet/dewstep_fleet/directories.py
+++ b/packages/fleet/dewstep_fleet/directories.py
@@ -27,6 +27,7 @@
     registrations,
 )
 from dewstep_fleet.evacuation import evacuations, relayed_rows
+from dewstep_fleet.regions import rules
 
 MIN_OUTAGE = datetime.timedelta(seconds=1)
 """Minimum observed outage after which removals are deferred. A shorter one expires no
@@ -52,10 +53,17 @@
 MAX_DETAIL_CHARACTERS = 200
 """Length to which the reason of a refusal is shortened."""
 
+OMITTED_IF_EMPTY = frozenset({"region"})
+"""Fields that a row has only where they are used, so that it is as before elsewhere."""
+
 
 def encode_record(record: NamedTuple) -> bytes:
     """Return the row value that encodes a flat tuple."""
-    content = {"schema": ranges.SCHEMA_VERSION, **record._asdict()}
+    values = record._asdict()
+    for name in OMITTED_IF_EMPTY & values.keys():
+        if not values[name]:
+            del values[name]
+    content = {"schema": ranges.SCHEMA_VERSION, **values}
     return json.dumps(content, separators=(",", ":")).encode()
 
 
@@ -138,6 +146,7 @@
         self.decode_routes = decode_routes
         self.registrations = registrations.Registrations(clock, decode_target)
         self.evacuations = evacuations.Evacuations(clock)
+        self.regions = rules.RegionRules()
         self.rows: dict[tuple[str, str], model.StoredRow] = {}
         self.routes: model.RouteTable | None = None
         self.ownerships: dict[str, ranges.Ownership] = {}
@@ -294,6 +303,7 @@
         if self.routes is not None and routes.version <= self.routes.version:
             return
         self.routes = routes
+        self.regions.apply_table(routes)
         events.info("configuration", version=routes.version, row=row.version)
 
     def _check_version_reuse(
@@ -374,8 +384,15 @@
     # Queries.
 
     def is_withdrawn(self, target: model.Target) -> bool:
-        """Whether a target can get no keys: it is leaving or being evacuated."""
-        return target.leaving or self.evacuations.is_evacuated(target.data_centre)
+        """Whether a target can get no keys.
+
+        It is leaving, being evacuated or outside the regions of its service.
+        """
+        return (
+            target.leaving
+            or self.evacuations.is_evacuated(target.data_centre)
+            or not self.regions.may_own(target)
+        )
 
     def list_open(self, service: str) -> tuple[model.Target, ...]:
         """Return the targets of a service whose data centre is not being evacuated."""
@@ -385,6 +402,12 @@
         is_evacuated = self.evacuations.is_evacuated
         return tuple(item for item in targets if not is_evacuated(item.data_centre))
 
+    def lacks_allowed_targets(self, service: str) -> bool:
+        """Whether the regions of a service leave it without targets that own keys."""
+        targets = self.targets_by_service.get(service, ())
+        restricted = service in self.regions.service_regions
+        return restricted and not any(map(self.regions.may_own, targets))
+
     def list_table(self, table: str) -> list[model.StoredRow]:
         """Return the known rows of a table."""
         return [row for (name, _), row in self.rows.items() if name == table]
--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import datetime
+import functools
 import random
 from collections.abc import Callable
 from typing import Any
@@ -234,6 +235,10 @@
             return progress.answer
         if plan.is_relayed() and isinstance(failure, errors.Stopping):
             failure = errors.RelayRefused(self.node, "stopping")
+        if getattr(failure, "reason", "") != RETRY_BUDGET_REASON:
+            failure = self.directory.regions.choose_failure(
+                plan.request, plan.route, plan.service.name, failure
+            )
         return self.refuser.refuse(plan.request, failure, plan)
 
     async def try_targets(
@@ -303,8 +308,12 @@
             return False
         if failure.reason == RETRY_BUDGET_REASON:
             return False
-        # Other instances may choose another target for a request without a key.
-        if plan.key is not None and self.is_unreachable_elsewhere(failure.target):
+        # Other instances may choose another target for a request without a key. Those
+        # that may get a request of a restricted region are asked once a period.
+        asked_once = plan.key is not None or self.directory.regions.is_restricted(
+            plan.request, plan.route
+        )
+        if asked_once and self.is_unreachable_elsewhere(failure.target):
             return False
         return now + attempts.DEADLINE_MARGIN * 5 < plan.due_at
 
@@ -333,6 +342,9 @@
                 plan.due_at,
                 request_id,
                 lambda: self.stop.find_refusal(plan),
+                functools.partial(
+                    self.directory.regions.allows_member, plan.request, plan.route
+                ),
             )
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             return relaying.RelayOutcome(None, errors.MalformedRequest(str(error)))
@@ -349,7 +361,11 @@
         return h11.Request(
             method=head.method,
             target=head.target,
-            headers=relaying.add_attempts(tuple(head.headers), attempts_left),
+            headers=relaying.add_attempts(
+                tuple(head.headers),
+                attempts_left,
+                self.directory.regions.list_sent_regions(plan.request, plan.route),
+            ),
         )
 
     # One try.
@@ -400,7 +416,12 @@
         if refused and plan.key is not None and failure.reason != MISDIRECTED:
             # No other target may run the request; see `should_repeat`.
             return False
-        closed = errors.TargetPaused | errors.TargetLimited | errors.QueueFull
+        closed = (
+            errors.TargetPaused
+            | errors.TargetLimited
+            | errors.QueueFull
+            | errors.RegionUnavailable
+        )
         if isinstance(failure, closed) and plan.key is not None:
             return False
         not_run = refused or isinstance(failure, attempts.UNSENT_FAILURES)
--- a/packages/fleet/dewstep_fleet/evacuation/progress.py
+++ b/packages/fleet/dewstep_fleet/evacuation/progress.py
@@ -10,17 +10,19 @@
 ) -> tuple[model.Holding, ...]:
     """Return the ranges of a service whose owners are in evacuated data centres.
 
-    Those of owners that are leaving as well are moved like those of others that do.
+    So are those whose owners are outside the allowed regions of the service. Those of
+    owners that are leaving as well are moved like those of others that do.
     """
     targets = directory.targets
     is_evacuated = directory.evacuations.is_evacuated
+    may_own = directory.regions.may_own
     return tuple(
         holding
         for holding in directory.ownerships[service].holdings
         if (target := targets.get(holding.target)) is not None
         and target.service == service
         and not target.leaving
-        and is_evacuated(target.data_centre)
+        and (is_evacuated(target.data_centre) or not may_own(target))
     )
 
 
--- a/packages/fleet/dewstep_fleet/model.py
+++ b/packages/fleet/dewstep_fleet/model.py
@@ -47,6 +47,8 @@
     """Maximum number of attempts in which a target may have run a request."""
     priority: int
     """Priority relative to other routes; 0 is the highest."""
+    allowed_regions: tuple[str, ...] = ()
+    """Regions in which its requests may be run; empty if they may be run anywhere."""
 
 
 class Service(NamedTuple):
@@ -247,6 +249,9 @@
     """Number of cores available to it, or less if its network link is slow."""
     relay_port: int = 0
     """Port at which it serves requests for other instances; 0 if it does not."""
+    region: str = ""
+    """Region that its settings name; "" if they name none or if its build does not know
+    of regions."""
 
 
 class Tables(NamedTuple):
@@ -324,3 +329,5 @@
     it comes from a caller."""
     parallel: bool = False
     """Whether it runs before the requests in front of it have been answered."""
+    relayed_regions: tuple[str, ...] = ()
+    """Regions to which the instance that has passed the request on restricts it."""
--- a/packages/fleet/dewstep_fleet/process.py
+++ b/packages/fleet/dewstep_fleet/process.py
@@ -30,6 +30,7 @@
     routes,
     telemetry,
 )
+from dewstep_fleet.regions import places
 
 BALANCER_REMOVAL_TIME = datetime.timedelta(milliseconds=2500)
 """Time for the balancer to remove this instance: it checks each second and removes an
@@ -54,6 +55,7 @@
     metrics: settings.Address | None
     metrics_path: str
     timing: model.Timing
+    regions: places.Places = places.NO_PLACES
 
 
 class PlatformAdapter(NamedTuple):
@@ -107,6 +109,7 @@
         self.directory = directories.Directory(
             clock, adapter.decode_routes, adapter.decode_target
         )
+        self.directory.regions.set_places(instance.regions)
         self.feeds = feeds.TableFeeds(adapter.store, self.directory, clock, self.random)
         self.loads = load_counts.Loads()
         self.keys = keys.KeyCounter(self.random)
@@ -264,8 +267,10 @@
             if before != now
         ]
         # Addresses and the member row cannot change while the process runs.
-        applied = [name for name in changed if name == "timing"]
-        if applied:
+        applied = [name for name in changed if name in ("timing", "regions")]
+        if "regions" in applied:
+            self.directory.regions.set_places(found.regions)
+        if "timing" in applied:
             self.budgets.set_timing(found.timing)
             self.participant.granter.timing = found.timing
             self.participant.limits.warm_up.set_bounds(found.timing.warm_up)
@@ -365,7 +370,12 @@
         """Return the request that another instance has passed on."""
         request = self.parse_head(method, target, headers, body_length)
         attempts = relaying.read_attempts(headers)
-        return result.Success(request._replace(relayed_attempts=attempts))
+        return result.Success(
+            request._replace(
+                relayed_attempts=attempts,
+                relayed_regions=relaying.read_regions(headers),
+            )
+        )
 
     def find_body_limit(self, request: Any) -> int:
         """Return the maximum size of a request body in bytes."""
@@ -421,6 +431,9 @@
             return False
         for service in table.services.values():
             if service.keyed and service.name not in self.directory.ownerships:
+                if self.directory.lacks_allowed_targets(service.name):
+                    # Requests of other routes can be served all the same.
+                    continue
                 return False
         return True
 
--- a/packages/fleet/dewstep_fleet/rebalancing.py
+++ b/packages/fleet/dewstep_fleet/rebalancing.py
@@ -139,8 +139,12 @@
         return capacities
 
     def empty_data_centres(self, service: str) -> None:
-        """Start to move the next ranges out of the evacuated data centres."""
-        if not self.directory.evacuations.current:
+        """Start to move the next ranges out of the evacuated data centres.
+
+        Also out of those outside the regions that are allowed for the service.
+        """
+        restricted = service in self.directory.regions.service_regions
+        if not self.directory.evacuations.current and not restricted:
             self.destinations.clear()
             return
         holdings = self.held.exclude_moving(
--- a/packages/fleet/dewstep_fleet/relaying.py
+++ b/packages/fleet/dewstep_fleet/relaying.py
@@ -10,6 +10,7 @@
 
 import collections
 import datetime
+import functools
 import json
 import random
 from collections.abc import Callable
@@ -22,6 +23,7 @@
 from dewstep_entry import failures, header_rules
 from dewstep_entry.targets import answering, connection_pool
 from dewstep_fleet import answers, directories, model
+from dewstep_fleet.regions import places
 
 ATTEMPTS_HEADER = b"dewstep-relay-attempts"
 """Number of attempts left, in requests between instances."""
@@ -105,8 +107,13 @@
         self.refused_until: dict[str, datetime.timedelta] = {}
         directory.listeners.append(self._apply_member_changes)
 
-    def list_peers(self) -> list[model.Member]:
-        """Return the instances that accept requests, the preferred one first."""
+    def list_peers(
+        self, may_receive: Callable[[model.Member], bool] = lambda member: True
+    ) -> list[model.Member]:
+        """Return the instances that accept requests, the preferred one first.
+
+        Those for which `may_receive` returns false are left out.
+        """
         now = self.clock.monotonic()
         peers = [
             member
@@ -114,6 +121,7 @@
             if member.node != self.node
             and member.relay_port
             and self.refused_until.get(member.node, now) <= now
+            and may_receive(member)
         ]
         return sorted(peers, key=self._rank)[:MAX_PEERS]
 
@@ -130,6 +138,7 @@
         due_at: datetime.timedelta,
         request_id: bytes,
         find_refusal: Callable[[], Any] = lambda: None,
+        may_receive: Callable[[model.Member], bool] = lambda member: True,
     ) -> RelayOutcome:
         """Pass a request on to the first instance that accepts it.
 
@@ -146,19 +155,29 @@
         find_refusal : callable, optional
             Called before each try; returns the failure of a request that must not be
             sent any more.
+        may_receive : callable, optional
+            Whether the request may be passed on to an instance; asked again right
+            before it is sent.
         """
         failure: Any = errors.RelayRefused(self.node, "no other instance")
         unreached: errors.TargetUnavailable | None = None
         refused = False
         began = self.clock.monotonic()
-        for member in self.list_peers():
+        for member in self.list_peers(may_receive):
             if self.clock.monotonic() >= due_at:
                 break
             refusal = find_refusal()
             if refusal is not None:
                 return RelayOutcome(None, refusal)
             sent = await self._send_to(
-                member, build_head(), body, due_at, request_id, find_refusal
+                member,
+                build_head(),
+                body,
+                due_at,
+                request_id,
+                functools.partial(
+                    find_member_refusal, member, find_refusal, may_receive
+                ),
             )
             if isinstance(sent, result.Success):
                 answer = sent.unwrap()
@@ -234,6 +253,18 @@
             self.refused_until.pop(member.node, None)
 
 
+def find_member_refusal(
+    member: model.Member,
+    find_refusal: Callable[[], Any],
+    may_receive: Callable[[model.Member], bool],
+) -> Any:
+    """Return the failure of a request that must not be sent to an instance, or None."""
+    refusal = find_refusal()
+    if refusal is None and not may_receive(member):
+        return build_refusal(member.node, errors.RegionUnavailable.__name__)
+    return refusal
+
+
 def is_refusal(failure: Any, node: str) -> bool:
     """Whether a failure says that an instance itself was unreachable or refused."""
     return getattr(failure, "target", node) == node
@@ -400,7 +431,21 @@
     return max(1, int(value)) if value.isdigit() and len(value) < 4 else 1
 
 
-def add_attempts(headers: data.Headers, attempts: int) -> list[tuple[bytes, bytes]]:
-    """Return the headers of a request that is passed on."""
+def read_regions(headers: data.Headers) -> tuple[str, ...]:
+    """Return the regions to which another instance restricts a request, if any."""
+    value = dict(headers).get(places.REGIONS_HEADER)
+    return () if value is None else places.decode_regions(value)
+
+
+def add_attempts(
+    headers: data.Headers, attempts: int, regions: tuple[str, ...] = ()
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a request that is passed on.
+
+    `regions` has the regions to which it is restricted, if any.
+    """
     kept = header_rules.drop_headers(headers, frozenset({ATTEMPTS_HEADER}))
-    return [*kept, (ATTEMPTS_HEADER, b"%d" % attempts)]
+    added = [(ATTEMPTS_HEADER, b"%d" % attempts)]
+    if regions:
+        added.append((places.REGIONS_HEADER, places.encode_regions(regions)))
+    return [*kept, *added]
--- a/packages/fleet/dewstep_fleet/relaying_test.py
+++ b/packages/fleet/dewstep_fleet/relaying_test.py
@@ -322,7 +322,7 @@
     harness = dispatch_test.Harness(200)
     cut_off(harness)
 
-    async def send(build_head, body, due_at, request_id, find_refusal):
+    async def send(build_head, body, due_at, request_id, find_refusal, may_receive):
         failure = errors.RelayRefused("n2", "cut off")
         return relaying.RelayOutcome(None, failure, body_used=True)
 
@@ -448,7 +448,7 @@
     cut_off(harness)
     passed_on = []
 
-    async def send(build_head, body, due_at, request_id, find_refusal):
+    async def send(build_head, body, due_at, request_id, find_refusal, may_receive):
         passed_on.append(dict(build_head().headers))
         return relaying.RelayOutcome(build_answer(), None)
 
@@ -480,7 +480,7 @@
 def test_request_for_an_unreachable_owner_is_passed_on():
     harness = dispatch_test.Harness(dispatch_test.unreachable, keyed=True)
 
-    async def send(build_head, body, due_at, request_id, find_refusal):
+    async def send(build_head, body, due_at, request_id, find_refusal, may_receive):
         return relaying.RelayOutcome(build_answer(), None)
 
     harness.dispatcher.relay.send = send
@@ -498,7 +498,7 @@
     harness = dispatch_test.Harness(dispatch_test.unreachable, keyed=True)
     passed_on = []
 
-    async def send(build_head, body, due_at, request_id, find_refusal):
+    async def send(build_head, body, due_at, request_id, find_refusal, may_receive):
         passed_on.append(due_at)
         return relaying.RelayOutcome(None, errors.TargetUnavailable("a", "refused"))
 
@@ -522,7 +522,7 @@
     cut_off(harness)
     harness.dispatcher.reachability.next_trial_at = harness.clock.monotonic()
 
-    async def send(build_head, body, due_at, request_id, find_refusal):
+    async def send(build_head, body, due_at, request_id, find_refusal, may_receive):
         return relaying.RelayOutcome(build_answer(), None)
 
     harness.dispatcher.relay.send = send
@@ -534,7 +534,7 @@
 def test_request_that_has_tried_all_targets_is_passed_on():
     harness = dispatch_test.Harness(*[dispatch_test.unreachable] * 2)
 
-    async def send(build_head, body, due_at, request_id, find_refusal):
+    async def send(build_head, body, due_at, request_id, find_refusal, may_receive):
         return relaying.RelayOutcome(build_answer(), None)
 
     harness.dispatcher.relay.send = send
@@ -548,7 +548,7 @@
     now = harness.clock.monotonic()
     harness.dispatcher.unreachable_until = dict.fromkeys("ab", now + SECOND)
 
-    async def send(build_head, body, due_at, request_id, find_refusal):
+    async def send(build_head, body, due_at, request_id, find_refusal, may_receive):
         return relaying.RelayOutcome(build_answer(), None)
 
     harness.dispatcher.relay.send = send
@@ -690,7 +690,7 @@
     harness = dispatch_test.Harness(200)
     cut_off(harness)
 
-    async def send(build_head, body, due_at, request_id, find_refusal):
+    async def send(build_head, body, due_at, request_id, find_refusal, may_receive):
         return relaying.RelayOutcome(None, relaying.build_refusal("n2", "Quarantined"))
 
     harness.dispatcher.relay.send = send
--- a/packages/fleet/dewstep_fleet/stopping_test.py
+++ b/packages/fleet/dewstep_fleet/stopping_test.py
@@ -160,7 +160,7 @@
     harness.clock.advance(2.4 * SECOND)
     refusals = []
 
-    async def send(build_head, body, due_at, request_id, find_refusal):
+    async def send(build_head, body, due_at, request_id, find_refusal, may_receive):
         harness.clock.advance(0.3 * SECOND)
         refusals.append(find_refusal())
         return relaying.RelayOutcome(None, refusals[-1])
--- a/packages/fleet/dewstep_fleet/target_search.py
+++ b/packages/fleet/dewstep_fleet/target_search.py
@@ -86,7 +86,10 @@
         """Return the target to which the request should be sent."""
         if plan.key is not None:
             return await self.find_owner(plan)
-        targets = self.directory.list_open(plan.service.name)
+        regions = self.directory.regions
+        targets = regions.select_targets(
+            plan.request, plan.route, self.directory.list_open(plan.service.name)
+        )
         now = self.clock.monotonic().total_seconds()
         body = plan.request.body_length or len(plan.request.body.start)
         choose = functools.partial(
@@ -106,6 +109,9 @@
         choice = preferences.choose(choose, targets, excluded, preference)
         if choice is None:
             return result.Failure(self.find_shortest_refusal(plan, targets, tried))
+        if choice.estimate.blocked and regions.is_restricted(plan.request, plan.route):
+            # All allowed targets were unreachable a moment ago.
+            return result.Failure(build_blocked_failure(choice.target))
         admitted = self.check_admission(plan, choice)
         sent = isinstance(admitted, result.Success)
         self.demand_counts.count(plan.service.name, now, sent)
@@ -157,13 +163,15 @@
             await self.directory.wait_change(
                 change_count, (max_wait - waited).total_seconds()
             )
+        refusal = self.directory.regions.refuse_target(plan.request, plan.route, target)
+        if refusal is not None:
+            return result.Failure(refusal)
         now = self.clock.monotonic().total_seconds()
         estimate = self.loads.estimate(
             service, target.name, now, target.slots, plan.route.name
         )
         if estimate.blocked:
-            failure = errors.TargetUnavailable(target.name, "unreachable a moment ago")
-            return result.Failure(failure)
+            return result.Failure(build_blocked_failure(target))
         if estimate.pause_left:
             failure = refusals.build_pause_failure(target.name, estimate.pause_left)
             return result.Failure(failure)
@@ -268,3 +276,8 @@
     def choose_return_time(self, excess_s: float, demand: float) -> datetime.timedelta:
         """Return the time after which a refused caller should come back."""
         return return_times.choose_return_time(excess_s, demand, self.random.random())
+
+
+def build_blocked_failure(target: model.Target) -> errors.TargetUnavailable:
+    """Return the failure of a request for a target that is avoided for now."""
+    return errors.TargetUnavailable(target.name, "unreachable a moment ago")
--- a/packages/fleet/dewstep_fleet/telemetry.py
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -181,6 +181,7 @@
         },
         "moving": directory.moving,
         "evacuations": progress.describe(directory),
+        "regions": directory.regions.describe(routes),
         "limits": process.participant.limits.list_rates(),
         "cold": process.participant.limits.warm_up.describe(),
     }
