Test the rule for regions and shorten its path without a rule

The decisions had no tests of their own, and each request paid for two calls a check.

Each check of a request now ends before any call if no route names regions.

--- a/packages/fleet/dewstep_fleet/process_test.py
+++ b/packages/fleet/dewstep_fleet/process_test.py
@@ -11,7 +11,8 @@
 from dewstep_core.http import client, exchanges, server
 from dewstep_emulator import testing
 from dewstep_entry.targets import answering
-from dewstep_fleet import builders, model, process
+from dewstep_fleet import builders, model, process, relaying
+from dewstep_fleet.regions import places
 
 HEADER_NAMES = model.HeaderNames(b"x-id", b"x-deadline", b"x-target", b"x-key", b"x-n")
 RULES = answering.AnswerRules(b"x-id", b"x-n", None, has_request_id=True, buffered=True)
@@ -237,3 +238,19 @@
         harness.process.directory.routes = table._replace(limits=larger)
         harness.process.apply_caller_limits([])
         assert harness.process.relay_listener.limits.head_bytes > 90_000
+
+
+# Guards against regions that are lost between instances or apply only after a restart.
+@testing.run_in_event_loop
+async def test_regions_of_settings_and_other_instances_are_applied():
+    async with run_instance() as harness:
+        instance = harness.process
+        known = places.Places("north", {"dc-1": "north"})
+        harness.settings = result.Success(instance.instance._replace(regions=known))
+        instance.reload_settings()
+        headers = tuple(relaying.add_attempts((), 1, ("south",)))
+        relayed = instance.build_relayed_request(b"GET", b"/a/x", headers, 0).unwrap()
+        called = instance.build_request(b"GET", b"/a/x", headers, 0).unwrap()
+        assert (relayed.relayed_regions, called.relayed_regions) == (("south",), ())
+        dump = (await harness.operator.call("GET", "/dump")).unwrap()
+        assert json.loads(dump.body)["regions"]["data_centres"] == {"dc-1": "north"}
--- a/packages/fleet/dewstep_fleet/regions/rules.py
+++ b/packages/fleet/dewstep_fleet/regions/rules.py
@@ -1,8 +1,8 @@
 """Which targets and instances may get a request, and which targets may own keys.
 
 The newest known configuration decides, also for requests that were planned by an
-earlier one. Without any route that names regions, each question ends with its first
-check.
+earlier one. Without any route that names regions, each question on the way of a request
+ends with its first check, before any further call.
 """
 
 from collections.abc import Collection, Iterable
@@ -78,13 +78,6 @@
         """Whether a request must stay in certain regions."""
         return bool(self.list_bounds(request, route))
 
-    def allows_target(
-        self, request: model.IncomingRequest, route: model.Route, target: model.Target
-    ) -> bool:
-        """Whether a target may get a request."""
-        bounds = self.list_bounds(request, route)
-        return not bounds or self._is_inside(bounds, target)
-
     def select_targets(
         self,
         request: model.IncomingRequest,
@@ -92,6 +85,8 @@
         targets: tuple[model.Target, ...],
     ) -> tuple[model.Target, ...]:
         """Return the targets that may get a request."""
+        if not (self.restricted or request.relayed_regions):
+            return targets
         bounds = self.list_bounds(request, route)
         if not bounds:
             return targets
@@ -140,7 +135,10 @@
         self, request: model.IncomingRequest, route: model.Route, target: model.Target
     ) -> errors.RegionUnavailable | None:
         """Return the failure of a request that a target must not get, or None."""
-        if self.allows_target(request, route, target):
+        if not (self.restricted or request.relayed_regions):
+            return None
+        bounds = self.list_bounds(request, route)
+        if not bounds or self._is_inside(bounds, target):
             return None
         region = self.places.find_region(target.data_centre) or "an unknown region"
         reason = f"{target.name} in {target.data_centre} is in {region}"
@@ -180,6 +178,8 @@
         self, request: model.IncomingRequest, route: model.Route, target: model.Target
     ) -> dict[str, Any]:
         """Return the log fields of a request to a target, none without a rule."""
+        if not (self.restricted or request.relayed_regions):
+            return {}
         bounds = self.list_bounds(request, route)
         if not bounds:
             return {}
