Test that instances outside the regions take no place in the list

At most 8 instances are asked, so one that may not receive a request must not be one of them. A trial change that dropped this check was found by no test.

--- a/packages/fleet/dewstep_fleet/regions/rules_test.py
+++ b/packages/fleet/dewstep_fleet/regions/rules_test.py
@@ -92,6 +92,10 @@
     harness.dispatcher.relay.send = send
     # After the refusal of the other instance, the instance tries its own targets.
     assert harness.send().failure == "RegionUnavailable"
+    # Those that may not receive it take no place in the list of instances.
+    harness.directory.members["n2"] = MEMBER._replace(relay_port=1)
+    peers = harness.dispatcher.relay.list_peers
+    assert peers() and not peers(lambda item: False)
     # By the settings, dc-1 is in the north and dc-2 in the south.
     assert allowed[:4] == [(True, False), (False, True), (False,) * 2, (False,) * 2]
 
