Log the regions of an attempt as an event of its own

tests/operations_page_test.py failed: it compares the fields of each event on the page with those in the code, and the fields region and allowed_regions were added to lines by a mapping, which it cannot see.

The event region_checked has them, only for requests with allowed regions.

Measured: the page's tests and those of regions, stopping and relaying pass (115); before, those of regions, dispatch and process passed on this code, with one failure of the page's test since mended.

--- a/packages/fleet/dewstep_fleet/attempts.py
+++ b/packages/fleet/dewstep_fleet/attempts.py
@@ -206,6 +206,7 @@
     ) -> Outcome:
         """Return the outcome of an attempt, and log it with the state used for it."""
         target, running = choice.target, choice.estimate.running
+        self.directory.regions.log_attempt(plan.request, plan.route, target)
         if isinstance(send_result, result.Success):
             answer = send_result.unwrap()
             if answer.status < 500 and answer.status not in NOT_RUN_STATUSES:
@@ -224,9 +225,6 @@
                     owners=self.search.get_owner_version(plan),
                     leaving_for=self.directory.get_time_since_departure(target),
                     evacuated_for=self.directory.get_time_since_evacuation(target),
-                    **self.directory.regions.describe_use(
-                        plan.request, plan.route, target
-                    ),
                 )
                 return Outcome(answer, None, target.name)
             failure = errors.AnswerInvalid(target.name, f"status {answer.status}")
@@ -249,7 +247,6 @@
             leaving_for=self.directory.get_time_since_departure(target),
             evacuated_for=self.directory.get_time_since_evacuation(target),
             failure=failure,
-            **self.directory.regions.describe_use(plan.request, plan.route, target),
         )
         replaced = (
             isinstance(failure, errors.TargetRefused)
--- a/packages/fleet/dewstep_fleet/regions/rules.py
+++ b/packages/fleet/dewstep_fleet/regions/rules.py
@@ -174,17 +174,21 @@
 
     # Operators.
 
-    def describe_use(
+    def log_attempt(
         self, request: model.IncomingRequest, route: model.Route, target: model.Target
-    ) -> dict[str, Any]:
-        """Return the log fields of a request to a target, none without a rule."""
+    ) -> None:
+        """Log the regions of an attempt to send a request that must stay in some."""
         if not (self.restricted or request.relayed_regions):
-            return {}
+            return
         bounds = self.list_bounds(request, route)
-        if not bounds:
-            return {}
-        region = self.places.find_region(target.data_centre)
-        return {"region": region, "allowed_regions": ",".join(bounds[0])}
+        if bounds:
+            events.info(
+                "region_checked",
+                request_id=request.request_id,
+                target=target.name,
+                region=self.places.find_region(target.data_centre),
+                allowed_regions=",".join(bounds[0]),
+            )
 
     def describe(self, table: model.RouteTable | None) -> dict[str, Any]:
         """Return what is known of regions and their rules, for operators."""
