--- a/packages/fleet/dewstep_fleet/relaying_test.py
+++ b/packages/fleet/dewstep_fleet/relaying_test.py
@@ -534,7 +534,7 @@
     """Let all other instances refuse requests, of which they read streamed bodies."""
     streamed = []
 
-    async def send(build_head, body, due_at, request_id, find_refusal):
+    async def send(build_head, body, due_at, request_id, find_refusal, may_receive):
         streamed.append(body.rest is not None)
         failure = errors.RelayRefused("n2", "cut off")
         return relaying.RelayOutcome(None, failure, body_used=body.rest is not None)
@@ -571,7 +571,7 @@
     harness.clock.advance(2 * SECOND)
     received = bytearray()
 
-    async def send(build_head, body, due_at, request_id, find_refusal):
+    async def send(build_head, body, due_at, request_id, find_refusal, may_receive):
         async for chunk in body.rest:
             received.extend(chunk)
         return relaying.RelayOutcome(build_answer(), None)
