Send callers who return as told before new ones

While the demand for a target exceeds its capacity, callers who repeated sooner than any refusal told them to took the room of those who waited, and callers who came back as told were refused at the rate of new ones. The former (5 to 50 ms since the first send) are now refused, and the latter go first as long as the queue leaves them time for their objective. New callers get the room that remains. Refused requests are counted by kind of caller.

--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -547,6 +547,26 @@
         assert 0.05 <= read_retry_after(answer) <= 0.1
 
 
+@pytest.mark.parametrize(
+    ("deadline", "status"), [(b"3057", 200), (b"3047", 503), (b"2957", 200)]
+)
+def test_early_callers_are_refused_while_the_demand_exceeds_the_capacity(
+    deadline, status
+):
+    # Guards against the 30% of the callers who repeat at once in a burst and take the
+    # room of those who wait as told.
+    harness = Harness(*[200] * 42, keyed=True, timeout=None)
+    key = (b"x-key", b"70")
+    for _ in range(40):
+        harness.send(headers=(key, (b"x-deadline", b"3057")))
+    load = harness.counts.get_load("a")
+    assert harness.send(headers=(key, (b"x-deadline", deadline))).status == 200
+    load.running, load.slot_free_at = 4, 0.0
+    assert harness.send(headers=(key, (b"x-deadline", deadline))).status == status
+    refused = harness.dispatcher.search.refused_by_kind
+    assert refused == ({"early": 1} if status == 503 else {})
+
+
 def test_request_is_resent_to_the_new_owner():
     harness = Harness(misdirected, 200, keyed=True)
 
--- a/packages/fleet/dewstep_fleet/request_plans.py
+++ b/packages/fleet/dewstep_fleet/request_plans.py
@@ -17,7 +17,7 @@
     model,
     routes,
 )
-from dewstep_fleet.admission import first_sends
+from dewstep_fleet.admission import first_sends, return_order
 
 DEFAULT_DEADLINE = datetime.timedelta(seconds=30)
 """For requests without a deadline whose route has no time-out."""
@@ -93,6 +93,7 @@
         self.routes_by_service: dict[str, list[model.Route]] = {}
         self.splitter = routes.Splitter()
         self.first_deadlines = first_sends.FirstDeadlines()
+        self.return_shares = return_order.ReturnShares()
 
     def prepare_parallel(
         self, request: model.IncomingRequest
@@ -150,6 +151,7 @@
             names = {route.name for route in table.routes}
             self.loads.keep_routes(names)
             self.first_deadlines.keep_routes(names)
+            self.return_shares.keep_routes(names)
         headers = dict(request.headers)
         host = headers.get(b"host", b"").decode("latin-1")
         route = routes.find_route(self.route_index, host, request.path)
--- a/packages/fleet/dewstep_fleet/target_search.py
+++ b/packages/fleet/dewstep_fleet/target_search.py
@@ -5,6 +5,7 @@
 refused at once.
 """
 
+import collections
 import datetime
 import functools
 import random
@@ -25,7 +26,12 @@
     request_plans,
     selection,
 )
-from dewstep_fleet.admission import demand_counts, queue_limits, return_times
+from dewstep_fleet.admission import (
+    demand_counts,
+    queue_limits,
+    return_order,
+    return_times,
+)
 from dewstep_fleet.warm_up import preferences
 
 MAX_MOVE_WAIT = datetime.timedelta(milliseconds=600)
@@ -79,6 +85,9 @@
         self.clock = clock
         self.random = generator
         self.demand_counts = demand_counts.DemandCounts()
+        self.refused_by_kind = collections.Counter()
+        """Requests refused while the demand exceeded the capacity, by the name of
+        their kind of caller."""
 
     async def find_target(
         self, plan: request_plans.PlannedRequest, tried: frozenset[str]
@@ -230,8 +239,13 @@
         time_left = (plan.due_at - now).total_seconds()
         full = estimate.running >= target.slots * queue_limits.MAX_REQUESTS_PER_SLOT
         late = choice.wait + estimate.service * 0.8 > time_left
-        if not (full or late or queue_limits.is_exceeded(estimate, target.slots)):
+        exceeded = queue_limits.is_exceeded(estimate, target.slots)
+        if not (full or late or exceeded):
             return result.Success(choice)
+        kind = return_order.Kind.NEW
+        if exceeded:
+            kind = self.classify_caller(plan, choice, time_left)
+        elapsed = (now - plan.first_sent_at).total_seconds()
         longest_wait = queue_limits.compute_longest_wait(
             plan.route,
             self.planner.routes_by_service.get(plan.service.name, ()),
@@ -239,7 +253,7 @@
             estimate,
             plan.service.name,
             time_left,
-            (now - plan.first_sent_at).total_seconds(),
+            0.0 if kind is return_order.Kind.RETURNED else elapsed,
         )
         own_ratio = 1.0
         if plan.key is None:
@@ -259,12 +273,39 @@
         fraction = queue_limits.compute_sent_fraction(
             estimate, target.slots, longest_wait, demand
         )
+        shares, seconds = self.planner.return_shares, now.total_seconds()
+        shares.count(plan.route.name, seconds, kind)
+        fraction = return_order.adjust_fraction(
+            fraction, kind, shares.get(plan.route.name, seconds)
+        )
         if self.random.random() < fraction:
             return result.Success(choice)
+        self.refused_by_kind[kind.value] += 1
         retry_after = self.choose_return_time(excess_s, demand)
         failure = errors.DemandExceeded(target.name, round(fraction * 100), retry_after)
         return result.Failure(failure)
 
+    def classify_caller(
+        self,
+        plan: request_plans.PlannedRequest,
+        choice: selection.Choice,
+        time_left: float,
+    ) -> return_order.Kind:
+        """Return whether the caller is new, early, back as told, or back too late."""
+        elapsed = (self.clock.monotonic() - plan.first_sent_at).total_seconds()
+        objective = plan.route.latency_objective
+        spare = return_order.compute_spare(
+            None if objective is None else objective.total_seconds(),
+            elapsed,
+            time_left,
+            choice.estimate.service,
+        )
+        # The time that the request has been held here says nothing of its caller.
+        before_arrival = plan.request.arrived_at - plan.first_sent_at
+        return return_order.classify(
+            before_arrival.total_seconds(), plan.is_relayed(), choice.wait <= spare
+        )
+
     def choose_return_time(self, excess_s: float, demand: float) -> datetime.timedelta:
         """Return the time after which a refused caller should come back."""
         return return_times.choose_return_time(excess_s, demand, self.random.random())
--- a/packages/fleet/dewstep_fleet/telemetry.py
+++ b/packages/fleet/dewstep_fleet/telemetry.py
@@ -7,6 +7,7 @@
 
 from dewstep_core import clocks, data, events
 from dewstep_fleet import crash_counts, directories, dispatch, model
+from dewstep_fleet.admission import return_order
 from dewstep_fleet.evacuation import progress
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
@@ -133,6 +134,12 @@
         "quarantined_requests": participant.crash_counts.count_suspects(
             crash_counts.MAX_LOSSES_BEFORE_QUARANTINE, now
         ),
+        **{
+            f"refused_{kind.value}_callers": process.dispatcher.search.refused_by_kind[
+                kind.value
+            ]
+            for kind in return_order.Kind
+        },
         "permits_used": participant.limits.counts["permits_used"],
         "permits_refused": participant.limits.counts["permits_refused"],
         "cold_targets": len(participant.limits.warm_up.list_cold()),
