--- a/packages/fleet/dewstep_fleet/admission/return_times.py
+++ b/packages/fleet/dewstep_fleet/admission/return_times.py
@@ -28,6 +28,9 @@
 """Demand from which on an overload counts as lasting, as for the keys of an owner."""
 LONG_SPREAD = 0.2
 """Part of the longest time over which the callers are spread who are told it."""
+MAX_RETURN_TIME_S = 2.0
+"""Longest time told in excessive demand: bursts last for 3 to 7 s, while a caller
+without a deadline would be told 10 s."""
 HONOURED_SHARE = 1 / 3
 """Part of the time left to its deadline that a caller waits at most."""
 
@@ -66,7 +69,7 @@
         Seconds for which the caller can wait and still be served within its objective.
     """
     earliest = max(excess_s, MIN_RETURN_TIME.total_seconds())
-    latest = time_left_s * HONOURED_SHARE
+    latest = min(time_left_s * HONOURED_SHARE, MAX_RETURN_TIME_S)
     width = min(spare_s - WAY_S, latest) - earliest
     share = min(1.0, RETURN_ROOM / max(demand - 1, 1e-6)) if width > 0 else 0.0
     if jitter < share:
--- a/packages/fleet/dewstep_fleet/admission/return_times_test.py
+++ b/packages/fleet/dewstep_fleet/admission/return_times_test.py
@@ -45,6 +45,9 @@
     assert all(0.8 <= item / SECOND <= 1.0 for item in times if item not in soon)
     late = return_times.choose_ordered_time(0.1, demand, 0.0, 3.0, 0.0)
     assert late >= SECOND * 0.8
+    # A caller without a deadline is not told to stay away for 10 s.
+    late = return_times.choose_ordered_time(0.1, demand, 0.9, 30.0, 0.0)
+    assert late <= SECOND * 2
 
 
 def test_callers_are_told_no_later_time_than_they_honour():
