--- a/packages/fleet/dewstep_fleet/dispatch_test.py
+++ b/packages/fleet/dewstep_fleet/dispatch_test.py
@@ -524,6 +524,60 @@
     assert 200 < len(harness.sent) <= 200 + allowed
 
 
+def read_retry_after(answer):
+    """Return the seconds after which the caller should come back."""
+    return float(dict(answer.headers)[b"retry-after"])
+
+
+@pytest.mark.parametrize(
+    ("outcome", "running", "is_soon"),
+    [(full, 0, True), (full, 4, False), (misdirected, 0, False), (replaced, 0, False)],
+)
+def test_caller_comes_back_soon_to_an_owner_that_refuses_with_free_slots(
+    outcome, running, is_soon
+):
+    # Guards against losing look-ups (122 ms, objective 515 ms) of which an owner
+    # refuses half by chance for 8 s, since their callers return after 300 to 450 ms.
+    for max_attempts in (1, 2):
+        harness = Harness(*[outcome] * 2, keyed=True, max_attempts=max_attempts)
+        harness.use_clock(clocks.SystemClock())
+        harness.counts.get_load("a").running = running
+        answer = harness.send(headers=((b"x-key", b"70"), (b"x-deadline", b"3057")))
+        assert answer.status == 503
+        assert (0.05 <= read_retry_after(answer) <= 0.1) == is_soon
+
+
+def test_caller_comes_back_soon_if_the_retry_budget_allows_no_resend():
+    # Guards against the same loss where each request would need a resend, while the
+    # retry budget allows one for five of them.
+    for keyed in (True, False):
+        harness = Harness(*[full] * 600, keyed=keyed)
+        for _ in range(200):
+            answer = harness.send(headers=((b"x-key", b"70"),))
+        assert harness.dispatcher.retry_budgets.get("history").refused_resends
+        assert 0.05 <= read_retry_after(answer) <= 0.1
+
+
+@pytest.mark.parametrize(
+    ("deadline", "status"), [(b"3057", 200), (b"3047", 503), (b"2957", 200)]
+)
+def test_early_callers_are_refused_while_the_demand_exceeds_the_capacity(
+    deadline, status
+):
+    # Guards against the 30% of the callers who repeat at once in a burst and take the
+    # room of those who wait as told.
+    harness = Harness(*[200] * 42, keyed=True, timeout=None)
+    key = (b"x-key", b"70")
+    for _ in range(40):
+        harness.send(headers=(key, (b"x-deadline", b"3057")))
+    load = harness.counts.get_load("a")
+    assert harness.send(headers=(key, (b"x-deadline", deadline))).status == 200
+    load.running, load.slot_free_at = 4, 0.0
+    assert harness.send(headers=(key, (b"x-deadline", deadline))).status == status
+    refused = harness.dispatcher.search.refused_by_kind
+    assert refused == ({"early": 1} if status == 503 else {})
+
+
 def test_request_is_resent_to_the_new_owner():
     harness = Harness(misdirected, 200, keyed=True)
 
