--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -233,7 +233,7 @@
             return progress.answer
         if plan.is_relayed() and isinstance(failure, errors.Stopping):
             failure = errors.RelayRefused(self.node, "stopping")
-        if getattr(failure, "reason", "") != RETRY_BUDGET_REASON:
+        if getattr(failure, "reason", "") != refusals.RETRY_BUDGET_REASON:
             failure = self.directory.regions.choose_failure(
                 plan.request, plan.route, plan.service.name, failure
             )
