Start requests behind others one at a time during a planned stop

Refusals of requests that had waited behind others past their deadline carried "Retry-After: 0.000" (False-7, -8 and -9), since no time remained of which to take a third.

Requests that were read still get their turn. A refusal as Stopping without remaining time names the usual return time.

--- a/packages/entry/dewstep_entry/caller/connection.py
+++ b/packages/entry/dewstep_entry/caller/connection.py
@@ -322,8 +322,9 @@
     def _start_queued(self) -> None:
         """Start the requests that may run beside those in front of them."""
         listener = self.listener
-        room = listener.get_parallel_room()
-        count = sequencing.count_startable(self.sequence, room)
+        count = sequencing.count_startable(
+            self.sequence, listener.get_parallel_room(), listener.is_closing()
+        )
         first = self.sequence.started
         for position in range(max(first, 1), first + count):
             request = self.queued[position - 1]
--- a/packages/entry/dewstep_entry/caller/sequencing.py
+++ b/packages/entry/dewstep_entry/caller/sequencing.py
@@ -34,7 +34,7 @@
     return sequence._replace(parallel=(*sequence.parallel, parallel))
 
 
-def count_startable(sequence: Sequence, room: int) -> int:
+def count_startable(sequence: Sequence, room: int, closing: bool) -> int:
     """Return how many more requests to start.
 
     Parameters
@@ -42,10 +42,15 @@
     sequence : Sequence
     room : int
         Number of requests behind others that the process may still start.
+    closing : bool
+        Whether the connection is to be closed as soon as possible. No request is then
+        started behind others, as its answer might wait until the process ends.
     """
     if sequence.parallel and not sequence.started:
         first = start(sequence, 1)
-        return 1 + count_startable(first, room)
+        return 1 + count_startable(first, room, closing)
+    if closing:
+        return 0
     count = 0
     for position in range(sequence.started, len(sequence.parallel)):
         if count == room or not all(sequence.parallel[: position + 1]):
--- a/packages/fleet/dewstep_fleet/refusals.py
+++ b/packages/fleet/dewstep_fleet/refusals.py
@@ -119,7 +119,8 @@
 ) -> datetime.timedelta:
     """Return the time after which a caller should retry.
 
-    It is within the caller's remaining time, except after a target's pause.
+    It is within the caller's remaining time, except after a target's pause, and at a
+    planned stop if no time remains.
 
     Parameters
     ----------
@@ -136,4 +137,8 @@
     if isinstance(failure, SPREAD_FAILURES):
         return min(failure.retry_after, latest)
     base = max(getattr(failure, "retry_after", BASE_RETRY_AFTER), BASE_RETRY_AFTER / 2)
+    if isinstance(failure, errors.Stopping) and not latest:
+        # A request may have waited behind others of its connection until it was due. A
+        # repetition at once could reach the stopping instance again.
+        return base * (1 + jitter / 2)
     return min(base * (1 + jitter / 2), latest)
