Find the owner that refused a request in one place, and name regions in own words

dispatch.py and refusals.py looked up a refusing owner with the same seven lines. The field that limits a route to regions had the platform's name outside platform/; it is permitted_regions now.

--- a/packages/fleet/dewstep_fleet/dispatch.py
+++ b/packages/fleet/dewstep_fleet/dispatch.py
@@ -449,16 +449,12 @@
         self, plan: request_plans.PlannedRequest, failure: Any, progress: Progress
     ) -> bool:
         """Whether to repeat a request at once that its owner refused although free."""
-        if plan.key is None or not isinstance(failure, errors.TargetRefused):
-            return False
-        owner = self.directory.targets.get(failure.target)
-        if owner is None or failure.reason in owner_resends.LASTING_REASONS:
-            return False
-        now = self.clock.monotonic().total_seconds()
-        estimate = self.loads.estimate(owner.service, owner.name, now, owner.slots)
-        return owner_resends.may_resend(
-            estimate, owner.slots, progress.sends, plan.max_attempts
-        ) and self.can_resend(plan, progress.runs)
+        found = self.refuser.estimate_refusing_owner(plan, failure)
+        return (
+            found is not None
+            and owner_resends.may_resend(*found, progress.sends, plan.max_attempts)
+            and self.can_resend(plan, progress.runs)
+        )
 
     def can_resend(self, plan: request_plans.PlannedRequest, runs: int) -> bool:
         """Whether a request that may have run `runs` times may be resent."""
--- a/packages/fleet/dewstep_fleet/model.py
+++ b/packages/fleet/dewstep_fleet/model.py
@@ -47,7 +47,7 @@
     """Maximum number of attempts in which a target may have run a request."""
     priority: int
     """Priority relative to other routes; 0 is the highest."""
-    allowed_regions: tuple[str, ...] = ()
+    permitted_regions: tuple[str, ...] = ()
     """Regions in which its requests may be run; empty if they may be run anywhere."""
 
 
--- a/packages/fleet/dewstep_fleet/refusals.py
+++ b/packages/fleet/dewstep_fleet/refusals.py
@@ -67,20 +67,31 @@
             build_pause_failure(failure.target, pause_left) if pause_left else failure
         )
 
-    def is_soon_possible(
+    def estimate_refusing_owner(
         self, plan: request_plans.PlannedRequest, failure: Any
-    ) -> bool:
-        """Whether the next try of a caller may succeed without a wait for room."""
-        if getattr(failure, "reason", None) == RETRY_BUDGET_REASON:
-            return True
+    ) -> tuple[load_counts.Estimate, int] | None:
+        """Return the estimate and the slots of an owner that may accept the next try.
+
+        It is None if the owner of the key has not refused the request, or refuses it
+        until the owner changes.
+        """
         if plan.key is None or not isinstance(failure, errors.TargetRefused):
-            return False
+            return None
         owner = self.directory.targets.get(failure.target)
         if owner is None or failure.reason in owner_resends.LASTING_REASONS:
-            return False
+            return None
         now = self.clock.monotonic().total_seconds()
         estimate = self.loads.estimate(owner.service, owner.name, now, owner.slots)
-        return owner_resends.refuses_by_chance(estimate, owner.slots)
+        return estimate, owner.slots
+
+    def is_soon_possible(
+        self, plan: request_plans.PlannedRequest, failure: Any
+    ) -> bool:
+        """Whether the next try of a caller may succeed without a wait for room."""
+        if getattr(failure, "reason", None) == RETRY_BUDGET_REASON:
+            return True
+        found = self.estimate_refusing_owner(plan, failure)
+        return found is not None and owner_resends.refuses_by_chance(*found)
 
     def refuse(
         self,
--- a/packages/fleet/dewstep_fleet/regions/rules.py
+++ b/packages/fleet/dewstep_fleet/regions/rules.py
@@ -34,14 +34,14 @@
 
     def apply_table(self, table: model.RouteTable) -> None:
         """Apply a new configuration."""
-        self.restricted = any(route.allowed_regions for route in table.routes)
+        self.restricted = any(route.permitted_regions for route in table.routes)
         self.index = routes.EMPTY_INDEX
         self.service_regions = {}
         if not self.restricted:
             return
         self.index = routes.build_index(table)
         for name, found in routes.group_by_service(table).items():
-            allowed = {frozenset(route.allowed_regions) for route in found}
+            allowed = {frozenset(route.permitted_regions) for route in found}
             service = table.services.get(name)
             if service is not None and service.keyed and len(allowed) == 1:
                 self.service_regions[name] = allowed.pop()
@@ -71,7 +71,7 @@
         if self.restricted:
             host = dict(request.headers).get(b"host", b"").decode("latin-1")
             current = routes.find_route(self.index, host, request.path)
-            allowed = (route if current is None else current).allowed_regions
+            allowed = (route if current is None else current).permitted_regions
         return tuple(item for item in (allowed, request.relayed_regions) if item)
 
     def is_restricted(self, request: model.IncomingRequest, route: model.Route) -> bool:
@@ -187,7 +187,7 @@
                 request_id=request.request_id,
                 target=target.name,
                 region=self.places.find_region(target.data_centre),
-                allowed_regions=",".join(bounds[0]),
+                permitted_regions=",".join(bounds[0]),
             )
 
     def describe(self, table: model.RouteTable | None) -> dict[str, Any]:
@@ -196,9 +196,9 @@
             "own": self.places.own,
             "data_centres": dict(self.places.by_data_centre),
             "routes": {
-                route.name: list(route.allowed_regions)
+                route.name: list(route.permitted_regions)
                 for route in (table.routes if table is not None else ())
-                if route.allowed_regions
+                if route.permitted_regions
             },
             "keyed_services": {
                 name: sorted(allowed) for name, allowed in self.service_regions.items()
--- a/packages/fleet/dewstep_fleet/regions/rules_test.py
+++ b/packages/fleet/dewstep_fleet/regions/rules_test.py
@@ -17,13 +17,13 @@
 from dewstep_fleet.regions import places
 
 PLACES = places.Places("north", {"dc-1": "north", "dc-2": "south", "dc-3": ""})
-OTHER_ROUTE = builders.build_route(prefix="/b/", allowed_regions=("south",))
+OTHER_ROUTE = builders.build_route(prefix="/b/", permitted_regions=("south",))
 MEMBER = model.Member("n2", "i", "dc-1", "h", 1)
 
 
 def restrict(directory, *regions, version=2, keyed=False, others=()):
     """Put a configuration in force that allows regions for the requests of a route."""
-    route = builders.build_route(allowed_regions=regions)
+    route = builders.build_route(permitted_regions=regions)
     table = builders.build_table(route, *others, version=version, keyed=keyed)
     directory.regions.set_places(PLACES)
     directory.decode_routes = lambda content: builders.result.Success(table)
