Compute the longest return time that callers honour in one place

refusals.py had the third of the remaining time twice, and return_times.py had it as a constant. Behaviour is unchanged but for rounding to a microsecond.

--- a/packages/fleet/dewstep_fleet/refusals.py
+++ b/packages/fleet/dewstep_fleet/refusals.py
@@ -106,8 +106,8 @@
             failure = self.find_pause_failure(plan, failure)
             jitter = self.random.random()
             if self.is_soon_possible(plan, failure):
-                latest = max(time_left / 3, datetime.timedelta())
-                retry_after = min(return_times.choose_soon_time(jitter), latest)
+                soon = return_times.choose_soon_time(jitter)
+                retry_after = min(soon, compute_longest_wait(time_left))
             else:
                 retry_after = choose_retry_after(failure, time_left, jitter)
             if isinstance(failure, errors.DeadlineExceeded) and plan.due_by_timeout:
@@ -149,6 +149,11 @@
     return earlier if failures.find_rule(earlier).outcome != errors.NOT_RUN else failure
 
 
+def compute_longest_wait(time_left: datetime.timedelta) -> datetime.timedelta:
+    """Return the longest return time that a caller honours."""
+    return max(time_left * return_times.HONOURED_SHARE, datetime.timedelta())
+
+
 def choose_retry_after(
     failure: Any, time_left: datetime.timedelta, jitter: float
 ) -> datetime.timedelta:
@@ -168,7 +173,7 @@
     if isinstance(failure, errors.TargetPaused):
         # An earlier retry would be refused again.
         return failure.retry_after * (1 + jitter / 2)
-    latest = max(time_left / 3, datetime.timedelta())
+    latest = compute_longest_wait(time_left)
     if isinstance(failure, SPREAD_FAILURES):
         return min(failure.retry_after, latest)
     base = max(getattr(failure, "retry_after", BASE_RETRY_AFTER), BASE_RETRY_AFTER / 2)
