--- a/review/peers.py
+++ b/review/peers.py
@@ -365,7 +365,11 @@
     async def copy(self, reader, writer):
         while True:
             chunk = await reader.read(65536)
-            await self.healed.wait()
+            if not self.healed.is_set():
+                await self.healed.wait()
+                if reader._eof or reader.exception() is not None:
+                    # Bytes that are held up are lost if their sender resets.
+                    raise OSError("lost")
             if not chunk:
                 raise OSError("closed")
             writer.write(chunk)
@@ -734,6 +738,7 @@
         self.attempts = {}
         self.runs = collections.defaultdict(list)
         self.number = 0
+        self.id_format = "a{:07d}"
         self.version = 10
         self.pauses = {}
         self.key_fence = []
@@ -871,7 +876,7 @@
 
     async def send(self, node, kind, key=None, deadline=2.5, leave=None, path=None):
         self.number += 1
-        attempt = f"a{self.number:07d}"
+        attempt = self.id_format.format(self.number)
         method = "POST" if kind in ("act", "book") else "GET"
         path = path or f"/{kind}/{self.number}"
         body = b"x" * 300 if method == "POST" else b""
