--- a/review/7/case.py
+++ b/review/7/case.py
@@ -22,9 +22,11 @@
 DRAIN_S = 2.0
 LEAVING_AFTER_S = 0.5
 """Time from the silence to the worker's report."""
-SERVES_FOR_S = 4.6
+SERVES_FOR_S = 3.9
 """Time for which the worker serves after the store's ack of its report."""
-CALLERS = 12
+CALLERS = 24
+WORK_S = 0.29
+"""Mean time of a request, as on the sheet for bookings."""
 
 
 async def run():
@@ -37,14 +39,14 @@
             await world.send(node, world.random.choice(["book", "list", "look"]))
 
     try:
-        if not await world.begin(4, 4, 5):
+        if not await world.begin(4, 4, 8, work=WORK_S):
             print("the machines did not become ready")
             return 2
         callers = [asyncio.ensure_future(call_often()) for _ in range(CALLERS)]
         await asyncio.sleep(4)
         leaving = next(item for item in world.workers if item.service == "booker")
         # A worker joins, as in a release: the old one leaves after it.
-        await peers.Worker(world, "booker", leaving.zone, work=0.1).start()
+        await peers.Worker(world, "booker", leaving.zone, work=WORK_S).start()
         await asyncio.sleep(0.5)
         silent_at = now()
         if TROUBLE:
--- a/review/peers.py
+++ b/review/peers.py
@@ -679,7 +679,8 @@
                     await asyncio.sleep(60)
                 self.running_keys[key] += 1
                 try:
-                    await asyncio.sleep(self.world.random.uniform(0.5, 1.5) * self.work)
+                    work = self.world.works.get(path.split("/")[1], self.work)
+                    await asyncio.sleep(self.world.random.uniform(0.5, 1.5) * work)
                 finally:
                     self.running_keys[key] -= 1
             finally:
@@ -827,6 +828,18 @@
             writer.transport.abort()
 
 
+def build_rule(name, prefix, service, kind, attempts, timeout, latency, priority):
+    """Return a route as it stands in a manifest."""
+    return {
+        "name": name,
+        "match": {"prefix": prefix},
+        "kind": kind,
+        "target_latency": latency,
+        "priority": priority,
+        "action": {"service": service, "timeout": timeout, "max_attempts": attempts},
+    }
+
+
 class World:
     """All stand-ins of one run."""
 
@@ -848,30 +861,26 @@
         self.id_format = "a{:07d}"
         self.version = 10
         self.pauses = {}
+        self.works = {}
+        """Work in seconds by the first part of a path; that of the worker if absent."""
+        self.added_rules = []
         self.key_fence = []
         self.expiry_task = None
 
     def build_manifest(self):
-        rule = lambda name, prefix, service, kind, attempts, timeout, latency, priority: {
-            "name": name,
-            "match": {"prefix": prefix},
-            "kind": kind,
-            "target_latency": latency,
-            "priority": priority,
-            "action": {"service": service, "timeout": timeout, "max_attempts": attempts},
-        }
         return {
             "version": self.version,
             "listeners": [
                 {
                     "host": "h.example",
                     "rules": [
-                        rule("look", "/look/", "history", "idempotent", 3, "2500ms", "600ms", 2),
-                        rule(
+                        build_rule("look", "/look/", "history", "idempotent", 3, "2500ms", "600ms", 2),
+                        build_rule(
                             "keyed", "/act/", "history", "non_idempotent", 2, "3000ms", "800ms", 1
                         ),
-                        rule("book", "/book/", "booker", "non_idempotent", 2, "3000ms", "800ms", 1),
-                        rule("list", "/list/", "booker", "idempotent", 3, "3000ms", "800ms", 1),
+                        build_rule("book", "/book/", "booker", "non_idempotent", 2, "3000ms", "800ms", 1),
+                        build_rule("list", "/list/", "booker", "idempotent", 3, "3000ms", "800ms", 1),
+                        *self.added_rules,
                     ],
                 }
             ],
