Wait for earlier grants in the first term of a restored store, too

Cause: the first coordinator that the restored store knew of ordered the registered targets to release all keys, and divided the keys as soon as these had answered. A target that the copy lacks and that does not reach the store is not registered, and held its long grant on.

The first start of a fleet in a store that was restored before waits as long.

--- a/packages/emulator/dewstep_emulator/ownership/faults.py
+++ b/packages/emulator/dewstep_emulator/ownership/faults.py
@@ -402,6 +402,27 @@
         instance.start()
 
 
+@register("restore_to_before_start", "target", 3.5, 6.0, drawn=False, final=True)
+def restore_to_before_start(simulation, subject):
+    """Restore the store from a copy of before the fleet's start after an outage.
+
+    All instances are killed at the end of the outage, in which targets have received
+    long grants. One target does not reach the store from then on, so that it does not
+    register again.
+    """
+    running = simulation.running_targets[subject]
+    running.reaches_store = False
+    with refusing(simulation, stores.Refusal(stores.UNAVAILABLE)):
+        yield
+        for instance in simulation.instances.values():
+            instance.kill()
+    row = model.TABLES.targets, running.process.name
+    simulation.store.written_outside.pop(row, None)
+    simulation.store.restore(datetime.timedelta(seconds=simulation.loop.now + 1))
+    for instance in simulation.instances.values():
+        instance.start()
+
+
 # Faults of targets.
 
 
--- a/packages/emulator/dewstep_emulator/ownership/mutation_list.py
+++ b/packages/emulator/dewstep_emulator/ownership/mutation_list.py
@@ -197,3 +197,15 @@
     ),
     seed=5,
 )
+register_mutation(
+    "earlier-grants-not-waited-for-in-the-first-term",
+    "restored-to-before-the-start-without-a-target",
+    "TwoOwners",
+    mutation_types.Edit(
+        FLEET + "adoption.py",
+        "        await self.clock.sleep(max(wait, NO_TIME))\n",
+        "        if self.term.leadership.term > 1:\n"
+        "            await self.clock.sleep(max(wait, NO_TIME))\n",
+    ),
+    seed=1,
+)
--- a/packages/emulator/dewstep_emulator/ownership/schedules.py
+++ b/packages/emulator/dewstep_emulator/ownership/schedules.py
@@ -115,6 +115,11 @@
     8.0,
     faults.Fault(8.0, "restore_and_restart", "", 1.2),
 )
+register_schedule(
+    "restored-to-before-the-start-without-a-target",
+    8.0,
+    faults.Fault(8.0, "restore_to_before_start", "t01", 4.5),
+)
 
 
 def run(name: str, seed: int) -> simulation.Report:
--- a/packages/fleet/dewstep_fleet/adoption.py
+++ b/packages/fleet/dewstep_fleet/adoption.py
@@ -6,8 +6,10 @@
 
 A store that is restored from an older copy forgets changes of owners. The coordinator
 whose row survived knows them all and goes on. Any other one cannot know which target
-holds a key; it grants nothing until all earlier grants have expired. In the first term
-that the store knows of, the targets are asked to release all keys instead.
+holds a key, since the copy may lack targets as well, and those that do not reach the
+store do not register again. It grants nothing until all earlier grants have expired.
+This includes the first term that the store knows of: a copy of before the first
+election does not show that there have been coordinators.
 
 The time until which earlier grants last is established once for each era of the store,
 when half of the members report to this instance. Each service whose ranges are taken
@@ -32,7 +34,6 @@
     ranges,
     target_orders,
     terms,
-    unknown_owners,
 )
 
 REGISTRATION_QUIET_PERIOD = datetime.timedelta(milliseconds=1500)
@@ -104,7 +105,6 @@
         self.term = term
         self.grant_states = states
         self.writer = writer
-        self.unknown_owners = unknown_owners.UnknownOwners(directory, states, clock)
         self.clock = clock
         self.tasks = task_owner
         self.is_adopted = is_adopted
@@ -215,19 +215,9 @@
         expiry = self.get_inherited_limit().expiry
         wait = expiry - self.clock.monotonic()
         events.warning("owners_lost", service=service, wait=wait)
-        if not (
-            self.is_first_term(service)
-            and await self.unknown_owners.release_all(service, expiry)
-        ):
-            wait = expiry - self.clock.monotonic()
-            await self.clock.sleep(max(wait, NO_TIME))
+        await self.clock.sleep(max(wait, NO_TIME))
         self.known_era_floors[service] = era_floor
 
-    def is_first_term(self, service: str) -> bool:
-        """Whether neither the store nor any member knows of an earlier coordinator."""
-        first_term = self.term.leadership.term == 1
-        return first_term and service not in self.directory.ownerships
-
     # Grants of the previous coordinator.
 
     def get_max_inherited_duration(self) -> datetime.timedelta:
