Replace a link that goes silent before its first report

A member whose link to the coordinator goes silent right after it was opened hears of no changes, loads or permits over it, and reads the store for itself, until TCP gives the connection up after minutes.

Cause: the coordinator replaced a link only if the last report on it was 2 s old, so one without any report was kept.

Change: a link without a report is replaced after 5 s, the time that accepted links have for their first frame. Full links of a starting fleet take several seconds for the first rows.

Evidence: test_link_without_a_first_report_is_replaced failed before; coordination_test.py passes.

--- a/packages/fleet/dewstep_fleet/coordination_test.py
+++ b/packages/fleet/dewstep_fleet/coordination_test.py
@@ -706,6 +706,43 @@
         """Do nothing; there is no connection."""
 
 
+class SilentLink(RecordingLink):
+    """A link whose other end receives nothing and does not answer."""
+
+    def __init__(self):
+        super().__init__()
+        self.closed = False
+
+    def send_encoded(self, content, kind):
+        """Return that the bytes were taken."""
+        return True
+
+    def close(self):
+        """Record the end of the link."""
+        self.closed = True
+
+
+# Guards against a member that hears of no changes for as long as its link is kept,
+# which went silent before the first report.
+@testing.run_in_event_loop
+async def test_link_without_a_first_report_is_replaced(monkeypatch):
+    election = VoteHarness({"n1": False})
+    participant = election.participant
+    start_coordinating(election, 2)
+    link = SilentLink()
+
+    async def connect(host, port, on_frame, on_close):
+        return link
+
+    monkeypatch.setattr(links, "connect", connect)
+    await participant.member_links.dial(participant.directory.members["n1"])
+    now = participant.clock.monotonic()
+    participant.heartbeats.send(now + links.FIRST_FRAME_TIMEOUT / 2)
+    assert not link.closed
+    participant.heartbeats.send(now + links.FIRST_FRAME_TIMEOUT + SECOND)
+    assert link.closed and "n1" not in participant.member_links.links
+
+
 def ask(participant):
     """Return an instance's answer to a vote request."""
     link = RecordingLink()
--- a/packages/fleet/dewstep_fleet/heartbeats.py
+++ b/packages/fleet/dewstep_fleet/heartbeats.py
@@ -143,10 +143,11 @@
         encoded: dict[tuple[bool, bool, int | None], bytes] = {}
         for node, link in list(self.members.links.items()):
             report = self.followers.reports.get(node)
-            if (
-                report is not None
-                and now - report.received_at > membership.HEARTBEAT_TIMEOUT * 2
-            ):
+            if report is None:
+                silent = self.members.lacks_first_report(node, now)
+            else:
+                silent = now - report.received_at > membership.HEARTBEAT_TIMEOUT * 2
+            if silent:
                 # The connection may be broken permanently.
                 link.close()
                 self.members.drop(link)
