Keep a target's doubt with its load, and forget trials in one way

Trials.forget repeated record_answer; one is left. Whether a target's slowness is doubted was kept in a set beside TargetLoad, which held the time of its last answer already; both are now fields of it.

No behaviour changes.

--- a/packages/fleet/dewstep_fleet/load/trials.py
+++ b/packages/fleet/dewstep_fleet/load/trials.py
@@ -54,10 +54,6 @@
         self.states[subject] = state
         return True
 
-    def record_answer(self, subject: str) -> None:
-        """Record an answer, after which trials may be sent again."""
-        self.states.pop(subject, None)
-
     def forget(self, subject: str) -> None:
-        """Forget a subject that no longer exists."""
+        """Forget the trials of a subject that has answered or no longer exists."""
         self.states.pop(subject, None)
--- a/packages/fleet/dewstep_fleet/load/trials_test.py
+++ b/packages/fleet/dewstep_fleet/load/trials_test.py
@@ -23,7 +23,7 @@
 def test_answer_allows_further_trials():
     counts = trials.Trials()
     take_until(counts, 0.0, 20.0)
-    counts.record_answer("r")
+    counts.forget("r")
     assert len(take_until(counts, 20.0, 21.0)) == trials.TRIALS_WITHOUT_ANSWER
 
 
--- a/packages/fleet/dewstep_fleet/load_counts.py
+++ b/packages/fleet/dewstep_fleet/load_counts.py
@@ -44,6 +44,7 @@
         "blocked_until",
         "busy_seconds",
         "decayed_at",
+        "doubted",
         "ended",
         "expected_seconds",
         "failures",
@@ -92,6 +93,8 @@
         """Slots of the target, once it has been estimated."""
         self.answered_at = -math.inf
         """When an answer last confirmed its slowness."""
+        self.doubted = False
+        """Whether the next answer replaces its slowness."""
 
 
 class Estimate(NamedTuple):
@@ -134,8 +137,6 @@
         self.target_trials = trials.Trials()
         self.doubted_routes: set[str] = set()
         """Routes whose times the next answer replaces."""
-        self.doubted_targets: set[str] = set()
-        """Targets whose slowness the next answer replaces."""
         self.trial_count = 0
         self.totals_at: float | None = None
         """When the last totals were received."""
@@ -193,8 +194,9 @@
             return
         self.record_answer(target, route, now)
         count, typical = self.route_seconds.get(route, (0, elapsed))
-        doubted = load.slowness is None or target in self.doubted_targets
-        slowness = 1.0 if doubted else load.slowness
+        slowness = load.slowness
+        if slowness is None or load.doubted:
+            slowness = 1.0
         self.route_seconds[route] = (
             count + 1,
             update_average(typical, elapsed / slowness),
@@ -207,8 +209,8 @@
         load.ended += 1
         load.busy_seconds += elapsed
         load.expected_seconds += typical
-        if target in self.doubted_targets:
-            self.doubted_targets.discard(target)
+        if load.doubted:
+            load.doubted = False
             slowness = elapsed / typical
         load.slowness = limit_slowness(update_average(slowness, elapsed / typical))
 
@@ -218,8 +220,8 @@
             self.doubted_routes.discard(route)
             self.route_seconds.pop(route, None)
         self.answered_at[route] = self.get_load(target).answered_at = now
-        self.route_trials.record_answer(route)
-        self.target_trials.record_answer(target)
+        self.route_trials.forget(route)
+        self.target_trials.forget(target)
 
     def begin_trial(self, target: str, route: str, now: float) -> bool:
         """Whether a request may be sent that is expected to take too long.
@@ -237,7 +239,8 @@
         count, _ = self.route_seconds.get(route, (0, 0.0))
         known = count >= MIN_SAMPLES
         route_is_old = self.answered_at.get(route, -math.inf) < oldest
-        target_is_old = self.get_load(target).answered_at < oldest
+        load = self.get_load(target)
+        target_is_old = load.answered_at < oldest
         if not known or route_is_old:
             allowed = self.route_trials.take(route, now)
         else:
@@ -248,7 +251,7 @@
         if known and route_is_old:
             self.doubted_routes.add(route)
         if target_is_old:
-            self.doubted_targets.add(target)
+            load.doubted = True
         return True
 
     def get_typical_seconds(self, service: str, route: str) -> float:
@@ -425,7 +428,6 @@
             if not load.running and load.paused_until <= now:
                 del self.by_target[target]
                 self.target_trials.forget(target)
-                self.doubted_targets.discard(target)
 
 
 def exclude_wait(load: TargetLoad, elapsed: float) -> float:
