Keep the time at which a link was opened with the link

The times were a dict beside the links of the coordinator, changed in three more places with it. The coordinator now sets Link.opened_at, as the connection pool sets TargetConnection.opened_at, and heartbeats.is_silent decides for links with and without a report.

No behaviour changes.

--- a/packages/fleet/dewstep_fleet/heartbeats.py
+++ b/packages/fleet/dewstep_fleet/heartbeats.py
@@ -14,6 +14,7 @@
     directories,
     followers,
     frames,
+    links,
     load_counts,
     loss_reports,
     member_links,
@@ -45,6 +46,16 @@
     )
 
 
+def is_silent(
+    link: links.Link, report: reports.Report | None, now: datetime.timedelta
+) -> bool:
+    """Whether a link to a member should have brought a newer report, or a first one."""
+    if report is not None:
+        return now - report.received_at > membership.HEARTBEAT_TIMEOUT * 2
+    opened_at = link.opened_at
+    return opened_at is not None and now - opened_at > links.FIRST_FRAME_TIMEOUT
+
+
 class Heartbeats:
     """Sends heartbeats to the members and takes their reports.
 
@@ -143,11 +154,7 @@
         encoded: dict[tuple[bool, bool, int | None], bytes] = {}
         for node, link in list(self.members.links.items()):
             report = self.followers.reports.get(node)
-            if report is None:
-                silent = self.members.lacks_first_report(node, now)
-            else:
-                silent = now - report.received_at > membership.HEARTBEAT_TIMEOUT * 2
-            if silent:
+            if is_silent(link, report, now):
                 # The connection may be broken permanently.
                 link.close()
                 self.members.drop(link)
--- a/packages/fleet/dewstep_fleet/links.py
+++ b/packages/fleet/dewstep_fleet/links.py
@@ -53,6 +53,8 @@
         self.sent_bytes = collections.Counter()
         """Bytes sent, by kind of message; its owner may count several links in one."""
         self.state = link_states.LinkState()
+        self.opened_at: datetime.timedelta | None = None
+        """When it was opened, if its owner records this."""
         self.frame_timer: asyncio.TimerHandle | None = None
         """Closes the link unless the next frame is complete."""
 
--- a/packages/fleet/dewstep_fleet/member_links.py
+++ b/packages/fleet/dewstep_fleet/member_links.py
@@ -53,8 +53,6 @@
         self.accepted: set[links.Link] = set()
         self.links: dict[str, links.Link] = {}
         """Links of this coordinator to the members."""
-        self.opened_at: dict[str, datetime.timedelta] = {}
-        """When each of these links was opened."""
         self.next_dial_at: dict[str, datetime.timedelta] = {}
         self.sent_bytes = collections.Counter()
         """Bytes sent on all links but those of votes, by kind of message."""
@@ -79,19 +77,11 @@
         for link in list(self.links.values()):
             link.close()
         self.links.clear()
-        self.opened_at.clear()
 
     def is_from_member(self, link: links.Link, frame: frames.Frame) -> bool:
         """Whether a message came on the link of this coordinator to its sender."""
         return self.role.coordinating and self.links.get(frame.node) is link
 
-    def lacks_first_report(self, node: str, now: datetime.timedelta) -> bool:
-        """Whether a member has sent no report since its link was opened long ago.
-
-        To be asked only about members without a report.
-        """
-        return now - self.opened_at.get(node, now) > links.FIRST_FRAME_TIMEOUT
-
     def count_unsent_bytes(self) -> int:
         """Return the bytes that wait to be sent to members."""
         return sum(link.count_unsent_bytes() for link in self.links.values())
@@ -108,7 +98,6 @@
         for node, known in list(self.links.items()):
             if known is link:
                 del self.links[node]
-                self.opened_at.pop(node, None)
                 self.handle_member_lost(node)
                 events.info("member_lost", node=node)
 
@@ -138,7 +127,7 @@
             return
         link.sent_bytes = self.sent_bytes
         self.links[member.node] = link
-        self.opened_at[member.node] = self.clock.monotonic()
+        link.opened_at = self.clock.monotonic()
         # Sending all rows to all members would saturate a slow link for seconds.
         if not link.send(self.role.build_frame("greeting")):
             self.drop(link)
