--- a/review/stage3.py
+++ b/review/stage3.py
@@ -805,11 +805,15 @@
             loop.default_exception_handler(context)
 
     async def run() -> int:
-        asyncio.get_running_loop().set_exception_handler(handle_failure)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(handle_failure)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            # All processes are ended also if the script itself is stopped.
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         try:
             async with asyncio.timeout(110):
                 return await script(stage)
-        except (NotStarted, TimeoutError) as error:
+        except (NotStarted, TimeoutError, asyncio.CancelledError) as error:
             stage.record.add(f"could not run: {type(error).__name__} {error}", show=True)
             return 2
         finally:
