--- a/review/stage3.py
+++ b/review/stage3.py
@@ -567,7 +567,6 @@
         }
         environment["DEWSTEP_CONFIG"] = str(self.settings)
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
-        environment["PYTHONDONTWRITEBYTECODE"] = "1"
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 "python3", "platform/run.py",
