--- a/review/12/case.py
+++ b/review/12/case.py
@@ -14,9 +14,15 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PART = os.environ.get("PART", "both")
-"""The disruptions beside the final fault: "both", only the "store" or "machines"."""
+"""The disruptions beside the final fault: "both", only the "store" or "machines".
+
+With "power", the workers lose power too, and most machines are lost, without a drill; with
+"workers", only the workers lose power too.
+"""
 COPY = TROUBLE and PART in ("both", "store")
-LOSS = TROUBLE and PART in ("both", "machines")
+LOSS = TROUBLE and PART in ("both", "machines", "power")
+CRASH = TROUBLE and PART in ("power", "workers")
+WORKERS_DOWN_S = 3.0
 SERVICE = "history"
 WORKERS = 6
 INSTANCES = 5
@@ -75,6 +81,10 @@
         await stage.configure(manifest)
         for worker in stage.workers:
             await stage.store.put("servers", worker.id, worker.build_entry())
+    if CRASH:
+        for worker in stage.workers:
+            stage.record.add(f"{worker.id} loses power")
+            worker.crash()
     await asyncio.sleep(DOWN_S)
     back = stage.instances[-BACK:] if LOSS else stage.instances
     for instance in back:
@@ -83,6 +93,14 @@
     running.extend(back)
     began = stage3.now()
     stage.record.add(f"{len(back)} of {INSTANCES} machines are back", True)
+    if CRASH:
+        await asyncio.sleep(WORKERS_DOWN_S - DOWN_S)
+        for worker in stage.workers:
+            # At another address, as a machine that comes back may get one.
+            worker.port = 0
+            await worker.start()
+        began = stage3.now()
+        stage.record.add("the workers are back under new ids", True)
     await asyncio.sleep(RECOVER_S + JUDGED_S + 3)
     since, until = began + RECOVER_S, began + RECOVER_S + JUDGED_S
     judged = [item for item in stage.answers if since <= item.sent_at < until]
