--- a/review/stage3.py
+++ b/review/stage3.py
@@ -812,8 +812,9 @@
         try:
             async with asyncio.timeout(110):
                 return await script(stage)
-        except (NotStarted, TimeoutError, asyncio.CancelledError) as error:
-            stage.record.add(f"could not run: {type(error).__name__} {error}", show=True)
+        except (Exception, asyncio.CancelledError) as error:
+            # Also an error of the script itself says nothing about the rule.
+            stage.record.add(f"could not run: {error!r}", show=True)
             return 2
         finally:
             await stage.close()
